Lay out the workspace and agree the contracts

Cause: parts are to be built side by side, so what they share has to stand first. Conclusion: every crate can now be built against these.

--- /dev/null
+++ b/crates/tc-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load and experiment tool: demo, scenarios, comparison and plots.
--- /dev/null
+++ b/crates/tc-caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers: authentication, addresses, pipelines, streams and problem details.
--- /dev/null
+++ b/crates/tc-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Merges a folder of configuration files in file-name order and validates the result.
--- /dev/null
+++ b/crates/tc-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Between instances: membership, homes, permits, workspace shares and configuration spread.
--- /dev/null
+++ b/crates/tc-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform: objects, claims, leases and the instance list.
--- /dev/null
+++ b/crates/tc-policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Pure decisions under load: queueing, concurrency, estimates, budgets, choice of upstream, limits.
--- /dev/null
+++ b/crates/tc-protocol/src/clock.rs
@@ -0,0 +1,77 @@
+//! Monotonic time and deadlines.
+
+use std::{
+    sync::OnceLock,
+    time::{Duration, Instant},
+};
+
+use serde::{Deserialize, Serialize};
+
+/// Monotonic time in microseconds since this process first asked for it.
+///
+/// Decision code takes it as an argument, so that a test can drive it. Between processes only durations travel.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct MonoTime(pub u64);
+
+impl MonoTime {
+    /// Reads the process's monotonic clock.
+    #[must_use]
+    pub fn now() -> Self {
+        static ORIGIN: OnceLock<Instant> = OnceLock::new();
+        let origin = *ORIGIN.get_or_init(Instant::now);
+        Self(origin.elapsed().as_micros() as u64 + 1)
+    }
+
+    /// The time `millis` milliseconds after the origin.
+    #[must_use]
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// How long after `earlier` this is; zero if it is not after it.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// This time moved forward by `by`.
+    #[must_use]
+    pub const fn after(self, by: Duration) -> Self {
+        Self(self.0.saturating_add(by.as_micros() as u64))
+    }
+}
+
+/// The time by which a request must be answered.
+///
+/// ```
+/// use std::time::Duration;
+/// use tc_protocol::{Deadline, MonoTime};
+/// let deadline = Deadline::in_from(MonoTime::from_millis(10), Duration::from_millis(5));
+/// assert_eq!(deadline.remaining(MonoTime::from_millis(12)), Duration::from_millis(3));
+/// assert!(deadline.is_past(MonoTime::from_millis(15)));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Deadline(pub MonoTime);
+
+impl Deadline {
+    /// The deadline that is `budget` after `now`.
+    #[must_use]
+    pub const fn in_from(now: MonoTime, budget: Duration) -> Self {
+        Self(now.after(budget))
+    }
+
+    /// Time left at `now`; zero once past.
+    #[must_use]
+    pub const fn remaining(self, now: MonoTime) -> Duration {
+        self.0.since(now)
+    }
+
+    /// Whether no time is left at `now`.
+    #[must_use]
+    pub const fn is_past(self, now: MonoTime) -> bool {
+        self.0.0 <= now.0
+    }
+}
--- /dev/null
+++ b/crates/tc-protocol/src/guard.rs
@@ -0,0 +1,130 @@
+//! Guards that give back what they hold when dropped.
+
+use std::fmt;
+
+use crate::{Cost, Grant, Outcome, Release, RunState};
+use std::time::Duration;
+
+type OnRelease = Box<dyn FnOnce(Release) + Send>;
+
+/// A granted permit; dropping it without [`Permit::settle`] releases it as unused.
+///
+/// Without the release on drop, a cancelled task would leak the permit: the home would count a call that is not
+/// there until the permit's expiry, seen as an upstream that never gets its full concurrency.
+pub struct Permit {
+    grant: Grant,
+    why: String,
+    on_release: Option<OnRelease>,
+}
+
+impl Permit {
+    /// Wraps a grant; `on_release` is called exactly once. `why` says in words why this upstream was chosen.
+    pub fn new(
+        grant: Grant,
+        why: String,
+        on_release: impl FnOnce(Release) + Send + 'static,
+    ) -> Self {
+        Self {
+            grant,
+            why,
+            on_release: Some(Box::new(on_release)),
+        }
+    }
+
+    /// What was granted.
+    #[must_use]
+    pub fn grant(&self) -> &Grant {
+        &self.grant
+    }
+
+    /// Why this upstream was chosen, in words.
+    #[must_use]
+    pub fn why(&self) -> &str {
+        &self.why
+    }
+
+    /// Gives the permit back, telling how the call ended.
+    pub fn settle(
+        mut self,
+        outcome: Outcome,
+        run_state: RunState,
+        cost: Cost,
+        took: Duration,
+        first_byte: Option<Duration>,
+    ) {
+        let permit = self.grant.permit;
+        self.release(Release {
+            permit,
+            outcome,
+            run_state,
+            cost,
+            took,
+            first_byte,
+        });
+    }
+
+    fn release(&mut self, release: Release) {
+        if let Some(on_release) = self.on_release.take() {
+            on_release(release);
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let permit = self.grant.permit;
+        self.release(Release {
+            permit,
+            outcome: Outcome::Unused,
+            run_state: RunState::NotRun,
+            cost: Cost::default(),
+            took: Duration::ZERO,
+            first_byte: None,
+        });
+    }
+}
+
+impl fmt::Debug for Permit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Permit")
+            .field("grant", &self.grant)
+            .finish_non_exhaustive()
+    }
+}
+
+/// One request's part of its workspace's limits; dropping it ends the request's concurrency.
+pub struct ShareGuard {
+    on_end: Option<Box<dyn FnOnce(f64) + Send>>,
+    cost_units: f64,
+}
+
+impl ShareGuard {
+    /// `on_end` is called exactly once with the cost units the request used.
+    pub fn new(on_end: impl FnOnce(f64) + Send + 'static) -> Self {
+        Self {
+            on_end: Some(Box::new(on_end)),
+            cost_units: 0.0,
+        }
+    }
+
+    /// Adds cost units the request used, charged when the guard is dropped.
+    pub fn charge(&mut self, cost_units: f64) {
+        self.cost_units += cost_units;
+    }
+}
+
+impl Drop for ShareGuard {
+    fn drop(&mut self) {
+        if let Some(on_end) = self.on_end.take() {
+            on_end(self.cost_units);
+        }
+    }
+}
+
+impl fmt::Debug for ShareGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ShareGuard")
+            .field("cost_units", &self.cost_units)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/tc-protocol/src/lib.rs
@@ -0,0 +1,33 @@
+//! Names, identifiers, deadlines, run states, the configuration model and the wire types that all crates share.
+//!
+//! This crate depends on nothing of the project's own; every dependency arrow points towards it.
+
+mod claim;
+mod clock;
+mod config;
+mod decision;
+mod error;
+mod guard;
+mod name;
+mod permit;
+mod problem;
+mod run_state;
+mod view;
+pub mod wire;
+
+pub use claim::{ClaimKey, ClaimVerdict, RecordedOutcome};
+pub use clock::{Deadline, MonoTime};
+pub use config::{
+    FleetConfig, Limits, Model, Pipeline, Policy, Service, ServiceKind, Stage, Upstream, Workspace,
+};
+pub use decision::{Decision, Explanation, Step};
+pub use error::TcError;
+pub use guard::{Permit, ShareGuard};
+pub use name::{
+    Attempt, FailureDomain, Fingerprint, Incarnation, InstanceId, PermitId, PipelineName, Region,
+    RequestId, ServiceName, StageName, UpstreamId, WorkspaceName,
+};
+pub use permit::{Ask, AskRefusal, Cost, Grant, Outcome, RefusalReason, Release};
+pub use problem::{Problem, ProblemKind};
+pub use run_state::RunState;
+pub use view::{FleetView, Member, MemberState, StoreHealth, UpstreamState, UpstreamSummary};
--- /dev/null
+++ b/crates/tc-stand-ins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fakes of the platform, engines, pools, plain services and the weight store, for tests and experiments.
--- /dev/null
+++ b/crates/tc-telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sets up JSON-line logs, metrics and traces.
--- /dev/null
+++ b/crates/tc-upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Calls to engines, pools and plain services.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The shipped binary.
+
+fn main() {}
