Merge and validate a configuration folder

merge lays the files over each other in order of their names, compares the outcome with a schema and checks what the values mean together; every fault found is reported in one run with file, line and key.

--- /dev/null
+++ b/crates/tc-config/src/error.rs
@@ -0,0 +1,151 @@
+//! Why a configuration is refused as a whole.
+
+use miette::{Diagnostic, NamedSource};
+use tc_protocol::TcError;
+use thiserror::Error;
+
+use crate::{Fault, MAX_FOLDER_BYTES};
+
+/// A folder that cannot be read, or a configuration that is not valid.
+#[derive(Debug, Error, Diagnostic)]
+pub enum ConfigError {
+    /// The folder or a file in it cannot be read.
+    #[error("cannot read {path}: {problem}")]
+    #[diagnostic(
+        code(tc::config::unreadable),
+        help("check the path and that this user may read it")
+    )]
+    Unreadable {
+        /// The folder or file.
+        path: String,
+        /// What the system said.
+        problem: String,
+    },
+    /// The path is not a folder.
+    #[error("{path} is not a folder")]
+    #[diagnostic(
+        code(tc::config::not_a_folder),
+        help("name the folder that holds the *.toml files, not one of the files")
+    )]
+    NotAFolder {
+        /// The path.
+        path: String,
+    },
+    /// An entry is called `*.toml` and is no regular file.
+    #[error("{path} is {what}, not a file")]
+    #[diagnostic(
+        code(tc::config::not_a_file),
+        help(
+            "only regular files are merged, from one level; copy the content in or rename the entry"
+        )
+    )]
+    NotAFile {
+        /// The entry.
+        path: String,
+        /// What it is.
+        what: &'static str,
+    },
+    /// A file name is not UTF-8.
+    #[error("the name of {path} is not UTF-8")]
+    #[diagnostic(
+        code(tc::config::name_not_utf8),
+        help("rename the file, for example 10-models.toml")
+    )]
+    NameNotUtf8 {
+        /// The file, with its strange characters replaced.
+        path: String,
+    },
+    /// A file's text is not UTF-8.
+    #[error("{path} is not UTF-8 text: the byte at {offset} is wrong")]
+    #[diagnostic(code(tc::config::text_not_utf8), help("save the file as UTF-8"))]
+    TextNotUtf8 {
+        /// The file.
+        path: String,
+        /// Offset of the first wrong byte.
+        offset: usize,
+    },
+    /// The files are too large together.
+    #[error("the files in {path} have {at_least} bytes or more; {MAX_FOLDER_BYTES} are allowed")]
+    #[diagnostic(
+        code(tc::config::folder_too_large),
+        help(
+            "the platform holds the whole configuration in one object of a megabyte: remove files that are no longer needed"
+        )
+    )]
+    FolderTooLarge {
+        /// The folder.
+        path: String,
+        /// Bytes counted before reading stopped.
+        at_least: u64,
+    },
+    /// There is nothing to merge.
+    #[error("there is no configuration: no *.toml file with a key in it")]
+    #[diagnostic(
+        code(tc::config::empty),
+        help(
+            "write at least one file, such as 10-services.toml; an empty configuration would stop all service"
+        )
+    )]
+    Empty,
+    /// Two files have the same name.
+    #[error("two files are called {name}")]
+    #[diagnostic(
+        code(tc::config::same_file_name),
+        help("file names decide the order of the merge and must be unique")
+    )]
+    SameFileName {
+        /// The name.
+        name: String,
+    },
+    /// The files were read; this is everything that is wrong in them.
+    #[error("the configuration has {} fault{}", faults.len(), if faults.len() == 1 { "" } else { "s" })]
+    #[diagnostic(code(tc::config::invalid))]
+    Invalid {
+        /// All faults, in order of file and place.
+        #[related]
+        faults: Vec<Fault>,
+    },
+}
+
+impl ConfigError {
+    /// The faults inside the files, when they could be read.
+    #[must_use]
+    pub fn faults(&self) -> &[Fault] {
+        match self {
+            Self::Invalid { faults } => faults,
+            _ => &[],
+        }
+    }
+}
+
+impl From<ConfigError> for TcError {
+    fn from(error: ConfigError) -> Self {
+        let help = error.help().map(|h| h.to_string()).unwrap_or_default();
+        match error {
+            ConfigError::Invalid { faults } => from_faults(faults),
+            other => Self::Folder {
+                folder: "configuration".to_owned(),
+                problem: other.to_string(),
+                help,
+            },
+        }
+    }
+}
+
+/// The first fault keeps its place; the others follow in its help text.
+fn from_faults(faults: Vec<Fault>) -> TcError {
+    let mut faults = faults.into_iter();
+    let Some(first) = faults.next() else {
+        return TcError::Internal {
+            problem: "a configuration was refused without a fault".to_owned(),
+        };
+    };
+    let mut lines = vec![first.help().map(|h| h.to_string()).unwrap_or_default()];
+    lines.extend(faults.map(|other| format!("also {}: {other}", other.location())));
+    TcError::Config {
+        problem: format!("{}: {first}", first.location()),
+        file: NamedSource::new(&*first.file.name, first.file.text.to_string()),
+        at: Some(first.span),
+        help: lines.join("\n"),
+    }
+}
--- /dev/null
+++ b/crates/tc-config/src/merge.rs
@@ -0,0 +1,89 @@
+//! From files to one valid configuration.
+
+use tc_protocol::FleetConfig;
+
+use crate::{
+    ConfigError, Fault, Override, SourceFile, check, decode, overlay,
+    tree::{self, Table},
+};
+
+/// A valid configuration and what an operator may want to know of its making.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Merged {
+    /// The configuration.
+    pub config: FleetConfig,
+    /// Keys that a later file set to another value.
+    pub overrides: Vec<Override>,
+}
+
+/// Merges files in order of their names and validates the result.
+///
+/// The order in which the files are given does not matter.
+///
+/// # Errors
+/// [`ConfigError::Invalid`] with every fault found, [`ConfigError::Empty`], or
+/// [`ConfigError::SameFileName`].
+///
+/// ```
+/// use tc_config::{SourceFile, merge};
+/// let files = [
+///     SourceFile::new("20-change.toml", "[workspaces.lintas]\nweight = 4"),
+///     SourceFile::new("10-base.toml", &format!("[workspaces.lintas]\ntoken_sha256 = \"{:064}\"", 7)),
+/// ];
+/// let config = merge(&files, 3).unwrap();
+/// assert_eq!(config.revision, 3);
+/// assert_eq!(config.workspaces["lintas"].weight, 4);
+/// ```
+pub fn merge(files: &[SourceFile], revision: u64) -> Result<FleetConfig, ConfigError> {
+    merge_noting(files, revision).map(|merged| merged.config)
+}
+
+/// Like [`merge`], and tells which keys were overridden.
+///
+/// # Errors
+/// Those of [`merge`].
+pub fn merge_noting(files: &[SourceFile], revision: u64) -> Result<Merged, ConfigError> {
+    let mut overrides = Vec::new();
+    let root = merged_tree(files, &mut overrides)?;
+    if root.is_empty() {
+        return Err(ConfigError::Empty);
+    }
+    let mut faults = Vec::new();
+    let mut config = decode::decode(&root, &mut faults);
+    check::check(&config, &root, &mut faults);
+    if !faults.is_empty() {
+        return Err(invalid(faults));
+    }
+    config.revision = revision;
+    Ok(Merged { config, overrides })
+}
+
+fn merged_tree(files: &[SourceFile], overrides: &mut Vec<Override>) -> Result<Table, ConfigError> {
+    let mut files: Vec<&SourceFile> = files.iter().collect();
+    files.sort_by(|a, b| a.name.cmp(&b.name));
+    if let Some(pair) = files.windows(2).find(|pair| pair[0].name == pair[1].name) {
+        let name = pair[0].name.to_string();
+        return Err(ConfigError::SameFileName { name });
+    }
+    let mut root = Table::new();
+    let mut faults = Vec::new();
+    for file in files {
+        match tree::parse(file) {
+            Ok(table) => overlay::overlay(&mut root, table, overrides),
+            Err(found) => faults.extend(found),
+        }
+    }
+    if faults.is_empty() {
+        Ok(root)
+    } else {
+        Err(invalid(faults))
+    }
+}
+
+fn invalid(mut faults: Vec<Fault>) -> ConfigError {
+    faults.sort_by(|a, b| {
+        let place = |f: &Fault| (f.file.name.clone(), f.span.offset());
+        place(a).cmp(&place(b))
+    });
+    ConfigError::Invalid { faults }
+}
