Add the store client, configuration object, leases and quarantine

The store tells a write that surely had no effect from one whose answer was lost, and reads lost answers back.

--- /dev/null
+++ b/crates/tc-platform/src/backoff.rs
@@ -0,0 +1,57 @@
+//! Delays between retries: exponential with jitter.
+
+use std::time::Duration;
+
+/// Growth per retry.
+const FACTOR: u32 = 2;
+
+/// A series of delays, each drawn from the upper half of a window that doubles up to a limit.
+///
+/// Without jitter, all instances that met the same outage would come back in step and overload the store together;
+/// one would see its rate limit hit in bursts, one per window.
+///
+/// ```
+/// use std::time::Duration;
+/// use tc_platform::Backoff;
+/// let mut backoff = Backoff::new(Duration::from_millis(10), Duration::from_millis(25));
+/// assert_eq!(backoff.next_delay(0.0), Duration::from_millis(5));
+/// assert_eq!(backoff.next_delay(0.5), Duration::from_millis(15));
+/// assert_eq!(backoff.next_delay(0.0), Duration::from_micros(12_500));
+/// backoff.reset();
+/// assert_eq!(backoff.next_delay(0.0), Duration::from_millis(5));
+/// ```
+#[derive(Clone, Debug)]
+pub struct Backoff {
+    first: Duration,
+    most: Duration,
+    window: Duration,
+}
+
+impl Backoff {
+    /// Windows grow from `first` to `most`.
+    #[must_use]
+    pub fn new(first: Duration, most: Duration) -> Self {
+        Self {
+            first,
+            most,
+            window: first.min(most),
+        }
+    }
+
+    /// The next delay for a random number from 0 up to 1.
+    pub fn next_delay(&mut self, random: f64) -> Duration {
+        let window = self.window;
+        self.window = (window * FACTOR).min(self.most);
+        window.mul_f64(0.5 + random.clamp(0.0, 1.0) / 2.0)
+    }
+
+    /// Waits the next delay.
+    pub async fn wait(&mut self) {
+        tokio::time::sleep(self.next_delay(rand::random())).await;
+    }
+
+    /// Starts over after a success.
+    pub fn reset(&mut self) {
+        self.window = self.first.min(self.most);
+    }
+}
--- /dev/null
+++ b/crates/tc-platform/src/config.rs
@@ -0,0 +1,99 @@
+//! The configuration object: read, watched, and changed by compare-and-set.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use tc_protocol::wire::{CONFIG_KIND, CONFIG_NAME, ConfigObject};
+
+use crate::{Expect, Purpose, Store, StoreError, SureWrite, Versioned};
+
+/// What became of an apply.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ApplyResult {
+    /// The configuration was accepted.
+    Applied {
+        /// Version of the object that holds it.
+        version: u64,
+    },
+    /// Another operator was first; nothing of ours was or will be in force.
+    Conflict(Option<Versioned<ConfigObject>>),
+    /// It surely was not accepted: the store was not reached or refused it.
+    NotApplied(StoreError),
+    /// It may have been accepted: the answer was lost and reading back did not settle it.
+    Unknown,
+}
+
+/// Reads the configuration object; `None` before the first apply.
+pub async fn read_config(
+    store: &Store,
+    purpose: Purpose,
+) -> Result<Option<Versioned<ConfigObject>>, StoreError> {
+    let object = store.get(purpose, CONFIG_KIND, CONFIG_NAME).await?;
+    object.map(decode).transpose()
+}
+
+/// Waits up to `wait` for a version of the configuration object above `after`; `None` when there is none.
+pub async fn watch_config(
+    store: &Store,
+    after: u64,
+    wait: Duration,
+) -> Result<Option<Versioned<ConfigObject>>, StoreError> {
+    let object = store
+        .watch(Purpose::Config, CONFIG_KIND, CONFIG_NAME, after, wait)
+        .await?;
+    object.map(decode).transpose()
+}
+
+/// Replaces the configuration `base` by `new`, if `base` still is in force.
+///
+/// `new` must have the next revision and an `apply_id` used for no other apply: a write whose answer was lost is
+/// recognised by it.
+pub async fn apply_config(
+    store: &Store,
+    base: Option<Versioned<ConfigObject>>,
+    new: ConfigObject,
+) -> ApplyResult {
+    let old_revision = base.as_ref().map_or(0, |b| b.value.revision);
+    if new.revision != old_revision + 1 || new.apply_id.is_empty() {
+        return ApplyResult::NotApplied(StoreError::Malformed);
+    }
+    let Ok(value) = serde_json::to_value(&new) else {
+        return ApplyResult::NotApplied(StoreError::Malformed);
+    };
+    let expect = base.map_or(Expect::Absent, |b| Expect::Version(b.version));
+    let ours = |v: &Value| v["apply_id"] == new.apply_id.as_str();
+    let purpose = Purpose::Operator;
+    let written = store
+        .write_sure(purpose, CONFIG_KIND, CONFIG_NAME, expect, &value, ours)
+        .await;
+    match written {
+        SureWrite::Ours { version } => ApplyResult::Applied { version },
+        SureWrite::NotWritten(e) => ApplyResult::NotApplied(e),
+        SureWrite::Conflict { current } => {
+            ApplyResult::Conflict(current.and_then(|c| decode(c).ok()))
+        }
+        SureWrite::Unknown { current } => settle(&new, current),
+    }
+}
+
+/// Judges a lost answer by the object found in place of ours.
+///
+/// Each accepted change raises the revision by one. A foreign object with our revision stands directly on our base,
+/// so ours was never in force. A higher one may stand on ours: calling that a conflict would make the operator
+/// apply a change again that is already in force.
+fn settle(new: &ConfigObject, current: Option<Versioned<Value>>) -> ApplyResult {
+    match current.map(decode) {
+        Some(Ok(found)) if found.value.revision == new.revision => {
+            ApplyResult::Conflict(Some(found))
+        }
+        _ => ApplyResult::Unknown,
+    }
+}
+
+fn decode(object: Versioned<Value>) -> Result<Versioned<ConfigObject>, StoreError> {
+    let value = serde_json::from_value(object.value).map_err(|_| StoreError::Malformed)?;
+    Ok(Versioned {
+        version: object.version,
+        value,
+    })
+}
--- /dev/null
+++ b/crates/tc-platform/src/leases.rs
@@ -0,0 +1,213 @@
+//! Leases: at most one instance at a time gives orders to the upstreams of a service.
+
+use std::time::{Duration, SystemTime};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tc_protocol::{Incarnation, InstanceId, MonoTime, ServiceName};
+use thiserror::Error;
+
+use crate::{Expect, Purpose, Store, StoreError, SureWrite, Versioned};
+
+/// Kind of the lease objects; the name is the service's.
+pub const LEASE_KIND: &str = "tanagercroft-lease";
+
+/// Part of its duration that a foreign lease must be overdue before it is taken over: clocks of two machines may
+/// run at slightly different rates.
+const TAKEOVER_MARGIN: f64 = 0.1;
+
+/// Who holds a lease and for how long.
+#[derive(Clone, Debug)]
+pub struct LeaseSettings {
+    /// This instance.
+    pub holder: InstanceId,
+    /// Which life of its process.
+    pub incarnation: Incarnation,
+    /// How long the lease lasts without renewal.
+    pub ttl: Duration,
+}
+
+/// Why a lease is not held.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum LeaseError {
+    /// Another instance holds it, or took it first.
+    #[error("the lease is held by another instance")]
+    HeldByOther,
+    /// It lapsed; it must be acquired anew, with a new fencing number.
+    #[error("the lease lapsed")]
+    Lapsed,
+    /// The answer of the write was lost and reading back did not settle it.
+    #[error("whether the lease was written is unknown")]
+    Unknown,
+    /// The store could not be asked.
+    #[error("the lease's object could not be used: {0}")]
+    Store(#[from] StoreError),
+}
+
+/// Value of a lease object.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Record {
+    /// `None` once released.
+    holder: Option<InstanceId>,
+    incarnation: Incarnation,
+    ttl_ms: u64,
+    /// Random, to recognise a write whose answer was lost.
+    nonce: u64,
+}
+
+/// A foreign lease, and when this version of it was first seen.
+struct Sighting {
+    version: u64,
+    at: MonoTime,
+}
+
+/// One service's lease, as seen by this instance.
+pub struct Lease {
+    store: Store,
+    name: ServiceName,
+    settings: LeaseSettings,
+    sighting: Option<Sighting>,
+}
+
+/// A lease that was acquired. Its fencing number can only be had while it has not lapsed.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Held {
+    fence: u64,
+    version: u64,
+    from: MonoTime,
+    from_wall: SystemTime,
+    ttl: Duration,
+}
+
+impl Held {
+    /// The fencing number, unless the lease has lapsed by now.
+    ///
+    /// Besides the monotonic clock, which stands still while a virtual machine is suspended, it asks the wall
+    /// clock: a holder that slept through its lease would otherwise give orders beside its successor.
+    #[must_use]
+    pub fn fence(&self) -> Option<u64> {
+        let slept = self.from_wall.elapsed().is_ok_and(|age| age >= self.ttl);
+        if slept {
+            return None;
+        }
+        self.fence_at(MonoTime::now())
+    }
+
+    /// The fencing number, unless the lease has lapsed at `now`.
+    #[must_use]
+    pub fn fence_at(&self, now: MonoTime) -> Option<u64> {
+        (now < self.until()).then_some(self.fence)
+    }
+
+    /// When it lapses, counted from before the request that acquired or renewed it was sent.
+    #[must_use]
+    pub fn until(&self) -> MonoTime {
+        self.from.after(self.ttl)
+    }
+}
+
+impl Lease {
+    /// The lease on orders to the upstreams of `service`.
+    #[must_use]
+    pub fn new(store: Store, service: ServiceName, settings: LeaseSettings) -> Self {
+        Self {
+            store,
+            name: service,
+            settings,
+            sighting: None,
+        }
+    }
+
+    /// Acquires the lease if it is free, released or overdue.
+    ///
+    /// A foreign lease counts as overdue when its object has not changed for its whole duration and a margin, as
+    /// seen by this instance, so a fresh instance waits at least that long.
+    pub async fn acquire(&mut self) -> Result<Held, LeaseError> {
+        let found = self
+            .store
+            .get(Purpose::Leases, LEASE_KIND, self.name.as_str())
+            .await?;
+        let expect = match found {
+            None => Expect::Absent,
+            Some(object) => {
+                let version = object.version;
+                self.check_free(object)?;
+                Expect::Version(version)
+            }
+        };
+        self.write(expect, Some(self.settings.holder.clone())).await
+    }
+
+    /// Makes a held lease last longer; the fencing number stays.
+    pub async fn renew(&mut self, held: Held) -> Result<Held, LeaseError> {
+        let fence = held.fence().ok_or(LeaseError::Lapsed)?;
+        let expect = Expect::Version(held.version);
+        let renewed = self
+            .write(expect, Some(self.settings.holder.clone()))
+            .await?;
+        Ok(Held { fence, ..renewed })
+    }
+
+    /// Gives the lease up, so that another instance need not wait for its end.
+    pub async fn release(&mut self, held: Held) -> Result<(), LeaseError> {
+        self.write(Expect::Version(held.version), None).await?;
+        Ok(())
+    }
+
+    fn check_free(&mut self, object: Versioned<Value>) -> Result<(), LeaseError> {
+        let now = MonoTime::now();
+        let record: Record =
+            serde_json::from_value(object.value).map_err(|_| StoreError::Malformed)?;
+        let Some(holder) = record.holder else {
+            return Ok(());
+        };
+        if holder == self.settings.holder && record.incarnation == self.settings.incarnation {
+            return Ok(());
+        }
+        let ttl = Duration::from_millis(record.ttl_ms).mul_f64(1.0 + TAKEOVER_MARGIN);
+        match &self.sighting {
+            Some(seen) if seen.version == object.version => {
+                if now.since(seen.at) >= ttl {
+                    return Ok(());
+                }
+            }
+            _ => {
+                self.sighting = Some(Sighting {
+                    version: object.version,
+                    at: now,
+                });
+            }
+        }
+        Err(LeaseError::HeldByOther)
+    }
+
+    async fn write(&self, expect: Expect, holder: Option<InstanceId>) -> Result<Held, LeaseError> {
+        let (from, from_wall) = (MonoTime::now(), SystemTime::now());
+        let record = Record {
+            holder,
+            incarnation: self.settings.incarnation,
+            ttl_ms: self.settings.ttl.as_millis() as u64,
+            nonce: rand::random(),
+        };
+        let value = serde_json::to_value(&record).map_err(|_| StoreError::Malformed)?;
+        let ours = |v: &Value| v["nonce"] == record.nonce;
+        let name = self.name.as_str();
+        let written = self
+            .store
+            .write_sure(Purpose::Leases, LEASE_KIND, name, expect, &value, ours)
+            .await;
+        let version = match written {
+            SureWrite::Ours { version } => version,
+            SureWrite::Conflict { .. } => return Err(LeaseError::HeldByOther),
+            SureWrite::NotWritten(e) => return Err(e.into()),
+            SureWrite::Unknown { .. } => return Err(LeaseError::Unknown),
+        };
+        Ok(Held {
+            fence: version,
+            version,
+            from,
+            from_wall,
+            ttl: self.settings.ttl,
+        })
+    }
+}
--- /dev/null
+++ b/crates/tc-platform/src/quarantine.rs
@@ -0,0 +1,77 @@
+//! Fingerprints of requests that crashed upstreams, kept so that no instance runs them again.
+
+use serde::{Deserialize, Serialize};
+use tc_protocol::{Fingerprint, ServiceName, WorkspaceName};
+
+use crate::{Expect, Purpose, Store, StoreError, SureWrite};
+
+/// Kind of the objects that hold quarantined fingerprints.
+pub const QUARANTINE_KIND: &str = "tanagercroft-quarantine";
+
+/// One quarantined fingerprint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantined {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Whose request it was.
+    pub workspace: WorkspaceName,
+    /// The service whose upstreams it crashed.
+    pub service: ServiceName,
+    /// Upstreams it crashed.
+    pub crashes: u32,
+    /// Unix time of the quarantine in milliseconds; for people only.
+    pub added_at_ms: u64,
+}
+
+/// Lists all quarantined fingerprints. Objects that cannot be read are skipped with a warning.
+pub async fn list_quarantined(store: &Store) -> Result<Vec<Quarantined>, StoreError> {
+    let items = store.list(Purpose::Quarantine, QUARANTINE_KIND).await?;
+    let decode = |item: tc_protocol::wire::ObjectItem| {
+        serde_json::from_value(item.value)
+            .inspect_err(|e| log::warn!("quarantine object {} cannot be read: {e}", item.name))
+            .ok()
+    };
+    Ok(items.into_iter().filter_map(decode).collect())
+}
+
+/// Quarantines a fingerprint; a repeat is harmless.
+pub async fn add_quarantined(store: &Store, entry: &Quarantined) -> Result<(), StoreError> {
+    let value = serde_json::to_value(entry).map_err(|_| StoreError::Malformed)?;
+    let name = object_name(entry.fingerprint);
+    let purpose = Purpose::Quarantine;
+    let written = store
+        .write_sure(
+            purpose,
+            QUARANTINE_KIND,
+            &name,
+            Expect::Absent,
+            &value,
+            |_| true,
+        )
+        .await;
+    match written {
+        SureWrite::Ours { .. } | SureWrite::Conflict { .. } => Ok(()),
+        SureWrite::NotWritten(e) => Err(e),
+        SureWrite::Unknown { .. } => Err(StoreError::MaybeApplied),
+    }
+}
+
+/// Lets a fingerprint run again; returns whether it was quarantined.
+pub async fn remove_quarantined(
+    store: &Store,
+    fingerprint: Fingerprint,
+) -> Result<bool, StoreError> {
+    let name = object_name(fingerprint);
+    let purpose = Purpose::Quarantine;
+    let Some(found) = store.get(purpose, QUARANTINE_KIND, &name).await? else {
+        return Ok(false);
+    };
+    store
+        .delete(purpose, QUARANTINE_KIND, &name, found.version)
+        .await?;
+    Ok(true)
+}
+
+fn object_name(fingerprint: Fingerprint) -> String {
+    format!("{:016x}", fingerprint.0)
+}
--- /dev/null
+++ b/crates/tc-platform/src/store/mod.rs
@@ -0,0 +1,292 @@
+//! Client of the platform's object API and instance list.
+
+mod coalesce;
+mod pace;
+mod sure;
+mod tally;
+mod wire;
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use http_body_util::Full;
+use serde::{Serialize, de::DeserializeOwned};
+use serde_json::Value;
+use tc_protocol::{
+    StoreHealth,
+    wire::{InstanceList, MAX_OBJECT_BYTES, ObjectItem, ObjectList},
+};
+
+use crate::StoreError;
+use coalesce::Coalescer;
+use pace::Pace;
+use tally::Tally;
+use wire::{Answer, Effect, HttpClient};
+
+pub use sure::{Expect, SureWrite};
+pub use tally::Purpose;
+
+/// How the store is reached.
+#[derive(Clone, Debug)]
+pub struct StoreSettings {
+    /// Where the platform listens.
+    pub address: SocketAddr,
+    /// Most calls a second this instance makes in the long run; a second's worth may come at once.
+    pub calls_per_s: f64,
+    /// Longest time one call may take, and longest time it may wait for its turn.
+    pub timeout: Duration,
+}
+
+/// A value and the version of the object that holds it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Versioned<T> {
+    /// The object's version.
+    pub version: u64,
+    /// The object's value.
+    pub value: T,
+}
+
+/// Client of the store; clones share connections, rate and counters.
+#[derive(Clone)]
+pub struct Store {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    settings: StoreSettings,
+    client: HttpClient,
+    pace: Pace,
+    tally: Tally,
+    reads: Coalescer,
+}
+
+impl Store {
+    /// A client that connects when first used. Calls need a tokio runtime.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tc_platform::{Store, StoreSettings};
+    /// let store = Store::new(StoreSettings {
+    ///     address: ([127, 0, 0, 1], 1).into(),
+    ///     calls_per_s: 50.0,
+    ///     timeout: Duration::from_secs(1),
+    /// });
+    /// assert!(!store.health().reachable);
+    /// assert_eq!(store.calls()["claims"], 0);
+    /// ```
+    #[must_use]
+    pub fn new(settings: StoreSettings) -> Self {
+        Self {
+            inner: Arc::new(Inner {
+                client: wire::http_client(settings.timeout),
+                pace: Pace::new(settings.calls_per_s),
+                tally: Tally::new(),
+                reads: Coalescer::default(),
+                settings,
+            }),
+        }
+    }
+
+    /// Reads one object; `None` when it does not exist. Concurrent reads of one object share calls.
+    pub async fn get(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+    ) -> Result<Option<Versioned<Value>>, StoreError> {
+        let path = object_path(kind, name)?;
+        let store = self.clone();
+        let target = path.clone();
+        let read = async move {
+            let timeout = store.inner.settings.timeout;
+            let answer = store.read(purpose, &target, timeout).await?;
+            object_in(&answer)
+        };
+        self.inner.reads.read(&path, read).await
+    }
+
+    /// Lists all objects of a kind, in order of name.
+    pub async fn list(&self, purpose: Purpose, kind: &str) -> Result<Vec<ObjectItem>, StoreError> {
+        let path = format!("/objects/{}", checked(kind)?);
+        let answer = self
+            .read(purpose, &path, self.inner.settings.timeout)
+            .await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            return Ok(Vec::new());
+        }
+        Ok(decode::<ObjectList>(&answer.body)?.items)
+    }
+
+    /// Creates an object and returns its version.
+    ///
+    /// Fails with [`StoreError::Conflict`] when it exists, and with [`StoreError::MaybeApplied`] when the answer
+    /// was lost; see [`Store::write_sure`].
+    pub async fn create(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        value: &Value,
+    ) -> Result<u64, StoreError> {
+        self.put(purpose, kind, name, Expect::Absent, value).await
+    }
+
+    /// Writes an object whose version still is `version` and returns the new one.
+    ///
+    /// Fails as [`Store::create`] does.
+    pub async fn update(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        version: u64,
+        value: &Value,
+    ) -> Result<u64, StoreError> {
+        self.put(purpose, kind, name, Expect::Version(version), value)
+            .await
+    }
+
+    /// Deletes an object whose version still is `version`.
+    pub async fn delete(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        version: u64,
+    ) -> Result<(), StoreError> {
+        let req = Request::builder()
+            .method(Method::DELETE)
+            .header(header::IF_MATCH, format!("\"{version}\""));
+        let path = object_path(kind, name)?;
+        self.call(
+            purpose,
+            req,
+            &path,
+            Bytes::new(),
+            Effect::Write,
+            self.inner.settings.timeout,
+        )
+        .await
+        .map(|_| ())
+    }
+
+    /// Waits up to `wait` until the object's version is above `after`; `None` when it did not change.
+    pub async fn watch(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        after: u64,
+        wait: Duration,
+    ) -> Result<Option<Versioned<Value>>, StoreError> {
+        let path = object_path(kind, name)?;
+        let path = format!("{path}?watch={after}&timeout_ms={}", wait.as_millis());
+        let timeout = wait + self.inner.settings.timeout;
+        let answer = self.read(purpose, &path, timeout).await?;
+        object_in(&answer)
+    }
+
+    /// Reads the instance list.
+    pub async fn instances(&self, purpose: Purpose) -> Result<InstanceList, StoreError> {
+        let answer = self
+            .read(purpose, "/instances", self.inner.settings.timeout)
+            .await?;
+        decode(&answer.body)
+    }
+
+    /// Whether the last call was answered, and how long ago one last was.
+    #[must_use]
+    pub fn health(&self) -> StoreHealth {
+        self.inner.tally.health()
+    }
+
+    /// Calls sent so far by purpose.
+    #[must_use]
+    pub fn calls(&self) -> BTreeMap<&'static str, u64> {
+        self.inner.tally.calls()
+    }
+
+    async fn read(
+        &self,
+        purpose: Purpose,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<Answer, StoreError> {
+        let req = Request::builder().method(Method::GET);
+        self.call(purpose, req, path, Bytes::new(), Effect::Read, timeout)
+            .await
+    }
+
+    async fn put(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+        expect: Expect,
+        value: &Value,
+    ) -> Result<u64, StoreError> {
+        let path = object_path(kind, name)?;
+        let body = serde_json::to_vec(value).map_err(|_| StoreError::Malformed)?;
+        if body.len() > MAX_OBJECT_BYTES {
+            return Err(StoreError::TooLarge);
+        }
+        let req = Request::builder()
+            .method(Method::PUT)
+            .header(header::CONTENT_TYPE, "application/json");
+        let req = match expect {
+            Expect::Absent => req.header(header::IF_NONE_MATCH, "*"),
+            Expect::Version(v) => req.header(header::IF_MATCH, format!("\"{v}\"")),
+        };
+        let timeout = self.inner.settings.timeout;
+        self.call(purpose, req, &path, body.into(), Effect::Write, timeout)
+            .await?
+            .version
+            // It was written, but without the version nothing can be built on it.
+            .ok_or(StoreError::MaybeApplied)
+    }
+
+    async fn call(
+        &self,
+        purpose: Purpose,
+        req: http::request::Builder,
+        path: &str,
+        body: Bytes,
+        effect: Effect,
+        timeout: Duration,
+    ) -> Result<Answer, StoreError> {
+        let inner = &self.inner;
+        let req = req
+            .uri(format!("http://{}{path}", inner.settings.address))
+            .body(Full::new(body))
+            .map_err(|_| StoreError::Malformed)?;
+        inner.pace.take(inner.settings.timeout).await?;
+        let result = wire::exchange(&inner.client, req, effect, timeout).await;
+        inner.tally.note(purpose, result.as_ref().map(|_| ()));
+        result
+    }
+}
+
+fn object_path(kind: &str, name: &str) -> Result<String, StoreError> {
+    Ok(format!("/objects/{}/{}", checked(kind)?, checked(name)?))
+}
+
+/// A part of a path, which must need no escaping: a name with a slash would address another object.
+fn checked(part: &str) -> Result<&str, StoreError> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~@".contains(&b);
+    let fits = !part.is_empty() && part.bytes().all(plain) && part != "." && part != "..";
+    fits.then_some(part).ok_or(StoreError::Malformed)
+}
+
+fn object_in(answer: &Answer) -> Result<Option<Versioned<Value>>, StoreError> {
+    if answer.status != StatusCode::OK {
+        return Ok(None);
+    }
+    let version = answer.version.ok_or(StoreError::Malformed)?;
+    let value = decode(&answer.body)?;
+    Ok(Some(Versioned { version, value }))
+}
+
+fn decode<T: DeserializeOwned>(body: &Bytes) -> Result<T, StoreError> {
+    serde_json::from_slice(body).map_err(|_| StoreError::Malformed)
+}
--- /dev/null
+++ b/crates/tc-platform/src/store/pace.rs
@@ -0,0 +1,56 @@
+//! Token bucket that bounds this instance's calls to the store.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::StoreError;
+
+/// Seconds' worth of calls that may be sent at once after a quiet time.
+const BURST_S: f64 = 1.0;
+
+/// A token bucket with reservations: a call that finds it empty waits for its turn, in order.
+pub(crate) struct Pace {
+    interval: Duration,
+    burst: Duration,
+    /// When the bucket will have given out all reserved tokens at the steady rate.
+    reserved_until: Mutex<Instant>,
+}
+
+impl Pace {
+    pub(crate) fn new(calls_per_s: f64) -> Self {
+        let rate = calls_per_s.max(0.001);
+        let interval = Duration::from_secs_f64(1.0 / rate);
+        Self {
+            interval,
+            burst: Duration::from_secs_f64(BURST_S).max(interval),
+            reserved_until: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits for a token.
+    ///
+    /// Fails with [`StoreError::Paced`] at once when the turn would come only after `longest`.
+    pub(crate) async fn take(&self, longest: Duration) -> Result<(), StoreError> {
+        let turn = self.reserve(Instant::now(), longest)?;
+        tokio::time::sleep_until(turn).await;
+        Ok(())
+    }
+
+    fn reserve(&self, now: Instant, longest: Duration) -> Result<Instant, StoreError> {
+        let mut until = self
+            .reserved_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let reserved = (*until).max(now) + self.interval;
+        let wait = reserved.duration_since(now).saturating_sub(self.burst);
+        if wait > longest {
+            return Err(StoreError::Paced);
+        }
+        *until = reserved;
+        Ok(now + wait)
+    }
+}
--- /dev/null
+++ b/crates/tc-platform/src/store/tally.rs
@@ -0,0 +1,105 @@
+//! What calls are for, how many were made, and how well the store answers.
+
+use std::{
+    collections::BTreeMap,
+    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+};
+
+use tc_protocol::{MonoTime, StoreHealth};
+
+use crate::StoreError;
+
+/// What a call to the store is for; the platform counts every call, and so do we.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Purpose {
+    /// Reading and watching the configuration.
+    Config,
+    /// Claims on idempotency keys.
+    Claims,
+    /// Leases and plans for orders to upstreams.
+    Leases,
+    /// The instance list.
+    Instances,
+    /// Quarantined fingerprints.
+    Quarantine,
+    /// Commands given by an operator.
+    Operator,
+}
+
+impl Purpose {
+    /// All purposes, in the order of their declaration.
+    pub const ALL: [Self; 6] = [
+        Self::Config,
+        Self::Claims,
+        Self::Leases,
+        Self::Instances,
+        Self::Quarantine,
+        Self::Operator,
+    ];
+
+    /// The word used as the `purpose` label of metrics.
+    ///
+    /// ```
+    /// assert_eq!(tc_platform::Purpose::Claims.as_str(), "claims");
+    /// ```
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Claims => "claims",
+            Self::Leases => "leases",
+            Self::Instances => "instances",
+            Self::Quarantine => "quarantine",
+            Self::Operator => "operator",
+        }
+    }
+}
+
+/// Counts calls by purpose and remembers the last one that succeeded.
+pub(crate) struct Tally {
+    calls: [AtomicU64; Purpose::ALL.len()],
+    reachable: AtomicBool,
+    last_success: AtomicU64,
+}
+
+impl Tally {
+    pub(crate) fn new() -> Self {
+        Self {
+            calls: Default::default(),
+            reachable: AtomicBool::new(false),
+            last_success: AtomicU64::new(MonoTime::now().0),
+        }
+    }
+
+    /// Notes a call that was sent, and how it ended.
+    pub(crate) fn note(&self, purpose: Purpose, result: Result<(), &StoreError>) {
+        self.calls[purpose as usize].fetch_add(1, Ordering::Relaxed);
+        let word = result.map_or_else(StoreError::as_str, |()| "ok");
+        metrics::counter!("tc_platform_calls_total", "purpose" => purpose.as_str(), "result" => word)
+            .increment(1);
+        let answered = matches!(
+            result,
+            Ok(()) | Err(StoreError::Conflict { .. } | StoreError::TooLarge)
+        );
+        if answered {
+            self.last_success
+                .store(MonoTime::now().0, Ordering::Relaxed);
+        }
+        self.reachable.store(answered, Ordering::Relaxed);
+    }
+
+    pub(crate) fn health(&self) -> StoreHealth {
+        let last = MonoTime(self.last_success.load(Ordering::Relaxed));
+        StoreHealth {
+            reachable: self.reachable.load(Ordering::Relaxed),
+            age: MonoTime::now().since(last),
+        }
+    }
+
+    pub(crate) fn calls(&self) -> BTreeMap<&'static str, u64> {
+        Purpose::ALL
+            .into_iter()
+            .map(|p| (p.as_str(), self.calls[p as usize].load(Ordering::Relaxed)))
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/tc-platform/src/store/wire.rs
@@ -0,0 +1,117 @@
+//! One HTTP call to the platform and what its ending means.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+
+use crate::StoreError;
+
+/// Longest time a connection is kept without use; the platform may close it earlier.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest answer that is read: a list of objects may be many times larger than one object.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+pub(crate) type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Whether a call changes anything when it reaches the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Effect {
+    Read,
+    Write,
+}
+
+/// An answer whose status says that the call was carried out.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) version: Option<u64>,
+    pub(crate) body: Bytes,
+}
+
+pub(crate) fn http_client(connect_timeout: Duration) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(connect_timeout));
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_timer(TokioTimer::new())
+        .build(connector)
+}
+
+/// Sends one request and tells how it ended.
+pub(crate) async fn exchange(
+    client: &HttpClient,
+    req: Request<Full<Bytes>>,
+    effect: Effect,
+    timeout: Duration,
+) -> Result<Answer, StoreError> {
+    tokio::time::timeout(timeout, answer(client, req, effect))
+        .await
+        .unwrap_or_else(|_| Err(no_answer(effect)))
+}
+
+async fn answer(
+    client: &HttpClient,
+    req: Request<Full<Bytes>>,
+    effect: Effect,
+) -> Result<Answer, StoreError> {
+    let answer = client.request(req).await.map_err(|e| {
+        if e.is_connect() {
+            StoreError::Unreachable
+        } else {
+            no_answer(effect)
+        }
+    })?;
+    let status = answer.status();
+    let version = version_of(answer.headers());
+    judge(status, version, effect)?;
+    let body = Limited::new(answer.into_body(), MAX_ANSWER_BYTES)
+        .collect()
+        .await;
+    let body = match (body, effect) {
+        (Ok(body), _) => body.to_bytes(),
+        // The headers of a write's answer say all; its body is only read so that the connection can be kept.
+        (Err(_), Effect::Write) => Bytes::new(),
+        (Err(_), Effect::Read) => return Err(StoreError::Unreachable),
+    };
+    Ok(Answer {
+        status,
+        version,
+        body,
+    })
+}
+
+/// What a request that was sent and not answered means.
+///
+/// A write whose connection broke may already have taken effect, or may still do so. Treating it as failed would
+/// let a claim be made twice; one would notice two runs of one idempotency key.
+const fn no_answer(effect: Effect) -> StoreError {
+    match effect {
+        Effect::Read => StoreError::Unreachable,
+        Effect::Write => StoreError::MaybeApplied,
+    }
+}
+
+fn judge(status: StatusCode, version: Option<u64>, effect: Effect) -> Result<(), StoreError> {
+    match status {
+        s if s.is_success() => Ok(()),
+        StatusCode::NOT_MODIFIED => Ok(()),
+        StatusCode::NOT_FOUND if effect == Effect::Read => Ok(()),
+        StatusCode::NOT_FOUND => Err(StoreError::Conflict { current: None }),
+        StatusCode::PRECONDITION_FAILED => Err(StoreError::Conflict { current: version }),
+        StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge),
+        // A server that fails half way, or a proxy before it, cannot vouch that a write had no effect.
+        s if s.is_server_error() && effect == Effect::Write => Err(StoreError::MaybeApplied),
+        s => Err(StoreError::Refused(s.as_u16())),
+    }
+}
+
+fn version_of(headers: &HeaderMap) -> Option<u64> {
+    let tag = headers.get(header::ETAG)?.to_str().ok()?;
+    tag.trim_matches('"').parse().ok()
+}
