--- /dev/null
+++ b/crates/tc-membership/src/placement.rs
@@ -0,0 +1,71 @@
+//! Placement of roles on instances by rendezvous hashing: no election, and only the roles of an instance that goes
+//! are moved.
+
+use tc_protocol::{FailureDomain, Member, Region};
+
+use crate::rank::{rank, usable};
+
+const HOME_ROLE: &str = "home";
+const WATCHER_ROLE: &str = "watcher";
+
+/// The instance that holds the role named by `key`, or `None` when no instance is usable.
+///
+/// Candidates are the alive members of the failure domain; when it has none, those of the region; when that has none,
+/// all. Suspected members are candidates only while no member at all is alive; leaving and dead ones never are.
+///
+/// ```
+/// use tc_membership::home_of;
+/// assert!(home_of("upstream/e1", &[], None, None).is_none());
+/// ```
+#[must_use]
+pub fn home_of<'a>(
+    key: &str,
+    members: &'a [Member],
+    failure_domain: Option<&FailureDomain>,
+    region: Option<&Region>,
+) -> Option<&'a Member> {
+    let usable = usable(members);
+    let in_domain = || {
+        best(key, usable.iter().copied(), |m| {
+            Some(&m.failure_domain) == failure_domain
+        })
+    };
+    let in_region = || best(key, usable.iter().copied(), |m| Some(&m.region) == region);
+    in_domain()
+        .or_else(in_region)
+        .or_else(|| best(key, usable.iter().copied(), |_| true))
+}
+
+fn best<'a>(
+    key: &str,
+    members: impl Iterator<Item = &'a Member>,
+    admits: impl Fn(&Member) -> bool,
+) -> Option<&'a Member> {
+    members
+        .filter(|m| admits(m))
+        .max_by_key(|m| (rank(HOME_ROLE, key, m.id.as_str()), &m.id))
+}
+
+/// The `count` instances of a failure domain that watch the platform for a new configuration, best rank first.
+///
+/// ```
+/// use tc_membership::watchers;
+/// assert!(watchers(&[], &"kl-a".into(), 2).is_empty());
+/// ```
+#[must_use]
+pub fn watchers<'a>(
+    members: &'a [Member],
+    domain: &FailureDomain,
+    count: usize,
+) -> Vec<&'a Member> {
+    let mut ranked = usable(members);
+    ranked.retain(|m| m.failure_domain == *domain);
+    ranked.sort_by_key(|m| {
+        (
+            std::cmp::Reverse(rank(WATCHER_ROLE, domain.as_str(), m.id.as_str())),
+            &m.id,
+        )
+    });
+    ranked.truncate(count);
+    ranked
+}
