--- /dev/null
+++ b/crates/tc-config/tests/config/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the merge by feature.
+
+mod base;
+mod faults;
+mod folder;
+mod fuzz;
+mod merge;
