Call engines, pools and plain services over driven connections

A connection is driven by the task that waits for its answer, and its socket counts the bytes written. So a failure with no byte written is provably not run, and dropping a call closes its connection.

--- a/crates/tc-upstream/src/lib.rs
+++ b/crates/tc-upstream/src/lib.rs
@@ -1,9 +1,18 @@
 //! Calls to engines, pools and plain services.
 
 mod call;
+mod check;
 mod client;
+mod connection;
+mod control;
 mod error;
+mod exchange;
+mod headers;
+mod identity;
+mod meter;
 mod plain;
+mod site;
+mod stage;
 mod stream;
 
 pub use call::{PlainCall, PlainReply, StageCall, StageReply};
--- /dev/null
+++ b/crates/tc-upstream/src/meter.rs
@@ -0,0 +1,50 @@
+//! Counts how calls end.
+
+use tc_protocol::Outcome;
+use tokio::time::Instant;
+
+/// Counts one call when it ends, and as cancelled when it is dropped before.
+#[derive(Debug)]
+pub(crate) struct CallMeter {
+    kind: &'static str,
+    started: Instant,
+    ended: bool,
+}
+
+impl CallMeter {
+    pub(crate) fn start(kind: &'static str) -> Self {
+        Self {
+            kind,
+            started: Instant::now(),
+            ended: false,
+        }
+    }
+
+    pub(crate) fn end(&mut self, outcome: Outcome) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        metrics::counter!("tc_upstream_calls_total", "kind" => self.kind, "outcome" => label(outcome))
+            .increment(1);
+        metrics::histogram!("tc_upstream_call_seconds", "kind" => self.kind)
+            .record(self.started.elapsed());
+    }
+}
+
+impl Drop for CallMeter {
+    fn drop(&mut self) {
+        self.end(Outcome::Cancelled);
+    }
+}
+
+const fn label(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Rejected => "rejected",
+        Outcome::Failed => "failed",
+        Outcome::Died => "died",
+        Outcome::TimedOut => "timed_out",
+        Outcome::Cancelled => "cancelled",
+        Outcome::Unused => "unused",
+    }
+}
