Decide under load: homes, choice, estimates, limits, suspects

First version of the whole public interface, so that the crates which use it can be built against it.

--- /dev/null
+++ b/crates/tc-policy/src/home/health.rs
@@ -0,0 +1,268 @@
+//! Whether an upstream is an outlier of its service: much slower than the others, or failing.
+
+use std::{collections::VecDeque, time::Duration};
+
+use tc_protocol::{MonoTime, Outcome, PermitId, Release};
+
+use super::concurrency::millis;
+
+/// Service time against the service's median, as a factor, from which an upstream is an outlier.
+const OUTLIER_FACTOR: f64 = 3.0;
+/// Service time against the service's median, as a factor, from which its concurrency is lowered.
+const SLOW_FACTOR: f64 = 2.0;
+/// A cancelled call counts from this factor on; a call cut short would have taken longer still, by this factor.
+const CUT_SHORT_FACTOR: f64 = 2.0;
+/// Calls remembered.
+const MOST_TIMES: usize = 32;
+/// Fewest calls whose median says something.
+const FEWEST_TIMES: usize = 6;
+/// How long a call is remembered.
+const TIMES_LAST: Duration = Duration::from_secs(30);
+/// Outcomes remembered, as bits.
+const OUTCOMES: u32 = 16;
+/// Fewest outcomes whose failures say something.
+const FEWEST_OUTCOMES: u32 = 8;
+/// Failures in a row from which an upstream is an outlier at once.
+const FAILURES_IN_A_ROW: u32 = 4;
+/// Calls between two judgements.
+const JUDGE_EVERY: u32 = 4;
+/// Bad judgements in a row after which it is ejected.
+const STRIKES: u32 = 2;
+/// First time between an ejection and its probe.
+const FIRST_PROBE_AFTER: Duration = Duration::from_millis(500);
+/// Longest time between two probes.
+const LONGEST_PROBE_AFTER: Duration = Duration::from_secs(10);
+/// Good probes in a row that bring it back.
+const GOOD_PROBES: u32 = 2;
+
+/// What a judgement asks of the home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Advice {
+    /// Nothing.
+    Keep,
+    /// Lower the concurrency.
+    Lower,
+    /// Take no ordinary calls; probes only.
+    Eject,
+    /// Take calls again, carefully.
+    Return,
+}
+
+#[derive(Debug)]
+struct Ejected {
+    next_probe: MonoTime,
+    interval: Duration,
+    good: u32,
+    probe: Option<PermitId>,
+}
+
+/// What is known of an upstream's health.
+#[derive(Debug, Default)]
+pub(super) struct Health {
+    /// When a call ended and its service time in milliseconds.
+    times: VecDeque<(MonoTime, f64)>,
+    median_ms: f64,
+    /// One bit for each of the last outcomes, set for a failure.
+    failures: u32,
+    outcomes: u32,
+    failed_in_a_row: u32,
+    since_judged: u32,
+    strikes: u32,
+    service_median_ms: Option<f64>,
+    may_eject: bool,
+    ejected: Option<Ejected>,
+}
+
+impl Health {
+    /// Takes in what is typical of the service, and whether one more of it may be out.
+    pub(super) fn set_service(&mut self, median_ms: Option<f64>, may_eject: bool) -> Advice {
+        self.service_median_ms = median_ms.filter(|&ms| ms > 0.0);
+        self.may_eject = may_eject;
+        if !may_eject && self.ejected.is_some() {
+            self.come_back();
+            return Advice::Return;
+        }
+        Advice::Keep
+    }
+
+    /// Median service time in milliseconds; 0 while unknown.
+    pub(super) fn median_ms(&self, now: MonoTime) -> f64 {
+        match self.times.back() {
+            Some(&(at, _)) if now.since(at) < TIMES_LAST => self.median_ms,
+            _ => 0.0,
+        }
+    }
+
+    pub(super) const fn is_ejected(&self) -> bool {
+        self.ejected.is_some()
+    }
+
+    /// Whether a probe may start.
+    pub(super) fn probe_due(&self, now: MonoTime) -> bool {
+        self.ejected
+            .as_ref()
+            .is_some_and(|e| e.probe.is_none() && e.next_probe <= now)
+    }
+
+    /// When the next probe may start, when none runs.
+    pub(super) fn next_probe(&self) -> Option<MonoTime> {
+        let ejected = self.ejected.as_ref()?;
+        ejected.probe.is_none().then_some(ejected.next_probe)
+    }
+
+    pub(super) const fn probe_started(&mut self, permit: PermitId) {
+        if let Some(ejected) = &mut self.ejected {
+            ejected.probe = Some(permit);
+        }
+    }
+
+    /// The permit ended without telling anything of the upstream.
+    pub(super) fn ended_untold(&mut self, permit: PermitId) {
+        if let Some(ejected) = &mut self.ejected
+            && ejected.probe == Some(permit)
+        {
+            ejected.probe = None;
+        }
+    }
+
+    /// A call ended.
+    pub(super) fn record(&mut self, now: MonoTime, release: &Release) -> Advice {
+        let Some((time_ms, failed)) = self.evidence(release) else {
+            self.ended_untold(release.permit);
+            return Advice::Keep;
+        };
+        if self.ejected.is_some() {
+            return self.record_ejected(now, release.permit, time_ms, failed);
+        }
+        if let Some(ms) = time_ms {
+            self.times.push_back((now, ms));
+        }
+        self.note_outcome(failed);
+        self.since_judged += 1;
+        if self.since_judged < JUDGE_EVERY && self.failed_in_a_row < FAILURES_IN_A_ROW {
+            return Advice::Keep;
+        }
+        self.judge(now)
+    }
+
+    /// Service time in milliseconds and whether the call failed; `None` when it says nothing of the upstream.
+    ///
+    /// A hanging upstream answers nothing: all that is ever seen of it are calls that timed out, or were given up for
+    /// a hedge. So a long call counts as slow though it was cancelled.
+    fn evidence(&self, release: &Release) -> Option<(Option<f64>, bool)> {
+        let took = millis(release.took);
+        match release.outcome {
+            Outcome::Answered => Some((Some(took), false)),
+            Outcome::TimedOut => Some((Some(took), true)),
+            Outcome::Failed | Outcome::Died => Some((None, true)),
+            Outcome::Cancelled if self.is_slow(took, CUT_SHORT_FACTOR) => {
+                Some((Some(took * CUT_SHORT_FACTOR), false))
+            }
+            Outcome::Cancelled | Outcome::Rejected | Outcome::Unused => None,
+        }
+    }
+
+    fn is_slow(&self, ms: f64, factor: f64) -> bool {
+        self.service_median_ms
+            .is_some_and(|median| ms >= median * factor)
+    }
+
+    fn note_outcome(&mut self, failed: bool) {
+        self.failures = (self.failures << 1 | u32::from(failed)) & ((1 << OUTCOMES) - 1);
+        self.outcomes = (self.outcomes + 1).min(OUTCOMES);
+        self.failed_in_a_row = if failed { self.failed_in_a_row + 1 } else { 0 };
+    }
+
+    fn judge(&mut self, now: MonoTime) -> Advice {
+        self.since_judged = 0;
+        self.update_median(now);
+        let known = self.times.len() >= FEWEST_TIMES;
+        let slow = known && self.is_slow(self.median_ms, SLOW_FACTOR);
+        let outlier = known && self.is_slow(self.median_ms, OUTLIER_FACTOR);
+        let failing =
+            self.outcomes >= FEWEST_OUTCOMES && self.failures.count_ones() * 2 >= self.outcomes;
+        let failing_now = self.failed_in_a_row >= FAILURES_IN_A_ROW;
+        if failing_now {
+            self.strikes = STRIKES;
+        } else if outlier || failing {
+            self.strikes += 1;
+        } else {
+            self.strikes = 0;
+        }
+        if self.strikes >= STRIKES && self.may_eject {
+            self.ejected = Some(Ejected {
+                next_probe: now.after(FIRST_PROBE_AFTER),
+                interval: FIRST_PROBE_AFTER,
+                good: 0,
+                probe: None,
+            });
+            return Advice::Eject;
+        }
+        if slow || self.strikes > 0 {
+            return Advice::Lower;
+        }
+        Advice::Keep
+    }
+
+    fn update_median(&mut self, now: MonoTime) {
+        while self.times.len() > MOST_TIMES
+            || self
+                .times
+                .front()
+                .is_some_and(|&(at, _)| now.since(at) >= TIMES_LAST)
+        {
+            self.times.pop_front();
+        }
+        let mut sorted: Vec<f64> = self.times.iter().map(|&(_, ms)| ms).collect();
+        sorted.sort_unstable_by(f64::total_cmp);
+        let middle = sorted.len().saturating_sub(1) / 2;
+        self.median_ms = sorted.get(middle).copied().unwrap_or_default();
+    }
+
+    fn record_ejected(
+        &mut self,
+        now: MonoTime,
+        permit: PermitId,
+        time_ms: Option<f64>,
+        failed: bool,
+    ) -> Advice {
+        let slow = time_ms.is_some_and(|ms| self.is_slow(ms, OUTLIER_FACTOR));
+        let Some(ejected) = &mut self.ejected else {
+            return Advice::Keep;
+        };
+        // Calls from before the ejection still end; only the probe says how the upstream is now.
+        if ejected.probe != Some(permit) {
+            return Advice::Keep;
+        }
+        ejected.probe = None;
+        if failed || slow {
+            ejected.good = 0;
+            ejected.interval = (ejected.interval * 2).min(LONGEST_PROBE_AFTER);
+            ejected.next_probe = now.after(ejected.interval);
+            return Advice::Keep;
+        }
+        ejected.good += 1;
+        ejected.next_probe = now;
+        if ejected.good < GOOD_PROBES {
+            return Advice::Keep;
+        }
+        self.come_back();
+        Advice::Return
+    }
+
+    /// The probe's permit expired: as bad as a call that timed out.
+    pub(super) fn expired(&mut self, now: MonoTime, permit: PermitId) {
+        if self.ejected.is_some() {
+            self.record_ejected(now, permit, None, true);
+        }
+    }
+
+    fn come_back(&mut self) {
+        let (median, may_eject) = (self.service_median_ms, self.may_eject);
+        *self = Self {
+            service_median_ms: median,
+            may_eject,
+            ..Self::default()
+        };
+    }
+}
--- /dev/null
+++ b/crates/tc-policy/src/home/machine.rs
@@ -0,0 +1,485 @@
+//! The home's state machine.
+
+use std::time::Duration;
+
+use tc_protocol::{
+    Cost, InstanceId, MonoTime, Outcome, PermitId, RefusalReason, Release, UpstreamSummary,
+    wire::LoadReport,
+};
+
+use super::{
+    AskKey, AskVerdict, HeldPermit, HomeConfig, HomeEvent, NewAsk,
+    concurrency::{Limiter, millis},
+    foreign::ForeignLoad,
+    health::{Advice, Health},
+    permits::{Held, Permits},
+    queue::{FairQueue, FlowKey, Waiting},
+};
+
+/// Part of its concurrency that a slow or failing upstream keeps at each judgement.
+const LOWER_TO: f64 = 0.5;
+/// Shortest hint when to ask again.
+const SHORTEST_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Longest hint when to ask again.
+const LONGEST_RETRY_AFTER: Duration = Duration::from_secs(5);
+/// Wait here against the best elsewhere, as a factor, from which an ask is redirected.
+const CLEARLY_LATER_FACTOR: f64 = 2.0;
+/// Wait here above the best elsewhere from which an ask is redirected, so that small waits send nobody around.
+const CLEARLY_LATER_BY: Duration = Duration::from_millis(10);
+
+/// Grants the permits of one upstream.
+///
+/// ```
+/// use std::time::Duration;
+/// use tc_policy::{AskVerdict, Home, HomeConfig, NewAsk};
+/// use tc_protocol::{Cost, Fingerprint, MonoTime};
+/// let mut home = Home::new(HomeConfig {
+///     slots: 1,
+///     queue_per_workspace: 8,
+///     grace: Duration::from_secs(1),
+///     first_permit: 1,
+/// });
+/// let ask = NewAsk {
+///     entry: "kl-a-1".into(),
+///     workspace: "lintas".into(),
+///     weight: 1,
+///     priority: 3,
+///     slack: Duration::from_millis(100),
+///     run_for: Duration::from_secs(1),
+///     estimate: Cost::default(),
+///     fingerprint: Fingerprint(1),
+///     may_redirect: false,
+/// };
+/// let now = MonoTime::from_millis(1);
+/// assert!(matches!(home.ask(now, ask.clone()), AskVerdict::Granted { .. }));
+/// assert!(matches!(home.ask(now, ask), AskVerdict::Queued(_)));
+/// ```
+#[derive(Debug)]
+pub struct Home {
+    slots: u32,
+    reported_slots: Option<u32>,
+    queue_per_workspace: usize,
+    grace: Duration,
+    leaving: bool,
+    reported_leaving: bool,
+    queue: FairQueue,
+    permits: Permits,
+    limiter: Limiter,
+    health: Health,
+    foreign: ForeignLoad,
+    report_incarnation: Option<tc_protocol::Incarnation>,
+    elsewhere: Option<Duration>,
+    now: MonoTime,
+    unknown_releases: u64,
+}
+
+impl Home {
+    /// A home with nothing in flight.
+    #[must_use]
+    pub fn new(cfg: HomeConfig) -> Self {
+        Self {
+            slots: cfg.slots,
+            reported_slots: None,
+            queue_per_workspace: cfg.queue_per_workspace as usize,
+            grace: cfg.grace,
+            leaving: false,
+            reported_leaving: false,
+            queue: FairQueue::default(),
+            permits: Permits::new(cfg.first_permit),
+            limiter: Limiter::new(cfg.slots),
+            health: Health::default(),
+            foreign: ForeignLoad::default(),
+            report_incarnation: None,
+            elsewhere: None,
+            now: MonoTime::default(),
+            unknown_releases: 0,
+        }
+    }
+
+    /// Takes in an ask.
+    pub fn ask(&mut self, now: MonoTime, ask: NewAsk) -> AskVerdict {
+        self.advance(now);
+        if self.is_leaving() {
+            return send_away(&ask, RefusalReason::NoUpstream, Duration::ZERO);
+        }
+        let flow = self.queue.touch(now, &ask.workspace, ask.weight);
+        if self.may_start(flow) {
+            let (permit, expires_in) = self.grant(flow, &ask);
+            return AskVerdict::Granted { permit, expires_in };
+        }
+        let wait = self.expected_wait(flow, &ask);
+        if ask.may_redirect && (wait > ask.slack || self.is_clearly_later(wait)) {
+            return AskVerdict::Redirect { wait };
+        }
+        if ask.slack.is_zero() {
+            return send_away(&ask, RefusalReason::TooLate, wait);
+        }
+        if self.queue.waiting_of(flow) >= self.queue_per_workspace {
+            return send_away(&ask, RefusalReason::QueueFull, wait);
+        }
+        AskVerdict::Queued(self.queue.push(now, flow, ask))
+    }
+
+    /// Takes a waiting ask back; `false` when it waits no more.
+    pub fn cancel(&mut self, now: MonoTime, ask: AskKey) -> bool {
+        self.advance(now);
+        self.queue.remove(ask).is_some()
+    }
+
+    /// Ends a permit. `None` when it is unknown, which is counted and harmless.
+    pub fn release(&mut self, now: MonoTime, release: &Release) -> Option<HeldPermit> {
+        self.advance(now);
+        let in_flight = self.permits.len();
+        let Some(held) = self.permits.remove(release.permit) else {
+            self.unknown_releases += 1;
+            return None;
+        };
+        let correction = self.settled_units(release, &held.estimate) - charge(&held.estimate);
+        self.queue.end(now, held.flow, correction);
+        self.limiter.record(release, in_flight, self.usable_slots());
+        let advice = self.health.record(now, release);
+        self.follow(advice);
+        self.note_in_flight();
+        Some(self.described(release.permit, &held))
+    }
+
+    /// What became of waiting asks and permits by `now`. Call it after every change and at [`Home::next_wake`].
+    pub fn poll(&mut self, now: MonoTime) -> Vec<HomeEvent> {
+        self.advance(now);
+        let mut events = Vec::new();
+        self.expire_permits(&mut events);
+        while let Some(key) = self.queue.too_late(self.now) {
+            self.drop_ask(key, RefusalReason::TooLate, &mut events);
+        }
+        if self.is_leaving() {
+            for key in self.queue.keys(|_| true) {
+                self.drop_ask(key, RefusalReason::NoUpstream, &mut events);
+            }
+        } else if self.health.is_ejected() {
+            for key in self.queue.keys(|ask| ask.may_redirect) {
+                self.drop_ask(key, RefusalReason::NoUpstream, &mut events);
+            }
+        }
+        while let Some(key) = self.next_to_start()
+            && let Some(waiting) = self.queue.remove(key)
+        {
+            events.push(self.grant_waiting(key, &waiting));
+        }
+        events
+    }
+
+    /// When [`Home::poll`] has to be called even if nothing changes before.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<MonoTime> {
+        let probe = self
+            .health
+            .next_probe()
+            .filter(|_| self.queue.len() > 0)
+            .map(|at| at.max(self.now));
+        [
+            self.permits.next_expiry(),
+            self.queue.next_slack_end(),
+            probe,
+        ]
+        .into_iter()
+        .flatten()
+        .min()
+    }
+
+    /// Takes in a permit that an earlier home granted. Telling it twice changes nothing.
+    pub fn adopt(&mut self, now: MonoTime, held: HeldPermit) {
+        self.advance(now);
+        if self.permits.contains(held.permit) {
+            return;
+        }
+        let weight = self.queue.weight_of(&held.workspace);
+        let flow = self.queue.touch(now, &held.workspace, weight);
+        self.queue.start(now, flow, charge(&held.estimate));
+        self.permits.insert(
+            held.permit,
+            Held {
+                entry: held.entry,
+                flow,
+                expires_at: now.after(held.expires_in),
+                estimate: held.estimate,
+                fingerprint: held.fingerprint,
+            },
+        );
+        self.note_in_flight();
+    }
+
+    /// The entry is gone: its permits and asks end.
+    pub fn entry_gone(&mut self, now: MonoTime, entry: &InstanceId) {
+        self.advance(now);
+        for permit in self.permits.of_entry(entry) {
+            if let Some(held) = self.permits.remove(permit) {
+                self.queue.end(now, held.flow, 0.0);
+                self.health.ended_untold(permit);
+            }
+        }
+        for key in self.queue.keys(|ask| ask.entry == *entry) {
+            self.queue.remove(key);
+        }
+        self.note_in_flight();
+    }
+
+    /// Takes in the upstream's own, lagging report: its slots, whether it leaves, and load that is not ours.
+    pub fn load_reported(&mut self, now: MonoTime, report: &LoadReport) {
+        self.advance(now);
+        if self.report_incarnation.replace(report.incarnation) != Some(report.incarnation) {
+            // Another process: what was measured of the last one says nothing of it.
+            self.limiter = Limiter::new(self.usable_slots());
+        }
+        let old = self.usable_slots();
+        self.reported_slots = (report.slots > 0).then_some(report.slots);
+        self.limiter.set_slots(old, self.usable_slots());
+        self.reported_leaving = report.leaving;
+        self.foreign.report(now, report, self.permits.len());
+    }
+
+    /// Takes in changed configuration.
+    pub fn set_config(&mut self, now: MonoTime, slots: u32, queue_per_workspace: u32) {
+        self.advance(now);
+        let old = self.usable_slots();
+        self.slots = slots;
+        self.limiter.set_slots(old, self.usable_slots());
+        self.queue_per_workspace = queue_per_workspace as usize;
+    }
+
+    /// Whether the upstream leaves: it gets no new calls, and waiting asks are dropped so that they ask elsewhere.
+    pub fn set_leaving(&mut self, now: MonoTime, leaving: bool) {
+        self.advance(now);
+        self.leaving = leaving;
+    }
+
+    /// Takes in the median service time over the service's upstreams, and whether this one may be, or stay, ejected.
+    pub fn set_service_median(
+        &mut self,
+        now: MonoTime,
+        median_service_ms: Option<f64>,
+        may_eject: bool,
+    ) {
+        self.advance(now);
+        let advice = self.health.set_service(median_service_ms, may_eject);
+        self.follow(advice);
+    }
+
+    /// Takes in the shortest wait known at the service's other homes. Asks that would start clearly later here are
+    /// redirected from then on; `None` (as at the start) turns that off.
+    pub fn set_elsewhere(&mut self, now: MonoTime, shortest_wait: Option<Duration>) {
+        self.advance(now);
+        self.elsewhere = shortest_wait;
+    }
+
+    /// The permits that are granted and not released, with the time each had left when the home last changed.
+    pub fn permits(&self) -> impl Iterator<Item = HeldPermit> + '_ {
+        self.permits
+            .iter()
+            .map(|(permit, held)| self.described(permit, held))
+    }
+
+    /// Load as told to entries.
+    #[must_use]
+    pub fn summary(&self, now: MonoTime) -> UpstreamSummary {
+        let (in_flight, concurrency) = (self.permits.len(), self.concurrency());
+        let waiting = self.queue.len() as u32;
+        let before = (in_flight + waiting + 1).saturating_sub(concurrency);
+        let service_ms = self.health.median_ms(now);
+        UpstreamSummary {
+            in_flight,
+            concurrency,
+            waiting,
+            wait_ms: f64::from(before) * service_ms / f64::from(concurrency),
+            service_ms,
+            ejected: self.health.is_ejected(),
+        }
+    }
+
+    /// Releases of permits that were unknown.
+    #[must_use]
+    pub const fn unknown_releases(&self) -> u64 {
+        self.unknown_releases
+    }
+
+    /// Workspaces kept in memory; bounded by those active lately.
+    #[must_use]
+    pub fn known_workspaces(&self) -> usize {
+        self.queue.flows()
+    }
+
+    fn advance(&mut self, now: MonoTime) {
+        self.now = self.now.max(now);
+    }
+
+    const fn is_leaving(&self) -> bool {
+        self.leaving || self.reported_leaving
+    }
+
+    fn usable_slots(&self) -> u32 {
+        let reported = self.reported_slots.unwrap_or(u32::MAX);
+        self.slots.min(reported).max(1)
+    }
+
+    /// Calls it may run at once now, from permits of this home.
+    fn concurrency(&self) -> u32 {
+        let limit = self.limiter.limit(self.usable_slots());
+        let slots_left = self
+            .usable_slots()
+            .saturating_sub(self.foreign.calls(self.now));
+        limit.min(slots_left).max(1)
+    }
+
+    fn free(&self) -> u32 {
+        self.concurrency().saturating_sub(self.permits.len())
+    }
+
+    /// Whether an ask of this workspace may start now, before all that wait.
+    fn may_start(&self, flow: FlowKey) -> bool {
+        if self.health.is_ejected() {
+            return self.queue.len() == 0 && self.health.probe_due(self.now);
+        }
+        let (free, limit) = (self.free(), self.concurrency());
+        free > self.queue.headroom(flow, limit) && self.queue.next(free, limit).is_none()
+    }
+
+    fn next_to_start(&self) -> Option<AskKey> {
+        if !self.health.is_ejected() {
+            return self.queue.next(self.free(), self.concurrency());
+        }
+        let probe_due = self.health.probe_due(self.now);
+        self.queue.first().filter(|_| probe_due)
+    }
+
+    fn grant_waiting(&mut self, key: AskKey, waiting: &Waiting) -> HomeEvent {
+        let waited = self.now.since(waiting.since);
+        let (permit, expires_in) = self.grant(waiting.flow, &waiting.ask);
+        HomeEvent::Granted {
+            ask: key,
+            permit,
+            expires_in,
+            waited,
+        }
+    }
+
+    fn grant(&mut self, flow: FlowKey, ask: &NewAsk) -> (PermitId, Duration) {
+        let expires_in = ask.run_for + self.grace;
+        let permit = self.permits.grant(Held {
+            entry: ask.entry.clone(),
+            flow,
+            expires_at: self.now.after(expires_in),
+            estimate: ask.estimate,
+            fingerprint: ask.fingerprint,
+        });
+        self.queue.start(self.now, flow, charge(&ask.estimate));
+        if self.health.is_ejected() {
+            self.health.probe_started(permit);
+        }
+        self.note_in_flight();
+        (permit, expires_in)
+    }
+
+    fn expire_permits(&mut self, events: &mut Vec<HomeEvent>) {
+        while let Some(permit) = self.permits.expired(self.now) {
+            let Some(held) = self.permits.remove(permit) else {
+                break;
+            };
+            self.queue.end(self.now, held.flow, 0.0);
+            self.health.expired(self.now, permit);
+            events.push(HomeEvent::Expired {
+                permit,
+                entry: held.entry,
+            });
+            self.note_in_flight();
+        }
+    }
+
+    fn drop_ask(&mut self, key: AskKey, reason: RefusalReason, events: &mut Vec<HomeEvent>) {
+        let Some(waiting) = self.queue.remove(key) else {
+            return;
+        };
+        let wait = match reason {
+            RefusalReason::TooLate => self.expected_wait(waiting.flow, &waiting.ask),
+            _ => Duration::ZERO,
+        };
+        events.push(HomeEvent::Dropped {
+            ask: key,
+            reason,
+            retry_after: retry_after(wait),
+        });
+    }
+
+    /// When a new ask would start, as far as service time is known.
+    fn expected_wait(&self, flow: FlowKey, ask: &NewAsk) -> Duration {
+        if self.health.is_ejected() {
+            let probe = self.health.next_probe().unwrap_or(self.now);
+            return probe.since(self.now).max(SHORTEST_RETRY_AFTER);
+        }
+        let slack_ends = self.now.after(ask.slack);
+        let ahead = self.queue.ahead(flow, ask.priority, slack_ends) as f64;
+        let per_start = self.health.median_ms(self.now) / f64::from(self.concurrency());
+        Duration::from_secs_f64((ahead + 1.0) * per_start / 1_000.0)
+    }
+
+    fn is_clearly_later(&self, wait: Duration) -> bool {
+        self.elsewhere.is_some_and(|elsewhere| {
+            wait > elsewhere.mul_f64(CLEARLY_LATER_FACTOR) + CLEARLY_LATER_BY
+        })
+    }
+
+    /// Units a call is finally charged. One that ended without a result often tells no cost, yet it took the
+    /// upstream's time: it is charged its estimate by the part of a usual service time that it ran.
+    fn settled_units(&self, release: &Release, estimate: &Cost) -> f64 {
+        let told = release.cost.units();
+        match release.outcome {
+            Outcome::Answered | Outcome::Rejected | Outcome::Unused => told,
+            Outcome::Failed | Outcome::Died | Outcome::TimedOut | Outcome::Cancelled => {
+                let usual = self.health.median_ms(self.now).max(1.0);
+                let part = (millis(release.took) / usual).min(1.0);
+                told.max(charge(estimate) * part)
+            }
+        }
+    }
+
+    fn follow(&mut self, advice: Advice) {
+        match advice {
+            Advice::Keep | Advice::Eject => {}
+            Advice::Lower => self.limiter.lower(LOWER_TO),
+            Advice::Return => self.limiter.restart_low(),
+        }
+    }
+
+    fn note_in_flight(&mut self) {
+        self.foreign.note(self.now, self.permits.len());
+    }
+
+    fn described(&self, permit: PermitId, held: &Held) -> HeldPermit {
+        HeldPermit {
+            permit,
+            entry: held.entry.clone(),
+            workspace: self.queue.name_of(held.flow).clone(),
+            expires_in: held.expires_in(self.now),
+            estimate: held.estimate,
+            fingerprint: held.fingerprint,
+        }
+    }
+}
+
+/// Units charged when a call starts.
+fn charge(estimate: &Cost) -> f64 {
+    estimate.units()
+}
+
+fn retry_after(wait: Duration) -> Duration {
+    wait.clamp(SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER)
+}
+
+/// Redirects an ask that may be, refuses any other.
+fn send_away(ask: &NewAsk, reason: RefusalReason, wait: Duration) -> AskVerdict {
+    if ask.may_redirect && reason != RefusalReason::TooLate {
+        return AskVerdict::Redirect { wait };
+    }
+    AskVerdict::Refused {
+        reason,
+        retry_after: retry_after(wait),
+    }
+}
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -1,1 +1,23 @@
 //! Pure decisions under load: queueing, concurrency, estimates, budgets, choice of upstream, limits.
+//!
+//! No clock, no I/O: the time (`now`) and randomness are passed in, so a test can drive every decision.
+
+mod admission;
+mod budget;
+mod choice;
+mod estimate;
+mod home;
+mod limit;
+mod rendezvous;
+mod retry;
+mod suspect;
+
+pub use admission::{admit, hedge_after, slack_for};
+pub use budget::Budget;
+pub use choice::{Candidate, Choice, choose};
+pub use estimate::{Estimators, SizeClass, StageEstimate};
+pub use home::{AskKey, AskVerdict, HeldPermit, Home, HomeConfig, HomeEvent, NewAsk};
+pub use limit::{Demand, LimitHome, Share, ShareBucket};
+pub use rendezvous::{rendezvous, rendezvous_score};
+pub use retry::retry_delay;
+pub use suspect::{Suspects, Trial};
--- /dev/null
+++ b/crates/tc-policy/src/limit/bucket.rs
@@ -0,0 +1,298 @@
+//! An entry's enforcement of its share of one workspace's limits.
+
+use std::time::Duration;
+
+use tc_protocol::{Limits, MonoTime};
+
+use super::{Demand, RISE_AFTER, Share, token::Tokens};
+
+/// Hint when to try again when the concurrency is used up.
+const CONCURRENCY_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Time over which demand is averaged, and for which a peak or a refusal counts.
+const DEMAND_WINDOW: Duration = Duration::from_secs(1);
+/// Weight of the latest request in the mean cost of one.
+const MEAN_COST_WEIGHT: f64 = 0.1;
+/// What marks in [`Demand::concurrency`] that more was wanted.
+const MORE_WANTED: f64 = 0.5;
+
+/// The last share received.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    share: Share,
+    until: MonoTime,
+    rise_at: MonoTime,
+}
+
+/// Starts and ends of one workspace's requests at one entry, kept within the entry's share.
+///
+/// Over any time T the starts of all entries stay within `limit * (T + 0.1 s)` and one start per entry.
+#[derive(Debug)]
+pub struct ShareBucket {
+    limits: Limits,
+    live_entries: usize,
+    held: Option<Held>,
+    requests: Tokens,
+    cost: Tokens,
+    in_flight: u32,
+    /// Cost charged in advance for the requests in flight.
+    charged: f64,
+    mean_cost: f64,
+    tried: Meter,
+    peak: Peak,
+    refused_at: Option<MonoTime>,
+}
+
+impl ShareBucket {
+    /// A bucket that has an equal part of `limits` until its first share comes.
+    ///
+    /// ```
+    /// use tc_policy::ShareBucket;
+    /// use tc_protocol::{Limits, MonoTime};
+    /// let limits = Limits { concurrency: Some(2), ..Limits::default() };
+    /// let mut bucket = ShareBucket::new(limits, 2);
+    /// let now = MonoTime::from_millis(1);
+    /// assert!(bucket.try_start(now).is_ok());
+    /// assert!(bucket.try_start(now).is_err());
+    /// bucket.end(now, 0.0);
+    /// assert!(bucket.try_start(now).is_ok());
+    /// ```
+    #[must_use]
+    pub fn new(limits: Limits, live_entries: usize) -> Self {
+        Self {
+            limits,
+            live_entries: live_entries.max(1),
+            held: None,
+            requests: Tokens::default(),
+            cost: Tokens::default(),
+            in_flight: 0,
+            charged: 0.0,
+            mean_cost: 0.0,
+            tried: Meter::default(),
+            peak: Peak::default(),
+            refused_at: None,
+        }
+    }
+
+    /// Takes in changed limits or another number of live entries.
+    ///
+    /// A share given under higher limits or for fewer entries shrinks in proportion at once: a newcomer starts with
+    /// its equal part, and until every share is renewed the sum would else exceed the limit by that part.
+    pub fn set_fleet(&mut self, limits: Limits, live_entries: usize) {
+        let live_entries = live_entries.max(1);
+        let joined = (self.live_entries as f64 / live_entries as f64).min(1.0);
+        if let Some(held) = &mut self.held {
+            let (old, share) = (self.limits, &mut held.share);
+            scale(
+                &mut share.requests_per_s,
+                old.requests_per_s,
+                limits.requests_per_s,
+                joined,
+            );
+            scale(
+                &mut share.cost_per_s,
+                old.cost_per_s,
+                limits.cost_per_s,
+                joined,
+            );
+            let (old, new) = (
+                old.concurrency.map(f64::from),
+                limits.concurrency.map(f64::from),
+            );
+            scale(&mut share.concurrency, old, new, joined);
+        }
+        self.limits = limits;
+        self.live_entries = live_entries;
+    }
+
+    /// Takes in a share from the limit home.
+    pub fn set_share(&mut self, now: MonoTime, share: Share) {
+        if share.expires_in.is_zero() {
+            return;
+        }
+        self.refill(now);
+        self.held = Some(Held {
+            share,
+            until: now.after(share.expires_in),
+            rise_at: now.after(RISE_AFTER.max(share.expires_in)),
+        });
+    }
+
+    /// Starts a request, or tells when trying again may help.
+    pub fn try_start(&mut self, now: MonoTime) -> Result<(), Duration> {
+        self.tried.note(now);
+        let allowed = self.refill(now);
+        if let Some(most) = allowed.concurrency
+            && f64::from(self.in_flight) + 1.0 > most + 1e-9
+        {
+            self.refused_at = Some(now);
+            return Err(CONCURRENCY_RETRY_AFTER);
+        }
+        let cost_wait = allowed.cost_per_s.and_then(|per_s| {
+            // A request dearer than what can be saved up still starts, and later ones pay it back.
+            let needed = self.mean_cost.min(Tokens::burst(per_s));
+            self.cost.wait_for(needed.max(f64::MIN_POSITIVE), per_s)
+        });
+        let request_wait = allowed
+            .requests_per_s
+            .and_then(|per_s| self.requests.wait_for(1.0, per_s));
+        if let Some(wait) = cost_wait.max(request_wait) {
+            return Err(wait);
+        }
+        self.requests.take(1.0);
+        self.cost.take(self.mean_cost);
+        self.charged += self.mean_cost;
+        self.in_flight += 1;
+        self.peak.note(now, self.in_flight);
+        Ok(())
+    }
+
+    /// Ends a request that used `cost_units`.
+    pub fn end(&mut self, now: MonoTime, cost_units: f64) {
+        self.refill(now);
+        if self.in_flight == 0 {
+            return;
+        }
+        let charged = self.charged / f64::from(self.in_flight);
+        self.charged -= charged;
+        self.cost.take(cost_units - charged);
+        self.peak.note(now, self.in_flight);
+        self.in_flight -= 1;
+        self.mean_cost = if self.mean_cost == 0.0 {
+            cost_units
+        } else {
+            self.mean_cost + (cost_units - self.mean_cost) * MEAN_COST_WEIGHT
+        };
+    }
+
+    /// What the limit home is to be told.
+    #[must_use]
+    pub fn demand(&self, now: MonoTime) -> Demand {
+        let refused = self
+            .refused_at
+            .is_some_and(|at| now.since(at) < DEMAND_WINDOW);
+        let requests_per_s = self.tried.per_s(now);
+        Demand {
+            requests_per_s,
+            concurrency: f64::from(self.peak.get(now).max(self.in_flight))
+                + if refused { MORE_WANTED } else { 0.0 },
+            cost_per_s: requests_per_s * self.mean_cost,
+        }
+    }
+
+    /// Requests in progress.
+    #[must_use]
+    pub const fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// What this entry may use at `now`.
+    #[must_use]
+    pub fn allowed(&self, now: MonoTime) -> Share {
+        let n = self.live_entries as f64;
+        let limits = &self.limits;
+        let part = |limit: Option<f64>, held: fn(&Share) -> Option<f64>| {
+            let limit = limit?;
+            Some(self.part_of(now, limit, limit / n, held))
+        };
+        let concurrency = limits.concurrency.map(f64::from);
+        Share {
+            requests_per_s: part(limits.requests_per_s, |s| s.requests_per_s),
+            concurrency: part(concurrency, |s| s.concurrency).map(|c| (c + 1e-9).floor()),
+            cost_per_s: part(limits.cost_per_s, |s| s.cost_per_s),
+            expires_in: self.held.map_or(Duration::ZERO, |h| h.until.since(now)),
+        }
+    }
+
+    /// An unexpired share; after it the equal part, but no rise to it before the home has set it aside.
+    fn part_of(
+        &self,
+        now: MonoTime,
+        limit: f64,
+        equal: f64,
+        held: fn(&Share) -> Option<f64>,
+    ) -> f64 {
+        let Some(last) = &self.held else {
+            return equal;
+        };
+        match held(&last.share) {
+            Some(share) if now < last.until => share.min(limit),
+            Some(share) if now < last.rise_at => share.min(equal),
+            _ => equal,
+        }
+    }
+
+    /// Brings the tokens up to `now` and tells what is allowed. A rate that changes in between counts from here on.
+    fn refill(&mut self, now: MonoTime) -> Share {
+        let allowed = self.allowed(now);
+        if let Some(per_s) = allowed.requests_per_s {
+            self.requests.refill(now, per_s);
+        }
+        if let Some(per_s) = allowed.cost_per_s {
+            self.cost.refill(now, per_s);
+        }
+        allowed
+    }
+}
+
+fn scale(share: &mut Option<f64>, old: Option<f64>, new: Option<f64>, joined: f64) {
+    let (Some(value), Some(old), Some(new)) = (share, old, new) else {
+        return;
+    };
+    let lowered = if old > 0.0 { (new / old).min(1.0) } else { 1.0 };
+    *value *= lowered * joined;
+}
+
+/// A rate averaged over [`DEMAND_WINDOW`].
+#[derive(Clone, Copy, Debug, Default)]
+struct Meter {
+    count: f64,
+    at: MonoTime,
+}
+
+impl Meter {
+    fn decayed(&self, now: MonoTime) -> f64 {
+        let windows = now.since(self.at).as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
+        self.count * (-windows).exp()
+    }
+
+    fn note(&mut self, now: MonoTime) {
+        self.count = self.decayed(now) + 1.0;
+        self.at = now;
+    }
+
+    fn per_s(&self, now: MonoTime) -> f64 {
+        self.decayed(now) / DEMAND_WINDOW.as_secs_f64()
+    }
+}
+
+/// The highest number of the current and the previous [`DEMAND_WINDOW`].
+#[derive(Clone, Copy, Debug, Default)]
+struct Peak {
+    started: MonoTime,
+    current: u32,
+    previous: u32,
+}
+
+impl Peak {
+    fn note(&mut self, now: MonoTime, value: u32) {
+        let age = now.since(self.started);
+        if age >= DEMAND_WINDOW {
+            self.previous = if age < DEMAND_WINDOW * 2 {
+                self.current
+            } else {
+                0
+            };
+            self.current = 0;
+            self.started = now;
+        }
+        self.current = self.current.max(value);
+    }
+
+    fn get(&self, now: MonoTime) -> u32 {
+        match now.since(self.started) {
+            age if age < DEMAND_WINDOW => self.current.max(self.previous),
+            age if age < DEMAND_WINDOW * 2 => self.current,
+            _ => 0,
+        }
+    }
+}
