--- a/crates/tc-stand-ins/src/answer.rs
+++ b/crates/tc-stand-ins/src/answer.rs
@@ -1,6 +1,6 @@
 //! Building HTTP answers.
 
-use std::{convert::Infallible, io};
+use std::{convert::Infallible, io, time::Duration};
 
 use bytes::Bytes;
 use http::{Response, StatusCode, header};
@@ -18,6 +18,15 @@
 /// An answer, or a connection closed without one.
 pub(crate) type Answer = Result<Response<Body>, Closed>;
 
+/// Time for what was sent before to leave: `hyper` drops bytes it has not flushed when a body fails.
+const FLUSH_PAUSE: Duration = Duration::from_millis(1);
+
+/// The error that breaks a connection in the middle of a body, after what was sent before it has left.
+pub(crate) async fn broken() -> io::Error {
+    tokio::time::sleep(FLUSH_PAUSE).await;
+    io::Error::new(io::ErrorKind::ConnectionAborted, "broken on purpose")
+}
+
 /// A body that is sent in one piece.
 pub(crate) fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into())
--- a/crates/tc-stand-ins/src/engine/batch.rs
+++ b/crates/tc-stand-ins/src/engine/batch.rs
@@ -45,7 +45,11 @@
     while done < total {
         upstream.faults.hold().await;
         let each = token_time(cfg, upstream.slots.running(), upstream.faults.slow_factor());
-        let step = if streaming { 1 } else { step_for(each) }.min(total - done);
+        let step = if streaming {
+            1
+        } else {
+            step_for(each).min(total - done)
+        };
         due = (due + each * step).max(Instant::now().checked_sub(each).unwrap_or(due));
         if due > Instant::now() {
             sleep_until(due).await;
--- a/crates/tc-stand-ins/src/engine/completion.rs
+++ b/crates/tc-stand-ins/src/engine/completion.rs
@@ -151,7 +151,7 @@
             mut guard,
             ..
         } = completion;
-        let life = self.upstream.life();
+        let life = guard.life();
         let window = self.cfg.resume_window;
         let delivered = tokio::select! {
             biased;
@@ -190,7 +190,7 @@
     ) -> bool {
         let (slot, usage) = self.dispatch(guard, req).await;
         if crashes(&req.prompt, identity.stage.as_ref().map(AsRef::as_ref)) {
-            self.upstream.crash();
+            self.upstream.crash(&guard.life());
             return false;
         }
         job.set_usage(usage);
--- a/crates/tc-stand-ins/src/engine/mod.rs
+++ b/crates/tc-stand-ins/src/engine/mod.rs
@@ -109,7 +109,10 @@
             return Ok(state.upstream.load_report(state.orders.models()));
         }
         match (&call.parts.method, call.parts.uri.path()) {
-            (&Method::POST, "/v1/completions") => complete(&state, &call).await,
+            (&Method::POST, "/v1/completions") => {
+                let resp = complete(&state, &call).await?;
+                state.upstream.faults.spoil(resp).await
+            }
             (&Method::POST, "/orders") => Ok(handle_order(&state, &call.body)),
             _ => Ok(refusal(StatusCode::NOT_FOUND, "no such path")),
         }
--- a/crates/tc-stand-ins/src/engine/orders.rs
+++ b/crates/tc-stand-ins/src/engine/orders.rs
@@ -25,6 +25,7 @@
 struct Ordered {
     highest_fence: u64,
     models: Vec<String>,
+    wanted: Vec<String>,
     any_model: bool,
     role: Option<String>,
 }
@@ -36,6 +37,7 @@
                 highest_fence: 0,
                 any_model: models.is_empty(),
                 models,
+                wanted: Vec::new(),
                 role: None,
             }),
         }
@@ -69,12 +71,17 @@
         }
         state.highest_fence = state.highest_fence.max(order.fence);
         state.role.clone_from(&order.role);
+        state.wanted.clone_from(&order.models);
         state.models.retain(|model| order.models.contains(model));
         Ok(())
     }
 
+    /// Notes that a model was loaded, unless a later order no longer wants it.
     fn add_model(&self, model: &str) {
         let mut state = lock(&self.state);
+        if !state.wanted.iter().any(|wanted| wanted == model) {
+            return;
+        }
         state.any_model = false;
         if !state.models.iter().any(|loaded| loaded == model) {
             state.models.push(model.to_owned());
--- a/crates/tc-stand-ins/src/engine/stream.rs
+++ b/crates/tc-stand-ins/src/engine/stream.rs
@@ -20,7 +20,7 @@
 use tokio::{sync::watch, time::timeout};
 
 use crate::{
-    answer::Body,
+    answer::{Body, broken},
     output::{prompt_seed, push_token},
 };
 
@@ -172,14 +172,17 @@
         if self.next > total {
             return Ok(None);
         }
+        if self.left == 0 {
+            return Err(broken().await);
+        }
         let next = self.next;
         let ready = self
             .progress
             .wait_for(|progress| progress.dead || progress.events >= next);
-        let progress = *ready.await.map_err(|_| broken())?;
-        if progress.dead || self.left == 0 {
-            return Err(broken());
-        }
+        let progress = ready.await.map(|progress| *progress);
+        let Ok(progress @ Progress { dead: false, .. }) = progress else {
+            return Err(broken().await);
+        };
         let count = (progress.events - self.next + 1).min(self.left);
         let last = self.next + count - 1;
         let events: String = (self.next..=last).map(|id| self.job.event(id)).collect();
@@ -194,10 +197,6 @@
     }
 }
 
-fn broken() -> io::Error {
-    io::Error::new(io::ErrorKind::ConnectionAborted, "stream broken")
-}
-
 /// Counts a reader until dropped.
 ///
 /// Without the guard a closed connection would still count as a reader: the job would never be abandoned, and the
--- a/crates/tc-stand-ins/src/plain.rs
+++ b/crates/tc-stand-ins/src/plain.rs
@@ -98,7 +98,8 @@
         if call.is_load_request() {
             return Ok(state.upstream.load_report(Vec::new()));
         }
-        state.run(&call).await
+        let resp = state.run(&call).await?;
+        state.upstream.faults.spoil(resp).await
     }
     .boxed()
 }
--- a/crates/tc-stand-ins/src/platform/faults.rs
+++ b/crates/tc-stand-ins/src/platform/faults.rs
@@ -8,6 +8,8 @@
     time::Duration,
 };
 
+use tokio::sync::watch;
+
 use crate::{rate::TokenBucket, sync::lock};
 
 /// Calls a second that the platform takes; a watch counts as one read when it begins.
@@ -31,7 +33,7 @@
 
 /// Switches that make the platform misbehave.
 pub struct PlatformFaults {
-    down: AtomicBool,
+    down: watch::Sender<bool>,
     refusing: AtomicBool,
     fail_writes: AtomicBool,
     slow_us: AtomicU64,
@@ -49,7 +51,7 @@
 impl Default for PlatformFaults {
     fn default() -> Self {
         let faults = Self {
-            down: AtomicBool::default(),
+            down: watch::Sender::default(),
             refusing: AtomicBool::default(),
             fail_writes: AtomicBool::default(),
             slow_us: AtomicU64::default(),
@@ -66,7 +68,7 @@
 impl PlatformFaults {
     /// Answers every call with 503, waiting watches included.
     pub fn set_down(&self, down: bool) {
-        self.down.store(down, Ordering::Release);
+        self.down.send_replace(down);
     }
 
     /// Closes every connection at its next call, without an answer and without effect.
@@ -108,7 +110,13 @@
     }
 
     pub(super) fn is_down(&self) -> bool {
-        self.down.load(Ordering::Acquire)
+        *self.down.borrow()
+    }
+
+    /// Completes when the platform is down.
+    pub(super) async fn went_down(&self) {
+        // The sender is a field of this struct, so it outlives the wait.
+        let _ = self.down.subscribe().wait_for(|down| *down).await;
     }
 
     pub(super) fn is_refusing(&self) -> bool {
--- a/crates/tc-stand-ins/src/platform/http.rs
+++ b/crates/tc-stand-ins/src/platform/http.rs
@@ -20,8 +20,6 @@
 const MAX_WATCH: Duration = Duration::from_mins(1);
 /// Time a watch waits that names none.
 const DEFAULT_WATCH: Duration = Duration::from_secs(30);
-/// How often a waiting watch looks whether the platform went down.
-const WATCH_CHECK: Duration = Duration::from_millis(20);
 
 /// What a request asks for.
 enum Operation {
@@ -70,6 +68,16 @@
         Err(malformed) => return Ok(refusal(malformed.status, malformed.detail)),
     };
     state.count(operation.label());
+    if !operation.is_write() {
+        return run(&state, operation, body).await;
+    }
+    // A write that arrived whole takes effect also when its caller gave up waiting, as at any store; without a task
+    // of its own it would be dropped with the connection.
+    let write = tokio::spawn(async move { run(&state, operation, body).await });
+    write.await.map_err(|_| Closed)?
+}
+
+async fn run(state: &State, operation: Operation, body: Bytes) -> Answer {
     let slow = state.faults.slow();
     if !slow.is_zero() {
         tokio::time::sleep(slow).await;
@@ -82,11 +90,11 @@
     }
     match operation {
         Operation::Instances => Ok(json(&*state.instances.list(state.faults.list_lag()))),
-        Operation::List { kind } => Ok(list(&state, &kind)),
+        Operation::List { kind } => Ok(list(state, &kind)),
         Operation::Get { key } => Ok(found(state.store.get(&key))),
-        Operation::Watch { key, after, wait } => Ok(watch(&state, &key, after, wait).await),
-        Operation::Put { key, pre } => write(&state, || put(&state, key, pre, body)),
-        Operation::Delete { key, pre } => write(&state, || delete(&state, &key, pre)),
+        Operation::Watch { key, after, wait } => Ok(watch(state, &key, after, wait).await),
+        Operation::Put { key, pre } => write(state, || put(state, key, pre, body)),
+        Operation::Delete { key, pre } => write(state, || delete(state, &key, pre)),
     }
 }
 
@@ -234,11 +242,6 @@
 }
 
 async fn watch(state: &State, key: &Key, after: u64, wait: Duration) -> Response<Body> {
-    let went_down = async {
-        while !state.faults.is_down() {
-            tokio::time::sleep(WATCH_CHECK).await;
-        }
-    };
     let watched = timeout(wait, state.store.watch(key, after));
     tokio::select! {
         biased;
@@ -246,7 +249,7 @@
             Ok(object) => found(object),
             Err(_) => empty(StatusCode::NOT_MODIFIED),
         },
-        () = went_down => down(),
+        () = state.faults.went_down() => down(),
     }
 }
 
--- a/crates/tc-stand-ins/src/platform/mod.rs
+++ b/crates/tc-stand-ins/src/platform/mod.rs
@@ -73,6 +73,16 @@
         self.state.instances.remove(id);
     }
 
+    /// Closes the listener and all connections, as when its network is gone; objects and instances are kept.
+    pub fn stop(&self) {
+        self.server.stop();
+    }
+
+    /// Listens again on the same address.
+    pub async fn restart(&self) -> io::Result<()> {
+        self.server.restart().await
+    }
+
     /// Calls received, by verb and kind: `get tanagercroft-config`, `watch …`, `put …`, `delete …`, `list …`,
     /// `instances`.
     #[must_use]
--- a/crates/tc-stand-ins/src/pool.rs
+++ b/crates/tc-stand-ins/src/pool.rs
@@ -108,7 +108,8 @@
         if call.parts.method != Method::POST || call.parts.uri.path() != "/run" {
             return Ok(refusal(StatusCode::NOT_FOUND, "no such path"));
         }
-        state.run(&call).await
+        let resp = state.run(&call).await?;
+        state.upstream.faults.spoil(resp).await
     }
     .boxed()
 }
--- a/crates/tc-stand-ins/src/recorder/guard.rs
+++ b/crates/tc-stand-ins/src/recorder/guard.rs
@@ -51,6 +51,11 @@
         self.recorder.change(self.at, |call| call.resumes = resumes);
     }
 
+    /// The life of the upstream that the call came to.
+    pub(crate) fn life(&self) -> Arc<Life> {
+        Arc::clone(&self.life)
+    }
+
     /// Tokens so far.
     pub(crate) fn set_usage(&mut self, usage: Usage) {
         self.usage = usage;
--- a/crates/tc-stand-ins/src/server.rs
+++ b/crates/tc-stand-ins/src/server.rs
@@ -75,6 +75,9 @@
     /// Serves `listener` with `handler` until stopped.
     pub(crate) fn serve(&self, listener: TcpListener, handler: Handler) {
         let mut state = lock(&self.state);
+        if state.closed {
+            return;
+        }
         state.handler = Some(Arc::clone(&handler));
         state.accept = Some(tokio::spawn(accept_loop(
             listener,
@@ -104,13 +107,7 @@
             let _ = stopped.await;
         }
         let listener = self.rebind().await?;
-        let handler = {
-            let state = lock(&self.state);
-            if state.closed {
-                return Ok(());
-            }
-            state.handler.clone()
-        };
+        let handler = lock(&self.state).handler.clone();
         if let Some(handler) = handler {
             self.serve(listener, handler);
         }
--- a/crates/tc-stand-ins/src/upstream/answer_fault.rs
+++ b/crates/tc-stand-ins/src/upstream/answer_fault.rs
@@ -3,13 +3,13 @@
 use std::{io, time::Duration};
 
 use bytes::Bytes;
-use futures::{StreamExt, stream};
+use futures::{Stream, StreamExt, stream};
 use http::{HeaderValue, Response, header, response::Parts};
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use tc_protocol::wire::REQUEST_ID;
 
-use crate::answer::{Body, full};
+use crate::answer::{Body, broken, full};
 
 /// What is wrong with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,12 +47,12 @@
             Self::WrongLength => {
                 let promised = HeaderValue::from(body.len() + MISSING_BYTES);
                 parts.headers.insert(header::CONTENT_LENGTH, promised);
-                pieces([Ok(body)])
+                pieces(stream::once(async { Ok(body) }))
             }
             Self::CloseMidBody => {
                 let promised = HeaderValue::from(body.len());
                 parts.headers.insert(header::CONTENT_LENGTH, promised);
-                pieces([Ok(body.slice(..body.len() / 2)), Err(broken())])
+                break_after(body.slice(..body.len() / 2))
             }
             Self::HugeHeaders => {
                 let padding = "x".repeat(HUGE_HEADER_BYTES);
@@ -77,9 +77,8 @@
         let body = match self {
             Self::Garbage => full(GARBAGE),
             Self::CloseMidBody | Self::WrongLength => {
-                let pieces = body.into_data_stream().take(1);
-                let pieces = pieces.chain(stream::once(async { Err(broken()) }));
-                StreamBody::new(pieces.map(|piece| piece.map(Frame::data))).boxed_unsync()
+                let first = body.into_data_stream().take(1);
+                pieces(first.chain(stream::once(async { Err(broken().await) })))
             }
             Self::WrongIdentity => {
                 let from = replace_request(&mut parts);
@@ -87,11 +86,10 @@
                     .boxed_unsync()
             }
             Self::SlowBytes(pause) => {
-                let pieces = body.into_data_stream().then(move |piece| async move {
+                pieces(body.into_data_stream().then(move |piece| async move {
                     tokio::time::sleep(pause).await;
-                    piece.map(Frame::data)
-                });
-                StreamBody::new(pieces).boxed_unsync()
+                    piece
+                }))
             }
             Self::HugeHeaders => return self.apply_headers(parts, body),
             Self::DuplicateLate | Self::Lost => body,
@@ -105,25 +103,23 @@
     }
 }
 
-fn broken() -> io::Error {
-    io::Error::new(io::ErrorKind::ConnectionAborted, "broken on purpose")
+/// A body of unknown length; `hyper` would repair the length of any other.
+fn pieces(pieces: impl Stream<Item = io::Result<Bytes>> + Send + 'static) -> Body {
+    StreamBody::new(pieces.map(|piece| piece.map(Frame::data))).boxed_unsync()
 }
 
-/// A body of unknown length; `hyper` would repair the length of any other.
-fn pieces<const N: usize>(pieces: [io::Result<Bytes>; N]) -> Body {
-    let pieces = stream::iter(pieces).map(|piece| piece.map(Frame::data));
-    StreamBody::new(pieces).boxed_unsync()
+fn break_after(start: Bytes) -> Body {
+    pieces(stream::once(async { Ok(start) }).chain(stream::once(async { Err(broken().await) })))
 }
 
 fn slow(body: Bytes, pause: Duration) -> Body {
-    let bytes = stream::iter(0..body.len()).then(move |at| {
+    pieces(stream::iter(0..body.len()).then(move |at| {
         let byte = body.slice(at..=at);
         async move {
             tokio::time::sleep(pause).await;
-            Ok(Frame::data(byte))
+            Ok(byte)
         }
-    });
-    StreamBody::new(bytes).boxed_unsync()
+    }))
 }
 
 fn rename(parts: &mut Parts, body: &Bytes) -> Bytes {
--- a/crates/tc-stand-ins/src/upstream/faults.rs
+++ b/crates/tc-stand-ins/src/upstream/faults.rs
@@ -24,7 +24,8 @@
 /// Media type of a stream of events.
 pub(crate) const EVENT_STREAM: &str = "text/event-stream";
 
-/// Switches that make an upstream misbehave. All act on calls from now on; `set_slow` and `set_hang` also on running ones.
+/// Switches that make an upstream misbehave. All act from now on: on calls that come, and `set_slow` and `set_hang`
+/// also on completions that run.
 pub struct UpstreamFaults {
     process: Arc<Process>,
     slow_factor: AtomicU64,
@@ -95,7 +96,7 @@
 
     /// Ends the process: its listener and all connections close at once.
     pub fn crash(&self) {
-        self.process.crash();
+        self.process.crash(&self.process.life());
     }
 
     /// Starts the process again on the same address as a new incarnation, whether it had crashed or not.
--- a/crates/tc-stand-ins/src/upstream/mod.rs
+++ b/crates/tc-stand-ins/src/upstream/mod.rs
@@ -86,20 +86,21 @@
                 let owner = Arc::clone(&owner);
                 Box::pin(async move {
                     let call = read_call(req).await?;
-                    let faults = &upstream(&owner).faults;
-                    if faults.is_down() {
-                        return Ok(upstream(&owner).down(&call));
+                    let shared = upstream(&owner);
+                    if shared.faults.is_down() {
+                        return Ok(shared.down(&call));
                     }
                     if call.is_load_request() {
-                        faults.hold().await;
-                        return handle(Arc::clone(&owner), call).await;
+                        shared.faults.hold().await;
                     }
-                    let is_call = call.parts.uri.path() != "/orders";
-                    let resp = handle(Arc::clone(&owner), call).await?;
-                    if is_call {
-                        return faults.spoil(resp).await;
+                    let life = shared.life();
+                    let answer = handle(Arc::clone(&owner), call).await;
+                    // A crash aborts the connections a moment later; nothing may be answered in between.
+                    if life.has_crashed() {
+                        Err(Closed)
+                    } else {
+                        answer
                     }
-                    Ok(resp)
                 })
             }),
         );
@@ -131,15 +132,16 @@
 
     /// Ends the process because of a call that crashes it.
     pub(crate) fn crash_by(&self, guard: CallGuard) -> Closed {
+        let life = guard.life();
         guard.end(Ending::Crashed);
-        self.crash();
+        self.crash(&life);
         Closed
     }
 
     /// Ends the process because of a call.
-    pub(crate) fn crash(&self) {
+    pub(crate) fn crash(&self, life: &Arc<Life>) {
         log::info!("upstream {} crashed by a call", self.id);
-        self.process.crash();
+        self.process.crash(life);
     }
 
     /// Holds a slot's call for as long as `work` takes at the present slowness.
--- a/crates/tc-stand-ins/src/upstream/process.rs
+++ b/crates/tc-stand-ins/src/upstream/process.rs
@@ -8,7 +8,7 @@
 };
 
 use tc_protocol::Incarnation;
-use tokio::{net::TcpListener, runtime::Handle};
+use tokio::{net::TcpListener, runtime::Handle, sync::Mutex as AsyncMutex};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -54,6 +54,7 @@
     server: Server,
     life: Mutex<Arc<Life>>,
     restart_after: Mutex<Option<Duration>>,
+    restarting: AsyncMutex<()>,
     runtime: Handle,
 }
 
@@ -64,6 +65,7 @@
             server,
             life: Mutex::new(Life::after(None)),
             restart_after: Mutex::default(),
+            restarting: AsyncMutex::default(),
             runtime: Handle::current(),
         };
         Ok((process, listener))
@@ -89,16 +91,19 @@
         *lock(&self.restart_after) = after;
     }
 
-    /// Ends this life: listener and connections close at once.
-    pub(crate) fn crash(self: &Arc<Self>) {
-        self.life().ended.cancel();
+    /// Ends a life: listener and connections close at once. A call of an earlier life cannot end a later one.
+    pub(crate) fn crash(self: &Arc<Self>, life: &Arc<Life>) {
+        life.ended.cancel();
+        if !Arc::ptr_eq(life, &self.life()) {
+            return;
+        }
         self.server.stop();
         let restart_after = *lock(&self.restart_after);
         if let Some(after) = restart_after {
-            let process = Arc::clone(self);
+            let (process, life) = (Arc::clone(self), Arc::clone(life));
             self.runtime.spawn(async move {
                 tokio::time::sleep(after).await;
-                if let Err(error) = process.restart().await {
+                if let Err(error) = process.restart_from(&life).await {
                     log::error!("stand-in could not restart: {error}");
                 }
             });
@@ -107,8 +112,19 @@
 
     /// Starts the next life on the same address.
     pub(crate) async fn restart(&self) -> io::Result<()> {
+        self.restart_from(&self.life()).await
+    }
+
+    /// Starts the next life unless `previous` has been followed by one already.
+    ///
+    /// Two crashes of one life, or a restart by hand before the planned one, would otherwise end a healthy life.
+    async fn restart_from(&self, previous: &Arc<Life>) -> io::Result<()> {
+        let _one_at_a_time = self.restarting.lock().await;
         {
             let mut life = lock(&self.life);
+            if !Arc::ptr_eq(&life, previous) {
+                return Ok(());
+            }
             life.ended.cancel();
             *life = Life::after(Some(life.incarnation));
         }
