Make claims by compare-and-set on sharded heads

A claim shard is one small head object plus sealed segments that the head lists. Every claim is a compare-and-set of the head, so a paused or skewed instance cannot claim a key twice; expiry is counted on each instance's own monotonic clock. Lost answers are repeated until the head's version has moved on.

The commit task against the stand-in is not tested yet.

--- /dev/null
+++ b/crates/tc-platform/src/claims/batch.rs
@@ -0,0 +1,136 @@
+//! One round over a shard's queue: which operations are answered at once and which by a write.
+
+use std::collections::BTreeMap;
+
+use tc_protocol::ClaimVerdict;
+
+use super::{
+    model::{Entry, Head, KeyDigest, json_len},
+    op::{Found, Judged, Op, Recording, Reply, Ticket},
+    shard::{Prepared, Queued, Shard, Step},
+};
+use crate::Versioned;
+
+/// Bytes of an entry's key and punctuation in the head's JSON form.
+const KEY_BYTES: usize = 40;
+
+/// Operations judged together on one version of the head.
+#[derive(Default)]
+pub(super) struct Batch {
+    /// Answers that hold already.
+    pub(super) answered: Vec<(Ticket, Reply)>,
+    /// Answers that hold once the batch is written.
+    pub(super) pending: Vec<(Ticket, Reply)>,
+    /// Entries by key after the batch; `None` removes.
+    changes: BTreeMap<KeyDigest, Option<Entry>>,
+    bytes: usize,
+    /// Operations judged, from the front of the queue.
+    pub(super) judged: usize,
+    /// Whether the shard has no room for another segment.
+    full: bool,
+    /// Segments dropped by the write.
+    pub(super) expired: usize,
+    /// The head that the write makes.
+    pub(super) new: Head,
+}
+
+impl Batch {
+    /// Judges the queue from its front until a limit is reached, or tells which step is needed first.
+    pub(super) fn plan(shard: &Shard, head: &Versioned<Head>, full: bool) -> Result<Self, Step> {
+        let mut batch = Self {
+            full,
+            ..Self::default()
+        };
+        for queued in shard.queue.iter().take(shard.limits.max_batch) {
+            if batch.bytes >= shard.limits.batch_bytes {
+                break;
+            }
+            batch.take(shard, head, queued)?;
+            batch.judged += 1;
+        }
+        Ok(batch)
+    }
+
+    fn take(&mut self, shard: &Shard, head: &Versioned<Head>, queued: &Queued) -> Result<(), Step> {
+        let key = queued.op.key();
+        let fresh = queued.ticket < shard.fresh_below || self.changes.contains_key(&key);
+        let listed = &head.value.segments;
+        let in_segments = shard.sealed.find(listed, key);
+        let sealed = !matches!(in_segments, Found::Nothing)
+            || (shard.prepared.is_some() && head.value.entries.contains_key(&key));
+        let found = match (self.changes.get(&key), head.value.entries.get(&key)) {
+            (Some(Some(entry)), _) | (None, Some(entry)) => Found::Entry(entry),
+            (Some(None), _) => Found::Nothing,
+            (None, None) => in_segments,
+        };
+        let judged = queued.op.judge(&found, fresh, sealed);
+        self.add(shard, queued, judged)
+    }
+
+    fn add(&mut self, shard: &Shard, queued: &Queued, judged: Judged) -> Result<(), Step> {
+        let (ticket, key) = (queued.ticket, queued.op.key());
+        match judged {
+            Judged::Stale => return Err(Step::ReadHead),
+            Judged::Read(name) => return Err(Step::ReadSegment(name)),
+            Judged::Answer(reply) if self.changes.contains_key(&key) => {
+                self.pending.push((ticket, reply));
+            }
+            Judged::Answer(reply) => self.answered.push((ticket, reply)),
+            Judged::Change(entry, reply) => {
+                // An operation that may have been written already is not refused for want of room: its fate has to
+                // be settled by a write first.
+                let may_refuse = queued.maybe_written_on.is_none() && self.full;
+                let refusal = may_refuse.then(|| refused_when_full(shard, &queued.op));
+                if let Some(refusal) = refusal.flatten() {
+                    self.answered.push((ticket, refusal));
+                    return Ok(());
+                }
+                self.bytes += entry.as_ref().map_or(0, |e| json_len(e) + KEY_BYTES);
+                self.changes.insert(key, entry);
+                self.pending.push((ticket, reply));
+            }
+        }
+        Ok(())
+    }
+
+    /// The head after this batch, with the first `expired` segments dropped.
+    pub(super) fn head(
+        &self,
+        old: &Versioned<Head>,
+        prepared: Option<&Prepared>,
+        expired: usize,
+    ) -> Head {
+        let mut new = old.value.clone();
+        if let Some(prepared) = prepared {
+            new.entries.clear();
+            new.segments.push(prepared.name.clone());
+        }
+        if expired > 0 {
+            new.retired = new.segments.drain(..expired).collect();
+        }
+        for (key, change) in &self.changes {
+            match change {
+                Some(entry) => new.entries.insert(*key, entry.clone()),
+                None => new.entries.remove(key),
+            };
+        }
+        new
+    }
+}
+
+/// The answer to an operation that the full shard has no room for; `None` when it still has.
+fn refused_when_full(shard: &Shard, op: &Op) -> Option<Reply> {
+    match op {
+        Op::Claim { .. } => {
+            log::error!(
+                "claim shard {} is full: raise the number of shards or lower the retention",
+                shard.index
+            );
+            Some(Reply::Claim(ClaimVerdict::Unavailable))
+        }
+        Op::Record { .. } if shard.head_bytes >= shard.limits.last_room() => {
+            Some(Reply::Record(Recording::Full))
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/tc-platform/src/claims/group.rs
@@ -0,0 +1,244 @@
+//! Group commit: one task per shard collects operations and carries out the shard's steps.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use tc_protocol::{ClaimVerdict, MonoTime};
+use tokio::{
+    sync::{
+        mpsc::{UnboundedReceiver, UnboundedSender, WeakUnboundedSender},
+        oneshot,
+    },
+    time::Instant,
+};
+
+use super::{
+    CLAIM_KIND,
+    grant::Grant,
+    model::KeyDigest,
+    op::{Op, Recording, Reply, Ticket},
+    shard::{Progress, Shard, Step},
+};
+use crate::{Backoff, Purpose, Store, StoreError};
+
+const FIRST_DELAY: Duration = Duration::from_millis(5);
+const LONGEST_DELAY: Duration = Duration::from_secs(1);
+
+/// An operation and who waits for its answer.
+pub(super) struct Request {
+    pub(super) op: Op,
+    pub(super) waiter: Waiter,
+}
+
+impl Request {
+    pub(super) fn release(key: KeyDigest, claim_id: Arc<str>) -> Self {
+        Self {
+            op: Op::Release { key, claim_id },
+            waiter: Waiter::Nobody,
+        }
+    }
+}
+
+pub(super) enum Waiter {
+    Claim(KeyDigest, oneshot::Sender<Grant>),
+    Look(oneshot::Sender<ClaimVerdict>),
+    Record(oneshot::Sender<Recording>),
+    Nobody,
+}
+
+impl Waiter {
+    /// Whether it counts towards the bound on waiting operations. Releases do not: losing one would leave a key
+    /// claimed by a run that never happens.
+    pub(super) const fn is_counted(&self) -> bool {
+        !matches!(self, Self::Nobody)
+    }
+
+    fn has_left(&self) -> bool {
+        match self {
+            Self::Claim(_, tx) => tx.is_closed(),
+            Self::Look(tx) => tx.is_closed(),
+            Self::Record(_) | Self::Nobody => false,
+        }
+    }
+}
+
+/// What the commit tasks share with the handle.
+pub(super) struct Shared {
+    pub(super) store: Store,
+    pub(super) commit_interval: Duration,
+    pub(super) retention_ms: AtomicU64,
+    /// Operations somebody asked for that have no answer yet, over all shards.
+    pub(super) waiting: AtomicUsize,
+}
+
+/// The commit task of one shard.
+pub(super) struct Committer {
+    pub(super) shared: Arc<Shared>,
+    pub(super) shard: Shard,
+    pub(super) head_name: String,
+    pub(super) rx: UnboundedReceiver<Request>,
+    /// Weak, so that the task ends when all handles are gone.
+    pub(super) tx: WeakUnboundedSender<Request>,
+    pub(super) waiters: HashMap<Ticket, Waiter>,
+    pub(super) last_commit: Option<Instant>,
+}
+
+impl Committer {
+    /// Runs until all handles are dropped and what they asked for is done, or the store cannot be reached then.
+    pub(super) async fn run(mut self) {
+        let mut backoff = Backoff::new(FIRST_DELAY, LONGEST_DELAY);
+        while let Some(req) = self.rx.recv().await {
+            self.accept(req);
+            self.collect().await;
+            loop {
+                self.drain();
+                match self.step().await {
+                    None => break,
+                    Some(Progress::Made) => backoff.reset(),
+                    Some(Progress::None) if self.rx.is_closed() => return,
+                    Some(Progress::None) => backoff.wait().await,
+                }
+            }
+        }
+    }
+
+    /// Lets operations gather until the commit interval since the last commit is over.
+    async fn collect(&self) {
+        if let Some(last) = self.last_commit {
+            tokio::time::sleep_until(last + self.shared.commit_interval).await;
+        }
+    }
+
+    fn drain(&mut self) {
+        while let Ok(req) = self.rx.try_recv() {
+            self.accept(req);
+        }
+        let waiters = &mut self.waiters;
+        let shared = &self.shared;
+        self.shard
+            .drop_abandoned(|ticket| waiters.get(&ticket).is_some_and(Waiter::has_left));
+        if waiters.len() > self.shard.waiting() {
+            let before = waiters.len();
+            waiters.retain(|ticket, _| self.shard.has(*ticket));
+            shared
+                .waiting
+                .fetch_sub(before - waiters.len(), Ordering::Relaxed);
+        }
+    }
+
+    fn accept(&mut self, req: Request) {
+        let ticket = self.shard.push(req.op);
+        self.waiters.insert(ticket, req.waiter);
+    }
+
+    /// Carries out one step; `None` when there was none.
+    async fn step(&mut self) -> Option<Progress> {
+        let retention = self.shared.retention_ms.load(Ordering::Relaxed);
+        self.shard.set_retention(Duration::from_millis(retention));
+        let step = self.shard.next_step(MonoTime::now());
+        self.deliver();
+        let progress = match step {
+            Step::Idle => return None,
+            Step::ReadHead => {
+                let found = self.get(&self.head_name).await;
+                self.shard.on_head(MonoTime::now(), found)
+            }
+            Step::ReadSegment(name) => {
+                let found = self.get(&name).await;
+                self.shard.on_segment(MonoTime::now(), &name, found)
+            }
+            Step::CreateSegment(name, value) => {
+                let created = self
+                    .shared
+                    .store
+                    .create(Purpose::Claims, CLAIM_KIND, &name, &value)
+                    .await;
+                self.shard.on_created(MonoTime::now(), &name, &created)
+            }
+            Step::WriteHead(base, value) => self.write_head(base, &value).await,
+            Step::Delete(name) => {
+                let deleted = self.delete(&name).await;
+                self.shard.on_deleted(&name, deleted.is_ok());
+                Progress::Made
+            }
+        };
+        self.deliver();
+        Some(progress)
+    }
+
+    async fn get(
+        &self,
+        name: &str,
+    ) -> Result<Option<crate::Versioned<serde_json::Value>>, StoreError> {
+        let store = &self.shared.store;
+        store.get(Purpose::Claims, CLAIM_KIND, name).await
+    }
+
+    async fn write_head(&mut self, base: u64, value: &serde_json::Value) -> Progress {
+        let store = &self.shared.store;
+        let (kind, name) = (CLAIM_KIND, self.head_name.as_str());
+        let written = if base == 0 {
+            store.create(Purpose::Claims, kind, name, value).await
+        } else {
+            store.update(Purpose::Claims, kind, name, base, value).await
+        };
+        let committed = written.is_ok();
+        let progress = self.shard.on_written(MonoTime::now(), written);
+        if committed {
+            self.deliver();
+            self.last_commit = Some(Instant::now());
+            if self.shard.waiting() > 0 {
+                self.collect().await;
+            }
+        }
+        progress
+    }
+
+    async fn delete(&self, name: &str) -> Result<(), StoreError> {
+        let store = &self.shared.store;
+        let Some(found) = self.get(name).await? else {
+            return Ok(());
+        };
+        store
+            .delete(Purpose::Claims, CLAIM_KIND, name, found.version)
+            .await
+    }
+
+    fn deliver(&mut self) {
+        for (ticket, reply) in self.shard.take_replies() {
+            let Some(waiter) = self.waiters.remove(&ticket) else {
+                continue;
+            };
+            if waiter.is_counted() {
+                self.shared.waiting.fetch_sub(1, Ordering::Relaxed);
+            }
+            // Whoever left gets nothing; a claim that went to nobody is released by its grant.
+            match (waiter, reply) {
+                (Waiter::Claim(key, tx), Reply::Claim(verdict)) => {
+                    let Some(requests) = self.release_lane() else {
+                        continue;
+                    };
+                    let _ = tx.send(Grant::new(key, verdict, requests));
+                }
+                (Waiter::Look(tx), Reply::Look(verdict)) => {
+                    let _ = tx.send(verdict);
+                }
+                (Waiter::Record(tx), Reply::Record(recording)) => {
+                    let _ = tx.send(recording);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Where a grant sends its release; `None` when no handle is left, so that nobody can wait for a verdict either.
+    fn release_lane(&self) -> Option<UnboundedSender<Request>> {
+        self.tx.upgrade()
+    }
+}
--- /dev/null
+++ b/crates/tc-platform/src/claims/mod.rs
@@ -0,0 +1,327 @@
+//! Claims on idempotency keys: a request that must not run twice runs only under a claim.
+
+mod batch;
+mod feedback;
+mod grant;
+mod group;
+mod model;
+mod op;
+mod sealed;
+mod shard;
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, AtomicUsize, Ordering},
+    },
+    time::{Duration, SystemTime},
+};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tc_protocol::{
+    ClaimKey, ClaimVerdict, Incarnation, InstanceId, MonoTime, RecordedOutcome, RunState,
+};
+use tokio::{
+    runtime::Handle,
+    sync::{
+        OnceCell,
+        mpsc::{UnboundedSender, unbounded_channel},
+        oneshot,
+    },
+};
+
+use crate::{Backoff, Expect, Purpose, Store, StoreError, SureWrite};
+use group::{Committer, Request, Shared, Waiter};
+
+pub use model::{KeyDigest, MAX_OUTCOME_BYTES};
+pub use op::{Op, Recording, Reply, ShardLimits, Ticket};
+pub use shard::{Progress, Shard, Step};
+
+/// Kind of the objects that hold claims.
+pub const CLAIM_KIND: &str = "tanagercroft-claims";
+
+/// Object that holds the number of shards.
+const LAYOUT_NAME: &str = "layout";
+/// Operations that may wait at once; more are refused, since the store is hopelessly behind.
+const MAX_WAITING: usize = 20_000;
+/// How long recording an outcome is waited for; it goes on in the background.
+const RECORD_WAIT: Duration = Duration::from_secs(2);
+const FIRST_LOOK_DELAY: Duration = Duration::from_millis(20);
+const LONGEST_LOOK_DELAY: Duration = Duration::from_millis(400);
+
+/// How claims are made.
+#[derive(Clone, Debug)]
+pub struct ClaimsSettings {
+    /// Shards to spread claims over. The first instance ever to claim fixes the number for all.
+    pub shards: u32,
+    /// Shortest time between two commits of one shard by this instance.
+    pub commit_interval: Duration,
+    /// Most operations in one commit.
+    pub max_batch: usize,
+    /// How long a claim and its outcome are kept at least; must exceed the longest deadline.
+    pub retention: Duration,
+    /// This instance.
+    pub holder: InstanceId,
+    /// Which life of its process.
+    pub incarnation: Incarnation,
+}
+
+/// The number of shards, which must be the same for all: with two numbers, a key could be claimed in two shards.
+#[derive(Debug, Serialize, Deserialize)]
+struct Layout {
+    shards: u32,
+}
+
+/// Handle for making claims; clones share everything.
+#[derive(Clone)]
+pub struct Claims {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    shared: Arc<Shared>,
+    settings: ClaimsSettings,
+    runtime: Handle,
+    shards: OnceCell<u32>,
+    lanes: Mutex<HashMap<u32, UnboundedSender<Request>>>,
+    /// Random, so that two lives of one instance never make the same claim id, even with a stuck clock.
+    nonce: u32,
+    next_claim: AtomicU64,
+}
+
+impl Claims {
+    /// Starts claiming; commit tasks run on the current tokio runtime.
+    ///
+    /// # Panics
+    ///
+    /// Outside a tokio runtime.
+    #[must_use]
+    pub fn start(store: Store, settings: ClaimsSettings) -> Self {
+        let shared = Shared {
+            store,
+            commit_interval: settings.commit_interval,
+            retention_ms: AtomicU64::new(settings.retention.as_millis() as u64),
+            waiting: AtomicUsize::new(0),
+        };
+        Self {
+            inner: Arc::new(Inner {
+                shared: Arc::new(shared),
+                settings,
+                runtime: Handle::current(),
+                shards: OnceCell::new(),
+                lanes: Mutex::default(),
+                nonce: rand::random(),
+                next_claim: AtomicU64::new(0),
+            }),
+        }
+    }
+
+    /// Claims a key for a request with this body, within `wait`.
+    ///
+    /// [`ClaimVerdict::Ours`] must be acted on only before the request's deadline, and at most once. With
+    /// [`ClaimVerdict::Unavailable`] the request must not run; a claim of ours that turns out to have been written
+    /// is released, so that a resend may claim again.
+    pub async fn claim(&self, key: ClaimKey, body_hash: u64, wait: Duration) -> ClaimVerdict {
+        let started = (MonoTime::now(), SystemTime::now());
+        let key = KeyDigest::of(&key);
+        let (tx, rx) = oneshot::channel();
+        let asked = async {
+            let op = Op::Claim {
+                key,
+                body: body_hash,
+                claim_id: self.new_claim_id(),
+            };
+            self.ask(key, op, Waiter::Claim(key, tx)).await?;
+            rx.await.map_err(|_| StoreError::Unreachable)
+        };
+        let grant = tokio::time::timeout(wait, asked).await;
+        let verdict = match grant {
+            // A process that was paused finds its verdict long after its time: the claim may have expired since,
+            // and acting on it would run the request beside the next holder's.
+            Ok(Ok(grant)) if !is_over(started, wait) => grant.take(),
+            _ => ClaimVerdict::Unavailable,
+        };
+        metrics::counter!("tc_claims_total", "verdict" => verdict_word(&verdict)).increment(1);
+        verdict
+    }
+
+    /// Records the outcome of a claim of ours, so that resends get it; its body only when it is small.
+    ///
+    /// An outcome that says [`RunState::NotRun`] is not kept: the claim is released, so that a resend can run.
+    /// Fails with [`StoreError::MaybeApplied`] when it takes long; it then goes on in the background. Fails with
+    /// [`StoreError::Conflict`] when the claim is not ours any more or has another outcome.
+    pub async fn record(
+        &self,
+        key: &ClaimKey,
+        claim_id: &str,
+        outcome: RecordedOutcome,
+    ) -> Result<(), StoreError> {
+        let key = KeyDigest::of(key);
+        let claim_id: Arc<str> = claim_id.into();
+        if outcome.run_state == RunState::NotRun {
+            let op = Op::Release { key, claim_id };
+            return self.ask(key, op, Waiter::Nobody).await;
+        }
+        let (tx, rx) = oneshot::channel();
+        let op = Op::Record {
+            key,
+            claim_id,
+            outcome: Arc::new(model::kept(outcome)),
+        };
+        self.ask(key, op, Waiter::Record(tx)).await?;
+        match tokio::time::timeout(RECORD_WAIT, rx).await {
+            Ok(Ok(Recording::Done)) => Ok(()),
+            Ok(Ok(Recording::NotOurs)) => Err(StoreError::Conflict { current: None }),
+            Ok(Ok(Recording::Full)) => Err(StoreError::TooLarge),
+            Ok(Err(_)) | Err(_) => Err(StoreError::MaybeApplied),
+        }
+    }
+
+    /// Waits up to `wait` until the run that holds a key has recorded its outcome.
+    ///
+    /// [`ClaimVerdict::Held`] when it has not in time, or when the store could not tell;
+    /// [`ClaimVerdict::Unavailable`] when the claim was released, so the request surely did not run.
+    pub async fn wait_recorded(&self, key: &ClaimKey, wait: Duration) -> ClaimVerdict {
+        let key = KeyDigest::of(key);
+        tokio::time::timeout(wait, self.look_until_settled(key))
+            .await
+            .unwrap_or(ClaimVerdict::Held)
+    }
+
+    /// Changes how long claims are kept from now on.
+    pub fn set_retention(&self, retention: Duration) {
+        let millis = retention.as_millis() as u64;
+        self.inner
+            .shared
+            .retention_ms
+            .store(millis, Ordering::Relaxed);
+    }
+
+    async fn look_until_settled(&self, key: KeyDigest) -> ClaimVerdict {
+        let mut backoff = Backoff::new(FIRST_LOOK_DELAY, LONGEST_LOOK_DELAY);
+        loop {
+            let (tx, rx) = oneshot::channel();
+            let asked = self.ask(key, Op::Look { key }, Waiter::Look(tx)).await;
+            if asked.is_ok()
+                && let Ok(verdict) = rx.await
+                && verdict != ClaimVerdict::Held
+            {
+                return verdict;
+            }
+            backoff.wait().await;
+        }
+    }
+
+    async fn ask(&self, key: KeyDigest, op: Op, waiter: Waiter) -> Result<(), StoreError> {
+        let shards = *self
+            .inner
+            .shards
+            .get_or_try_init(|| self.agree_on_shards())
+            .await?;
+        let waiting = &self.inner.shared.waiting;
+        if waiter.is_counted() && waiting.fetch_add(1, Ordering::Relaxed) >= MAX_WAITING {
+            waiting.fetch_sub(1, Ordering::Relaxed);
+            return Err(StoreError::Paced);
+        }
+        let lane = self.lane(key.shard(shards));
+        lane.send(Request { op, waiter })
+            .map_err(|_| StoreError::Unreachable)
+    }
+
+    /// Reads how many shards there are, or fixes the number if nobody has.
+    async fn agree_on_shards(&self) -> Result<u32, StoreError> {
+        let store = &self.inner.shared.store;
+        let wanted = Layout {
+            shards: self.inner.settings.shards.max(1),
+        };
+        let found = store.get(Purpose::Claims, CLAIM_KIND, LAYOUT_NAME).await?;
+        let found = match found {
+            Some(object) => object.value,
+            None => create_layout(store, &wanted).await?,
+        };
+        let layout: Layout = serde_json::from_value(found).map_err(|_| StoreError::Malformed)?;
+        if layout.shards != wanted.shards {
+            log::warn!(
+                "claims are in {} shards; the setting of {} has no effect",
+                layout.shards,
+                wanted.shards
+            );
+        }
+        Ok(layout.shards)
+    }
+
+    fn lane(&self, shard: u32) -> UnboundedSender<Request> {
+        let inner = &self.inner;
+        let mut lanes = inner.lanes.lock().unwrap_or_else(PoisonError::into_inner);
+        let start = || {
+            let (tx, rx) = unbounded_channel();
+            let limits = ShardLimits {
+                max_batch: inner.settings.max_batch.max(1),
+                ..ShardLimits::default()
+            };
+            let committer = Committer {
+                shared: inner.shared.clone(),
+                shard: Shard::new(shard, limits, inner.settings.retention),
+                head_name: format!("head-{shard:03}"),
+                rx,
+                tx: tx.downgrade(),
+                waiters: HashMap::new(),
+                last_commit: None,
+            };
+            inner.runtime.spawn(committer.run());
+            tx
+        };
+        lanes.entry(shard).or_insert_with(start).clone()
+    }
+
+    fn new_claim_id(&self) -> Arc<str> {
+        let ClaimsSettings {
+            holder,
+            incarnation,
+            ..
+        } = &self.inner.settings;
+        let count = self.inner.next_claim.fetch_add(1, Ordering::Relaxed);
+        format!(
+            "{holder}@{:x}-{:x}-{count:x}",
+            incarnation.0, self.inner.nonce
+        )
+        .into()
+    }
+}
+
+/// Creates the layout and returns the one in force, which never changes once it exists.
+async fn create_layout(store: &Store, wanted: &Layout) -> Result<Value, StoreError> {
+    let value = serde_json::to_value(wanted).map_err(|_| StoreError::Malformed)?;
+    let (purpose, absent) = (Purpose::Claims, Expect::Absent);
+    let written = store
+        .write_sure(purpose, CLAIM_KIND, LAYOUT_NAME, absent, &value, |found| {
+            *found == value
+        })
+        .await;
+    match written {
+        SureWrite::Ours { .. } => Ok(value),
+        SureWrite::Conflict { current: Some(c) } | SureWrite::Unknown { current: Some(c) } => {
+            Ok(c.value)
+        }
+        SureWrite::NotWritten(e) => Err(e),
+        _ => Err(StoreError::Unreachable),
+    }
+}
+
+/// Whether `wait` has passed, by the monotonic clock or, for a machine that was suspended, by the wall clock.
+fn is_over((mono, wall): (MonoTime, SystemTime), wait: Duration) -> bool {
+    let by_mono = MonoTime::now().since(mono) > wait;
+    by_mono || wall.elapsed().is_ok_and(|age| age > wait)
+}
+
+const fn verdict_word(verdict: &ClaimVerdict) -> &'static str {
+    match verdict {
+        ClaimVerdict::Ours { .. } => "ours",
+        ClaimVerdict::Held => "held",
+        ClaimVerdict::Recorded(_) => "recorded",
+        ClaimVerdict::OtherBody => "other_body",
+        ClaimVerdict::Unavailable => "unavailable",
+    }
+}
--- /dev/null
+++ b/crates/tc-platform/src/claims/model.rs
@@ -0,0 +1,133 @@
+//! What the claim objects hold: one head per shard, and the sealed segments it lists.
+
+use std::{collections::BTreeMap, fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use tc_protocol::{ClaimKey, RecordedOutcome};
+
+/// Largest recorded outcome that is kept whole, in bytes of its JSON form.
+pub const MAX_OUTCOME_BYTES: usize = 4 * 1024;
+/// Longest content type that is kept, in bytes.
+const MAX_CONTENT_TYPE_BYTES: usize = 256;
+
+/// First half of the SHA-256 of a claim key.
+///
+/// Entries are found by it, so keys of any length take the same room. A cryptographic hash, because callers choose
+/// their keys: with a weaker one a workspace could craft a key that finds another workspace's outcome.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct KeyDigest(u128);
+
+impl KeyDigest {
+    /// The digest of a key.
+    ///
+    /// ```
+    /// use tc_platform::claim_shard::KeyDigest;
+    /// use tc_protocol::ClaimKey;
+    /// let key = |key: &str| ClaimKey {
+    ///     workspace: "lintas".into(),
+    ///     target: "pipeline/notice".into(),
+    ///     key: key.into(),
+    /// };
+    /// assert_eq!(KeyDigest::of(&key("a")), KeyDigest::of(&key("a")));
+    /// assert_ne!(KeyDigest::of(&key("a")), KeyDigest::of(&key("b")));
+    /// ```
+    #[must_use]
+    pub fn of(key: &ClaimKey) -> Self {
+        let mut hash = Sha256::new();
+        for part in [key.workspace.as_str(), &key.target, &key.key] {
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        let digest = hash.finalize();
+        let half = digest.first_chunk().copied().unwrap_or_default();
+        Self(u128::from_be_bytes(half))
+    }
+
+    /// The shard that holds the key, of `shards` in all.
+    #[must_use]
+    pub fn shard(self, shards: u32) -> u32 {
+        (self.0 % u128::from(shards.max(1))) as u32
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl From<KeyDigest> for String {
+    fn from(digest: KeyDigest) -> Self {
+        format!("{:032x}", digest.0)
+    }
+}
+
+impl TryFrom<String> for KeyDigest {
+    type Error = std::num::ParseIntError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        u128::from_str_radix(&text, 16).map(Self)
+    }
+}
+
+/// What is known of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum EntryState {
+    /// Claimed; no outcome yet.
+    Held,
+    /// The run ended with this outcome.
+    Recorded(Arc<RecordedOutcome>),
+    /// Given up without having been acted on: the key is free again. Only written where a sealed segment still
+    /// holds the claim; otherwise the entry is removed.
+    Released,
+}
+
+/// One claim. The newest entry of a key counts: the head's first, then the segments' from the last to the first.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Entry {
+    /// Hash of the request's body.
+    pub(crate) body: u64,
+    /// Identifies who claimed.
+    pub(crate) claim: Arc<str>,
+    pub(crate) state: EntryState,
+}
+
+pub(crate) type Entries = BTreeMap<KeyDigest, Entry>;
+
+/// The one object of a shard that changes; its version is the fence of every claim.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Head {
+    /// Newest claims.
+    pub(crate) entries: Entries,
+    /// Names of the sealed segments, oldest first.
+    pub(crate) segments: Vec<Arc<str>>,
+    /// Names dropped by the last pruning, in case its writer died before deleting them.
+    pub(crate) retired: Vec<Arc<str>>,
+}
+
+/// Older claims, never changed once created. The name ends in the head's version that the entries are from, so
+/// whoever seals that version writes the same content.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Segment {
+    pub(crate) entries: Entries,
+}
+
+/// The outcome as it is kept: without its body when it is too large.
+pub(crate) fn kept(mut outcome: RecordedOutcome) -> RecordedOutcome {
+    if outcome.content_type.len() > MAX_CONTENT_TYPE_BYTES {
+        outcome.content_type.clear();
+        outcome.body = None;
+    }
+    if json_len(&outcome) > MAX_OUTCOME_BYTES {
+        outcome.body = None;
+    }
+    outcome
+}
+
+/// Length of a value's JSON form in bytes.
+pub(crate) fn json_len(value: &impl Serialize) -> usize {
+    serde_json::to_vec(value).map_or(0, |text| text.len())
+}
--- /dev/null
+++ b/crates/tc-platform/src/claims/shard.rs
@@ -0,0 +1,272 @@
+//! State machine of one claim shard: no clock, no I/O; the caller carries out its steps one after the other.
+//!
+//! All claims of a shard go through compare-and-set writes of one object, its head. Claims that fill it are moved
+//! to sealed segments, created before the head lists them and never changed. A write by whoever acts on an old head
+//! fails, however long it was paused; a write whose answer was lost is read back, and repeated until the head's
+//! version has moved on, after which the lost one can no longer take effect.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use serde_json::Value;
+use tc_protocol::MonoTime;
+
+use super::{
+    batch::Batch,
+    model::{Head, Segment},
+    op::{Op, Reply, ShardLimits, Ticket},
+    sealed::SealedIndex,
+};
+use crate::Versioned;
+
+/// Part of the retention after which claims are sealed even if they are few, so that they can expire.
+const SEAL_AFTER: u32 = 2;
+
+/// What the shard wants done next. Its result must be fed back before the next step is asked for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Nothing to do until an operation comes.
+    Idle,
+    /// Read the head; then [`Shard::on_head`].
+    ReadHead,
+    /// Read this segment; then [`Shard::on_segment`].
+    ReadSegment(Arc<str>),
+    /// Create this segment; then [`Shard::on_created`].
+    CreateSegment(Arc<str>, Value),
+    /// Write the head if its version still is this one (0: it does not exist); then [`Shard::on_written`].
+    WriteHead(u64, Value),
+    /// Delete this segment whatever its version; then [`Shard::on_deleted`].
+    Delete(Arc<str>),
+}
+
+/// Whether a step got anywhere; if not, the caller should wait a little before the next one.
+#[must_use]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Progress {
+    /// Go on.
+    Made,
+    /// The store does not answer as hoped.
+    None,
+}
+
+/// An operation that is waiting for its answer.
+pub(super) struct Queued {
+    pub(super) ticket: Ticket,
+    pub(super) op: Op,
+    /// Version of the head on which a write with this operation was based whose answer was lost.
+    pub(super) maybe_written_on: Option<u64>,
+}
+
+/// A segment that was created from this version of the head, to be listed by the next write.
+pub(super) struct Prepared {
+    pub(super) version: u64,
+    pub(super) name: Arc<str>,
+}
+
+/// State of one shard as known to this instance.
+pub struct Shard {
+    pub(super) index: u32,
+    pub(super) limits: ShardLimits,
+    pub(super) retention: Duration,
+    pub(super) queue: VecDeque<Queued>,
+    next_ticket: Ticket,
+    pub(super) replies: Vec<(Ticket, Reply)>,
+    /// The head as last read or written; `None` when it must be read. Version 0: it does not exist.
+    pub(super) head: Option<Versioned<Head>>,
+    pub(super) head_bytes: usize,
+    pub(super) last_version: u64,
+    /// Operations below this ticket were asked for before the head was last known to be in force.
+    pub(super) fresh_below: Ticket,
+    /// Reads to come that must find the head unchanged before it is written unread again.
+    pub(super) reads_first: u32,
+    /// The last segment the head listed when it was first seen with it, and when that was.
+    pub(super) entries_since: Option<(Option<Arc<str>>, MonoTime)>,
+    pub(super) sealed: SealedIndex,
+    pub(super) prepared: Option<Prepared>,
+    pub(super) missing_reads: u32,
+    pub(super) batch: Option<Batch>,
+    pub(super) garbage: Vec<Arc<str>>,
+    pub(super) garbage_blocked: bool,
+    pub(super) asked_at: Ticket,
+}
+
+impl Shard {
+    /// A shard of which nothing is known yet.
+    #[must_use]
+    pub fn new(index: u32, limits: ShardLimits, retention: Duration) -> Self {
+        Self {
+            index,
+            limits,
+            retention,
+            queue: VecDeque::new(),
+            next_ticket: 0,
+            replies: Vec::new(),
+            head: None,
+            head_bytes: 0,
+            last_version: 0,
+            fresh_below: 0,
+            reads_first: 0,
+            entries_since: None,
+            sealed: SealedIndex::default(),
+            prepared: None,
+            missing_reads: 0,
+            batch: None,
+            garbage: Vec::new(),
+            garbage_blocked: false,
+            asked_at: 0,
+        }
+    }
+
+    /// Sets how long claims are kept; it must exceed the longest time from a claim to its use.
+    pub fn set_retention(&mut self, retention: Duration) {
+        self.retention = retention;
+    }
+
+    /// Adds an operation; its answer comes with this ticket.
+    pub fn push(&mut self, op: Op) -> Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.queue.push_back(Queued {
+            ticket,
+            op,
+            maybe_written_on: None,
+        });
+        ticket
+    }
+
+    /// Drops claims nobody waits for any more, but those that may have been written: they have to be followed up,
+    /// or the key would stay claimed by nobody, and every resend be answered with "unknown".
+    pub fn drop_abandoned(&mut self, is_abandoned: impl Fn(Ticket) -> bool) {
+        self.queue.retain(|q| {
+            q.maybe_written_on.is_some() || !q.op.may_be_dropped() || !is_abandoned(q.ticket)
+        });
+    }
+
+    /// Operations that have no answer yet.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Whether this operation has no answer yet.
+    #[must_use]
+    pub fn has(&self, ticket: Ticket) -> bool {
+        self.queue
+            .binary_search_by_key(&ticket, |q| q.ticket)
+            .is_ok()
+    }
+
+    /// Takes the answers that are ready.
+    pub fn take_replies(&mut self) -> Vec<(Ticket, Reply)> {
+        std::mem::take(&mut self.replies)
+    }
+
+    /// What to do next.
+    pub fn next_step(&mut self, now: MonoTime) -> Step {
+        while !self.queue.is_empty() {
+            if let Some(step) = self.advance(now) {
+                return step;
+            }
+        }
+        self.clean_up()
+    }
+
+    /// One round over the queue; `None` when it was answered without any step.
+    fn advance(&mut self, now: MonoTime) -> Option<Step> {
+        let Some(head) = &self.head else {
+            return Some(self.read_head());
+        };
+        let unread = head.value.segments.iter().find(|n| !self.sealed.has(n));
+        if let Some(name) = unread {
+            return Some(Step::ReadSegment(name.clone()));
+        }
+        let oldest = self.queue.front().map_or(0, |q| q.ticket);
+        if self.reads_first > 0 && oldest >= self.fresh_below {
+            return Some(self.read_head());
+        }
+        let version = head.version;
+        let batch = match Batch::plan(self, head, self.is_full(now, head)) {
+            Ok(batch) => batch,
+            Err(Step::ReadHead) => return Some(self.read_head()),
+            Err(step) => return Some(step),
+        };
+        self.sealed.close();
+        self.settle_lost_writes(version, batch.judged);
+        self.answer(&batch.answered);
+        if batch.pending.is_empty() {
+            return None;
+        }
+        Some(self.write_batch(now, batch))
+    }
+
+    fn write_batch(&mut self, now: MonoTime, mut batch: Batch) -> Step {
+        let Some(head) = &self.head else {
+            return self.read_head();
+        };
+        if self.prepared.is_none() && self.must_seal(now) && !self.is_full(now, head) {
+            return self.seal(head);
+        }
+        let expired = self
+            .sealed
+            .expired(&head.value.segments, now, self.retention);
+        let new = batch.head(head, self.prepared.as_ref(), expired);
+        let (base, value) = (head.version, to_value(&new));
+        self.asked_at = self.next_ticket;
+        (batch.new, batch.expired) = (new, expired);
+        self.batch = Some(batch);
+        Step::WriteHead(base, value)
+    }
+
+    fn must_seal(&self, now: MonoTime) -> bool {
+        let aged = |since: MonoTime| now.since(since) >= self.retention / SEAL_AFTER;
+        self.head_bytes >= self.limits.seal_bytes
+            || self.entries_since.as_ref().is_some_and(|(_, t)| aged(*t))
+    }
+
+    /// Whether there is no room for another segment.
+    fn is_full(&self, now: MonoTime, head: &Versioned<Head>) -> bool {
+        let listed = &head.value.segments;
+        let enough = self.head_bytes >= self.limits.seal_bytes;
+        enough && listed.len() >= self.limits.max_segments && {
+            let expired = self.sealed.expired(listed, now, self.retention);
+            listed.len() - expired >= self.limits.max_segments
+        }
+    }
+
+    fn seal(&self, head: &Versioned<Head>) -> Step {
+        let segment = Segment {
+            entries: head.value.entries.clone(),
+        };
+        Step::CreateSegment(self.segment_name(head.version), to_value(&segment))
+    }
+
+    fn segment_name(&self, version: u64) -> Arc<str> {
+        format!("segment-{:03}-{version}", self.index).into()
+    }
+
+    fn read_head(&mut self) -> Step {
+        self.asked_at = self.next_ticket;
+        Step::ReadHead
+    }
+
+    pub(super) fn answer(&mut self, replies: &[(Ticket, Reply)]) {
+        for (ticket, reply) in replies {
+            if let Ok(at) = self.queue.binary_search_by_key(ticket, |q| q.ticket) {
+                self.queue.remove(at);
+                self.replies.push((*ticket, reply.clone()));
+            }
+        }
+    }
+
+    /// Deletes what no head lists any more, when there is nothing better to do.
+    fn clean_up(&mut self) -> Step {
+        match self.garbage.last() {
+            Some(name) if !self.garbage_blocked => Step::Delete(name.clone()),
+            _ => Step::Idle,
+        }
+    }
+}
+
+fn to_value(object: &impl serde::Serialize) -> Value {
+    // Maps with string keys and plain members always have a JSON form.
+    serde_json::to_value(object).unwrap_or_default()
+}
--- a/crates/tc-platform/src/lib.rs
+++ b/crates/tc-platform/src/lib.rs
@@ -1,6 +1,7 @@
 //! Client of the platform: objects, claims, leases, the configuration object and the instance list.
 
 mod backoff;
+mod claims;
 mod config;
 mod error;
 mod leases;
@@ -8,6 +9,7 @@
 mod store;
 
 pub use backoff::Backoff;
+pub use claims::{CLAIM_KIND, Claims, ClaimsSettings, MAX_OUTCOME_BYTES};
 pub use config::{ApplyResult, apply_config, read_config, watch_config};
 pub use error::StoreError;
 pub use leases::{Held, LEASE_KIND, Lease, LeaseError, LeaseSettings};
@@ -15,3 +17,10 @@
     QUARANTINE_KIND, Quarantined, add_quarantined, list_quarantined, remove_quarantined,
 };
 pub use store::{Expect, Purpose, Store, StoreSettings, SureWrite, Versioned};
+
+/// The state machine of a claim shard, without clock and I/O. [`Claims`] drives it; so do tests.
+pub mod claim_shard {
+    pub use crate::claims::{
+        KeyDigest, Op, Progress, Recording, Reply, Shard, ShardLimits, Step, Ticket,
+    };
+}
