--- /dev/null
+++ b/crates/tc-fleet/src/entry/baseline.rs
@@ -0,0 +1,45 @@
+//! The baseline policy that experiments compare with: round robin, granted at once, no homes.
+
+use std::{
+    sync::atomic::{AtomicUsize, Ordering::Relaxed},
+    time::Duration,
+};
+
+use tc_protocol::{Ask, AskRefusal, FleetView, Grant, Permit, PermitId, RefusalReason};
+
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Takes the upstreams of each service in turn.
+#[derive(Default)]
+pub(crate) struct RoundRobin {
+    next: AtomicUsize,
+}
+
+impl RoundRobin {
+    pub(crate) fn ask(&self, view: &FleetView, ask: &Ask) -> Result<Permit, AskRefusal> {
+        let upstreams = view
+            .upstreams
+            .get(&ask.service)
+            .map(Vec::as_slice)
+            .unwrap_or_default();
+        let usable: Vec<_> = upstreams
+            .iter()
+            .filter(|state| !state.leaving && !ask.avoid.contains(&state.upstream.id))
+            .collect();
+        if usable.is_empty() {
+            return Err(AskRefusal {
+                reason: RefusalReason::NoUpstream,
+                retry_after: RETRY_AFTER,
+            });
+        }
+        let upstream = &usable[self.next.fetch_add(1, Relaxed) % usable.len()].upstream;
+        let grant = Grant {
+            permit: PermitId(0),
+            upstream: upstream.id.clone(),
+            address: upstream.address,
+            expires_in: ask.run_for,
+            waited: Duration::ZERO,
+        };
+        Ok(Permit::new(grant, "round robin".to_owned(), |_| ()))
+    }
+}
--- /dev/null
+++ b/crates/tc-fleet/src/fleet.rs
@@ -0,0 +1,386 @@
+//! Starting the fleet layer, and the handle that the rest of the process uses.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use futures::future::BoxFuture;
+use ractor::{Actor, ActorRef};
+use tc_membership::{Record, addresses};
+use tc_platform::{Purpose, Store, StoreError};
+use tc_protocol::{
+    Ask, AskRefusal, Fingerprint, FleetConfig, FleetView, InstanceId, MonoTime, Permit, RequestId,
+    ShareGuard, StoreHealth, UpstreamId, UpstreamSummary, WorkspaceName,
+    wire::{AddressAnswer, CallerAddress},
+};
+use tc_upstream::UpstreamClient;
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::oneshot,
+};
+use tonic::transport::server::TcpIncoming;
+
+use crate::{
+    FleetError, FleetSettings, convert,
+    entry::{AskDesk, DeskArgs},
+    generated::{ExplainQuestion, Introduction, ReportQuestion, fleet_server::FleetServer},
+    gossip::GossipSocket,
+    homes::{HomesActor, HomesArgs, HomesMsg},
+    loads::read_loads,
+    node::{NodeActor, NodeArgs, NodeMsg, NodeParts},
+    orders::{OrderDesk, run_planner},
+    peers::{PeerPool, timed},
+    server::{FleetService, ServiceParts, check_token},
+    store_watch::{DRAIN_KIND, read_lists},
+    summary::SummaryTable,
+    suspects::SuspectTable,
+};
+
+/// Wait between two rounds of introductions by seeds while nobody is known.
+const INTRODUCE_AGAIN: Duration = Duration::from_millis(500);
+
+/// What this instance tells other instances of itself, as JSON texts.
+pub struct LocalReport {
+    /// The explanation of a request kept here.
+    pub explain: Box<dyn Fn(RequestId) -> BoxFuture<'static, Option<String>> + Send + Sync>,
+    /// This instance's part of a fleet report.
+    pub report: Box<dyn Fn(()) -> BoxFuture<'static, Option<String>> + Send + Sync>,
+}
+
+/// Handle of the fleet layer; clones share it.
+#[derive(Clone)]
+pub struct Fleet {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    parts: NodeParts,
+    node: ActorRef<NodeMsg>,
+    desk: Arc<AskDesk>,
+}
+
+impl Fleet {
+    /// Starts actors, sockets and tasks on the current runtime, which is the control thread's.
+    ///
+    /// # Errors
+    /// [`FleetError::Listen`] when the address is taken, [`FleetError::Actors`] when an actor does not start.
+    pub async fn start(
+        settings: FleetSettings,
+        store: Store,
+        upstream: UpstreamClient,
+        local: LocalReport,
+    ) -> Result<Self, FleetError> {
+        let address = settings.me.fleet_address;
+        let listen = |source| FleetError::Listen { address, source };
+        let listener = TcpListener::bind(address).await.map_err(listen)?;
+        let socket = UdpSocket::bind(address).await.map_err(listen)?;
+        let parts = start_parts(&settings, store, socket).await?;
+        let node_args = NodeArgs {
+            me: settings.me.clone(),
+            membership: settings.membership.clone(),
+            parts: parts.clone(),
+        };
+        let (node, _) = Actor::spawn(None, NodeActor, node_args)
+            .await
+            .map_err(|error| FleetError::Actors(error.to_string()))?;
+        start_tasks(&settings, &parts, &node, &upstream);
+        let orders = Arc::new(OrderDesk::new(
+            Arc::clone(&parts.known),
+            Arc::clone(&parts.view),
+            parts.store.clone(),
+            upstream.clone(),
+        ));
+        tokio::spawn(run_planner(parts.clone(), Arc::clone(&orders), upstream));
+        serve(
+            &settings,
+            listener,
+            ServiceParts {
+                parts: parts.clone(),
+                node: node.clone(),
+                orders,
+                explain: local.explain,
+                report: local.report,
+            },
+        );
+        let desk = Arc::new(AskDesk::new(DeskArgs {
+            me: settings.me.id.clone(),
+            policy: settings.policy,
+            view: Arc::clone(&parts.view),
+            summaries: Arc::clone(&parts.summaries),
+            peers: Arc::clone(&parts.peers),
+            homes: parts.homes.clone(),
+            node: node.clone(),
+            held: Arc::clone(&parts.held),
+            suspects: Arc::clone(&parts.suspects),
+        }));
+        Ok(Self {
+            inner: Arc::new(Inner { parts, node, desk }),
+        })
+    }
+
+    /// The fleet as of now; never waits.
+    #[must_use]
+    pub fn view(&self) -> Arc<FleetView> {
+        self.inner.parts.view.load_full()
+    }
+
+    /// Gets a permit to call some upstream of the asked service.
+    #[must_use]
+    pub fn ask(&self, ask: Ask) -> BoxFuture<'static, Result<Permit, AskRefusal>> {
+        Box::pin(Arc::clone(&self.inner.desk).ask(ask))
+    }
+
+    /// Counts one request against its workspace's limits; the error is when to ask again.
+    pub fn start_request(&self, workspace: &WorkspaceName) -> Result<ShareGuard, Duration> {
+        self.inner.parts.limits.start(workspace)
+    }
+
+    /// Tells that an upstream died under an input; done once the fleet is warned.
+    #[must_use]
+    pub fn crashed(&self, input: Fingerprint, upstream: UpstreamId) -> BoxFuture<'static, ()> {
+        Box::pin(Arc::clone(&self.inner.parts.suspects).died(input, upstream))
+    }
+
+    /// Tells that an input ran to its end.
+    pub fn ran_whole(&self, input: Fingerprint) {
+        self.inner.parts.suspects.ran_whole(input);
+    }
+
+    /// The addresses a workspace's callers should use.
+    #[must_use]
+    pub fn addresses(&self, workspace: &WorkspaceName) -> AddressAnswer {
+        let view = self.view();
+        let policy = &view.config.policy;
+        let weight = view
+            .config
+            .workspaces
+            .get(workspace)
+            .map_or(1, |w| w.weight);
+        let near = &view.me.failure_domain;
+        let instances = addresses(workspace, weight, policy.shard_size, &view.members, near)
+            .into_iter()
+            .map(|member| CallerAddress {
+                id: member.id.clone(),
+                incarnation: member.incarnation,
+                address: member.caller_address,
+                failure_domain: member.failure_domain.clone(),
+                binding: format!("{}@{}", member.id, member.incarnation),
+            })
+            .collect();
+        AddressAnswer {
+            instances,
+            max_age_s: policy.address_max_age_s,
+        }
+    }
+
+    /// First step of a planned stop: tells everyone that this instance is leaving.
+    pub fn leave(&self) {
+        let _ = self.inner.node.cast(NodeMsg::Leave);
+    }
+
+    /// Permits held by this instance's own requests.
+    #[must_use]
+    pub fn held_permits(&self) -> usize {
+        self.inner.parts.held.len()
+    }
+
+    /// Upstreams homed here and permits they have in flight.
+    pub async fn homes(&self) -> (usize, usize) {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.inner.parts.homes.cast(HomesMsg::Count(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// Configuration revisions: in force here, lowest over live instances, newest known.
+    pub async fn revisions(&self) -> (u64, u64, u64) {
+        match crate::server::ask(&self.inner.node, NodeMsg::Revisions).await {
+            Ok(revisions) => (revisions.in_force, revisions.lowest, revisions.newest),
+            Err(_) => (0, 0, 0),
+        }
+    }
+
+    /// Last known load of an upstream and the age of that knowledge.
+    #[must_use]
+    pub fn summary(&self, upstream: &UpstreamId) -> Option<(UpstreamSummary, Duration)> {
+        let cell = self.inner.parts.summaries.cell(upstream)?;
+        cell.load(MonoTime::now())
+            .map(|(summary, _, age)| (summary, age))
+    }
+
+    /// Explanation of a request as JSON, fetched from the instance that accepted it.
+    pub async fn explain(&self, request: &RequestId) -> Option<String> {
+        let view = self.view();
+        let member = view.member(&request.entry()?)?;
+        let mut client = self.inner.parts.peers.get(member).client();
+        let question = timed(ExplainQuestion {
+            request: request.to_string(),
+        });
+        let answer = client.explain(question).await.ok()?.into_inner();
+        (!answer.json.is_empty()).then_some(answer.json)
+    }
+
+    /// Every other live instance's report as JSON, by instance; `None` for those that did not answer.
+    pub async fn reports(&self) -> Vec<(InstanceId, Option<String>)> {
+        let view = self.view();
+        let others = view.members.iter().filter(|member| member.id != view.me.id);
+        let calls = others.map(|member| {
+            let peer = self.inner.parts.peers.get(member);
+            let id = member.id.clone();
+            async move {
+                match peer.client().report(timed(ReportQuestion {})).await {
+                    Ok(answer) => (id, Some(answer.into_inner().json)),
+                    Err(status) => {
+                        log::warn!("{}", peer.failed(&status));
+                        (id, None)
+                    }
+                }
+            }
+        });
+        futures::future::join_all(calls).await
+    }
+
+    /// Marks an upstream as drained, or takes the mark away, in the platform's store.
+    pub async fn drain_upstream(&self, id: &UpstreamId, drained: bool) -> Result<(), StoreError> {
+        let store = &self.inner.parts.store;
+        let now = store
+            .get(Purpose::Operator, DRAIN_KIND, id.as_str())
+            .await?;
+        match (now, drained) {
+            (None, true) => {
+                let value = serde_json::json!({ "drained": true });
+                store
+                    .create(Purpose::Operator, DRAIN_KIND, id.as_str(), &value)
+                    .await
+                    .map(|_| ())
+            }
+            (Some(found), false) => {
+                store
+                    .delete(Purpose::Operator, DRAIN_KIND, id.as_str(), found.version)
+                    .await
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+async fn start_parts(
+    settings: &FleetSettings,
+    store: Store,
+    socket: UdpSocket,
+) -> Result<NodeParts, FleetError> {
+    let view = Arc::new(ArcSwap::from_pointee(first_view(settings)));
+    let summaries = Arc::new(SummaryTable::default());
+    let peers = Arc::new(PeerPool::new(
+        settings.me.clone(),
+        settings.keys.clone(),
+        Arc::clone(&summaries),
+        settings.traffic.clone(),
+    ));
+    let homes_args = HomesArgs {
+        summaries: Arc::clone(&summaries),
+    };
+    let (homes, _) = Actor::spawn(None, HomesActor, homes_args)
+        .await
+        .map_err(|error| FleetError::Actors(error.to_string()))?;
+    let crashes = FleetConfig::default().policy.crashes_to_quarantine;
+    let suspects = Arc::new(SuspectTable::new(
+        Arc::clone(&view),
+        Arc::clone(&peers),
+        crashes,
+    ));
+    Ok(NodeParts {
+        view,
+        known: Arc::default(),
+        summaries,
+        peers,
+        homes,
+        held: Arc::default(),
+        limits: Arc::default(),
+        suspects,
+        store,
+        config_version: Arc::new(AtomicU64::new(0)),
+        socket: GossipSocket::new(socket, settings.keys.clone()),
+    })
+}
+
+fn first_view(settings: &FleetSettings) -> FleetView {
+    FleetView {
+        me: settings.me.clone(),
+        members: vec![settings.me.clone()].into(),
+        config: Arc::default(),
+        upstreams: Arc::new(BTreeMap::new()),
+        store: StoreHealth::default(),
+    }
+}
+
+fn start_tasks(
+    settings: &FleetSettings,
+    parts: &NodeParts,
+    node: &ActorRef<NodeMsg>,
+    upstream: &UpstreamClient,
+) {
+    tokio::spawn(parts.socket.clone().receive(node.clone()));
+    tokio::spawn(read_lists(parts.clone(), node.clone()));
+    tokio::spawn(read_loads(parts.clone(), upstream.clone(), node.clone()));
+    let limits = Arc::clone(&parts.limits);
+    tokio::spawn(limits.report(Arc::clone(&parts.view), Arc::clone(&parts.peers)));
+    tokio::spawn(crate::quarantine::keep(parts.clone()));
+    tokio::spawn(introduce(settings.clone(), parts.clone(), node.clone()));
+    let node = node.clone();
+    parts.suspects.set_spread_now(Box::new(move || {
+        let _ = node.cast(NodeMsg::SpreadSuspects);
+    }));
+}
+
+/// Asks seeds for the member list until somebody is known: the platform's list may be out of reach at the start.
+async fn introduce(settings: FleetSettings, parts: NodeParts, node: ActorRef<NodeMsg>) {
+    let record = Record {
+        member: settings.me.clone(),
+        refutation: 0,
+        revision: 0,
+    };
+    let me = convert::record_to_wire(&record);
+    while parts.view.load().members.len() < 2 {
+        for seed in settings
+            .seeds
+            .iter()
+            .filter(|seed| **seed != settings.me.fleet_address)
+        {
+            let mut client = parts.peers.client_of(*seed);
+            let introduction = timed(Introduction {
+                me: Some(me.clone()),
+            });
+            let Ok(list) = client.introduce(introduction).await else {
+                continue;
+            };
+            let records: Vec<Record> = list
+                .into_inner()
+                .members
+                .iter()
+                .filter_map(convert::record_from_wire)
+                .collect();
+            let _ = node.cast(NodeMsg::Learn(records));
+            break;
+        }
+        tokio::time::sleep(INTRODUCE_AGAIN).await;
+    }
+}
+
+fn serve(settings: &FleetSettings, listener: TcpListener, parts: ServiceParts) {
+    let service = FleetServer::with_interceptor(
+        FleetService(Arc::new(parts)),
+        check_token(settings.keys.clone()),
+    );
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    tokio::spawn(async move {
+        let served = tonic::transport::Server::builder()
+            .add_service(service)
+            .serve_with_incoming(incoming);
+        if let Err(error) = served.await {
+            log::error!("serving other instances ended: {error}");
+        }
+    });
+}
--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -48,6 +48,12 @@
     /// Take the queue rather than being redirected: the entry has no alternative.
     #[prost(bool, tag = "14")]
     pub no_redirect: bool,
+    /// Its input may crash upstreams: at most one such call at a time per upstream.
+    #[prost(bool, tag = "15")]
+    pub suspect: bool,
+    /// Weight of the workspace; told by the entry so that both use one revision of the configuration.
+    #[prost(uint32, tag = "16")]
+    pub weight: u32,
 }
 #[derive(Clone, Copy, PartialEq, ::prost::Message)]
 pub struct CostUnits {
@@ -102,7 +108,7 @@
 pub struct PermitReply {
     #[prost(uint64, tag = "1")]
     pub ask: u64,
-    #[prost(oneof = "permit_reply::Verdict", tags = "2, 3, 4")]
+    #[prost(oneof = "permit_reply::Verdict", tags = "2, 3, 4, 5")]
     pub verdict: ::core::option::Option<permit_reply::Verdict>,
 }
 /// Nested message and enum types in `PermitReply`.
@@ -115,9 +121,14 @@
         Redirect(super::RedirectTo),
         #[prost(message, tag = "4")]
         Refused(super::RefusedAsk),
+        /// The ask waits; the verdict follows. Told at once, so that silence means the home is not there.
+        #[prost(message, tag = "5")]
+        Queued(super::QueuedAsk),
     }
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct QueuedAsk {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct GrantedPermit {
     #[prost(fixed64, tag = "1")]
     pub permit: u64,
@@ -334,6 +345,11 @@
     /// Trial that ended without a verdict.
     #[prost(fixed64, tag = "7")]
     pub trial_ended: u64,
+    /// Whose input died, and on which service: kept with a quarantine.
+    #[prost(string, tag = "8")]
+    pub workspace: ::prost::alloc::string::String,
+    #[prost(string, tag = "9")]
+    pub service: ::prost::alloc::string::String,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SuspectAnswer {
@@ -376,18 +392,6 @@
     #[prost(string, tag = "3")]
     pub problem: ::prost::alloc::string::String,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct DrainMark {
-    #[prost(string, tag = "1")]
-    pub upstream: ::prost::alloc::string::String,
-    #[prost(bool, tag = "2")]
-    pub drained: bool,
-}
-#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct DrainAnswer {
-    #[prost(bool, tag = "1")]
-    pub known: bool,
-}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ReportQuestion {}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -402,10 +406,10 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
-    use tonic::codegen::*;
     use tonic::codegen::http::Uri;
+    use tonic::codegen::*;
     #[derive(Debug, Clone)]
     pub struct FleetClient<T> {
         inner: tonic::client::Grpc<T>,
@@ -444,14 +448,13 @@
             F: tonic::service::Interceptor,
             T::ResponseBody: Default,
             T: tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-                Response = http::Response<
-                    <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    http::Request<tonic::body::Body>,
+                    Response = http::Response<
+                        <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    >,
                 >,
-            >,
-            <T as tonic::codegen::Service<
-                http::Request<tonic::body::Body>,
-            >>::Error: Into<StdError> + std::marker::Send + std::marker::Sync,
+            <T as tonic::codegen::Service<http::Request<tonic::body::Body>>>::Error:
+                Into<StdError> + std::marker::Send + std::marker::Sync,
         {
             FleetClient::new(InterceptedService::new(inner, interceptor))
         }
@@ -494,18 +497,11 @@
             tonic::Response<tonic::codec::Streaming<super::HomeBatch>>,
             tonic::Status,
         > {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/Permits",
-            );
+            let path = http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/Permits");
             let mut req = request.into_streaming_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Permits"));
@@ -516,18 +512,12 @@
             &mut self,
             request: impl tonic::IntoRequest<super::ConfigPull>,
         ) -> std::result::Result<tonic::Response<super::ConfigDelta>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/PullConfig",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/PullConfig");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "PullConfig"));
@@ -538,18 +528,12 @@
             &mut self,
             request: impl tonic::IntoRequest<super::Introduction>,
         ) -> std::result::Result<tonic::Response<super::MemberList>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/Introduce",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/Introduce");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Introduce"));
@@ -560,18 +544,11 @@
             &mut self,
             request: impl tonic::IntoRequest<super::ShareReport>,
         ) -> std::result::Result<tonic::Response<super::ShareGrants>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/Shares",
-            );
+            let path = http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/Shares");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Shares"));
@@ -582,18 +559,12 @@
             &mut self,
             request: impl tonic::IntoRequest<super::SuspectReport>,
         ) -> std::result::Result<tonic::Response<super::SuspectAnswer>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/Suspects",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/Suspects");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Suspects"));
@@ -604,18 +575,11 @@
             &mut self,
             request: impl tonic::IntoRequest<super::ExplainQuestion>,
         ) -> std::result::Result<tonic::Response<super::ExplainAnswer>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/Explain",
-            );
+            let path = http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/Explain");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Explain"));
@@ -626,62 +590,27 @@
             &mut self,
             request: impl tonic::IntoRequest<super::OrderPass>,
         ) -> std::result::Result<tonic::Response<super::OrderAnswer>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/PassOrder",
-            );
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/PassOrder");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "PassOrder"));
             self.inner.unary(req, path, codec).await
         }
-        /// Marks an upstream as drained or not.
-        pub async fn drain(
-            &mut self,
-            request: impl tonic::IntoRequest<super::DrainMark>,
-        ) -> std::result::Result<tonic::Response<super::DrainAnswer>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
-            let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/Drain",
-            );
-            let mut req = request.into_request();
-            req.extensions_mut()
-                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Drain"));
-            self.inner.unary(req, path, codec).await
-        }
         /// This instance's own part of a fleet report.
         pub async fn report(
             &mut self,
             request: impl tonic::IntoRequest<super::ReportQuestion>,
         ) -> std::result::Result<tonic::Response<super::ReportAnswer>, tonic::Status> {
-            self.inner
-                .ready()
-                .await
-                .map_err(|e| {
-                    tonic::Status::unknown(
-                        format!("Service was not ready: {}", e.into()),
-                    )
-                })?;
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
             let codec = tonic_prost::ProstCodec::default();
-            let path = http::uri::PathAndQuery::from_static(
-                "/tanagercroft.fleet.v1.Fleet/Report",
-            );
+            let path = http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/Report");
             let mut req = request.into_request();
             req.extensions_mut()
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Report"));
@@ -696,7 +625,7 @@
         dead_code,
         missing_docs,
         clippy::wildcard_imports,
-        clippy::let_unit_value,
+        clippy::let_unit_value
     )]
     use tonic::codegen::*;
     /// Generated trait containing gRPC methods that should be implemented for use with FleetServer.
@@ -705,8 +634,7 @@
         /// Server streaming response type for the Permits method.
         type PermitsStream: tonic::codegen::tokio_stream::Stream<
                 Item = std::result::Result<super::HomeBatch, tonic::Status>,
-            >
-            + std::marker::Send
+            > + std::marker::Send
             + 'static;
         /// Permits: one stream per pair of instances carries batches of asks and releases.
         async fn permits(
@@ -743,11 +671,6 @@
             &self,
             request: tonic::Request<super::OrderPass>,
         ) -> std::result::Result<tonic::Response<super::OrderAnswer>, tonic::Status>;
-        /// Marks an upstream as drained or not.
-        async fn drain(
-            &self,
-            request: tonic::Request<super::DrainMark>,
-        ) -> std::result::Result<tonic::Response<super::DrainAnswer>, tonic::Status>;
         /// This instance's own part of a fleet report.
         async fn report(
             &self,
@@ -775,10 +698,7 @@
                 max_encoding_message_size: None,
             }
         }
-        pub fn with_interceptor<F>(
-            inner: T,
-            interceptor: F,
-        ) -> InterceptedService<Self, F>
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> InterceptedService<Self, F>
         where
             F: tonic::service::Interceptor,
         {
@@ -833,22 +753,17 @@
                 "/tanagercroft.fleet.v1.Fleet/Permits" => {
                     #[allow(non_camel_case_types)]
                     struct PermitsSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::StreamingService<super::EntryBatch>
-                    for PermitsSvc<T> {
+                    impl<T: Fleet> tonic::server::StreamingService<super::EntryBatch> for PermitsSvc<T> {
                         type Response = super::HomeBatch;
                         type ResponseStream = T::PermitsStream;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::ResponseStream>,
-                            tonic::Status,
-                        >;
+                        type Future =
+                            BoxFuture<tonic::Response<Self::ResponseStream>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<tonic::Streaming<super::EntryBatch>>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::permits(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::permits(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -877,21 +792,16 @@
                 "/tanagercroft.fleet.v1.Fleet/PullConfig" => {
                     #[allow(non_camel_case_types)]
                     struct PullConfigSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::ConfigPull>
-                    for PullConfigSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::ConfigPull> for PullConfigSvc<T> {
                         type Response = super::ConfigDelta;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ConfigPull>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::pull_config(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Fleet>::pull_config(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -920,21 +830,15 @@
                 "/tanagercroft.fleet.v1.Fleet/Introduce" => {
                     #[allow(non_camel_case_types)]
                     struct IntroduceSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::Introduction>
-                    for IntroduceSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::Introduction> for IntroduceSvc<T> {
                         type Response = super::MemberList;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::Introduction>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::introduce(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::introduce(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -963,21 +867,15 @@
                 "/tanagercroft.fleet.v1.Fleet/Shares" => {
                     #[allow(non_camel_case_types)]
                     struct SharesSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::ShareReport>
-                    for SharesSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::ShareReport> for SharesSvc<T> {
                         type Response = super::ShareGrants;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ShareReport>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::shares(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::shares(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1006,21 +904,15 @@
                 "/tanagercroft.fleet.v1.Fleet/Suspects" => {
                     #[allow(non_camel_case_types)]
                     struct SuspectsSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::SuspectReport>
-                    for SuspectsSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::SuspectReport> for SuspectsSvc<T> {
                         type Response = super::SuspectAnswer;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::SuspectReport>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::suspects(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::suspects(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1049,21 +941,15 @@
                 "/tanagercroft.fleet.v1.Fleet/Explain" => {
                     #[allow(non_camel_case_types)]
                     struct ExplainSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::ExplainQuestion>
-                    for ExplainSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::ExplainQuestion> for ExplainSvc<T> {
                         type Response = super::ExplainAnswer;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ExplainQuestion>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::explain(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::explain(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1092,21 +978,16 @@
                 "/tanagercroft.fleet.v1.Fleet/PassOrder" => {
                     #[allow(non_camel_case_types)]
                     struct PassOrderSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::OrderPass>
-                    for PassOrderSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::OrderPass> for PassOrderSvc<T> {
                         type Response = super::OrderAnswer;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::OrderPass>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::pass_order(&inner, request).await
-                            };
+                            let fut =
+                                async move { <T as Fleet>::pass_order(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1132,67 +1013,18 @@
                     };
                     Box::pin(fut)
                 }
-                "/tanagercroft.fleet.v1.Fleet/Drain" => {
-                    #[allow(non_camel_case_types)]
-                    struct DrainSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::DrainMark>
-                    for DrainSvc<T> {
-                        type Response = super::DrainAnswer;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
-                        fn call(
-                            &mut self,
-                            request: tonic::Request<super::DrainMark>,
-                        ) -> Self::Future {
-                            let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::drain(&inner, request).await
-                            };
-                            Box::pin(fut)
-                        }
-                    }
-                    let accept_compression_encodings = self.accept_compression_encodings;
-                    let send_compression_encodings = self.send_compression_encodings;
-                    let max_decoding_message_size = self.max_decoding_message_size;
-                    let max_encoding_message_size = self.max_encoding_message_size;
-                    let inner = self.inner.clone();
-                    let fut = async move {
-                        let method = DrainSvc(inner);
-                        let codec = tonic_prost::ProstCodec::default();
-                        let mut grpc = tonic::server::Grpc::new(codec)
-                            .apply_compression_config(
-                                accept_compression_encodings,
-                                send_compression_encodings,
-                            )
-                            .apply_max_message_size_config(
-                                max_decoding_message_size,
-                                max_encoding_message_size,
-                            );
-                        let res = grpc.unary(method, req).await;
-                        Ok(res)
-                    };
-                    Box::pin(fut)
-                }
                 "/tanagercroft.fleet.v1.Fleet/Report" => {
                     #[allow(non_camel_case_types)]
                     struct ReportSvc<T: Fleet>(pub Arc<T>);
-                    impl<T: Fleet> tonic::server::UnaryService<super::ReportQuestion>
-                    for ReportSvc<T> {
+                    impl<T: Fleet> tonic::server::UnaryService<super::ReportQuestion> for ReportSvc<T> {
                         type Response = super::ReportAnswer;
-                        type Future = BoxFuture<
-                            tonic::Response<Self::Response>,
-                            tonic::Status,
-                        >;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
                         fn call(
                             &mut self,
                             request: tonic::Request<super::ReportQuestion>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move {
-                                <T as Fleet>::report(&inner, request).await
-                            };
+                            let fut = async move { <T as Fleet>::report(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1218,25 +1050,19 @@
                     };
                     Box::pin(fut)
                 }
-                _ => {
-                    Box::pin(async move {
-                        let mut response = http::Response::new(
-                            tonic::body::Body::default(),
-                        );
-                        let headers = response.headers_mut();
-                        headers
-                            .insert(
-                                tonic::Status::GRPC_STATUS,
-                                (tonic::Code::Unimplemented as i32).into(),
-                            );
-                        headers
-                            .insert(
-                                http::header::CONTENT_TYPE,
-                                tonic::metadata::GRPC_CONTENT_TYPE,
-                            );
-                        Ok(response)
-                    })
-                }
+                _ => Box::pin(async move {
+                    let mut response = http::Response::new(tonic::body::Body::default());
+                    let headers = response.headers_mut();
+                    headers.insert(
+                        tonic::Status::GRPC_STATUS,
+                        (tonic::Code::Unimplemented as i32).into(),
+                    );
+                    headers.insert(
+                        http::header::CONTENT_TYPE,
+                        tonic::metadata::GRPC_CONTENT_TYPE,
+                    );
+                    Ok(response)
+                }),
             }
         }
     }
--- /dev/null
+++ b/crates/tc-fleet/src/homes/slot.rs
@@ -0,0 +1,329 @@
+//! One upstream's home on this instance and the asks waiting at it.
+
+use std::{collections::HashMap, time::Duration};
+
+use tc_policy::{AskKey, AskVerdict, HeldPermit, Home, HomeConfig, HomeEvent, NewAsk};
+use tc_protocol::{
+    Cost, Fingerprint, InstanceId, MonoTime, PermitId, RefusalReason, Release, ServiceName,
+    Upstream, UpstreamId, UpstreamSummary, WorkspaceName,
+};
+
+use crate::settings::PERMIT_GRACE;
+
+/// An upstream as the control thread knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct KnownUpstream {
+    pub(crate) upstream: Upstream,
+    pub(crate) service: ServiceName,
+    pub(crate) slots: u32,
+    pub(crate) queue_per_workspace: u32,
+    pub(crate) leaving: bool,
+    /// Whether this instance is its home.
+    pub(crate) mine: bool,
+}
+
+/// An entry's ask as it reaches the home.
+#[derive(Clone, Debug)]
+pub(crate) struct HomeAsk {
+    pub(crate) entry: InstanceId,
+    /// Unique within the entry's incarnation.
+    pub(crate) ask: u64,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) weight: u32,
+    pub(crate) priority: u8,
+    pub(crate) slack: Duration,
+    pub(crate) run_for: Duration,
+    pub(crate) estimate: Cost,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) may_redirect: bool,
+    pub(crate) suspect: bool,
+}
+
+/// What the home decided.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum HomeVerdict {
+    Granted {
+        permit: PermitId,
+        expires_in: Duration,
+        waited: Duration,
+    },
+    Redirect {
+        wait: Duration,
+        better: Option<UpstreamId>,
+    },
+    Refused {
+        reason: RefusalReason,
+        retry_after: Duration,
+    },
+}
+
+/// A verdict with the home's load, so that every answer refreshes the entry's view.
+#[derive(Clone, Debug)]
+pub(crate) struct HomeAnswer {
+    pub(crate) verdict: HomeVerdict,
+    pub(crate) summary: UpstreamSummary,
+    pub(crate) leaving: bool,
+}
+
+/// Takes the answer back to the entry that asked.
+pub(crate) type ReplyTo = Box<dyn FnOnce(HomeAnswer) + Send>;
+
+struct Waiter {
+    entry: InstanceId,
+    ask: u64,
+    reply: ReplyTo,
+}
+
+/// Where the one suspect call this upstream may have is.
+#[derive(PartialEq)]
+enum SuspectUse {
+    Waiting(AskKey),
+    Running(PermitId),
+}
+
+/// A home with its waiting asks.
+pub(crate) struct Slot {
+    pub(crate) known: KnownUpstream,
+    home: Home,
+    waiters: HashMap<AskKey, Waiter>,
+    // Two suspects on one upstream would both be blamed for its next crash, and an innocent one would be quarantined.
+    suspect: Option<SuspectUse>,
+}
+
+impl Slot {
+    pub(crate) fn new(now: MonoTime, known: KnownUpstream, first_permit: u64) -> Self {
+        let mut home = Home::new(HomeConfig {
+            slots: known.slots,
+            queue_per_workspace: known.queue_per_workspace,
+            grace: PERMIT_GRACE,
+            first_permit,
+        });
+        home.set_leaving(now, known.leaving);
+        Self {
+            known,
+            home,
+            waiters: HashMap::new(),
+            suspect: None,
+        }
+    }
+
+    pub(crate) fn ask(
+        &mut self,
+        now: MonoTime,
+        ask: HomeAsk,
+        better: impl FnOnce() -> Option<UpstreamId>,
+        reply: ReplyTo,
+    ) {
+        if ask.suspect && self.suspect.is_some() {
+            let verdict = HomeVerdict::Redirect {
+                wait: Duration::ZERO,
+                better: better(),
+            };
+            self.answer(now, verdict, reply);
+            return;
+        }
+        let waiter = Waiter {
+            entry: ask.entry.clone(),
+            ask: ask.ask,
+            reply,
+        };
+        let is_suspect = ask.suspect;
+        match self.home.ask(now, new_ask(ask)) {
+            AskVerdict::Granted { permit, expires_in } => {
+                if is_suspect {
+                    self.suspect = Some(SuspectUse::Running(permit));
+                }
+                let verdict = HomeVerdict::Granted {
+                    permit,
+                    expires_in,
+                    waited: Duration::ZERO,
+                };
+                self.answer(now, verdict, waiter.reply);
+            }
+            AskVerdict::Queued(key) => {
+                if is_suspect {
+                    self.suspect = Some(SuspectUse::Waiting(key));
+                }
+                self.waiters.insert(key, waiter);
+            }
+            AskVerdict::Redirect { wait } => {
+                let verdict = HomeVerdict::Redirect {
+                    wait,
+                    better: better(),
+                };
+                self.answer(now, verdict, waiter.reply);
+            }
+            AskVerdict::Refused {
+                reason,
+                retry_after,
+            } => {
+                let verdict = HomeVerdict::Refused {
+                    reason,
+                    retry_after,
+                };
+                self.answer(now, verdict, waiter.reply);
+            }
+        }
+    }
+
+    pub(crate) fn cancel(&mut self, now: MonoTime, entry: &InstanceId, ask: u64) {
+        let found = self
+            .waiters
+            .iter()
+            .find(|(_, w)| w.ask == ask && w.entry == *entry);
+        let Some(key) = found.map(|(key, _)| *key) else {
+            return;
+        };
+        self.waiters.remove(&key);
+        self.home.cancel(now, key);
+        self.end_suspect(&SuspectUse::Waiting(key));
+    }
+
+    pub(crate) fn release(&mut self, now: MonoTime, release: &Release) -> Option<HeldPermit> {
+        self.end_suspect(&SuspectUse::Running(release.permit));
+        self.home.release(now, release)
+    }
+
+    pub(crate) fn adopt(&mut self, now: MonoTime, held: HeldPermit) {
+        self.home.adopt(now, held);
+    }
+
+    pub(crate) fn entry_gone(&mut self, now: MonoTime, entry: &InstanceId) {
+        let gone: Vec<AskKey> = self
+            .waiters
+            .iter()
+            .filter(|(_, w)| w.entry == *entry)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in gone {
+            self.waiters.remove(&key);
+            self.end_suspect(&SuspectUse::Waiting(key));
+        }
+        self.home.entry_gone(now, entry);
+        let running: Vec<PermitId> = self.home.permits().map(|held| held.permit).collect();
+        if let Some(SuspectUse::Running(permit)) = self.suspect
+            && !running.contains(&permit)
+        {
+            self.suspect = None;
+        }
+    }
+
+    /// Takes up a changed configuration, list state or placement.
+    pub(crate) fn update(&mut self, now: MonoTime, known: KnownUpstream) {
+        self.home
+            .set_config(now, known.slots, known.queue_per_workspace);
+        // A home that moved away tells its waiting asks to go elsewhere, and only counts down what runs.
+        self.home.set_leaving(now, known.leaving || !known.mine);
+        self.known = known;
+    }
+
+    pub(crate) fn home_mut(&mut self) -> &mut Home {
+        &mut self.home
+    }
+
+    /// Answers what the home decided since the last call; returns permits that expired unreleased.
+    pub(crate) fn poll(&mut self, now: MonoTime) -> Vec<PermitId> {
+        let mut expired = Vec::new();
+        for event in self.home.poll(now) {
+            match event {
+                HomeEvent::Granted {
+                    ask,
+                    permit,
+                    expires_in,
+                    waited,
+                } => {
+                    self.grant_waiting(now, ask, permit, expires_in, waited);
+                }
+                HomeEvent::Dropped {
+                    ask,
+                    reason,
+                    retry_after,
+                } => {
+                    self.end_suspect(&SuspectUse::Waiting(ask));
+                    if let Some(waiter) = self.waiters.remove(&ask) {
+                        let verdict = HomeVerdict::Refused {
+                            reason,
+                            retry_after,
+                        };
+                        self.answer(now, verdict, waiter.reply);
+                    }
+                }
+                HomeEvent::Expired { permit, .. } => {
+                    self.end_suspect(&SuspectUse::Running(permit));
+                    expired.push(permit);
+                }
+            }
+        }
+        expired
+    }
+
+    fn grant_waiting(
+        &mut self,
+        now: MonoTime,
+        ask: AskKey,
+        permit: PermitId,
+        expires_in: Duration,
+        waited: Duration,
+    ) {
+        if self.suspect == Some(SuspectUse::Waiting(ask)) {
+            self.suspect = Some(SuspectUse::Running(permit));
+        }
+        if let Some(waiter) = self.waiters.remove(&ask) {
+            let verdict = HomeVerdict::Granted {
+                permit,
+                expires_in,
+                waited,
+            };
+            self.answer(now, verdict, waiter.reply);
+        }
+    }
+
+    fn end_suspect(&mut self, ended: &SuspectUse) {
+        if self.suspect.as_ref() == Some(ended) {
+            self.suspect = None;
+        }
+    }
+
+    pub(crate) fn next_wake(&self) -> Option<MonoTime> {
+        self.home.next_wake()
+    }
+
+    pub(crate) fn summary(&self, now: MonoTime) -> UpstreamSummary {
+        self.home.summary(now)
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.known.leaving
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.waiters.is_empty() && self.home.permits().next().is_none()
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.home.permits().count()
+    }
+
+    fn answer(&self, now: MonoTime, verdict: HomeVerdict, reply: ReplyTo) {
+        let summary = self.home.summary(now);
+        reply(HomeAnswer {
+            verdict,
+            summary,
+            leaving: self.known.leaving,
+        });
+    }
+}
+
+fn new_ask(ask: HomeAsk) -> NewAsk {
+    NewAsk {
+        entry: ask.entry,
+        workspace: ask.workspace,
+        weight: ask.weight,
+        priority: ask.priority,
+        slack: ask.slack,
+        run_for: ask.run_for,
+        estimate: ask.estimate,
+        fingerprint: ask.fingerprint,
+        may_redirect: ask.may_redirect,
+    }
+}
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -1,1 +1,30 @@
-//! Between instances: membership, homes, permits, workspace shares and configuration spread.
+//! Between instances: membership, homes, permits, workspace shares, suspects and configuration spread.
+//!
+//! [`Fleet::start`] runs on the control thread; the [`Fleet`] handle it gives is used by traffic threads.
+
+mod config;
+mod convert;
+mod entry;
+mod error;
+mod fleet;
+#[allow(clippy::all, clippy::pedantic, missing_docs, unreachable_pub)]
+mod generated;
+mod gossip;
+mod homes;
+mod key;
+mod limits;
+mod loads;
+mod node;
+mod orders;
+mod peers;
+mod quarantine;
+mod server;
+mod settings;
+mod store_watch;
+mod summary;
+mod suspects;
+
+pub use error::FleetError;
+pub use fleet::{Fleet, LocalReport};
+pub use key::FleetKeys;
+pub use settings::{AskPolicy, FleetSettings};
--- /dev/null
+++ b/crates/tc-fleet/src/loads.rs
@@ -0,0 +1,57 @@
+//! Reads the load reports of the upstreams homed here.
+
+use std::{collections::HashMap, time::Duration};
+
+use ractor::ActorRef;
+use tc_protocol::{Incarnation, UpstreamId};
+use tc_upstream::UpstreamClient;
+
+use crate::{
+    homes::HomesMsg,
+    node::{NodeMsg, NodeParts},
+    settings::LOAD_INTERVAL,
+};
+
+const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Reads all homed upstreams' reports every half second, for ever.
+pub(crate) async fn read_loads(parts: NodeParts, client: UpstreamClient, node: ActorRef<NodeMsg>) {
+    let mut incarnations: HashMap<UpstreamId, Incarnation> = HashMap::new();
+    let mut every = tokio::time::interval(LOAD_INTERVAL);
+    every.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        every.tick().await;
+        let known = parts.known.load_full();
+        let reads = known.iter().filter(|(_, k)| k.mine).map(|(id, k)| {
+            let client = client.clone();
+            let address = k.upstream.address;
+            async move {
+                let report = tokio::time::timeout(LOAD_TIMEOUT, client.load(address)).await;
+                (id.clone(), report)
+            }
+        });
+        for (id, report) in futures::future::join_all(reads).await {
+            let Ok(Ok(report)) = report else {
+                continue;
+            };
+            let restarted = incarnations
+                .insert(id.clone(), report.incarnation)
+                .is_some_and(|before| before != report.incarnation);
+            if restarted {
+                log::info!(upstream = id.as_str(); "upstream restarted");
+            }
+            let upstream = id.clone();
+            let leaving = report.leaving;
+            if node
+                .cast(NodeMsg::SaysLeaving { upstream, leaving })
+                .is_err()
+            {
+                return;
+            }
+            let _ = parts.homes.cast(HomesMsg::Load {
+                upstream: id,
+                report,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-fleet/src/node/state.rs
@@ -0,0 +1,243 @@
+//! What the node knows, and how a view is made of it.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+};
+
+use arc_swap::ArcSwap;
+use ractor::ActorRef;
+use tc_membership::{Membership, Outgoing, PauseDetector, Spread};
+use tc_platform::Store;
+use tc_protocol::{
+    FleetConfig, FleetView, InstanceId, Member, MemberState, MonoTime, UpstreamId,
+    wire::{ConfigObject, InstanceList},
+};
+
+use super::{
+    VersionCell,
+    table::{self, UpstreamMarks},
+};
+use crate::{
+    config, convert,
+    entry::HeldTable,
+    generated::Datagram,
+    gossip::GossipSocket,
+    homes::{HomesMsg, KnownUpstream},
+    limits::LimitDesk,
+    peers::{PeerPool, ToHome},
+    summary::SummaryTable,
+    suspects::SuspectTable,
+};
+
+/// Summaries of own homes put into one datagram at most.
+const SUMMARIES_PER_DATAGRAM: usize = 6;
+/// Suspect fingerprints put into one datagram at most.
+const SUSPECTS_PER_DATAGRAM: usize = 8;
+
+/// What the node shares with other parts.
+#[derive(Clone)]
+pub(crate) struct NodeParts {
+    pub(crate) view: Arc<ArcSwap<FleetView>>,
+    pub(crate) known: Arc<ArcSwap<BTreeMap<UpstreamId, KnownUpstream>>>,
+    pub(crate) summaries: Arc<SummaryTable>,
+    pub(crate) peers: Arc<PeerPool>,
+    pub(crate) homes: ActorRef<HomesMsg>,
+    pub(crate) held: Arc<HeldTable>,
+    pub(crate) limits: Arc<LimitDesk>,
+    pub(crate) suspects: Arc<SuspectTable>,
+    pub(crate) store: Store,
+    /// Version of the configuration object last seen at the platform; 0 before the first.
+    pub(crate) config_version: VersionCell,
+    pub(crate) socket: GossipSocket,
+}
+
+pub(crate) struct NodeState {
+    pub(crate) me: Member,
+    pub(crate) parts: NodeParts,
+    pub(crate) membership: Membership,
+    pub(crate) spread: Spread,
+    pub(crate) pause: PauseDetector,
+    pub(crate) object: Arc<ConfigObject>,
+    pub(crate) config: Arc<FleetConfig>,
+    pub(crate) list: InstanceList,
+    pub(crate) marks: UpstreamMarks,
+    pub(crate) next_summary: usize,
+    states: HashMap<InstanceId, MemberState>,
+}
+
+impl NodeState {
+    pub(crate) fn new(
+        me: Member,
+        parts: NodeParts,
+        membership: Membership,
+        spread: Spread,
+        pause: PauseDetector,
+    ) -> Self {
+        Self {
+            me,
+            parts,
+            membership,
+            spread,
+            pause,
+            object: Arc::default(),
+            config: Arc::default(),
+            list: InstanceList::default(),
+            marks: UpstreamMarks::default(),
+            next_summary: 0,
+            states: HashMap::new(),
+        }
+    }
+
+    /// Sends membership messages, with this instance's summaries and suspects on them.
+    pub(crate) fn send(&mut self, outgoing: Vec<Outgoing>) {
+        for out in outgoing {
+            let mut datagram = convert::message_to_wire(&out.message);
+            self.piggyback(&mut datagram);
+            self.parts.socket.send(out.to, &datagram);
+        }
+    }
+
+    fn piggyback(&mut self, datagram: &mut Datagram) {
+        let now = MonoTime::now();
+        let known = self.parts.known.load();
+        let mine: Vec<&UpstreamId> = known
+            .iter()
+            .filter(|(_, k)| k.mine)
+            .map(|(id, _)| id)
+            .collect();
+        for _ in 0..mine.len().min(SUMMARIES_PER_DATAGRAM) {
+            self.next_summary = self.next_summary.wrapping_add(1);
+            let id = mine[self.next_summary % mine.len()];
+            let load = self
+                .parts
+                .summaries
+                .cell(id)
+                .and_then(|cell| cell.load(now));
+            if let Some((summary, leaving, _)) = load {
+                datagram
+                    .summaries
+                    .push(convert::summary_to_wire(id, &summary, leaving));
+            }
+        }
+        datagram.suspects = self.parts.suspects.to_gossip(SUSPECTS_PER_DATAGRAM);
+    }
+
+    /// Takes up what rides on a datagram.
+    pub(crate) fn take_piggyback(&mut self, now: MonoTime, datagram: &Datagram) {
+        for summary in &datagram.summaries {
+            let load = convert::summary_from_wire(summary);
+            self.parts
+                .summaries
+                .store(now, &summary.upstream, &load, summary.leaving);
+        }
+        self.parts.suspects.heard(now, &datagram.suspects);
+    }
+
+    /// Puts a configuration in force if it is valid and newer; returns whether it was.
+    pub(crate) fn apply(&mut self, now: MonoTime, object: ConfigObject) -> bool {
+        if object.revision <= self.spread.in_force() {
+            self.spread.applied(now, object.revision);
+            return false;
+        }
+        match config::read(&object) {
+            Ok(config) => {
+                if !self.spread.applied(now, object.revision) {
+                    return false;
+                }
+                log::info!(revision = object.revision; "configuration in force");
+                metrics::gauge!("tc_config_revision").set(object.revision as f64);
+                self.config = Arc::new(config);
+                self.membership.set_revision(object.revision);
+                self.object = Arc::new(object);
+                true
+            }
+            Err(error) => {
+                log::error!(revision = object.revision; "configuration rejected, the last valid one stays in force: {error}");
+                metrics::counter!("tc_config_rejected_total").increment(1);
+                self.spread.rejected(now, object.revision);
+                false
+            }
+        }
+    }
+
+    /// Publishes the view anew and tells everyone who acts on it.
+    pub(crate) fn publish(&mut self, now: MonoTime) {
+        let members: Arc<[Member]> = self.membership.members().into();
+        self.note_state_changes(&members);
+        let table = table::build(&self.config, &self.list, &self.marks, &members);
+        let known = Arc::new(table::for_homes(&table, &self.config, &self.me.id));
+        self.parts.summaries.set_upstreams(known.keys());
+        self.parts.known.store(Arc::clone(&known));
+        let me = members
+            .iter()
+            .find(|m| m.id == self.me.id)
+            .cloned()
+            .unwrap_or_else(|| self.me.clone());
+        let view = Arc::new(FleetView {
+            me,
+            members,
+            config: Arc::clone(&self.config),
+            upstreams: Arc::new(table),
+            store: self.parts.store.health(),
+        });
+        self.parts.view.store(Arc::clone(&view));
+        self.parts.limits.set_fleet(now, &view);
+        let _ = self.parts.homes.cast(HomesMsg::Assign(known));
+        self.announce_moved(now, &view);
+    }
+
+    /// Lets go of instances that are gone, and of asks waiting at suspect ones.
+    fn note_state_changes(&mut self, members: &[Member]) {
+        let mut states = HashMap::with_capacity(members.len());
+        for member in members {
+            if member.id == self.me.id {
+                continue;
+            }
+            let before = self.states.get(&member.id).copied();
+            if before != Some(member.state) {
+                self.state_changed(&member.id, member.state);
+            }
+            states.insert(member.id.clone(), member.state);
+        }
+        let gone: Vec<InstanceId> = self
+            .states
+            .keys()
+            .filter(|id| !states.contains_key(*id))
+            .cloned()
+            .collect();
+        for id in gone {
+            self.state_changed(&id, MemberState::Dead);
+        }
+        self.states = states;
+    }
+
+    fn state_changed(&mut self, id: &InstanceId, state: MemberState) {
+        log::info!(instance = id.as_str(); "instance is {state:?}");
+        match state {
+            MemberState::Dead => {
+                self.parts.peers.give_up_asks(id);
+                self.parts.peers.forget(id);
+                self.spread.forget(id);
+                let _ = self.parts.homes.cast(HomesMsg::EntryGone(id.clone()));
+            }
+            MemberState::Suspect => self.parts.peers.give_up_asks(id),
+            MemberState::Alive | MemberState::Leaving => {}
+        }
+    }
+
+    fn announce_moved(&self, now: MonoTime, view: &FleetView) {
+        for moved in self.parts.held.rehome(now, view) {
+            let upstream = moved.upstream;
+            let held = moved.permit;
+            if moved.home == self.me.id {
+                let _ = self.parts.homes.cast(HomesMsg::Held { upstream, held });
+            } else if let Some(member) = view.member(&moved.home) {
+                self.parts
+                    .peers
+                    .get(member)
+                    .send(ToHome::Held { upstream, held });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-fleet/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! Calls to other instances: one permit stream per pair, and single calls on the same channel.
+
+mod pool;
+mod stream;
+
+pub(crate) use pool::{PeerPool, timed};
+pub(crate) use stream::{ToHome, unused_release};
--- /dev/null
+++ b/crates/tc-fleet/src/peers/pool.rs
@@ -0,0 +1,172 @@
+//! Channels to other instances, made on first use and dropped when the instance is gone.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use tc_protocol::{Incarnation, InstanceId, Member};
+use tokio::sync::mpsc;
+use tonic::{
+    Request, Status,
+    metadata::{Ascii, MetadataValue},
+    service::{Interceptor, interceptor::InterceptedService},
+    transport::{Channel, Endpoint},
+};
+
+use super::stream::{self, StreamArgs, ToHome};
+use crate::{
+    FleetError, FleetKeys, generated::fleet_client::FleetClient, key::TOKEN_HEADER,
+    settings::PEER_TIMEOUT, summary::SummaryTable,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Adds the fleet token to every call.
+#[derive(Clone)]
+pub(crate) struct AddToken(MetadataValue<Ascii>);
+
+impl Interceptor for AddToken {
+    fn call(&mut self, mut req: Request<()>) -> Result<Request<()>, Status> {
+        req.metadata_mut().insert(TOKEN_HEADER, self.0.clone());
+        Ok(req)
+    }
+}
+
+pub(crate) type Client = FleetClient<InterceptedService<Channel, AddToken>>;
+
+/// Another instance, in one of its lives, at one address.
+pub(crate) struct Peer {
+    id: InstanceId,
+    address: SocketAddr,
+    incarnation: Incarnation,
+    client: Client,
+    to_home: mpsc::UnboundedSender<ToHome>,
+}
+
+impl Peer {
+    /// A client for single calls.
+    pub(crate) fn client(&self) -> Client {
+        self.client.clone()
+    }
+
+    /// Puts something on the permit stream; order is kept. Fails only when the stream's task has ended.
+    pub(crate) fn send(&self, message: ToHome) {
+        if let Err(mpsc::error::SendError(message)) = self.to_home.send(message) {
+            message.fail();
+        }
+    }
+
+    /// The error of a failed call to this instance.
+    pub(crate) fn failed(&self, status: &Status) -> FleetError {
+        FleetError::Peer {
+            instance: self.id.to_string(),
+            problem: status.message().to_owned(),
+        }
+    }
+}
+
+/// All other instances this one has talked to.
+pub(crate) struct PeerPool {
+    me: Member,
+    keys: FleetKeys,
+    summaries: Arc<SummaryTable>,
+    traffic: tokio::runtime::Handle,
+    peers: Mutex<HashMap<InstanceId, Arc<Peer>>>,
+}
+
+impl PeerPool {
+    pub(crate) fn new(
+        me: Member,
+        keys: FleetKeys,
+        summaries: Arc<SummaryTable>,
+        traffic: tokio::runtime::Handle,
+    ) -> Self {
+        Self {
+            me,
+            keys,
+            summaries,
+            traffic,
+            peers: Mutex::default(),
+        }
+    }
+
+    /// The peer for a member, made anew when the member restarted or moved.
+    pub(crate) fn get(&self, member: &Member) -> Arc<Peer> {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(peer) = peers.get(&member.id)
+            && peer.address == member.fleet_address
+            && peer.incarnation == member.incarnation
+        {
+            return Arc::clone(peer);
+        }
+        let peer = Arc::new(self.make(member));
+        peers.insert(member.id.clone(), Arc::clone(&peer));
+        peer
+    }
+
+    /// Ends the streams of a member that is gone; asks waiting there fail at once.
+    pub(crate) fn forget(&self, id: &InstanceId) {
+        self.peers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(id);
+    }
+
+    /// Lets asks waiting at a member that stopped answering fail, but keeps its channel.
+    pub(crate) fn give_up_asks(&self, id: &InstanceId) {
+        let peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(peer) = peers.get(id) {
+            peer.send(ToHome::GiveUp);
+        }
+    }
+
+    /// A client for an address whose instance is not known yet.
+    pub(crate) fn client_of(&self, address: SocketAddr) -> Client {
+        FleetClient::with_interceptor(channel(address), self.add_token())
+    }
+
+    fn make(&self, member: &Member) -> Peer {
+        let client = self.client_of(member.fleet_address);
+        let (to_home, from_entry) = mpsc::unbounded_channel();
+        let args = StreamArgs {
+            me: self.me.clone(),
+            client: client.clone(),
+            summaries: Arc::clone(&self.summaries),
+        };
+        self.traffic.spawn(stream::run(args, from_entry));
+        Peer {
+            id: member.id.clone(),
+            address: member.fleet_address,
+            incarnation: member.incarnation,
+            client,
+            to_home,
+        }
+    }
+
+    fn add_token(&self) -> AddToken {
+        // The token is hexadecimal digits only, which every header value may hold.
+        AddToken(
+            MetadataValue::try_from(self.keys.token())
+                .unwrap_or_else(|_| MetadataValue::from_static("")),
+        )
+    }
+}
+
+fn channel(address: SocketAddr) -> Channel {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))
+        .unwrap_or_else(|_| Endpoint::from_static("http://127.0.0.1:1"));
+    endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .connect_lazy()
+}
+
+/// A request with the ordinary timeout for calls between instances.
+pub(crate) fn timed<T>(message: T) -> Request<T> {
+    let mut req = Request::new(message);
+    req.set_timeout(PEER_TIMEOUT);
+    req
+}
--- /dev/null
+++ b/crates/tc-fleet/src/peers/stream.rs
@@ -0,0 +1,343 @@
+//! The permit stream to one home: batches what traffic threads put in, hands answers back.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use tc_policy::HeldPermit;
+use tc_protocol::{Cost, Member, MonoTime, Outcome, PermitId, Release, RunState, UpstreamId};
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::Streaming;
+
+use super::pool::Client;
+use crate::{
+    convert,
+    generated::{EntryBatch, HomeBatch, PermitAsk, PermitReply, permit_reply::Verdict},
+    homes::{HomeAnswer, HomeVerdict},
+    summary::SummaryTable,
+};
+
+/// Most messages in one batch.
+const BATCH: usize = 64;
+/// Batches that may wait for the connection before senders feel it.
+const BATCHES_WAITING: usize = 16;
+/// Longest wait for a stream to open; asks wait behind it.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
+/// Asks given up whose late grant is still waited for, at most.
+const ABANDONED: usize = 4_096;
+/// Wait before a broken stream is opened again.
+const REOPEN_AFTER: Duration = Duration::from_millis(50);
+/// Longest silence after an ask: a home answers or says "queued" at once. A paused home still accepts bytes, so only
+/// silence shows it; without this an ask would wait for its whole slack.
+const SILENCE: Duration = Duration::from_millis(200);
+/// How often silence is looked for.
+const SILENCE_CHECK: Duration = Duration::from_millis(50);
+
+/// Gets the home's answer, or `None` when the home cannot be reached.
+pub(crate) type OnAnswer = Box<dyn FnOnce(Option<HomeAnswer>) + Send>;
+
+/// What an entry tells a home.
+pub(crate) enum ToHome {
+    Ask {
+        ask: PermitAsk,
+        on_answer: OnAnswer,
+    },
+    Cancel(u64),
+    Release {
+        upstream: UpstreamId,
+        release: Release,
+    },
+    Held {
+        upstream: UpstreamId,
+        held: HeldPermit,
+    },
+    /// The home stopped answering probes: let every waiting ask fail.
+    GiveUp,
+}
+
+impl ToHome {
+    /// Tells an ask that its home cannot be reached; other messages have nobody to tell.
+    pub(crate) fn fail(self) {
+        if let Self::Ask { on_answer, .. } = self {
+            on_answer(None);
+        }
+    }
+}
+
+/// What a stream task needs.
+pub(crate) struct StreamArgs {
+    pub(crate) me: Member,
+    pub(crate) client: Client,
+    pub(crate) summaries: Arc<SummaryTable>,
+}
+
+struct Pending {
+    upstream: UpstreamId,
+    on_answer: OnAnswer,
+    asked_at: MonoTime,
+    queued: bool,
+}
+
+/// Runs until the peer is dropped from the pool.
+pub(crate) async fn run(args: StreamArgs, mut from_entry: mpsc::UnboundedReceiver<ToHome>) {
+    loop {
+        // Nothing is opened before there is something to say: pairs that never talk cost nothing.
+        let Some(first) = from_entry.recv().await else {
+            return;
+        };
+        let mut session = Session::new(&args);
+        let more = session.run(first, &mut from_entry).await;
+        session.fail_all();
+        if !more {
+            return;
+        }
+        // What came in while the stream was broken would otherwise wait for one failed opening after the other.
+        while let Ok(message) = from_entry.try_recv() {
+            message.fail();
+        }
+        tokio::time::sleep(REOPEN_AFTER).await;
+    }
+}
+
+struct Session<'a> {
+    args: &'a StreamArgs,
+    pending: HashMap<u64, Pending>,
+    // A grant may cross a cancel. Unless it is given back, the home counts a call that never comes until the permit
+    // expires, seen as an upstream that stays below its concurrency.
+    abandoned: HashMap<u64, UpstreamId>,
+    unused: Vec<(UpstreamId, PermitId)>,
+    cancelled: Vec<u64>,
+}
+
+impl<'a> Session<'a> {
+    fn new(args: &'a StreamArgs) -> Self {
+        Self {
+            args,
+            pending: HashMap::new(),
+            abandoned: HashMap::new(),
+            unused: Vec::new(),
+            cancelled: Vec::new(),
+        }
+    }
+
+    /// One connection's life; returns whether there may be a next one.
+    async fn run(
+        &mut self,
+        first: ToHome,
+        from_entry: &mut mpsc::UnboundedReceiver<ToHome>,
+    ) -> bool {
+        let (to_wire, batches) = mpsc::channel(BATCHES_WAITING);
+        let mut batch = self.empty_batch();
+        self.add(&mut batch, first);
+        if to_wire.send(batch).await.is_err() {
+            return true;
+        }
+        let mut client = self.args.client.clone();
+        let opened =
+            tokio::time::timeout(OPEN_TIMEOUT, client.permits(ReceiverStream::new(batches)));
+        let Ok(Ok(answers)) = opened.await else {
+            return true;
+        };
+        self.pump(from_entry, to_wire, answers.into_inner()).await
+    }
+
+    async fn pump(
+        &mut self,
+        from_entry: &mut mpsc::UnboundedReceiver<ToHome>,
+        to_wire: mpsc::Sender<EntryBatch>,
+        mut answers: Streaming<HomeBatch>,
+    ) -> bool {
+        let mut silence = tokio::time::interval(SILENCE_CHECK);
+        silence.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut waiting = Vec::with_capacity(BATCH);
+        loop {
+            tokio::select! {
+                answer = answers.message() => match answer {
+                    Ok(Some(answer)) => {
+                        self.take(answer);
+                        if !self.flush(&to_wire).await {
+                            return true;
+                        }
+                    }
+                    _ => return true,
+                },
+                count = from_entry.recv_many(&mut waiting, BATCH) => {
+                    if count == 0 {
+                        return false;
+                    }
+                    let mut batch = self.empty_batch();
+                    for message in waiting.drain(..) {
+                        self.add(&mut batch, message);
+                    }
+                    if to_wire.send(batch).await.is_err() {
+                        return true;
+                    }
+                }
+                _ = silence.tick(), if !self.pending.is_empty() => {
+                    self.fail_silent();
+                    if !self.flush(&to_wire).await {
+                        return true;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends grants back that nobody waits for any more, and cancels asks that were given up here.
+    async fn flush(&mut self, to_wire: &mpsc::Sender<EntryBatch>) -> bool {
+        if self.unused.is_empty() && self.cancelled.is_empty() {
+            return true;
+        }
+        let mut batch = self.empty_batch();
+        batch.cancelled_asks = std::mem::take(&mut self.cancelled);
+        for (upstream, permit) in self.unused.drain(..) {
+            batch
+                .releases
+                .push(convert::release_to_wire(&upstream, &unused_release(permit)));
+        }
+        to_wire.send(batch).await.is_ok()
+    }
+
+    fn empty_batch(&self) -> EntryBatch {
+        EntryBatch {
+            from: self.args.me.id.to_string(),
+            incarnation: self.args.me.incarnation.0,
+            ..EntryBatch::default()
+        }
+    }
+
+    fn add(&mut self, batch: &mut EntryBatch, message: ToHome) {
+        match message {
+            ToHome::Ask { ask, on_answer } => {
+                let asked_at = MonoTime::now();
+                let upstream = ask.upstream.as_str().into();
+                let pending = Pending {
+                    upstream,
+                    on_answer,
+                    asked_at,
+                    queued: false,
+                };
+                self.pending.insert(ask.ask, pending);
+                batch.asks.push(ask);
+            }
+            ToHome::Cancel(ask) => {
+                self.abandon(ask);
+                batch.cancelled_asks.push(ask);
+            }
+            ToHome::Release { upstream, release } => {
+                batch
+                    .releases
+                    .push(convert::release_to_wire(&upstream, &release));
+            }
+            ToHome::Held { upstream, held } => {
+                batch.held.push(convert::held_to_wire(&upstream, &held));
+            }
+            ToHome::GiveUp => self.fail_all(),
+        }
+    }
+
+    fn take(&mut self, batch: HomeBatch) {
+        let now = MonoTime::now();
+        for summary in &batch.summaries {
+            let load = convert::summary_from_wire(summary);
+            self.args
+                .summaries
+                .store(now, &summary.upstream, &load, summary.leaving);
+        }
+        for reply in batch.replies {
+            self.reply(reply);
+        }
+    }
+
+    fn reply(&mut self, reply: PermitReply) {
+        if matches!(reply.verdict, Some(Verdict::Queued(_))) {
+            if let Some(pending) = self.pending.get_mut(&reply.ask) {
+                pending.queued = true;
+            }
+            return;
+        }
+        let Some(pending) = self.pending.remove(&reply.ask) else {
+            self.late_reply(&reply);
+            return;
+        };
+        (pending.on_answer)(reply.verdict.and_then(verdict_from_wire).map(bare_answer));
+    }
+
+    fn fail_silent(&mut self) {
+        let now = MonoTime::now();
+        let silent: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| !pending.queued && now.since(pending.asked_at) > SILENCE)
+            .map(|(ask, _)| *ask)
+            .collect();
+        for ask in silent {
+            if let Some(on_answer) = self.abandon(ask) {
+                self.cancelled.push(ask);
+                on_answer(None);
+            }
+        }
+    }
+
+    fn abandon(&mut self, ask: u64) -> Option<OnAnswer> {
+        let pending = self.pending.remove(&ask)?;
+        if self.abandoned.len() < ABANDONED {
+            self.abandoned.insert(ask, pending.upstream);
+        }
+        Some(pending.on_answer)
+    }
+
+    fn late_reply(&mut self, reply: &PermitReply) {
+        let Some(upstream) = self.abandoned.remove(&reply.ask) else {
+            return;
+        };
+        if let Some(Verdict::Granted(granted)) = &reply.verdict {
+            self.unused.push((upstream, PermitId(granted.permit)));
+        }
+    }
+
+    fn fail_all(&mut self) {
+        for (_, pending) in self.pending.drain() {
+            (pending.on_answer)(None);
+        }
+    }
+}
+
+/// The release of a permit that was never used.
+pub(crate) fn unused_release(permit: PermitId) -> Release {
+    Release {
+        permit,
+        outcome: Outcome::Unused,
+        run_state: RunState::NotRun,
+        cost: Cost::default(),
+        took: Duration::ZERO,
+        first_byte: None,
+    }
+}
+
+/// Summaries travel beside the replies, so the answer itself carries none.
+fn bare_answer(verdict: HomeVerdict) -> HomeAnswer {
+    HomeAnswer {
+        verdict,
+        summary: tc_protocol::UpstreamSummary::default(),
+        leaving: false,
+    }
+}
+
+fn verdict_from_wire(verdict: Verdict) -> Option<HomeVerdict> {
+    match verdict {
+        Verdict::Granted(granted) => Some(HomeVerdict::Granted {
+            permit: PermitId(granted.permit),
+            expires_in: convert::from_millis(granted.expires_in_ms),
+            waited: Duration::from_micros(granted.waited_us),
+        }),
+        Verdict::Redirect(redirect) => Some(HomeVerdict::Redirect {
+            wait: convert::from_millis(redirect.wait_ms),
+            better: (!redirect.upstream.is_empty()).then(|| redirect.upstream.as_str().into()),
+        }),
+        Verdict::Refused(refused) => Some(HomeVerdict::Refused {
+            reason: convert::reason_from(refused.reason),
+            retry_after: convert::from_millis(refused.retry_after_ms),
+        }),
+        Verdict::Queued(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/tc-fleet/src/server.rs
@@ -0,0 +1,342 @@
+//! What other instances may call here.
+
+use std::{collections::HashMap, sync::Arc};
+
+use futures::future::BoxFuture;
+use ractor::ActorRef;
+use tc_protocol::{InstanceId, MonoTime, RequestId, UpstreamId};
+use tokio::sync::{mpsc, oneshot};
+use tokio_stream::{StreamExt as _, wrappers::ReceiverStream};
+use tonic::{Request, Response, Status, Streaming};
+
+use crate::{
+    FleetKeys, convert,
+    generated::{
+        ConfigDelta, ConfigPull, EntryBatch, ExplainAnswer, ExplainQuestion, GrantedPermit,
+        HomeBatch, Introduction, MemberList, OrderAnswer, OrderPass, PermitAsk, PermitReply,
+        QueuedAsk, RedirectTo, RefusedAsk, ReportAnswer, ReportQuestion, ShareGrants, ShareReport,
+        SuspectAnswer, SuspectReport, fleet_server::Fleet, permit_reply::Verdict,
+    },
+    homes::{HomeAnswer, HomeAsk, HomeVerdict, HomesMsg, ReplyTo},
+    key::TOKEN_HEADER,
+    node::{NodeMsg, NodeParts},
+    orders::OrderDesk,
+    peers::unused_release,
+};
+
+/// Answers in one batch at most.
+const BATCH: usize = 64;
+/// Batches waiting for a slow entry before the home waits for it.
+const BATCHES_WAITING: usize = 16;
+
+/// Gives the JSON of an explanation kept here, or of this instance's report.
+pub(crate) type JsonOf<Q> = Box<dyn Fn(Q) -> BoxFuture<'static, Option<String>> + Send + Sync>;
+
+/// The service; cheap to clone.
+#[derive(Clone)]
+pub(crate) struct FleetService(pub(crate) Arc<ServiceParts>);
+
+/// What the service answers from.
+pub(crate) struct ServiceParts {
+    pub(crate) parts: NodeParts,
+    pub(crate) node: ActorRef<NodeMsg>,
+    pub(crate) orders: Arc<OrderDesk>,
+    pub(crate) explain: JsonOf<RequestId>,
+    pub(crate) report: JsonOf<()>,
+}
+
+/// Refuses calls without the fleet's token.
+pub(crate) fn check_token(
+    keys: FleetKeys,
+) -> impl FnMut(Request<()>) -> Result<Request<()>, Status> + Clone {
+    move |req| {
+        let token = req
+            .metadata()
+            .get(TOKEN_HEADER)
+            .map(|token| token.as_bytes().to_vec());
+        if token.is_some_and(|token| keys.token_fits(&token)) {
+            return Ok(req);
+        }
+        metrics::counter!("tc_fleet_calls_refused_total").increment(1);
+        Err(Status::unauthenticated(
+            "the fleet token is missing or wrong",
+        ))
+    }
+}
+
+#[tonic::async_trait]
+impl Fleet for FleetService {
+    type PermitsStream =
+        std::pin::Pin<Box<dyn futures::Stream<Item = Result<HomeBatch, Status>> + Send + 'static>>;
+
+    async fn permits(
+        &self,
+        req: Request<Streaming<EntryBatch>>,
+    ) -> Result<Response<Self::PermitsStream>, Status> {
+        let (answers, to_wire) = mpsc::unbounded_channel();
+        let homes = self.0.parts.homes.clone();
+        tokio::spawn(read_batches(req.into_inner(), homes, answers));
+        let batches = ReceiverStream::new(batched(to_wire)).map(Ok);
+        Ok(Response::new(Box::pin(batches)))
+    }
+
+    async fn pull_config(&self, req: Request<ConfigPull>) -> Result<Response<ConfigDelta>, Status> {
+        let have_revision = req.into_inner().have_revision;
+        let delta = ask(&self.0.node, |reply| NodeMsg::Delta {
+            have_revision,
+            reply,
+        })
+        .await?;
+        Ok(Response::new(delta))
+    }
+
+    async fn introduce(&self, req: Request<Introduction>) -> Result<Response<MemberList>, Status> {
+        let newcomer = req
+            .into_inner()
+            .me
+            .as_ref()
+            .and_then(convert::record_from_wire);
+        let newcomer =
+            newcomer.ok_or_else(|| Status::invalid_argument("the introduction has no member"))?;
+        let _ = self.0.node.cast(NodeMsg::Learn(vec![newcomer]));
+        let records = ask(&self.0.node, NodeMsg::Records).await?;
+        let members = records.iter().map(convert::record_to_wire).collect();
+        Ok(Response::new(MemberList { members }))
+    }
+
+    async fn shares(&self, req: Request<ShareReport>) -> Result<Response<ShareGrants>, Status> {
+        let view = self.0.parts.view.load_full();
+        let grants = self
+            .0
+            .parts
+            .limits
+            .answer(MonoTime::now(), &view, &req.into_inner());
+        Ok(Response::new(grants))
+    }
+
+    async fn suspects(
+        &self,
+        req: Request<SuspectReport>,
+    ) -> Result<Response<SuspectAnswer>, Status> {
+        let answer = self
+            .0
+            .parts
+            .suspects
+            .answer(MonoTime::now(), &req.into_inner());
+        Ok(Response::new(answer))
+    }
+
+    async fn explain(
+        &self,
+        req: Request<ExplainQuestion>,
+    ) -> Result<Response<ExplainAnswer>, Status> {
+        let request = RequestId::from(req.into_inner().request.as_str());
+        let json = (self.0.explain)(request).await.unwrap_or_default();
+        Ok(Response::new(ExplainAnswer { json }))
+    }
+
+    async fn pass_order(&self, req: Request<OrderPass>) -> Result<Response<OrderAnswer>, Status> {
+        Ok(Response::new(self.0.orders.pass(req.into_inner()).await))
+    }
+
+    async fn report(
+        &self,
+        _req: Request<ReportQuestion>,
+    ) -> Result<Response<ReportAnswer>, Status> {
+        let json = (self.0.report)(()).await.unwrap_or_default();
+        Ok(Response::new(ReportAnswer { json }))
+    }
+}
+
+/// Asks the node actor; fails only while this instance stops.
+pub(crate) async fn ask<T>(
+    node: &ActorRef<NodeMsg>,
+    question: impl FnOnce(oneshot::Sender<T>) -> NodeMsg,
+) -> Result<T, Status> {
+    let (reply, answer) = oneshot::channel();
+    let _ = node.cast(question(reply));
+    answer
+        .await
+        .map_err(|_| Status::unavailable("this instance is stopping"))
+}
+
+struct Numbered {
+    ask: u64,
+    upstream: UpstreamId,
+    answer: Option<HomeAnswer>,
+}
+
+/// Hands an entry's asks and releases to the homes until its stream ends.
+async fn read_batches(
+    mut batches: Streaming<EntryBatch>,
+    homes: ActorRef<HomesMsg>,
+    answers: mpsc::UnboundedSender<Numbered>,
+) {
+    while let Ok(Some(batch)) = batches.message().await {
+        let entry = InstanceId::from(batch.from.as_str());
+        for release in &batch.releases {
+            let upstream = release.upstream.as_str().into();
+            let release = convert::release_from_wire(release);
+            let _ = homes.cast(HomesMsg::Release { upstream, release });
+        }
+        for held in &batch.held {
+            let upstream = held.upstream.as_str().into();
+            let held = convert::held_from_wire(&entry, held);
+            let _ = homes.cast(HomesMsg::Held { upstream, held });
+        }
+        for ask in batch.cancelled_asks {
+            let entry = entry.clone();
+            let _ = homes.cast(HomesMsg::Cancel {
+                upstream: None,
+                entry,
+                ask,
+            });
+        }
+        for ask in &batch.asks {
+            pass_ask(&homes, &entry, ask, &answers);
+        }
+    }
+}
+
+fn pass_ask(
+    homes: &ActorRef<HomesMsg>,
+    entry: &InstanceId,
+    ask: &PermitAsk,
+    answers: &mpsc::UnboundedSender<Numbered>,
+) {
+    let upstream = UpstreamId::from(ask.upstream.as_str());
+    let number = ask.ask;
+    // Told before the verdict, which may take as long as the queue is: silence means that nobody is here.
+    let _ = answers.send(Numbered {
+        ask: number,
+        upstream: upstream.clone(),
+        answer: None,
+    });
+    let reply = reply_to(homes.clone(), upstream.clone(), number, answers.clone());
+    let ask = home_ask(entry, ask);
+    let _ = homes.cast(HomesMsg::Ask {
+        upstream,
+        ask,
+        reply,
+    });
+}
+
+/// Puts the answer on the stream; a grant for an entry that is gone is taken back.
+fn reply_to(
+    homes: ActorRef<HomesMsg>,
+    upstream: UpstreamId,
+    ask: u64,
+    answers: mpsc::UnboundedSender<Numbered>,
+) -> ReplyTo {
+    Box::new(move |answer| {
+        let numbered = Numbered {
+            ask,
+            upstream,
+            answer: Some(answer),
+        };
+        let Err(mpsc::error::SendError(lost)) = answers.send(numbered) else {
+            return;
+        };
+        if let Some(HomeVerdict::Granted { permit, .. }) = lost.answer.map(|a| a.verdict) {
+            let release = unused_release(permit);
+            let _ = homes.cast(HomesMsg::Release {
+                upstream: lost.upstream,
+                release,
+            });
+        }
+    })
+}
+
+/// Gathers what is ready into batches, so that one write carries many answers under load and none waits.
+fn batched(mut answers: mpsc::UnboundedReceiver<Numbered>) -> mpsc::Receiver<HomeBatch> {
+    let (to_wire, batches) = mpsc::channel(BATCHES_WAITING);
+    tokio::spawn(async move {
+        let mut ready = Vec::with_capacity(BATCH);
+        while answers.recv_many(&mut ready, BATCH).await > 0 {
+            if to_wire.send(batch_of(ready.drain(..))).await.is_err() {
+                return;
+            }
+        }
+    });
+    batches
+}
+
+fn batch_of(answers: impl Iterator<Item = Numbered>) -> HomeBatch {
+    let mut batch = HomeBatch::default();
+    let mut summaries = HashMap::new();
+    for numbered in answers {
+        let verdict = match &numbered.answer {
+            Some(answer) => {
+                summaries.insert(numbered.upstream.clone(), (answer.summary, answer.leaving));
+                verdict_to_wire(&answer.verdict)
+            }
+            None => Verdict::Queued(QueuedAsk {}),
+        };
+        batch.replies.push(PermitReply {
+            ask: numbered.ask,
+            verdict: Some(verdict),
+        });
+    }
+    // A verdict in the same batch makes the "queued" before it needless.
+    drop_answered(&mut batch.replies);
+    batch.summaries = summaries
+        .iter()
+        .map(|(id, (summary, leaving))| convert::summary_to_wire(id, summary, *leaving))
+        .collect();
+    batch
+}
+
+fn drop_answered(replies: &mut Vec<PermitReply>) {
+    let decided: std::collections::HashSet<u64> = replies
+        .iter()
+        .filter(|reply| !matches!(reply.verdict, Some(Verdict::Queued(_))))
+        .map(|reply| reply.ask)
+        .collect();
+    replies.retain(|reply| {
+        !matches!(reply.verdict, Some(Verdict::Queued(_))) || !decided.contains(&reply.ask)
+    });
+}
+
+fn home_ask(entry: &InstanceId, ask: &PermitAsk) -> HomeAsk {
+    HomeAsk {
+        entry: entry.clone(),
+        ask: ask.ask,
+        workspace: ask.workspace.as_str().into(),
+        weight: ask.weight,
+        priority: ask.priority.min(7) as u8,
+        slack: convert::from_millis(ask.slack_ms),
+        run_for: convert::from_millis(ask.run_for_ms),
+        estimate: convert::cost_from_wire(ask.estimate.as_ref()),
+        fingerprint: tc_protocol::Fingerprint(ask.fingerprint),
+        may_redirect: !ask.no_redirect,
+        suspect: ask.suspect,
+    }
+}
+
+fn verdict_to_wire(verdict: &HomeVerdict) -> Verdict {
+    match verdict {
+        HomeVerdict::Granted {
+            permit,
+            expires_in,
+            waited,
+        } => Verdict::Granted(GrantedPermit {
+            permit: permit.0,
+            expires_in_ms: convert::millis(*expires_in),
+            waited_us: waited.as_micros() as u64,
+        }),
+        HomeVerdict::Redirect { wait, better } => Verdict::Redirect(RedirectTo {
+            upstream: better
+                .as_ref()
+                .map(UpstreamId::to_string)
+                .unwrap_or_default(),
+            wait_ms: convert::millis(*wait),
+        }),
+        HomeVerdict::Refused {
+            reason,
+            retry_after,
+        } => Verdict::Refused(RefusedAsk {
+            reason: convert::reason_number(*reason),
+            retry_after_ms: convert::millis(*retry_after),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/tc-fleet/src/summary.rs
@@ -0,0 +1,110 @@
+//! Last known load of each upstream, shared by all threads without locks.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering::Relaxed},
+    },
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use tc_protocol::{MonoTime, UpstreamId, UpstreamSummary};
+
+/// One upstream's summary, updated field by field.
+///
+/// A reader may see fields of two updates; both are estimates, and the home decides in the end.
+#[derive(Debug, Default)]
+pub(crate) struct SummaryCell {
+    in_flight: AtomicU32,
+    concurrency: AtomicU32,
+    waiting: AtomicU32,
+    wait_ms: AtomicU32,
+    service_ms: AtomicU32,
+    ejected: AtomicBool,
+    leaving: AtomicBool,
+    updated_at: AtomicU64,
+    /// Permits and asks of this instance that are not over.
+    pub(crate) own_in_flight: AtomicU32,
+}
+
+impl SummaryCell {
+    pub(crate) fn store(&self, now: MonoTime, summary: &UpstreamSummary, leaving: bool) {
+        self.in_flight.store(summary.in_flight, Relaxed);
+        self.concurrency.store(summary.concurrency, Relaxed);
+        self.waiting.store(summary.waiting, Relaxed);
+        self.wait_ms
+            .store((summary.wait_ms as f32).to_bits(), Relaxed);
+        self.service_ms
+            .store((summary.service_ms as f32).to_bits(), Relaxed);
+        self.ejected.store(summary.ejected, Relaxed);
+        self.leaving.store(leaving, Relaxed);
+        self.updated_at.store(now.0, Relaxed);
+    }
+
+    /// The summary, whether the home said the upstream is leaving, and the age; `None` before the first one.
+    pub(crate) fn load(&self, now: MonoTime) -> Option<(UpstreamSummary, bool, Duration)> {
+        let updated_at = self.updated_at.load(Relaxed);
+        if updated_at == 0 {
+            return None;
+        }
+        let summary = UpstreamSummary {
+            in_flight: self.in_flight.load(Relaxed),
+            concurrency: self.concurrency.load(Relaxed),
+            waiting: self.waiting.load(Relaxed),
+            wait_ms: f64::from(f32::from_bits(self.wait_ms.load(Relaxed))),
+            service_ms: f64::from(f32::from_bits(self.service_ms.load(Relaxed))),
+            ejected: self.ejected.load(Relaxed),
+        };
+        Some((
+            summary,
+            self.leaving.load(Relaxed),
+            now.since(MonoTime(updated_at)),
+        ))
+    }
+}
+
+/// Summaries of all known upstreams.
+#[derive(Debug, Default)]
+pub(crate) struct SummaryTable {
+    cells: ArcSwap<HashMap<UpstreamId, Arc<SummaryCell>>>,
+}
+
+impl SummaryTable {
+    /// Keeps exactly the cells of `ids`; those that stay keep their content.
+    pub(crate) fn set_upstreams<'a>(&self, ids: impl Iterator<Item = &'a UpstreamId>) {
+        let old = self.cells.load();
+        let cells = ids
+            .map(|id| (id.clone(), old.get(id).map(Arc::clone).unwrap_or_default()))
+            .collect();
+        self.cells.store(Arc::new(cells));
+    }
+
+    pub(crate) fn cell(&self, id: &UpstreamId) -> Option<Arc<SummaryCell>> {
+        self.cells.load().get(id).map(Arc::clone)
+    }
+
+    pub(crate) fn store(&self, now: MonoTime, id: &str, summary: &UpstreamSummary, leaving: bool) {
+        if let Some(cell) = self.cells.load().get(id) {
+            cell.store(now, summary, leaving);
+        }
+    }
+}
+
+/// Counts one use of an upstream by this instance until dropped.
+#[derive(Debug)]
+pub(crate) struct UseGuard(Arc<SummaryCell>);
+
+impl UseGuard {
+    pub(crate) fn new(cell: Arc<SummaryCell>) -> Self {
+        cell.own_in_flight.fetch_add(1, Relaxed);
+        Self(cell)
+    }
+}
+
+impl Drop for UseGuard {
+    fn drop(&mut self) {
+        self.0.own_in_flight.fetch_sub(1, Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/tc-fleet/tests/fleet/common.rs
@@ -0,0 +1,233 @@
+//! A few instances' fleet layers in one process, over real sockets, with a stand-in platform.
+
+use std::{fmt::Write as _, net::SocketAddr, sync::Arc, time::Duration};
+
+use serde_json::json;
+use tc_fleet::{AskPolicy, Fleet, FleetKeys, FleetSettings, LocalReport};
+use tc_platform::{Store, StoreSettings};
+use tc_protocol::{
+    Ask, Attempt, Cost, Fingerprint, Incarnation, Member, MemberState, RequestId,
+    wire::{CONFIG_KIND, CONFIG_NAME, ConfigFile, ConfigObject, ListedInstance, ListedState},
+};
+use tc_stand_ins::Platform;
+use tc_upstream::{ClientSettings, UpstreamClient};
+
+pub(crate) const KEY: &str = "a key of the tests";
+
+/// Longest wait for something that must happen; far above what it takes, so that a slow machine changes no verdict.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// One instance's fleet layer on a runtime of its own; dropping it is a crash.
+pub(crate) struct Instance {
+    pub(crate) fleet: Fleet,
+    pub(crate) member: Member,
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+impl Instance {
+    pub(crate) fn start(
+        id: &str,
+        domain: &str,
+        platform: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        key: &str,
+    ) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .unwrap();
+        let member = Member {
+            id: id.into(),
+            incarnation: Incarnation(1),
+            caller_address: free_address(),
+            fleet_address: free_address(),
+            failure_domain: domain.into(),
+            region: "kl".into(),
+            state: MemberState::Alive,
+        };
+        let settings = FleetSettings {
+            me: member.clone(),
+            seeds,
+            keys: FleetKeys::new(&[key]).unwrap(),
+            policy: AskPolicy::Home,
+            membership: tc_membership::MembershipConfig::default(),
+            traffic: runtime.handle().clone(),
+        };
+        let store = Store::new(StoreSettings {
+            address: platform,
+            calls_per_s: 1_000.0,
+            timeout: Duration::from_millis(500),
+        });
+        let local = LocalReport {
+            explain: Box::new(|_| Box::pin(async { None })),
+            report: Box::new(|()| Box::pin(async { Some("{}".to_owned()) })),
+        };
+        let upstream = UpstreamClient::new(ClientSettings::default());
+        let started = runtime.spawn(Fleet::start(settings, store, upstream, local));
+        let fleet = futures::executor::block_on(started).unwrap().unwrap();
+        Self {
+            fleet,
+            member,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Ends all its tasks and sockets at once.
+    pub(crate) fn crash(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.crash();
+    }
+}
+
+fn free_address() -> SocketAddr {
+    // The fleet address needs the same port for TCP and UDP.
+    loop {
+        let tcp = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = tcp.local_addr().unwrap();
+        if std::net::UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// Instances `i0`, `i1`, … listed at the platform.
+pub(crate) fn start_listed(platform: &Platform, count: usize) -> Vec<Instance> {
+    (0..count)
+        .map(|number| {
+            let id = format!("i{number}");
+            let instance = Instance::start(&id, "kl-a", platform.address(), Vec::new(), KEY);
+            platform.put_instance(ListedInstance {
+                id: id.as_str().into(),
+                service: None,
+                address: instance.member.fleet_address,
+                failure_domain: "kl-a".into(),
+                region: "kl".into(),
+                state: ListedState::Live,
+            });
+            instance
+        })
+        .collect()
+}
+
+/// Puts a configuration with one pool service `encode` of `upstreams` into the platform.
+pub(crate) async fn put_config(
+    platform: &Platform,
+    revision: u64,
+    upstreams: &[SocketAddr],
+    slots: u32,
+) {
+    let mut text = format!("[services.encode]\nkind = \"pool\"\nslots = {slots}\n");
+    for (number, address) in upstreams.iter().enumerate() {
+        let _ = write!(
+            text,
+            "[[services.encode.upstreams]]\nid = \"e{number}\"\naddress = \"{address}\"\nfailure_domain = \"kl-a\"\nregion = \"kl\"\n"
+        );
+    }
+    let file = ConfigFile { text, revision };
+    let object = ConfigObject {
+        revision,
+        files: [("10-services.toml".to_owned(), file)].into(),
+        applied_by: "test".to_owned(),
+        apply_id: revision.to_string(),
+        applied_at_ms: 0,
+    };
+    let store = Store::new(StoreSettings {
+        address: platform.address(),
+        calls_per_s: 100.0,
+        timeout: Duration::from_secs(2),
+    });
+    let purpose = tc_platform::Purpose::Operator;
+    let found = store.get(purpose, CONFIG_KIND, CONFIG_NAME).await.unwrap();
+    let value = json!(object);
+    match found {
+        Some(found) => store
+            .update(purpose, CONFIG_KIND, CONFIG_NAME, found.version, &value)
+            .await
+            .unwrap(),
+        None => store
+            .create(purpose, CONFIG_KIND, CONFIG_NAME, &value)
+            .await
+            .unwrap(),
+    };
+}
+
+/// Waits until `holds`; panics with `what` when it does not within [`PATIENCE`].
+pub(crate) async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let started = std::time::Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < PATIENCE, "never came true: {what}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Waits until every instance sees `count` live members and revision `revision`.
+pub(crate) async fn until_settled(instances: &[Instance], count: usize, revision: u64) {
+    until("all instances see each other and the configuration", || {
+        instances.iter().all(|instance| {
+            let view = instance.fleet.view();
+            let alive = view
+                .members
+                .iter()
+                .filter(|m| m.state == MemberState::Alive)
+                .count();
+            alive == count && view.config.revision >= revision
+        })
+    })
+    .await;
+}
+
+/// An ask for the service `encode`.
+pub(crate) fn ask(request: &str, slack: Duration) -> Ask {
+    Ask {
+        request: RequestId::from(request),
+        attempt: Attempt(0),
+        workspace: "lintas".into(),
+        service: "encode".into(),
+        priority: 3,
+        slack,
+        run_for: Duration::from_secs(30),
+        estimate: Cost {
+            busy_ms: 5.0,
+            ..Cost::default()
+        },
+        prefix: None,
+        fingerprint: Fingerprint(7),
+        avoid: Vec::new(),
+    }
+}
+
+/// A shared platform and its instances, settled on a first configuration.
+pub(crate) async fn settled(
+    count: usize,
+    upstreams: usize,
+    slots: u32,
+) -> (Arc<Platform>, Vec<Instance>) {
+    let platform = Arc::new(
+        Platform::start("127.0.0.1:0".parse().unwrap())
+            .await
+            .unwrap(),
+    );
+    let addresses: Vec<SocketAddr> = (0..upstreams).map(|_| free_address()).collect();
+    put_config(&platform, 1, &addresses, slots).await;
+    let instances = start_listed(&platform, count);
+    until_settled(&instances, count, 1).await;
+    (platform, instances)
+}
+
+/// Runs a test on a runtime of its own.
+pub(crate) fn run(test: impl Future<Output = ()>) {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap()
+        .block_on(test);
+}
--- /dev/null
+++ b/crates/tc-fleet/tests/fleet/main.rs
@@ -0,0 +1,5 @@
+//! Several instances' fleet layers in one process, over real sockets.
+
+mod common;
+mod permits;
+mod spread;
