--- /dev/null
+++ b/crates/tc-caller/src/http/addresses.rs
@@ -0,0 +1,31 @@
+//! `GET /v1/instances`: which addresses a workspace's callers should use.
+
+use http::{HeaderValue, header::CACHE_CONTROL};
+use tc_protocol::ProblemKind;
+
+use crate::{
+    http::{CallerResponse, Failure, caller::Caller, json_response},
+    shared::Shared,
+};
+
+pub(crate) fn addresses(shared: &Shared, caller: &Caller) -> Result<CallerResponse, Failure> {
+    let query = caller.parts.uri.query().unwrap_or_default();
+    let mut pairs = form_urlencoded::parse(query.as_bytes());
+    let wanted = pairs
+        .find(|(name, _)| name == "workspace")
+        .ok_or_else(|| Failure::bad("the query must name the workspace: ?workspace=NAME"))?;
+    if wanted.1 != caller.workspace.as_str() {
+        return Err(Failure::not_run(
+            ProblemKind::Forbidden,
+            "the token belongs to another workspace",
+        ));
+    }
+    let answer = (shared.ports.addresses)(&caller.workspace);
+    let mut response = json_response(&answer);
+    // The answer depends on the token, so that a shared cache must not keep it.
+    let cache = format!("private, max-age={}", answer.max_age_s);
+    if let Ok(value) = HeaderValue::from_str(&cache) {
+        response.headers_mut().insert(CACHE_CONTROL, value);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/tc-caller/src/http/handle.rs
@@ -0,0 +1,75 @@
+//! From a request to its answer.
+
+use std::sync::Arc;
+
+use http::{
+    HeaderValue, Request, Version,
+    header::{CONNECTION, Entry},
+};
+use hyper::body::Incoming;
+use tc_protocol::{MonoTime, wire};
+use tracing::Instrument;
+
+use crate::{
+    http::{
+        CallerResponse, Failure,
+        addresses::addresses,
+        caller::{Arrival, Caller},
+        pipelines::call_pipeline,
+        problem_answer,
+        route::{Route, route},
+        services::call_service,
+    },
+    shared::Shared,
+};
+
+pub(crate) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> CallerResponse {
+    let (id, counter) = shared.next_request_id();
+    let in_flight = shared.enter();
+    let version = req.version();
+    let span = tracing::info_span!("request", request = %id);
+    let arrival = Arrival {
+        id: id.clone(),
+        counter,
+        at: MonoTime::now(),
+    };
+    let answer = answer(&shared, arrival, req).instrument(span).await;
+    let mut response = answer.unwrap_or_else(|failure| {
+        metrics::counter!("tc_failures_total", "kind" => failure.kind.as_str()).increment(1);
+        problem_answer(&failure, &id).into_response()
+    });
+    let headers = response.headers_mut();
+    // An answer passed through from another instance has its own.
+    if let Entry::Vacant(vacant) = headers.entry(wire::REQUEST_ID)
+        && let Ok(value) = HeaderValue::from_str(id.as_str())
+    {
+        vacant.insert(value);
+    }
+    if let Entry::Vacant(vacant) = headers.entry(wire::INSTANCE)
+        && let Ok(value) = HeaderValue::from_str(shared.settings.me.as_str())
+    {
+        vacant.insert(value);
+    }
+    if shared.is_closing() && version <= Version::HTTP_11 {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response.body_mut().hold(in_flight);
+    response
+}
+
+async fn answer(
+    shared: &Arc<Shared>,
+    arrival: Arrival,
+    req: Request<Incoming>,
+) -> Result<CallerResponse, Failure> {
+    let (parts, body) = req.into_parts();
+    let route = route(&parts.method, &parts.uri)?;
+    let caller = Caller::authenticate(shared, arrival, parts)?;
+    match route {
+        Route::Addresses => addresses(shared, &caller),
+        Route::Pipeline(name) => call_pipeline(shared, caller, name, body).await,
+        Route::Service { service, path } => {
+            call_service(shared, caller, service, &path, body).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-caller/src/http/keyed.rs
@@ -0,0 +1,119 @@
+//! What pipelines and plain services share of non-idempotent requests.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use tc_protocol::{ClaimKey, Deadline, MonoTime, ProblemKind};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::{
+    http::{CallerResponse, Failure, caller::Caller},
+    idempotency::{FinalAnswer, Keyed, Once, Onward, Place, place_of, unknown, wait_for},
+    run::RequestContext,
+    shared::Shared,
+};
+
+/// One delivery of a non-idempotent request.
+pub(crate) struct Delivery {
+    /// What the key is used on.
+    pub(crate) target: String,
+    pub(crate) body: Bytes,
+    pub(crate) deadline: Deadline,
+}
+
+/// Where a delivery is handled.
+pub(crate) enum Placed {
+    Here(Keyed),
+    Answered(CallerResponse),
+}
+
+/// Checks the key, and passes the delivery on when its key is bound to another instance.
+pub(crate) async fn place(
+    shared: &Arc<Shared>,
+    caller: &Caller,
+    delivery: Delivery,
+) -> Result<Placed, Failure> {
+    let key = caller.headers.key.clone().ok_or_else(|| {
+        Failure::not_run(
+            ProblemKind::KeyRequired,
+            "this request may not be repeated; send an Idempotency-Key with it",
+        )
+    })?;
+    if let Some(binding) = &caller.headers.binding {
+        let place = place_of(&caller.view, binding, caller.headers.forwarded)?;
+        if let Place::At(address) = place {
+            let remaining = delivery.deadline.remaining(MonoTime::now());
+            let onward = onward(caller, delivery.body, remaining);
+            let forwarded = shared
+                .forwarder
+                .forward(&shared.settings.me, address, onward);
+            // Whatever the connection's error proves of this delivery, an earlier one may have arrived there.
+            return forwarded.await.map(Placed::Answered).map_err(|error| {
+                let instance = binding.instance.as_str();
+                log::warn!(instance = instance, error = error.to_string().as_str(); "key not forwarded");
+                unknown(&binding.instance)
+            });
+        }
+    }
+    Ok(Placed::Here(Keyed {
+        body_hash: body_hash(caller, &delivery.body),
+        key: ClaimKey {
+            workspace: caller.workspace.clone(),
+            target: delivery.target,
+            key: key.as_ref().to_owned(),
+        },
+        bound: caller.headers.binding.is_some(),
+    }))
+}
+
+/// The request as it is passed on to another instance.
+pub(crate) fn onward(caller: &Caller, body: Bytes, remaining: Duration) -> Onward {
+    Onward {
+        method: caller.parts.method.clone(),
+        uri: caller.parts.uri.clone(),
+        headers: caller.parts.headers.clone(),
+        body,
+        remaining,
+    }
+}
+
+/// The answer of a delivery, wherever its run was started.
+pub(crate) async fn answer(
+    cx: &RequestContext,
+    begun: Result<Once, Failure>,
+) -> Result<CallerResponse, Failure> {
+    let answer = match begun {
+        Ok(Once::First(answer)) => {
+            // The run itself notes how it ended.
+            return wait_for(cx, answer).await.map(|a| a.to_response(&cx.id));
+        }
+        Ok(Once::Joined(answer)) => wait_for(cx, answer).await,
+        Ok(Once::Done(answer)) => Ok(answer),
+        Err(failure) => Err(failure),
+    };
+    let failure = match &answer {
+        Ok(answer) => failure_of(answer),
+        Err(failure) => Some(failure.clone()),
+    };
+    cx.finish(failure.as_ref());
+    answer.map(|answer| answer.to_response(&cx.id))
+}
+
+fn failure_of(answer: &FinalAnswer) -> Option<Failure> {
+    let failed = answer.status.is_server_error() || answer.status.is_client_error();
+    failed.then(|| {
+        Failure::new(
+            ProblemKind::UpstreamFailed,
+            answer.run_state,
+            "the run of this key failed",
+        )
+    })
+}
+
+fn body_hash(caller: &Caller, body: &[u8]) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(caller.parts.method.as_str().as_bytes());
+    hasher.update(b"\n");
+    hasher.update(body);
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/tc-caller/src/http/mod.rs
@@ -0,0 +1,20 @@
+//! HTTP itself: routes, headers, bodies, answers and problem details.
+
+mod addresses;
+mod answer;
+mod auth;
+mod body;
+mod caller;
+mod failure;
+mod handle;
+mod headers;
+mod keyed;
+mod pipelines;
+mod route;
+mod services;
+
+pub(crate) use answer::{CallerBody, CallerResponse, json_response, problem_answer};
+pub(crate) use auth::TokenIndex;
+pub(crate) use failure::Failure;
+pub(crate) use handle::handle;
+pub(crate) use headers::{Binding, CallHeaders, ResumeFrom};
--- /dev/null
+++ b/crates/tc-caller/src/http/route.rs
@@ -0,0 +1,56 @@
+//! Paths and methods.
+
+use http::{Method, Uri};
+use tc_protocol::{PipelineName, ProblemKind, ServiceName};
+
+use crate::http::Failure;
+
+/// What a request is for.
+#[derive(Debug)]
+pub(crate) enum Route {
+    /// `GET /v1/instances`
+    Addresses,
+    /// `POST /v1/pipelines/{pipeline}`
+    Pipeline(PipelineName),
+    /// `/v1/services/{service}/{path}`, any method
+    Service {
+        service: ServiceName,
+        /// Path and query as the upstream gets it, with its leading slash.
+        path: String,
+    },
+}
+
+pub(crate) fn route(method: &Method, uri: &Uri) -> Result<Route, Failure> {
+    let unknown = || Failure::not_run(ProblemKind::NotFound, format!("no path {}", uri.path()));
+    let path = uri.path().strip_prefix("/v1/").ok_or_else(unknown)?;
+    if path == "instances" {
+        return only(method, &Method::GET, "GET").map(|()| Route::Addresses);
+    }
+    if let Some(pipeline) = path.strip_prefix("pipelines/") {
+        if pipeline.is_empty() || pipeline.contains('/') {
+            return Err(unknown());
+        }
+        return only(method, &Method::POST, "POST").map(|()| Route::Pipeline(pipeline.into()));
+    }
+    let rest = path.strip_prefix("services/").ok_or_else(unknown)?;
+    let (service, inner) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        return Err(unknown());
+    }
+    let path = match uri.query() {
+        Some(query) => format!("/{inner}?{query}"),
+        None => format!("/{inner}"),
+    };
+    Ok(Route::Service {
+        service: service.into(),
+        path,
+    })
+}
+
+fn only(method: &Method, fits: &Method, allow: &'static str) -> Result<(), Failure> {
+    if method == fits {
+        return Ok(());
+    }
+    let detail = format!("method {method} does not fit this path");
+    Err(Failure::not_run(ProblemKind::MethodNotAllowed, detail).with_allow(allow))
+}
--- /dev/null
+++ b/crates/tc-caller/src/idempotency/once.rs
@@ -0,0 +1,218 @@
+//! The run of a key: at most once, on to its end, its outcome given to every delivery.
+
+use std::sync::{Arc, PoisonError};
+
+use futures::future::BoxFuture;
+use tc_protocol::{ClaimKey, ClaimVerdict, Decision, MonoTime, ProblemKind, RequestId, RunState};
+use tokio::sync::watch;
+
+use crate::{
+    http::{Failure, problem_answer},
+    idempotency::{Begin, FinalAnswer},
+    limits::{RECORD_TIMEOUT, RETRY_AFTER},
+    run::RequestContext,
+    shared::Shared,
+};
+
+/// One delivery of a non-idempotent request.
+pub(crate) struct Keyed {
+    pub(crate) key: ClaimKey,
+    pub(crate) body_hash: u64,
+    /// Whether the key is bound to this instance; otherwise it is claimed in the platform's store.
+    pub(crate) bound: bool,
+}
+
+/// Where the answer of a delivery comes from.
+pub(crate) enum Once {
+    /// From the run that this delivery started.
+    First(watch::Receiver<Option<Arc<FinalAnswer>>>),
+    /// From a run that another delivery started.
+    Joined(watch::Receiver<Option<Arc<FinalAnswer>>>),
+    /// It is there already.
+    Done(Arc<FinalAnswer>),
+}
+
+/// Starts the run of a key unless it was started before.
+///
+/// The run goes on to its end when its caller leaves: given up half way, its outcome would be unknown for ever.
+pub(crate) fn once<R>(cx: &Arc<RequestContext>, keyed: Keyed, run: R) -> Result<Once, Failure>
+where
+    R: FnOnce() -> BoxFuture<'static, FinalAnswer> + Send + 'static,
+{
+    let begun = lock(&cx.shared).begin(MonoTime::now(), &keyed.key, keyed.body_hash);
+    let how = match begun {
+        Begin::Run(answer) => {
+            spawn(cx.clone(), keyed, run);
+            return Ok(Once::First(answer));
+        }
+        Begin::Join(answer) => Ok((Once::Joined(answer), "joined a run of this key")),
+        Begin::Done(answer) => Ok((Once::Done(answer), "found the outcome of this key")),
+        Begin::OtherBody => Err(key_reused()),
+        Begin::Full => Err(Failure::not_run(
+            ProblemKind::Overloaded,
+            "this instance holds as many idempotency keys as it may; this delivery was not run",
+        )
+        .with_retry_after(RETRY_AFTER)),
+    };
+    how.map(|(once, how)| {
+        cx.note(Decision::Claimed { how: how.into() });
+        once
+    })
+}
+
+/// Waits for the answer of a run.
+pub(crate) async fn wait_for(
+    cx: &RequestContext,
+    mut answer: watch::Receiver<Option<Arc<FinalAnswer>>>,
+) -> Result<Arc<FinalAnswer>, Failure> {
+    let arrived = answer.wait_for(Option::is_some);
+    match tokio::time::timeout(cx.remaining() + RETRY_AFTER, arrived).await {
+        Ok(Ok(answer)) => answer.clone().ok_or_else(outcome_unknown),
+        _ => Err(outcome_unknown()),
+    }
+}
+
+fn spawn<R>(cx: Arc<RequestContext>, keyed: Keyed, run: R)
+where
+    R: FnOnce() -> BoxFuture<'static, FinalAnswer> + Send + 'static,
+{
+    let shared = cx.shared.clone();
+    let in_flight = shared.enter();
+    shared.tasks.spawn(async move {
+        let _in_flight = in_flight;
+        let running = Running::new(&cx, &keyed.key);
+        if keyed.bound {
+            running.finish(run().await);
+            return;
+        }
+        let claim_id = match claim(&cx, &keyed).await {
+            Ok(claim_id) => claim_id,
+            Err(answer) => {
+                running.finish(answer);
+                return;
+            }
+        };
+        let answer = run().await;
+        let recorded = answer.to_recorded();
+        running.finish(answer);
+        record(&cx, &keyed.key, claim_id, recorded).await;
+    });
+}
+
+/// Claims the key in the store, or gives the answer that an earlier claim decides.
+async fn claim(cx: &RequestContext, keyed: &Keyed) -> Result<String, FinalAnswer> {
+    let ports = &cx.shared.ports;
+    let asked = (ports.claim)(keyed.key.clone(), keyed.body_hash, cx.remaining());
+    let verdict = match asked.await {
+        ClaimVerdict::Held => (ports.join_claim)(keyed.key.clone(), cx.remaining()).await,
+        verdict => verdict,
+    };
+    cx.note(Decision::Claimed {
+        how: words(&verdict).into(),
+    });
+    let failure = match verdict {
+        ClaimVerdict::Ours { claim_id } => return Ok(claim_id),
+        ClaimVerdict::Recorded(recorded) => {
+            cx.finish(None);
+            return Err(FinalAnswer::from_recorded(&recorded));
+        }
+        ClaimVerdict::Held => outcome_unknown(),
+        ClaimVerdict::OtherBody => key_reused(),
+        ClaimVerdict::Unavailable => store_unavailable(),
+    };
+    cx.finish(Some(&failure));
+    Err(problem_answer(&failure, &cx.id))
+}
+
+async fn record(
+    cx: &RequestContext,
+    key: &ClaimKey,
+    claim_id: String,
+    outcome: tc_protocol::RecordedOutcome,
+) {
+    let recording = (cx.shared.ports.record)(key.clone(), claim_id, outcome);
+    let recorded = tokio::time::timeout(RECORD_TIMEOUT, recording).await;
+    if !recorded.unwrap_or(false) {
+        metrics::counter!("tc_outcomes_not_recorded_total").increment(1);
+        log::warn!(request = cx.id.as_str(); "the outcome of a claim could not be recorded");
+    }
+}
+
+/// A key whose run is under way; ends it as unknown when the run is torn down without an answer.
+///
+/// Otherwise every later delivery of the key would wait for an answer that never comes.
+struct Running {
+    shared: Arc<Shared>,
+    key: ClaimKey,
+    id: RequestId,
+    retention: std::time::Duration,
+    ended: bool,
+}
+
+impl Running {
+    fn new(cx: &RequestContext, key: &ClaimKey) -> Self {
+        let retention = cx.view.config.policy.claim_retention_s;
+        Self {
+            shared: cx.shared.clone(),
+            key: key.clone(),
+            id: cx.id.clone(),
+            retention: std::time::Duration::from_secs(retention),
+            ended: false,
+        }
+    }
+
+    fn finish(mut self, answer: FinalAnswer) {
+        self.end(answer);
+    }
+
+    fn end(&mut self, answer: FinalAnswer) {
+        self.ended = true;
+        let answer = Arc::new(answer);
+        lock(&self.shared).finish(MonoTime::now(), &self.key, &answer, self.retention);
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(problem_answer(&outcome_unknown(), &self.id));
+        }
+    }
+}
+
+const fn words(verdict: &ClaimVerdict) -> &'static str {
+    match verdict {
+        ClaimVerdict::Ours { .. } => "claimed in the platform's store",
+        ClaimVerdict::Held => "another run holds the claim and has no outcome yet",
+        ClaimVerdict::Recorded(_) => "found the recorded outcome",
+        ClaimVerdict::OtherBody => "the key was claimed with another body",
+        ClaimVerdict::Unavailable => "the platform's store cannot be reached",
+    }
+}
+
+fn key_reused() -> Failure {
+    Failure::not_run(
+        ProblemKind::KeyReused,
+        "this idempotency key was used with another body; this delivery was not run",
+    )
+}
+
+fn store_unavailable() -> Failure {
+    Failure::not_run(
+        ProblemKind::StoreUnavailable,
+        "the key could not be claimed, so this delivery was not run; a key with a binding needs no claim",
+    )
+    .with_retry_after(RETRY_AFTER)
+}
+
+fn outcome_unknown() -> Failure {
+    Failure::new(
+        ProblemKind::OutcomeUnknown,
+        RunState::Unknown,
+        "an earlier delivery of this key was started and its outcome is not known",
+    )
+}
+
+fn lock(shared: &Shared) -> std::sync::MutexGuard<'_, crate::idempotency::KeyTable> {
+    shared.keys.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/tc-caller/src/idempotency/table.rs
@@ -0,0 +1,196 @@
+//! Keys of this instance: a state machine per key, from running to done, within bounds.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use tc_protocol::{ClaimKey, MonoTime, RunState, WorkspaceName};
+use tokio::sync::watch;
+
+use crate::idempotency::FinalAnswer;
+
+/// Bounds of a [`KeyTable`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeyTableLimits {
+    /// Keys of one workspace.
+    pub keys_per_workspace: usize,
+    /// Keys in all.
+    pub keys: usize,
+    /// Bytes of kept answers of one workspace.
+    pub answer_bytes_per_workspace: usize,
+}
+
+impl Default for KeyTableLimits {
+    fn default() -> Self {
+        Self {
+            keys_per_workspace: 16_384,
+            keys: 131_072,
+            answer_bytes_per_workspace: 16 << 20,
+        }
+    }
+}
+
+/// What [`KeyTable::begin`] found.
+#[derive(Debug)]
+pub enum Begin {
+    /// The key is new: the caller of `begin` must run the request and call [`KeyTable::finish`].
+    Run(watch::Receiver<Option<Arc<FinalAnswer>>>),
+    /// The key is running: its answer will come here.
+    Join(watch::Receiver<Option<Arc<FinalAnswer>>>),
+    /// The key was answered.
+    Done(Arc<FinalAnswer>),
+    /// The key was used with another body.
+    OtherBody,
+    /// There is no room for another key, and none that may be forgotten.
+    Full,
+}
+
+/// Keys seen by this instance, each running or done.
+///
+/// A key that runs or whose retention is not over is never forgotten to make room: a resend of it would run a second
+/// time, seen as a doubled effect at the upstream.
+pub struct KeyTable {
+    limits: KeyTableLimits,
+    keys: HashMap<ClaimKey, Entry>,
+    /// Done keys in the order in which they expire.
+    expiring: VecDeque<(MonoTime, ClaimKey)>,
+    workspaces: HashMap<WorkspaceName, Used>,
+}
+
+struct Entry {
+    body_hash: u64,
+    state: State,
+}
+
+enum State {
+    Running(watch::Sender<Option<Arc<FinalAnswer>>>),
+    Done(Arc<FinalAnswer>),
+}
+
+#[derive(Default)]
+struct Used {
+    keys: usize,
+    bytes: usize,
+}
+
+impl KeyTable {
+    /// An empty table.
+    #[must_use]
+    pub fn new(limits: KeyTableLimits) -> Self {
+        Self {
+            limits,
+            keys: HashMap::new(),
+            expiring: VecDeque::new(),
+            workspaces: HashMap::new(),
+        }
+    }
+
+    /// Takes in one delivery of a request with this key.
+    pub fn begin(&mut self, now: MonoTime, key: &ClaimKey, body_hash: u64) -> Begin {
+        self.expire(now);
+        if let Some(entry) = self.keys.get(key) {
+            return entry.duplicate(body_hash);
+        }
+        let used = self.workspaces.entry(key.workspace.clone()).or_default();
+        if used.keys >= self.limits.keys_per_workspace || self.keys.len() >= self.limits.keys {
+            return Begin::Full;
+        }
+        used.keys += 1;
+        let (tx, rx) = watch::channel(None);
+        let entry = Entry {
+            body_hash,
+            state: State::Running(tx),
+        };
+        self.keys.insert(key.clone(), entry);
+        Begin::Run(rx)
+    }
+
+    /// Ends the run of a key and hands its answer to all who joined.
+    ///
+    /// A run that was provably not sent is forgotten, so that the caller can send it again; any other is kept for
+    /// `retention`.
+    pub fn finish(
+        &mut self,
+        now: MonoTime,
+        key: &ClaimKey,
+        answer: &Arc<FinalAnswer>,
+        retention: Duration,
+    ) {
+        let Some(entry) = self.keys.get_mut(key) else {
+            return;
+        };
+        let State::Running(waiting) = &entry.state else {
+            return;
+        };
+        waiting.send_replace(Some(answer.clone()));
+        if answer.run_state == RunState::NotRun {
+            self.forget(key);
+            return;
+        }
+        let used = self.workspaces.entry(key.workspace.clone()).or_default();
+        let fits = used.bytes + answer.size() <= self.limits.answer_bytes_per_workspace;
+        let kept = if fits {
+            answer.clone()
+        } else {
+            Arc::new(answer.without_body())
+        };
+        used.bytes += kept.size();
+        entry.state = State::Done(kept);
+        self.expiring.push_back((now.after(retention), key.clone()));
+    }
+
+    /// Number of keys held.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Whether no key is held.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Forgets keys whose retention is over. A change of the retention in the configuration reaches keys that are
+    /// done already only once those before them are gone, never too early.
+    fn expire(&mut self, now: MonoTime) {
+        while let Some((expires, _)) = self.expiring.front() {
+            if *expires > now {
+                return;
+            }
+            if let Some((_, key)) = self.expiring.pop_front() {
+                self.forget(&key);
+            }
+        }
+    }
+
+    fn forget(&mut self, key: &ClaimKey) {
+        let Some(entry) = self.keys.remove(key) else {
+            return;
+        };
+        let Some(used) = self.workspaces.get_mut(&key.workspace) else {
+            return;
+        };
+        used.keys -= 1;
+        if let State::Done(answer) = &entry.state {
+            used.bytes -= answer.size();
+        }
+        if used.keys == 0 {
+            self.workspaces.remove(&key.workspace);
+        }
+    }
+}
+
+impl Entry {
+    fn duplicate(&self, body_hash: u64) -> Begin {
+        if self.body_hash != body_hash {
+            return Begin::OtherBody;
+        }
+        match &self.state {
+            State::Running(waiting) => Begin::Join(waiting.subscribe()),
+            State::Done(answer) => Begin::Done(answer.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-caller/src/policy_state.rs
@@ -0,0 +1,101 @@
+//! Estimates and budgets of each service as seen from this instance.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use tc_policy::{Budget, Estimators, SizeClass, StageEstimate};
+use tc_protocol::{MonoTime, Policy, ServiceName};
+
+use crate::limits::BUDGET_BURST;
+
+/// Services by name; readers don't lock.
+pub(crate) struct Policies {
+    services: ArcSwap<HashMap<ServiceName, Arc<ServicePolicy>>>,
+}
+
+/// Estimates and budgets of one service.
+pub(crate) struct ServicePolicy {
+    name: ServiceName,
+    estimators: Arc<Mutex<Estimators>>,
+    hedges: Mutex<Budget>,
+    retries: Mutex<Budget>,
+    hedge_ratio: f64,
+    retry_ratio: f64,
+}
+
+impl Policies {
+    pub(crate) fn new() -> Self {
+        Self {
+            services: ArcSwap::default(),
+        }
+    }
+
+    /// The service's state; its budgets start afresh when the configuration changes their ratios.
+    pub(crate) fn of(&self, service: &ServiceName, policy: &Policy) -> Arc<ServicePolicy> {
+        if let Some(known) = self.services.load().get(service)
+            && known.fits(policy)
+        {
+            return known.clone();
+        }
+        self.services.rcu(|current| {
+            let mut next = HashMap::clone(current);
+            let known = next.get(service).cloned();
+            if !known.as_ref().is_some_and(|k| k.fits(policy)) {
+                let estimators = known.map(|k| k.estimators.clone()).unwrap_or_default();
+                let fresh = ServicePolicy::new(service.clone(), policy, estimators);
+                next.insert(service.clone(), Arc::new(fresh));
+            }
+            next
+        });
+        self.services.load()[service].clone()
+    }
+}
+
+impl ServicePolicy {
+    fn new(name: ServiceName, policy: &Policy, estimators: Arc<Mutex<Estimators>>) -> Self {
+        Self {
+            name,
+            estimators,
+            hedges: Mutex::new(Budget::new(policy.hedge_ratio, BUDGET_BURST)),
+            retries: Mutex::new(Budget::new(policy.retry_ratio, BUDGET_BURST)),
+            hedge_ratio: policy.hedge_ratio,
+            retry_ratio: policy.retry_ratio,
+        }
+    }
+
+    fn fits(&self, policy: &Policy) -> bool {
+        let same = |a: f64, b: f64| a.to_bits() == b.to_bits();
+        same(self.hedge_ratio, policy.hedge_ratio) && same(self.retry_ratio, policy.retry_ratio)
+    }
+
+    pub(crate) fn estimate(&self, class: SizeClass, quantile: f64) -> StageEstimate {
+        let mut estimators = lock(&self.estimators);
+        estimators.advance(MonoTime::now());
+        estimators.stage(&self.name, class, quantile)
+    }
+
+    pub(crate) fn record(&self, class: SizeClass, took: Duration) {
+        lock(&self.estimators).record(MonoTime::now(), &self.name, class, took);
+    }
+
+    pub(crate) fn note_call(&self) {
+        lock(&self.hedges).note_call();
+        lock(&self.retries).note_call();
+    }
+
+    pub(crate) fn spend_hedge(&self) -> bool {
+        lock(&self.hedges).try_spend()
+    }
+
+    pub(crate) fn spend_retry(&self) -> bool {
+        lock(&self.retries).try_spend()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/tc-caller/src/run/admission.rs
@@ -0,0 +1,46 @@
+//! Whether a request may start at all.
+
+use std::time::Duration;
+
+use tc_policy::StageEstimate;
+use tc_protocol::{Decision, ProblemKind};
+
+use crate::{
+    http::Failure,
+    run::{context::RequestContext, plan::StagePlan},
+};
+
+/// Counts the request against its workspace's limits.
+pub(crate) fn start_share(cx: &RequestContext) -> Result<(), Failure> {
+    match (cx.shared.ports.share)(&cx.workspace) {
+        Ok(guard) => {
+            cx.hold_share(guard);
+            Ok(())
+        }
+        Err(after) => Err(cx
+            .failure(ProblemKind::OverLimit, "the workspace's limit is used up")
+            .with_retry_after(after)),
+    }
+}
+
+/// Refuses a request whose stages are not expected to fit into its time: it would cost others and be of use to nobody.
+pub(crate) fn admit(cx: &RequestContext, plans: &[StagePlan]) -> Result<(), Failure> {
+    let remaining = cx.remaining();
+    let estimates: Vec<StageEstimate> = plans.iter().map(|p| p.timing).collect();
+    let estimate = if cx.shared.settings.baseline {
+        Duration::ZERO
+    } else {
+        tc_policy::admit(remaining, &estimates).map_err(|after| {
+            cx.failure(
+                ProblemKind::CannotFinish,
+                "the stages are not expected to finish before the deadline",
+            )
+            .with_retry_after(after)
+        })?
+    };
+    cx.note(Decision::Admitted {
+        budget_ms: remaining.as_millis() as u64,
+        estimate_ms: estimate.as_secs_f64() * 1e3,
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/tc-caller/src/run/context.rs
@@ -0,0 +1,178 @@
+//! One request: who asked, until when, and what is known of it so far.
+
+use std::sync::{
+    Arc, Mutex, PoisonError,
+    atomic::{AtomicBool, AtomicU8, Ordering},
+};
+use std::time::Duration;
+
+use tc_protocol::{
+    Cost, Deadline, Decision, FleetView, MonoTime, PipelineName, ProblemKind, RequestId, RunState,
+    ShareGuard, StageName, WorkspaceName,
+};
+
+use crate::{
+    http::Failure,
+    record::{Ending, RequestTrace, WorkspaceRecord},
+    shared::Shared,
+};
+
+/// What is known of a request when it is accepted.
+pub(crate) struct NewRequest {
+    pub(crate) id: RequestId,
+    pub(crate) counter: u64,
+    pub(crate) arrived: MonoTime,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) pipeline: Option<PipelineName>,
+    pub(crate) deadline: Deadline,
+    pub(crate) priority: u8,
+    pub(crate) key: Option<Arc<str>>,
+    pub(crate) traceparent: Option<String>,
+    pub(crate) view: Arc<FleetView>,
+}
+
+/// One request while it runs. Dropped before [`RequestContext::finish`], it counts as left by its caller.
+pub(crate) struct RequestContext {
+    pub(crate) id: RequestId,
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) pipeline: Option<PipelineName>,
+    pub(crate) deadline: Deadline,
+    pub(crate) priority: u8,
+    pub(crate) key: Option<Arc<str>>,
+    pub(crate) traceparent: Option<String>,
+    pub(crate) view: Arc<FleetView>,
+    pub(crate) shared: Arc<Shared>,
+    arrived: MonoTime,
+    trace: Arc<RequestTrace>,
+    record: Arc<WorkspaceRecord>,
+    run_state: AtomicU8,
+    cost: Mutex<Cost>,
+    share: Mutex<Option<ShareGuard>>,
+    finished: AtomicBool,
+}
+
+impl RequestContext {
+    pub(crate) fn new(shared: Arc<Shared>, request: NewRequest) -> Arc<Self> {
+        let trace = Arc::new(RequestTrace::new(
+            request.id.clone(),
+            request.workspace.clone(),
+            request.pipeline.clone(),
+            request.arrived,
+        ));
+        shared.explanations.keep(request.counter, trace.clone());
+        Arc::new(Self {
+            record: shared.stats.of(&request.workspace),
+            id: request.id,
+            workspace: request.workspace,
+            pipeline: request.pipeline,
+            deadline: request.deadline,
+            priority: request.priority,
+            key: request.key,
+            traceparent: request.traceparent,
+            view: request.view,
+            shared,
+            arrived: request.arrived,
+            trace,
+            run_state: AtomicU8::new(RunState::NotRun as u8),
+            cost: Mutex::new(Cost::default()),
+            share: Mutex::new(None),
+            finished: AtomicBool::new(false),
+        })
+    }
+
+    pub(crate) fn remaining(&self) -> Duration {
+        self.deadline.remaining(MonoTime::now())
+    }
+
+    pub(crate) fn note(&self, decision: Decision) {
+        self.trace.add(decision);
+    }
+
+    /// Takes into account what is known of one dispatched attempt.
+    pub(crate) fn note_run_state(&self, state: RunState) {
+        self.run_state.fetch_max(state as u8, Ordering::Relaxed);
+    }
+
+    /// What is known of the whole request.
+    pub(crate) fn run_state(&self) -> RunState {
+        let seen = self.run_state.load(Ordering::Relaxed);
+        [RunState::Ran, RunState::Unknown]
+            .into_iter()
+            .find(|state| *state as u8 == seen)
+            .unwrap_or(RunState::NotRun)
+    }
+
+    /// A failure with the run state of the whole request.
+    pub(crate) fn failure(&self, kind: ProblemKind, detail: impl Into<String>) -> Failure {
+        Failure::new(kind, self.run_state(), detail)
+    }
+
+    pub(crate) fn past_deadline(&self) -> Failure {
+        self.failure(
+            ProblemKind::DeadlineExceeded,
+            "the deadline passed before the request was answered",
+        )
+    }
+
+    pub(crate) fn hold_share(&self, guard: ShareGuard) {
+        *lock(&self.share) = Some(guard);
+    }
+
+    /// Adds the cost of one call of `stage`; `wasted` when its result was not used.
+    pub(crate) fn spend(&self, stage: &StageName, cost: &Cost, wasted: bool) {
+        let key = (self.pipeline.clone(), stage.clone());
+        self.record.spent(&key, cost, wasted);
+        let mut sum = lock(&self.cost);
+        sum.tokens_in = sum.tokens_in.saturating_add(cost.tokens_in);
+        sum.tokens_out = sum.tokens_out.saturating_add(cost.tokens_out);
+        sum.busy_ms += cost.busy_ms;
+    }
+
+    pub(crate) fn cost(&self) -> Cost {
+        *lock(&self.cost)
+    }
+
+    /// Notes how the request ended; only the first time counts.
+    pub(crate) fn finish(&self, failure: Option<&Failure>) {
+        let ending = match failure {
+            None if self.deadline.is_past(MonoTime::now()) => Ending::Late,
+            None => Ending::Answered,
+            Some(failure) => Ending::Failed(failure.kind.as_str()),
+        };
+        let decision = match failure {
+            None => Decision::Answered,
+            Some(f) if f.run_state == RunState::NotRun => Decision::Refused {
+                why: f.detail.clone(),
+                run_state: f.run_state,
+            },
+            Some(f) => Decision::Failed {
+                why: f.detail.clone(),
+                run_state: f.run_state,
+            },
+        };
+        self.end(ending, decision);
+    }
+
+    fn end(&self, ending: Ending, decision: Decision) {
+        if self.finished.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.note(decision);
+        self.record
+            .ended(ending, MonoTime::now().since(self.arrived));
+    }
+}
+
+impl Drop for RequestContext {
+    fn drop(&mut self) {
+        self.end(Ending::CallerLeft, Decision::CallerLeft);
+        let units = self.cost().units();
+        if let Some(mut share) = lock(&self.share).take() {
+            share.charge(units);
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/tc-caller/src/run/mod.rs
@@ -0,0 +1,16 @@
+//! The run of a request through its stages.
+
+mod admission;
+mod attempt;
+mod context;
+mod dispatch;
+mod generation;
+mod hold;
+mod pipeline;
+mod plain;
+mod plan;
+mod stage;
+
+pub(crate) use context::{NewRequest, RequestContext};
+pub(crate) use pipeline::{PipelineAnswer, PipelineWork, StageSummary, run_pipeline};
+pub(crate) use plain::{AnswerBody, PlainAnswer, PlainRequest, run_plain};
--- /dev/null
+++ b/crates/tc-caller/src/run/pipeline.rs
@@ -0,0 +1,121 @@
+//! The run of a pipeline: admission, then stage after stage.
+
+use std::sync::Arc;
+
+use serde::Serialize;
+use tc_policy::StageEstimate;
+use tc_protocol::{Cost, FleetConfig, Pipeline, ProblemKind, RequestId, StageName};
+
+use crate::{
+    http::Failure,
+    run::{
+        admission::{admit, start_share},
+        context::RequestContext,
+        generation::run_generation,
+        plan::StagePlan,
+        stage::{StageDone, run_stage},
+    },
+    streams::StreamLog,
+};
+
+/// What a caller wants of a pipeline.
+pub(crate) struct PipelineWork {
+    pub(crate) pipeline: Pipeline,
+    pub(crate) input: Arc<str>,
+    pub(crate) max_tokens: Option<u32>,
+}
+
+/// What one stage took, as told to the caller.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct StageSummary {
+    pub(crate) name: StageName,
+    pub(crate) ms: f64,
+    pub(crate) attempts: u32,
+}
+
+/// The whole answer.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct PipelineAnswer {
+    pub(crate) request_id: RequestId,
+    pub(crate) output: String,
+    pub(crate) stages: Vec<StageSummary>,
+    pub(crate) cost: Cost,
+}
+
+impl PipelineWork {
+    /// Whether no stage may be repeated without doubling an effect.
+    pub(crate) fn is_idempotent(&self, config: &FleetConfig) -> bool {
+        self.pipeline.stages.iter().all(|stage| {
+            let service = config.services.get(&stage.service);
+            service.is_some_and(|s| s.idempotent)
+        })
+    }
+}
+
+/// Runs all stages within the deadline; with `stream`, the last one's text goes there as it comes.
+pub(crate) async fn run_pipeline(
+    cx: &Arc<RequestContext>,
+    work: &PipelineWork,
+    stream: Option<&StreamLog>,
+) -> Result<PipelineAnswer, Failure> {
+    let run = tokio::time::timeout(cx.remaining(), run_stages(cx, work, stream)).await;
+    // The attempts that were under way are dropped by now and have noted what is known of them.
+    run.unwrap_or_else(|_| Err(cx.past_deadline()))
+}
+
+async fn run_stages(
+    cx: &Arc<RequestContext>,
+    work: &PipelineWork,
+    stream: Option<&StreamLog>,
+) -> Result<PipelineAnswer, Failure> {
+    let plans = plans(cx, work)?;
+    start_share(cx)?;
+    admit(cx, &plans)?;
+    let rest: Vec<StageEstimate> = plans.iter().map(|p| p.timing).collect();
+    let mut input = work.input.clone();
+    let mut stages = Vec::with_capacity(plans.len());
+    for (i, plan) in plans.iter().enumerate() {
+        let is_last = i + 1 == plans.len();
+        let done = match stream.filter(|_| is_last) {
+            Some(log) => run_generation(cx, plan, &input, &rest[i..], log).await?,
+            None => run_stage(cx, plan, &input, &rest[i..]).await?,
+        };
+        stages.push(summary(plan, &done));
+        input = done.output.into();
+    }
+    Ok(PipelineAnswer {
+        request_id: cx.id.clone(),
+        output: input.as_ref().to_owned(),
+        stages,
+        cost: cx.cost(),
+    })
+}
+
+fn summary(plan: &StagePlan, done: &StageDone) -> StageSummary {
+    StageSummary {
+        name: plan.stage.clone(),
+        ms: done.took.as_secs_f64() * 1e3,
+        attempts: done.attempts,
+    }
+}
+
+fn plans(cx: &RequestContext, work: &PipelineWork) -> Result<Vec<StagePlan>, Failure> {
+    let config = &cx.view.config;
+    let plan = |stage: &tc_protocol::Stage| {
+        let service = config.services.get(&stage.service).ok_or_else(|| {
+            let detail = format!("service {} is not configured", stage.service);
+            cx.failure(ProblemKind::Internal, detail)
+        })?;
+        let max_tokens = work
+            .max_tokens
+            .map_or(stage.max_tokens, |wanted| wanted.min(stage.max_tokens));
+        Ok(StagePlan::new(
+            &cx.shared.policies,
+            config,
+            (&stage.name, &stage.service, service),
+            work.input.len(),
+            max_tokens,
+        ))
+    };
+    work.pipeline.stages.iter().map(plan).collect()
+}
--- /dev/null
+++ b/crates/tc-caller/src/run/plain.rs
@@ -0,0 +1,196 @@
+//! A call to a plain service.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, uri::PathAndQuery};
+use http_body_util::BodyExt;
+use tc_protocol::{Outcome, RunState, Service, ServiceName};
+use tc_upstream::{CallError, PlainBody, PlainCall, PlainReply};
+use tracing::Instrument;
+
+use crate::{
+    http::Failure,
+    run::{
+        admission::{admit, start_share},
+        attempt::{CallTarget, fail},
+        context::RequestContext,
+        dispatch::{Dispatch, Tries},
+        hold::{CallEnd, PermitHold},
+        plan::{InputFacts, StagePlan},
+    },
+};
+
+/// What a caller wants of a plain service.
+pub(crate) struct PlainRequest {
+    pub(crate) service: ServiceName,
+    pub(crate) method: Method,
+    pub(crate) path: PathAndQuery,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Whether this call may be repeated without doubling an effect.
+    pub(crate) idempotent: bool,
+}
+
+/// An answer whose body is still to come.
+pub(crate) struct PlainAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: AnswerBody,
+}
+
+/// The body of a plain service's answer, settling its permit when it ends.
+pub(crate) struct AnswerBody {
+    cx: Arc<RequestContext>,
+    facts: InputFacts,
+    body: PlainBody,
+    hold: Option<PermitHold>,
+    outcome: Outcome,
+}
+
+impl AnswerBody {
+    /// The next chunk; `None` after the last.
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    // Trailers are not passed on.
+                    if let Ok(data) = frame.into_data() {
+                        return Some(Ok(data));
+                    }
+                }
+                Some(Err(error)) => return Some(Err(self.break_off(&error).await)),
+                None => {
+                    self.end();
+                    return None;
+                }
+            }
+        }
+    }
+
+    fn end(&mut self) {
+        let Some(hold) = self.hold.take() else { return };
+        let cost = hold.time_cost();
+        hold.settle(&CallEnd {
+            outcome: self.outcome,
+            run_state: RunState::Ran,
+            cost,
+            wasted: false,
+        });
+        (self.cx.shared.ports.ran_whole)(self.facts.fingerprint);
+        self.cx.finish(None);
+    }
+
+    async fn break_off(&mut self, error: &CallError) -> Failure {
+        if let Some(hold) = self.hold.take() {
+            fail(&self.cx, &self.facts, hold, error).await;
+        }
+        self.cx.note_run_state(RunState::Ran);
+        let detail = format!("the answer broke off: {error}");
+        let failure = self
+            .cx
+            .failure(tc_protocol::ProblemKind::UpstreamFailed, detail);
+        self.cx.finish(Some(&failure));
+        failure
+    }
+}
+
+/// Calls a plain service; done once the answer's headers are there.
+pub(crate) async fn run_plain(
+    cx: &Arc<RequestContext>,
+    request: &PlainRequest,
+    service: &Service,
+) -> Result<PlainAnswer, Failure> {
+    let span = tracing::info_span!("stage", stage = %request.service, service = %request.service);
+    let run = dispatch(cx, request, service).instrument(span);
+    let run = tokio::time::timeout(cx.remaining(), run).await;
+    run.unwrap_or_else(|_| Err(cx.past_deadline()))
+}
+
+async fn dispatch(
+    cx: &Arc<RequestContext>,
+    request: &PlainRequest,
+    service: &Service,
+) -> Result<PlainAnswer, Failure> {
+    let stage = request.service.as_str().into();
+    let mut plan = StagePlan::new(
+        &cx.shared.policies,
+        &cx.view.config,
+        (&stage, &request.service, service),
+        request.body.len(),
+        0,
+    );
+    plan.idempotent = request.idempotent;
+    start_share(cx)?;
+    admit(cx, std::slice::from_ref(&plan))?;
+    let facts = InputFacts::of(cx, &plan, &fingerprinted(request));
+    let rest = [plan.timing];
+    let dispatch = Dispatch {
+        cx,
+        plan: &plan,
+        facts: &facts,
+        rest: &rest,
+    };
+    let started = std::time::Instant::now();
+    let mut won = dispatch
+        .run(&mut Tries::default(), |target| {
+            let call = plain_call(cx, request, &plan, target);
+            cx.shared.upstream.forward(call)
+        })
+        .await?;
+    plan.policy.record(plan.class, started.elapsed());
+    let PlainReply {
+        status,
+        headers,
+        body,
+        outcome,
+        first_byte,
+    } = won.value;
+    won.hold.first_byte_after(first_byte);
+    Ok(PlainAnswer {
+        status,
+        headers,
+        body: AnswerBody {
+            cx: cx.clone(),
+            facts,
+            body,
+            hold: Some(won.hold),
+            outcome,
+        },
+    })
+}
+
+/// Bytes that tell calls apart which would do different things to an upstream.
+fn fingerprinted(request: &PlainRequest) -> Vec<u8> {
+    let parts = [request.method.as_str(), " ", request.path.as_str(), "\n"];
+    let mut bytes = parts.concat().into_bytes();
+    bytes.extend_from_slice(&request.body);
+    bytes
+}
+
+fn plain_call(
+    cx: &RequestContext,
+    request: &PlainRequest,
+    plan: &StagePlan,
+    target: CallTarget,
+) -> PlainCall {
+    PlainCall {
+        upstream: target.upstream,
+        address: target.address,
+        request: cx.id.clone(),
+        stage: plan.stage.clone(),
+        attempt: target.attempt,
+        method: request.method.clone(),
+        path: request.path.clone(),
+        headers: request.headers.clone(),
+        body: request.body.clone(),
+        priority: cx.priority,
+        remaining: target.remaining,
+        idempotency_key: if plan.idempotent {
+            None
+        } else {
+            cx.key.clone()
+        },
+        traceparent: cx.traceparent.clone(),
+    }
+}
--- /dev/null
+++ b/crates/tc-caller/src/streams/start.rs
@@ -0,0 +1,107 @@
+//! The first answer of a streamed pipeline.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http::{
+    HeaderValue, Response,
+    header::{CACHE_CONTROL, CONTENT_TYPE},
+};
+use tc_protocol::{RequestId, wire};
+
+use crate::{
+    http::{CallerBody, CallerResponse, Failure},
+    limits::RESUME_WINDOW,
+    run::{PipelineAnswer, PipelineWork, RequestContext, run_pipeline},
+    streams::{
+        End, Opening, StreamLog,
+        event::{done_event, problem_event},
+    },
+};
+
+/// One caller's place in a stream; leaving it lets the stream be resumed or given up.
+struct Reader {
+    log: Arc<StreamLog>,
+    number: u64,
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        self.log.detach(self.number);
+    }
+}
+
+/// Runs a pipeline that may be cancelled, streaming its last stage.
+pub(crate) async fn start(
+    cx: Arc<RequestContext>,
+    work: PipelineWork,
+) -> Result<CallerResponse, Failure> {
+    let log = Arc::new(StreamLog::new());
+    let id = cx.id.clone();
+    let response = stream_response(&log, 0, &id);
+    let shared = cx.shared.clone();
+    let in_flight = shared.enter();
+    shared.tasks.spawn({
+        let log = log.clone();
+        async move {
+            let _in_flight = in_flight;
+            tokio::select! {
+                _ = run_into(&cx, &work, &log) => {}
+                // Dropping the run cancels its call at the upstream.
+                () = log.abandoned() => log.end(End::Event(Bytes::new())),
+            }
+        }
+    });
+    match log.opened().await {
+        Opening::Failure(failure) => Err(failure),
+        Opening::Stream => response,
+    }
+}
+
+/// Runs a pipeline into a stream that can be resumed while it runs and a while after.
+pub(crate) async fn run_into(
+    cx: &Arc<RequestContext>,
+    work: &PipelineWork,
+    log: &Arc<StreamLog>,
+) -> Result<PipelineAnswer, Failure> {
+    let registry = &cx.shared.streams;
+    let registration = registry.keep(cx.workspace.clone(), cx.id.clone(), log.clone());
+    let result = run_pipeline(cx, work, Some(log)).await;
+    cx.finish(result.as_ref().err());
+    log.end(match &result {
+        Ok(answer) => End::Event(done_event(answer)),
+        Err(failure) if log.has_events() => End::Event(problem_event(&failure.problem(&cx.id))),
+        Err(failure) => End::Failure(failure.clone()),
+    });
+    tokio::spawn(async move {
+        tokio::time::sleep(RESUME_WINDOW).await;
+        drop(registration);
+    });
+    result
+}
+
+/// The answer that sends a stream from after event `last`; a failure when that part is no longer kept.
+pub(crate) fn stream_response(
+    log: &Arc<StreamLog>,
+    last: u64,
+    id: &RequestId,
+) -> Result<CallerResponse, Failure> {
+    let number = log.attach(last).ok_or_else(super::resume::gone)?;
+    let reader = Reader {
+        log: log.clone(),
+        number,
+    };
+    let events = stream::unfold(reader, |reader| async move {
+        let frame = reader.log.next(reader.number).await?;
+        Some((Ok(frame), reader))
+    });
+    let mut response = Response::new(CallerBody::stream(events.boxed()));
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    if let Ok(value) = HeaderValue::from_str(id.as_str()) {
+        headers.insert(wire::REQUEST_ID, value);
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/tc-caller/tests/support/mod.rs
@@ -0,0 +1,155 @@
+//! A caller server with fake ports in front of stand-in upstreams.
+#![allow(
+    dead_code,
+    reason = "each test file is a program of its own and uses its part"
+)]
+
+pub(crate) mod client;
+pub(crate) mod fleet;
+pub(crate) mod ports;
+
+use std::{sync::Arc, time::Duration};
+
+use tc_caller::{CallerServer, CallerSettings, Ports};
+use tc_protocol::{InstanceId, RequestId};
+use tc_stand_ins::{Engine, EngineConfig, Plain, PlainConfig, Pool, PoolConfig, Recorder};
+use tc_upstream::{ClientSettings, UpstreamClient};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use client::Client;
+use fleet::{ANY_PORT, INCARNATION, ME};
+use ports::Fakes;
+
+/// Largest body the test server takes.
+pub(crate) const MAX_BODY: usize = 64 * 1024;
+/// Largest headers the test server takes.
+pub(crate) const MAX_HEADERS: usize = 8 * 1024;
+
+/// Upstreams, two of each service.
+pub(crate) struct Upstreams {
+    pub(crate) recorder: Recorder,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) plains: Vec<Plain>,
+}
+
+impl Upstreams {
+    /// Upstreams that answer at once; `token` is the time for each generated token.
+    pub(crate) async fn start(token: Duration) -> Self {
+        let recorder = Recorder::new();
+        let mut up = Self {
+            recorder: recorder.clone(),
+            pools: Vec::new(),
+            engines: Vec::new(),
+            plains: Vec::new(),
+        };
+        for service in ["encode", "rerank", "bill"] {
+            for n in 1..=2 {
+                let cfg = PoolConfig::new(&format!("{service}-{n}"), service);
+                up.pools
+                    .push(Pool::start(ANY_PORT, cfg, recorder.clone()).await.unwrap());
+            }
+        }
+        for n in 1..=2 {
+            let mut cfg = EngineConfig::new(&format!("gen-{n}"), "generate");
+            cfg.per_token = token;
+            up.engines.push(
+                Engine::start(ANY_PORT, cfg, recorder.clone())
+                    .await
+                    .unwrap(),
+            );
+        }
+        for service in ["lots", "notify"] {
+            for n in 1..=2 {
+                let cfg = PlainConfig::new(&format!("{service}-{n}"), service);
+                up.plains
+                    .push(Plain::start(ANY_PORT, cfg, recorder.clone()).await.unwrap());
+            }
+        }
+        up
+    }
+
+    pub(crate) fn pool(&self, id: &str) -> &Pool {
+        let found = self.pools.iter().find(|p| p.id().as_str() == id);
+        found.expect("a pool of that name")
+    }
+}
+
+/// One instance under test.
+pub(crate) struct World {
+    pub(crate) up: Upstreams,
+    pub(crate) fakes: Arc<Fakes>,
+    pub(crate) instance: Instance,
+    pub(crate) client: Client,
+}
+
+/// A running server.
+pub(crate) struct Instance {
+    pub(crate) server: Arc<CallerServer>,
+    pub(crate) address: std::net::SocketAddr,
+    pub(crate) stop: CancellationToken,
+    pub(crate) serving: tokio::task::JoinHandle<()>,
+}
+
+impl Instance {
+    pub(crate) async fn start(id: &str, ports: Ports, baseline: bool) -> Self {
+        let listener = TcpListener::bind(ANY_PORT).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let settings = CallerSettings {
+            me: InstanceId::from(id),
+            incarnation: INCARNATION,
+            max_body_bytes: MAX_BODY,
+            max_header_bytes: MAX_HEADERS,
+            baseline,
+        };
+        let upstream = UpstreamClient::new(ClientSettings::default());
+        let server = CallerServer::new(settings, ports, upstream);
+        let stop = CancellationToken::new();
+        let serving = tokio::spawn(server.clone().serve(listener, stop.clone()));
+        Self {
+            server,
+            address,
+            stop,
+            serving,
+        }
+    }
+}
+
+impl World {
+    pub(crate) async fn start() -> Self {
+        Self::with_token_time(Duration::ZERO).await
+    }
+
+    pub(crate) async fn with_token_time(token: Duration) -> Self {
+        let up = Upstreams::start(token).await;
+        let fakes = Arc::new(Fakes::new(fleet::config(&up)));
+        let instance = Instance::start(ME, fakes.ports(), false).await;
+        let client = Client::new(instance.address);
+        Self {
+            up,
+            fakes,
+            instance,
+            client,
+        }
+    }
+
+    /// Words of the decisions kept of a request.
+    pub(crate) fn explained(&self, id: &str) -> Vec<String> {
+        let explanation = self.instance.server.explain(&RequestId::from(id)).unwrap();
+        let what = |step| serde_json::to_value(step).unwrap()["what"].clone();
+        let steps = explanation.steps.iter().map(what);
+        steps.map(|w| w.as_str().unwrap().to_owned()).collect()
+    }
+}
+
+/// Waits until `check` holds; fails after a generous bound.
+pub(crate) async fn eventually(what: &str, mut check: impl FnMut() -> bool) {
+    for _ in 0..1_000 {
+        if check() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("never happened: {what}");
+}
