--- a/crates/tc-upstream/tests/common/mod.rs
+++ b/crates/tc-upstream/tests/common/mod.rs
@@ -10,9 +10,10 @@
     time::Duration,
 };
 
+use http::{HeaderMap, Method};
 use socket2::SockRef;
 use tc_protocol::{Attempt, Outcome, RunState, ServiceKind};
-use tc_upstream::{CallError, CallErrorKind, ClientSettings, StageCall, UpstreamClient};
+use tc_upstream::{CallError, CallErrorKind, ClientSettings, PlainCall, StageCall, UpstreamClient};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -233,6 +234,41 @@
     }
 }
 
+/// A call with headers of all sorts.
+pub(crate) fn plain(address: SocketAddr, request: &str) -> PlainCall {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("authorization", "Bearer secret"),
+        ("host", "caller.example"),
+        ("connection", "x-private, close"),
+        ("x-private", "1"),
+        ("te", "trailers"),
+        ("expect", "100-continue"),
+        ("tanagercroft-binding", "kl-a-1@7"),
+        ("x-request-id", "forged"),
+        ("idempotency-key", "forged"),
+        ("accept-language", "ms"),
+        ("content-type", "text/plain"),
+    ] {
+        headers.insert(name, value.parse().unwrap());
+    }
+    PlainCall {
+        upstream: "plain-1".into(),
+        address,
+        request: request.into(),
+        stage: "auction-hall".into(),
+        attempt: Attempt(0),
+        method: Method::PUT,
+        path: "/lots/7?bid=1".parse().unwrap(),
+        headers,
+        body: "bid".into(),
+        priority: 3,
+        remaining: AMPLE,
+        idempotency_key: Some("k-1".into()),
+        traceparent: None,
+    }
+}
+
 /// What a fault must be reported as.
 pub(crate) type Expected = (CallErrorKind, RunState, Outcome);
 
--- a/crates/tc-upstream/tests/plain_services.rs
+++ b/crates/tc-upstream/tests/plain_services.rs
@@ -4,50 +4,15 @@
 
 use std::time::Duration;
 
-use common::{AMPLE, Expected, Fake, SHORT, Step, answer, check, client, send};
-use http::{HeaderMap, Method};
+use common::{Expected, Fake, SHORT, Step, answer, check, client, plain, send};
 use http_body_util::BodyExt;
-use tc_protocol::{Attempt, Outcome, RunState};
+use tc_protocol::{Outcome, RunState};
 use tc_upstream::{
     CallError,
     CallErrorKind::{Broken, Connect, Malformed, TimedOut, TooLarge, WrongIdentity},
-    PlainCall, PlainReply,
+    PlainReply,
 };
 
-fn plain(address: std::net::SocketAddr, request: &str) -> PlainCall {
-    let mut headers = HeaderMap::new();
-    for (name, value) in [
-        ("authorization", "Bearer secret"),
-        ("host", "caller.example"),
-        ("connection", "x-private, close"),
-        ("x-private", "1"),
-        ("te", "trailers"),
-        ("expect", "100-continue"),
-        ("tanagercroft-binding", "kl-a-1@7"),
-        ("x-request-id", "forged"),
-        ("idempotency-key", "forged"),
-        ("accept-language", "ms"),
-        ("content-type", "text/plain"),
-    ] {
-        headers.insert(name, value.parse().unwrap());
-    }
-    PlainCall {
-        upstream: "plain-1".into(),
-        address,
-        request: request.into(),
-        stage: "auction-hall".into(),
-        attempt: Attempt(0),
-        method: Method::PUT,
-        path: "/lots/7?bid=1".parse().unwrap(),
-        headers,
-        body: "bid".into(),
-        priority: 3,
-        remaining: AMPLE,
-        idempotency_key: Some("k-1".into()),
-        traceparent: None,
-    }
-}
-
 async fn whole(reply: PlainReply) -> Result<String, CallError> {
     let bytes = reply.body.collect().await?.to_bytes();
     Ok(String::from_utf8(bytes.to_vec()).unwrap())
--- /dev/null
+++ b/crates/tc-upstream/tests/stand_ins.rs
@@ -0,0 +1,188 @@
+//! The contract with engines, pools and plain services, against the stand-ins that other crates' tests use.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Expected, call, check, client};
+use http_body_util::BodyExt;
+use tc_protocol::{Outcome, RunState, ServiceKind, wire::Order};
+use tc_stand_ins::{
+    AnswerFault, CRASH_MARKER, Engine, EngineConfig, Plain, PlainConfig, Pool, PoolConfig,
+    Recorder, engine_output, plain_output, pool_output,
+};
+use tc_upstream::{
+    CallErrorKind::{Broken, Connect, Failed, Malformed, TooLarge, WrongIdentity},
+    OrderError, StreamItem,
+};
+
+const ANY: std::net::SocketAddr = std::net::SocketAddr::V4(std::net::SocketAddrV4::new(
+    std::net::Ipv4Addr::LOCALHOST,
+    0,
+));
+const INPUT: &str = "probe log";
+
+async fn engine(id: &str, recorder: &Recorder, checks_orders: bool) -> Engine {
+    let mut cfg = EngineConfig::new(id, "drafting");
+    cfg.checks_orders = checks_orders;
+    cfg.resume_window = Duration::from_secs(5);
+    Engine::start(ANY, cfg, recorder.clone()).await.unwrap()
+}
+
+#[tokio::test]
+async fn every_kind_answers_its_own_call() {
+    let recorder = Recorder::new();
+    let (client, engine) = (client(), engine("gen-1", &recorder, false).await);
+    let pool = Pool::start(ANY, PoolConfig::new("pool-1", "rerank"), recorder.clone())
+        .await
+        .unwrap();
+    let plain = Plain::start(
+        ANY,
+        PlainConfig::new("plain-1", "auction"),
+        recorder.clone(),
+    )
+    .await
+    .unwrap();
+
+    let reply = client
+        .run_stage(call(ServiceKind::Pool, pool.address(), "r-1"))
+        .await
+        .unwrap();
+    assert_eq!(reply.output, pool_output("rerank", INPUT));
+    let reply = client
+        .run_stage(call(ServiceKind::Engine, engine.address(), "r-2"))
+        .await
+        .unwrap();
+    assert_eq!(
+        (reply.output, reply.cost.tokens_out),
+        (engine_output(INPUT, 8), 8)
+    );
+    let reply = client
+        .forward(common::plain(plain.address(), "r-3"))
+        .await
+        .unwrap();
+    let body = reply.body.collect().await.unwrap().to_bytes();
+    assert_eq!(
+        serde_json::from_slice::<serde_json::Value>(&body).unwrap(),
+        plain_output("/lots/7?bid=1", b"bid")
+    );
+    for address in [pool.address(), engine.address(), plain.address()] {
+        assert_eq!(client.load(address).await.unwrap().slots, 8);
+    }
+    for request in ["r-1", "r-2", "r-3"] {
+        assert_eq!(recorder.calls_of(&request.into()).len(), 1);
+    }
+}
+
+/// Symptom: a stream that broke comes back with a gap, a repeat or other words.
+/// Sequence: the engine breaks the connection after every two events; the stream is resumed until it is whole.
+/// Cause: an unstable connection.
+#[tokio::test]
+async fn a_stream_is_resumed_until_it_is_whole() {
+    let (client, engine) = (client(), engine("gen-1", &Recorder::new(), false).await);
+    engine.faults().break_streams_after(2);
+    let (mut text, mut last_id, mut breaks) = (String::new(), 0, 0);
+    let usage = 'whole: loop {
+        let mut stream = client
+            .open_stream(call(ServiceKind::Engine, engine.address(), "r-1"), last_id)
+            .await
+            .unwrap();
+        loop {
+            match stream.next().await.unwrap() {
+                Ok(StreamItem::Event { id, text: more }) => (last_id, text) = (id, text + &more),
+                Ok(StreamItem::Done { usage }) => break 'whole usage,
+                Err(error) => {
+                    check("break", &error, (Broken, RunState::Ran, Outcome::Died));
+                    breaks += 1;
+                    break;
+                }
+            }
+        }
+    };
+    assert_eq!(
+        (text.trim(), breaks > 2),
+        (engine_output(INPUT, 8).as_str(), true)
+    );
+    assert!(usage.is_none_or(|usage| usage.completion_tokens == 8));
+}
+
+#[tokio::test]
+async fn orders_are_fenced_where_the_engine_checks() {
+    let client = client();
+    for checks in [true, false] {
+        let engine = engine("gen-1", &Recorder::new(), checks).await;
+        let order = |fence| Order {
+            service: "drafting".into(),
+            fence,
+            models: vec!["drafter@2".into()],
+            role: None,
+        };
+        client.order(engine.address(), &order(9)).await.unwrap();
+        let late = client.order(engine.address(), &order(7)).await;
+        let refused = Err(OrderError::Refused { highest_fence: 9 });
+        assert_eq!(late, if checks { refused } else { Ok(()) });
+    }
+}
+
+#[rustfmt::skip]
+const FAULTS: &[(AnswerFault, Expected)] = &[
+    (AnswerFault::Garbage, (Malformed, RunState::Ran, Outcome::Failed)),
+    // The stand-in's server gives up before it has sent the header, so nothing of the answer arrives.
+    (AnswerFault::WrongLength, (Broken, RunState::Unknown, Outcome::Died)),
+    (AnswerFault::CloseMidBody, (Broken, RunState::Ran, Outcome::Died)),
+    (AnswerFault::HugeHeaders, (TooLarge, RunState::Unknown, Outcome::Failed)),
+    (AnswerFault::WrongIdentity, (WrongIdentity, RunState::Unknown, Outcome::Failed)),
+    (AnswerFault::Lost, (Broken, RunState::Unknown, Outcome::Died)),
+];
+
+/// Symptom: the run state told differs from what the upstream recorded, or a fault passes as an answer.
+/// Sequence: engine and pool run each call and spoil its answer; then refuse everything; then crash under a call;
+/// then are gone.
+/// Cause: every fault the stand-ins know.
+#[tokio::test]
+async fn stand_in_faults_are_told_truthfully() {
+    let (client, recorder) = (client(), Recorder::new());
+    let engine = engine("gen-1", &recorder, false).await;
+    let pool = Pool::start(ANY, PoolConfig::new("pool-1", "rerank"), recorder.clone())
+        .await
+        .unwrap();
+    let both = [
+        (ServiceKind::Engine, engine.address(), engine.faults()),
+        (ServiceKind::Pool, pool.address(), pool.faults()),
+    ];
+    for (kind, address, faults) in both {
+        for (fault, expected) in FAULTS {
+            let request = format!("{kind:?}-{fault:?}");
+            faults.break_answers(*fault, 1);
+            let error = client
+                .run_stage(call(kind, address, &request))
+                .await
+                .unwrap_err();
+            check(&request, &error, *expected);
+            assert_eq!(
+                recorder.calls_of(&request.as_str().into()).len(),
+                1,
+                "{request}"
+            );
+        }
+        faults.set_down(true);
+        let error = client
+            .run_stage(call(kind, address, "down"))
+            .await
+            .unwrap_err();
+        assert_eq!((error.kind, error.outcome), (Failed(503), Outcome::Failed));
+        assert_ne!(error.run_state, RunState::NotRun, "nothing promised it");
+        faults.set_down(false);
+
+        let mut crash = call(kind, address, "crash");
+        crash.input = CRASH_MARKER.into();
+        let error = client.run_stage(crash).await.unwrap_err();
+        check("crash", &error, (Broken, RunState::Unknown, Outcome::Died));
+        let error = client
+            .run_stage(call(kind, address, "gone"))
+            .await
+            .unwrap_err();
+        check("gone", &error, (Connect, RunState::NotRun, Outcome::Died));
+        assert!(recorder.calls_of(&"gone".into()).is_empty());
+    }
+}
