--- /dev/null
+++ b/crates/tc-bench/src/scenario/paused_leaseholder.rs
@@ -0,0 +1,161 @@
+//! The holder of the engines' order lease is paused past its lease, and goes on after another has taken over.
+
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+use tc_protocol::InstanceId;
+use tc_stand_ins::OrderRecord;
+
+use super::{
+    Scenario,
+    settings::{Settings, ms, part, sleep_until},
+};
+use crate::{
+    error::BenchError,
+    judge::Evidence,
+    measure::RunReport,
+    world::{Applied, World, standard_flows, standard_spec},
+};
+
+/// Kind of the platform's lease objects; the name is the service.
+const LEASE_KIND: &str = "tanagercroft-lease";
+const SERVICE: &str = "engines";
+const PAUSE: Duration = Duration::from_secs(6);
+/// Versions of the model ordered before, during and after the pause.
+const BEFORE: &str = "2";
+const DURING: &str = "3";
+const LAST: &str = "4";
+
+pub(super) const SCENARIO: Scenario = Scenario {
+    name: "paused-leaseholder",
+    about: "the holder of the order lease is paused past its lease, and goes on after another took over",
+    run: |settings| Box::pin(run(settings)),
+};
+
+/// What was done to the holder.
+struct Paused {
+    /// The instance paused; `None` when no lease named one.
+    holder: Option<usize>,
+    from: Duration,
+    to: Duration,
+}
+
+async fn run(settings: Settings) -> Result<RunReport, BenchError> {
+    let length = settings.length(18.0);
+    let mut world = World::start(standard_spec(&settings.shape())?).await?;
+    let flows = standard_flows(length, 0.5);
+    let run = world
+        .run(
+            "paused-leaseholder",
+            settings.seed,
+            flows,
+            &[],
+            async |world, start| pause_holder(world, start, length).await,
+        )
+        .await;
+    let paused = run
+        .fault
+        .as_ref()
+        .map_err(|e| BenchError::World(e.to_string()))?;
+    // Who is paused is known only now, so the judge's view is taken again with that instance disturbed.
+    let disturbed = paused.holder.map(|at| world.instances[at].id.clone());
+    let evidence = Evidence {
+        calls: run.calls.clone(),
+        once_services: ["billing".to_owned()].into(),
+        disturbed: disturbed.into_iter().collect(),
+    };
+    let verdict = crate::judge::judge(&run.records, &evidence);
+    let mut report = RunReport {
+        control: run.control.clone(),
+        ..RunReport::of(&run.records, &run.calls, verdict, "")
+    };
+    report.claim_clean();
+    let orders = world.recorder.orders();
+    report.claim(
+        "a lease names its holder, who was paused",
+        match paused.holder {
+            Some(at) => format!(
+                "{} from {:.0} to {:.0} ms",
+                world.instances[at].id,
+                ms(paused.from),
+                ms(paused.to)
+            ),
+            None => "no lease object names an instance".to_owned(),
+        },
+        paused.holder.is_some(),
+    );
+    claim_orders(&mut report, &orders);
+    Ok(report)
+}
+
+async fn pause_holder(
+    world: &mut World,
+    start: Instant,
+    length: Duration,
+) -> Result<Paused, BenchError> {
+    let (from, to) = (part(length, 0.3), part(length, 0.3) + PAUSE);
+    sleep_until(start, part(length, 0.1)).await;
+    order_version(world, BEFORE).await?;
+    sleep_until(start, from).await;
+    let holder = lease_holder(world);
+    if let Some(at) = holder {
+        world.instances[at].pause();
+    }
+    order_version(world, DURING).await?;
+    sleep_until(start, to).await;
+    if let Some(at) = holder {
+        world.instances[at].resume();
+    }
+    sleep_until(start, part(length, 0.8)).await;
+    order_version(world, LAST).await?;
+    Ok(Paused { holder, from, to })
+}
+
+/// Has the engines ordered to load another version of their model.
+async fn order_version(world: &World, version: &str) -> Result<(), BenchError> {
+    let text = format!("[models.drafting]\nversion = \"{version}\"\n");
+    world.folder.write("80-model.toml", &text)?;
+    let platform = world.platform.address();
+    match world.folder.apply(&world.binary, platform, "bench").await? {
+        Applied::Done => Ok(()),
+        other => Err(BenchError::World(format!("config apply: {other:?}"))),
+    }
+}
+
+fn lease_holder(world: &World) -> Option<usize> {
+    let (_, lease) = world.platform.object(LEASE_KIND, SERVICE)?;
+    let holder = lease.get("holder").and_then(Value::as_str)?;
+    world.index_of(&InstanceId::from(holder))
+}
+
+fn claim_orders(report: &mut RunReport, orders: &[OrderRecord]) {
+    let mut outdated = 0;
+    for (at, order) in orders.iter().enumerate().filter(|(_, o)| o.accepted) {
+        let newer_before = orders[..at].iter().any(|earlier| {
+            earlier.accepted
+                && earlier.upstream == order.upstream
+                && earlier.order.fence > order.order.fence
+        });
+        outdated += usize::from(newer_before);
+    }
+    report.claim(
+        "no engine took an order with a fencing number below one it had taken",
+        format!("{outdated} of {} orders", orders.len()),
+        outdated == 0 && !orders.is_empty(),
+    );
+    let last: std::collections::BTreeMap<_, _> = orders
+        .iter()
+        .filter(|o| o.accepted)
+        .map(|o| (o.upstream.clone(), o.order.models.clone()))
+        .collect();
+    let wanted = format!("drafting@{LAST}");
+    let right = last
+        .values()
+        .filter(|models| models.contains(&wanted))
+        .count();
+    report.claim(
+        "every engine was last ordered to the last version",
+        format!("{right} of {} engines", last.len()),
+        right == last.len() && right > 0,
+    );
+}
