Send what is left of the deadline, and count gossip bytes

Cause: a resend told the instance the whole timeout again, so an answer after the deadline looked in time to it; and the metric of bytes between instances has landed under another name than guessed.

--- a/crates/tc-bench/src/load/caller.rs
+++ b/crates/tc-bench/src/load/caller.rs
@@ -24,6 +24,8 @@
 
 /// Time after the deadline until a missing answer counts as lost.
 const GRACE: Duration = Duration::from_secs(1);
+/// Least time a request is sent with.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(1);
 /// Characters of an unexpected answer kept.
 const MAX_WHY: usize = 60;
 
@@ -141,7 +143,7 @@
         start: Instant,
     ) -> Reply {
         for address in addresses {
-            let Ok(req) = self.build(request, address) else {
+            let Ok(req) = self.build(request, address, start) else {
                 return Reply::ended(Told::NotSent);
             };
             let limit = start + request.timeout + GRACE;
@@ -163,19 +165,25 @@
         &self,
         request: &Request,
         address: &CallerAddress,
+        start: Instant,
     ) -> Result<http::Request<Full<Bytes>>, http::Error> {
         let accept = if request.stream {
             "text/event-stream"
         } else {
             "application/json"
         };
+        // A resend, or a request that waited for an address answer, has less time left than at first.
+        let left = request
+            .timeout
+            .saturating_sub(start.elapsed())
+            .max(LEAST_TIMEOUT);
         let mut builder = http::Request::builder()
             .method(request.method.clone())
             .uri(format!("http://{}{}", address.address, request.path))
             .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
             .header(header::CONTENT_TYPE, "application/json")
             .header(header::ACCEPT, accept)
-            .header(wire::TIMEOUT_MS, request.timeout.as_millis().to_string());
+            .header(wire::TIMEOUT_MS, left.as_millis().to_string());
         if let Some(priority) = request.priority {
             builder = builder.header(wire::PRIORITY, format!("u={priority}"));
         }
--- a/crates/tc-bench/src/measure/control.rs
+++ b/crates/tc-bench/src/measure/control.rs
@@ -10,16 +10,16 @@
 const TICKS_PER_S: f64 = 100.0;
 /// Index of `utime` among the fields after the command's closing bracket.
 const UTIME_FIELD: usize = 11;
-/// Metrics that count bytes between instances: every counter whose name starts so and ends in one of the suffixes.
-const FLEET_PREFIXES: [&str; 2] = ["tc_fleet", "tc_membership"];
-const FLEET_BYTES_SUFFIXES: [&str; 2] = ["bytes_total", "bytes_sent_total"];
+/// Counter of bytes of gossip, labelled with their way; what one instance sends another receives, so only sent ones count.
+const GOSSIP_BYTES: &str = "tc_gossip_bytes_total";
+const SENT: &str = "way=\"sent\"";
 /// Metric that counts calls to the platform, labelled with `purpose`.
 const PLATFORM_CALLS: &str = "tc_platform_calls_total";
 
 /// What one instance spends, a second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ControlCost {
-    /// Bytes exchanged with other instances.
+    /// Bytes of gossip sent to other instances.
     pub bytes_per_s: f64,
     /// Processor time, in per cent of one core.
     pub cpu_percent: f64,
@@ -79,7 +79,7 @@
             at: Instant::now(),
             cpu_s: cpu_seconds(&stat)?,
             rss_mb: rss_mb(&status)?,
-            bytes: fleet_bytes(metrics),
+            bytes: gossip_bytes(metrics),
             platform_calls: platform_calls(metrics),
         })
     }
@@ -145,13 +145,9 @@
         .filter_map(|(name, value)| Some((name, value.parse().ok()?)))
 }
 
-fn fleet_bytes(metrics: &str) -> f64 {
+fn gossip_bytes(metrics: &str) -> f64 {
     samples(metrics)
-        .filter(|(name, _)| {
-            let bare = name.split('{').next().unwrap_or(name);
-            FLEET_PREFIXES.iter().any(|p| bare.starts_with(p))
-                && FLEET_BYTES_SUFFIXES.iter().any(|s| bare.ends_with(s))
-        })
+        .filter(|(name, _)| name.starts_with(GOSSIP_BYTES) && name.contains(SENT))
         .map(|(_, value)| value)
         .sum()
 }
--- a/crates/tc-bench/src/report/html.rs
+++ b/crates/tc-bench/src/report/html.rs
@@ -153,7 +153,7 @@
     table(
         &[
             "per instance",
-            "bytes/s between instances",
+            "gossip bytes/s sent",
             "CPU %",
             "RSS MB",
             "platform calls/s",
