--- /dev/null
+++ b/crates/tc-operator/src/commands/serve.rs
@@ -0,0 +1,2 @@
+//! `tanagercroft serve`.
+
--- /dev/null
+++ b/crates/tc-operator/src/serve/admin.rs
@@ -0,0 +1,132 @@
+//! Gives the admin interface what it shows and does.
+
+use tc_platform::StoreError;
+use tc_protocol::{Explanation, RequestId, UpstreamId};
+use tc_telemetry::MetricsHandle;
+
+use super::{
+    control::Running,
+    report::{self, InstancePart},
+};
+use crate::admin::{
+    AdminPorts, DrainError, DrainTarget, StatusReport, UpstreamReport, WorkspaceReport,
+};
+
+pub(super) fn ports(running: &Running, metrics: MetricsHandle) -> AdminPorts {
+    let for_status = running.clone();
+    let for_upstreams = running.clone();
+    let for_workspaces = running.clone();
+    let for_explain = running.clone();
+    let for_drain = running.clone();
+    let for_metrics = running.clone();
+    AdminPorts {
+        status: Box::new(move |()| {
+            let running = for_status.clone();
+            Box::pin(async move { status(&running).await })
+        }),
+        upstreams: Box::new(move |()| {
+            let running = for_upstreams.clone();
+            Box::pin(async move { upstreams(&running) })
+        }),
+        workspaces: Box::new(move |()| {
+            let running = for_workspaces.clone();
+            Box::pin(async move { workspaces(&running).await })
+        }),
+        explain: Box::new(move |request| {
+            let running = for_explain.clone();
+            Box::pin(async move { explain(&running, &request).await })
+        }),
+        drain: Box::new(move |(target, begin)| {
+            let running = for_drain.clone();
+            Box::pin(async move { drain(&running, target, begin).await })
+        }),
+        metrics: Box::new(move || {
+            for (purpose, calls) in for_metrics.store.calls() {
+                metrics::counter!("tc_platform_calls", "purpose" => purpose).absolute(calls);
+            }
+            metrics.render()
+        }),
+    }
+}
+
+async fn status(running: &Running) -> StatusReport {
+    let view = running.fleet.view();
+    let parts = report::all_parts(running).await;
+    let (_, lowest_revision, newest_revision) = running.fleet.revisions().await;
+    let instances = view
+        .members
+        .iter()
+        .map(|member| report::instance(member, parts.get(&member.id).and_then(Option::as_ref)))
+        .collect();
+    StatusReport { instances, lowest_revision, newest_revision }
+}
+
+fn upstreams(running: &Running) -> Vec<UpstreamReport> {
+    let view = running.fleet.view();
+    view.upstreams
+        .iter()
+        .flat_map(|(service, states)| states.iter().map(move |state| (service, state)))
+        .map(|(service, state)| UpstreamReport {
+            id: state.upstream.id.clone(),
+            service: service.clone(),
+            address: state.upstream.address,
+            domain: state.upstream.failure_domain.clone(),
+            home: state.home.clone(),
+            leaving: state.leaving,
+            drained: running.fleet.is_drained(&state.upstream.id),
+            summary: running.fleet.summary(&state.upstream.id).map(|(summary, _)| summary),
+        })
+        .collect()
+}
+
+async fn workspaces(running: &Running) -> Vec<WorkspaceReport> {
+    let view = running.fleet.view();
+    let parts = report::all_parts(running).await;
+    let all: Vec<&InstancePart> = parts.values().flatten().collect();
+    view.config
+        .workspaces
+        .iter()
+        .map(|(name, workspace)| {
+            let of_it = all
+                .iter()
+                .flat_map(|part| &part.workspaces)
+                .filter(|part| part.workspace == *name);
+            report::workspace(name, workspace.weight, of_it)
+        })
+        .collect()
+}
+
+async fn explain(running: &Running, request: &RequestId) -> Option<Explanation> {
+    if let Some(explanation) = running.caller.explain(request) {
+        return Some(explanation);
+    }
+    let json = running.fleet.explain(request).await?;
+    serde_json::from_str(&json).ok()
+}
+
+async fn drain(running: &Running, target: DrainTarget, begin: bool) -> Result<(), DrainError> {
+    match target {
+        DrainTarget::Upstream(id) => drain_upstream(running, &id, begin).await,
+        DrainTarget::Instance(id) => {
+            let view = running.fleet.view();
+            if view.member(&id).is_none() {
+                return Err(DrainError::NotFound);
+            }
+            running.fleet.drain_instance(&id, begin).await.map_err(DrainError::Unavailable)
+        }
+    }
+}
+
+async fn drain_upstream(
+    running: &Running,
+    id: &UpstreamId,
+    begin: bool,
+) -> Result<(), DrainError> {
+    let view = running.fleet.view();
+    let known = view.upstreams.values().flatten().any(|state| state.upstream.id == *id);
+    if !known {
+        return Err(DrainError::NotFound);
+    }
+    let unavailable = |error: StoreError| DrainError::Unavailable(error.to_string());
+    running.fleet.drain_upstream(id, begin).await.map_err(unavailable)
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
-//! The shipped binary.
+//! The shipped binary: a thin shell around `tc_operator`, where the commands live.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tc_operator::run()
+}
