--- a/crates/tc-stand-ins/src/engine/completion.rs
+++ b/crates/tc-stand-ins/src/engine/completion.rs
@@ -20,7 +20,7 @@
     output::{crashes, engine_output},
     recorder::{CallGuard, Ending},
     sync::lock,
-    upstream::{Call, EVENT_STREAM, Identity, SlotGuard, echoed, text},
+    upstream::{Call, EVENT_STREAM, Identity, SlotGuard, echoed, header_text},
 };
 
 /// Why a completion ended: it always has as many tokens as were asked for.
@@ -72,7 +72,7 @@
 impl State {
     /// Joins a stream that exists already: resumed after the last event named, or from the start by a repeated call.
     fn join(&self, identity: &Identity, headers: &HeaderMap) -> Option<Response<Body>> {
-        let after = match text(headers, LAST_EVENT_ID) {
+        let after = match header_text(headers, LAST_EVENT_ID) {
             None => None,
             Some(id) => match id.parse::<u64>() {
                 Ok(id) => Some(id),
--- a/crates/tc-stand-ins/src/upstream/identity.rs
+++ b/crates/tc-stand-ins/src/upstream/identity.rs
@@ -27,10 +27,10 @@
 impl Identity {
     pub(crate) fn from_headers(headers: &HeaderMap) -> Self {
         Self {
-            request: text(headers, REQUEST_ID).map(RequestId::from),
-            stage: text(headers, STAGE).map(StageName::from),
+            request: header_text(headers, REQUEST_ID).map(RequestId::from),
+            stage: header_text(headers, STAGE).map(StageName::from),
             attempt: Attempt(
-                text(headers, ATTEMPT)
+                header_text(headers, ATTEMPT)
                     .and_then(|attempt| attempt.parse().ok())
                     .unwrap_or_default(),
             ),
@@ -66,12 +66,12 @@
 
 /// The caller's idempotency key, if any.
 pub(crate) fn idempotency_key(headers: &HeaderMap) -> Option<Arc<str>> {
-    text(headers, IDEMPOTENCY_KEY).map(Arc::from)
+    header_text(headers, IDEMPOTENCY_KEY).map(Arc::from)
 }
 
 /// Urgency from the `priority` header, 0 (most urgent) to 7.
 pub(crate) fn priority(headers: &HeaderMap) -> u8 {
-    text(headers, PRIORITY)
+    header_text(headers, PRIORITY)
         .and_then(|fields| {
             fields
                 .split(',')
@@ -93,6 +93,6 @@
 }
 
 /// A header as text; `None` when absent or not text.
-pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
--- a/crates/tc-stand-ins/src/upstream/mod.rs
+++ b/crates/tc-stand-ins/src/upstream/mod.rs
@@ -9,7 +9,7 @@
 pub use answer_fault::AnswerFault;
 pub(crate) use faults::EVENT_STREAM;
 pub use faults::UpstreamFaults;
-pub(crate) use identity::{Identity, echoed, idempotency_key, priority, text};
+pub(crate) use identity::{Identity, echoed, header_text, idempotency_key, priority};
 pub(crate) use process::Life;
 pub(crate) use slots::{SlotGuard, Slots};
 
--- a/crates/tc-stand-ins/tests/engine_batching.rs
+++ b/crates/tc-stand-ins/tests/engine_batching.rs
@@ -2,29 +2,28 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{Call, Connection, answer, any, load};
 use http::{Method, StatusCode};
 use tc_protocol::wire::{CompletionResponse, Order, OrderRefused};
 use tc_stand_ins::{Ending, Engine, EngineConfig, Recorder, WeightStore};
 
-/// Runs this many completions of 20 tokens at once and returns the mean time each held its slot.
-async fn mean_busy(cfg: EngineConfig, calls: usize) -> Duration {
+/// Lets this many completions of 20 tokens begin together and returns the time until all are answered.
+async fn time_of(cfg: EngineConfig, calls: usize) -> Duration {
     let recorder = Recorder::new();
     let engine = Engine::start(any(), cfg, recorder.clone()).await.unwrap();
     let address = engine.address();
-    let running: Vec<_> = (0..calls)
-        .map(|n| {
-            let call = Call::completion(&format!("r-{n}"), "prompt", 20, false);
-            tokio::spawn(async move { answer(address, &call).await })
-        })
-        .collect();
-    for call in running {
-        call.await.unwrap();
+    engine.faults().set_hang(true);
+    for n in 0..calls {
+        let call = Call::completion(&format!("r-{n}"), "prompt", 20, false);
+        tokio::spawn(async move { answer(address, &call).await });
     }
-    let busy: Duration = recorder.calls().iter().map(|call| call.busy).sum();
-    busy / calls as u32
+    common::until("all came", || recorder.running() == calls).await;
+    let began = Instant::now();
+    engine.faults().set_hang(false);
+    common::until("all are answered", || recorder.running() == 0).await;
+    began.elapsed()
 }
 
 #[tokio::test]
@@ -34,13 +33,12 @@
         batch_slowdown: 1.0,
         ..EngineConfig::new("engine-1", "generate")
     };
-    let alone = mean_busy(cfg.clone(), 1).await;
-    let beside_three = mean_busy(cfg, 4).await;
-    assert!(alone >= Duration::from_millis(19 * 5));
-    assert!(
-        beside_three > alone * 2,
-        "{beside_three:?} against {alone:?}"
-    );
+    let token_times = Duration::from_millis(19 * 5);
+    let alone = time_of(cfg.clone(), 1).await;
+    assert!(alone >= token_times);
+    let beside_three = time_of(cfg, 4).await;
+    assert!(beside_three >= token_times * 3, "{beside_three:?}");
+    assert!(alone < beside_three, "{alone:?} and {beside_three:?}");
 }
 
 #[tokio::test]
--- a/crates/tc-stand-ins/tests/outputs.rs
+++ b/crates/tc-stand-ins/tests/outputs.rs
@@ -2,13 +2,18 @@
 
 mod common;
 
+use bytes::Bytes;
 use common::{Call, answer, any, read_stream, text_of};
-use http::{Method, StatusCode};
+use http::{Method, Request, StatusCode};
+use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use tc_protocol::wire::{CompletionResponse, PoolResponse};
 use tc_stand_ins::{
     Ending, Engine, EngineConfig, Plain, PlainConfig, Pool, PoolConfig, Recorder, StageKind,
     engine_output, expected_pipeline_output, plain_output, pool_output,
 };
+use tokio::net::TcpStream;
 
 #[tokio::test]
 async fn a_pipeline_gives_its_expected_output() {
@@ -84,3 +89,33 @@
     answer(plain.address(), &call).await;
     assert_eq!(recorder.doubled_keys()["k-1"], 2);
 }
+
+/// Symptom: an upstream works for a caller that has gone.
+/// Sequence: two calls share an HTTP/2 connection; one is answered; the other is reset by its caller.
+/// Cause: an attempt that lost against another, on a connection that stays.
+#[tokio::test]
+async fn http_2_calls_are_answered_and_cancelled_one_by_one() {
+    let recorder = Recorder::new();
+    let cfg = PlainConfig::new("plain-1", "records");
+    let plain = Plain::start(any(), cfg, recorder.clone()).await.unwrap();
+    let stream = TcpStream::connect(plain.address()).await.unwrap();
+    let (mut tx, conn) = http2::handshake(TokioExecutor::new(), TokioIo::new(stream))
+        .await
+        .unwrap();
+    tokio::spawn(conn);
+    let call = |path| {
+        let uri = format!("http://{}{path}", plain.address());
+        Request::get(uri).body(Empty::<Bytes>::new()).unwrap()
+    };
+    let resp = tx.send_request(call("/lots/7")).await.unwrap();
+    let body = resp.into_body().collect().await.unwrap().to_bytes();
+    let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    assert_eq!(body, plain_output("/lots/7", b""));
+
+    plain.faults().set_hang(true);
+    let reset = tokio::spawn(tx.send_request(call("/lots/8")));
+    common::until("the call runs", || recorder.running() == 1).await;
+    reset.abort();
+    common::until("it is cancelled", || recorder.running() == 0).await;
+    assert_eq!(recorder.calls()[1].ending, Some(Ending::Cancelled));
+}
