Test the platform client against the stand-in

Sealing no longer seals an empty head: found by the expiry tests, where a tiny limit made it create empty segments. A renewal that fails leaves the lease as it was instead of consuming it.

--- a/crates/tc-platform/src/claims/shard.rs
+++ b/crates/tc-platform/src/claims/shard.rs
@@ -217,16 +217,20 @@
     }
 
     fn must_seal(&self, now: MonoTime) -> bool {
-        let aged = |since: MonoTime| now.since(since) >= self.retention / SEAL_AFTER;
+        self.entries_since.as_ref().is_some_and(|(_, since)| {
+            self.has_enough_to_seal() || now.since(*since) >= self.retention / SEAL_AFTER
+        })
+    }
+
+    fn has_enough_to_seal(&self) -> bool {
         self.head_bytes >= self.limits.seal_bytes
-            || self.entries_since.as_ref().is_some_and(|(_, t)| aged(*t))
     }
 
     /// Whether there is no room for another segment.
     fn is_full(&self, now: MonoTime, head: &Versioned<Head>) -> bool {
         let listed = &head.value.segments;
-        let enough = self.head_bytes >= self.limits.seal_bytes;
-        enough && listed.len() >= self.limits.max_segments && {
+        let is_near = self.has_enough_to_seal() && listed.len() >= self.limits.max_segments;
+        is_near && {
             let expired = self.sealed.expired(listed, now, self.retention);
             listed.len() - expired >= self.limits.max_segments
         }
--- a/crates/tc-platform/src/leases.rs
+++ b/crates/tc-platform/src/leases.rs
@@ -138,14 +138,15 @@
         self.write(expect, Some(self.settings.holder.clone())).await
     }
 
-    /// Makes a held lease last longer; the fencing number stays.
-    pub async fn renew(&mut self, held: Held) -> Result<Held, LeaseError> {
+    /// Makes a held lease last longer; the fencing number stays. After a failure the lease still ends when it would
+    /// have, and may have to be acquired anew.
+    pub async fn renew(&mut self, held: &mut Held) -> Result<(), LeaseError> {
         let fence = held.fence().ok_or(LeaseError::Lapsed)?;
         let expect = Expect::Version(held.version);
-        let renewed = self
-            .write(expect, Some(self.settings.holder.clone()))
-            .await?;
-        Ok(Held { fence, ..renewed })
+        let holder = Some(self.settings.holder.clone());
+        let renewed = self.write(expect, holder).await?;
+        *held = Held { fence, ..renewed };
+        Ok(())
     }
 
     /// Gives the lease up, so that another instance need not wait for its end.
--- a/crates/tc-platform/tests/claim_fuzz/fake_store.rs
+++ b/crates/tc-platform/tests/claim_shard/fake_store.rs
@@ -45,6 +45,10 @@
         Ok(self.objects.get(name).cloned())
     }
 
+    pub(crate) fn names(&self) -> Vec<Arc<str>> {
+        self.objects.keys().cloned().collect()
+    }
+
     /// Writes if the object's version is `base`, where 0 means that it does not exist.
     pub(crate) fn put(
         &mut self,
--- a/crates/tc-platform/tests/claim_fuzz/main.rs
+++ b/crates/tc-platform/tests/claim_shard/fuzz.rs
@@ -3,14 +3,14 @@
 //! A key runs at most once, ever. A recorded outcome is what a resend gets. A key that never ran can be claimed
 //! again, unless the process that claimed it died. No write takes effect after its writer has settled it.
 
-mod fake_store;
-mod world;
-
 use std::time::Duration;
 
 use bolero::TypeGenerator;
-use fake_store::WriteFault;
-use world::World;
+
+use crate::{
+    fake_store::{LateWrite, WriteFault},
+    world::World,
+};
 
 const KEYS: u8 = 12;
 const WRITERS: u32 = 3;
@@ -72,7 +72,7 @@
     }
 }
 
-fn take_late(world: &mut World, which: u8) -> Option<fake_store::LateWrite> {
+fn take_late(world: &mut World, which: u8) -> Option<LateWrite> {
     let late = &mut world.store.late;
     let at = usize::from(which).checked_rem(late.len())?;
     Some(late.remove(at))
--- a/crates/tc-platform/tests/claim_fuzz/world.rs
+++ b/crates/tc-platform/tests/claim_shard/world.rs
@@ -6,14 +6,13 @@
     time::Duration,
 };
 
-use serde_json::Value;
-use tc_platform::{
-    StoreError, Versioned,
-    claim_shard::{KeyDigest, Op, Progress, Recording, Reply, Shard, ShardLimits, Step, Ticket},
-};
-use tc_protocol::{ClaimKey, ClaimVerdict, MonoTime, RecordedOutcome, RunState};
+use tc_platform::claim_shard::{Op, Progress, Recording, Reply, Shard, ShardLimits, Step, Ticket};
+use tc_protocol::{ClaimVerdict, MonoTime, RecordedOutcome, RunState};
 
-use crate::fake_store::{FakeStore, HEAD};
+use crate::{
+    fake_store::FakeStore,
+    steps::{MAX_STEPS, Outcome, carry_out, digest, feed},
+};
 
 pub(crate) const RETENTION: Duration = Duration::from_hours(1);
 /// Small, so that a few claims fill a head and are sealed.
@@ -23,15 +22,6 @@
     max_batch: 4,
     max_segments: 500,
 };
-/// Steps after which a shard without faults must be idle.
-const MAX_STEPS: usize = 2_000;
-
-/// The result of a step that the store has carried out and the writer has not seen yet.
-enum Outcome {
-    Read(Result<Option<Versioned<Value>>, StoreError>),
-    Written(Result<u64, StoreError>),
-    Deleted(bool),
-}
 
 /// A claim that was asked for.
 struct Call {
@@ -192,26 +182,12 @@
             // An answer nobody waited for may just have led to a release.
             return self.writers[at].shard.waiting() > 0;
         }
-        let outcome = self.carry_out(at, &step);
+        let life = self.writers[at].life;
+        let outcome = carry_out(&mut self.store, life, &step);
         self.writers[at].in_flight = Some((step, outcome));
         true
     }
 
-    fn carry_out(&mut self, at: usize, step: &Step) -> Outcome {
-        let life = self.writers[at].life;
-        match step {
-            Step::ReadHead | Step::Idle => Outcome::Read(self.store.get(HEAD)),
-            Step::ReadSegment(name) => Outcome::Read(self.store.get(name)),
-            Step::CreateSegment(name, value) => {
-                Outcome::Written(self.store.put(life, name, 0, value.clone()))
-            }
-            Step::WriteHead(base, value) => {
-                Outcome::Written(self.store.put(life, &HEAD.into(), *base, value.clone()))
-            }
-            Step::Delete(name) => Outcome::Deleted(self.store.delete(name)),
-        }
-    }
-
     fn take_replies(&mut self, at: usize) {
         for (ticket, reply) in self.writers[at].shard.take_replies() {
             match reply {
@@ -242,6 +218,8 @@
             ClaimVerdict::Recorded(outcome) => {
                 let known = self.oracle.outcomes.get(&key).map(Arc::as_ref);
                 assert_eq!(Some(&outcome), known, "outcome of key {key}");
+                // Whoever was told an outcome must not be told anything else later.
+                self.oracle.confirmed.insert(key, Arc::new(outcome));
             }
             ClaimVerdict::OtherBody => {
                 let bodies = &self.oracle.bodies[&key];
@@ -327,27 +305,3 @@
         self.next_id
     }
 }
-
-fn feed(shard: &mut Shard, now: MonoTime, step: &Step, outcome: Outcome) -> Progress {
-    match (step, outcome) {
-        (Step::ReadHead, Outcome::Read(found)) => shard.on_head(now, found),
-        (Step::ReadSegment(name), Outcome::Read(found)) => shard.on_segment(now, name, found),
-        (Step::CreateSegment(name, _), Outcome::Written(done)) => {
-            shard.on_created(now, name, &done)
-        }
-        (Step::WriteHead(..), Outcome::Written(done)) => shard.on_written(now, done),
-        (Step::Delete(name), Outcome::Deleted(done)) => {
-            shard.on_deleted(name, done);
-            Progress::Made
-        }
-        (step, _) => panic!("no such outcome of {step:?}"),
-    }
-}
-
-fn digest(key: u8) -> KeyDigest {
-    KeyDigest::of(&ClaimKey {
-        workspace: "lintas".into(),
-        target: "pipeline/notice".into(),
-        key: key.to_string(),
-    })
-}
--- /dev/null
+++ b/crates/tc-platform/tests/objects.rs
@@ -0,0 +1,158 @@
+//! The configuration object, leases and quarantine, with lost answers.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::{platform, store};
+use tc_platform::{
+    ApplyResult, Lease, LeaseError, LeaseSettings, Quarantined, Store, StoreError, Versioned,
+    add_quarantined, apply_config, list_quarantined, read_config, remove_quarantined, watch_config,
+};
+use tc_protocol::{Fingerprint, Incarnation, wire::ConfigObject};
+use tc_stand_ins::Platform;
+
+const LONG: Duration = Duration::from_mins(1);
+const SHORT: Duration = Duration::from_millis(100);
+
+fn config(revision: u64, apply_id: &str) -> ConfigObject {
+    ConfigObject {
+        revision,
+        files: BTreeMap::new(),
+        applied_by: "noc".into(),
+        apply_id: apply_id.into(),
+        applied_at_ms: 0,
+    }
+}
+
+async fn read(store: &Store) -> Option<Versioned<ConfigObject>> {
+    read_config(store, tc_platform::Purpose::Config)
+        .await
+        .unwrap()
+}
+
+#[tokio::test]
+async fn of_two_operators_the_first_is_applied_and_the_second_told() {
+    let platform = platform().await;
+    let store = store(&platform);
+    assert_eq!(read(&store).await, None);
+    let wait = Duration::from_secs(10);
+    let (seen, first) = tokio::join!(
+        watch_config(&store, 0, wait),
+        apply_config(&store, None, config(1, "a"))
+    );
+    let base = read(&store).await;
+    assert_eq!(seen, Ok(base.clone()));
+    let version = base.as_ref().unwrap().version;
+    assert_eq!(first, ApplyResult::Applied { version });
+    let second = apply_config(&store, None, config(1, "b")).await;
+    assert_eq!(second, ApplyResult::Conflict(base.clone()));
+    let skipped = apply_config(&store, base, config(3, "c")).await;
+    assert_eq!(skipped, ApplyResult::NotApplied(StoreError::Malformed));
+}
+
+/// Symptom: an apply that is in force is reported as failed and applied again.
+/// Sequence: the answer to the write is lost, before or after it took effect.
+/// Cause: only the apply's identifier in the object tells whose write it was.
+#[tokio::test]
+async fn a_lost_answer_to_an_apply_is_read_back() {
+    type Break = fn(&Platform);
+    let table: [(Break, bool); 3] = [
+        (|p| p.faults().lose_answers(1), true),
+        (|p| p.faults().lose_requests(1), true),
+        (|p| p.faults().lose_requests(9), false),
+    ];
+    for (break_it, is_applied) in table {
+        let platform = platform().await;
+        let store = store(&platform);
+        break_it(&platform);
+        let result = apply_config(&store, None, config(1, "a")).await;
+        assert_eq!(matches!(result, ApplyResult::Applied { .. }), is_applied);
+        assert_eq!(result == ApplyResult::Unknown, !is_applied);
+    }
+}
+
+fn lease(platform: &Platform, holder: &str, incarnation: u64, ttl: Duration) -> Lease {
+    let settings = LeaseSettings {
+        holder: holder.into(),
+        incarnation: Incarnation(incarnation),
+        ttl,
+    };
+    Lease::new(store(platform), "engines".into(), settings)
+}
+
+#[tokio::test]
+async fn a_lease_is_held_by_one_renewed_and_released() {
+    let platform = platform().await;
+    let (mut a, mut b) = (
+        lease(&platform, "a", 1, LONG),
+        lease(&platform, "b", 1, LONG),
+    );
+    let mut held = a.acquire().await.unwrap();
+    let fence = held.fence().unwrap();
+    assert_eq!(b.acquire().await.unwrap_err(), LeaseError::HeldByOther);
+    let until = held.until();
+    a.renew(&mut held).await.unwrap();
+    assert!(held.until() > until);
+    assert_eq!(held.fence(), Some(fence));
+    a.release(held).await.unwrap();
+    assert!(b.acquire().await.unwrap().fence().unwrap() > fence);
+}
+
+/// Symptom: two instances give orders to the same upstreams.
+/// Sequence: the holder is paused until its lease is over, another takes it, the first wakes up.
+/// Cause: a holder that does not look at its clock before acting believes it still holds the lease.
+#[tokio::test]
+async fn a_lapsed_lease_gives_no_fence_and_cannot_be_renewed() {
+    let platform = platform().await;
+    let mut a = lease(&platform, "a", 1, SHORT);
+    // A new life of the same instance is another holder: the old one may only be paused.
+    let mut b = lease(&platform, "a", 2, LONG);
+    let mut held = a.acquire().await.unwrap();
+    let old = held.fence_at(held.until());
+    assert_eq!(old, None);
+    assert_eq!(b.acquire().await.unwrap_err(), LeaseError::HeldByOther);
+    tokio::time::sleep(SHORT.mul_f64(1.2)).await;
+    assert_eq!(held.fence(), None);
+    let taken = b.acquire().await.unwrap();
+    assert!(taken.fence().is_some());
+    assert_eq!(a.renew(&mut held).await, Err(LeaseError::Lapsed));
+    assert_eq!(a.release(held).await, Err(LeaseError::HeldByOther));
+}
+
+#[tokio::test]
+async fn a_lost_answer_to_a_lease_is_read_back_or_unknown() {
+    let platform = platform().await;
+    let mut a = lease(&platform, "a", 1, LONG);
+    platform.faults().lose_answers(1);
+    let held = a.acquire().await.unwrap();
+    let version = platform
+        .object(tc_platform::LEASE_KIND, "engines")
+        .unwrap()
+        .0;
+    assert_eq!(held.fence(), Some(version));
+    platform.faults().lose_requests(9);
+    let mut held = held;
+    assert_eq!(a.renew(&mut held).await, Err(LeaseError::Unknown));
+    platform.faults().lose_requests(0);
+    assert!(a.acquire().await.unwrap().fence() > Some(version));
+}
+
+#[tokio::test]
+async fn quarantine_is_added_listed_and_removed_once() {
+    let platform = platform().await;
+    let store = store(&platform);
+    let entry = Quarantined {
+        fingerprint: Fingerprint(7),
+        workspace: "trinacria".into(),
+        service: "generate".into(),
+        crashes: 2,
+        added_at_ms: 1,
+    };
+    platform.faults().lose_answers(1);
+    add_quarantined(&store, &entry).await.unwrap();
+    add_quarantined(&store, &entry).await.unwrap();
+    assert_eq!(list_quarantined(&store).await.unwrap(), [entry]);
+    assert_eq!(remove_quarantined(&store, Fingerprint(7)).await, Ok(true));
+    assert_eq!(remove_quarantined(&store, Fingerprint(7)).await, Ok(false));
+}
