--- /dev/null
+++ b/crates/tc-telemetry/src/recorder.rs
@@ -0,0 +1,75 @@
+//! Metrics in the Prometheus text format, rendered on demand.
+
+use std::{
+    sync::{Arc, Weak},
+    thread,
+    time::Duration,
+};
+
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+
+use crate::{error::TelemetryError, metric_table::describe_all};
+
+/// How often samples of histograms are folded into their buckets.
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+/// Histograms whose name ends so are in milliseconds.
+const MILLISECONDS_SUFFIX: &str = "_ms";
+/// Upper bounds of their buckets: from a control message to the longest pipeline.
+const MILLISECOND_BUCKETS: [f64; 17] = [
+    0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0,
+    5_000.0, 20_000.0,
+];
+
+/// Renders the metrics of this process. Cheap to clone.
+#[derive(Clone)]
+pub struct MetricsHandle {
+    prometheus: Arc<PrometheusHandle>,
+}
+
+impl MetricsHandle {
+    /// All metrics in the Prometheus text format.
+    #[must_use]
+    pub fn render(&self) -> String {
+        self.prometheus.run_upkeep();
+        self.prometheus.render()
+    }
+}
+
+/// Records what the `metrics` macros report from now on. Fails when a recorder is set already.
+pub fn init_metrics() -> Result<MetricsHandle, TelemetryError> {
+    let recorder = PrometheusBuilder::new()
+        .set_buckets_for_metric(
+            Matcher::Suffix(MILLISECONDS_SUFFIX.to_owned()),
+            &MILLISECOND_BUCKETS,
+        )
+        .map_err(|e| TelemetryError::Metrics {
+            problem: e.to_string(),
+        })?
+        .build_recorder();
+    let prometheus = Arc::new(recorder.handle());
+    metrics::set_global_recorder(recorder).map_err(|e| TelemetryError::Twice {
+        what: "metrics",
+        problem: e.to_string(),
+    })?;
+    describe_all();
+    start_upkeep(Arc::downgrade(&prometheus))?;
+    Ok(MetricsHandle { prometheus })
+}
+
+/// Samples of histograms are kept one by one until they are folded. Without this thread a process that nobody asks
+/// for its metrics grows by every call, noticed as memory that rises with traffic and falls at each scrape.
+fn start_upkeep(prometheus: Weak<PrometheusHandle>) -> Result<(), TelemetryError> {
+    thread::Builder::new()
+        .name("metrics-upkeep".to_owned())
+        .spawn(move || {
+            while let Some(prometheus) = prometheus.upgrade() {
+                prometheus.run_upkeep();
+                drop(prometheus);
+                thread::sleep(UPKEEP_EVERY);
+            }
+        })
+        .map(drop)
+        .map_err(|e| TelemetryError::Metrics {
+            problem: e.to_string(),
+        })
+}
--- /dev/null
+++ b/crates/tc-telemetry/tests/logs.rs
@@ -0,0 +1,163 @@
+//! Log lines: one JSON object each, no secrets, bounded volume.
+
+use std::{
+    io::{self, Write},
+    sync::{Arc, Mutex},
+};
+
+use log::{Level, Log, Record};
+use serde_json::{Value, json};
+use tc_protocol::MonoTime;
+use tc_telemetry::{GateVerdict, RateGate, json_logger};
+
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().write(buf)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Lines {
+    fn parse(&self) -> Vec<Value> {
+        let text = String::from_utf8(self.0.lock().unwrap().clone()).unwrap();
+        text.lines()
+            .map(|line| serde_json::from_str(line).expect(line))
+            .collect()
+    }
+}
+
+fn log_all(message: &str, fields: &[(&str, log::kv::Value<'_>)], times: usize) -> Vec<Value> {
+    let lines = Lines::default();
+    let logger = json_logger("info", Box::new(lines.clone())).unwrap();
+    for _ in 0..times {
+        let mut record = Record::builder();
+        record
+            .level(Level::Warn)
+            .target("tc_caller::run")
+            .line(Some(7))
+            .key_values(&fields);
+        logger.log(&record.args(format_args!("{message}")).build());
+    }
+    lines.parse()
+}
+
+#[test]
+fn a_line_is_one_json_object() {
+    let hostile = "two\nlines \"quoted\" \u{1} \u{2028} end";
+    let fields = [
+        ("attempt", 3.into()),
+        ("ms", 1.5.into()),
+        ("ok", true.into()),
+        ("detail", hostile.into()),
+        ("level", "mine".into()),
+    ];
+    let [line] = <[Value; 1]>::try_from(log_all(hostile, &fields, 1)).unwrap();
+    let expected = json!({
+        "ts": line["ts"], "level": "WARN", "target": "tc_caller::run", "message": hostile,
+        "attempt": 3, "ms": 1.5, "ok": true, "detail": hostile, "field_level": "mine",
+    });
+    assert_eq!(line, expected);
+    assert!(line["ts"].as_str().unwrap().ends_with('Z'));
+}
+
+/// Symptom: a caller's token can be read in the log.
+/// Sequence: a header, an URL or a peer's answer is quoted in a message or a field.
+/// Cause: text from outside is logged as it came.
+#[test]
+fn secrets_are_masked() {
+    for text in [
+        "Authorization: Bearer S3CRET",
+        "got bearer S3CRET, then Bearer S3CRET",
+        "GET /x?token=S3CRET&y=1",
+        "{\"token\":\"S3CRET\"}",
+        "authorization: Basic S3CRET",
+        "password=S3CRET;",
+    ] {
+        let fields = [
+            ("detail", text.into()),
+            ("fleet_token", "S3CRET".into()),
+            ("Authorization", "S3CRET".into()),
+        ];
+        let line = log_all(text, &fields, 1).remove(0);
+        assert!(!line.to_string().contains("S3CRET"), "{line}");
+        assert!(line["message"].as_str().unwrap().contains("***"), "{line}");
+    }
+    let line = log_all(
+        "200 tokens, bearer",
+        &[("max_tokens", 64.into()), ("tokens_out", 5.into())],
+        1,
+    )
+    .remove(0);
+    assert_eq!(
+        (&line["message"], &line["max_tokens"]),
+        (&json!("200 tokens, bearer"), &json!(64))
+    );
+}
+
+/// Symptom: under overload the log fills its pipe and traffic waits for it.
+/// Sequence: one place logs 50,000 lines as fast as it can, and one line of a megabyte.
+/// Cause: each refused call logs.
+#[test]
+fn volume_is_bounded() {
+    let started = std::time::Instant::now();
+    let lines = log_all("refused", &[], 50_000);
+    let seconds = started.elapsed().as_secs() as usize + 1;
+    assert!(
+        lines.len() <= 20 * (seconds + 1),
+        "{} lines in {seconds} s",
+        lines.len()
+    );
+    assert!(lines.len() >= 20);
+    let line = log_all(&"é".repeat(500_000), &[], 1).remove(0);
+    assert!(line["message"].as_str().unwrap().len() < 5_000);
+}
+
+#[test]
+fn a_wrong_level_is_refused() {
+    for level in ["loud", "info,tc_caller=loud", "", "tc_caller"] {
+        assert!(json_logger(level, Box::new(io::sink())).is_err(), "{level}");
+    }
+    assert!(json_logger("warn, tc_caller=debug", Box::new(io::sink())).is_ok());
+}
+
+/// Symptom: a place logs more than its share, or suppressed lines are not told.
+/// Sequence: any places log at any times.
+/// Cause: overload. Oracle: no second holds more lines of a place than its share, counted from the first line after
+/// a pause, and written plus suppressed lines are all lines.
+#[test]
+fn the_gate_holds_for_any_sequence() {
+    const SHARE: u64 = 3;
+    bolero::check!()
+        .with_iterations(2_000)
+        .with_type::<Vec<(u8, u16)>>()
+        .for_each(|steps| {
+            let gate = RateGate::new(SHARE as u32);
+            let mut now = 0;
+            let mut written: Vec<Vec<u64>> = vec![Vec::new(); 4];
+            let mut left_out = [0; 4];
+            for (site, pause) in steps {
+                let site = usize::from(site % 4);
+                now += u64::from(*pause % 700);
+                match gate.admit(site as u64 + 1, MonoTime::from_millis(now)) {
+                    GateVerdict::Suppress => left_out[site] += 1,
+                    GateVerdict::Write { suppressed } => {
+                        assert_eq!(suppressed, std::mem::take(&mut left_out[site]));
+                        written[site].push(now);
+                    }
+                }
+            }
+            for times in written {
+                // Two windows may meet within one second, so the share holds twice at most.
+                for (n, time) in times.iter().enumerate() {
+                    let in_second = times[n..].iter().take_while(|t| **t < time + 1_000).count();
+                    assert!(in_second as u64 <= 2 * SHARE);
+                }
+            }
+        });
+}
--- a/crates/tc-upstream/src/meter.rs
+++ b/crates/tc-upstream/src/meter.rs
@@ -26,8 +26,8 @@
         }
         metrics::counter!("tc_upstream_calls_total", "kind" => self.kind, "outcome" => label(outcome))
             .increment(1);
-        metrics::histogram!("tc_upstream_call_seconds", "kind" => self.kind)
-            .record(self.started.elapsed());
+        metrics::histogram!("tc_upstream_call_ms", "kind" => self.kind)
+            .record(self.started.elapsed().as_secs_f64() * 1_000.0);
     }
 }
 
