Wire the binary: serve, planned stop, reports and drains

Cause: the layers exist but nothing runs as a process. What is there: the main thread is the control thread, traffic has its own runtime; SIGTERM leaves the address answers, waits out their max-age while serving, then finishes every request. Drains of upstreams are objects in the platform; drains of instances go between instances, and can be taken back.

--- a/crates/tc-fleet/src/fleet.rs
+++ b/crates/tc-fleet/src/fleet.rs
@@ -26,7 +26,9 @@
 use crate::{
     FleetError, FleetSettings, convert,
     entry::{AskDesk, DeskArgs},
-    generated::{ExplainQuestion, Introduction, ReportQuestion, fleet_server::FleetServer},
+    generated::{
+        ExplainQuestion, Introduction, LeaveOrder, ReportQuestion, fleet_server::FleetServer,
+    },
     gossip::GossipSocket,
     homes::{HomesActor, HomesArgs, HomesMsg},
     loads::read_loads,
@@ -242,6 +244,37 @@
         futures::future::join_all(calls).await
     }
 
+    /// Takes an instance out of the address answers and moves its homes away, or lets it come back.
+    ///
+    /// The error says why it could not be told.
+    pub async fn drain_instance(&self, id: &InstanceId, drained: bool) -> Result<(), String> {
+        let view = self.view();
+        if *id == view.me.id {
+            let message = if drained {
+                NodeMsg::Leave
+            } else {
+                NodeMsg::Stay
+            };
+            let _ = self.inner.node.cast(message);
+            return Ok(());
+        }
+        let Some(member) = view.member(id) else {
+            return Err(format!("instance {id} is not known"));
+        };
+        let peer = self.inner.parts.peers.get(member);
+        let order = timed(LeaveOrder { leave: drained });
+        let answered = peer.client().leave(order).await;
+        answered
+            .map(|_| ())
+            .map_err(|status| peer.failed(&status).to_string())
+    }
+
+    /// Whether an operator drained the upstream, as of the last read of the marks.
+    #[must_use]
+    pub fn is_drained(&self, id: &UpstreamId) -> bool {
+        self.inner.parts.drained.load().contains(id)
+    }
+
     /// Marks an upstream as drained, or takes the mark away, in the platform's store.
     pub async fn drain_upstream(&self, id: &UpstreamId, drained: bool) -> Result<(), StoreError> {
         let store = &self.inner.parts.store;
@@ -300,6 +333,7 @@
         held: Arc::default(),
         limits: Arc::default(),
         suspects,
+        drained: Arc::default(),
         store,
         config_version: Arc::new(AtomicU64::new(0)),
         socket: GossipSocket::new(socket, settings.keys.clone()),
--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -399,6 +399,13 @@
     #[prost(string, tag = "1")]
     pub json: ::prost::alloc::string::String,
 }
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeaveOrder {
+    #[prost(bool, tag = "1")]
+    pub leave: bool,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct LeaveAnswer {}
 /// Generated client implementations.
 pub mod fleet_client {
     #![allow(
@@ -601,6 +608,21 @@
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "PassOrder"));
             self.inner.unary(req, path, codec).await
         }
+        /// Leaves the address answers and hands the homes over, as before a planned stop, or comes back.
+        pub async fn leave(
+            &mut self,
+            request: impl tonic::IntoRequest<super::LeaveOrder>,
+        ) -> std::result::Result<tonic::Response<super::LeaveAnswer>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Fleet/Leave");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Fleet", "Leave"));
+            self.inner.unary(req, path, codec).await
+        }
         /// This instance's own part of a fleet report.
         pub async fn report(
             &mut self,
@@ -671,6 +693,11 @@
             &self,
             request: tonic::Request<super::OrderPass>,
         ) -> std::result::Result<tonic::Response<super::OrderAnswer>, tonic::Status>;
+        /// Leaves the address answers and hands the homes over, as before a planned stop, or comes back.
+        async fn leave(
+            &self,
+            request: tonic::Request<super::LeaveOrder>,
+        ) -> std::result::Result<tonic::Response<super::LeaveAnswer>, tonic::Status>;
         /// This instance's own part of a fleet report.
         async fn report(
             &self,
@@ -1013,6 +1040,43 @@
                     };
                     Box::pin(fut)
                 }
+                "/tanagercroft.fleet.v1.Fleet/Leave" => {
+                    #[allow(non_camel_case_types)]
+                    struct LeaveSvc<T: Fleet>(pub Arc<T>);
+                    impl<T: Fleet> tonic::server::UnaryService<super::LeaveOrder> for LeaveSvc<T> {
+                        type Response = super::LeaveAnswer;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::LeaveOrder>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Fleet>::leave(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = LeaveSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/tanagercroft.fleet.v1.Fleet/Report" => {
                     #[allow(non_camel_case_types)]
                     struct ReportSvc<T: Fleet>(pub Arc<T>);
--- a/crates/tc-fleet/src/node/actor.rs
+++ b/crates/tc-fleet/src/node/actor.rs
@@ -44,6 +44,8 @@
     /// A call to it failed: probe it next.
     Doubt(InstanceId),
     Leave,
+    /// Undoes a leave.
+    Stay,
     /// Tell every live instance of suspects now.
     SpreadSuspects,
     Records(oneshot::Sender<Vec<Record>>),
@@ -134,6 +136,11 @@
                 self.send(outgoing);
                 return true;
             }
+            NodeMsg::Stay => {
+                let outgoing = self.membership.stay(now);
+                self.send(outgoing);
+                return true;
+            }
             NodeMsg::SpreadSuspects => self.spread_suspects(),
             NodeMsg::Records(reply) => {
                 let _ = reply.send(self.membership.records());
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -1,7 +1,7 @@
 //! What the node knows, and how a view is made of it.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
 };
 
@@ -46,6 +46,8 @@
     pub(crate) held: Arc<HeldTable>,
     pub(crate) limits: Arc<LimitDesk>,
     pub(crate) suspects: Arc<SuspectTable>,
+    /// Upstreams drained by operators, as last read.
+    pub(crate) drained: Arc<ArcSwap<BTreeSet<UpstreamId>>>,
     pub(crate) store: Store,
     /// Version of the configuration object last seen at the platform; 0 before the first.
     pub(crate) config_version: VersionCell,
--- a/crates/tc-fleet/src/orders/planner.rs
+++ b/crates/tc-fleet/src/orders/planner.rs
@@ -143,11 +143,14 @@
 
     /// Acquires or renews the lease; returns its fencing number.
     async fn hold(&mut self) -> Result<u64, LeaseError> {
-        let held = match self.held.take() {
-            Some(held) => match self.lease.renew(held).await {
-                Ok(held) => held,
-                Err(_) => self.lease.acquire().await?,
-            },
+        let mut held = self.held.take();
+        if let Some(lease) = &mut held
+            && self.lease.renew(lease).await.is_err()
+        {
+            held = None;
+        }
+        let held = match held {
+            Some(held) => held,
             None => self.lease.acquire().await?,
         };
         let fence = held.fence().ok_or(LeaseError::Lapsed)?;
--- a/crates/tc-fleet/src/server.rs
+++ b/crates/tc-fleet/src/server.rs
@@ -13,9 +13,10 @@
     FleetKeys, convert,
     generated::{
         ConfigDelta, ConfigPull, EntryBatch, ExplainAnswer, ExplainQuestion, GrantedPermit,
-        HomeBatch, Introduction, MemberList, OrderAnswer, OrderPass, PermitAsk, PermitReply,
-        QueuedAsk, RedirectTo, RefusedAsk, ReportAnswer, ReportQuestion, ShareGrants, ShareReport,
-        SuspectAnswer, SuspectReport, fleet_server::Fleet, permit_reply::Verdict,
+        HomeBatch, Introduction, LeaveAnswer, LeaveOrder, MemberList, OrderAnswer, OrderPass,
+        PermitAsk, PermitReply, QueuedAsk, RedirectTo, RefusedAsk, ReportAnswer, ReportQuestion,
+        ShareGrants, ShareReport, SuspectAnswer, SuspectReport, fleet_server::Fleet,
+        permit_reply::Verdict,
     },
     homes::{HomeAnswer, HomeAsk, HomeVerdict, HomesMsg, ReplyTo},
     key::TOKEN_HEADER,
@@ -139,6 +140,16 @@
         Ok(Response::new(self.0.orders.pass(req.into_inner()).await))
     }
 
+    async fn leave(&self, req: Request<LeaveOrder>) -> Result<Response<LeaveAnswer>, Status> {
+        let message = if req.into_inner().leave {
+            NodeMsg::Leave
+        } else {
+            NodeMsg::Stay
+        };
+        let _ = self.0.node.cast(message);
+        Ok(Response::new(LeaveAnswer {}))
+    }
+
     async fn report(
         &self,
         _req: Request<ReportQuestion>,
--- a/crates/tc-fleet/src/store_watch.rs
+++ b/crates/tc-fleet/src/store_watch.rs
@@ -1,6 +1,10 @@
 //! Tasks that read the platform: the configuration object, the instance list and drain marks.
 
-use std::{collections::BTreeSet, sync::atomic::Ordering::Relaxed, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{Arc, atomic::Ordering::Relaxed},
+    time::Duration,
+};
 
 use ractor::ActorRef;
 use tc_platform::{Purpose, StoreError};
@@ -61,6 +65,7 @@
             return;
         }
         if let Ok(drained) = read_drained(&parts).await {
+            parts.drained.store(Arc::new(drained.clone()));
             let _ = node.cast(NodeMsg::Drained(drained));
         }
         let members = parts.view.load().members.len() as u32;
--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
-use rand::{SeedableRng, rngs::SmallRng, seq::IteratorRandom};
+use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use tc_protocol::{Incarnation, InstanceId, Member, MemberState, MonoTime, wire::InstanceList};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -55,6 +55,7 @@
     pub(super) next_probe: MonoTime,
     pub(super) next_contact: MonoTime,
     pub(super) last_probe: MonoTime,
+    pub(super) neighbour_next: bool,
     pub(super) changed: bool,
     superseded_by: Option<Incarnation>,
     /// Last member whose record filled up a message.
@@ -80,6 +81,7 @@
             next_probe: MonoTime::default(),
             next_contact: MonoTime::default(),
             last_probe: MonoTime::default(),
+            neighbour_next: false,
             changed: true,
             superseded_by: None,
             filled_up_to: None,
@@ -88,9 +90,16 @@
     }
 
     /// Takes up records from an introduction.
+    ///
+    /// Members that are new to this instance are not passed on: whoever told them has done so, and a newcomer that
+    /// repeated the whole list would fill everyone's messages for minutes. A newcomer makes itself known by its probes.
     pub fn learn(&mut self, now: MonoTime, records: &[Record]) {
         for record in records {
+            let is_new = self.table.get(&record.member.id).is_none();
             self.take_up(now, record);
+            if is_new {
+                self.queue.remove(&record.member.id);
+            }
         }
     }
 
@@ -110,7 +119,7 @@
         self.changed = true;
     }
 
-    /// Says that this instance is stopping on purpose. Final for this incarnation.
+    /// Says that this instance is stopping on purpose.
     pub fn leave(&mut self, _now: MonoTime) -> Vec<Outgoing> {
         if self.me.member.state != MemberState::Leaving {
             self.me.member.state = MemberState::Leaving;
@@ -120,6 +129,16 @@
         self.announce(TOLD_OF_LEAVING, None)
     }
 
+    /// Takes a [`Membership::leave`] back.
+    pub fn stay(&mut self, _now: MonoTime) -> Vec<Outgoing> {
+        if self.me.member.state == MemberState::Leaving {
+            self.me.member.state = MemberState::Alive;
+            self.me.refutation += 1;
+            self.changed = true;
+        }
+        self.announce(TOLD_OF_LEAVING, None)
+    }
+
     /// This process was paused: what it did not hear meanwhile says nothing.
     ///
     /// Acting on timers that ran out during the pause would call many instances dead at once, seen as a fleet that
@@ -239,14 +258,13 @@
             return;
         }
         let size = self.size();
-        let newest = self.newest_revision().0;
         let suspicion = self.cfg.suspicion_among(size);
         let id = &claim.member.id;
         match self.table.merge(now, claim, suspicion) {
             Merged::Nothing => {}
             // Whoever made the claim has not heard the accusation, nor perhaps has the accused.
             Merged::Contradicts => self.queue.push(id, Urgency::Background, 1),
-            Merged::Revision if claim.revision > newest => {
+            Merged::Revision if self.is_first_with(claim) => {
                 self.queue.push(id, Urgency::Urgent, size);
             }
             Merged::Revision => self.queue.push(id, Urgency::Background, size),
@@ -265,9 +283,14 @@
         }
     }
 
+    /// Whether no other instance is known to have a revision as new as the claim's.
+    fn is_first_with(&self, claim: &Record) -> bool {
+        let mut others = self.table.live().filter(|(id, _)| **id != claim.member.id);
+        self.me.revision < claim.revision && others.all(|(_, e)| e.record.revision < claim.revision)
+    }
+
     /// Probes a new suspect at once with a chance such that about eight instances do: it may have missed the news.
     fn meet_suspect(&mut self, now: MonoTime, claim: &Record, size: usize) {
-        use rand::RngExt;
         let chance = (PROBERS_OF_SUSPECT / size as f64).min(1.0);
         if claim.member.state == MemberState::Suspect && self.rng.random_bool(chance) {
             self.hurry(now, &claim.member.id);
@@ -296,13 +319,14 @@
     /// Builds a message. `about` is a member whose record goes first, because the receiver has to know it.
     pub(super) fn message(&mut self, kind: Kind, about: Option<&InstanceId>) -> Message {
         let room = self.cfg.max_changes.max(1);
-        let first = about.and_then(|id| Some(self.table.get(id)?.claim_to_refute().clone()));
-        let mut changes: Vec<Record> = first.into_iter().collect();
+        let claim = about.and_then(|id| Some(self.table.get(id)?.claim_to_refute().clone()));
+        let mut changes: Vec<Record> = claim.into_iter().collect();
         let except: Vec<_> = about.into_iter().collect();
         for id in self.queue.take(room - changes.len(), &except) {
             changes.extend(self.table.get(&id).map(|e| e.record.clone()));
         }
-        if changes.len() < room {
+        let is_ack = matches!(kind, Kind::Ack { .. });
+        if changes.len() < room && !is_ack {
             let filler = self.next_filler();
             changes.extend(filler.filter(|f| changes.iter().all(|c| c.member.id != f.member.id)));
         }
--- a/crates/tc-membership/src/membership/table.rs
+++ b/crates/tc-membership/src/membership/table.rs
@@ -88,7 +88,7 @@
     }
 
     /// Members that are not dead.
-    pub(crate) fn live(&self) -> impl Iterator<Item = (&InstanceId, &Entry)> {
+    pub(crate) fn live(&self) -> impl Iterator<Item = (&InstanceId, &Entry)> + Clone {
         self.entries.iter().filter(|(_, e)| !e.record.is_dead())
     }
 
@@ -263,7 +263,12 @@
         if claim.member.incarnation != self.record.member.incarnation {
             self.leaving = false;
         }
-        self.leaving |= claim.member.state == MemberState::Leaving;
+        // Others' suspicion says nothing about what the member itself last said.
+        match claim.member.state {
+            MemberState::Leaving => self.leaving = true,
+            MemberState::Alive => self.leaving = false,
+            MemberState::Suspect | MemberState::Dead => {}
+        }
         self.suspicion = (claim.member.state == MemberState::Suspect).then(|| Suspicion {
             since: now,
             ends: Some(now.after(suspicion)),
--- a/crates/tc-operator/src/commands/mod.rs
+++ b/crates/tc-operator/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod drain;
 mod explain;
+mod serve;
 mod status;
 mod undrain;
 mod upstreams;
@@ -21,6 +22,7 @@
 
 /// The table of commands, in the order the help lists them.
 pub(crate) const ALL: &[Command] = &[
+    serve::COMMAND,
     config::check::COMMAND,
     config::apply::COMMAND,
     config::show::COMMAND,
--- a/crates/tc-operator/src/lib.rs
+++ b/crates/tc-operator/src/lib.rs
@@ -11,6 +11,7 @@
 mod output;
 mod run;
 mod secret;
+mod serve;
 mod settings;
 
 pub use admin::{
--- a/crates/tc-operator/src/serve/admin.rs
+++ b/crates/tc-operator/src/serve/admin.rs
@@ -58,7 +58,11 @@
         .iter()
         .map(|member| report::instance(member, parts.get(&member.id).and_then(Option::as_ref)))
         .collect();
-    StatusReport { instances, lowest_revision, newest_revision }
+    StatusReport {
+        instances,
+        lowest_revision,
+        newest_revision,
+    }
 }
 
 fn upstreams(running: &Running) -> Vec<UpstreamReport> {
@@ -74,7 +78,10 @@
             home: state.home.clone(),
             leaving: state.leaving,
             drained: running.fleet.is_drained(&state.upstream.id),
-            summary: running.fleet.summary(&state.upstream.id).map(|(summary, _)| summary),
+            summary: running
+                .fleet
+                .summary(&state.upstream.id)
+                .map(|(summary, _)| summary),
         })
         .collect()
 }
@@ -112,21 +119,29 @@
             if view.member(&id).is_none() {
                 return Err(DrainError::NotFound);
             }
-            running.fleet.drain_instance(&id, begin).await.map_err(DrainError::Unavailable)
+            running
+                .fleet
+                .drain_instance(&id, begin)
+                .await
+                .map_err(DrainError::Unavailable)
         }
     }
 }
 
-async fn drain_upstream(
-    running: &Running,
-    id: &UpstreamId,
-    begin: bool,
-) -> Result<(), DrainError> {
+async fn drain_upstream(running: &Running, id: &UpstreamId, begin: bool) -> Result<(), DrainError> {
     let view = running.fleet.view();
-    let known = view.upstreams.values().flatten().any(|state| state.upstream.id == *id);
+    let known = view
+        .upstreams
+        .values()
+        .flatten()
+        .any(|state| state.upstream.id == *id);
     if !known {
         return Err(DrainError::NotFound);
     }
     let unavailable = |error: StoreError| DrainError::Unavailable(error.to_string());
-    running.fleet.drain_upstream(id, begin).await.map_err(unavailable)
+    running
+        .fleet
+        .drain_upstream(id, begin)
+        .await
+        .map_err(unavailable)
 }
--- a/crates/tc-operator/src/serve/control.rs
+++ b/crates/tc-operator/src/serve/control.rs
@@ -60,7 +60,12 @@
     let admin_ports = Arc::new(admin::ports(&running, metrics));
     let token = settings.operator_token.clone();
     let admin_stop = CancellationToken::new();
-    tokio::spawn(serve_admin(admin_listener, admin_ports, token, admin_stop.clone()));
+    tokio::spawn(serve_admin(
+        admin_listener,
+        admin_ports,
+        token,
+        admin_stop.clone(),
+    ));
     tokio::spawn(follow_config(running.clone()));
     log::info!(
         instance = me.id.as_str(), incarnation = me.incarnation.0;
@@ -72,11 +77,7 @@
     ended
 }
 
-async fn start(
-    settings: &Settings,
-    me: &Member,
-    traffic: &Handle,
-) -> Result<Running, TcError> {
+async fn start(settings: &Settings, me: &Member, traffic: &Handle) -> Result<Running, TcError> {
     let store = Store::new(StoreSettings {
         address: settings.platform,
         calls_per_s: settings.store_calls_per_s,
@@ -90,9 +91,14 @@
     };
     // A client's connections belong to one runtime, so control and traffic have one each.
     let control_client = UpstreamClient::new(ClientSettings::default());
-    let fleet = Fleet::start(fleet_settings(settings, me, traffic)?, store.clone(), control_client, local)
-        .await
-        .map_err(fleet_error)?;
+    let fleet = Fleet::start(
+        fleet_settings(settings, me, traffic)?,
+        store.clone(),
+        control_client,
+        local,
+    )
+    .await
+    .map_err(fleet_error)?;
     let caller_settings = CallerSettings {
         me: me.id.clone(),
         incarnation: me.incarnation,
@@ -101,8 +107,18 @@
         baseline: settings.baseline,
     };
     let traffic_client = UpstreamClient::new(ClientSettings::default());
-    let caller = CallerServer::new(caller_settings, ports::caller(&fleet, &claims), traffic_client);
-    let layers = Running { fleet, caller, claims, store, started: std::time::Instant::now() };
+    let caller = CallerServer::new(
+        caller_settings,
+        ports::caller(&fleet, &claims),
+        traffic_client,
+    );
+    let layers = Running {
+        fleet,
+        caller,
+        claims,
+        store,
+        started: std::time::Instant::now(),
+    };
     let _ = running.set(layers.clone());
     Ok(layers)
 }
@@ -115,7 +131,9 @@
 }
 
 fn member(settings: &Settings) -> Member {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     Member {
         id: settings.instance_id.clone(),
         incarnation: Incarnation(since_epoch.as_millis() as u64),
@@ -144,12 +162,20 @@
     me: &Member,
     traffic: &Handle,
 ) -> Result<FleetSettings, TcError> {
-    let keys: Vec<&str> = settings.fleet_keys.iter().map(crate::Secret::expose).collect();
+    let keys: Vec<&str> = settings
+        .fleet_keys
+        .iter()
+        .map(crate::Secret::expose)
+        .collect();
     Ok(FleetSettings {
         me: me.clone(),
         seeds: settings.seeds.clone(),
         keys: FleetKeys::new(&keys).map_err(fleet_error)?,
-        policy: if settings.baseline { AskPolicy::Baseline } else { AskPolicy::Home },
+        policy: if settings.baseline {
+            AskPolicy::Baseline
+        } else {
+            AskPolicy::Home
+        },
         membership: tc_membership::MembershipConfig::default(),
         traffic: traffic.clone(),
     })
--- a/crates/tc-operator/src/serve/mod.rs
+++ b/crates/tc-operator/src/serve/mod.rs
@@ -25,8 +25,10 @@
         .enable_all()
         .build()
         .map_err(internal)?;
-    let control =
-        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(internal)?;
+    let control = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(internal)?;
     // The exporter's tasks need a runtime, and must not keep the control thread from deciding.
     let traces = {
         let _entered = traffic.enter();
@@ -42,7 +44,9 @@
 }
 
 fn internal(error: impl ToString) -> TcError {
-    TcError::Internal { problem: error.to_string() }
+    TcError::Internal {
+        problem: error.to_string(),
+    }
 }
 
 fn cannot_listen(address: SocketAddr, problem: impl ToString) -> TcError {
--- a/crates/tc-operator/src/serve/report.rs
+++ b/crates/tc-operator/src/serve/report.rs
@@ -40,7 +40,9 @@
 /// Answers other instances' questions about requests accepted here.
 pub(super) fn explain_here(running: Arc<OnceLock<Running>>) -> Json<RequestId> {
     Box::new(move |request| {
-        let explanation = running.get().and_then(|running| running.caller.explain(&request));
+        let explanation = running
+            .get()
+            .and_then(|running| running.caller.explain(&request));
         Box::pin(async move { serde_json::to_string(&explanation?).ok() })
     })
 }
@@ -65,7 +67,12 @@
         uptime_s: running.started.elapsed().as_secs(),
         homes: homes as u32,
         in_flight: running.caller.in_flight() as u32,
-        workspaces: running.caller.workspace_stats().into_iter().map(workspace_part).collect(),
+        workspaces: running
+            .caller
+            .workspace_stats()
+            .into_iter()
+            .map(workspace_part)
+            .collect(),
     }
 }
 
@@ -101,7 +108,10 @@
         .into_iter()
         .map(|(id, json)| (id, json.and_then(|json| serde_json::from_str(&json).ok())))
         .collect();
-    parts.insert(running.fleet.view().me.id.clone(), Some(part(running).await));
+    parts.insert(
+        running.fleet.view().me.id.clone(),
+        Some(part(running).await),
+    );
     parts
 }
 
@@ -145,7 +155,9 @@
         sum.answered_in_deadline += part.answered_in_deadline;
         sum.p50_ms += part.p50_ms * part.requests as f64;
         sum.p99_ms = sum.p99_ms.max(part.p99_ms);
-        part.cost.iter().for_each(|cost| add_cost(&mut sum.cost_by_stage, cost));
+        part.cost
+            .iter()
+            .for_each(|cost| add_cost(&mut sum.cost_by_stage, cost));
     }
     if sum.requests > 0 {
         sum.p50_ms /= sum.requests as f64;
@@ -155,7 +167,9 @@
 }
 
 fn add_cost(sums: &mut Vec<StageCost>, cost: &StageCost) {
-    let same = sums.iter_mut().find(|s| s.pipeline == cost.pipeline && s.stage == cost.stage);
+    let same = sums
+        .iter_mut()
+        .find(|s| s.pipeline == cost.pipeline && s.stage == cost.stage);
     match same {
         Some(sum) => {
             sum.calls += cost.calls;
--- a/crates/tc-operator/src/serve/stop.rs
+++ b/crates/tc-operator/src/serve/stop.rs
@@ -46,12 +46,18 @@
     let view = running.fleet.view();
     let alone = view.members.len() < 2;
     let max_age = Duration::from_secs(view.config.policy.address_max_age_s);
-    let wait = if alone { Duration::ZERO } else { max_age + SPREAD };
+    let wait = if alone {
+        Duration::ZERO
+    } else {
+        max_age + SPREAD
+    };
     tokio::time::sleep_until((Instant::now() + wait).min(deadline)).await;
 }
 
 fn cut(running: &Running, why: &str) -> TcError {
     let cut = running.caller.in_flight();
     log::error!(cut; "stopped at once because {why}");
-    TcError::Internal { problem: format!("{why}: {cut} requests were cut off") }
+    TcError::Internal {
+        problem: format!("{why}: {cut} requests were cut off"),
+    }
 }
--- a/crates/tc-operator/src/settings/flags.rs
+++ b/crates/tc-operator/src/settings/flags.rs
@@ -86,6 +86,13 @@
     "largest request body (default: 1048576)",
 );
 
+pub(super) const POLICY: Flag = Flag::value(
+    "--policy",
+    "NAME",
+    "TANAGERCROFT_POLICY",
+    "home, or baseline for comparisons: round robin and no admission (default: home)",
+);
+
 /// All flags of `serve`.
 pub(crate) const SERVE_FLAGS: &[Flag] = &[
     INSTANCE_ID,
@@ -102,4 +109,5 @@
     DRAIN_LIMIT,
     STORE_CALLS,
     MAX_BODY,
+    POLICY,
 ];
--- a/crates/tc-operator/src/settings/mod.rs
+++ b/crates/tc-operator/src/settings/mod.rs
@@ -51,6 +51,8 @@
     pub store_calls_per_s: f64,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
+    /// Whether to decide by the baseline policy that experiments compare with.
+    pub baseline: bool,
     /// Keys between instances: the first signs, all verify.
     pub fleet_keys: Vec<Secret>,
     /// What operators authenticate with.
--- a/crates/tc-operator/src/settings/read.rs
+++ b/crates/tc-operator/src/settings/read.rs
@@ -10,7 +10,7 @@
     FLEET_KEY, OPERATOR_TOKEN, SERVE_FLAGS, Settings,
     flags::{
         ADMIN_LISTEN, DRAIN_LIMIT, FAILURE_DOMAIN, FLEET_LISTEN, INSTANCE_ID, LISTEN, LOG,
-        MAX_BODY, OTLP_ENDPOINT, REGION, SEEDS, STORE_CALLS, TRAFFIC_THREADS,
+        MAX_BODY, OTLP_ENDPOINT, POLICY, REGION, SEEDS, STORE_CALLS, TRAFFIC_THREADS,
     },
     missing,
 };
@@ -72,6 +72,7 @@
         )),
         store_calls_per_s: reader.store_calls(),
         max_body_bytes: reader.whole(&MAX_BODY, DEFAULT_MAX_BODY, 1..=MAX_MAX_BODY) as usize,
+        baseline: reader.baseline(),
         fleet_keys: reader.fleet_keys(),
         operator_token: reader.operator_token(),
     };
@@ -298,6 +299,21 @@
         Some(text.to_owned())
     }
 
+    fn baseline(&mut self) -> bool {
+        let Some((text, origin)) = self.arguments.value(&POLICY) else {
+            return false;
+        };
+        match text {
+            "home" => false,
+            "baseline" => true,
+            _ => {
+                let problem = format!("{text:?} is not a policy");
+                self.wrong(origin.name(), problem, "use home or baseline");
+                false
+            }
+        }
+    }
+
     fn fleet_keys(&mut self) -> Vec<Secret> {
         let Some(text) = self.arguments.variable(FLEET_KEY) else {
             let help = format!(
--- /dev/null
+++ b/crates/tc-operator/tests/operator/main.rs
@@ -0,0 +1,10 @@
+//! Tests of the command line and the admin interface by feature.
+
+mod admin;
+mod apply;
+mod examples;
+mod peers;
+mod race;
+mod settings;
+mod usage;
+mod world;
--- /dev/null
+++ b/crates/tc-operator/tests/operator/peers.rs
@@ -0,0 +1,61 @@
+//! Commands against instances that break off or talk nonsense.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener},
+    thread,
+};
+
+use tc_operator::Exit;
+
+use crate::world::World;
+
+/// Listens and answers each connection's first bytes with `answer`, then closes it.
+fn instance_that_answers(answer: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let _ = stream.read(&mut [0; 4096]);
+            let _ = stream.write_all(answer.as_bytes());
+        }
+    });
+    address
+}
+
+const CLOSED: &str = "";
+const GARBAGE: &str = "SSH-2.0-OpenSSH_9.6\r\n";
+const CUT_OFF: &str = "HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n{";
+const HTML: &str = "HTTP/1.1 500 Oops\r\ncontent-length: 6\r\n\r\n<html>";
+const OTHER_JSON: &str = "HTTP/1.1 200 OK\r\ncontent-length: 8\r\n\r\n{\"a\":[]}";
+
+// Symptom: an operator is told that nothing was done, and an upstream is drained all the same.
+// Sequence: the instance carries the order out and dies before its answer.
+// Cause: a broken connection was taken for an unreachable instance.
+#[test]
+fn a_broken_answer_is_never_called_nothing_done() {
+    let world = World::new();
+    let cases = [
+        (CLOSED, Exit::Unreachable, Exit::OutcomeUnknown),
+        (GARBAGE, Exit::Unreachable, Exit::OutcomeUnknown),
+        (CUT_OFF, Exit::Unreachable, Exit::OutcomeUnknown),
+        (HTML, Exit::Failed, Exit::Failed),
+    ];
+    for (answer, read, write) in cases {
+        let address = instance_that_answers(answer);
+        world.expect(read, &format!("status --admin {address}"));
+        world.expect(write, &format!("drain upstream gen-1 --admin {address}"));
+    }
+}
+
+#[test]
+fn an_answer_of_another_shape_is_an_error() {
+    let world = World::new();
+    let address = instance_that_answers(OTHER_JSON);
+    let finished = world.expect(Exit::Unreachable, &format!("status --admin {address}"));
+    assert!(
+        finished.err.contains("cannot be understood"),
+        "{finished:?}"
+    );
+}
--- /dev/null
+++ b/crates/tc-operator/tests/operator/race.rs
@@ -0,0 +1,151 @@
+//! Operators who apply at the same moment.
+
+use std::{sync::Barrier, thread};
+
+use tc_operator::Exit;
+use tc_protocol::wire::{CONFIG_KIND, CONFIG_NAME, ConfigObject};
+
+use crate::world::World;
+
+const APPLIES_EACH: u32 = 50;
+/// Every so many applies also edit the file that both edit.
+const SHARED_EVERY: u32 = 5;
+/// Every so many applies lose an answer of the platform.
+const LOST_EVERY: u32 = 7;
+const OPERATORS: [&str; 2] = ["nadia", "omar"];
+const SHARED: &str = "90-shared.toml";
+
+/// What one operator was told about one apply.
+#[derive(Clone, Debug)]
+struct Told {
+    own: String,
+    shared: Option<String>,
+    exit: Exit,
+}
+
+// Symptom: a change that an operator saw accepted is not in force a few seconds later.
+// Sequence: two operators apply folders of their own at the same moment, again and again; some answers are lost.
+// Cause: a write based on what was read before the other's write, or a merge that takes ignorance for a change.
+#[test]
+fn no_accepted_apply_of_two_racing_operators_is_lost() {
+    let world = World::new();
+    world.platform.faults().set_rate_limits(None);
+    world.write(&format!("fleet/{SHARED}"), "[policy]\nshard_size = 4\n");
+    world.expect(Exit::Done, "config apply fleet --platform 127.0.0.1:9400");
+    let start = Barrier::new(OPERATORS.len());
+    let told: Vec<Vec<Told>> = thread::scope(|scope| {
+        let operators = OPERATORS.map(|name| {
+            let (world, start) = (&world, &start);
+            scope.spawn(move || {
+                start.wait();
+                (1..=APPLIES_EACH)
+                    .map(|i| apply_once(world, name, i))
+                    .collect()
+            })
+        });
+        operators
+            .map(|operator| operator.join().expect("joined"))
+            .into()
+    });
+    let history = world.platform.history(CONFIG_KIND, CONFIG_NAME);
+    let history: Vec<ConfigObject> = history
+        .into_iter()
+        .map(|(_, value)| serde_json::from_value(value).expect("a configuration object"))
+        .collect();
+    for (name, told) in OPERATORS.iter().zip(&told) {
+        judge_own(name, told, &history);
+        judge_shared(told, &history);
+    }
+    judge_revisions(&history);
+    let all: Vec<&Told> = told.iter().flatten().collect();
+    assert_eq!(all.len(), 100);
+    let accepted = all.iter().filter(|t| t.exit == Exit::Done).count();
+    assert!(
+        accepted >= 80,
+        "only applies of the shared file may be refused: {accepted}"
+    );
+}
+
+/// Edits the operator's own file, now and then the shared one too, and applies.
+///
+/// A loser throws the edit of the shared file away and pulls, as the message tells.
+fn apply_once(world: &World, name: &str, i: u32) -> Told {
+    let pulled = format!("{name}-{i}");
+    world.expect(
+        Exit::Done,
+        &format!("config show --platform 127.0.0.1:9400 --files {pulled}"),
+    );
+    let own = format!("[workspaces.lintas.limits]\nconcurrency = {i}\n# {name}\n");
+    world.write(&format!("{pulled}/50-{name}.toml"), &own);
+    let shared = i
+        .is_multiple_of(SHARED_EVERY)
+        .then(|| format!("[policy]\nshard_size = {i}\n# {name}\n"));
+    if let Some(text) = &shared {
+        world.write(&format!("{pulled}/{SHARED}"), text);
+    }
+    if i.is_multiple_of(LOST_EVERY) {
+        world.platform.faults().lose_answers(1);
+    }
+    let line = format!("config apply {pulled} --platform 127.0.0.1:9400 --as {name}");
+    let finished = world.run(&line);
+    let known = match finished.exit {
+        Exit::Done => true,
+        // Only the shared file is changed by both.
+        Exit::Conflict => shared.is_some() && finished.err.contains(SHARED),
+        Exit::OutcomeUnknown => shared.is_some(),
+        _ => false,
+    };
+    assert!(known, "{line}: {finished:?}");
+    let exit = finished.exit;
+    Told { own, shared, exit }
+}
+
+/// Accepted texts of the operator's own file come into force in order, and never an older one after a newer one.
+fn judge_own(name: &str, told: &[Told], history: &[ConfigObject]) {
+    let file = format!("50-{name}.toml");
+    let mut in_force: Vec<&str> = history
+        .iter()
+        .filter_map(|object| object.files.get(&file).map(|file| file.text.as_str()))
+        .collect();
+    in_force.dedup();
+    let written: Vec<&str> = told.iter().map(|t| t.own.as_str()).collect();
+    let mut rest = written.iter();
+    for text in &in_force {
+        assert!(
+            rest.any(|written| written == text),
+            "{file} went back to {text}"
+        );
+    }
+    for told in told {
+        let is_in_force = in_force.contains(&told.own.as_str());
+        match told.exit {
+            Exit::Done => assert!(is_in_force, "accepted and lost: {told:?}"),
+            Exit::Conflict => assert!(!is_in_force, "refused and in force: {told:?}"),
+            _ => {}
+        }
+    }
+}
+
+/// Accepted texts of the shared file were in force, and none came back after another had replaced it.
+fn judge_shared(told: &[Told], history: &[ConfigObject]) {
+    let mut in_force: Vec<&str> = history
+        .iter()
+        .map(|object| object.files[SHARED].text.as_str())
+        .collect();
+    in_force.dedup();
+    for told in told {
+        let Some(text) = &told.shared else { continue };
+        let times = in_force.iter().filter(|t| *t == text).count();
+        match told.exit {
+            Exit::Done => assert_eq!(times, 1, "accepted: {told:?}"),
+            Exit::Conflict => assert_eq!(times, 0, "refused: {told:?}"),
+            _ => assert!(times <= 1, "unknown: {told:?}"),
+        }
+    }
+}
+
+fn judge_revisions(history: &[ConfigObject]) {
+    for pair in history.windows(2) {
+        assert_eq!(pair[1].revision, pair[0].revision + 1);
+    }
+}
