--- a/crates/tc-caller/src/run/attempt.rs
+++ b/crates/tc-caller/src/run/attempt.rs
@@ -5,7 +5,7 @@
 use tc_protocol::{
     Ask, AskRefusal, Attempt, Decision, Outcome, RefusalReason, RunState, UpstreamId,
 };
-use tc_upstream::CallError;
+use tc_upstream::{CallError, CallErrorKind};
 
 use crate::run::{
     context::RequestContext,
@@ -141,6 +141,9 @@
     hold: PermitHold,
     error: &CallError,
 ) {
+    if error.kind == CallErrorKind::WrongIdentity {
+        metrics::counter!("tc_late_results_total").increment(1);
+    }
     let cost = hold.time_cost();
     hold.settle(&CallEnd {
         outcome: error.outcome,
--- a/crates/tc-caller/src/run/dispatch.rs
+++ b/crates/tc-caller/src/run/dispatch.rs
@@ -47,19 +47,22 @@
         F: Fn(CallTarget) -> Fut,
         Fut: Future<Output = Result<T, CallError>>,
     {
+        let mut failed: Option<Lost> = None;
         loop {
             let lost = match self.race(tries, &call).await {
                 Ok(won) => return Ok(won),
                 Err(lost) => lost,
             };
             let Some(delay) = self.retry_after(&lost, tries) else {
-                return Err(self.give_up(&lost));
+                // A refusal for want of another upstream is no news beside the call that failed before it.
+                return Err(self.give_up(failed.as_ref().unwrap_or(&lost)));
             };
             metrics::counter!("tc_retries_total", "service" => self.service()).increment(1);
             self.cx.note(Decision::Retried {
                 stage: self.plan.stage.clone(),
                 after: describe(&lost),
             });
+            failed = matches!(lost, Lost::Call(_)).then_some(lost).or(failed);
             tokio::time::sleep(delay).await;
         }
     }
@@ -81,7 +84,7 @@
         } else {
             let hedge = self.next_try_beside(tries, &first);
             let second = Box::pin(attempt(self.cx, self.plan, self.facts, &hedge, call));
-            let result = self.first_whole(primary, second).await;
+            let result = first_whole(primary, second).await;
             tries.avoid.extend(hedge.sent_to.get().cloned());
             result
         };
@@ -121,33 +124,6 @@
         }
     }
 
-    /// The first whole result of two attempts; the other is cancelled by dropping it.
-    async fn first_whole<T, A, B>(&self, primary: A, hedge: B) -> Result<Won<T>, Lost>
-    where
-        A: Future<Output = Result<Won<T>, Lost>> + Unpin,
-        B: Future<Output = Result<Won<T>, Lost>> + Unpin,
-    {
-        match select(primary, hedge).await {
-            Either::Left((Ok(won), other)) => {
-                self.drop_late(other);
-                Ok(won)
-            }
-            Either::Right((Ok(won), other)) => {
-                self.drop_late(other);
-                Ok(won)
-            }
-            Either::Left((Err(lost), other)) => other.await.map_err(|second| worse(lost, second)),
-            Either::Right((Err(lost), other)) => other.await.map_err(|first| worse(first, lost)),
-        }
-    }
-
-    /// Drops the losing attempt; one that had its result ready as well is counted.
-    fn drop_late<T>(&self, loser: impl Future<Output = Result<Won<T>, Lost>>) {
-        if let Some(Ok(_late)) = loser.now_or_never() {
-            metrics::counter!("tc_late_results_total", "service" => self.service()).increment(1);
-        }
-    }
-
     fn hedge_delay(&self) -> Option<Duration> {
         if !self.plan.idempotent || self.cx.shared.settings.baseline {
             return None;
@@ -236,6 +212,33 @@
     }
 }
 
+/// The first whole result of two attempts; the other is cancelled by dropping it.
+async fn first_whole<T, A, B>(primary: A, hedge: B) -> Result<Won<T>, Lost>
+where
+    A: Future<Output = Result<Won<T>, Lost>> + Unpin,
+    B: Future<Output = Result<Won<T>, Lost>> + Unpin,
+{
+    match select(primary, hedge).await {
+        Either::Left((Ok(won), other)) => {
+            drop_late(other);
+            Ok(won)
+        }
+        Either::Right((Ok(won), other)) => {
+            drop_late(other);
+            Ok(won)
+        }
+        Either::Left((Err(lost), other)) => other.await.map_err(|second| worse(lost, second)),
+        Either::Right((Err(lost), other)) => other.await.map_err(|first| worse(first, lost)),
+    }
+}
+
+/// Drops the losing attempt; one that had its result ready as well is counted.
+fn drop_late<T>(loser: impl Future<Output = Result<Won<T>, Lost>>) {
+    if let Some(Ok(_late)) = loser.now_or_never() {
+        metrics::counter!("tc_late_results_total").increment(1);
+    }
+}
+
 /// Whether another try could end better. Refusals are final, so that the caller hears of them at once; only a home
 /// that could not be reached may have been replaced a moment later.
 fn may_help(lost: &Lost) -> bool {
--- /dev/null
+++ b/crates/tc-caller/tests/attempts.rs
@@ -0,0 +1,132 @@
+//! Hedges and retries.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use support::World;
+use tc_stand_ins::AnswerFault;
+
+/// Calls after which a service's times are known well enough to hedge by.
+const WARM_UP: usize = 30;
+
+async fn warm_up(world: &World) {
+    for n in 0..WARM_UP {
+        let answer = world
+            .client
+            .pipeline("scores", &format!("log {n}"), &[])
+            .await;
+        assert_eq!(answer.status.as_u16(), 200);
+    }
+}
+
+/// Symptom: one slow upstream makes requests miss their deadlines although others are idle.
+/// Sequence: a call goes to an upstream that hangs.
+/// Cause: nothing but the deadline ended the wait.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_straggler_is_hedged_on_another_upstream_and_cancelled() {
+    let world = World::start().await;
+    warm_up(&world).await;
+    world.up.pool("encode-1").faults().set_hang(true);
+    let started = Instant::now();
+    let answer = world.client.pipeline("scores", "slow log", &[]).await;
+    assert_eq!(answer.status.as_u16(), 200, "{}", answer.text());
+    assert!(started.elapsed() < Duration::from_secs(5));
+    let words = world.explained(answer.header("x-request-id"));
+    assert_eq!(
+        words.iter().filter(|w| *w == "hedged").count(),
+        1,
+        "{words:?}"
+    );
+    assert_eq!(answer.json()["stages"][0]["attempts"], 2);
+    support::eventually("the loser is cancelled", || {
+        world.fakes.releases_by_outcome().get("Cancelled") == Some(&1)
+    })
+    .await;
+    let asks = world.fakes.asks.lock().unwrap();
+    let hedge = &asks[asks.len() - 2];
+    assert_eq!(hedge.avoid, ["encode-1".into()]);
+    assert_eq!(hedge.attempt.0, 1);
+}
+
+/// Symptom: a slow service gets twice its load and becomes slower still.
+/// Sequence: every call to it is a straggler.
+/// Cause: hedges without a budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hedges_keep_to_their_budget() {
+    let world = World::start().await;
+    warm_up(&world).await;
+    world.up.pool("encode-1").faults().set_hang(true);
+    let mut hedges = 0;
+    for n in 0..12 {
+        let input = format!("slow log {n}");
+        let headers = [("request-timeout-ms", "300")];
+        let answer = world.client.pipeline("scores", &input, &headers).await;
+        let words = world.explained(answer.header("x-request-id"));
+        hedges += words.iter().filter(|w| *w == "hedged").count();
+    }
+    // The burst of three, and 3 % of about 40 calls.
+    assert!((1..=5).contains(&hedges), "{hedges} hedges");
+}
+
+/// Symptom: an answer is lost although another upstream could have given it.
+/// Sequence: the first upstream's answer is broken in one of several ways.
+/// Cause: no retry.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_failed_idempotent_call_is_retried_elsewhere() {
+    let faults = [
+        AnswerFault::Garbage,
+        AnswerFault::WrongIdentity,
+        AnswerFault::Lost,
+        AnswerFault::CloseMidBody,
+    ];
+    for fault in faults {
+        let world = World::start().await;
+        world.up.pool("encode-1").faults().break_answers(fault, 1);
+        let answer = world.client.pipeline("scores", "log", &[]).await;
+        assert_eq!(answer.status.as_u16(), 200, "{fault:?}: {}", answer.text());
+        assert_eq!(answer.json()["stages"][0]["attempts"], 2, "{fault:?}");
+        let words = world.explained(answer.header("x-request-id"));
+        assert!(
+            words.contains(&"retried".to_owned()),
+            "{fault:?}: {words:?}"
+        );
+    }
+}
+
+/// Symptom: an outage is multiplied by retries.
+/// Sequence: every call to the first upstream fails.
+/// Cause: retries without a budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn retries_keep_to_their_budget() {
+    let world = World::start().await;
+    world.up.pool("encode-1").faults().set_down(true);
+    let mut answered = 0;
+    for n in 0..20 {
+        let answer = world
+            .client
+            .pipeline("scores", &format!("log {n}"), &[])
+            .await;
+        answered += usize::from(answer.status.is_success());
+    }
+    // The burst of three, and a tenth of about 25 calls.
+    assert!(
+        (3..=7).contains(&answered),
+        "{answered} answered by a retry"
+    );
+}
+
+/// Symptom: a result of one request is in another's answer.
+/// Sequence: an upstream sends the answer of an earlier call again, late.
+/// Cause: results taken without a look at whose they are.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_late_copy_of_another_answer_is_never_delivered() {
+    let world = World::start().await;
+    let faults = world.up.pool("encode-1").faults();
+    faults.break_answers(AnswerFault::DuplicateLate, 2);
+    let first = world.client.pipeline("scores", "first", &[]).await;
+    let second = world.client.pipeline("scores", "second", &[]).await;
+    assert_eq!(second.status.as_u16(), 200, "{}", second.text());
+    assert_ne!(first.json()["output"], second.json()["output"]);
+    assert_eq!(second.json()["stages"][0]["attempts"], 2);
+}
--- a/crates/tc-caller/tests/support/mod.rs
+++ b/crates/tc-caller/tests/support/mod.rs
@@ -153,3 +153,19 @@
     }
     panic!("never happened: {what}");
 }
+
+/// Starts a second instance that knows the first, and tells the first of it.
+pub(crate) async fn second_instance(world: &World, id: &str) -> Instance {
+    let config = (*world.fakes.view().config).clone();
+    let fakes = Arc::new(Fakes::new(config.clone()));
+    let other = Instance::start(id, fakes.ports(), false).await;
+    let first = fleet::member(ME, INCARNATION, world.instance.address);
+    let second = fleet::member(id, INCARNATION, other.address);
+    fakes.set_view(fleet::view(
+        second.clone(),
+        std::slice::from_ref(&first),
+        config.clone(),
+    ));
+    world.fakes.set_view(fleet::view(first, &[second], config));
+    other
+}
--- a/crates/tc-caller/tests/support/ports.rs
+++ b/crates/tc-caller/tests/support/ports.rs
@@ -4,7 +4,7 @@
     collections::{BTreeMap, HashMap},
     sync::{
         Arc, Mutex, RwLock,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -40,6 +40,7 @@
     pub(crate) store_down: AtomicBool,
     claims: Mutex<HashMap<ClaimKey, Claim>>,
     pub(crate) shares: AtomicU64,
+    granted: AtomicUsize,
     pub(crate) charged: Mutex<f64>,
     next: AtomicU64,
 }
@@ -59,6 +60,7 @@
             store_down: AtomicBool::new(false),
             claims: Mutex::default(),
             shares: AtomicU64::new(0),
+            granted: AtomicUsize::new(0),
             charged: Mutex::default(),
             next: AtomicU64::new(1),
         }
@@ -138,6 +140,7 @@
             waited: Duration::ZERO,
         };
         let (id, fakes) = (upstream.id.clone(), self.clone());
+        self.granted.fetch_add(1, Ordering::SeqCst);
         Ok(Permit::new(
             grant,
             "first in order".into(),
@@ -210,6 +213,11 @@
     }
 
     /// Permits granted and not released.
+    pub(crate) fn permits_out(&self) -> usize {
+        self.granted.load(Ordering::SeqCst) - self.releases.lock().unwrap().len()
+    }
+
+    /// How many permits were released with each outcome.
     pub(crate) fn releases_by_outcome(&self) -> BTreeMap<String, usize> {
         let mut counts = BTreeMap::new();
         for (_, release) in self.releases.lock().unwrap().iter() {
