--- a/crates/tc-upstream/tests/control_calls.rs
+++ b/crates/tc-upstream/tests/control_calls.rs
@@ -3,7 +3,10 @@
 mod common;
 
 use common::{Expected, Fake, Step, answer, check, client, send};
-use tc_protocol::{Outcome, RunState, wire::Order};
+use tc_protocol::{
+    Outcome, RunState,
+    wire::{LoadReport, Order},
+};
 use tc_upstream::{
     CallErrorKind::{Broken, Failed, Malformed, Rejected, TimedOut},
     OrderError,
@@ -21,10 +24,11 @@
 ];
 
 fn order() -> Order {
+    let models = vec!["drafter@2".into()];
     Order {
         service: "drafting".into(),
         fence: 7,
-        models: vec!["drafter@2".into()],
+        models,
         role: None,
     }
 }
@@ -36,37 +40,27 @@
 async fn order_faults_are_reported_as_they_are() {
     for (name, steps, expected) in FAULTS {
         let fake = Fake::start(move |_, _| steps()).await;
-        let Err(OrderError::Call(error)) = client().order(fake.address, &order()).await else {
-            panic!("{name}: no call error");
-        };
-        check(name, &error, *expected);
+        match client().order(fake.address, &order()).await {
+            Err(OrderError::Call(error)) => check(name, &error, *expected),
+            other => panic!("{name}: {other:?}"),
+        }
     }
 }
 
-/// Symptom: a former lease holder believes its order is in force.
-/// Sequence: the upstream has seen fencing number 9; an order with 7 comes.
-/// Cause: the holder was paused while its lease lapsed.
-#[tokio::test]
-async fn an_order_with_an_old_fencing_number_is_refused() {
-    let fake =
-        Fake::start(|_, _| vec![send(answer("409 Conflict", "", r#"{"highest_fence":9}"#))]).await;
-    let result = client().order(fake.address, &order()).await;
-    assert_eq!(result, Err(OrderError::Refused { highest_fence: 9 }));
-}
-
 /// Symptom: an order counts as acknowledged that the upstream never took.
-/// Sequence: the acknowledgement of the first order is sent twice; a second order is given.
-/// Cause: a faulty upstream or a middlebox that repeats.
+/// Sequence: the acknowledgement of the first order is sent twice; a second order is given, which is refused.
+/// Cause: a faulty upstream or a middlebox that repeats; the second order's lease had lapsed.
 #[tokio::test]
 async fn a_doubled_acknowledgement_is_not_taken_for_the_next_order() {
-    let fake = Fake::start(|n, _| {
-        let status = if n == 0 { "200 OK" } else { "500 Oops" };
-        vec![send(answer(status, "", "").repeat(2))]
+    let fake = Fake::start(|n, _| match n {
+        0 => vec![send(answer("200 OK", "", "").repeat(2))],
+        _ => vec![send(answer("409 Conflict", "", r#"{"highest_fence":9}"#))],
     })
     .await;
     let client = client();
-    client.order(fake.address, &order()).await.unwrap();
-    client.order(fake.address, &order()).await.unwrap_err();
+    assert_eq!(client.order(fake.address, &order()).await, Ok(()));
+    let refused = Err(OrderError::Refused { highest_fence: 9 });
+    assert_eq!(client.order(fake.address, &order()).await, refused);
 }
 
 #[tokio::test]
@@ -74,21 +68,11 @@
     let report = r#"{"incarnation":5,"running":2,"queued":1,"slots":8,"age_ms":40,"leaving":true}"#;
     let fake = Fake::start(move |_, _| vec![send(answer("200 OK", "", report))]).await;
     let client = client();
+    let expected: LoadReport = serde_json::from_str(report).unwrap();
     for _ in 0..3 {
-        let load = client.load(fake.address).await.unwrap();
-        assert_eq!(
-            (
-                load.incarnation.0,
-                load.running,
-                load.queued,
-                load.slots,
-                load.age_ms,
-                load.leaving
-            ),
-            (5, 2, 1, 8, 40, true)
-        );
+        assert_eq!(client.load(fake.address).await, Ok(expected.clone()));
     }
-    assert_eq!(fake.connections(), 1);
+    assert_eq!(fake.counts(), (1, 3));
 }
 
 /// Symptom: a home waits for ever for a load report, and never notices the upstream's state.
--- a/crates/tc-upstream/tests/plain_services.rs
+++ b/crates/tc-upstream/tests/plain_services.rs
@@ -2,9 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
-
-use common::{Expected, Fake, SHORT, Step, answer, check, client, plain, send};
+use common::{Expected, Fake, SHORT, Seen, Step, answer, check, client, nobody, plain, send};
 use http_body_util::BodyExt;
 use tc_protocol::{Outcome, RunState};
 use tc_upstream::{
@@ -44,7 +42,7 @@
     );
     assert_eq!(whole(reply).await.unwrap(), "lot");
 
-    let seen = fake.seen.lock().unwrap()[0].clone();
+    let seen = fake.first_seen();
     assert!(
         seen.head.starts_with("PUT /lots/7?bid=1 HTTP/1.1\r\n"),
         "{}",
@@ -114,13 +112,9 @@
             Err(e) => Err(e),
         };
         check(name, &result.expect_err(name), *expected);
-        assert_eq!(fake.requests(), 1, "{name}: the call was sent again");
+        assert_eq!(fake.counts(), (1, 1), "{name}: the call was sent again");
     }
-    let address = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    let error = client().forward(plain(address, "r-1")).await.unwrap_err();
+    let error = client().forward(plain(nobody(), "r-1")).await.unwrap_err();
     check(
         "refused",
         &error,
@@ -134,23 +128,17 @@
 /// Cause: a faulty service or a middlebox that repeats.
 #[tokio::test]
 async fn a_doubled_answer_reaches_nobody() {
-    let silent =
-        Fake::start(|n, _| vec![send(answer("200 OK", "", &n.to_string()).repeat(2))]).await;
+    let script = |n: usize, _: &Seen| vec![send(answer("200 OK", "", &n.to_string()).repeat(2))];
+    let silent = Fake::start(script).await;
     let client = client();
     for n in 0..3 {
-        let reply = client
-            .forward(plain(silent.address, &format!("r-{n}")))
-            .await
-            .unwrap();
+        let reply = client.forward(plain(silent.address, "r-1")).await.unwrap();
         assert_eq!(whole(reply).await.unwrap(), n.to_string());
     }
-    assert_eq!(silent.connections(), 3);
+    assert_eq!(silent.counts(), (3, 3));
 
-    let echoing = Fake::start(|_, seen| {
-        let echo = seen.echo().replace("r-2", "r-1");
-        vec![send(answer("200 OK", &echo, "first"))]
-    })
-    .await;
+    let late = |_, seen: &Seen| vec![send(seen.answer("200 OK", "first").replace("r-2", "r-1"))];
+    let echoing = Fake::start(late).await;
     let reply = client.forward(plain(echoing.address, "r-1")).await.unwrap();
     assert_eq!(whole(reply).await.unwrap(), "first");
     let error = client
@@ -169,14 +157,8 @@
 /// Cause: the caller left.
 #[tokio::test]
 async fn dropping_the_body_closes_its_connection() {
-    let mut fake = Fake::start(|_, _| {
-        vec![
-            send("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab"),
-            Step::Pause(Duration::from_millis(1)),
-            Step::Hang,
-        ]
-    })
-    .await;
+    let start = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nab";
+    let mut fake = Fake::start(move |_, _| vec![send(start), Step::Hang]).await;
     let mut reply = client().forward(plain(fake.address, "r-1")).await.unwrap();
     assert!(reply.body.frame().await.unwrap().is_ok());
     drop(reply);
--- a/crates/tc-upstream/tests/stand_ins.rs
+++ b/crates/tc-upstream/tests/stand_ins.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
-use common::{Expected, call, check, client};
+use common::{Expected, INPUT, call, check, client, open};
 use http_body_util::BodyExt;
 use tc_protocol::{Outcome, RunState, ServiceKind, wire::Order};
 use tc_stand_ins::{
@@ -16,28 +16,26 @@
     OrderError, StreamItem,
 };
 
-const ANY: std::net::SocketAddr = std::net::SocketAddr::V4(std::net::SocketAddrV4::new(
-    std::net::Ipv4Addr::LOCALHOST,
-    0,
-));
-const INPUT: &str = "probe log";
+fn any() -> SocketAddr {
+    "127.0.0.1:0".parse().unwrap()
+}
 
 async fn engine(id: &str, recorder: &Recorder, checks_orders: bool) -> Engine {
     let mut cfg = EngineConfig::new(id, "drafting");
     cfg.checks_orders = checks_orders;
     cfg.resume_window = Duration::from_secs(5);
-    Engine::start(ANY, cfg, recorder.clone()).await.unwrap()
+    Engine::start(any(), cfg, recorder.clone()).await.unwrap()
 }
 
 #[tokio::test]
 async fn every_kind_answers_its_own_call() {
     let recorder = Recorder::new();
     let (client, engine) = (client(), engine("gen-1", &recorder, false).await);
-    let pool = Pool::start(ANY, PoolConfig::new("pool-1", "rerank"), recorder.clone())
+    let pool = Pool::start(any(), PoolConfig::new("pool-1", "rerank"), recorder.clone())
         .await
         .unwrap();
     let plain = Plain::start(
-        ANY,
+        any(),
         PlainConfig::new("plain-1", "auction"),
         recorder.clone(),
     )
@@ -83,10 +81,7 @@
     engine.faults().break_streams_after(2);
     let (mut text, mut last_id, mut breaks) = (String::new(), 0, 0);
     let usage = 'whole: loop {
-        let mut stream = client
-            .open_stream(call(ServiceKind::Engine, engine.address(), "r-1"), last_id)
-            .await
-            .unwrap();
+        let mut stream = open(&client, engine.address(), last_id).await.unwrap();
         loop {
             match stream.next().await.unwrap() {
                 Ok(StreamItem::Event { id, text: more }) => (last_id, text) = (id, text + &more),
@@ -143,7 +138,7 @@
 async fn stand_in_faults_are_told_truthfully() {
     let (client, recorder) = (client(), Recorder::new());
     let engine = engine("gen-1", &recorder, false).await;
-    let pool = Pool::start(ANY, PoolConfig::new("pool-1", "rerank"), recorder.clone())
+    let pool = Pool::start(any(), PoolConfig::new("pool-1", "rerank"), recorder.clone())
         .await
         .unwrap();
     let both = [
--- a/crates/tc-upstream/tests/streams.rs
+++ b/crates/tc-upstream/tests/streams.rs
@@ -4,11 +4,13 @@
 
 use std::sync::{Arc, Mutex};
 
-use common::{Expected, Fake, LARGEST_BODY, SHORT, Seen, Step, call, check, client, send};
+use common::{
+    Expected, Fake, LARGEST_BODY, SHORT, Seen, Step, call, check, client, nobody, open, send,
+};
 use tc_protocol::{Outcome, RunState, ServiceKind::Engine};
 use tc_upstream::{
     CallError,
-    CallErrorKind::{Broken, Malformed, TimedOut, TooLarge, WrongIdentity},
+    CallErrorKind::{Broken, Connect, Malformed, TimedOut, TooLarge, WrongIdentity},
     EngineStream, StreamItem,
 };
 
@@ -55,12 +57,6 @@
     }
 }
 
-async fn open(fake: &Fake, resume_after: u64) -> Result<EngineStream, CallError> {
-    client()
-        .open_stream(call(Engine, fake.address, "r-1"), resume_after)
-        .await
-}
-
 type Fault = (&'static str, fn(&Seen) -> Vec<Step>, usize, Expected);
 
 #[rustfmt::skip]
@@ -123,10 +119,7 @@
     .await;
     let client = client();
     for _ in 0..3 {
-        let mut stream = client
-            .open_stream(call(Engine, fake.address, "r-1"), 0)
-            .await
-            .unwrap();
+        let mut stream = open(&client, fake.address, 0).await.unwrap();
         let (events, end) = read_all(&mut stream).await;
         assert_eq!(
             events,
@@ -138,13 +131,13 @@
         assert_eq!((usage.prompt_tokens, usage.completion_tokens), (3, 2));
         assert!(stream.next().await.is_none());
     }
-    assert_eq!(fake.connections(), 1);
+    assert_eq!(fake.counts(), (1, 3));
 }
 
 #[tokio::test]
 async fn an_answer_that_is_no_event_stream_is_malformed() {
     let fake = Fake::start(|_, s| vec![send(s.answer("200 OK", "{}"))]).await;
-    let error = open(&fake, 0).await.unwrap_err();
+    let error = open(&client(), fake.address, 0).await.unwrap_err();
     check("JSON", &error, (Malformed, RunState::Ran, Outcome::Failed));
 }
 
@@ -160,33 +153,24 @@
         _ => vec![Step::Close],
     })
     .await;
-    let (events, end) = read_all(&mut open(&fake, 2).await.unwrap()).await;
+    let client = client();
+    let (events, end) = read_all(&mut open(&client, fake.address, 2).await.unwrap()).await;
     assert_eq!(events, [(3, "c".into()), (4, String::new())]);
     assert!(matches!(end, Ok(StreamItem::Done { usage: Some(_) })));
-    assert_eq!(
-        fake.seen.lock().unwrap()[0].header("last-event-id"),
-        Some("2")
-    );
+    assert_eq!(fake.first_seen().header("last-event-id"), Some("2"));
 
-    let (_, end) = read_all(&mut open(&fake, 4).await.unwrap()).await;
+    let (_, end) = read_all(&mut open(&client, fake.address, 4).await.unwrap()).await;
     assert_eq!(end, Ok(StreamItem::Done { usage: None }));
-
-    let (_, end) = read_all(&mut open(&fake, 2).await.unwrap()).await;
+    let (_, end) = read_all(&mut open(&client, fake.address, 2).await.unwrap()).await;
     check(
         "repeat",
         &end.unwrap_err(),
         (Malformed, RunState::Ran, Outcome::Failed),
     );
-
-    let error = open(&fake, 2).await.unwrap_err();
+    let error = open(&client, fake.address, 2).await.unwrap_err();
     check("close", &error, (Broken, RunState::Ran, Outcome::Died));
-    let address = fake.address;
-    drop(fake);
-    let error = client()
-        .open_stream(call(Engine, address, "r-1"), 2)
-        .await
-        .unwrap_err();
-    assert_eq!(error.run_state, RunState::Ran, "{error}");
+    let error = open(&client, nobody(), 2).await.unwrap_err();
+    check("refused", &error, (Connect, RunState::Ran, Outcome::Died));
 }
 
 /// Symptom: an engine goes on generating for a reader that left.
@@ -195,7 +179,7 @@
 #[tokio::test]
 async fn dropping_a_stream_closes_its_connection() {
     let mut fake = Fake::start(|_, s| vec![head(s), chunk(&event(1, "a")), Step::Hang]).await;
-    let mut stream = open(&fake, 0).await.unwrap();
+    let mut stream = open(&client(), fake.address, 0).await.unwrap();
     assert!(matches!(
         stream.next().await,
         Some(Ok(StreamItem::Event { id: 1, .. }))
@@ -206,36 +190,35 @@
 
 const EVENTS: usize = 6;
 
+fn text_of(id: u64) -> String {
+    if id == EVENTS as u64 {
+        String::new()
+    } else {
+        format!("t{id}")
+    }
+}
+
 /// What an engine sends: events in some order, cut into chunks of some sizes.
 fn damaged(order: &[u8], cuts: &[u8]) -> (Vec<u64>, Vec<Step>) {
     let order: Vec<u64> = order
         .iter()
         .map(|n| u64::from(*n) % EVENTS as u64 + 1)
         .collect();
-    let text: String = order
-        .iter()
-        .map(|id| {
-            if *id == EVENTS as u64 {
-                last_event(*id)
-            } else {
-                event(*id, &format!("t{id}"))
-            }
-        })
-        .chain([DONE.to_owned()])
-        .collect();
+    let text = order.iter().map(|id| match *id {
+        id if id == EVENTS as u64 => last_event(id),
+        id => event(id, &text_of(id)),
+    });
+    let text: String = text.chain([DONE.to_owned()]).collect();
     let (mut steps, mut rest) = (Vec::new(), text.as_str());
-    for cut in cuts {
-        let (now, later) = rest.split_at((usize::from(*cut) + 1).min(rest.len()));
-        if !now.is_empty() {
-            steps.push(chunk(now));
-        }
+    let sizes = cuts
+        .iter()
+        .map(|cut| usize::from(*cut) + 1)
+        .chain([text.len()]);
+    for size in sizes {
+        let (now, later) = rest.split_at(size.min(rest.len()));
+        steps.extend((!now.is_empty()).then(|| chunk(now)));
         rest = later;
     }
-    steps.push(send(if rest.is_empty() {
-        String::new()
-    } else {
-        format!("{:x}\r\n{rest}\r\n", rest.len())
-    }));
     steps.push(send("0\r\n\r\n"));
     (order, steps)
 }
@@ -246,20 +229,15 @@
 /// starts with, and the stream is whole only if that is all of it, up to the one with the token counts.
 #[test]
 fn any_order_of_events_delivers_only_the_right_start() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .unwrap();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
     let steps: Arc<Mutex<Vec<Step>>> = Arc::default();
     let script = Arc::clone(&steps);
-    let fake = runtime.block_on(Fake::start(move |_, seen| {
-        let mut all = vec![head(seen)];
-        all.extend(script.lock().unwrap().clone());
-        all
-    }));
+    let script = move |_, seen: &Seen| [vec![head(seen)], script.lock().unwrap().clone()].concat();
+    let fake = runtime.block_on(Fake::start(script));
     let client = client();
-    bolero::check!()
-        .with_iterations(400)
+    let read = async || read_all(&mut open(&client, fake.address, 0).await.unwrap()).await;
+    let check = bolero::check!().with_iterations(400);
+    check
         .with_type::<(bool, Vec<u8>, Vec<u8>)>()
         .for_each(|(in_order, order, cuts)| {
             let sorted: Vec<u8> = (0..order.len().min(EVENTS) as u8).collect();
@@ -270,20 +248,10 @@
                 .zip(1u64..)
                 .take_while(|(id, n)| *id == n)
                 .count();
-            let (events, end) = runtime.block_on(async {
-                let mut stream = client
-                    .open_stream(call(Engine, fake.address, "r-1"), 0)
-                    .await
-                    .unwrap();
-                read_all(&mut stream).await
-            });
+            let (events, end) = runtime.block_on(read());
             let ids: Vec<u64> = events.iter().map(|(id, _)| *id).collect();
             assert_eq!(ids, (1..=right as u64).collect::<Vec<_>>());
-            assert!(
-                events
-                    .iter()
-                    .all(|(id, text)| *id == EVENTS as u64 || *text == format!("t{id}"))
-            );
+            assert!(events.iter().all(|(id, text)| *text == text_of(*id)));
             assert_eq!(end.is_ok(), right == order.len() && right == EVENTS);
         });
 }
--- a/crates/tc-upstream/tests/whole_answers.rs
+++ b/crates/tc-upstream/tests/whole_answers.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{
-    AMPLE, Expected, Fake, LARGEST_BODY, SHORT, Seen, Step, answer, call, check, client, pool_body,
-    send,
+    AMPLE, Expected, Fake, LARGEST_BODY, SHORT, Seen, Step, answer, call, check, client, nobody,
+    run_pool, send,
 };
 use tc_protocol::{Outcome, RunState, ServiceKind};
 use tc_upstream::CallErrorKind::{
@@ -42,7 +42,7 @@
     ("body never ends", |s| vec![send(s.pool_answer("x").replace("content-length: ", "content-length: 1")), Step::Hang], (TimedOut, RunState::Ran, Outcome::TimedOut)),
     ("closes inside body", |s| vec![send(s.pool_answer("x").replace("content-length: ", "content-length: 1")), Step::Close], (Broken, RunState::Ran, Outcome::Died)),
     ("resets inside body", |s| vec![send(s.pool_answer("x").replace("content-length: ", "content-length: 1")), Step::Reset], (Broken, RunState::Ran, Outcome::Died)),
-    ("length too short", |s| { let b = pool_body(s, "x"); vec![send(s.answer("200 OK", &b[..b.len() - 1]) + "}")] }, (Malformed, RunState::Ran, Outcome::Failed)),
+    ("length too short", |s| { let b = s.pool_body("x"); vec![send(s.answer("200 OK", &b[..b.len() - 1]) + "}")] }, (Malformed, RunState::Ran, Outcome::Failed)),
     ("announced body too large", |s| vec![send(s.pool_answer("x").replace("content-length: ", "content-length: 99999"))], (TooLarge, RunState::Ran, Outcome::Failed)),
     ("chunked body too large", |s| vec![send(chunked(s)), send(format!("{:x}\r\n", LARGEST_BODY + 1)), send("y".repeat(LARGEST_BODY + 1)), send("\r\n0\r\n\r\n")], (TooLarge, RunState::Ran, Outcome::Failed)),
     ("bad chunk length", |s| vec![send(chunked(s)), send("zz\r\nab\r\n0\r\n\r\n")], (Malformed, RunState::Ran, Outcome::Failed)),
@@ -50,7 +50,7 @@
     ("other request in header", |s| echo_replaced(s, "x-request-id: r-1", "x-request-id: r-2"), (WrongIdentity, RunState::Unknown, Outcome::Failed)),
     ("other stage in header", |s| echo_replaced(s, "x-stage: rerank", "x-stage: encode"), (WrongIdentity, RunState::Unknown, Outcome::Failed)),
     ("other attempt in header", |s| echo_replaced(s, "x-attempt: 2", "x-attempt: 1"), (WrongIdentity, RunState::Unknown, Outcome::Failed)),
-    ("no identity in header", |s| vec![send(answer("200 OK", "", &pool_body(s, "x")))], (WrongIdentity, RunState::Unknown, Outcome::Failed)),
+    ("no identity in header", |s| vec![send(answer("200 OK", "", &s.pool_body("x")))], (WrongIdentity, RunState::Unknown, Outcome::Failed)),
     ("other request in body", |s| echo_replaced(s, r#""request_id":"r-1""#, r#""request_id":"r-2""#), (WrongIdentity, RunState::Unknown, Outcome::Failed)),
     ("other stage in body", |s| echo_replaced(s, r#""stage":"rerank""#, r#""stage":"encode""#), (WrongIdentity, RunState::Unknown, Outcome::Failed)),
     ("other attempt in body", |s| echo_replaced(s, r#""attempt":2"#, r#""attempt":3"#), (WrongIdentity, RunState::Unknown, Outcome::Failed)),
@@ -80,10 +80,8 @@
 ];
 
 fn chunked(seen: &Seen) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\n{}transfer-encoding: chunked\r\n\r\n",
-        seen.echo()
-    )
+    let echo = seen.echo();
+    format!("HTTP/1.1 200 OK\r\n{echo}transfer-encoding: chunked\r\n\r\n")
 }
 
 fn completion(id: &str, choices: &str) -> String {
@@ -101,7 +99,7 @@
         }
         let error = client().run_stage(call).await.expect_err(name);
         check(name, &error, *expected);
-        assert_eq!(fake.requests(), 1, "{name}: the call was sent again");
+        assert_eq!(fake.counts(), (1, 1), "{name}: the call was sent again");
     }
 }
 
@@ -121,31 +119,20 @@
     run_table(ServiceKind::Engine, ENGINE).await;
 }
 
-/// Symptom: a call that reached nobody is reported as possibly run, so that it is not repeated.
-/// Sequence: nothing listens at the address.
-/// Cause: the upstream's process is gone.
+/// Symptom: a call that reached nobody is reported as possibly run, or is sent although nobody waits any more.
+/// Sequence: nothing listens at the address; or the deadline passes before the call is made.
+/// Cause: the upstream's process is gone; or time went by in queues.
 #[tokio::test]
-async fn refused_connection_is_not_run_and_a_death() {
-    let address = std::net::TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    let error = client()
-        .run_stage(call(ServiceKind::Pool, address, "r-1"))
-        .await
-        .unwrap_err();
+async fn a_call_that_was_never_sent_is_not_run() {
+    let refused = client()
+        .run_stage(call(ServiceKind::Pool, nobody(), "r-1"))
+        .await;
     check(
         "refused",
-        &error,
+        &refused.unwrap_err(),
         (Connect, RunState::NotRun, Outcome::Died),
     );
-}
 
-/// Symptom: a call is sent although nobody waits for its answer any more.
-/// Sequence: the deadline passes before the call is made.
-/// Cause: time went by in queues.
-#[tokio::test]
-async fn a_call_without_time_is_not_sent() {
     let fake = Fake::start(|_, seen| vec![send(seen.pool_answer("x"))]).await;
     let mut late = call(ServiceKind::Pool, fake.address, "r-1");
     late.remaining = std::time::Duration::ZERO;
@@ -155,7 +142,7 @@
         &error,
         (TimedOut, RunState::NotRun, Outcome::TimedOut),
     );
-    assert_eq!(fake.connections(), 0);
+    assert_eq!(fake.counts(), (0, 0));
 }
 
 /// Symptom: an upstream goes on working for a caller that left.
@@ -165,8 +152,11 @@
 async fn dropping_a_call_closes_its_connection() {
     let mut fake = Fake::start(|_, _| vec![Step::Hang]).await;
     let client = client();
-    let pending = client.run_stage(call(ServiceKind::Pool, fake.address, "r-1"));
-    assert!(tokio::time::timeout(SHORT, pending).await.is_err());
+    assert!(
+        tokio::time::timeout(SHORT, run_pool(&client, &fake, "r-1"))
+            .await
+            .is_err()
+    );
     fake.wait_closed(1).await;
 }
 
@@ -191,13 +181,10 @@
 #[tokio::test]
 async fn a_call_carries_its_headers() {
     let fake = Fake::start(|_, seen| vec![send(seen.pool_answer("x"))]).await;
-    let mut call = call(ServiceKind::Pool, fake.address, "r-1");
-    call.idempotency_key = Some("k-1".into());
-    call.traceparent = Some("00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01".into());
-    let reply = client().run_stage(call).await.unwrap();
+    let reply = run_pool(&client(), &fake, "r-1").await.unwrap();
     assert_eq!((reply.output.as_str(), reply.cost.busy_ms), ("x", 1.5));
     assert!(reply.first_byte <= reply.took && reply.took < AMPLE);
-    let seen = fake.seen.lock().unwrap()[0].clone();
+    let seen = fake.first_seen();
     for (name, value) in [
         ("x-request-id", "r-1"),
         ("x-stage", "rerank"),
