--- a/crates/tc-membership/src/membership/config.rs
+++ b/crates/tc-membership/src/membership/config.rs
@@ -32,7 +32,7 @@
             probe_timeout: Duration::from_millis(100),
             suspicion: Duration::from_millis(500),
             indirect: 3,
-            max_changes: 4,
+            max_changes: 3,
             dead_retention: Duration::from_mins(1),
         }
     }
--- a/crates/tc-membership/src/membership/dissemination.rs
+++ b/crates/tc-membership/src/membership/dissemination.rs
@@ -1,6 +1,6 @@
 //! Which news an instance still has to pass on.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use tc_protocol::InstanceId;
 
@@ -21,12 +21,15 @@
     urgency: Urgency,
     sent: u32,
     limit: u32,
+    /// Counts the news taken up; what came last is least likely to be known elsewhere.
+    order: u64,
 }
 
 /// Members whose record is to be passed on.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
     pending: BTreeMap<InstanceId, Pending>,
+    pushed: u64,
 }
 
 impl Queue {
@@ -35,7 +38,7 @@
         let doublings = usize::BITS - members.leading_zeros();
         let limit = match urgency {
             Urgency::Urgent => doublings * SENDS_PER_DOUBLING,
-            Urgency::Background => doublings,
+            Urgency::Background => doublings.div_ceil(2),
         };
         // Background news about a member must not demote urgent news about it that is still on its way.
         let is_urgent = self
@@ -45,25 +48,28 @@
         if is_urgent && urgency == Urgency::Background {
             return;
         }
+        self.pushed += 1;
         let pending = Pending {
             urgency,
             sent: 0,
             limit: limit.max(1),
+            order: self.pushed,
         };
         self.pending.insert(id.clone(), pending);
     }
 
-    /// Takes up to `count` members for one message: urgent before background, then those passed on least often.
+    /// Takes up to `count` members for one message: urgent before background, then those passed on least
+    /// often, then the latest.
     pub(crate) fn take(&mut self, count: usize, except: &[&InstanceId]) -> Vec<InstanceId> {
         let mut ids: Vec<_> = self
             .pending
             .iter()
             .filter(|(id, _)| !except.contains(id))
-            .map(|(id, p)| (p.urgency, p.sent, id.clone()))
+            .map(|(id, p)| (p.urgency, p.sent, Reverse(p.order), id.clone()))
             .collect();
         ids.sort_unstable();
         ids.truncate(count);
-        let ids: Vec<_> = ids.into_iter().map(|(_, _, id)| id).collect();
+        let ids: Vec<_> = ids.into_iter().map(|(.., id)| id).collect();
         for id in &ids {
             self.count_sent(id);
         }
--- a/crates/tc-membership/src/membership/probe.rs
+++ b/crates/tc-membership/src/membership/probe.rs
@@ -29,8 +29,7 @@
 /// Probes under way, and whom to probe next.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Prober {
-    /// Targets of this round, in random order, taken from the end. A round reaches everyone, so no member goes unprobed for long
-    /// by chance.
+    /// Targets of this round, in random order, taken from the end.
     round: Vec<InstanceId>,
     /// Targets to take before the round's.
     urgent: VecDeque<InstanceId>,
@@ -41,8 +40,7 @@
 impl Prober {
     /// Probes `id` next.
     pub(crate) fn hurry(&mut self, id: &InstanceId) {
-        let under_way = self.outstanding.values().any(|o| o.target == *id);
-        if !under_way && !self.urgent.contains(id) {
+        if !self.is_probing(id) && !self.urgent.contains(id) {
             self.urgent.push_back(id.clone());
         }
     }
@@ -51,6 +49,10 @@
         !self.urgent.is_empty()
     }
 
+    pub(crate) fn is_probing(&self, id: &InstanceId) -> bool {
+        self.outstanding.values().any(|o| o.target == *id)
+    }
+
     /// Adds a newcomer at a random place of the current round.
     pub(crate) fn add(&mut self, id: &InstanceId, rng: &mut SmallRng) {
         let place = rng.random_range(0..=self.round.len());
@@ -74,8 +76,7 @@
 
     fn take(&mut self, live: impl Fn(&InstanceId) -> bool) -> Option<InstanceId> {
         while let Some(id) = self.urgent.pop_front().or_else(|| self.round.pop()) {
-            let under_way = self.outstanding.values().any(|o| o.target == id);
-            if live(&id) && !under_way {
+            if live(&id) && !self.is_probing(&id) {
                 return Some(id);
             }
         }
@@ -113,7 +114,7 @@
         }
     }
 
-    /// Ends the probes sent at or before `sent` and returns their targets.
+    /// Ends the probes for which `is_over` holds and returns their targets.
     pub(crate) fn take_failed(
         &mut self,
         is_over: impl Fn(&Outstanding) -> bool,
--- a/crates/tc-membership/src/membership/receive.rs
+++ b/crates/tc-membership/src/membership/receive.rs
@@ -20,7 +20,10 @@
         let mut out = self.answer(now, message);
         if self.me.refutation != refutation {
             // The accusation is on its way to all; so must the refutation be, or it comes too late for some.
-            out.extend(self.announce(self.cfg.indirect, Some(&from.member.id)));
+            if out.is_empty() {
+                out.push(self.send(from.member.fleet_address, Kind::Announcement, None));
+            }
+            out.extend(self.announce(self.cfg.indirect, None));
         }
         out
     }
--- a/crates/tc-membership/src/membership/turn.rs
+++ b/crates/tc-membership/src/membership/turn.rs
@@ -50,10 +50,7 @@
     }
 
     fn probe(&mut self, now: MonoTime) -> Option<Outgoing> {
-        let table = &self.table;
-        let is_live = |id: &InstanceId| table.get(id).is_some_and(|e| !e.record.is_dead());
-        let all = table.live().map(|(id, _)| id);
-        let target = self.prober.next_target(is_live, all, &mut self.rng);
+        let target = self.next_target();
         self.last_probe = now;
         self.next_probe = now.after(self.jittered(self.interval()));
         if self.prober.is_hurried() {
@@ -61,13 +58,41 @@
             self.next_probe = self.next_probe.min(soon);
         }
         let target = target?;
-        let to = self.table.get(&target)?.record.member.fleet_address;
+        let entry = self.table.get(&target)?;
+        let to = entry.record.member.fleet_address;
+        let accused = entry.claim_to_refute().accuses().then_some(&target);
         let nonce = self.prober.start(now, target.clone(), &mut self.rng);
         let kind = Kind::Probe {
             nonce,
             relayed_for: None,
         };
-        Some(self.send(to, kind, Some(&target)))
+        Some(self.send(to, kind, accused))
+    }
+
+    /// Alternates between the next member in order of identifier and one by chance.
+    ///
+    /// Were all chosen by chance, a dead member would now and then go unprobed for several intervals; this way the one
+    /// before it in order probes it within two. Chance is still needed to spread news.
+    fn next_target(&mut self) -> Option<InstanceId> {
+        self.neighbour_next = !self.neighbour_next;
+        if self.neighbour_next && !self.prober.is_hurried() {
+            let neighbour = self.neighbour()?.clone();
+            if !self.prober.is_probing(&neighbour) {
+                return Some(neighbour);
+            }
+        }
+        let table = &self.table;
+        let is_live = |id: &InstanceId| table.get(id).is_some_and(|e| !e.record.is_dead());
+        let all = table.live().map(|(id, _)| id);
+        self.prober.next_target(is_live, all, &mut self.rng)
+    }
+
+    /// The member that is not dead after this one in order of identifier, the first coming after the last.
+    fn neighbour(&self) -> Option<&InstanceId> {
+        let me = &self.me.member.id;
+        let mut live = self.table.live().map(|(id, _)| id);
+        let first = live.clone().next();
+        live.find(|id| *id > me).or(first)
     }
 
     fn jittered(&mut self, wait: Duration) -> Duration {
