--- a/crates/tc-operator/src/apply/attempt.rs
+++ b/crates/tc-operator/src/apply/attempt.rs
@@ -52,8 +52,8 @@
 /// What one round ended in.
 enum Round {
     Accepted(Box<Accepted>),
-    /// Another operator was first; this is in force now.
-    Overtaken(Current),
+    /// Another operator was first.
+    Overtaken,
 }
 
 /// Brings a folder into force on top of `current`, or of whatever other operators bring into force meanwhile.
@@ -66,9 +66,11 @@
     for overtaken in 0..MAX_ATTEMPTS {
         match round(store, apply, current, overtaken).await? {
             Round::Accepted(accepted) => return Ok(*accepted),
-            Round::Overtaken(found) => current = found,
+            Round::Overtaken => {}
         }
         tokio::time::sleep(backoff.next_delay(rand::random())).await;
+        // Read after the pause: what was read before it is stale against an operator who applies in a loop.
+        current = read(store).await?;
     }
     Err(TcError::Conflict {
         problem: format!("other operators were first {MAX_ATTEMPTS} times in a row"),
@@ -100,13 +102,12 @@
     let written = apply_config(store, accepted.current.clone(), new.clone()).await;
     let version = match written {
         ApplyResult::Applied { version } => version,
-        ApplyResult::Conflict(Some(found)) => return Ok(Round::Overtaken(Some(found))),
-        ApplyResult::Conflict(None) => return Ok(Round::Overtaken(read(store).await?)),
+        ApplyResult::Conflict(_) => return Ok(Round::Overtaken),
         ApplyResult::NotApplied(StoreError::TooLarge) => return Err(too_large()),
         ApplyResult::NotApplied(e) => return Err(store_error(&e)),
         ApplyResult::Unknown => match read_back(store, &new, &accepted.reconciled).await? {
             ReadBack::InForce(version) => version,
-            ReadBack::NotInForce(found) => return Ok(Round::Overtaken(found)),
+            ReadBack::NotInForce => return Ok(Round::Overtaken),
         },
     };
     accepted.current = Some(Versioned {
@@ -120,8 +121,8 @@
 enum ReadBack {
     /// What it changed is in force, in an object of this version.
     InForce(u64),
-    /// It never took effect; this did.
-    NotInForce(Current),
+    /// It never took effect.
+    NotInForce,
 }
 
 async fn read_back(
@@ -140,7 +141,7 @@
         &object.value,
     ) {
         Verdict::InForce => Ok(ReadBack::InForce(object.version)),
-        Verdict::NotInForce => Ok(ReadBack::NotInForce(found)),
+        Verdict::NotInForce => Ok(ReadBack::NotInForce),
         Verdict::Unknown => Err(outcome_unknown(new)),
     }
 }
