Wait for the turns of a claim's read and write together

Claims of several writers starved: an instance whose token bucket was empty waited for a token between reading a head and writing it, so the head had mostly changed by then and the write failed. One would see it as a long tail of claims. Now both tokens are taken before the read.

--- a/crates/tc-platform/src/claims/group.rs
+++ b/crates/tc-platform/src/claims/group.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use serde_json::Value;
 use tc_protocol::{ClaimVerdict, MonoTime};
 use tokio::{
     sync::{
@@ -25,7 +26,7 @@
     op::{Op, Recording, Reply, Ticket},
     shard::{Progress, Shard, Step},
 };
-use crate::{Backoff, Purpose, Store, StoreError};
+use crate::{Backoff, Purpose, Store, StoreError, Versioned};
 
 const FIRST_DELAY: Duration = Duration::from_millis(5);
 const LONGEST_DELAY: Duration = Duration::from_secs(1);
@@ -87,6 +88,8 @@
     pub(super) tx: WeakUnboundedSender<Request>,
     pub(super) waiters: HashMap<Ticket, Waiter>,
     pub(super) last_commit: Option<Instant>,
+    /// Calls whose turn was waited for already.
+    pub(super) turns: u32,
 }
 
 impl Committer {
@@ -146,19 +149,16 @@
         let progress = match step {
             Step::Idle => return None,
             Step::ReadHead => {
-                let found = self.get(&self.head_name).await;
+                // The read, and the write that most likely follows.
+                let found = self.get(&self.head_name.clone(), 2).await;
                 self.shard.on_head(MonoTime::now(), found)
             }
             Step::ReadSegment(name) => {
-                let found = self.get(&name).await;
+                let found = self.get(&name, 1).await;
                 self.shard.on_segment(MonoTime::now(), &name, found)
             }
             Step::CreateSegment(name, value) => {
-                let created = self
-                    .shared
-                    .store
-                    .create(Purpose::Claims, CLAIM_KIND, &name, &value)
-                    .await;
+                let created = self.create(&name, &value).await;
                 self.shard.on_created(MonoTime::now(), &name, &created)
             }
             Step::WriteHead(base, value) => self.write_head(base, &value).await,
@@ -172,22 +172,42 @@
         Some(progress)
     }
 
+    /// The client for the next call, after waiting for its turn and those of the calls that will follow it.
+    async fn turn(&mut self, calls: u32) -> Result<Store, StoreError> {
+        if self.turns == 0 {
+            self.shared.store.take_turns(calls).await?;
+            self.turns = calls;
+        }
+        self.turns -= 1;
+        Ok(self.shared.store.with_turns())
+    }
+
     async fn get(
-        &self,
+        &mut self,
         name: &str,
-    ) -> Result<Option<crate::Versioned<serde_json::Value>>, StoreError> {
-        let store = &self.shared.store;
+        turns: u32,
+    ) -> Result<Option<Versioned<Value>>, StoreError> {
+        let store = self.turn(turns).await?;
         store.get(Purpose::Claims, CLAIM_KIND, name).await
     }
 
-    async fn write_head(&mut self, base: u64, value: &serde_json::Value) -> Progress {
-        let store = &self.shared.store;
-        let (kind, name) = (CLAIM_KIND, self.head_name.as_str());
-        let written = if base == 0 {
-            store.create(Purpose::Claims, kind, name, value).await
-        } else {
-            store.update(Purpose::Claims, kind, name, base, value).await
-        };
+    async fn create(&mut self, name: &str, value: &Value) -> Result<u64, StoreError> {
+        let store = self.turn(1).await?;
+        store.create(Purpose::Claims, CLAIM_KIND, name, value).await
+    }
+
+    async fn put_head(&mut self, base: u64, value: &Value) -> Result<u64, StoreError> {
+        if base == 0 {
+            return self.create(&self.head_name.clone(), value).await;
+        }
+        let store = self.turn(1).await?;
+        store
+            .update(Purpose::Claims, CLAIM_KIND, &self.head_name, base, value)
+            .await
+    }
+
+    async fn write_head(&mut self, base: u64, value: &Value) -> Progress {
+        let written = self.put_head(base, value).await;
         let committed = written.is_ok();
         let progress = self.shard.on_written(MonoTime::now(), written);
         if committed {
@@ -200,11 +220,11 @@
         progress
     }
 
-    async fn delete(&self, name: &str) -> Result<(), StoreError> {
-        let store = &self.shared.store;
-        let Some(found) = self.get(name).await? else {
+    async fn delete(&mut self, name: &str) -> Result<(), StoreError> {
+        let Some(found) = self.get(name, 2).await? else {
             return Ok(());
         };
+        let store = self.turn(1).await?;
         store
             .delete(Purpose::Claims, CLAIM_KIND, name, found.version)
             .await
--- a/crates/tc-platform/src/claims/mod.rs
+++ b/crates/tc-platform/src/claims/mod.rs
@@ -269,6 +269,7 @@
                 tx: tx.downgrade(),
                 waiters: HashMap::new(),
                 last_commit: None,
+                turns: 0,
             };
             inner.runtime.spawn(committer.run());
             tx
--- a/crates/tc-platform/src/store/mod.rs
+++ b/crates/tc-platform/src/store/mod.rs
@@ -51,6 +51,8 @@
 #[derive(Clone)]
 pub struct Store {
     inner: Arc<Inner>,
+    /// Whether the turns of all calls made through this clone were waited for already.
+    has_turns: bool,
 }
 
 struct Inner {
@@ -85,6 +87,24 @@
                 reads: Coalescer::default(),
                 settings,
             }),
+            has_turns: false,
+        }
+    }
+
+    /// Waits for the turns of so many calls together, which are then made through [`Store::with_turns`].
+    ///
+    /// A read and the write based on it belong together: with a wait for a turn between them, the object would
+    /// have changed more often than not when others write it too, and the write would fail again and again.
+    pub(crate) async fn take_turns(&self, calls: u32) -> Result<(), StoreError> {
+        let inner = &self.inner;
+        inner.pace.take(calls, inner.settings.timeout).await
+    }
+
+    /// A clone for calls whose turns were taken already.
+    pub(crate) fn with_turns(&self) -> Self {
+        Self {
+            inner: self.inner.clone(),
+            has_turns: true,
         }
     }
 
@@ -260,7 +280,9 @@
             .uri(format!("http://{}{path}", inner.settings.address))
             .body(Full::new(body))
             .map_err(|_| StoreError::Malformed)?;
-        inner.pace.take(inner.settings.timeout).await?;
+        if !self.has_turns {
+            self.take_turns(1).await?;
+        }
         let result = wire::exchange(&inner.client, req, effect, timeout).await;
         inner.tally.note(purpose, result.as_ref().map(|_| ()));
         result
--- a/crates/tc-platform/src/store/pace.rs
+++ b/crates/tc-platform/src/store/pace.rs
@@ -31,21 +31,21 @@
         }
     }
 
-    /// Waits for a token.
+    /// Waits for so many tokens together.
     ///
     /// Fails with [`StoreError::Paced`] at once when the turn would come only after `longest`.
-    pub(crate) async fn take(&self, longest: Duration) -> Result<(), StoreError> {
-        let turn = self.reserve(Instant::now(), longest)?;
+    pub(crate) async fn take(&self, tokens: u32, longest: Duration) -> Result<(), StoreError> {
+        let turn = self.reserve(tokens, Instant::now(), longest)?;
         tokio::time::sleep_until(turn).await;
         Ok(())
     }
 
-    fn reserve(&self, now: Instant, longest: Duration) -> Result<Instant, StoreError> {
+    fn reserve(&self, tokens: u32, now: Instant, longest: Duration) -> Result<Instant, StoreError> {
         let mut until = self
             .reserved_until
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        let reserved = (*until).max(now) + self.interval;
+        let reserved = (*until).max(now) + self.interval * tokens;
         let wait = reserved.duration_since(now).saturating_sub(self.burst);
         if wait > longest {
             return Err(StoreError::Paced);
