--- a/crates/tc-operator/tests/operator/main.rs
+++ b/crates/tc-operator/tests/operator/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod apply;
 mod examples;
+mod lost;
 mod peers;
 mod race;
 mod settings;
