--- a/crates/tc-operator/tests/operator/peers.rs
+++ b/crates/tc-operator/tests/operator/peers.rs
@@ -59,3 +59,18 @@
         "{finished:?}"
     );
 }
+
+#[test]
+fn an_instance_whose_port_is_taken_says_which() {
+    let mut world = World::new();
+    let key = "a-fleet-key-of-the-test".to_owned();
+    world
+        .variables
+        .insert("TANAGERCROFT_FLEET_KEY".to_owned(), key);
+    // The world's admin interface has this port already.
+    let line = "serve --instance-id a --failure-domain d --log off --listen 127.0.0.1:9300 \
+                --fleet-listen 127.0.0.1:1 --admin-listen 127.0.0.1:0 --platform 127.0.0.1:9400";
+    let finished = world.expect(Exit::Failed, line);
+    let says = "cannot listen on 127.0.0.1:9300";
+    assert!(finished.err.contains(says), "{finished:?}");
+}
