Box the errors that end a process

Cause: clippy pedantic refuses Results with an error of 144 bytes; five findings in the serve wiring. An ask whose slack is gone is refused instead of tried at one more home: seen in a test as a grant at a second home while the first was silent.

--- a/crates/tc-fleet/src/entry/ask.rs
+++ b/crates/tc-fleet/src/entry/ask.rs
@@ -102,6 +102,10 @@
         let mut progress = Progress::default();
         loop {
             let left = ask.slack.saturating_sub(MonoTime::now().since(started));
+            // Without slack an ask may still be granted at once, but only where it is asked first.
+            if left.is_zero() && progress.last.is_some() {
+                return Err(no_upstream(&progress));
+            }
             let Some(target) = self.target(&ask, &mut progress) else {
                 if progress.unreachable.is_empty() || left <= REHOME_WAIT {
                     return Err(no_upstream(&progress));
@@ -119,7 +123,7 @@
                 Some(Err(verdict)) => Self::note(&mut progress, &target, verdict),
                 None => self.unreachable(&mut progress, &target),
             }
-            if progress.failures >= HOMES_TRIED || left.is_zero() {
+            if progress.failures >= HOMES_TRIED {
                 return Err(no_upstream(&progress));
             }
         }
--- a/crates/tc-operator/src/serve/control.rs
+++ b/crates/tc-operator/src/serve/control.rs
@@ -44,11 +44,11 @@
     settings: &Settings,
     traffic: Handle,
     metrics: MetricsHandle,
-) -> Result<(), TcError> {
+) -> Result<(), Box<TcError>> {
     let listener = bind(settings.listen)?;
     let admin_listener = TcpListener::bind(settings.admin_listen)
         .await
-        .map_err(|error| cannot_listen(settings.admin_listen, error))?;
+        .map_err(|error| cannot_listen(settings.admin_listen, &error))?;
     let me = member(settings);
     let running = start(settings, &me, &traffic).await?;
     let stop = CancellationToken::new();
@@ -77,7 +77,11 @@
     ended
 }
 
-async fn start(settings: &Settings, me: &Member, traffic: &Handle) -> Result<Running, TcError> {
+async fn start(
+    settings: &Settings,
+    me: &Member,
+    traffic: &Handle,
+) -> Result<Running, Box<TcError>> {
     let store = Store::new(StoreSettings {
         address: settings.platform,
         calls_per_s: settings.store_calls_per_s,
@@ -123,9 +127,9 @@
     Ok(layers)
 }
 
-fn bind(address: std::net::SocketAddr) -> Result<std::net::TcpListener, TcError> {
+fn bind(address: std::net::SocketAddr) -> Result<std::net::TcpListener, Box<TcError>> {
     let listener =
-        std::net::TcpListener::bind(address).map_err(|error| cannot_listen(address, error))?;
+        std::net::TcpListener::bind(address).map_err(|error| cannot_listen(address, &error))?;
     listener.set_nonblocking(true).map_err(internal)?;
     Ok(listener)
 }
@@ -161,7 +165,7 @@
     settings: &Settings,
     me: &Member,
     traffic: &Handle,
-) -> Result<FleetSettings, TcError> {
+) -> Result<FleetSettings, Box<TcError>> {
     let keys: Vec<&str> = settings
         .fleet_keys
         .iter()
@@ -181,9 +185,9 @@
     })
 }
 
-fn fleet_error(error: FleetError) -> TcError {
+fn fleet_error(error: FleetError) -> Box<TcError> {
     match error {
-        FleetError::Listen { address, source } => cannot_listen(address, source),
+        FleetError::Listen { address, source } => cannot_listen(address, &source),
         error => internal(error),
     }
 }
--- a/crates/tc-operator/src/serve/mod.rs
+++ b/crates/tc-operator/src/serve/mod.rs
@@ -16,7 +16,7 @@
 /// Runs one instance until a signal ends it.
 ///
 /// The calling thread becomes the control thread; traffic gets threads of its own.
-pub(crate) fn run(settings: &Settings) -> Result<(), TcError> {
+pub(crate) fn run(settings: &Settings) -> Result<(), Box<TcError>> {
     tc_telemetry::init_logs(settings.log.as_str()).map_err(internal)?;
     let metrics = tc_telemetry::init_metrics().map_err(internal)?;
     let traffic = tokio::runtime::Builder::new_multi_thread()
@@ -43,16 +43,16 @@
     ended
 }
 
-fn internal(error: impl ToString) -> TcError {
-    TcError::Internal {
+fn internal(error: impl std::fmt::Display) -> Box<TcError> {
+    Box::new(TcError::Internal {
         problem: error.to_string(),
-    }
+    })
 }
 
-fn cannot_listen(address: SocketAddr, problem: impl ToString) -> TcError {
-    TcError::Listen {
+fn cannot_listen(address: SocketAddr, problem: &std::io::Error) -> Box<TcError> {
+    Box::new(TcError::Listen {
         address,
         problem: problem.to_string(),
         help: "choose a free address of this machine".to_owned(),
-    }
+    })
 }
--- a/crates/tc-operator/src/serve/stop.rs
+++ b/crates/tc-operator/src/serve/stop.rs
@@ -18,7 +18,7 @@
     limit: Duration,
     stop: CancellationToken,
     mut served: JoinHandle<()>,
-) -> Result<(), TcError> {
+) -> Result<(), Box<TcError>> {
     let mut signals = StopSignals::new().map_err(internal)?;
     signals.next().await;
     let deadline = Instant::now() + limit;
@@ -54,10 +54,10 @@
     tokio::time::sleep_until((Instant::now() + wait).min(deadline)).await;
 }
 
-fn cut(running: &Running, why: &str) -> TcError {
+fn cut(running: &Running, why: &str) -> Box<TcError> {
     let cut = running.caller.in_flight();
     log::error!(cut; "stopped at once because {why}");
-    TcError::Internal {
+    Box::new(TcError::Internal {
         problem: format!("{why}: {cut} requests were cut off"),
-    }
+    })
 }
