Close connections of callers that stop sending or reading

A reader that took nothing more kept a planned stop waiting for ever, and a connection without a whole first request stayed open. Both are bounded now by CallerTimeouts (15 s to the first request, 30 s for a head or for taking the next part of an answer, 10 s for a body); an answer that is not ready yet is never counted against its caller.

--- /dev/null
+++ b/crates/tc-caller/src/connection.rs
@@ -0,0 +1,217 @@
+//! One connection of a caller, and whether it still takes what is sent.
+
+use std::{
+    convert::Infallible,
+    pin::pin,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+};
+
+use http::{Request, Version};
+use hyper::{body::Incoming, service::service_fn};
+use hyper_util::{
+    rt::{TokioExecutor, TokioIo, TokioTimer},
+    server::conn::auto,
+};
+use tc_protocol::MonoTime;
+use tokio::{
+    net::TcpStream,
+    time::{MissedTickBehavior, interval, sleep},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    http::handle,
+    limits::{
+        HTTP1_MAX_HEADERS, HTTP1_MIN_BUF_BYTES, HTTP2_KEEP_ALIVE, HTTP2_MAX_STREAMS, STALL_CHECK,
+    },
+    ports::CallerTimeouts,
+    shared::Shared,
+};
+
+/// Room beyond the allowed header bytes, so that a request somewhat too large gets a problem that says so; one larger
+/// still gets the library's bare 431.
+const HEADER_ROOM: usize = 4;
+
+/// What a connection is told from outside.
+pub(crate) struct Signals {
+    /// First step of a planned stop.
+    pub(crate) closing: CancellationToken,
+    /// Finish what is under way and end.
+    pub(crate) stop: CancellationToken,
+}
+
+/// Serves one connection to its end.
+pub(crate) async fn connection(shared: Arc<Shared>, socket: TcpStream, signals: Signals) {
+    let _ = socket.set_nodelay(true);
+    let timeouts = shared.timeouts;
+    let progress = Arc::new(Progress::new());
+    let builder = builder(shared.settings.max_header_bytes, &timeouts);
+    let service = {
+        let progress = progress.clone();
+        service_fn(move |req: Request<Incoming>| {
+            let taken = progress.request(req.version());
+            let shared = shared.clone();
+            async move { Ok::<_, Infallible>(handle(shared, req, taken).await) }
+        })
+    };
+    let mut served = pin!(builder.serve_connection(TokioIo::new(socket), service));
+    let mut closing = pin!(signals.closing.cancelled());
+    let mut stopping = pin!(signals.stop.cancelled());
+    let mut silence = pin!(sleep(timeouts.first_request));
+    let mut check = interval(STALL_CHECK);
+    check.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let (mut told, mut stopped, mut watched) = (false, false, true);
+    loop {
+        tokio::select! {
+            ended = served.as_mut() => {
+                if let Err(error) = ended {
+                    log::debug!(error = error.to_string().as_str(); "caller connection ended");
+                }
+                return;
+            }
+            () = &mut stopping, if !stopped => {
+                stopped = true;
+                progress.touch();
+                served.as_mut().graceful_shutdown();
+            }
+            // HTTP/1.1 callers are told by a header on their next answer: closing an idle connection here could meet a
+            // request on its way, which its caller would see fail.
+            () = &mut closing, if !told => {
+                told = true;
+                if progress.is_http2() {
+                    served.as_mut().graceful_shutdown();
+                }
+            }
+            // Without this a caller that connects and sends nothing, or part of the first bytes, would hold a
+            // connection for ever, seen as file descriptors running out.
+            () = &mut silence, if watched => {
+                watched = false;
+                if !progress.any_request() {
+                    return;
+                }
+            }
+            _ = check.tick() => {
+                if progress.is_stalled(stopped, &timeouts) {
+                    metrics::counter!("tc_stalled_callers_total").increment(1);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// What a connection has brought so far, and what of its answers its caller has taken.
+///
+/// A caller that stops reading for good would hold its answer's memory, and a planned stop would wait for it for ever,
+/// seen as an instance that does not exit. Its connection is closed once it has taken nothing of what is ready for it
+/// for the time that the settings allow. An answer that is not ready yet is never counted against its caller.
+struct Progress {
+    any_request: AtomicBool,
+    http2: AtomicBool,
+    /// Requests whose answer has not been sent whole.
+    open: AtomicUsize,
+    /// Answers of which a part was handed over for sending and the next was not asked for.
+    offered: AtomicUsize,
+    last: AtomicU64,
+}
+
+impl Progress {
+    fn new() -> Self {
+        Self {
+            any_request: AtomicBool::new(false),
+            http2: AtomicBool::new(false),
+            open: AtomicUsize::new(0),
+            offered: AtomicUsize::new(0),
+            last: AtomicU64::new(MonoTime::now().0),
+        }
+    }
+
+    fn request(self: &Arc<Self>, version: Version) -> Taken {
+        self.any_request.store(true, Ordering::Relaxed);
+        if version == Version::HTTP_2 {
+            self.http2.store(true, Ordering::Relaxed);
+        }
+        self.open.fetch_add(1, Ordering::Relaxed);
+        self.touch();
+        Taken {
+            progress: self.clone(),
+            offered: false,
+        }
+    }
+
+    fn touch(&self) {
+        self.last.store(MonoTime::now().0, Ordering::Relaxed);
+    }
+
+    fn any_request(&self) -> bool {
+        self.any_request.load(Ordering::Relaxed)
+    }
+
+    fn is_http2(&self) -> bool {
+        self.http2.load(Ordering::Relaxed)
+    }
+
+    fn is_stalled(&self, stopped: bool, timeouts: &CallerTimeouts) -> bool {
+        let last = MonoTime(self.last.load(Ordering::Relaxed));
+        let waits_for_caller = self.offered.load(Ordering::Relaxed) > 0
+            // All was handed over, and the connection has not ended: its last bytes are not taken.
+            || (stopped && self.open.load(Ordering::Relaxed) == 0);
+        waits_for_caller && MonoTime::now().since(last) > timeouts.reader_stall
+    }
+}
+
+/// How far one answer has been taken.
+pub(crate) struct Taken {
+    progress: Arc<Progress>,
+    offered: bool,
+}
+
+impl Taken {
+    /// The next part was asked for; `ready` when it was there.
+    pub(crate) fn polled(&mut self, ready: bool) {
+        self.progress.touch();
+        self.offer(ready);
+    }
+
+    fn offer(&mut self, offered: bool) {
+        if self.offered == offered {
+            return;
+        }
+        self.offered = offered;
+        if offered {
+            self.progress.offered.fetch_add(1, Ordering::Relaxed);
+        } else {
+            self.progress.offered.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.offer(false);
+        self.progress.open.fetch_sub(1, Ordering::Relaxed);
+        self.progress.touch();
+    }
+}
+
+fn builder(max_header_bytes: usize, timeouts: &CallerTimeouts) -> auto::Builder<TokioExecutor> {
+    let room = max_header_bytes.saturating_mul(HEADER_ROOM);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(timeouts.header_read)
+        .max_headers(HTTP1_MAX_HEADERS)
+        .max_buf_size(room.max(HTTP1_MIN_BUF_BYTES));
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .keep_alive_interval(HTTP2_KEEP_ALIVE)
+        .keep_alive_timeout(HTTP2_KEEP_ALIVE)
+        .max_concurrent_streams(HTTP2_MAX_STREAMS)
+        .max_header_list_size(u32::try_from(room).unwrap_or(u32::MAX));
+    builder
+}
--- a/crates/tc-caller/src/http/answer.rs
+++ b/crates/tc-caller/src/http/answer.rs
@@ -16,7 +16,7 @@
 use serde::Serialize;
 use tc_protocol::{ProblemKind, RequestId, wire};
 
-use crate::{http::Failure, idempotency::FinalAnswer, shared::InFlight};
+use crate::{connection::Taken, http::Failure, idempotency::FinalAnswer, shared::InFlight};
 
 /// Error that ends a body early.
 pub(crate) type BodyError = Box<dyn std::error::Error + Send + Sync>;
@@ -27,6 +27,7 @@
 pub(crate) struct CallerBody {
     content: Content,
     in_flight: Option<InFlight>,
+    taken: Option<Taken>,
 }
 
 enum Content {
@@ -40,6 +41,7 @@
         Self {
             content: Content::Whole((!bytes.is_empty()).then_some(bytes)),
             in_flight: None,
+            taken: None,
         }
     }
 
@@ -47,11 +49,13 @@
         Self {
             content: Content::Stream(stream),
             in_flight: None,
+            taken: None,
         }
     }
 
-    pub(crate) fn hold(&mut self, in_flight: InFlight) {
+    pub(crate) fn hold(&mut self, in_flight: InFlight, taken: Taken) {
         self.in_flight = Some(in_flight);
+        self.taken = Some(taken);
     }
 }
 
@@ -63,12 +67,16 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        match &mut self.content {
+        let frame = match &mut self.content {
             Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Content::Stream(stream) => stream
                 .poll_next_unpin(cx)
                 .map(|next| next.map(|chunk| chunk.map(Frame::data))),
+        };
+        if let Some(taken) = &mut self.taken {
+            taken.polled(frame.is_ready());
         }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/tc-caller/src/http/body.rs
+++ b/crates/tc-caller/src/http/body.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tc_protocol::ProblemKind;
 
-use crate::{http::Failure, limits::BODY_READ_TIMEOUT};
+use crate::http::Failure;
 
 /// Reads a body whole, up to `max` bytes and within `wait`.
 ///
@@ -21,7 +21,6 @@
     if body.size_hint().lower() > max as u64 {
         return Err(too_large(max));
     }
-    let wait = wait.min(BODY_READ_TIMEOUT);
     match tokio::time::timeout(wait, Limited::new(body, max).collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(too_large(max)),
--- a/crates/tc-caller/src/http/handle.rs
+++ b/crates/tc-caller/src/http/handle.rs
@@ -11,6 +11,7 @@
 use tracing::Instrument;
 
 use crate::{
+    connection::Taken,
     http::{
         CallerResponse, Failure,
         addresses::addresses,
@@ -23,7 +24,11 @@
     shared::Shared,
 };
 
-pub(crate) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> CallerResponse {
+pub(crate) async fn handle(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    taken: Taken,
+) -> CallerResponse {
     let (id, counter) = shared.next_request_id();
     let in_flight = shared.enter();
     let version = req.version();
@@ -60,7 +65,7 @@
     if shared.is_closing() && version <= Version::HTTP_11 {
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    response.body_mut().hold(in_flight);
+    response.body_mut().hold(in_flight, taken);
     response
 }
 
--- a/crates/tc-caller/src/http/pipelines.rs
+++ b/crates/tc-caller/src/http/pipelines.rs
@@ -41,7 +41,8 @@
     let pipeline = find(&caller, &name)?;
     let deadline = caller.deadline(Duration::from_millis(pipeline.deadline_ms));
     let remaining = deadline.remaining(MonoTime::now());
-    let body = read_body(body, shared.settings.max_body_bytes, remaining).await?;
+    let wait = remaining.min(shared.timeouts.body_read);
+    let body = read_body(body, shared.settings.max_body_bytes, wait).await?;
     if let Some(from) = &caller.headers.resume {
         return resume(shared, &caller, from, body, remaining).await;
     }
--- a/crates/tc-caller/src/http/services.rs
+++ b/crates/tc-caller/src/http/services.rs
@@ -32,7 +32,8 @@
     let service = find(&caller, &name)?;
     let deadline = caller.deadline(longest(&caller));
     let remaining = deadline.remaining(MonoTime::now());
-    let body = read_body(body, shared.settings.max_body_bytes, remaining).await?;
+    let wait = remaining.min(shared.timeouts.body_read);
+    let body = read_body(body, shared.settings.max_body_bytes, wait).await?;
     let request = request(&caller, &service, name, path, body.clone())?;
     if !request.idempotent {
         let delivery = Delivery {
--- a/crates/tc-caller/src/lib.rs
+++ b/crates/tc-caller/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything this crate needs from the rest of the fleet comes in through [`Ports`].
 
+mod connection;
 mod http;
 mod idempotency;
 mod limits;
@@ -16,8 +17,8 @@
 
 pub use idempotency::{Begin, FinalAnswer, KeyTable, KeyTableLimits};
 pub use ports::{
-    AddressesPort, AskPort, CallerSettings, ClaimPort, CrashedPort, JoinClaimPort, Ports,
-    RanWholePort, RecordPort, SharePort, ViewPort,
+    AddressesPort, AskPort, CallerSettings, CallerTimeouts, ClaimPort, CrashedPort, JoinClaimPort,
+    Ports, RanWholePort, RecordPort, SharePort, ViewPort,
 };
 pub use record::{StageCost, WorkspaceStats};
 pub use server::CallerServer;
--- a/crates/tc-caller/src/limits.rs
+++ b/crates/tc-caller/src/limits.rs
@@ -2,14 +2,10 @@
 
 use std::time::Duration;
 
-/// A connection that has not sent a whole request head by then is closed.
-pub(crate) const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
-/// A body that has not arrived whole by then is refused.
-pub(crate) const BODY_READ_TIMEOUT: Duration = Duration::from_secs(10);
-/// A new connection that has not begun its first request by then is closed.
-pub(crate) const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_secs(15);
 /// How often an idle HTTP/2 connection is probed, and how long an answer may take.
 pub(crate) const HTTP2_KEEP_ALIVE: Duration = Duration::from_secs(20);
+/// How often a connection looks whether its caller still takes what is sent.
+pub(crate) const STALL_CHECK: Duration = Duration::from_millis(500);
 /// Streams one HTTP/2 connection may have open.
 pub(crate) const HTTP2_MAX_STREAMS: u32 = 1_000;
 /// Smallest read buffer hyper takes for HTTP/1.1.
--- a/crates/tc-caller/src/ports.rs
+++ b/crates/tc-caller/src/ports.rs
@@ -68,3 +68,28 @@
     /// Comparison policy: no admission and no hedges.
     pub baseline: bool,
 }
+
+/// How long callers may keep a connection or a request waiting. Each bounds what a caller that stops sending or reading
+/// can hold of this instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerTimeouts {
+    /// From the connection to the first whole request head.
+    pub first_request: Duration,
+    /// For any request head, and for the next one on an idle HTTP/1.1 connection.
+    pub header_read: Duration,
+    /// For a request body; the request's own deadline counts too.
+    pub body_read: Duration,
+    /// For a caller to take the next part of an answer that is ready for it.
+    pub reader_stall: Duration,
+}
+
+impl Default for CallerTimeouts {
+    fn default() -> Self {
+        Self {
+            first_request: Duration::from_secs(15),
+            header_read: Duration::from_secs(30),
+            body_read: Duration::from_secs(10),
+            reader_stall: Duration::from_secs(30),
+        }
+    }
+}
--- a/crates/tc-caller/src/shared.rs
+++ b/crates/tc-caller/src/shared.rs
@@ -13,7 +13,7 @@
     http::TokenIndex,
     idempotency::{Forwarder, KeyTable, KeyTableLimits},
     policy_state::Policies,
-    ports::{CallerSettings, Ports},
+    ports::{CallerSettings, CallerTimeouts, Ports},
     record::{ExplanationRing, Stats},
     streams::StreamRegistry,
 };
@@ -21,6 +21,7 @@
 /// State of the caller side of one instance.
 pub(crate) struct Shared {
     pub(crate) settings: CallerSettings,
+    pub(crate) timeouts: CallerTimeouts,
     pub(crate) ports: Ports,
     pub(crate) upstream: UpstreamClient,
     pub(crate) tokens: TokenIndex,
@@ -38,9 +39,15 @@
 }
 
 impl Shared {
-    pub(crate) fn new(settings: CallerSettings, ports: Ports, upstream: UpstreamClient) -> Self {
+    pub(crate) fn new(
+        settings: CallerSettings,
+        ports: Ports,
+        upstream: UpstreamClient,
+        timeouts: CallerTimeouts,
+    ) -> Self {
         Self {
             settings,
+            timeouts,
             ports,
             upstream,
             tokens: TokenIndex::new(),
--- a/crates/tc-caller/tests/attempts.rs
+++ b/crates/tc-caller/tests/attempts.rs
@@ -19,11 +19,7 @@
         assert_eq!(answer.status.as_u16(), 200);
     }
     // Budgets start afresh with another ratio, whatever the calls above spent.
-    let mut view = (*world.fakes.view()).clone();
-    let mut config = (*view.config).clone();
-    config.policy.hedge_ratio = 0.031;
-    view.config = config.into();
-    world.fakes.set_view(view);
+    world.reconfigure(|config| config.policy.hedge_ratio = 0.031);
 }
 
 fn hedges(world: &World, id: &str) -> usize {
--- a/crates/tc-caller/tests/stopping.rs
+++ b/crates/tc-caller/tests/stopping.rs
@@ -101,3 +101,51 @@
     })
     .await;
 }
+
+/// Symptom: file descriptors run out although few requests come.
+/// Sequence: callers connect and send nothing, part of the first bytes, or part of a head.
+/// Cause: connections that wait for a request for ever.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_connection_without_a_whole_request_is_closed() {
+    let world = World::start().await;
+    for sent in [
+        "",
+        "P",
+        "PRI * HTTP/2",
+        "POST /v1/pipelines/scores HTTP/1.1\r\nhost: a\r\n",
+    ] {
+        let mut socket = TcpStream::connect(world.instance.address).await.unwrap();
+        socket.write_all(sent.as_bytes()).await.unwrap();
+        let mut rest = Vec::new();
+        let closed = socket.read_to_end(&mut rest);
+        let closed = tokio::time::timeout(Duration::from_secs(10), closed).await;
+        assert!(closed.is_ok(), "still open after {sent:?}");
+    }
+}
+
+/// Symptom: an instance that was told to stop does not exit.
+/// Sequence: a caller reads the first event of a long stream and then no more.
+/// Cause: the stop waits for a caller that never reads the rest.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_reader_that_stalls_does_not_hold_up_a_stop() {
+    let world = World::start().await;
+    world.set_max_tokens(60_000);
+    let client = Client::http2(world.instance.address);
+    let path = "/v1/pipelines/summary";
+    let body = r#"{"input":"log"}"#;
+    let answer = client.open(Method::POST, path, &[STREAM], body).await;
+    let mut stream = answer.into_body();
+    read_events(&mut stream, 1).await;
+    world.instance.stop.cancel();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(
+        !world.instance.serving.is_finished(),
+        "it is given time to read on"
+    );
+    let serving = tokio::time::timeout(Duration::from_secs(20), world.instance.serving);
+    serving.await.expect("it ends").unwrap();
+    assert!(
+        stream.collect().await.is_err(),
+        "the caller sees that it is cut"
+    );
+}
--- a/crates/tc-caller/tests/streams.rs
+++ b/crates/tc-caller/tests/streams.rs
@@ -271,13 +271,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_slow_reader_holds_the_engine_back_and_gets_everything() {
     let world = World::start().await;
-    let mut view = (*world.fakes.view()).clone();
-    let mut config = (*view.config).clone();
-    for stage in &mut config.pipelines.get_mut("summary").unwrap().stages {
-        stage.max_tokens = 60_000;
-    }
-    view.config = std::sync::Arc::new(config);
-    world.fakes.set_view(view);
+    world.set_max_tokens(60_000);
     let answer = Client::http2(world.instance.address)
         .open(Method::POST, SUMMARY, &[STREAM], body("log"))
         .await;
--- a/crates/tc-caller/tests/support/mod.rs
+++ b/crates/tc-caller/tests/support/mod.rs
@@ -10,7 +10,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tc_caller::{CallerServer, CallerSettings, Ports};
+use tc_caller::{CallerServer, CallerSettings, CallerTimeouts, Ports};
 use tc_protocol::{InstanceId, RequestId};
 use tc_stand_ins::{Engine, EngineConfig, Plain, PlainConfig, Pool, PoolConfig, Recorder};
 use tc_upstream::{ClientSettings, UpstreamClient};
@@ -26,6 +26,14 @@
 /// Largest headers the test server takes.
 pub(crate) const MAX_HEADERS: usize = 8 * 1024;
 
+/// As in service, but for what tests wait for.
+const TIMEOUTS: CallerTimeouts = CallerTimeouts {
+    first_request: Duration::from_secs(2),
+    header_read: Duration::from_secs(2),
+    body_read: Duration::from_secs(10),
+    reader_stall: Duration::from_secs(3),
+};
+
 /// Upstreams, two of each service.
 pub(crate) struct Upstreams {
     pub(crate) recorder: Recorder,
@@ -104,7 +112,7 @@
             baseline,
         };
         let upstream = UpstreamClient::new(ClientSettings::default());
-        let server = CallerServer::new(settings, ports, upstream);
+        let server = CallerServer::with_timeouts(settings, ports, upstream, TIMEOUTS);
         let stop = CancellationToken::new();
         let serving = tokio::spawn(server.clone().serve(listener, stop.clone()));
         Self {
@@ -134,6 +142,21 @@
         }
     }
 
+    /// Lets the pipeline that generates do so for longer.
+    pub(crate) fn set_max_tokens(&self, max_tokens: u32) {
+        self.reconfigure(|config| {
+            let summary = config.pipelines.get_mut("summary").unwrap();
+            let stages = summary.stages.iter_mut();
+            stages.for_each(|stage| stage.max_tokens = max_tokens);
+        });
+    }
+
+    pub(crate) fn reconfigure(&self, change: impl FnOnce(&mut tc_protocol::FleetConfig)) {
+        let mut view = (*self.fakes.view()).clone();
+        change(Arc::make_mut(&mut view.config));
+        self.fakes.set_view(view);
+    }
+
     /// The decisions kept of a request.
     pub(crate) fn steps(&self, id: &str) -> Vec<serde_json::Value> {
         let explanation = self.instance.server.explain(&RequestId::from(id)).unwrap();
