Jitter waits for the store's rate and read claim heads while others write

Instances with the same rate kept step: two that write the same claim head met there at every turn and conflicted again and again. Waits for a turn are now jittered. A head is read before it is written until four reads in a row found it unchanged; before, every read that did so counted, also between changes.

--- a/crates/tc-platform/src/claims/feedback.rs
+++ b/crates/tc-platform/src/claims/feedback.rs
@@ -14,7 +14,7 @@
 };
 use crate::{StoreError, Versioned};
 
-/// Reads that must find the head unchanged before it is written again without reading it first.
+/// Reads in a row that must find the head unchanged before it is written again without reading it first.
 const UNCHANGED_READS: u32 = 4;
 /// Reads of a listed segment that is not there after which the shard is called damaged.
 const MISSING_SEGMENT_READS: u32 = 5;
@@ -37,9 +37,11 @@
             log::error!("head of claim shard {} cannot be read", self.index);
             return Progress::None;
         };
-        if version == self.last_version {
-            self.reads_first = self.reads_first.saturating_sub(1);
-        }
+        self.reads_first = if version == self.last_version {
+            self.reads_first.saturating_sub(1)
+        } else {
+            UNCHANGED_READS
+        };
         self.adopt(now, version, head);
         self.forget_unlisted();
         Progress::Made
--- a/crates/tc-platform/src/claims/shard.rs
+++ b/crates/tc-platform/src/claims/shard.rs
@@ -76,7 +76,7 @@
     pub(super) last_version: u64,
     /// Operations below this ticket were asked for before the head was last known to be in force.
     pub(super) fresh_below: Ticket,
-    /// Reads to come that must find the head unchanged before it is written unread again.
+    /// Reads in a row that must find the head unchanged before it is written unread again.
     pub(super) reads_first: u32,
     /// The last segment the head listed when it was first seen with it, and when that was.
     pub(super) entries_since: Option<(Option<Arc<str>>, MonoTime)>,
--- a/crates/tc-platform/src/store/mod.rs
+++ b/crates/tc-platform/src/store/mod.rs
@@ -18,6 +18,8 @@
     wire::{InstanceList, MAX_OBJECT_BYTES, ObjectItem, ObjectList},
 };
 
+use tracing::Instrument;
+
 use crate::StoreError;
 use coalesce::Coalescer;
 use pace::Pace;
@@ -283,7 +285,10 @@
         if !self.has_turns {
             self.take_turns(1).await?;
         }
-        let result = wire::exchange(&inner.client, req, effect, timeout).await;
+        let span = tracing::info_span!("platform_call", purpose = purpose.as_str(), path);
+        let result = wire::exchange(&inner.client, req, effect, timeout)
+            .instrument(span)
+            .await;
         inner.tally.note(purpose, result.as_ref().map(|_| ()));
         result
     }
--- a/crates/tc-platform/src/store/pace.rs
+++ b/crates/tc-platform/src/store/pace.rs
@@ -34,13 +34,26 @@
     /// Waits for so many tokens together.
     ///
     /// Fails with [`StoreError::Paced`] at once when the turn would come only after `longest`.
+    ///
+    /// Turns that had to be waited for are jittered: instances with the same rate would otherwise keep step, and
+    /// two that write the same object would meet there at every turn, seen as claims that conflict many times.
     pub(crate) async fn take(&self, tokens: u32, longest: Duration) -> Result<(), StoreError> {
-        let turn = self.reserve(tokens, Instant::now(), longest)?;
-        tokio::time::sleep_until(turn).await;
+        let wait = self.reserve(tokens, Instant::now(), longest)?;
+        if !wait.is_zero() {
+            let jitter = self
+                .interval
+                .mul_f64(f64::from(tokens) * rand::random::<f64>());
+            tokio::time::sleep(wait + jitter).await;
+        }
         Ok(())
     }
 
-    fn reserve(&self, tokens: u32, now: Instant, longest: Duration) -> Result<Instant, StoreError> {
+    fn reserve(
+        &self,
+        tokens: u32,
+        now: Instant,
+        longest: Duration,
+    ) -> Result<Duration, StoreError> {
         let mut until = self
             .reserved_until
             .lock()
@@ -51,6 +64,6 @@
             return Err(StoreError::Paced);
         }
         *until = reserved;
-        Ok(now + wait)
+        Ok(wait)
     }
 }
--- a/crates/tc-platform/tests/claims.rs
+++ b/crates/tc-platform/tests/claims.rs
@@ -192,6 +192,23 @@
     assert_eq!(claim(&a, "k").await, ClaimVerdict::Held);
 }
 
+/// Symptom: a request runs on two instances.
+/// Sequence: the claim is made, its holder is paused, the claim expires and another instance makes it, the first
+/// wakes up and finds its verdict.
+/// Cause: a verdict is only worth something within the time its caller meant to wait.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_verdict_found_after_a_pause_is_not_acted_on() {
+    let platform = platform().await;
+    let (a, b) = (claims(&platform, "a"), claims(&platform, "b"));
+    claim_ours(&a, "warm up").await;
+    let mut asked = Box::pin(a.claim(key("k"), BODY, SHORT));
+    assert!(futures::poll!(&mut asked).is_pending());
+    // Stops only this thread: the claim is made meanwhile.
+    std::thread::sleep(SHORT * 3);
+    assert_eq!(asked.await, ClaimVerdict::Unavailable);
+    claim_released(&b, "k").await;
+}
+
 /// Symptom: a resend runs again, or gets "unknown", although the run ended.
 /// Sequence: the store goes down between a claim and its outcome, and comes back.
 /// Cause: the outcome waits in memory until it can be written.
