--- a/crates/tc-policy/src/home/health.rs
+++ b/crates/tc-policy/src/home/health.rs
@@ -85,6 +85,16 @@
         Advice::Keep
     }
 
+    /// The upstream is another process now.
+    pub(super) fn restarted(&mut self) -> Advice {
+        let was_ejected = self.ejected.is_some();
+        self.come_back();
+        if was_ejected {
+            return Advice::Return;
+        }
+        Advice::Keep
+    }
+
     /// Median service time in milliseconds; 0 while unknown.
     pub(super) fn median_ms(&self, now: MonoTime) -> f64 {
         match self.times.back() {
--- a/crates/tc-policy/src/home/machine.rs
+++ b/crates/tc-policy/src/home/machine.rs
@@ -2,10 +2,7 @@
 
 use std::time::Duration;
 
-use tc_protocol::{
-    Cost, InstanceId, MonoTime, Outcome, PermitId, RefusalReason, Release, UpstreamSummary,
-    wire::LoadReport,
-};
+use tc_protocol::{Cost, Incarnation, MonoTime, Outcome, PermitId, RefusalReason, Release};
 
 use super::{
     AskKey, AskVerdict, HeldPermit, HomeConfig, HomeEvent, NewAsk,
@@ -56,21 +53,21 @@
 /// ```
 #[derive(Debug)]
 pub struct Home {
-    slots: u32,
-    reported_slots: Option<u32>,
-    queue_per_workspace: usize,
-    grace: Duration,
-    leaving: bool,
-    reported_leaving: bool,
-    queue: FairQueue,
-    permits: Permits,
-    limiter: Limiter,
-    health: Health,
-    foreign: ForeignLoad,
-    report_incarnation: Option<tc_protocol::Incarnation>,
-    elsewhere: Option<Duration>,
-    now: MonoTime,
-    unknown_releases: u64,
+    pub(super) slots: u32,
+    pub(super) reported_slots: Option<u32>,
+    pub(super) queue_per_workspace: usize,
+    pub(super) grace: Duration,
+    pub(super) leaving: bool,
+    pub(super) reported_leaving: bool,
+    pub(super) queue: FairQueue,
+    pub(super) permits: Permits,
+    pub(super) limiter: Limiter,
+    pub(super) health: Health,
+    pub(super) foreign: ForeignLoad,
+    pub(super) report_incarnation: Option<Incarnation>,
+    pub(super) elsewhere: Option<Duration>,
+    pub(super) now: MonoTime,
+    pub(super) unknown_releases: u64,
 }
 
 impl Home {
@@ -108,7 +105,8 @@
             return AskVerdict::Granted { permit, expires_in };
         }
         let wait = self.expected_wait(flow, &ask);
-        if ask.may_redirect && (wait > ask.slack || self.is_clearly_later(wait)) {
+        let elsewhere = self.health.is_ejected() || self.is_clearly_later(wait);
+        if ask.may_redirect && (elsewhere || wait > ask.slack) {
             return AskVerdict::Redirect { wait };
         }
         if ask.slack.is_zero() {
@@ -135,7 +133,8 @@
             return None;
         };
         let correction = self.settled_units(release, &held.estimate) - charge(&held.estimate);
-        self.queue.end(now, held.flow, correction);
+        self.queue
+            .end(now, held.flow, now.since(held.since), correction);
         self.limiter.record(release, in_flight, self.usable_slots());
         let advice = self.health.record(now, release);
         self.follow(advice);
@@ -186,142 +185,21 @@
         .min()
     }
 
-    /// Takes in a permit that an earlier home granted. Telling it twice changes nothing.
-    pub fn adopt(&mut self, now: MonoTime, held: HeldPermit) {
-        self.advance(now);
-        if self.permits.contains(held.permit) {
-            return;
-        }
-        let weight = self.queue.weight_of(&held.workspace);
-        let flow = self.queue.touch(now, &held.workspace, weight);
-        self.queue.start(now, flow, charge(&held.estimate));
-        self.permits.insert(
-            held.permit,
-            Held {
-                entry: held.entry,
-                flow,
-                expires_at: now.after(held.expires_in),
-                estimate: held.estimate,
-                fingerprint: held.fingerprint,
-            },
-        );
-        self.note_in_flight();
-    }
-
-    /// The entry is gone: its permits and asks end.
-    pub fn entry_gone(&mut self, now: MonoTime, entry: &InstanceId) {
-        self.advance(now);
-        for permit in self.permits.of_entry(entry) {
-            if let Some(held) = self.permits.remove(permit) {
-                self.queue.end(now, held.flow, 0.0);
-                self.health.ended_untold(permit);
-            }
-        }
-        for key in self.queue.keys(|ask| ask.entry == *entry) {
-            self.queue.remove(key);
-        }
-        self.note_in_flight();
-    }
-
-    /// Takes in the upstream's own, lagging report: its slots, whether it leaves, and load that is not ours.
-    pub fn load_reported(&mut self, now: MonoTime, report: &LoadReport) {
-        self.advance(now);
-        if self.report_incarnation.replace(report.incarnation) != Some(report.incarnation) {
-            // Another process: what was measured of the last one says nothing of it.
-            self.limiter = Limiter::new(self.usable_slots());
-        }
-        let old = self.usable_slots();
-        self.reported_slots = (report.slots > 0).then_some(report.slots);
-        self.limiter.set_slots(old, self.usable_slots());
-        self.reported_leaving = report.leaving;
-        self.foreign.report(now, report, self.permits.len());
-    }
-
-    /// Takes in changed configuration.
-    pub fn set_config(&mut self, now: MonoTime, slots: u32, queue_per_workspace: u32) {
-        self.advance(now);
-        let old = self.usable_slots();
-        self.slots = slots;
-        self.limiter.set_slots(old, self.usable_slots());
-        self.queue_per_workspace = queue_per_workspace as usize;
-    }
-
-    /// Whether the upstream leaves: it gets no new calls, and waiting asks are dropped so that they ask elsewhere.
-    pub fn set_leaving(&mut self, now: MonoTime, leaving: bool) {
-        self.advance(now);
-        self.leaving = leaving;
-    }
-
-    /// Takes in the median service time over the service's upstreams, and whether this one may be, or stay, ejected.
-    pub fn set_service_median(
-        &mut self,
-        now: MonoTime,
-        median_service_ms: Option<f64>,
-        may_eject: bool,
-    ) {
-        self.advance(now);
-        let advice = self.health.set_service(median_service_ms, may_eject);
-        self.follow(advice);
-    }
-
-    /// Takes in the shortest wait known at the service's other homes. Asks that would start clearly later here are
-    /// redirected from then on; `None` (as at the start) turns that off.
-    pub fn set_elsewhere(&mut self, now: MonoTime, shortest_wait: Option<Duration>) {
-        self.advance(now);
-        self.elsewhere = shortest_wait;
-    }
-
-    /// The permits that are granted and not released, with the time each had left when the home last changed.
-    pub fn permits(&self) -> impl Iterator<Item = HeldPermit> + '_ {
-        self.permits
-            .iter()
-            .map(|(permit, held)| self.described(permit, held))
-    }
-
-    /// Load as told to entries.
-    #[must_use]
-    pub fn summary(&self, now: MonoTime) -> UpstreamSummary {
-        let (in_flight, concurrency) = (self.permits.len(), self.concurrency());
-        let waiting = self.queue.len() as u32;
-        let before = (in_flight + waiting + 1).saturating_sub(concurrency);
-        let service_ms = self.health.median_ms(now);
-        UpstreamSummary {
-            in_flight,
-            concurrency,
-            waiting,
-            wait_ms: f64::from(before) * service_ms / f64::from(concurrency),
-            service_ms,
-            ejected: self.health.is_ejected(),
-        }
-    }
-
-    /// Releases of permits that were unknown.
-    #[must_use]
-    pub const fn unknown_releases(&self) -> u64 {
-        self.unknown_releases
-    }
-
-    /// Workspaces kept in memory; bounded by those active lately.
-    #[must_use]
-    pub fn known_workspaces(&self) -> usize {
-        self.queue.flows()
-    }
-
-    fn advance(&mut self, now: MonoTime) {
+    pub(super) fn advance(&mut self, now: MonoTime) {
         self.now = self.now.max(now);
     }
 
-    const fn is_leaving(&self) -> bool {
+    pub(super) const fn is_leaving(&self) -> bool {
         self.leaving || self.reported_leaving
     }
 
-    fn usable_slots(&self) -> u32 {
+    pub(super) fn usable_slots(&self) -> u32 {
         let reported = self.reported_slots.unwrap_or(u32::MAX);
         self.slots.min(reported).max(1)
     }
 
     /// Calls it may run at once now, from permits of this home.
-    fn concurrency(&self) -> u32 {
+    pub(super) fn concurrency(&self) -> u32 {
         let limit = self.limiter.limit(self.usable_slots());
         let slots_left = self
             .usable_slots()
@@ -339,12 +217,13 @@
             return self.queue.len() == 0 && self.health.probe_due(self.now);
         }
         let (free, limit) = (self.free(), self.concurrency());
-        free > self.queue.headroom(flow, limit) && self.queue.next(free, limit).is_none()
+        free > self.queue.headroom(self.now, flow, limit)
+            && self.queue.next(self.now, free, limit).is_none()
     }
 
     fn next_to_start(&self) -> Option<AskKey> {
         if !self.health.is_ejected() {
-            return self.queue.next(self.free(), self.concurrency());
+            return self.queue.next(self.now, self.free(), self.concurrency());
         }
         let probe_due = self.health.probe_due(self.now);
         self.queue.first().filter(|_| probe_due)
@@ -366,6 +245,7 @@
         let permit = self.permits.grant(Held {
             entry: ask.entry.clone(),
             flow,
+            since: self.now,
             expires_at: self.now.after(expires_in),
             estimate: ask.estimate,
             fingerprint: ask.fingerprint,
@@ -383,7 +263,8 @@
             let Some(held) = self.permits.remove(permit) else {
                 break;
             };
-            self.queue.end(self.now, held.flow, 0.0);
+            self.queue
+                .end(self.now, held.flow, self.now.since(held.since), 0.0);
             self.health.expired(self.now, permit);
             events.push(HomeEvent::Expired {
                 permit,
@@ -440,7 +321,7 @@
         }
     }
 
-    fn follow(&mut self, advice: Advice) {
+    pub(super) fn follow(&mut self, advice: Advice) {
         match advice {
             Advice::Keep | Advice::Eject => {}
             Advice::Lower => self.limiter.lower(LOWER_TO),
@@ -448,11 +329,11 @@
         }
     }
 
-    fn note_in_flight(&mut self) {
+    pub(super) fn note_in_flight(&mut self) {
         self.foreign.note(self.now, self.permits.len());
     }
 
-    fn described(&self, permit: PermitId, held: &Held) -> HeldPermit {
+    pub(super) fn described(&self, permit: PermitId, held: &Held) -> HeldPermit {
         HeldPermit {
             permit,
             entry: held.entry.clone(),
@@ -465,7 +346,7 @@
 }
 
 /// Units charged when a call starts.
-fn charge(estimate: &Cost) -> f64 {
+pub(super) fn charge(estimate: &Cost) -> f64 {
     estimate.units()
 }
 
--- a/crates/tc-policy/src/home/mod.rs
+++ b/crates/tc-policy/src/home/mod.rs
@@ -4,11 +4,13 @@
 //! only corrects it.
 
 mod concurrency;
+mod correct;
 mod foreign;
 mod health;
 mod machine;
 mod permits;
 mod queue;
+mod view;
 
 use std::time::Duration;
 
--- a/crates/tc-policy/src/home/permits.rs
+++ b/crates/tc-policy/src/home/permits.rs
@@ -14,6 +14,7 @@
 pub(super) struct Held {
     pub(super) entry: InstanceId,
     pub(super) flow: FlowKey,
+    pub(super) since: MonoTime,
     pub(super) expires_at: MonoTime,
     pub(super) estimate: Cost,
     pub(super) fingerprint: Fingerprint,
--- a/crates/tc-policy/src/home/queue.rs
+++ b/crates/tc-policy/src/home/queue.rs
@@ -12,7 +12,7 @@
 use slotmap::SlotMap;
 use tc_protocol::{MonoTime, WorkspaceName};
 
-use super::NewAsk;
+use super::{NewAsk, concurrency::millis};
 
 slotmap::new_key_type! {
     /// Names a waiting ask of one home.
@@ -26,8 +26,16 @@
 
 /// How long a workspace counts as active after it last asked or had a call running.
 const ACTIVE_FOR: Duration = Duration::from_secs(30);
-/// One in this many of the upstream's calls is kept free for workspaces below their share.
-const HEADROOM_ONE_IN: u32 = 8;
+/// Time over which a workspace's calls at once are averaged.
+const BUSY_WINDOW: Duration = Duration::from_secs(10);
+/// Weight of the latest call in the mean service time of a workspace.
+const MEAN_WEIGHT: f64 = 0.1;
+/// Calls this much longer than those of the others, as a factor, need more headroom.
+const LONG_FACTOR: f64 = 2.0;
+/// Headroom in square roots of the others' calls at once, towards calls that are as short.
+const HEADROOM_SHORT: f64 = 1.0;
+/// The same towards long calls; kept free beside the others' calls that run.
+const HEADROOM_LONG: f64 = 2.5;
 /// Calls at once below which nothing is kept free.
 const LEAST_LIMIT_WITH_HEADROOM: u32 = 3;
 /// Least charge for a call, so that calls estimated at nothing still take turns.
@@ -53,6 +61,38 @@
     running: u32,
     waiting: BTreeSet<Order>,
     last_active: MonoTime,
+    busy: Busy,
+    /// Mean time its calls hold a permit; zero while unknown.
+    mean_ms: f64,
+}
+
+/// Calls at once, averaged over [`BUSY_WINDOW`].
+#[derive(Clone, Copy, Debug, Default)]
+struct Busy {
+    average: f64,
+    at: MonoTime,
+}
+
+impl Busy {
+    fn at(&self, now: MonoTime, running: u32) -> f64 {
+        let running = f64::from(running);
+        let windows = now.since(self.at).as_secs_f64() / BUSY_WINDOW.as_secs_f64();
+        running + (self.average - running) * (-windows).exp()
+    }
+
+    fn note(&mut self, now: MonoTime, running_until_now: u32) {
+        self.average = self.at(now, running_until_now);
+        self.at = now;
+    }
+}
+
+/// What runs of the workspaces that are below their share.
+#[derive(Clone, Copy, Debug, Default)]
+struct Others {
+    running: u32,
+    busy: f64,
+    sum_ms: f64,
+    measured: u32,
 }
 
 /// The waiting asks and what each workspace was charged.
@@ -86,6 +126,11 @@
                 running: 0,
                 waiting: BTreeSet::new(),
                 last_active: now,
+                busy: Busy {
+                    average: 0.0,
+                    at: now,
+                },
+                mean_ms: 0.0,
             });
             self.by_name.insert(name.clone(), key);
             return key;
@@ -141,14 +186,14 @@
     }
 
     /// The next ask that may start when `free` of `limit` calls are free.
-    pub(super) fn next(&self, free: u32, limit: u32) -> Option<AskKey> {
+    pub(super) fn next(&self, now: MonoTime, free: u32, limit: u32) -> Option<AskKey> {
         if free == 0 {
             return None;
         }
         self.backlogged
             .iter()
             .map(|&(_, flow)| flow)
-            .find(|&flow| free > self.headroom(flow, limit))
+            .find(|&flow| free > self.headroom(now, flow, limit))
             .and_then(|flow| self.flows[flow].waiting.first())
             .map(|&(_, _, key)| key)
     }
@@ -162,24 +207,53 @@
     /// Calls that must stay free when this workspace starts one.
     ///
     /// Order alone is fair only among those that wait. A workspace that bursts while the others pause would fill every
-    /// slot, and each call of a small workspace would first wait for one of its calls to end, seen as a p99 of up to
-    /// two service times. So a workspace at its share of the slots leaves some to the others that were active lately.
-    pub(super) fn headroom(&self, flow: FlowKey, limit: u32) -> u32 {
+    /// slot, and each call of a small workspace would first wait for one of its calls to end, seen as a p99 of several
+    /// service times when the large workspace's calls are long. So a workspace at its share of the slots leaves some
+    /// to the others that were active lately: as many as their calls at once vary by, the square root of their mean.
+    pub(super) fn headroom(&self, now: MonoTime, flow: FlowKey, limit: u32) -> u32 {
         if self.flows.len() < 2 || limit < LEAST_LIMIT_WITH_HEADROOM {
             return 0;
         }
         let flow = &self.flows[flow];
-        let share = (u64::from(limit) * u64::from(flow.weight)).div_ceil(self.known_weight.max(1));
-        if u64::from(flow.running) < share {
+        if self.is_below_share(flow, limit) {
             return 0;
         }
-        (limit / HEADROOM_ONE_IN).max(1)
+        let others = self.below_share(now, limit);
+        let varies_by = others.busy.sqrt();
+        if flow.mean_ms * f64::from(others.measured) > LONG_FACTOR * others.sum_ms {
+            return ((varies_by * HEADROOM_LONG).ceil() as u32).clamp(1, limit / 2);
+        }
+        let kept = ((varies_by * HEADROOM_SHORT).ceil() as u32).clamp(1, limit.div_ceil(4));
+        kept.saturating_sub(others.running)
+    }
+
+    fn below_share(&self, now: MonoTime, limit: u32) -> Others {
+        let mut others = Others::default();
+        for flow in self.flows.values() {
+            if !self.is_below_share(flow, limit) {
+                continue;
+            }
+            others.running += flow.running;
+            others.busy += flow.busy.at(now, flow.running);
+            if flow.mean_ms > 0.0 {
+                others.sum_ms += flow.mean_ms;
+                others.measured += 1;
+            }
+        }
+        others
+    }
+
+    /// Whether the workspace may start one more call within its share of the upstream's calls at once.
+    fn is_below_share(&self, flow: &Flow, limit: u32) -> bool {
+        let share = u64::from(limit) * u64::from(flow.weight);
+        u64::from(flow.running) < share.div_ceil(self.known_weight.max(1))
     }
 
     /// Charges a call that starts.
     pub(super) fn start(&mut self, now: MonoTime, flow: FlowKey, units: f64) {
         let state = &mut self.flows[flow];
         state.last_active = now;
+        state.busy.note(now, state.running);
         state.running += 1;
         self.running += 1;
         let start = state.tag.max(self.virtual_time);
@@ -188,10 +262,17 @@
         self.retag(flow, tag);
     }
 
-    /// Ends a call, and corrects its charge by `correction` units.
-    pub(super) fn end(&mut self, now: MonoTime, flow: FlowKey, correction: f64) {
+    /// Ends a call that ran for `ran`, and corrects its charge by `correction` units.
+    pub(super) fn end(&mut self, now: MonoTime, flow: FlowKey, ran: Duration, correction: f64) {
         let state = &mut self.flows[flow];
         state.last_active = now;
+        state.busy.note(now, state.running);
+        let ran_ms = millis(ran);
+        state.mean_ms = if state.mean_ms > 0.0 {
+            state.mean_ms + (ran_ms - state.mean_ms) * MEAN_WEIGHT
+        } else {
+            ran_ms
+        };
         state.running = state.running.saturating_sub(1);
         self.running = self.running.saturating_sub(1);
         let tag = (state.tag + correction / f64::from(state.weight)).max(0.0);
--- /dev/null
+++ b/crates/tc-policy/tests/home_fuzz.rs
@@ -0,0 +1,402 @@
+//! Any sequence of asks, releases, expiries, moves and reports, against a plain list of what should be held.
+
+mod support;
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use bolero::{TypeGenerator, generator::produce};
+use support::{ask, busy, ms};
+use tc_policy::{AskKey, AskVerdict, HeldPermit, Home, HomeConfig, HomeEvent, NewAsk};
+use tc_protocol::{
+    Fingerprint, Incarnation, InstanceId, MonoTime, Outcome, PermitId, RefusalReason, Release,
+    RunState, wire::LoadReport,
+};
+
+const GRACE: Duration = ms(50);
+const ENTRIES: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
+const WORKSPACES: [&str; 4] = ["a", "b", "c", "d"];
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Op {
+    Ask {
+        who: u8,
+        priority: u8,
+        slack_ms: u8,
+        run_for_ms: u8,
+        estimate: u8,
+        may_redirect: bool,
+    },
+    Cancel(u8),
+    Release {
+        which: u8,
+        outcome: u8,
+        took_ms: u8,
+    },
+    ReleaseUnknown(u64),
+    Wait {
+        ms: u8,
+    },
+    Adopt {
+        permit: u8,
+        who: u8,
+        expires_in_ms: u8,
+    },
+    EntryGone(u8),
+    Load {
+        running: u8,
+        slots: u8,
+        incarnation: bool,
+        leaving: u8,
+    },
+    Config {
+        slots: u8,
+        queue: u8,
+    },
+    Leaving(u8),
+    Service {
+        median_ms: u8,
+        may_eject: bool,
+    },
+}
+
+#[derive(Debug)]
+struct Held {
+    entry: InstanceId,
+    expires_at: MonoTime,
+}
+
+#[derive(Debug)]
+struct Asked {
+    entry: InstanceId,
+    workspace: &'static str,
+    slack_ends: MonoTime,
+    run_for: Duration,
+    may_redirect: bool,
+}
+
+/// What the home should hold.
+struct Oracle {
+    home: Home,
+    now: MonoTime,
+    held: BTreeMap<PermitId, Held>,
+    waiting: HashMap<AskKey, Asked>,
+    slots: u32,
+    reported_slots: u32,
+    queue: usize,
+    leaving: bool,
+    reported_leaving: bool,
+    highest_granted: u64,
+}
+
+impl Oracle {
+    fn new() -> Self {
+        Self {
+            home: Home::new(HomeConfig {
+                slots: 4,
+                queue_per_workspace: 3,
+                grace: GRACE,
+                first_permit: 1_000,
+            }),
+            now: MonoTime(1),
+            held: BTreeMap::new(),
+            waiting: HashMap::new(),
+            slots: 4,
+            reported_slots: u32::MAX,
+            queue: 3,
+            leaving: false,
+            reported_leaving: false,
+            highest_granted: 999,
+        }
+    }
+
+    fn usable_slots(&self) -> u32 {
+        self.slots.min(self.reported_slots).max(1)
+    }
+
+    fn apply(&mut self, op: Op) {
+        match op {
+            Op::Ask {
+                who,
+                priority,
+                slack_ms,
+                run_for_ms,
+                estimate,
+                may_redirect,
+            } => {
+                let mut new = ask(WORKSPACES[usize::from(who) % WORKSPACES.len()]);
+                new.entry = ENTRIES[usize::from(who / 16) % ENTRIES.len()].into();
+                new.priority = priority % 8;
+                new.slack = ms(u64::from(slack_ms));
+                new.run_for = ms(u64::from(run_for_ms));
+                new.estimate = busy(f64::from(estimate));
+                new.may_redirect = may_redirect;
+                self.ask(new, WORKSPACES[usize::from(who) % WORKSPACES.len()]);
+            }
+            Op::Cancel(which) => {
+                let key = nth(self.waiting.keys().copied(), which);
+                if let Some(key) = key {
+                    assert!(self.home.cancel(self.now, key));
+                    assert!(!self.home.cancel(self.now, key), "cancelled twice");
+                    self.waiting.remove(&key);
+                }
+            }
+            Op::Release {
+                which,
+                outcome,
+                took_ms,
+            } => {
+                if let Some(permit) = nth(self.held.keys().copied(), which) {
+                    let release = release(permit, outcome, took_ms);
+                    let held = self.home.release(self.now, &release).expect("it is held");
+                    assert_eq!(held.entry, self.held[&permit].entry);
+                    self.held.remove(&permit);
+                    assert!(self.home.release(self.now, &release).is_none());
+                }
+            }
+            Op::ReleaseUnknown(id) => {
+                let (permit, before) = (PermitId(id), self.home.unknown_releases());
+                if !self.held.contains_key(&permit) {
+                    assert!(
+                        self.home
+                            .release(self.now, &release(permit, 0, 1))
+                            .is_none()
+                    );
+                    assert_eq!(self.home.unknown_releases(), before + 1);
+                }
+            }
+            Op::Wait { ms: millis } => self.now = self.now.after(ms(u64::from(millis))),
+            Op::Adopt {
+                permit,
+                who,
+                expires_in_ms,
+            } => self.adopt(permit, who, expires_in_ms),
+            Op::EntryGone(who) => {
+                let entry = InstanceId::from(ENTRIES[usize::from(who) % ENTRIES.len()]);
+                self.home.entry_gone(self.now, &entry);
+                self.held.retain(|_, held| held.entry != entry);
+                self.waiting.retain(|_, asked| asked.entry != entry);
+            }
+            Op::Load {
+                running,
+                slots,
+                incarnation,
+                leaving,
+            } => {
+                let report = LoadReport {
+                    incarnation: Incarnation(u64::from(incarnation)),
+                    running: u32::from(running),
+                    slots: u32::from(slots % 8),
+                    leaving: is_rare(leaving),
+                    ..LoadReport::default()
+                };
+                self.home.load_reported(self.now, &report);
+                self.reported_slots = if report.slots == 0 {
+                    u32::MAX
+                } else {
+                    report.slots
+                };
+                self.reported_leaving = is_rare(leaving);
+            }
+            Op::Config { slots, queue } => {
+                self.slots = u32::from(slots % 8);
+                self.queue = usize::from(queue % 8);
+                self.home
+                    .set_config(self.now, self.slots, u32::from(queue % 8));
+            }
+            Op::Leaving(leaving) => {
+                self.leaving = is_rare(leaving);
+                self.home.set_leaving(self.now, self.leaving);
+            }
+            Op::Service {
+                median_ms,
+                may_eject,
+            } => {
+                let median = Some(f64::from(median_ms));
+                self.home.set_service_median(self.now, median, may_eject);
+            }
+        }
+    }
+
+    fn ask(&mut self, new: NewAsk, workspace: &'static str) {
+        let asked = Asked {
+            entry: new.entry.clone(),
+            workspace,
+            slack_ends: self.now.after(new.slack),
+            run_for: new.run_for,
+            may_redirect: new.may_redirect,
+        };
+        let no_slack = new.slack.is_zero();
+        match self.home.ask(self.now, new) {
+            AskVerdict::Granted { permit, expires_in } => self.granted(permit, expires_in, asked),
+            AskVerdict::Queued(key) => {
+                assert!(self.waiting.insert(key, asked).is_none());
+            }
+            AskVerdict::Redirect { .. } => assert!(asked.may_redirect),
+            AskVerdict::Refused { reason, .. } => match reason {
+                RefusalReason::TooLate => assert!(no_slack, "refused with slack left"),
+                RefusalReason::QueueFull => {
+                    let same = self.waiting.values().filter(|w| w.workspace == workspace);
+                    assert!(same.count() >= self.queue, "the queue was not full");
+                }
+                RefusalReason::NoUpstream => assert!(self.leaving || self.reported_leaving),
+                other => panic!("{other:?} is not for a home to say"),
+            },
+        }
+    }
+
+    fn granted(&mut self, permit: PermitId, expires_in: Duration, asked: Asked) {
+        assert!(
+            !self.leaving && !self.reported_leaving,
+            "granted while leaving"
+        );
+        assert!(permit.0 > self.highest_granted, "permit numbers rise");
+        self.highest_granted = permit.0;
+        assert_eq!(expires_in, asked.run_for + GRACE);
+        let held = Held {
+            entry: asked.entry,
+            expires_at: self.now.after(expires_in),
+        };
+        assert!(self.held.insert(permit, held).is_none());
+        assert!(
+            self.held.len() as u32 <= self.usable_slots(),
+            "above the slots"
+        );
+    }
+
+    fn adopt(&mut self, permit: u8, who: u8, expires_in_ms: u8) {
+        let permit = PermitId(u64::from(permit));
+        let entry = InstanceId::from(ENTRIES[usize::from(who) % ENTRIES.len()]);
+        let expires_in = ms(u64::from(expires_in_ms));
+        let held = HeldPermit {
+            permit,
+            entry: entry.clone(),
+            workspace: WORKSPACES[usize::from(who / 16) % WORKSPACES.len()].into(),
+            expires_in,
+            estimate: busy(10.0),
+            fingerprint: Fingerprint(1),
+        };
+        self.home.adopt(self.now, held.clone());
+        self.home.adopt(self.now, held);
+        let expires_at = self.now.after(expires_in);
+        self.held
+            .entry(permit)
+            .or_insert(Held { entry, expires_at });
+    }
+
+    fn poll(&mut self) {
+        for event in self.home.poll(self.now) {
+            match event {
+                HomeEvent::Granted {
+                    ask,
+                    permit,
+                    expires_in,
+                    ..
+                } => {
+                    let asked = self.waiting.remove(&ask).expect("it waited");
+                    assert!(asked.slack_ends > self.now, "granted too late");
+                    self.granted(permit, expires_in, asked);
+                }
+                HomeEvent::Dropped { ask, reason, .. } => {
+                    let asked = self.waiting.remove(&ask).expect("it waited");
+                    match reason {
+                        RefusalReason::TooLate => assert!(asked.slack_ends <= self.now),
+                        RefusalReason::NoUpstream => {
+                            let leaving = self.leaving || self.reported_leaving;
+                            let ejected = self.home.summary(self.now).ejected;
+                            assert!(leaving || (ejected && asked.may_redirect));
+                        }
+                        other => panic!("{other:?} for a waiting ask"),
+                    }
+                }
+                HomeEvent::Expired { permit, entry } => {
+                    let held = self.held.remove(&permit).expect("it was held");
+                    assert_eq!(held.entry, entry);
+                    assert!(held.expires_at <= self.now, "expired early");
+                }
+            }
+        }
+    }
+
+    fn check(&self) {
+        let now = self.now;
+        let summary = self.home.summary(now);
+        let mut permits: Vec<PermitId> = self.home.permits().map(|held| held.permit).collect();
+        permits.sort_unstable();
+        assert!(permits.iter().eq(self.held.keys()), "permits are conserved");
+        assert_eq!(summary.in_flight as usize, self.held.len());
+        assert_eq!(summary.waiting as usize, self.waiting.len());
+        assert!((1..=self.usable_slots()).contains(&summary.concurrency));
+        assert!(self.held.values().all(|held| held.expires_at > now));
+        assert!(self.waiting.values().all(|asked| asked.slack_ends > now));
+        let leaving = self.leaving || self.reported_leaving;
+        assert!(
+            !leaving || self.waiting.is_empty(),
+            "asks wait for a leaving upstream"
+        );
+        if !self.waiting.is_empty() && !summary.ejected {
+            let kept = (summary.concurrency / 2).max(1);
+            let least = summary.concurrency.saturating_sub(kept).max(1);
+            assert!(
+                summary.in_flight >= least,
+                "asks wait though calls are free"
+            );
+        }
+        let ends = self.held.values().map(|held| held.expires_at);
+        let next = ends
+            .chain(self.waiting.values().map(|asked| asked.slack_ends))
+            .min();
+        assert!(
+            next.is_none() || self.home.next_wake() <= next,
+            "nobody wakes the home in time"
+        );
+        assert!(next.is_none() || self.home.next_wake().is_some());
+    }
+}
+
+/// Leaving ends nearly all else, so only few runs of operations do it.
+const fn is_rare(choice: u8) -> bool {
+    choice < 16
+}
+
+fn nth<T>(items: impl Iterator<Item = T> + Clone, which: u8) -> Option<T> {
+    let count = items.clone().count();
+    items.clone().nth(usize::from(which) % count.max(1))
+}
+
+fn release(permit: PermitId, outcome: u8, took_ms: u8) -> Release {
+    const OUTCOMES: [Outcome; 7] = [
+        Outcome::Answered,
+        Outcome::Rejected,
+        Outcome::Failed,
+        Outcome::Died,
+        Outcome::TimedOut,
+        Outcome::Cancelled,
+        Outcome::Unused,
+    ];
+    Release {
+        permit,
+        outcome: OUTCOMES[usize::from(outcome) % OUTCOMES.len()],
+        run_state: RunState::Unknown,
+        cost: busy(f64::from(took_ms)),
+        took: ms(u64::from(took_ms)),
+        first_byte: None,
+    }
+}
+
+#[test]
+fn home_conserves_permits_and_keeps_its_promises() {
+    bolero::check!()
+        .with_generator(produce::<Vec<Op>>().with().len(0..200_usize))
+        .with_iterations(3_000)
+        .for_each(|ops: &Vec<Op>| {
+            let mut oracle = Oracle::new();
+            for &op in ops {
+                oracle.apply(op);
+                oracle.poll();
+                oracle.check();
+            }
+        });
+}
