Run coalesced reads in tasks of their own

A caller that joined a read and was then not polled for long held up all others waiting for the same object, and a read that everybody left stayed in the table of waiting reads for ever. Each read now runs in its own task.

--- a/crates/tc-platform/src/store/coalesce.rs
+++ b/crates/tc-platform/src/store/coalesce.rs
@@ -11,6 +11,7 @@
     future::{BoxFuture, Shared},
 };
 use serde_json::Value;
+use tracing::Instrument;
 
 use crate::{StoreError, Versioned};
 
@@ -28,6 +29,9 @@
 ///
 /// A caller only ever joins a read that has not been sent yet. Joining one already on its way could give a value
 /// from before the caller's own write, seen as a lost write that in truth took effect.
+///
+/// Reads run in tasks of their own: a caller that joined one and is then not polled for long would otherwise hold up
+/// all others that wait for the same object.
 #[derive(Clone, Default)]
 pub(crate) struct Coalescer {
     lanes: Arc<Mutex<HashMap<String, Lane>>>,
@@ -55,7 +59,7 @@
         let coalescer = self.clone();
         let path = path.to_owned();
         let on_its_way = lane.on_its_way.clone();
-        let shared = async move {
+        let read = async move {
             let turn = on_its_way.lock().await;
             coalescer.leave_waiting(&path);
             let result = read.await;
@@ -63,9 +67,11 @@
             drop(on_its_way);
             coalescer.forget_if_idle(&path);
             result
-        }
-        .boxed()
-        .shared();
+        };
+        let task = tokio::spawn(read.in_current_span());
+        let shared = async move { task.await.unwrap_or(Err(StoreError::Unreachable)) }
+            .boxed()
+            .shared();
         lane.waiting = Some(shared.clone());
         shared
     }
