--- a/crates/tc-fleet/src/entry/ask.rs
+++ b/crates/tc-fleet/src/entry/ask.rs
@@ -11,16 +11,18 @@
 
 use arc_swap::ArcSwap;
 use ractor::ActorRef;
-use tc_policy::{Candidate, Choice, HeldPermit, choose};
+use tc_policy::HeldPermit;
 use tc_protocol::{
-    Ask, AskRefusal, FleetView, Grant, InstanceId, MonoTime, Outcome, Permit, PermitId,
-    RefusalReason, Release, UpstreamId, UpstreamState,
+    Ask, AskRefusal, FleetView, Grant, InstanceId, MonoTime, Outcome, Permit, RefusalReason,
+    Release, UpstreamId,
 };
 use tokio::sync::oneshot;
 
 use super::{
     baseline::RoundRobin,
     held::{Held, HeldKey, HeldTable},
+    route::{CancelGuard, Granted, Route, guarded},
+    target::Target,
 };
 use crate::{
     AskPolicy, convert,
@@ -33,7 +35,7 @@
 };
 
 /// Redirects followed before the ask queues where it is.
-const REDIRECTS: u32 = 2;
+pub(super) const REDIRECTS: u32 = 2;
 /// Homes tried that refused or could not be reached before the ask gives up.
 const HOMES_TRIED: u32 = 4;
 /// Wait for membership to move the homes when none can be reached.
@@ -56,27 +58,21 @@
 
 /// Serves the asks of this instance's requests.
 pub(crate) struct AskDesk {
-    args: DeskArgs,
+    pub(super) args: DeskArgs,
     next_ask: AtomicU64,
     round_robin: RoundRobin,
 }
 
 /// What one ask has learnt so far.
 #[derive(Default)]
-struct Progress {
-    redirects: u32,
-    failures: u32,
-    redirected: HashSet<UpstreamId>,
-    preferred: Option<UpstreamId>,
-    refused: HashSet<UpstreamId>,
-    unreachable: HashSet<InstanceId>,
-    last: Option<AskRefusal>,
-}
-
-struct Target {
-    state: UpstreamState,
-    home: InstanceId,
-    why: &'static str,
+pub(super) struct Progress {
+    pub(super) redirects: u32,
+    pub(super) failures: u32,
+    pub(super) redirected: HashSet<UpstreamId>,
+    pub(super) preferred: Option<UpstreamId>,
+    pub(super) refused: HashSet<UpstreamId>,
+    pub(super) unreachable: HashSet<InstanceId>,
+    pub(super) last: Option<AskRefusal>,
 }
 
 impl AskDesk {
@@ -129,90 +125,6 @@
         }
     }
 
-    fn target(&self, ask: &Ask, progress: &mut Progress) -> Option<Target> {
-        let view = self.args.view.load();
-        let upstreams = view.upstreams.get(&ask.service)?;
-        let now = MonoTime::now();
-        let usable: Vec<UpstreamState> = upstreams
-            .iter()
-            .filter(|state| Self::is_usable(state, progress))
-            .map(|state| self.refreshed(now, state))
-            .collect();
-        let preferred = progress.preferred.take();
-        let index = usable
-            .iter()
-            .position(|state| Some(&state.upstream.id) == preferred.as_ref());
-        let choice = match index {
-            Some(index) if !ask.avoid.contains(&usable[index].upstream.id) => Choice {
-                index,
-                why: "redirected by a home",
-            },
-            _ => self.choose(now, &view, &usable, ask)?,
-        };
-        let state = usable[choice.index].clone();
-        let home = state.home.clone()?;
-        Some(Target {
-            state,
-            home,
-            why: choice.why,
-        })
-    }
-
-    fn is_usable(state: &UpstreamState, progress: &Progress) -> bool {
-        let id = &state.upstream.id;
-        let tried = progress.redirects < REDIRECTS && progress.redirected.contains(id);
-        let home_is_there = state
-            .home
-            .as_ref()
-            .is_some_and(|home| !progress.unreachable.contains(home));
-        home_is_there && !tried && !progress.refused.contains(id)
-    }
-
-    /// The state with the newest summary any thread has heard.
-    fn refreshed(&self, now: MonoTime, state: &UpstreamState) -> UpstreamState {
-        let mut state = state.clone();
-        if let Some(cell) = self.args.summaries.cell(&state.upstream.id)
-            && let Some((summary, leaving, _)) = cell.load(now)
-        {
-            state.summary = Some(summary);
-            state.leaving |= leaving;
-        }
-        state
-    }
-
-    fn choose(
-        &self,
-        now: MonoTime,
-        view: &FleetView,
-        usable: &[UpstreamState],
-        ask: &Ask,
-    ) -> Option<Choice> {
-        let candidates: Vec<Candidate<'_>> = usable
-            .iter()
-            .map(|state| self.candidate(now, view, state))
-            .collect();
-        choose(&candidates, ask, &mut rand::rng())
-    }
-
-    fn candidate<'a>(
-        &self,
-        now: MonoTime,
-        view: &FleetView,
-        state: &'a UpstreamState,
-    ) -> Candidate<'a> {
-        let cell = self.args.summaries.cell(&state.upstream.id);
-        let age = cell
-            .as_ref()
-            .and_then(|cell| cell.load(now))
-            .map(|(_, _, age)| age);
-        Candidate {
-            state,
-            summary_age: age.unwrap_or(Duration::MAX),
-            own_in_flight: cell.map_or(0, |cell| cell.own_in_flight.load(Relaxed)),
-            distance_ms: distance_ms(view, state),
-        }
-    }
-
     /// `None`: the home cannot be reached.
     async fn ask_home(
         &self,
@@ -417,95 +329,6 @@
     }
 }
 
-/// The way to one upstream's home, usable from a destructor.
-struct Route {
-    upstream: UpstreamId,
-    home: InstanceId,
-    me: InstanceId,
-    view: Arc<ArcSwap<FleetView>>,
-    peers: Arc<PeerPool>,
-    homes: ActorRef<HomesMsg>,
-}
-
-impl Route {
-    fn release(&self, release: Release) {
-        let upstream = self.upstream.clone();
-        if self.home == self.me {
-            let _ = self.homes.cast(HomesMsg::Release { upstream, release });
-        } else if let Some(member) = self.view.load().member(&self.home) {
-            self.peers
-                .get(member)
-                .send(ToHome::Release { upstream, release });
-        }
-    }
-
-    fn cancel(&self, number: u64) {
-        if self.home == self.me {
-            let _ = self.homes.cast(HomesMsg::Cancel {
-                upstream: Some(self.upstream.clone()),
-                entry: self.me.clone(),
-                ask: number,
-            });
-        } else if let Some(member) = self.view.load().member(&self.home) {
-            self.peers.get(member).send(ToHome::Cancel(number));
-        }
-    }
-}
-
-/// Cancels the ask at its home when the asking future is dropped before the answer.
-struct CancelGuard {
-    route: Option<Route>,
-    number: u64,
-}
-
-impl Drop for CancelGuard {
-    fn drop(&mut self) {
-        if let Some(route) = self.route.take() {
-            route.cancel(self.number);
-        }
-    }
-}
-
-/// A grant that gives itself back unless it is turned into a permit.
-struct Granted {
-    route: Option<Route>,
-    permit: PermitId,
-    expires_in: Duration,
-    waited: Duration,
-}
-
-impl Granted {
-    fn disarm(mut self) -> (PermitId, Duration, Duration) {
-        self.route = None;
-        (self.permit, self.expires_in, self.waited)
-    }
-}
-
-impl Drop for Granted {
-    fn drop(&mut self) {
-        if let Some(route) = self.route.take() {
-            route.release(crate::peers::unused_release(self.permit));
-        }
-    }
-}
-
-/// Turns an answer into a guarded grant or the verdict against it.
-fn guarded(answer: HomeAnswer, route: Route) -> Result<Granted, HomeVerdict> {
-    match answer.verdict {
-        HomeVerdict::Granted {
-            permit,
-            expires_in,
-            waited,
-        } => Ok(Granted {
-            route: Some(route),
-            permit,
-            expires_in,
-            waited,
-        }),
-        verdict => Err(verdict),
-    }
-}
-
 fn no_upstream(progress: &Progress) -> AskRefusal {
     progress.last.unwrap_or(AskRefusal {
         reason: RefusalReason::NoUpstream,
@@ -513,16 +336,6 @@
     })
 }
 
-fn distance_ms(view: &FleetView, state: &UpstreamState) -> f64 {
-    if state.upstream.failure_domain == view.me.failure_domain {
-        0.0
-    } else if state.upstream.region == view.me.region {
-        view.config.policy.cross_domain_ms
-    } else {
-        view.config.policy.cross_region_ms
-    }
-}
-
 fn ask_to_wire(ask: &Ask, upstream: &UpstreamId, home_ask: &HomeAsk) -> PermitAsk {
     PermitAsk {
         ask: home_ask.ask,
--- a/crates/tc-fleet/src/entry/mod.rs
+++ b/crates/tc-fleet/src/entry/mod.rs
@@ -3,6 +3,8 @@
 mod ask;
 mod baseline;
 mod held;
+mod route;
+mod target;
 
 pub(crate) use ask::{AskDesk, DeskArgs};
 pub(crate) use held::HeldTable;
--- /dev/null
+++ b/crates/tc-fleet/src/entry/target.rs
@@ -0,0 +1,111 @@
+//! Which upstream to ask for next.
+
+use std::{sync::atomic::Ordering::Relaxed, time::Duration};
+
+use tc_policy::{Candidate, Choice, choose};
+use tc_protocol::{Ask, FleetView, InstanceId, MonoTime, UpstreamState};
+
+use super::ask::{AskDesk, Progress, REDIRECTS};
+
+/// An upstream and the home to ask.
+pub(super) struct Target {
+    pub(super) state: UpstreamState,
+    pub(super) home: InstanceId,
+    pub(super) why: &'static str,
+}
+
+impl AskDesk {
+    pub(super) fn target(&self, ask: &Ask, progress: &mut Progress) -> Option<Target> {
+        let view = self.args.view.load();
+        let upstreams = view.upstreams.get(&ask.service)?;
+        let now = MonoTime::now();
+        let usable: Vec<UpstreamState> = upstreams
+            .iter()
+            .filter(|state| Self::is_usable(state, progress))
+            .map(|state| self.refreshed(now, state))
+            .collect();
+        let preferred = progress.preferred.take();
+        let index = usable
+            .iter()
+            .position(|state| Some(&state.upstream.id) == preferred.as_ref());
+        let choice = match index {
+            Some(index) if !ask.avoid.contains(&usable[index].upstream.id) => Choice {
+                index,
+                why: "redirected by a home",
+            },
+            _ => self.choose(now, &view, &usable, ask)?,
+        };
+        let state = usable[choice.index].clone();
+        let home = state.home.clone()?;
+        Some(Target {
+            state,
+            home,
+            why: choice.why,
+        })
+    }
+
+    fn is_usable(state: &UpstreamState, progress: &Progress) -> bool {
+        let id = &state.upstream.id;
+        let tried = progress.redirects < REDIRECTS && progress.redirected.contains(id);
+        let home_is_there = state
+            .home
+            .as_ref()
+            .is_some_and(|home| !progress.unreachable.contains(home));
+        home_is_there && !tried && !progress.refused.contains(id)
+    }
+
+    /// The state with the newest summary any thread has heard.
+    fn refreshed(&self, now: MonoTime, state: &UpstreamState) -> UpstreamState {
+        let mut state = state.clone();
+        if let Some(cell) = self.args.summaries.cell(&state.upstream.id)
+            && let Some((summary, leaving, _)) = cell.load(now)
+        {
+            state.summary = Some(summary);
+            state.leaving |= leaving;
+        }
+        state
+    }
+
+    fn choose(
+        &self,
+        now: MonoTime,
+        view: &FleetView,
+        usable: &[UpstreamState],
+        ask: &Ask,
+    ) -> Option<Choice> {
+        let candidates: Vec<Candidate<'_>> = usable
+            .iter()
+            .map(|state| self.candidate(now, view, state))
+            .collect();
+        choose(&candidates, ask, &mut rand::rng())
+    }
+
+    fn candidate<'a>(
+        &self,
+        now: MonoTime,
+        view: &FleetView,
+        state: &'a UpstreamState,
+    ) -> Candidate<'a> {
+        let cell = self.args.summaries.cell(&state.upstream.id);
+        let age = cell
+            .as_ref()
+            .and_then(|cell| cell.load(now))
+            .map(|(_, _, age)| age);
+        Candidate {
+            state,
+            summary_age: age.unwrap_or(Duration::MAX),
+            own_in_flight: cell.map_or(0, |cell| cell.own_in_flight.load(Relaxed)),
+            distance_ms: distance_ms(view, state),
+        }
+    }
+}
+
+fn distance_ms(view: &FleetView, state: &UpstreamState) -> f64 {
+    if state.upstream.failure_domain == view.me.failure_domain {
+        0.0
+    } else if state.upstream.region == view.me.region {
+        view.config.policy.cross_domain_ms
+    } else {
+        view.config.policy.cross_region_ms
+    }
+}
--- a/crates/tc-fleet/src/fleet.rs
+++ b/crates/tc-fleet/src/fleet.rs
@@ -1,19 +1,14 @@
 //! Starting the fleet layer, and the handle that the rest of the process uses.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, atomic::AtomicU64},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
-use arc_swap::ArcSwap;
 use futures::future::BoxFuture;
 use ractor::{Actor, ActorRef};
-use tc_membership::{Record, addresses};
+use tc_membership::addresses;
 use tc_platform::{Purpose, Store, StoreError};
 use tc_protocol::{
-    Ask, AskRefusal, Fingerprint, FleetConfig, FleetView, InstanceId, MonoTime, Permit, RequestId,
-    ShareGuard, StoreHealth, UpstreamId, UpstreamSummary, WorkspaceName,
+    Ask, AskRefusal, Fingerprint, FleetView, InstanceId, MonoTime, Permit, RequestId, ShareGuard,
+    UpstreamId, UpstreamSummary, WorkspaceName,
     wire::{AddressAnswer, CallerAddress},
 };
 use tc_upstream::UpstreamClient;
@@ -21,29 +16,20 @@
     net::{TcpListener, UdpSocket},
     sync::oneshot,
 };
-use tonic::transport::server::TcpIncoming;
 
 use crate::{
-    FleetError, FleetSettings, convert,
+    FleetError, FleetSettings,
     entry::{AskDesk, DeskArgs},
-    generated::{
-        ExplainQuestion, Introduction, LeaveOrder, ReportQuestion, fleet_server::FleetServer,
-    },
-    gossip::GossipSocket,
-    homes::{HomesActor, HomesArgs, HomesMsg},
-    loads::read_loads,
+    generated::{ExplainQuestion, LeaveOrder, ReportQuestion},
+    homes::HomesMsg,
     node::{NodeActor, NodeArgs, NodeMsg, NodeParts},
     orders::{OrderDesk, run_planner},
-    peers::{PeerPool, timed},
-    server::{FleetService, ServiceParts, check_token},
-    store_watch::{DRAIN_KIND, read_lists},
-    summary::SummaryTable,
-    suspects::SuspectTable,
+    peers::timed,
+    server::ServiceParts,
+    start::{serve, start_parts, start_tasks},
+    store_watch::DRAIN_KIND,
 };
 
-/// Wait between two rounds of introductions by seeds while nobody is known.
-const INTRODUCE_AGAIN: Duration = Duration::from_millis(500);
-
 /// What this instance tells other instances of itself, as JSON texts.
 pub struct LocalReport {
     /// The explanation of a request kept here.
@@ -298,123 +284,3 @@
         }
     }
 }
-
-async fn start_parts(
-    settings: &FleetSettings,
-    store: Store,
-    socket: UdpSocket,
-) -> Result<NodeParts, FleetError> {
-    let view = Arc::new(ArcSwap::from_pointee(first_view(settings)));
-    let summaries = Arc::new(SummaryTable::default());
-    let peers = Arc::new(PeerPool::new(
-        settings.me.clone(),
-        settings.keys.clone(),
-        Arc::clone(&summaries),
-        settings.traffic.clone(),
-    ));
-    let homes_args = HomesArgs {
-        summaries: Arc::clone(&summaries),
-    };
-    let (homes, _) = Actor::spawn(None, HomesActor, homes_args)
-        .await
-        .map_err(|error| FleetError::Actors(error.to_string()))?;
-    let crashes = FleetConfig::default().policy.crashes_to_quarantine;
-    let suspects = Arc::new(SuspectTable::new(
-        Arc::clone(&view),
-        Arc::clone(&peers),
-        crashes,
-    ));
-    Ok(NodeParts {
-        view,
-        known: Arc::default(),
-        summaries,
-        peers,
-        homes,
-        held: Arc::default(),
-        limits: Arc::default(),
-        suspects,
-        drained: Arc::default(),
-        store,
-        config_version: Arc::new(AtomicU64::new(0)),
-        socket: GossipSocket::new(socket, settings.keys.clone()),
-    })
-}
-
-fn first_view(settings: &FleetSettings) -> FleetView {
-    FleetView {
-        me: settings.me.clone(),
-        members: vec![settings.me.clone()].into(),
-        config: Arc::default(),
-        upstreams: Arc::new(BTreeMap::new()),
-        store: StoreHealth::default(),
-    }
-}
-
-fn start_tasks(
-    settings: &FleetSettings,
-    parts: &NodeParts,
-    node: &ActorRef<NodeMsg>,
-    upstream: &UpstreamClient,
-) {
-    tokio::spawn(parts.socket.clone().receive(node.clone()));
-    tokio::spawn(read_lists(parts.clone(), node.clone()));
-    tokio::spawn(read_loads(parts.clone(), upstream.clone(), node.clone()));
-    let limits = Arc::clone(&parts.limits);
-    tokio::spawn(limits.report(Arc::clone(&parts.view), Arc::clone(&parts.peers)));
-    tokio::spawn(crate::quarantine::keep(parts.clone()));
-    tokio::spawn(introduce(settings.clone(), parts.clone(), node.clone()));
-    let node = node.clone();
-    parts.suspects.set_spread_now(Box::new(move || {
-        let _ = node.cast(NodeMsg::SpreadSuspects);
-    }));
-}
-
-/// Asks seeds for the member list until somebody is known: the platform's list may be out of reach at the start.
-async fn introduce(settings: FleetSettings, parts: NodeParts, node: ActorRef<NodeMsg>) {
-    let record = Record {
-        member: settings.me.clone(),
-        refutation: 0,
-        revision: 0,
-    };
-    let me = convert::record_to_wire(&record);
-    while parts.view.load().members.len() < 2 {
-        for seed in settings
-            .seeds
-            .iter()
-            .filter(|seed| **seed != settings.me.fleet_address)
-        {
-            let mut client = parts.peers.client_of(*seed);
-            let introduction = timed(Introduction {
-                me: Some(me.clone()),
-            });
-            let Ok(list) = client.introduce(introduction).await else {
-                continue;
-            };
-            let records: Vec<Record> = list
-                .into_inner()
-                .members
-                .iter()
-                .filter_map(convert::record_from_wire)
-                .collect();
-            let _ = node.cast(NodeMsg::Learn(records));
-            break;
-        }
-        tokio::time::sleep(INTRODUCE_AGAIN).await;
-    }
-}
-
-fn serve(settings: &FleetSettings, listener: TcpListener, parts: ServiceParts) {
-    let service = FleetServer::with_interceptor(
-        FleetService(Arc::new(parts)),
-        check_token(settings.keys.clone()),
-    );
-    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
-    tokio::spawn(async move {
-        let served = tonic::transport::Server::builder()
-            .add_service(service)
-            .serve_with_incoming(incoming);
-        if let Err(error) = served.await {
-            log::error!("serving other instances ended: {error}");
-        }
-    });
-}
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -20,6 +20,7 @@
 mod quarantine;
 mod server;
 mod settings;
+mod start;
 mod store_watch;
 mod summary;
 mod suspects;
--- a/crates/tc-fleet/tests/fleet/main.rs
+++ b/crates/tc-fleet/tests/fleet/main.rs
@@ -1,6 +1,8 @@
 //! Several instances' fleet layers in one process, over real sockets.
 
 mod common;
+mod limits;
 mod orders;
 mod permits;
 mod spread;
+mod suspects;
--- a/crates/tc-fleet/tests/fleet/spread.rs
+++ b/crates/tc-fleet/tests/fleet/spread.rs
@@ -107,3 +107,26 @@
         .await;
     });
 }
+
+#[test]
+fn datagrams_that_are_no_messages_change_nothing() {
+    // Symptom: noise on the network makes instances suspect each other, or stops one.
+    // Sequence: bytes of every length up to the largest datagram, then a sealed-looking one, reach the UDP port.
+    // Cause: whatever is not authentic must be dropped before it is decoded.
+    run(async {
+        let (_platform, instances) = settled(2, 1, 1).await;
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        for length in (0..1_400).step_by(7) {
+            let noise: Vec<u8> = (0..length).map(|at| (at * 31 % 251) as u8).collect();
+            socket
+                .send_to(&noise, instances[0].member.fleet_address)
+                .unwrap();
+        }
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        for instance in &instances {
+            let view = instance.fleet.view();
+            assert_eq!(view.members.len(), 2);
+            assert!(view.members.iter().all(|m| m.state == MemberState::Alive));
+        }
+    });
+}
--- /dev/null
+++ b/crates/tc-fleet/tests/fleet/suspects.rs
@@ -0,0 +1,104 @@
+//! Requests that crash upstreams, over several instances.
+
+use std::time::Duration;
+
+use tc_protocol::{Ask, Cost, Fingerprint, Outcome, Permit, RefusalReason, RunState};
+
+use crate::common::{Instance, ask, run, settled, until};
+
+const SLACK: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(250);
+
+fn crashing(slack: Duration) -> Ask {
+    Ask {
+        fingerprint: Fingerprint(0xbad),
+        ..ask("crashing", slack)
+    }
+}
+
+/// The upstream dies under the call, and the entry tells of it.
+async fn die(instance: &Instance, permit: Permit) {
+    let upstream = permit.grant().upstream.clone();
+    let took = Duration::from_millis(1);
+    permit.settle(
+        Outcome::Died,
+        RunState::Unknown,
+        Cost::default(),
+        took,
+        None,
+    );
+    instance.fleet.crashed(Fingerprint(0xbad), upstream).await;
+}
+
+#[test]
+fn a_request_that_crashes_upstreams_is_quarantined_everywhere() {
+    // Symptom: each resend of one request kills another engine.
+    // Sequence: it crashes an upstream through one instance, then another through the next, and is sent again.
+    // Cause: instances must tell each other of crashes before callers can send again.
+    run(async {
+        let (_platform, instances) = settled(3, 6, 4).await;
+        let permit = instances[0].fleet.ask(crashing(SLACK)).await.unwrap();
+        die(&instances[0], permit).await;
+        let permit = instances[1].fleet.ask(crashing(SLACK)).await.unwrap();
+        die(&instances[1], permit).await;
+        for instance in &instances {
+            let refused = instance.fleet.ask(crashing(SLACK)).await.unwrap_err();
+            assert_eq!(refused.reason, RefusalReason::Quarantined);
+        }
+        let innocent = instances[2].fleet.ask(ask("innocent", SLACK)).await;
+        assert!(innocent.is_ok(), "{innocent:?}");
+    });
+}
+
+#[test]
+fn a_suspect_runs_once_at_a_time_and_is_cleared_by_success() {
+    // Symptom: a crashing request sent by many callers at once kills many engines at once.
+    // Sequence: one crash, then asks for the same input through two instances.
+    // Cause: its trials must be counted at one place for the whole fleet.
+    run(async {
+        let (_platform, instances) = settled(3, 6, 4).await;
+        let permit = instances[0].fleet.ask(crashing(SLACK)).await.unwrap();
+        die(&instances[0], permit).await;
+        let trial = instances[1].fleet.ask(crashing(SLACK)).await.unwrap();
+        let second = instances[2].fleet.ask(crashing(SHORT)).await;
+        assert!(second.is_err(), "two trials at once: {second:?}");
+        let took = Duration::from_millis(1);
+        trial.settle(
+            Outcome::Answered,
+            RunState::Ran,
+            Cost::default(),
+            took,
+            None,
+        );
+        instances[1].fleet.ran_whole(Fingerprint(0xbad));
+        let third = instances[2].fleet.ask(crashing(SLACK)).await;
+        assert!(third.is_ok(), "{third:?}");
+    });
+}
+
+#[test]
+fn a_quarantine_outlives_the_instance_that_found_it() {
+    // Symptom: after an instance is replaced, a quarantined request crashes two more engines.
+    // Sequence: quarantine; every instance that knew of it stops; a fresh one starts.
+    // Cause: the quarantine must be kept in the platform.
+    run(async {
+        let (platform, mut instances) = settled(2, 6, 4).await;
+        for at in [0, 1] {
+            let permit = instances[at].fleet.ask(crashing(SLACK)).await.unwrap();
+            die(&instances[at], permit).await;
+        }
+        until("the quarantine is in the platform", || {
+            let kind = "tanagercroft-quarantine";
+            platform.object(kind, "0000000000000bad").is_some()
+        })
+        .await;
+        instances.iter_mut().for_each(Instance::crash);
+        let key = crate::common::KEY;
+        let fresh = Instance::start("fresh", "kl-a", platform.address(), Vec::new(), key);
+        until("the fresh instance refuses it", || {
+            let refused = futures::executor::block_on(fresh.fleet.ask(crashing(SHORT)));
+            refused.is_err_and(|refused| refused.reason == RefusalReason::Quarantined)
+        })
+        .await;
+    });
+}
