--- a/crates/tc-membership/src/membership/table.rs
+++ b/crates/tc-membership/src/membership/table.rs
@@ -229,9 +229,7 @@
             return self.dispute(claim);
         }
         if claim.supersedes(&self.record) {
-            let revision = if same_life { self.record.revision } else { 0 };
             self.hold(now, claim.clone(), suspicion);
-            self.record.revision = self.record.revision.max(revision);
             return Merged::State;
         }
         if same_life && claim.revision > self.record.revision {
@@ -260,9 +258,12 @@
 
     /// Lets `claim` hold.
     pub(crate) fn hold(&mut self, now: MonoTime, claim: Record, suspicion: Duration) {
-        if claim.member.incarnation != self.record.member.incarnation {
+        let revision = if claim.member.incarnation == self.record.member.incarnation {
+            self.record.revision
+        } else {
             self.leaving = false;
-        }
+            0
+        };
         // Others' suspicion says nothing about what the member itself last said.
         match claim.member.state {
             MemberState::Leaving => self.leaving = true,
@@ -277,6 +278,8 @@
         self.hidden = false;
         self.disputed = self.disputed.take().filter(|d| d.supersedes(&claim));
         self.record = claim;
+        // Whoever accuses a member may know an older revision of it than is known here.
+        self.record.revision = self.record.revision.max(revision);
     }
 
     /// The claim to tell the member itself, so that it can refute it.
