Document metrics and alerts, and say more where an operator is lost

The table of metrics has the labels with their bounds. Tests hold it against the macros in all sources, both ways, and against the pages on metrics and alerts. Before, tc_stalled_callers_total was missing in the table.

explain names stage, attempt and upstream first and costs one by one, and its page shows the home's part. An address that is no admin interface is named as such; before, the help said to check the name.

--- a/crates/tc-operator/src/admin_client.rs
+++ b/crates/tc-operator/src/admin_client.rs
@@ -25,6 +25,12 @@
 /// Far above what a fleet of hundreds of instances answers.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
+/// What to do when something else answers than an admin interface.
+const NOT_ADMIN_HELP: &str = "--admin takes the address an instance was given as --admin-listen";
+/// What to do when an instance breaks off.
+const LOST_HELP: &str =
+    "try again, ask another instance, or check that this is an address given as --admin-listen";
+
 /// How far a call came that has no answer.
 enum Lost {
     /// No byte of it was sent.
@@ -79,7 +85,7 @@
             }),
             Err(Lost::Answer(problem)) => {
                 let problem = format!("the answer was lost: {problem}");
-                Err(self.unavailable(problem, "try again, or ask another instance"))
+                Err(self.unavailable(problem, LOST_HELP))
             }
             Err(Lost::Request(problem)) => {
                 let help = "check the address and that the instance runs; any instance will do";
@@ -119,10 +125,17 @@
             }
             .into();
         }
-        let report = serde_json::from_slice::<ErrorReport>(body);
-        let problem = report.map_or_else(|_| format!("status {status}"), |report| report.error);
+        let Ok(ErrorReport { error: problem }) = serde_json::from_slice(body) else {
+            let address = self.address;
+            let problem =
+                format!("{address} answers with status {status}, not as an admin interface does");
+            let help = NOT_ADMIN_HELP.to_owned();
+            return CommandError::Failed { problem, help };
+        };
         let help = match status {
-            StatusCode::NOT_FOUND => "check the name",
+            StatusCode::NOT_FOUND => {
+                "`status` and `upstreams` list the names; a request's id is the x-request-id of its answer"
+            }
             StatusCode::SERVICE_UNAVAILABLE => "nothing was changed; try again later",
             _ => "see the instance's log",
         };
--- a/crates/tc-operator/src/commands/explain.rs
+++ b/crates/tc-operator/src/commands/explain.rs
@@ -39,6 +39,8 @@
 /// The key under which a decision's kind is serialised.
 const KIND: &str = "what";
 const TIME: &str = "at_ms";
+/// Fields that are shown before the others: what the decision is about.
+const FIRST: &[&str] = &["stage", "attempt", "upstream"];
 
 fn run(cx: &mut Context<'_>) -> Result<(), CommandError> {
     let id = super::identifier(cx.arguments.positional(0), "request")?;
@@ -68,17 +70,37 @@
     };
     fields.remove(TIME);
     let kind = fields.remove(KIND).map(|kind| plain(&kind));
-    let details = fields
-        .iter()
-        .map(|(key, value)| format!("{key}={}", plain(value)));
-    let details = details.collect::<Vec<_>>().join(" ");
-    vec![millis(step.at_ms), kind.unwrap_or_default(), details]
+    let mut details = Vec::new();
+    for key in FIRST {
+        if let Some(value) = fields.remove(*key) {
+            detail(key, &value, &mut details);
+        }
+    }
+    for (key, value) in &fields {
+        detail(key, value, &mut details);
+    }
+    vec![
+        millis(step.at_ms),
+        kind.unwrap_or_default(),
+        details.join(" "),
+    ]
+}
+
+/// Adds a field as `key=value`, and the fields of an object one by one.
+fn detail(key: &str, value: &Value, details: &mut Vec<String>) {
+    match value {
+        Value::Object(fields) => fields
+            .iter()
+            .for_each(|(key, value)| detail(key, value, details)),
+        value => details.push(format!("{key}={}", plain(value))),
+    }
 }
 
 fn plain(value: &Value) -> String {
     match value {
         Value::String(text) if text.contains(' ') => format!("{text:?}"),
         Value::String(text) => text.clone(),
+        Value::Number(number) if number.is_f64() => millis(number.as_f64().unwrap_or_default()),
         other => other.to_string(),
     }
 }
--- a/crates/tc-operator/src/serve/control.rs
+++ b/crates/tc-operator/src/serve/control.rs
@@ -14,7 +14,7 @@
 use tokio::{net::TcpListener, runtime::Handle};
 use tokio_util::sync::CancellationToken;
 
-use super::{admin, cannot_listen, internal, ports, report, stop};
+use super::{admin, cannot_listen, internal, missing, ports, report, stop};
 use crate::{serve_admin, settings::Settings};
 
 /// Longest time of one call to the platform.
@@ -67,6 +67,7 @@
         admin_stop.clone(),
     ));
     tokio::spawn(follow_config(running.clone()));
+    tokio::spawn(missing::warn_while_missing(running.clone()));
     log::info!(
         instance = me.id.as_str(), incarnation = me.incarnation.0;
         "serving callers on {}, instances on {}, operators on {}",
--- a/crates/tc-operator/src/serve/mod.rs
+++ b/crates/tc-operator/src/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod control;
+mod missing;
 mod ports;
 mod report;
 mod signals;
--- a/crates/tc-operator/tests/operator/world.rs
+++ b/crates/tc-operator/tests/operator/world.rs
@@ -16,7 +16,8 @@
     StatusReport, UpstreamReport, WorkspaceReport, execute, serve_admin,
 };
 use tc_protocol::{
-    Decision, Explanation, MemberState, RequestId, Step, UpstreamSummary,
+    Attempt, Cost, Decision, Explanation, MemberState, Outcome, RequestId, RunState, Step,
+    UpstreamSummary,
     wire::{CONFIG_KIND, CONFIG_NAME, ConfigObject},
 };
 use tc_stand_ins::Platform;
@@ -287,18 +288,46 @@
                     estimate_ms: 60.5,
                 },
             ),
+            step(0.3, granted(0, "enc-2", "better of two near", 0.1)),
+            step(4.1, ended(0, Outcome::Died, RunState::Unknown)),
             step(
-                0.2,
+                4.2,
                 Decision::Retried {
                     stage: "encode".into(),
                     after: "connection closed".into(),
                 },
             ),
+            step(14.4, granted(1, "enc-1", "only one usable", 8.5)),
+            step(51.8, ended(1, Outcome::Answered, RunState::Ran)),
             step(52.0, Decision::Answered),
         ],
     })
 }
 
+/// What the home decided on an ask.
+fn granted(attempt: u32, upstream: &str, why: &str, waited_ms: f64) -> Decision {
+    Decision::Granted {
+        stage: "encode".into(),
+        attempt: Attempt(attempt),
+        upstream: upstream.into(),
+        why: why.to_owned(),
+        waited_ms,
+    }
+}
+
+fn ended(attempt: u32, outcome: Outcome, run_state: RunState) -> Decision {
+    Decision::Ended {
+        stage: "encode".into(),
+        attempt: Attempt(attempt),
+        outcome,
+        run_state,
+        cost: Cost {
+            busy_ms: 3.8,
+            ..Cost::default()
+        },
+    }
+}
+
 fn drain(target: &DrainTarget) -> Result<(), DrainError> {
     let id = match target {
         DrainTarget::Upstream(id) => id.as_str(),
--- a/crates/tc-telemetry/src/lib.rs
+++ b/crates/tc-telemetry/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use error::TelemetryError;
 pub use logs::{GateVerdict, RateGate, init_logs, json_logger};
-pub use metric_table::{METRICS, Metric, MetricKind, MetricUnit};
+pub use metric_table::{Label, LabelBound, METRICS, Metric, MetricKind, MetricUnit};
 pub use recorder::{MetricsHandle, init_metrics};
 pub use trace_context::TraceContext;
 pub use traces::{TraceGuard, init_traces, set_parent, traceparent_of_current_span};
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -1,9 +1,9 @@
-//! Every metric of the system, with its unit and meaning.
+//! Every metric of the system, with its unit, meaning and labels.
 
 use metrics::{Unit, describe_counter, describe_gauge, describe_histogram};
 
 /// How a metric behaves.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MetricKind {
     /// Only rises.
     Counter,
@@ -24,6 +24,29 @@
     Milliseconds,
 }
 
+/// What bounds the values of a label. A label that a caller can fill is none of these: every value that somebody
+/// thinks of would be a series for ever, noticed as memory that rises with the variety of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LabelBound {
+    /// Words of the code, at most so many.
+    Words(u32),
+    /// Services of the configuration.
+    Services,
+    /// Stage names of the configuration, and its plain services.
+    Stages,
+    /// Workspaces of the configuration, 1,000 at most; the rest share `other`.
+    Workspaces,
+}
+
+/// One label of a metric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Label {
+    /// Its name.
+    pub name: &'static str,
+    /// What bounds its values.
+    pub bound: LabelBound,
+}
+
 /// One metric.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Metric {
@@ -33,67 +56,123 @@
     pub kind: MetricKind,
     /// What one step is.
     pub unit: MetricUnit,
-    /// What it tells, and its labels.
+    /// Its labels, in the order of the code that reports it.
+    pub labels: &'static [Label],
+    /// What it tells.
     pub meaning: &'static str,
 }
 
+const KIND: Label = words("kind", 19);
+const UPSTREAM_KIND: Label = words("kind", 6);
+const OUTCOME: Label = words("outcome", 7);
+const PURPOSE: Label = words("purpose", 6);
+const RESULT: Label = words("result", 8);
+/// The problems, and `answered`, `late` and `caller-left`.
+const REQUEST_RESULT: Label = words("result", 22);
+const SERVICE: Label = Label {
+    name: "service",
+    bound: LabelBound::Services,
+};
+const STAGE: Label = Label {
+    name: "stage",
+    bound: LabelBound::Stages,
+};
+/// Statuses that the admin interface answers with.
+const STATUS: Label = words("status", 8);
+const VERDICT: Label = words("verdict", 6);
+const WAY: Label = words("way", 2);
+const WORKSPACE: Label = Label {
+    name: "workspace",
+    bound: LabelBound::Workspaces,
+};
+
+const fn words(name: &'static str, most: u32) -> Label {
+    Label {
+        name,
+        bound: LabelBound::Words(most),
+    }
+}
+
 /// All metrics, in order of name.
 #[rustfmt::skip]
 pub const METRICS: &[Metric] = &[
-    count("tc_admin_requests_total", "Requests to the admin interface, by status."),
-    count("tc_caller_resumes_total", "Streams that a caller came back to with Last-Event-ID."),
-    count("tc_claims_total", "Claims on idempotency keys, by verdict."),
-    count("tc_config_rejected_total", "Configurations that were read and refused as invalid."),
-    gauge("tc_config_revision", "Revision of the configuration in force."),
-    count("tc_expired_permits_total", "Permits that ended because their holder never released them."),
-    count("tc_failures_total", "Problems told to callers, by kind."),
-    count("tc_fleet_calls_refused_total", "Calls between instances refused for a wrong fleet token."),
-    count("tc_forwarded_total", "Requests forwarded to the instance their key is bound to."),
-    Metric { unit: MetricUnit::Bytes, ..count("tc_gossip_bytes_total", "Bytes of gossip, by way (sent, received).") },
-    count("tc_gossip_oversized_total", "Gossip messages not sent because they were too large."),
-    count("tc_gossip_refused_total", "Gossip messages dropped because they were not authentic or not understood."),
-    count("tc_gossip_send_failures_total", "Gossip messages the kernel refused to send."),
-    count("tc_hedges_total", "Second calls made beside a slow one, by service."),
-    count("tc_late_results_total", "Results dropped because another attempt had won or nobody waited."),
-    count("tc_log_lines_suppressed_total", "Log lines left out by the rate gate."),
-    count("tc_outcomes_not_recorded_total", "Claims whose outcome could not be recorded."),
-    count("tc_pauses_total", "Times this process found that it had been paused."),
-    count("tc_platform_calls", "Calls to the platform as counted by the store client, by purpose."),
-    count("tc_platform_calls_total", "Calls to the platform, by purpose and result."),
-    count("tc_redirects_total", "Asks that a home redirected to another upstream."),
-    count("tc_requests_total", "Requests, by workspace and result."),
-    count("tc_retries_total", "Calls repeated after a failure, by service."),
-    millis("tc_stage_ms", "Time of a stage's call, by stage."),
-    count("tc_stream_resumes_total", "Streams resumed at an engine after a broken connection."),
-    count("tc_suspects_total", "Inputs that became suspects because an upstream died under them."),
-    count("tc_unknown_releases_total", "Releases of permits that the home did not know."),
-    count("tc_unreachable_homes_total", "Asks whose home could not be reached."),
-    millis("tc_upstream_call_ms", "Time of a call to an upstream, by kind."),
-    count("tc_upstream_calls_total", "Calls to upstreams, by kind and outcome."),
-    count("tc_upstream_connects_total", "Connections made to upstreams."),
+    count("tc_admin_requests_total", &[STATUS], "Requests to the admin interface."),
+    count("tc_caller_resumes_total", &[], "Streams that a caller came back to with Last-Event-ID."),
+    count("tc_claims_total", &[VERDICT], "Claims on idempotency keys in the platform's store."),
+    count("tc_config_rejected_total", &[], "Configurations that were read and refused as invalid."),
+    gauge("tc_config_revision", &[], "Revision of the configuration in force."),
+    count("tc_expired_permits_total", &[], "Permits that ended because their holder never released them."),
+    count("tc_failures_total", &[KIND], "Problems told to callers."),
+    count("tc_fleet_calls_refused_total", &[], "Calls between instances refused for a wrong fleet token."),
+    count("tc_forwarded_total", &[], "Requests forwarded to the instance their key is bound to or their stream is at."),
+    Metric { unit: MetricUnit::Bytes, ..count("tc_gossip_bytes_total", &[WAY], "Bytes of gossip.") },
+    count("tc_gossip_oversized_total", &[], "Gossip messages not sent because they were too large."),
+    count("tc_gossip_refused_total", &[], "Gossip messages dropped because they were not authentic or not understood."),
+    count("tc_gossip_send_failures_total", &[], "Gossip messages the kernel refused to send."),
+    count("tc_hedges_total", &[SERVICE], "Second calls made beside a slow one."),
+    count("tc_late_results_total", &[], "Results dropped because another attempt had won or nobody waited."),
+    count("tc_log_lines_suppressed_total", &[], "Log lines left out by the rate gate."),
+    count("tc_outcomes_not_recorded_total", &[], "Claims whose outcome could not be recorded."),
+    count("tc_pauses_total", &[], "Times this process found that it had been paused."),
+    count("tc_platform_calls", &[PURPOSE], "Calls to the platform by this process, as its client counted them at this scrape."),
+    count("tc_platform_calls_total", &[PURPOSE, RESULT], "Calls to the platform."),
+    count("tc_redirects_total", &[], "Asks that a home redirected to another upstream."),
+    count("tc_requests_total", &[WORKSPACE, REQUEST_RESULT], "Requests that ended."),
+    count("tc_retries_total", &[SERVICE], "Calls repeated after a failure."),
+    millis("tc_stage_ms", &[STAGE], "Time of a stage's call."),
+    count("tc_stalled_callers_total", &[], "Connections closed because their caller took nothing of its answer."),
+    count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
+    count("tc_suspects_total", &[], "Inputs that became suspects because an upstream died under them."),
+    count("tc_unknown_releases_total", &[], "Releases of permits that the home did not know."),
+    count("tc_unreachable_homes_total", &[], "Asks whose home could not be reached."),
+    millis("tc_upstream_call_ms", &[UPSTREAM_KIND], "Time of a call to an upstream."),
+    count("tc_upstream_calls_total", &[UPSTREAM_KIND, OUTCOME], "Calls to upstreams."),
+    count("tc_upstream_connects_total", &[], "Connections made to upstreams."),
 ];
 
-const fn count(name: &'static str, meaning: &'static str) -> Metric {
+const fn count(name: &'static str, labels: &'static [Label], meaning: &'static str) -> Metric {
     Metric {
         name,
         kind: MetricKind::Counter,
         unit: MetricUnit::Count,
+        labels,
         meaning,
     }
 }
 
-const fn gauge(name: &'static str, meaning: &'static str) -> Metric {
+const fn gauge(name: &'static str, labels: &'static [Label], meaning: &'static str) -> Metric {
     Metric {
         kind: MetricKind::Gauge,
-        ..count(name, meaning)
+        ..count(name, labels, meaning)
     }
 }
 
-const fn millis(name: &'static str, meaning: &'static str) -> Metric {
+const fn millis(name: &'static str, labels: &'static [Label], meaning: &'static str) -> Metric {
     Metric {
         kind: MetricKind::Histogram,
         unit: MetricUnit::Milliseconds,
-        ..count(name, meaning)
+        ..count(name, labels, meaning)
+    }
+}
+
+impl Metric {
+    /// What it tells, and its labels.
+    ///
+    /// ```
+    /// let retries = tc_telemetry::METRICS.iter().find(|m| m.name == "tc_retries_total").unwrap();
+    /// assert_eq!(retries.description(), "Calls repeated after a failure, by service.");
+    /// ```
+    #[must_use]
+    pub fn description(&self) -> String {
+        let labels: Vec<&str> = self.labels.iter().map(|label| label.name).collect();
+        match labels.as_slice() {
+            [] => self.meaning.to_owned(),
+            labels => format!(
+                "{}, by {}.",
+                self.meaning.trim_end_matches('.'),
+                labels.join(" and ")
+            ),
+        }
     }
 }
 
@@ -105,10 +184,11 @@
             MetricUnit::Bytes => Unit::Bytes,
             MetricUnit::Milliseconds => Unit::Milliseconds,
         };
+        let description = metric.description();
         match metric.kind {
-            MetricKind::Counter => describe_counter!(metric.name, unit, metric.meaning),
-            MetricKind::Gauge => describe_gauge!(metric.name, unit, metric.meaning),
-            MetricKind::Histogram => describe_histogram!(metric.name, unit, metric.meaning),
+            MetricKind::Counter => describe_counter!(metric.name, unit, description),
+            MetricKind::Gauge => describe_gauge!(metric.name, unit, description),
+            MetricKind::Histogram => describe_histogram!(metric.name, unit, description),
         }
     }
 }
--- a/crates/tc-telemetry/tests/metrics.rs
+++ b/crates/tc-telemetry/tests/metrics.rs
@@ -1,8 +1,12 @@
-//! Metrics: rendered, described, and none forgotten in the table.
+//! Metrics: rendered, described, the same in the table, the code and the pages, and bounded in number.
 
-use std::{collections::BTreeSet, fs, path::Path};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::{Path, PathBuf},
+};
 
-use tc_telemetry::{METRICS, init_metrics};
+use tc_telemetry::{LabelBound, METRICS, Metric, MetricKind, init_metrics};
 
 #[test]
 fn metrics_are_rendered_with_their_description() {
@@ -30,39 +34,207 @@
     assert!(METRICS.is_sorted_by(|a, b| a.name < b.name));
 }
 
+/// What a metric is in the code: its kind, and its labels.
+type Reported = (MetricKind, BTreeSet<String>);
+
 #[test]
-fn every_metric_in_the_code_is_in_the_table() {
-    let crates = Path::new(env!("CARGO_MANIFEST_DIR")).parent().unwrap();
-    let mut used = BTreeSet::new();
-    for entry in fs::read_dir(crates).unwrap() {
-        collect(&entry.unwrap().path().join("src"), &mut used);
+fn the_table_and_the_code_have_the_same_metrics_with_the_same_labels() {
+    let in_code = metrics_in_code();
+    let in_table: BTreeMap<String, BTreeSet<Reported>> = METRICS
+        .iter()
+        .map(|m| (m.name.to_owned(), BTreeSet::from([reported(m)])))
+        .collect();
+    for (name, reported) in &in_code {
+        assert_eq!(in_table.get(name), Some(reported), "{name} in the table");
     }
-    let known: BTreeSet<String> = METRICS.iter().map(|m| m.name.to_owned()).collect();
-    let missing: Vec<_> = used.difference(&known).collect();
-    assert!(
-        used.len() > 10 && missing.is_empty(),
-        "not in METRICS: {missing:?}"
+    for name in in_table.keys() {
+        assert!(in_code.contains_key(name), "no code reports {name}");
+    }
+}
+
+fn reported(metric: &Metric) -> Reported {
+    let labels = metric.labels.iter().map(|label| label.name.to_owned());
+    (metric.kind, labels.collect())
+}
+
+/// The largest fleet that the users name: its series must stay a small part of an instance's memory.
+#[test]
+fn series_stay_bounded_at_the_largest_configuration() {
+    const WORKSPACES: u64 = 610;
+    const SERVICES: u64 = 40;
+    const STAGES: u64 = 60;
+    const MOST_SERIES: u64 = 20_000;
+    let values = |bound| match bound {
+        LabelBound::Words(most) => u64::from(most),
+        LabelBound::Services => SERVICES,
+        LabelBound::Stages => STAGES,
+        LabelBound::Workspaces => WORKSPACES,
+    };
+    let of_metric = |m: &Metric| m.labels.iter().map(|l| values(l.bound)).product::<u64>();
+    let series: u64 = METRICS.iter().map(of_metric).sum();
+    assert!(series < MOST_SERIES, "{series} series");
+    for metric in METRICS {
+        let by_workspace = metric
+            .labels
+            .iter()
+            .any(|l| l.bound == LabelBound::Workspaces);
+        let is_histogram = metric.kind == MetricKind::Histogram;
+        assert!(
+            !(by_workspace && is_histogram),
+            "{} would have a histogram for each workspace",
+            metric.name
+        );
+    }
+}
+
+#[test]
+fn the_page_lists_exactly_the_table() {
+    let page = page("metrics.md");
+    let rows: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `tc_"))
+        .collect();
+    let expected: Vec<String> = METRICS.iter().map(row).collect();
+    assert_eq!(
+        rows,
+        expected,
+        "docs/operators/metrics.md must have these rows:\n{}",
+        expected.join("\n")
     );
 }
 
-fn collect(path: &Path, used: &mut BTreeSet<String>) {
+/// A metric's row on the page.
+fn row(metric: &Metric) -> String {
+    let kind = format!("{:?}", metric.kind).to_lowercase();
+    let unit = format!("{:?}", metric.unit).to_lowercase();
+    let labels: Vec<String> = metric
+        .labels
+        .iter()
+        .map(|l| format!("`{}`", l.name))
+        .collect();
+    let name = metric.name;
+    format!(
+        "| `{name}` | {kind} | {unit} | {} | {} |",
+        labels.join(", "),
+        metric.meaning
+    )
+}
+
+#[test]
+fn alerts_use_metrics_and_labels_that_exist() {
+    let page = page("alerts.md");
+    let mut expressions = 0;
+    for block in page.split("```promql\n").skip(1) {
+        let expression = block.split("```").next().unwrap();
+        let found = uses(expression);
+        assert!(!found.is_empty(), "no metric in {expression}");
+        for (name, labels) in found {
+            let base = ["_bucket", "_sum", "_count"]
+                .iter()
+                .find_map(|end| name.strip_suffix(end));
+            let metric = METRICS.iter().find(|m| {
+                m.name == name || (m.kind == MetricKind::Histogram && base == Some(m.name))
+            });
+            let metric = metric.unwrap_or_else(|| panic!("no metric {name} for {expression}"));
+            for label in labels {
+                assert!(
+                    metric.labels.iter().any(|l| l.name == label),
+                    "{name} has no label {label}"
+                );
+            }
+        }
+        expressions += 1;
+    }
+    assert!(expressions >= 10, "{expressions} expressions");
+}
+
+/// Metrics that an expression reads, each with the labels that it selects by.
+fn uses(expression: &str) -> Vec<(String, Vec<String>)> {
+    let is_name = |c: char| c.is_ascii_alphanumeric() || c == '_';
+    let mut found = Vec::new();
+    for (at, _) in expression.match_indices("tc_") {
+        if expression[..at].ends_with(is_name) {
+            continue;
+        }
+        let rest = &expression[at..];
+        let end = rest.find(|c| !is_name(c)).unwrap_or(rest.len());
+        let selector = rest[end..]
+            .strip_prefix('{')
+            .and_then(|rest| rest.split('}').next());
+        let pairs = selector
+            .unwrap_or_default()
+            .split(',')
+            .filter(|pair| !pair.is_empty());
+        let labels = pairs.map(|pair| pair.split(['=', '!']).next().unwrap().trim().to_owned());
+        found.push((rest[..end].to_owned(), labels.collect()));
+    }
+    found
+}
+
+fn page(name: &str) -> String {
+    fs::read_to_string(workspace().join("docs/operators").join(name)).unwrap()
+}
+
+fn workspace() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+/// What the macros in the sources of the binary and its crates report.
+fn metrics_in_code() -> BTreeMap<String, BTreeSet<Reported>> {
+    let mut found = BTreeMap::new();
+    read_sources(&workspace().join("src"), &mut found);
+    for entry in fs::read_dir(workspace().join("crates")).unwrap() {
+        read_sources(&entry.unwrap().path().join("src"), &mut found);
+    }
+    assert!(found.len() > 10, "{found:?}");
+    found
+}
+
+fn read_sources(path: &Path, found: &mut BTreeMap<String, BTreeSet<Reported>>) {
     if path.is_dir() {
         for entry in fs::read_dir(path).unwrap() {
-            collect(&entry.unwrap().path(), used);
+            read_sources(&entry.unwrap().path(), found);
         }
     } else if path.extension().is_some_and(|e| e == "rs") {
         let text = fs::read_to_string(path).unwrap();
-        for kind in ["counter!(", "gauge!(", "histogram!("] {
-            for rest in text.split(kind).skip(1) {
-                let name = rest
-                    .trim_start()
-                    .strip_prefix('"')
-                    .and_then(|rest| rest.split('"').next());
-                used.extend(
-                    name.filter(|name| name.starts_with("tc_"))
-                        .map(str::to_owned),
-                );
+        let macros = [
+            ("counter!(", MetricKind::Counter),
+            ("gauge!(", MetricKind::Gauge),
+            ("histogram!(", MetricKind::Histogram),
+        ];
+        for (call, kind) in macros {
+            for (at, _) in text.match_indices(call) {
+                // describe_counter! and the like report nothing.
+                if !text[..at].ends_with('_') {
+                    let (name, labels) = arguments(&text[at + call.len()..]);
+                    let name = name.unwrap_or_else(|| {
+                        panic!("a metric without a literal name in {}", path.display())
+                    });
+                    found.entry(name).or_default().insert((kind, labels));
+                }
             }
         }
     }
 }
+
+/// Name and labels of a macro's arguments: the literal at the start, and those before an arrow.
+fn arguments(text: &str) -> (Option<String>, BTreeSet<String>) {
+    let mut depth = 1;
+    let end = text.find(|c| {
+        depth += match c {
+            '(' => 1,
+            ')' => -1,
+            _ => 0,
+        };
+        depth == 0
+    });
+    let inside = text[..end.unwrap_or(text.len())].trim_start();
+    let name = inside
+        .strip_prefix('"')
+        .and_then(|rest| rest.split('"').next());
+    let before_arrows = inside.split("=>").collect::<Vec<_>>();
+    let labels = before_arrows[..before_arrows.len() - 1]
+        .iter()
+        .filter_map(|part| part.trim_end().strip_suffix('"')?.rsplit('"').next());
+    (name.map(str::to_owned), labels.map(str::to_owned).collect())
+}
