Judge an upstream by what was expected of its calls, and by workspace

Two healthy upstreams were taken for outliers: one that holds the prefixes of a workspace with long calls, and one that serves a workspace whose every input fails. Service times now count against the estimate's busy_ms where that is longer than the service's median, and failures by the mean over workspaces; tests/health.rs has both.

--- a/crates/tc-policy/src/home/concurrency.rs
+++ b/crates/tc-policy/src/home/concurrency.rs
@@ -55,12 +55,18 @@
     }
 
     /// Measures a call that ended while `in_flight` ran, itself included.
-    pub(super) fn record(&mut self, release: &Release, in_flight: u32, slots: u32) {
+    pub(super) fn record(
+        &mut self,
+        release: &Release,
+        estimate: &Cost,
+        in_flight: u32,
+        slots: u32,
+    ) {
         if release.outcome != Outcome::Answered {
             return;
         }
         self.sum_ms += millis(release.took);
-        self.sum_work += work(&release.cost);
+        self.sum_work += work(&release.cost, estimate);
         self.samples += 1;
         self.peak_in_flight = self.peak_in_flight.max(in_flight);
         if self.samples >= FEWEST_SAMPLES.max(2 * self.limit as u32) {
@@ -102,12 +108,17 @@
     }
 }
 
-/// Work of a call that its time should be in proportion to: tokens where they are counted, else one call is a call.
-fn work(cost: &Cost) -> f64 {
-    if cost.tokens_in == 0 && cost.tokens_out == 0 {
-        return 1.0;
+/// Work of a call that its time should be in proportion to: tokens where they are counted, else what was expected.
+///
+/// With every call counted as one, a workspace whose calls are long would look like saturation.
+fn work(cost: &Cost, estimate: &Cost) -> f64 {
+    if cost.tokens_in > 0 || cost.tokens_out > 0 {
+        return cost.units().max(1.0);
     }
-    cost.units().max(1.0)
+    if estimate.busy_ms > 0.0 {
+        return estimate.busy_ms;
+    }
+    1.0
 }
 
 pub(super) fn millis(duration: Duration) -> f64 {
--- a/crates/tc-policy/src/home/health.rs
+++ b/crates/tc-policy/src/home/health.rs
@@ -4,7 +4,7 @@
 
 use tc_protocol::{MonoTime, Outcome, PermitId, Release};
 
-use super::concurrency::millis;
+use super::{concurrency::millis, queue::FlowKey};
 
 /// Service time against the service's median, as a factor, from which an upstream is an outlier.
 const OUTLIER_FACTOR: f64 = 3.0;
@@ -18,12 +18,12 @@
 const FEWEST_TIMES: usize = 6;
 /// How long a call is remembered.
 const TIMES_LAST: Duration = Duration::from_secs(30);
-/// Outcomes remembered, as bits.
-const OUTCOMES: u32 = 16;
+/// Outcomes remembered.
+const MOST_OUTCOMES: usize = 16;
 /// Fewest outcomes whose failures say something.
-const FEWEST_OUTCOMES: u32 = 8;
+const FEWEST_OUTCOMES: usize = 8;
 /// Failures in a row from which an upstream is an outlier at once.
-const FAILURES_IN_A_ROW: u32 = 4;
+const FAILURES_IN_A_ROW: usize = 4;
 /// Calls between two judgements.
 const JUDGE_EVERY: u32 = 4;
 /// Bad judgements in a row after which it is ejected.
@@ -48,6 +48,24 @@
     Return,
 }
 
+/// A call that ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ended<'a> {
+    pub(super) release: &'a Release,
+    /// Its workspace.
+    pub(super) flow: FlowKey,
+    /// Service time expected of a call of its size, in milliseconds; zero when that is not known.
+    pub(super) expected_ms: f64,
+}
+
+/// Service time of a call, in milliseconds, and what was expected.
+#[derive(Clone, Copy, Debug)]
+struct Timed {
+    at: MonoTime,
+    ms: f64,
+    expected_ms: f64,
+}
+
 #[derive(Debug)]
 struct Ejected {
     next_probe: MonoTime,
@@ -59,13 +77,10 @@
 /// What is known of an upstream's health.
 #[derive(Debug, Default)]
 pub(super) struct Health {
-    /// When a call ended and its service time in milliseconds.
-    times: VecDeque<(MonoTime, f64)>,
+    times: VecDeque<Timed>,
     median_ms: f64,
-    /// One bit for each of the last outcomes, set for a failure.
-    failures: u32,
-    outcomes: u32,
-    failed_in_a_row: u32,
+    /// The last outcomes: whose call, and whether it failed.
+    outcomes: VecDeque<(FlowKey, bool)>,
     since_judged: u32,
     strikes: u32,
     service_median_ms: Option<f64>,
@@ -98,7 +113,7 @@
     /// Median service time in milliseconds; 0 while unknown.
     pub(super) fn median_ms(&self, now: MonoTime) -> f64 {
         match self.times.back() {
-            Some(&(at, _)) if now.since(at) < TIMES_LAST => self.median_ms,
+            Some(last) if now.since(last.at) < TIMES_LAST => self.median_ms,
             _ => 0.0,
         }
     }
@@ -136,20 +151,29 @@
     }
 
     /// A call ended.
-    pub(super) fn record(&mut self, now: MonoTime, release: &Release) -> Advice {
-        let Some((time_ms, failed)) = self.evidence(release) else {
-            self.ended_untold(release.permit);
+    pub(super) fn record(&mut self, now: MonoTime, ended: &Ended<'_>) -> Advice {
+        let permit = ended.release.permit;
+        let Some((ms, failed)) = self.evidence(ended) else {
+            self.ended_untold(permit);
             return Advice::Keep;
         };
         if self.ejected.is_some() {
-            return self.record_ejected(now, release.permit, time_ms, failed);
+            let slow = ms.is_some_and(|ms| self.is_slow(ms, ended.expected_ms, OUTLIER_FACTOR));
+            return self.record_ejected(now, permit, failed || slow);
         }
-        if let Some(ms) = time_ms {
-            self.times.push_back((now, ms));
+        if let Some(ms) = ms {
+            self.times.push_back(Timed {
+                at: now,
+                ms,
+                expected_ms: ended.expected_ms,
+            });
+        }
+        self.outcomes.push_back((ended.flow, failed));
+        if self.outcomes.len() > MOST_OUTCOMES {
+            self.outcomes.pop_front();
         }
-        self.note_outcome(failed);
         self.since_judged += 1;
-        if self.since_judged < JUDGE_EVERY && self.failed_in_a_row < FAILURES_IN_A_ROW {
+        if self.since_judged < JUDGE_EVERY && !self.fails_in_a_row() {
             return Advice::Keep;
         }
         self.judge(now)
@@ -159,39 +183,73 @@
     ///
     /// A hanging upstream answers nothing: all that is ever seen of it are calls that timed out, or were given up for
     /// a hedge. So a long call counts as slow though it was cancelled.
-    fn evidence(&self, release: &Release) -> Option<(Option<f64>, bool)> {
-        let took = millis(release.took);
-        match release.outcome {
+    fn evidence(&self, ended: &Ended<'_>) -> Option<(Option<f64>, bool)> {
+        let took = millis(ended.release.took);
+        match ended.release.outcome {
             Outcome::Answered => Some((Some(took), false)),
             Outcome::TimedOut => Some((Some(took), true)),
             Outcome::Failed | Outcome::Died => Some((None, true)),
-            Outcome::Cancelled if self.is_slow(took, CUT_SHORT_FACTOR) => {
+            Outcome::Cancelled if self.is_slow(took, ended.expected_ms, CUT_SHORT_FACTOR) => {
                 Some((Some(took * CUT_SHORT_FACTOR), false))
             }
             Outcome::Cancelled | Outcome::Rejected | Outcome::Unused => None,
         }
     }
 
-    fn is_slow(&self, ms: f64, factor: f64) -> bool {
+    /// Whether a call took `factor` times as long as is usual in the service, and as its size explains.
+    ///
+    /// Against the service's median alone, an upstream that holds the prefixes of a workspace with long calls would
+    /// look like an outlier and be ejected though nothing is wrong with it.
+    fn is_slow(&self, ms: f64, expected_ms: f64, factor: f64) -> bool {
         self.service_median_ms
-            .is_some_and(|median| ms >= median * factor)
+            .is_some_and(|median| ms >= median.max(expected_ms) * factor)
     }
 
-    fn note_outcome(&mut self, failed: bool) {
-        self.failures = (self.failures << 1 | u32::from(failed)) & ((1 << OUTCOMES) - 1);
-        self.outcomes = (self.outcomes + 1).min(OUTCOMES);
-        self.failed_in_a_row = if failed { self.failed_in_a_row + 1 } else { 0 };
+    /// Whether the last calls all failed, and not only one workspace's of several.
+    fn fails_in_a_row(&self) -> bool {
+        let mut last = self.outcomes.iter().rev().take(FAILURES_IN_A_ROW);
+        let Some(&(flow, _)) = self.outcomes.back() else {
+            return false;
+        };
+        let all_failed = self.outcomes.len() >= FAILURES_IN_A_ROW && last.all(|&(_, f)| f);
+        let is_other = |outcome: &&(FlowKey, bool)| outcome.0 != flow;
+        let others_failed = self
+            .outcomes
+            .iter()
+            .rev()
+            .take(FAILURES_IN_A_ROW)
+            .any(|outcome| is_other(&outcome));
+        all_failed && (others_failed || !self.outcomes.iter().any(|o| is_other(&o)))
+    }
+
+    /// Mean of the workspaces' shares of failures.
+    ///
+    /// Every workspace counts the same. By calls, one workspace whose every input makes the upstreams fail could get
+    /// them lowered and ejected for all others, seen as its burst of bad requests taking the service away.
+    fn failing_share(&self) -> f64 {
+        let mut counted: Vec<(FlowKey, u32, u32)> = Vec::new();
+        for &(flow, failed) in &self.outcomes {
+            let index = counted.iter().position(|c| c.0 == flow);
+            let index = index.unwrap_or_else(|| {
+                counted.push((flow, 0, 0));
+                counted.len() - 1
+            });
+            counted[index].1 += u32::from(failed);
+            counted[index].2 += 1;
+        }
+        let shares = counted
+            .iter()
+            .map(|&(_, failed, calls)| f64::from(failed) / f64::from(calls));
+        shares.sum::<f64>() / (counted.len().max(1) as f64)
     }
 
     fn judge(&mut self, now: MonoTime) -> Advice {
         self.since_judged = 0;
         self.update_median(now);
-        let known = self.times.len() >= FEWEST_TIMES;
-        let slow = known && self.is_slow(self.median_ms, SLOW_FACTOR);
-        let outlier = known && self.is_slow(self.median_ms, OUTLIER_FACTOR);
-        let failing =
-            self.outcomes >= FEWEST_OUTCOMES && self.failures.count_ones() * 2 >= self.outcomes;
-        let failing_now = self.failed_in_a_row >= FAILURES_IN_A_ROW;
+        let slow = self.is_mostly_slow(SLOW_FACTOR);
+        let outlier = slow && self.is_mostly_slow(OUTLIER_FACTOR);
+        let failing = self.outcomes.len() >= FEWEST_OUTCOMES && self.failing_share() > 0.5;
+        let failing_now = self.fails_in_a_row();
         if failing_now {
             self.strikes = STRIKES;
         } else if outlier || failing {
@@ -214,29 +272,32 @@
         Advice::Keep
     }
 
+    /// Whether at least half of the remembered calls were slow.
+    fn is_mostly_slow(&self, factor: f64) -> bool {
+        let slow = self
+            .times
+            .iter()
+            .filter(|timed| self.is_slow(timed.ms, timed.expected_ms, factor))
+            .count();
+        self.times.len() >= FEWEST_TIMES && slow * 2 >= self.times.len()
+    }
+
     fn update_median(&mut self, now: MonoTime) {
         while self.times.len() > MOST_TIMES
             || self
                 .times
                 .front()
-                .is_some_and(|&(at, _)| now.since(at) >= TIMES_LAST)
+                .is_some_and(|timed| now.since(timed.at) >= TIMES_LAST)
         {
             self.times.pop_front();
         }
-        let mut sorted: Vec<f64> = self.times.iter().map(|&(_, ms)| ms).collect();
+        let mut sorted: Vec<f64> = self.times.iter().map(|timed| timed.ms).collect();
         sorted.sort_unstable_by(f64::total_cmp);
         let middle = sorted.len().saturating_sub(1) / 2;
         self.median_ms = sorted.get(middle).copied().unwrap_or_default();
     }
 
-    fn record_ejected(
-        &mut self,
-        now: MonoTime,
-        permit: PermitId,
-        time_ms: Option<f64>,
-        failed: bool,
-    ) -> Advice {
-        let slow = time_ms.is_some_and(|ms| self.is_slow(ms, OUTLIER_FACTOR));
+    fn record_ejected(&mut self, now: MonoTime, permit: PermitId, bad: bool) -> Advice {
         let Some(ejected) = &mut self.ejected else {
             return Advice::Keep;
         };
@@ -245,7 +306,7 @@
             return Advice::Keep;
         }
         ejected.probe = None;
-        if failed || slow {
+        if bad {
             ejected.good = 0;
             ejected.interval = (ejected.interval * 2).min(LONGEST_PROBE_AFTER);
             ejected.next_probe = now.after(ejected.interval);
@@ -263,7 +324,7 @@
     /// The probe's permit expired: as bad as a call that timed out.
     pub(super) fn expired(&mut self, now: MonoTime, permit: PermitId) {
         if self.ejected.is_some() {
-            self.record_ejected(now, permit, None, true);
+            self.record_ejected(now, permit, true);
         }
     }
 
--- a/crates/tc-policy/src/home/machine.rs
+++ b/crates/tc-policy/src/home/machine.rs
@@ -8,7 +8,7 @@
     AskKey, AskVerdict, HeldPermit, HomeConfig, HomeEvent, NewAsk,
     concurrency::{Limiter, millis},
     foreign::ForeignLoad,
-    health::{Advice, Health},
+    health::{Advice, Ended, Health},
     permits::{Held, Permits},
     queue::{FairQueue, FlowKey, Waiting},
 };
@@ -135,8 +135,17 @@
         let correction = self.settled_units(release, &held.estimate) - charge(&held.estimate);
         self.queue
             .end(now, held.flow, now.since(held.since), correction);
-        self.limiter.record(release, in_flight, self.usable_slots());
-        let advice = self.health.record(now, release);
+        let slots = self.usable_slots();
+        self.limiter
+            .record(release, &held.estimate, in_flight, slots);
+        let advice = self.health.record(
+            now,
+            &Ended {
+                release,
+                flow: held.flow,
+                expected_ms: held.estimate.busy_ms,
+            },
+        );
         self.follow(advice);
         self.note_in_flight();
         Some(self.described(release.permit, &held))
@@ -217,7 +226,7 @@
             return self.queue.len() == 0 && self.health.probe_due(self.now);
         }
         let (free, limit) = (self.free(), self.concurrency());
-        free > self.queue.headroom(self.now, flow, limit)
+        self.queue.may_take(self.now, flow, free, limit)
             && self.queue.next(self.now, free, limit).is_none()
     }
 
--- a/crates/tc-policy/src/home/mod.rs
+++ b/crates/tc-policy/src/home/mod.rs
@@ -47,7 +47,8 @@
     pub slack: Duration,
     /// How long the call may run.
     pub run_for: Duration,
-    /// Estimated cost.
+    /// Estimated cost. `busy_ms` is the service time usual for a call of its size, or 0: a long call that was expected
+    /// to be long is no sign of a slow upstream.
     pub estimate: Cost,
     /// Identifies the input.
     pub fingerprint: Fingerprint,
--- a/crates/tc-policy/src/home/queue.rs
+++ b/crates/tc-policy/src/home/queue.rs
@@ -193,7 +193,7 @@
         self.backlogged
             .iter()
             .map(|&(_, flow)| flow)
-            .find(|&flow| free > self.headroom(now, flow, limit))
+            .find(|&flow| self.may_take(now, flow, free, limit))
             .and_then(|flow| self.flows[flow].waiting.first())
             .map(|&(_, _, key)| key)
     }
@@ -204,13 +204,19 @@
         self.flows[flow].waiting.first().map(|&(_, _, key)| key)
     }
 
+    /// Whether this workspace may take one of the `free` calls.
+    pub(super) fn may_take(&self, now: MonoTime, flow: FlowKey, free: u32, limit: u32) -> bool {
+        // The headroom is never more than half; while more is free, there is no need to look at every workspace.
+        free > limit / 2 || free > self.headroom(now, flow, limit)
+    }
+
     /// Calls that must stay free when this workspace starts one.
     ///
     /// Order alone is fair only among those that wait. A workspace that bursts while the others pause would fill every
     /// slot, and each call of a small workspace would first wait for one of its calls to end, seen as a p99 of several
     /// service times when the large workspace's calls are long. So a workspace at its share of the slots leaves some
     /// to the others that were active lately: as many as their calls at once vary by, the square root of their mean.
-    pub(super) fn headroom(&self, now: MonoTime, flow: FlowKey, limit: u32) -> u32 {
+    fn headroom(&self, now: MonoTime, flow: FlowKey, limit: u32) -> u32 {
         if self.flows.len() < 2 || limit < LEAST_LIMIT_WITH_HEADROOM {
             return 0;
         }
--- a/crates/tc-policy/tests/health.rs
+++ b/crates/tc-policy/tests/health.rs
@@ -272,3 +272,57 @@
         );
     }
 }
+
+/// Symptom: a healthy upstream is ejected, or its concurrency lowered, because of whom it serves.
+/// Sequence: it holds the prefixes of a workspace with calls ten times as long as usual.
+/// Cause: its service times are compared with the service's median, whatever was expected of the calls.
+#[test]
+fn long_calls_that_were_expected_to_be_long_are_no_sign() {
+    for outcome in [Outcome::Answered, Outcome::Cancelled] {
+        let mut home = watched(8, true);
+        let mut now = at(1);
+        for call in 0..100 {
+            let long = call >= 20;
+            let mut new = ask(if long { "long" } else { "short" });
+            new.estimate.busy_ms = if long { 1_000.0 } else { 100.0 };
+            let took = ms(if long { 1_000 } else { 100 });
+            let permit = granted(&mut home, now, new);
+            now = now.after(took);
+            home.release(now, &release(permit, outcome, took));
+        }
+        let summary = home.summary(now);
+        assert!(!summary.ejected, "{outcome:?}");
+        assert_eq!(summary.concurrency, 8, "{outcome:?}");
+    }
+}
+
+/// Symptom: one workspace's bad requests take the service away from all others.
+/// Sequence: every call of one workspace fails, ten times as many as the others', whose calls are answered.
+/// Cause: failures are counted by calls, so the upstream looks as if it failed.
+#[test]
+fn failures_of_one_workspace_do_not_eject_for_the_others() {
+    let mut home = watched(8, true);
+    let mut now = at(1);
+    for call in 0..300 {
+        let bad = call % 11 != 0;
+        let permit = granted(&mut home, now, ask(if bad { "bad" } else { "good" }));
+        now = now.after(ms(10));
+        let outcome = if bad {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
+        };
+        home.release(now, &release(permit, outcome, ms(10)));
+        let summary = home.summary(now);
+        assert!(!summary.ejected, "after {call} calls");
+        assert_eq!(summary.concurrency, 8, "after {call} calls");
+    }
+    // When the others' calls fail too, it is the upstream.
+    for call in 0..8 {
+        let new = ask(if call % 2 == 0 { "bad" } else { "good" });
+        if let AskVerdict::Granted { permit, .. } = home.ask(now, new) {
+            home.release(now, &release(permit, Outcome::Failed, ms(10)));
+        }
+    }
+    assert!(home.summary(now).ejected);
+}
