--- a/crates/tc-membership/src/membership/dissemination.rs
+++ b/crates/tc-membership/src/membership/dissemination.rs
@@ -38,7 +38,7 @@
         let doublings = usize::BITS - members.leading_zeros();
         let limit = match urgency {
             Urgency::Urgent => doublings * SENDS_PER_DOUBLING,
-            Urgency::Background => doublings.div_ceil(2),
+            Urgency::Background => doublings,
         };
         // Background news about a member must not demote urgent news about it that is still on its way.
         let is_urgent = self
--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -207,7 +207,10 @@
         std::mem::take(&mut self.changed)
     }
 
-    /// Lowest revision in force at any member that is not dead.
+    /// Lowest revision in force at any member that is not dead, as far as is known here.
+    ///
+    /// It lags behind: that one more member has a revision is passed on with the lowest urgency, which takes seconds
+    /// among eight instances and minutes among hundreds. Ask the instances themselves where the moment matters.
     #[must_use]
     pub fn lowest_revision(&self) -> u64 {
         let others = self.table.live().map(|(_, e)| e.record.revision);
--- a/crates/tc-membership/src/plan.rs
+++ b/crates/tc-membership/src/plan.rs
@@ -7,9 +7,9 @@
 
 use tc_protocol::{MonoTime, UpstreamId};
 
-/// A model takes one more engine only when its demand exceeds what it has by this much of an engine, and gives one
-/// up only when it falls below by as much. Without it, demand that wavers around a whole number would reload weights
-/// over and over.
+/// In sharing out engines, one that a model has already counts for this much more demand, in engines, and one that it
+/// would gain for as much less. Without it, demand that wavers around the point where an engine would move would
+/// reload weights over and over.
 const HYSTERESIS: f64 = 0.25;
 /// Wait after a failed load before the engine is ordered again.
 const LOAD_RETRY: Duration = Duration::from_secs(5);
--- a/crates/tc-membership/tests/membership_failures.rs
+++ b/crates/tc-membership/tests/membership_failures.rs
@@ -115,16 +115,11 @@
     // Symptom: one instance stalls for seconds and, waking up, sees no other instance alive.
     // Sequence: paused with a probe under way and a suspicion held; woken; timers run.
     // Cause: timers that ran out during the pause are acted on, though answers could not be read.
-    let mut net = pair();
-    let accusation = announcement(0, vec![record(1, Suspect, 0)]);
-    let mut machine = net.nodes.remove(0).machine;
-    let paused = net.now.after(SECOND / 10);
-    let stranger = Message {
-        from: record(3, Alive, 0),
-        ..accusation
-    };
-    machine.handle(paused, &stranger);
-    machine.tick(paused);
+    let paused = MonoTime::from_millis(1);
+    let mut machine = Membership::new(MembershipConfig::default(), member(0, 1), 1);
+    machine.learn(paused, &[record(3, Alive, 0)]);
+    assert_eq!(machine.tick(paused)[0].to, member(3, 1).fleet_address);
+    machine.learn(paused, &[record(1, Suspect, 0)]);
     let awake = paused.after(SECOND * 30);
     machine.woke(awake);
     let probes = machine.tick(awake);
--- a/crates/tc-membership/tests/orders.rs
+++ b/crates/tc-membership/tests/orders.rs
@@ -157,13 +157,13 @@
     // Cause: every plan starts afresh.
     let loaded = engines(&["draft", "draft", "status", "status"]);
     let mut current = plan(
-        &needs(need(1, 2.0), need(1, 2.0)),
+        &needs(need(1, 2.4), need(1, 1.6)),
         &loaded,
         &Plan::default(),
     );
     for waver in [0.2, -0.2, 0.2, -0.2] {
         current = plan(
-            &needs(need(1, 2.0 + waver), need(1, 2.0 - waver)),
+            &needs(need(1, 2.5 + waver), need(1, 1.5 - waver)),
             &loaded,
             &current,
         );
