--- a/crates/tc-fleet/src/orders/planner.rs
+++ b/crates/tc-fleet/src/orders/planner.rs
@@ -117,7 +117,10 @@
         let needs = needs(view, service, engines.len());
         self.plan = plan(&needs, &engines, &self.plan);
         if self.plan.pending.is_empty() {
-            // Nothing to order: no lease is needed, and none is renewed, so an idle fleet costs the store nothing.
+            // An idle fleet costs the store nothing, and a successor need not wait for the lease to end.
+            if let Some(held) = self.held.take() {
+                self.lease.release(held).await?;
+            }
             return Ok(());
         }
         let fence = self.hold().await?;
