--- a/crates/tc-policy/src/limit/home.rs
+++ b/crates/tc-policy/src/limit/home.rs
@@ -106,6 +106,10 @@
 
     /// An entry tells its demand and gets its share.
     ///
+    /// `live_entries` counts the entries that may start requests of the workspace. An equal part is set aside for each
+    /// of them that holds no share, so entries without demand should report too: what is set aside for a silent one
+    /// nobody can use.
+    ///
     /// For the first seconds a home gives none: an earlier home's shares, unknown here, may still be in use.
     pub fn report(
         &mut self,
