Count the bytes of permit batches; drop a counter kept twice

Cause: control cost was judged by gossip alone, permits between instances had no figure; platform calls were counted by the client and once more by the admin interface. Conclusion: both are in the table of metrics; control-cost can be read whole.

--- a/crates/tc-fleet/src/peers/stream.rs
+++ b/crates/tc-fleet/src/peers/stream.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use prost::Message as _;
 use tc_policy::HeldPermit;
 use tc_protocol::{Cost, Member, MonoTime, Outcome, PermitId, Release, RunState, UpstreamId};
 use tokio::sync::mpsc;
@@ -128,7 +129,7 @@
         let (to_wire, batches) = mpsc::channel(BATCHES_WAITING);
         let mut batch = self.empty_batch();
         self.add(&mut batch, first);
-        if to_wire.send(batch).await.is_err() {
+        if send(&to_wire, batch).await.is_err() {
             return true;
         }
         let mut client = self.args.client.clone();
@@ -168,7 +169,7 @@
                     for message in waiting.drain(..) {
                         self.add(&mut batch, message);
                     }
-                    if to_wire.send(batch).await.is_err() {
+                    if send(&to_wire, batch).await.is_err() {
                         return true;
                     }
                 }
@@ -194,7 +195,7 @@
                 .releases
                 .push(convert::release_to_wire(&upstream, &unused_release(permit)));
         }
-        to_wire.send(batch).await.is_ok()
+        send(to_wire, batch).await.is_ok()
     }
 
     fn empty_batch(&self) -> EntryBatch {
@@ -302,6 +303,16 @@
     }
 }
 
+/// Puts a batch on the wire and counts its bytes.
+async fn send(
+    to_wire: &mpsc::Sender<EntryBatch>,
+    batch: EntryBatch,
+) -> Result<(), mpsc::error::SendError<EntryBatch>> {
+    let bytes = batch.encoded_len() as u64;
+    metrics::counter!("tc_fleet_stream_bytes_total", "role" => "entry").increment(bytes);
+    to_wire.send(batch).await
+}
+
 /// The release of a permit that was never used.
 pub(crate) fn unused_release(permit: PermitId) -> Release {
     Release {
--- a/crates/tc-fleet/src/server.rs
+++ b/crates/tc-fleet/src/server.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use futures::future::BoxFuture;
+use prost::Message as _;
 use ractor::ActorRef;
 use tc_protocol::{InstanceId, MonoTime, RequestId, UpstreamId};
 use tokio::sync::{mpsc, oneshot};
@@ -264,7 +265,10 @@
     tokio::spawn(async move {
         let mut ready = Vec::with_capacity(BATCH);
         while answers.recv_many(&mut ready, BATCH).await > 0 {
-            if to_wire.send(batch_of(ready.drain(..))).await.is_err() {
+            let batch = batch_of(ready.drain(..));
+            let bytes = batch.encoded_len() as u64;
+            metrics::counter!("tc_fleet_stream_bytes_total", "role" => "home").increment(bytes);
+            if to_wire.send(batch).await.is_err() {
                 return;
             }
         }
--- a/crates/tc-operator/src/serve/admin.rs
+++ b/crates/tc-operator/src/serve/admin.rs
@@ -18,7 +18,6 @@
     let for_workspaces = running.clone();
     let for_explain = running.clone();
     let for_drain = running.clone();
-    let for_metrics = running.clone();
     AdminPorts {
         status: Box::new(move |()| {
             let running = for_status.clone();
@@ -40,12 +39,7 @@
             let running = for_drain.clone();
             Box::pin(async move { drain(&running, target, begin).await })
         }),
-        metrics: Box::new(move || {
-            for (purpose, calls) in for_metrics.store.calls() {
-                metrics::counter!("tc_platform_calls", "purpose" => purpose).absolute(calls);
-            }
-            metrics.render()
-        }),
+        metrics: Box::new(move || metrics.render()),
     }
 }
 
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -69,6 +69,7 @@
 const RESULT: Label = words("result", 8);
 /// The problems, and `answered`, `late` and `caller-left`.
 const REQUEST_RESULT: Label = words("result", 22);
+const ROLE: Label = words("role", 2);
 const SERVICE: Label = Label {
     name: "service",
     bound: LabelBound::Services,
@@ -104,6 +105,7 @@
     count("tc_expired_permits_total", &[], "Permits that ended because their holder never released them."),
     count("tc_failures_total", &[KIND], "Problems told to callers."),
     count("tc_fleet_calls_refused_total", &[], "Calls between instances refused for a wrong fleet token."),
+    Metric { unit: MetricUnit::Bytes, ..count("tc_fleet_stream_bytes_total", &[ROLE], "Bytes of permit batches sent to other instances, before HTTP/2.") },
     count("tc_forwarded_total", &[], "Requests forwarded to the instance their key is bound to or their stream is at."),
     Metric { unit: MetricUnit::Bytes, ..count("tc_gossip_bytes_total", &[WAY], "Bytes of gossip.") },
     count("tc_gossip_oversized_total", &[], "Gossip messages not sent because they were too large."),
@@ -114,7 +116,6 @@
     count("tc_log_lines_suppressed_total", &[], "Log lines left out by the rate gate."),
     count("tc_outcomes_not_recorded_total", &[], "Claims whose outcome could not be recorded."),
     count("tc_pauses_total", &[], "Times this process found that it had been paused."),
-    count("tc_platform_calls", &[PURPOSE], "Calls to the platform by this process, as its client counted them at this scrape."),
     count("tc_platform_calls_total", &[PURPOSE, RESULT], "Calls to the platform."),
     count("tc_redirects_total", &[], "Asks that a home redirected to another upstream."),
     count("tc_requests_total", &[WORKSPACE, REQUEST_RESULT], "Requests that ended."),
