Write the operators' pages: quick start, callers, sharing, instances, outages, symptoms

Before, there were pages on commands and configuration only. Tests hold the callers' table against every ProblemKind and its status, the index against the folder, links against headings, and every command named in a text against the command line.

--- a/crates/tc-operator/tests/operator/examples.rs
+++ b/crates/tc-operator/tests/operator/examples.rs
@@ -1,6 +1,9 @@
 //! Every command line that the help or the operators' pages show is run.
 
-use std::{fs, path::PathBuf};
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
 
 use tc_config::{SourceFile, merge};
 use tc_operator::Exit;
@@ -21,7 +24,10 @@
 fn commands_on_the_page_write_what_it_shows() {
     let world = World::new();
     let mut run = 0;
-    for block in blocks(&page("commands.md"), "console") {
+    for block in ["commands.md", "sharing.md", "instances.md"]
+        .iter()
+        .flat_map(|name| blocks(&page(name), "console"))
+    {
         for (line, shown) in transcript(&block) {
             let finished = world.run(&line);
             let written = format!("{}{}", finished.out, finished.err);
@@ -72,9 +78,100 @@
     }
 }
 
-fn page(name: &str) -> String {
-    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../..");
-    fs::read_to_string(root.join("docs/operators").join(name)).expect("the page")
+/// A page that names a command which does not exist sends whoever is on call into the dark.
+#[test]
+fn commands_named_in_the_text_of_any_page_exist() {
+    let world = World::new();
+    let mut named = 0;
+    for name in page_names() {
+        for code in page(&name)
+            .split('`')
+            .filter(|code| code.starts_with("tanagercroft "))
+        {
+            let words = code.split_whitespace();
+            let plain = |word: &&str| word.chars().all(|c| c.is_ascii_lowercase());
+            let command: Vec<&str> = words.take_while(plain).collect();
+            if command.len() > 1 {
+                let line = format!("{} --help", command.join(" "));
+                let finished = world.run(&line);
+                assert_eq!(finished.exit, Exit::Done, "{name}: {code}: {finished:?}");
+                named += 1;
+            }
+        }
+    }
+    assert!(named > 30, "{named} commands");
+}
+
+#[test]
+fn links_between_the_pages_lead_somewhere() {
+    let mut links = 0;
+    for name in page_names() {
+        let text = page(&name);
+        for link in text
+            .split("](")
+            .skip(1)
+            .filter_map(|rest| rest.split(')').next())
+        {
+            let (file, heading) = link.split_once('#').unwrap_or((link, ""));
+            let target = if file.is_empty() {
+                text.clone()
+            } else {
+                page(file)
+            };
+            let headings = target.lines().filter(|line| line.starts_with('#'));
+            let found = headings.map(anchor).any(|anchor| anchor == heading);
+            assert!(heading.is_empty() || found, "{name}: {link}");
+            links += 1;
+        }
+    }
+    assert!(links > 20, "{links} links");
+}
+
+/// The index is read first: a page that is not on it is not found.
+#[test]
+fn the_index_names_every_page() {
+    let index = page("README.md");
+    for name in page_names() {
+        assert!(
+            name == "README.md" || index.contains(&format!("({name})")),
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn there_are_remedies_for_many_symptoms() {
+    let page = page("symptoms.md");
+    let is_row = |line: &&str| line.starts_with("| ") && !line.starts_with("| symptom");
+    let rows: Vec<&str> = page.lines().filter(is_row).collect();
+    assert!(rows.len() >= 15, "{} rows", rows.len());
+    for row in rows {
+        let cells = row.replace("\\|", "").matches('|').count();
+        assert_eq!(cells, 4, "{row}");
+    }
+}
+
+/// The anchor that a heading gets: lower case, words joined by dashes, nothing else.
+fn anchor(heading: &str) -> String {
+    let text = heading.trim_start_matches('#').trim().to_lowercase();
+    let kept = text
+        .chars()
+        .filter(|c| c.is_alphanumeric() || matches!(c, ' ' | '-'));
+    kept.map(|c| if c == ' ' { '-' } else { c }).collect()
+}
+
+fn folder() -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("../../docs/operators")
+}
+
+fn page_names() -> Vec<String> {
+    let mut names = crate::world::file_names(&folder());
+    names.retain(|name| Path::new(name).extension().is_some_and(|e| e == "md"));
+    names
+}
+
+pub(crate) fn page(name: &str) -> String {
+    fs::read_to_string(folder().join(name)).unwrap_or_else(|e| panic!("{name}: {e}"))
 }
 
 /// The fenced blocks of a page in a language.
--- a/crates/tc-operator/tests/operator/main.rs
+++ b/crates/tc-operator/tests/operator/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod apply;
+mod callers;
 mod examples;
 mod lost;
 mod peers;
