--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -106,8 +106,9 @@
     /// Takes up the platform's lagging list of who may exist.
     ///
     /// Listed instances that are not known are probed; those listed as leaving are shown as leaving; instances that are
-    /// not on the list are left as they are, as long as they answer. A list with a lower version than an earlier one is
-    /// ignored.
+    /// not on the list are left as they are, as long as they answer. What the list says of this instance itself is not
+    /// acted on; the caller calls [`Membership::leave`] when it stops. A list with a lower version than an earlier one
+    /// is ignored.
     pub fn listed(&mut self, now: MonoTime, list: &InstanceList) {
         let Some(new) = self.table.listed(list, &self.me.member.id) else {
             return;
