Wait for a turn before taking the operations of a commit

A commit task judged its operations, then waited for a token, so operations that came meanwhile had to wait for another round. It now waits first; and it takes a second token only when the head will be read first.

--- a/crates/tc-platform/src/claims/group.rs
+++ b/crates/tc-platform/src/claims/group.rs
@@ -101,7 +101,13 @@
             self.collect().await;
             loop {
                 self.drain();
-                match self.step().await {
+                let turn = self.take_turns(self.shard.calls_ahead()).await;
+                self.drain();
+                let done = match turn {
+                    Ok(()) => self.step().await,
+                    Err(_) => Some(Progress::None),
+                };
+                match done {
                     None => break,
                     Some(Progress::Made) => backoff.reset(),
                     Some(Progress::None) if self.rx.is_closed() => return,
@@ -118,6 +124,17 @@
         }
     }
 
+    /// Waits for the turns of the next calls, before the operations for them are taken: those that come meanwhile
+    /// are then in the same commit.
+    async fn take_turns(&mut self, calls: u32) -> Result<(), StoreError> {
+        let missing = calls.saturating_sub(self.turns);
+        if missing > 0 {
+            self.shared.store.take_turns(missing).await?;
+            self.turns += missing;
+        }
+        Ok(())
+    }
+
     fn drain(&mut self) {
         while let Ok(req) = self.rx.try_recv() {
             self.accept(req);
@@ -149,12 +166,11 @@
         let progress = match step {
             Step::Idle => return None,
             Step::ReadHead => {
-                // The read, and the write that most likely follows.
-                let found = self.get(&self.head_name.clone(), 2).await;
+                let found = self.get(&self.head_name.clone()).await;
                 self.shard.on_head(MonoTime::now(), found)
             }
             Step::ReadSegment(name) => {
-                let found = self.get(&name, 1).await;
+                let found = self.get(&name).await;
                 self.shard.on_segment(MonoTime::now(), &name, found)
             }
             Step::CreateSegment(name, value) => {
@@ -172,27 +188,20 @@
         Some(progress)
     }
 
-    /// The client for the next call, after waiting for its turn and those of the calls that will follow it.
-    async fn turn(&mut self, calls: u32) -> Result<Store, StoreError> {
-        if self.turns == 0 {
-            self.shared.store.take_turns(calls).await?;
-            self.turns = calls;
-        }
+    /// The client for the next call, after waiting for its turn unless that was done before.
+    async fn turn(&mut self) -> Result<Store, StoreError> {
+        self.take_turns(1).await?;
         self.turns -= 1;
         Ok(self.shared.store.with_turns())
     }
 
-    async fn get(
-        &mut self,
-        name: &str,
-        turns: u32,
-    ) -> Result<Option<Versioned<Value>>, StoreError> {
-        let store = self.turn(turns).await?;
+    async fn get(&mut self, name: &str) -> Result<Option<Versioned<Value>>, StoreError> {
+        let store = self.turn().await?;
         store.get(Purpose::Claims, CLAIM_KIND, name).await
     }
 
     async fn create(&mut self, name: &str, value: &Value) -> Result<u64, StoreError> {
-        let store = self.turn(1).await?;
+        let store = self.turn().await?;
         store.create(Purpose::Claims, CLAIM_KIND, name, value).await
     }
 
@@ -200,7 +209,7 @@
         if base == 0 {
             return self.create(&self.head_name.clone(), value).await;
         }
-        let store = self.turn(1).await?;
+        let store = self.turn().await?;
         store
             .update(Purpose::Claims, CLAIM_KIND, &self.head_name, base, value)
             .await
@@ -221,10 +230,10 @@
     }
 
     async fn delete(&mut self, name: &str) -> Result<(), StoreError> {
-        let Some(found) = self.get(name, 2).await? else {
+        let Some(found) = self.get(name).await? else {
             return Ok(());
         };
-        let store = self.turn(1).await?;
+        let store = self.turn().await?;
         store
             .delete(Purpose::Claims, CLAIM_KIND, name, found.version)
             .await
--- a/crates/tc-platform/src/claims/shard.rs
+++ b/crates/tc-platform/src/claims/shard.rs
@@ -155,6 +155,19 @@
             .is_ok()
     }
 
+    /// Calls that the waiting operations most likely take: a write, and a read of the head if it has to be read.
+    #[must_use]
+    pub fn calls_ahead(&self) -> u32 {
+        let write = u32::from(!self.queue.is_empty());
+        write + u32::from(write > 0 && self.must_read_head())
+    }
+
+    /// Whether the head is unknown, or is likely to have been changed by others since it was known.
+    fn must_read_head(&self) -> bool {
+        let oldest = self.queue.front().map_or(0, |q| q.ticket);
+        self.head.is_none() || (self.reads_first > 0 && oldest >= self.fresh_below)
+    }
+
     /// Takes the answers that are ready.
     pub fn take_replies(&mut self) -> Vec<(Ticket, Reply)> {
         std::mem::take(&mut self.replies)
@@ -172,17 +185,14 @@
 
     /// One round over the queue; `None` when it was answered without any step.
     fn advance(&mut self, now: MonoTime) -> Option<Step> {
-        let Some(head) = &self.head else {
-            return Some(self.read_head());
+        let head = match &self.head {
+            Some(head) if !self.must_read_head() => head,
+            _ => return Some(self.read_head()),
         };
         let unread = head.value.segments.iter().find(|n| !self.sealed.has(n));
         if let Some(name) = unread {
             return Some(Step::ReadSegment(name.clone()));
         }
-        let oldest = self.queue.front().map_or(0, |q| q.ticket);
-        if self.reads_first > 0 && oldest >= self.fresh_below {
-            return Some(self.read_head());
-        }
         let version = head.version;
         let batch = match Batch::plan(self, head, self.is_full(now, head)) {
             Ok(batch) => batch,
