--- a/crates/tc-fleet/src/node/actor.rs
+++ b/crates/tc-fleet/src/node/actor.rs
@@ -265,11 +265,23 @@
             self.membership.woke(now);
             self.tick(now, None);
         }
+        self.check_superseded();
         self.pull(now, myself);
         let store = self.parts.store.health();
         paused.is_some() || store.reachable != self.parts.view.load().store.reachable
     }
 
+    /// A later life of this instance's identifier is about: this process was replaced and must not act for it.
+    fn check_superseded(&mut self) {
+        if let Some(incarnation) = self.membership.superseded_by()
+            && self.superseded_by != Some(incarnation)
+        {
+            self.superseded_by = Some(incarnation);
+            log::error!(incarnation = incarnation.0; "another process runs with this instance's name and started later; stop one of them");
+            metrics::counter!("tc_superseded_total").increment(1);
+        }
+    }
+
     /// Starts the next pull of the configuration, if one is due.
     fn pull(&mut self, now: MonoTime, myself: &ActorRef<NodeMsg>) {
         let members = self.membership.members();
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -10,7 +10,7 @@
 use tc_membership::{Membership, Outgoing, PauseDetector, Spread};
 use tc_platform::Store;
 use tc_protocol::{
-    FleetConfig, FleetView, InstanceId, Member, MemberState, MonoTime, UpstreamId,
+    FleetConfig, FleetView, Incarnation, InstanceId, Member, MemberState, MonoTime, UpstreamId,
     wire::{ConfigObject, InstanceList},
 };
 
@@ -65,6 +65,7 @@
     pub(crate) list: InstanceList,
     pub(crate) marks: UpstreamMarks,
     pub(crate) next_summary: usize,
+    pub(crate) superseded_by: Option<Incarnation>,
     states: HashMap<InstanceId, MemberState>,
 }
 
@@ -87,6 +88,7 @@
             list: InstanceList::default(),
             marks: UpstreamMarks::default(),
             next_summary: 0,
+            superseded_by: None,
             states: HashMap::new(),
         }
     }
--- a/crates/tc-operator/src/serve/admin.rs
+++ b/crates/tc-operator/src/serve/admin.rs
@@ -1,7 +1,7 @@
 //! Gives the admin interface what it shows and does.
 
 use tc_platform::StoreError;
-use tc_protocol::{Explanation, RequestId, UpstreamId};
+use tc_protocol::{Explanation, MemberState, RequestId, UpstreamId};
 use tc_telemetry::MetricsHandle;
 
 use super::{
@@ -46,7 +46,17 @@
 async fn status(running: &Running) -> StatusReport {
     let view = running.fleet.view();
     let parts = report::all_parts(running).await;
-    let (_, lowest_revision, newest_revision) = running.fleet.revisions().await;
+    let (_, gossiped_lowest, newest_revision) = running.fleet.revisions().await;
+    // Gossip of revisions is slow in a large fleet; what the instances say of themselves is of this moment.
+    let live = view
+        .members
+        .iter()
+        .filter(|member| member.state != MemberState::Dead);
+    let revisions = live.map(|member| parts.get(&member.id)?.as_ref().map(|part| part.revision));
+    let lowest_revision = revisions
+        .collect::<Option<Vec<u64>>>()
+        .and_then(|revisions| revisions.into_iter().min())
+        .unwrap_or(gossiped_lowest);
     let instances = view
         .members
         .iter()
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -123,6 +123,7 @@
     millis("tc_stage_ms", &[STAGE], "Time of a stage's call."),
     count("tc_stalled_callers_total", &[], "Connections closed because their caller took nothing of its answer."),
     count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
+    count("tc_superseded_total", &[], "Times this process found another, later one with its instance's name."),
     count("tc_suspects_total", &[], "Inputs that became suspects because an upstream died under them."),
     count("tc_unknown_releases_total", &[], "Releases of permits that the home did not know."),
     count("tc_unreachable_homes_total", &[], "Asks whose home could not be reached."),
