Earn hedges and retries by first calls only; test deadline, admission, baseline

Hedges and retries counted as calls of their service and so earned further ones. Only the first attempt of a stage counts now.

--- a/crates/tc-caller/src/run/attempt.rs
+++ b/crates/tc-caller/src/run/attempt.rs
@@ -13,6 +13,9 @@
     plan::{InputFacts, StagePlan},
 };
 
+/// The attempt that every stage begins with.
+const FIRST_ATTEMPT: Attempt = Attempt(0);
+
 /// Where a granted attempt goes.
 #[derive(Clone)]
 pub(crate) struct CallTarget {
@@ -89,7 +92,10 @@
             retry_after: Duration::ZERO,
         }));
     }
-    plan.policy.note_call();
+    if this.attempt == FIRST_ATTEMPT {
+        // Extra calls earn no further ones.
+        plan.policy.note_call();
+    }
     let hold = PermitHold::new(cx.clone(), plan.stage.clone(), this.attempt, permit);
     let _ = this.sent_to.set(target.upstream.clone());
     match call(target.clone()).await {
--- a/crates/tc-caller/tests/attempts.rs
+++ b/crates/tc-caller/tests/attempts.rs
@@ -167,3 +167,26 @@
     assert_ne!(first.json()["output"], second.json()["output"]);
     assert_eq!(second.json()["stages"][0]["attempts"], 2);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_comparison_policy_neither_admits_nor_hedges() {
+    let world = World::start().await;
+    let baseline = support::Instance::start("kl-b-1", world.fakes.ports(), true).await;
+    let client = support::client::Client::new(baseline.address);
+    for n in 0..WARM_UP {
+        client.pipeline("scores", &format!("log {n}"), &[]).await;
+    }
+    world.up.pool("encode-1").faults().set_hang(true);
+    let headers = [("request-timeout-ms", "300")];
+    let answer = client.pipeline("scores", "slow log", &headers).await;
+    assert_eq!(
+        (answer.status.as_u16(), answer.run_state()),
+        (504, "unknown")
+    );
+    let asks = world.fakes.asks.lock().unwrap();
+    assert_eq!(asks.last().unwrap().attempt.0, 0, "one attempt only");
+    assert!(
+        asks.iter().all(|ask| ask.slack > ask.run_for / 2),
+        "asks wait until the deadline"
+    );
+}
--- a/crates/tc-caller/tests/run_states.rs
+++ b/crates/tc-caller/tests/run_states.rs
@@ -162,3 +162,30 @@
     assert_eq!((stats[0].requests, stats[0].answered_in_deadline), (1, 0));
     assert!(stats[0].cost[0].wasted_ms > 0.0);
 }
+
+/// Symptom: under overload upstreams are busy with requests that nobody waits for any more.
+/// Sequence: a request has less time than its stages have been taking.
+/// Cause: it was started all the same.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_that_cannot_finish_is_not_started() {
+    let world = World::with_token_time(std::time::Duration::from_millis(20)).await;
+    for n in 0..8 {
+        world
+            .client
+            .pipeline("summary", &format!("log {n}"), &[])
+            .await;
+    }
+    let before = world.up.recorder.calls().len();
+    let headers = [("request-timeout-ms", "150")];
+    let answer = world.client.pipeline("summary", "log", &headers).await;
+    assert_eq!(
+        (answer.status.as_u16(), answer.run_state()),
+        (503, "not_run")
+    );
+    assert_eq!(
+        answer.json()["type"],
+        "urn:tanagercroft:problem:cannot-finish"
+    );
+    assert!(!answer.header("retry-after").is_empty());
+    assert_eq!(world.up.recorder.calls().len(), before);
+}
--- a/crates/tc-caller/tests/streams.rs
+++ b/crates/tc-caller/tests/streams.rs
@@ -148,6 +148,25 @@
     .await;
 }
 
+/// Symptom: a stream that takes too long never ends for its caller.
+/// Sequence: the deadline passes after some text was sent.
+/// Cause: nothing told the end of a stream that was given up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_stream_past_its_deadline_ends_with_a_problem() {
+    let world = World::with_token_time(Duration::from_millis(150)).await;
+    let headers = [STREAM, ("request-timeout-ms", "900")];
+    let answer = world.client.pipeline("summary", "log", &headers).await;
+    let events = events(&answer.text());
+    let last = events.last().unwrap();
+    assert_eq!(last.name.as_deref(), Some("problem"), "{events:?}");
+    assert!(last.data.contains("deadline-exceeded"), "{last:?}");
+    assert!(expected("log").starts_with(&text_of(&events)));
+    eventually("the permit is given back", || {
+        world.fakes.permits_out() == 0
+    })
+    .await;
+}
+
 /// Symptom: a request fails although its caller had seen nothing of it yet.
 /// Sequence: the first engine is gone before the first token.
 /// Cause: streams were not retried.
