Keep suspects per service, judge homes by what is elsewhere, share limits over the shard

Causes, found by the policy's own measurements: a home that knows only some of the calls in flight on a dead upstream cannot tell the guilty one from its neighbours, so all suspects of a service now have one home and the reports of one death count once; an ask was redirected only when it could not start in time, never when it would start clearly earlier elsewhere; an ejected upstream was let back whenever another one was ejected; a limit was divided over all instances though callers are sent to the workspace's shard only.

--- a/crates/tc-fleet/src/entry/ask.rs
+++ b/crates/tc-fleet/src/entry/ask.rs
@@ -90,10 +90,9 @@
             return self.round_robin.ask(&self.args.view.load(), &ask);
         }
         let started = MonoTime::now();
-        let trial = self
-            .args
-            .suspects
-            .try_trial(ask.fingerprint, ask.slack)
+        let suspects = &self.args.suspects;
+        let trial = suspects
+            .try_trial(ask.fingerprint, origin(&ask), ask.slack)
             .await?;
         let mut progress = Progress::default();
         loop {
@@ -286,10 +285,7 @@
         let give_back = self.give_back(key, &id, &target.home);
         let suspects = Arc::clone(&self.args.suspects);
         let fingerprint = ask.fingerprint;
-        let origin = Origin {
-            workspace: ask.workspace.clone(),
-            service: ask.service.clone(),
-        };
+        let origin = origin(ask);
         let on_release = move |release: Release| {
             drop(in_use);
             if release.outcome == Outcome::Died {
@@ -329,6 +325,13 @@
     }
 }
 
+fn origin(ask: &Ask) -> Origin {
+    Origin {
+        workspace: ask.workspace.clone(),
+        service: ask.service.clone(),
+    }
+}
+
 fn no_upstream(progress: &Progress) -> AskRefusal {
     progress.last.unwrap_or(AskRefusal {
         reason: RefusalReason::NoUpstream,
--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -334,8 +334,6 @@
     pub died: ::prost::alloc::vec::Vec<u64>,
     #[prost(string, tag = "3")]
     pub upstream: ::prost::alloc::string::String,
-    #[prost(fixed64, tag = "4")]
-    pub upstream_incarnation: u64,
     /// A fingerprint that ran to its end.
     #[prost(fixed64, repeated, tag = "5")]
     pub cleared: ::prost::alloc::vec::Vec<u64>,
@@ -345,9 +343,10 @@
     /// Trial that ended without a verdict.
     #[prost(fixed64, tag = "7")]
     pub trial_ended: u64,
-    /// Whose input died, and on which service: kept with a quarantine.
+    /// Whose input died; kept with a quarantine.
     #[prost(string, tag = "8")]
     pub workspace: ::prost::alloc::string::String,
+    /// The service all of this is about.
     #[prost(string, tag = "9")]
     pub service: ::prost::alloc::string::String,
 }
--- a/crates/tc-fleet/src/homes/actor.rs
+++ b/crates/tc-fleet/src/homes/actor.rs
@@ -23,6 +23,12 @@
 /// Largest share of a service's upstreams that may be ejected at once.
 const EJECTED_SHARE: f64 = 0.34;
 
+/// Upstreams of a service with a known service time from which outliers are looked for.
+const LEAST_FOR_OUTLIERS: usize = 3;
+
+/// Age at which another home's summary no longer says that its wait is short.
+const SUMMARY_COUNTS_FOR: Duration = Duration::from_secs(2);
+
 /// Answer to an ask for an upstream this instance has never heard of.
 const UNKNOWN_RETRY: Duration = Duration::from_millis(100);
 
@@ -232,13 +238,15 @@
     fn housekeeping(&mut self, now: MonoTime) {
         self.slots
             .retain(|_, slot| slot.known.mine || !slot.is_idle());
-        let medians = service_medians(now, &self.known, &self.summaries);
-        for slot in self.slots.values_mut() {
-            if let Some(median) = medians.get(&slot.known.service) {
-                let may_eject = median.may_eject;
-                slot.home_mut()
-                    .set_service_median(now, median.service_ms, may_eject);
-            }
+        let pictures = pictures(now, &self.known, &self.summaries);
+        for (id, slot) in &mut self.slots {
+            let Some(picture) = pictures.get(&slot.known.service) else {
+                continue;
+            };
+            let may_eject = picture.may_eject(slot.summary(now).ejected);
+            let home = slot.home_mut();
+            home.set_service_median(now, picture.median_ms(), may_eject);
+            home.set_elsewhere(now, picture.elsewhere(id));
         }
         self.wake(now);
     }
@@ -297,45 +305,61 @@
     }
 }
 
-struct ServiceMedian {
-    service_ms: Option<f64>,
-    may_eject: bool,
+/// What the upstreams of one service look like from here, by their homes' summaries.
+#[derive(Default)]
+struct ServicePicture {
+    service_ms: Vec<f64>,
+    waits: Vec<(f64, UpstreamId)>,
+    ejected: usize,
+    upstreams: usize,
+}
+
+impl ServicePicture {
+    fn median_ms(&self) -> Option<f64> {
+        // With fewer than three there is no telling which one is the outlier.
+        let times = &self.service_ms;
+        (times.len() >= LEAST_FOR_OUTLIERS).then(|| times[times.len() / 2])
+    }
+
+    /// Whether an upstream may be ejected, or stay so: only a part of a service may be.
+    fn may_eject(&self, is_ejected: bool) -> bool {
+        let ejected = self.ejected + usize::from(!is_ejected);
+        ejected as f64 <= (self.upstreams as f64 * EJECTED_SHARE).max(1.0)
+    }
+
+    /// Shortest wait at another upstream.
+    fn elsewhere(&self, not_this: &UpstreamId) -> Option<Duration> {
+        let others = self.waits.iter().filter(|(_, id)| id != not_this);
+        let shortest = others.map(|(wait_ms, _)| *wait_ms).min_by(f64::total_cmp)?;
+        Some(Duration::from_secs_f64(shortest.max(0.0) / 1e3))
+    }
 }
 
-/// Median service time over each service's upstreams, from their homes' summaries.
-fn service_medians(
+fn pictures(
     now: MonoTime,
     known: &BTreeMap<UpstreamId, KnownUpstream>,
     summaries: &SummaryTable,
-) -> HashMap<ServiceName, ServiceMedian> {
-    let mut by_service: HashMap<ServiceName, (Vec<f64>, usize, usize)> = HashMap::new();
-    for (id, upstream) in known {
-        let entry = by_service.entry(upstream.service.clone()).or_default();
-        entry.2 += 1;
-        let Some((summary, _, _)) = summaries.cell(id).and_then(|cell| cell.load(now)) else {
+) -> HashMap<ServiceName, ServicePicture> {
+    let mut by_service: HashMap<ServiceName, ServicePicture> = HashMap::new();
+    for (id, upstream) in known.iter().filter(|(_, upstream)| !upstream.leaving) {
+        let picture = by_service.entry(upstream.service.clone()).or_default();
+        picture.upstreams += 1;
+        let loaded = summaries.cell(id).and_then(|cell| cell.load(now));
+        let Some((summary, leaving, age)) = loaded else {
             continue;
         };
         if summary.service_ms > 0.0 {
-            entry.0.push(summary.service_ms);
+            picture.service_ms.push(summary.service_ms);
         }
-        entry.1 += usize::from(summary.ejected);
+        picture.ejected += usize::from(summary.ejected);
+        if !leaving && !summary.ejected && age < SUMMARY_COUNTS_FOR {
+            picture.waits.push((summary.wait_ms, id.clone()));
+        }
+    }
+    for picture in by_service.values_mut() {
+        picture.service_ms.sort_by(f64::total_cmp);
     }
     by_service
-        .into_iter()
-        .map(|(service, (mut times, ejected, all))| {
-            times.sort_by(f64::total_cmp);
-            // With fewer than three there is no telling which one is the outlier.
-            let service_ms = (times.len() >= 3).then(|| times[times.len() / 2]);
-            let may_eject = ((ejected + 1) as f64) <= (all as f64 * EJECTED_SHARE).max(1.0);
-            (
-                service,
-                ServiceMedian {
-                    service_ms,
-                    may_eject,
-                },
-            )
-        })
-        .collect()
 }
 
 /// The upstream of the same service that an ask would wait for least, other than `not_this`.
--- a/crates/tc-fleet/src/limits.rs
+++ b/crates/tc-fleet/src/limits.rs
@@ -7,11 +7,9 @@
 };
 
 use arc_swap::ArcSwap;
-use tc_membership::home_of;
+use tc_membership::{addresses, home_of};
 use tc_policy::{Demand, LimitHome, Share, ShareBucket};
-use tc_protocol::{
-    FleetView, InstanceId, Limits, MemberState, MonoTime, ShareGuard, WorkspaceName,
-};
+use tc_protocol::{FleetView, InstanceId, Limits, Member, MonoTime, ShareGuard, WorkspaceName};
 
 use crate::{
     convert,
@@ -20,6 +18,9 @@
     settings::SHARE_INTERVAL,
 };
 
+/// Divisor of the limit at an entry outside the workspace's shard: practically nothing is left.
+const OUTSIDE_SHARD: usize = 1_000_000;
+
 type Bucket = Arc<Mutex<ShareBucket>>;
 
 struct LimitedWorkspace {
@@ -36,9 +37,8 @@
 }
 
 impl LimitDesk {
-    /// Takes up the limits of a new configuration and the number of live entries.
-    pub(crate) fn set_fleet(&self, _now: MonoTime, view: &FleetView) {
-        let live_entries = live_entries(view);
+    /// Takes up the limits of a new configuration and the entries that callers are sent to.
+    pub(crate) fn set_fleet(&self, view: &FleetView) {
         let old = self.buckets.load_full();
         let buckets: HashMap<_, _> = view
             .config
@@ -47,7 +47,8 @@
             .filter(|(_, workspace)| workspace.limits != Limits::default())
             .map(|(name, workspace)| {
                 let kept = old.get(name);
-                (name.clone(), limited(kept, workspace.limits, live_entries))
+                let entries = live_entries(view, name);
+                (name.clone(), limited(kept, workspace.limits, entries))
             })
             .collect();
         self.lock_homes()
@@ -81,7 +82,6 @@
         report: &ShareReport,
     ) -> ShareGrants {
         let entry = InstanceId::from(report.from.as_str());
-        let live_entries = live_entries(view);
         let mut homes = self.lock_homes();
         let grants = report
             .demands
@@ -90,7 +90,8 @@
                 let name = WorkspaceName::from(demand.workspace.as_str());
                 let limits = view.config.workspaces.get(&name)?.limits;
                 let home = homes.entry(name).or_insert_with(|| LimitHome::new(limits));
-                let share = home.report(now, &entry, demand_from_wire(demand), live_entries);
+                let entries = shard(view, &demand.workspace.as_str().into()).len();
+                let share = home.report(now, &entry, demand_from_wire(demand), entries);
                 Some(share_to_wire(&demand.workspace, &share))
             })
             .collect();
@@ -125,7 +126,9 @@
         let mut reports: BTreeMap<InstanceId, ShareReport> = BTreeMap::new();
         for (name, limited) in self.buckets.load().iter() {
             let demand = lock(&limited.bucket).demand(now);
-            let idle = demand.requests_per_s <= 0.0 && demand.concurrency <= 0.0;
+            // Inside the shard the home sets a part aside for whoever does not report.
+            let outside = limited.live_entries == OUTSIDE_SHARD;
+            let idle = outside && demand.requests_per_s <= 0.0 && demand.concurrency <= 0.0;
             let Some(home) = home_of(&format!("limit/{name}"), &view.members, None, None) else {
                 continue;
             };
@@ -206,13 +209,34 @@
     }
 }
 
-/// Instances that may take requests: leaving ones still do, dead ones may only seem dead.
-fn live_entries(view: &FleetView) -> usize {
-    view.members
-        .iter()
-        .filter(|member| member.state != MemberState::Dead)
-        .count()
-        .max(1)
+/// Entries that the workspace's limit is divided over at this instance while it has no share.
+///
+/// Callers are told the addresses of the workspace's shard only, so the limit is divided over these; dividing it over
+/// all instances would leave a workspace a part of its limit. Another entry that a caller comes to all the same gets
+/// nothing before its limit home has given it a share.
+fn live_entries(view: &FleetView, workspace: &WorkspaceName) -> usize {
+    let shard = shard(view, workspace);
+    if shard.iter().any(|member| member.id == view.me.id) {
+        shard.len()
+    } else {
+        OUTSIDE_SHARD
+    }
+}
+
+fn shard<'a>(view: &'a FleetView, workspace: &WorkspaceName) -> Vec<&'a Member> {
+    let weight = view
+        .config
+        .workspaces
+        .get(workspace)
+        .map_or(1, |w| w.weight);
+    let shard_size = view.config.policy.shard_size;
+    addresses(
+        workspace,
+        weight,
+        shard_size,
+        &view.members,
+        &view.me.failure_domain,
+    )
 }
 
 fn lock(bucket: &Mutex<ShareBucket>) -> MutexGuard<'_, ShareBucket> {
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -124,7 +124,7 @@
                     .push(convert::summary_to_wire(id, &summary, leaving));
             }
         }
-        datagram.suspects = self.parts.suspects.to_gossip(SUSPECTS_PER_DATAGRAM);
+        datagram.suspects = self.parts.suspects.to_gossip(now, SUSPECTS_PER_DATAGRAM);
     }
 
     /// Takes up what rides on a datagram.
@@ -186,7 +186,9 @@
             store: self.parts.store.health(),
         });
         self.parts.view.store(Arc::clone(&view));
-        self.parts.limits.set_fleet(now, &view);
+        self.parts.limits.set_fleet(&view);
+        let crashes = self.config.policy.crashes_to_quarantine;
+        self.parts.suspects.set_crashes_to_quarantine(now, crashes);
         let _ = self.parts.homes.cast(HomesMsg::Assign(known));
         self.announce_moved(now, &view);
     }
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -10,7 +10,7 @@
 use ractor::{Actor, ActorRef};
 use tc_membership::Record;
 use tc_platform::Store;
-use tc_protocol::{FleetConfig, FleetView, StoreHealth};
+use tc_protocol::{FleetView, StoreHealth};
 use tc_upstream::UpstreamClient;
 use tokio::net::{TcpListener, UdpSocket};
 use tonic::transport::server::TcpIncoming;
@@ -51,12 +51,7 @@
     let (homes, _) = Actor::spawn(None, HomesActor, homes_args)
         .await
         .map_err(|error| FleetError::Actors(error.to_string()))?;
-    let crashes = FleetConfig::default().policy.crashes_to_quarantine;
-    let suspects = Arc::new(SuspectTable::new(
-        Arc::clone(&view),
-        Arc::clone(&peers),
-        crashes,
-    ));
+    let suspects = Arc::new(SuspectTable::new(Arc::clone(&view), Arc::clone(&peers)));
     Ok(NodeParts {
         view,
         known: Arc::default(),
--- /dev/null
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -0,0 +1,171 @@
+//! The suspects of the services this instance is home of.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use tc_policy::{Suspects, Trial};
+use tc_protocol::{
+    Fingerprint, Incarnation, MonoTime, Policy, ServiceName, UpstreamId, WorkspaceName,
+};
+
+use crate::{
+    convert,
+    generated::{SuspectAnswer, SuspectReport},
+};
+
+pub(super) const MAY_RUN: u32 = 0;
+pub(super) const BUSY: u32 = 1;
+pub(super) const QUARANTINED: u32 = 2;
+
+/// Reports of an upstream's death within this time are of the same death: entries do not know the upstream's
+/// incarnation, and each tells of its own calls.
+const SAME_DEATH: Duration = Duration::from_secs(1);
+/// Fingerprints whose workspace and service are remembered, at most.
+const MOST_ORIGINS: usize = 4_096;
+
+/// Whose input a suspect is.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Origin {
+    pub(crate) workspace: WorkspaceName,
+    pub(crate) service: ServiceName,
+}
+
+struct Death {
+    at: MonoTime,
+    number: u64,
+}
+
+struct State {
+    suspects: Suspects,
+    crashes_to_quarantine: u32,
+    deaths: HashMap<UpstreamId, Death>,
+    origins: HashMap<Fingerprint, Origin>,
+}
+
+/// Suspects, trials and quarantines of some services.
+pub(super) struct SuspectHome {
+    state: Mutex<State>,
+}
+
+impl SuspectHome {
+    pub(super) fn new() -> Self {
+        let crashes_to_quarantine = Policy::default().crashes_to_quarantine;
+        Self {
+            state: Mutex::new(State {
+                suspects: Suspects::new(crashes_to_quarantine),
+                crashes_to_quarantine,
+                deaths: HashMap::new(),
+                origins: HashMap::new(),
+            }),
+        }
+    }
+
+    /// Takes up the configured number of crashes; quarantines stay.
+    pub(super) fn set_crashes_to_quarantine(&self, now: MonoTime, crashes: u32) {
+        let mut state = self.lock();
+        if state.crashes_to_quarantine == crashes {
+            return;
+        }
+        let quarantined: Vec<Fingerprint> = state.suspects.quarantined().collect();
+        state.crashes_to_quarantine = crashes;
+        state.suspects = Suspects::new(crashes);
+        for fingerprint in quarantined {
+            state.suspects.adopt_quarantine(now, fingerprint);
+        }
+    }
+
+    /// Takes in an entry's report and answers it.
+    pub(super) fn answer(&self, now: MonoTime, report: &SuspectReport) -> SuspectAnswer {
+        let mut state = self.lock();
+        if !report.died.is_empty() {
+            state.died(now, report);
+        }
+        for cleared in &report.cleared {
+            state.suspects.cleared(now, Fingerprint(*cleared));
+        }
+        if report.trial_ended != 0 {
+            state
+                .suspects
+                .trial_ended(now, Fingerprint(report.trial_ended));
+        }
+        if report.trial == 0 {
+            return SuspectAnswer {
+                trial: MAY_RUN,
+                retry_after_ms: 0,
+            };
+        }
+        trial_answer(state.suspects.try_trial(now, Fingerprint(report.trial)))
+    }
+
+    /// Those of `fingerprints` that are suspects here.
+    pub(super) fn suspects_among(&self, fingerprints: Vec<Fingerprint>) -> Vec<Fingerprint> {
+        let state = self.lock();
+        fingerprints
+            .into_iter()
+            .filter(|f| state.suspects.is_suspect(*f))
+            .collect()
+    }
+
+    /// Quarantined fingerprints, and whose they are where that is known.
+    pub(super) fn quarantined(&self) -> Vec<(Fingerprint, Option<Origin>)> {
+        let state = self.lock();
+        let with_origin = |f| (f, state.origins.get(&f).cloned());
+        state.suspects.quarantined().map(with_origin).collect()
+    }
+
+    pub(super) fn adopt_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
+        self.lock().suspects.adopt_quarantine(now, fingerprint);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn died(&mut self, now: MonoTime, report: &SuspectReport) {
+        let died: Vec<Fingerprint> = report.died.iter().copied().map(Fingerprint).collect();
+        let upstream = UpstreamId::from(report.upstream.as_str());
+        let number = self.death_number(now, &upstream);
+        self.suspects
+            .died(now, &upstream, Incarnation(number), &died);
+        let origin = Origin {
+            workspace: report.workspace.as_str().into(),
+            service: report.service.as_str().into(),
+        };
+        for fingerprint in died {
+            if self.origins.len() < MOST_ORIGINS {
+                self.origins.insert(fingerprint, origin.clone());
+            }
+        }
+    }
+
+    /// The same number for all reports of one death.
+    fn death_number(&mut self, now: MonoTime, upstream: &UpstreamId) -> u64 {
+        self.deaths
+            .retain(|_, death| now.since(death.at) < SAME_DEATH);
+        let death = self
+            .deaths
+            .entry(upstream.clone())
+            .or_insert_with(|| Death {
+                at: now,
+                number: rand::random(),
+            });
+        death.number
+    }
+}
+
+fn trial_answer(trial: Trial) -> SuspectAnswer {
+    let (trial, retry_after) = match trial {
+        Trial::Run => (MAY_RUN, Duration::ZERO),
+        Trial::Busy { retry_after } => (BUSY, retry_after),
+        Trial::Quarantined { retry_after } => (QUARANTINED, retry_after),
+    };
+    SuspectAnswer {
+        trial,
+        retry_after_ms: convert::millis(retry_after),
+    }
+}
--- /dev/null
+++ b/crates/tc-fleet/src/suspects/mod.rs
@@ -0,0 +1,10 @@
+//! Requests that may crash upstreams: what this instance has heard of, and the services whose suspects it is home of.
+
+mod hearsay;
+mod home;
+mod table;
+mod trial;
+
+pub(crate) use home::Origin;
+pub(crate) use table::SuspectTable;
+pub(crate) use trial::TrialGuard;
