--- a/crates/tc-operator/src/serve/control.rs
+++ b/crates/tc-operator/src/serve/control.rs
@@ -67,7 +67,8 @@
         admin_stop.clone(),
     ));
     tokio::spawn(follow_config(running.clone()));
-    tokio::spawn(missing::warn_while_missing(running.clone()));
+    let seeded = !settings.seeds.is_empty();
+    tokio::spawn(missing::warn_while_missing(running.clone(), seeded));
     log::info!(
         instance = me.id.as_str(), incarnation = me.incarnation.0;
         "serving callers on {}, instances on {}, operators on {}",
--- a/crates/tc-operator/src/serve/missing.rs
+++ b/crates/tc-operator/src/serve/missing.rs
@@ -9,24 +9,37 @@
 /// How often what is missing is said again.
 const REPEAT: Duration = Duration::from_secs(30);
 
-/// Warns as long as no configuration is in force.
+/// Warns as long as no configuration is in force, or none of the seeds has been found.
 ///
-/// Without one every caller is refused as not ready. An instance that says nothing looks healthy in its log, and one
-/// notices by its callers only.
-pub(super) async fn warn_while_missing(running: Running) {
+/// Without a configuration every caller is refused as not ready. Without the others the instance serves as a fleet of
+/// its own and grants places on upstreams beside theirs, as one does that was given another fleet key. Both look healthy
+/// in a log that says nothing, and would be noticed by callers only.
+pub(super) async fn warn_while_missing(running: Running, seeded: bool) {
     tokio::time::sleep(FIRST_LOOK).await;
-    while running.fleet.view().config.revision == 0 {
-        let store = running.store.health();
-        if store.reachable {
-            log::warn!(
-                "no configuration yet: the platform has none; bring one into force with `config apply`"
-            );
-        } else {
+    loop {
+        let view = running.fleet.view();
+        let without_config = view.config.revision == 0;
+        let alone = seeded && view.members.len() < 2;
+        if without_config {
+            log::warn!("no configuration yet: {}", why_none(&running));
+        }
+        if alone {
             log::warn!(
-                "no configuration yet: the platform cannot be reached and no other instance has given one; check \
-                 --platform and --seeds"
+                "no other instance is known: check that --seeds names live ones, that UDP and TCP pass, and that \
+                 TANAGERCROFT_FLEET_KEY is theirs"
             );
         }
+        if !without_config && !alone {
+            return;
+        }
         tokio::time::sleep(REPEAT).await;
     }
 }
+
+fn why_none(running: &Running) -> &'static str {
+    if running.store.health().reachable {
+        "the platform has none; bring one into force with `config apply`"
+    } else {
+        "the platform cannot be reached and no other instance has given one; check --platform and --seeds"
+    }
+}
