--- a/crates/tc-operator/tests/operator/peers.rs
+++ b/crates/tc-operator/tests/operator/peers.rs
@@ -74,3 +74,26 @@
     let says = "cannot listen on 127.0.0.1:9300";
     assert!(finished.err.contains(says), "{finished:?}");
 }
+
+// Symptom: an operator is told to check a name that is right.
+// Sequence: --admin has the port of callers, which answers 404 with a problem of its own.
+// Cause: the status alone was taken for an answer about the name.
+#[test]
+fn a_port_that_is_no_admin_interface_is_called_so() {
+    const PROBLEM: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 14\r\n\r\n{\"status\":404}";
+    let world = World::new();
+    for line in ["status", "explain some-request", "drain upstream gen-1"] {
+        let address = instance_that_answers(PROBLEM);
+        let finished = world.expect(Exit::Failed, &format!("{line} --admin {address}"));
+        assert!(
+            finished.err.contains("admin interface"),
+            "{line}: {finished:?}"
+        );
+        assert!(
+            finished.err.contains("--admin-listen"),
+            "{line}: {finished:?}"
+        );
+    }
+    let unknown = world.expect(Exit::Failed, "explain unknown --admin 127.0.0.1:9300");
+    assert!(unknown.err.contains("x-request-id"), "{unknown:?}");
+}
