Refuse requests before their first stage when too few like them find room

Cause: in an overload encode, retrieve and rerank worked for requests that then found no engine in time. Ruled out: the estimates' quantile, fed by answered requests only.

--- a/crates/tc-caller/src/run/admission.rs
+++ b/crates/tc-caller/src/run/admission.rs
@@ -30,6 +30,7 @@
     let estimate = if cx.shared.settings.baseline {
         Duration::ZERO
     } else {
+        cx.shared.throttles.admit(cx)?;
         tc_policy::admit(remaining, &estimates).map_err(|after| {
             cx.failure(
                 ProblemKind::CannotFinish,
--- a/crates/tc-caller/src/run/pipeline.rs
+++ b/crates/tc-caller/src/run/pipeline.rs
@@ -58,19 +58,22 @@
     work: &PipelineWork,
     stream: Option<&StreamLog>,
 ) -> Result<PipelineAnswer, Failure> {
-    let run = tokio::time::timeout(cx.remaining(), run_stages(cx, work, stream)).await;
+    let plans = plans(cx, work)?;
+    start_share(cx)?;
+    admit(cx, &plans)?;
+    let run = tokio::time::timeout(cx.remaining(), run_stages(cx, work, &plans, stream)).await;
     // The attempts that were under way are dropped by now and have noted what is known of them.
-    run.unwrap_or_else(|_| Err(cx.past_deadline()))
+    let result = run.unwrap_or_else(|_| Err(cx.past_deadline()));
+    cx.shared.throttles.note(cx, &result);
+    result
 }
 
 async fn run_stages(
     cx: &Arc<RequestContext>,
     work: &PipelineWork,
+    plans: &[StagePlan],
     stream: Option<&StreamLog>,
 ) -> Result<PipelineAnswer, Failure> {
-    let plans = plans(cx, work)?;
-    start_share(cx)?;
-    admit(cx, &plans)?;
     let rest: Vec<StageEstimate> = plans.iter().map(|p| p.timing).collect();
     let mut input = work.input.clone();
     let mut stages = Vec::with_capacity(plans.len());
--- a/crates/tc-caller/src/shared.rs
+++ b/crates/tc-caller/src/shared.rs
@@ -15,6 +15,7 @@
     policy_state::Policies,
     ports::{CallerSettings, CallerTimeouts, Ports},
     record::{ExplanationRing, Stats},
+    run::Throttles,
     streams::StreamRegistry,
 };
 
@@ -26,6 +27,7 @@
     pub(crate) upstream: UpstreamClient,
     pub(crate) tokens: TokenIndex,
     pub(crate) policies: Policies,
+    pub(crate) throttles: Throttles,
     pub(crate) stats: Stats,
     pub(crate) explanations: ExplanationRing,
     pub(crate) streams: Arc<StreamRegistry>,
@@ -52,6 +54,7 @@
             upstream,
             tokens: TokenIndex::new(),
             policies: Policies::new(),
+            throttles: Throttles::default(),
             stats: Stats::new(),
             explanations: ExplanationRing::new(),
             streams: Arc::new(StreamRegistry::new()),
--- a/crates/tc-policy/src/throttle.rs
+++ b/crates/tc-policy/src/throttle.rs
@@ -10,11 +10,13 @@
 /// Requests let in per request that got room while others miss. What is above 1 is wasted in the early stages.
 const LET_IN_WHILE_FULL: f64 = 1.1;
 /// The same while none misses: there may be room again, and this bounds how fast admission follows.
-const LET_IN_WHILE_FREE: f64 = 2.0;
+const LET_IN_WHILE_FREE: f64 = 3.0;
 /// Share of misses among the requests let in from which the place counts as full.
 const FULL_SHARE: f64 = 0.05;
 /// Time over which outcomes count, in seconds: each second weighs less than the one after it.
 const WINDOW_S: f64 = 2.0;
+/// Requests let in per window whatever the outcomes: after a total outage none got room, and nothing would be found out.
+const LEAST_LET_IN: f64 = 4.0;
 /// Outcomes below which nothing is refused: a few misses of a small workspace are no overload.
 const LEAST_OUTCOMES: f64 = 10.0;
 
@@ -46,7 +48,7 @@
         if offered < LEAST_OUTCOMES {
             return 0.0;
         }
-        let let_in = self.let_in_factor() * self.got_room * decay;
+        let let_in = LEAST_LET_IN + self.let_in_factor() * self.got_room * decay;
         ((offered - let_in) / (offered + 1.0)).max(0.0)
     }
 
--- a/crates/tc-policy/tests/throttle.rs
+++ b/crates/tc-policy/tests/throttle.rs
@@ -69,6 +69,18 @@
     assert!(after.let_in > 89.0, "{} let in", after.let_in);
 }
 
+#[test]
+fn a_total_outage_is_over_within_seconds() {
+    // Symptom: after an outage in which nothing found room, nothing is asked for any more.
+    // Sequence: no room for 20 s, then enough.
+    // Cause: a multiple of nothing is nothing; a few must be let in whatever the outcomes.
+    let mut throttle = Throttle::default();
+    offer(&mut throttle, 0, 20, 100, 0);
+    offer(&mut throttle, 20, 10, 100, 120);
+    let after = offer(&mut throttle, 30, 5, 100, 120);
+    assert!(after.let_in > 95.0, "{} let in", after.let_in);
+}
+
 #[test]
 fn a_few_misses_refuse_nobody() {
     let mut throttle = Throttle::default();
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -125,6 +125,7 @@
     count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
     count("tc_superseded_total", &[], "Times this process found another, later one with its instance's name."),
     count("tc_suspects_total", &[], "Inputs that became suspects because an upstream died under them."),
+    count("tc_throttled_total", &[], "Requests refused before they ran because too few like them found room."),
     count("tc_unknown_releases_total", &[], "Releases of permits that the home did not know."),
     count("tc_unreachable_homes_total", &[], "Asks whose home could not be reached."),
     millis("tc_upstream_call_ms", &[UPSTREAM_KIND], "Time of a call to an upstream."),
