Test three reuse rules that no test held

Not noticed: the look at an idle socket before reuse, keeping the connection of a plain service that does not echo, orders on a load-report connection.

--- a/crates/tc-upstream/tests/control_calls.rs
+++ b/crates/tc-upstream/tests/control_calls.rs
@@ -73,6 +73,12 @@
         assert_eq!(client.load(fake.address).await, Ok(expected.clone()));
     }
     assert_eq!(fake.counts(), (1, 3));
+    client.order(fake.address, &order()).await.unwrap();
+    assert_eq!(
+        fake.counts(),
+        (2, 4),
+        "an order must not share a connection with reports"
+    );
 }
 
 /// Symptom: a home waits for ever for a load report, and never notices the upstream's state.
--- a/crates/tc-upstream/tests/kept_connections.rs
+++ b/crates/tc-upstream/tests/kept_connections.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
-use common::{Fake, SHORT, Step, check, client, run_pool, send};
-use tc_protocol::{Outcome, RunState};
+use std::io::{Read, Write};
+
+use common::{Fake, SHORT, Step, call, check, client, run_pool, send};
+use tc_protocol::{Outcome, RunState, ServiceKind};
 use tc_upstream::CallErrorKind::{Broken, Failed, WrongIdentity};
 
 #[tokio::test]
@@ -41,6 +43,44 @@
     }
 }
 
+/// Symptom: a call is written to a connection that is closed already, and fails as `unknown`.
+/// Sequence: a call is answered; the upstream closes; the next call is made before the event loop has run again.
+/// Cause: the close is known to the kernel but not yet to the event loop.
+#[tokio::test]
+async fn a_close_the_event_loop_has_not_seen_is_noticed() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (closed_tx, closed) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().unwrap();
+            let mut bytes = Vec::new();
+            while !bytes.ends_with(b"}") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).unwrap();
+                bytes.extend(byte);
+            }
+            let head = String::from_utf8(bytes).unwrap();
+            let seen = common::Seen {
+                head,
+                body: String::new(),
+            };
+            stream.write_all(seen.pool_answer("x").as_bytes()).unwrap();
+            drop(stream);
+            closed_tx.send(()).unwrap();
+        }
+    });
+    let client = client();
+    for _ in 0..2 {
+        client
+            .run_stage(call(ServiceKind::Pool, address, "r-1"))
+            .await
+            .unwrap();
+        // Blocks the only thread of the runtime, so that the event loop cannot run.
+        closed.recv().unwrap();
+    }
+}
+
 /// Symptom: a request gets the answer of the request before it.
 /// Sequence: the upstream sends an answer twice; the second copy arrives while the connection is idle, or (second
 /// part) in place of the answer to the next call.
--- a/crates/tc-upstream/tests/plain_services.rs
+++ b/crates/tc-upstream/tests/plain_services.rs
@@ -128,7 +128,9 @@
 /// Cause: a faulty service or a middlebox that repeats.
 #[tokio::test]
 async fn a_doubled_answer_reaches_nobody() {
-    let script = |n: usize, _: &Seen| vec![send(answer("200 OK", "", &n.to_string()).repeat(2))];
+    // The connection must not be kept, whether the second copy has come already or may still come.
+    let script =
+        |n: usize, _: &Seen| vec![send(answer("200 OK", "", &n.to_string()).repeat(1 + n % 2))];
     let silent = Fake::start(script).await;
     let client = client();
     for n in 0..3 {
