--- a/crates/tc-upstream/tests/kept_connections.rs
+++ b/crates/tc-upstream/tests/kept_connections.rs
@@ -50,6 +50,7 @@
 async fn a_close_the_event_loop_has_not_seen_is_noticed() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
+    let (close, may_close) = std::sync::mpsc::channel();
     let (closed_tx, closed) = std::sync::mpsc::channel();
     std::thread::spawn(move || {
         for _ in 0..2 {
@@ -66,6 +67,7 @@
                 body: String::new(),
             };
             stream.write_all(seen.pool_answer("x").as_bytes()).unwrap();
+            may_close.recv().unwrap();
             drop(stream);
             closed_tx.send(()).unwrap();
         }
@@ -77,6 +79,7 @@
             .await
             .unwrap();
         // Blocks the only thread of the runtime, so that the event loop cannot run.
+        close.send(()).unwrap();
         closed.recv().unwrap();
     }
 }
