Ask an upstream whether it lives before a broken connection counts as its death

Causes: an upstream that closes an idle connection just as a request is written looks like one that died of it, and two such closings quarantined an innocent request (found by the author of the upstream client; the test shows it). Its home tells which life of the process it has seen, the entry asks the load report once and compares. An ask that a home redirected was refused with 'no upstream' when there was no other one; it now waits where it was first asked (seen in the same test with one upstream). With it goes the reporting of held shares to limit homes, begun beside it: the wire change is shared.

--- a/crates/tc-fleet/src/convert.rs
+++ b/crates/tc-fleet/src/convert.rs
@@ -160,6 +160,7 @@
     upstream: &UpstreamId,
     summary: &UpstreamSummary,
     leaving: bool,
+    incarnation: Incarnation,
 ) -> wire::Summary {
     wire::Summary {
         upstream: upstream.to_string(),
@@ -170,6 +171,7 @@
         service_ms: summary.service_ms as f32,
         ejected: summary.ejected,
         leaving,
+        incarnation: incarnation.0,
     }
 }
 
--- a/crates/tc-fleet/src/entry/ask.rs
+++ b/crates/tc-fleet/src/entry/ask.rs
@@ -31,7 +31,7 @@
     node::NodeMsg,
     peers::{PeerPool, ToHome},
     summary::{SummaryTable, UseGuard},
-    suspects::{Origin, SuspectTable, TrialGuard},
+    suspects::{CalledUpstream, Origin, SuspectTable, TrialGuard},
 };
 
 /// Redirects followed before the ask queues where it is.
@@ -102,6 +102,11 @@
                 return Err(no_upstream(&progress));
             }
             let Some(target) = self.target(&ask, &mut progress) else {
+                // Redirected, but there is nowhere else: wait where it was asked first.
+                if progress.redirects < REDIRECTS && !progress.redirected.is_empty() {
+                    progress.redirects = REDIRECTS;
+                    continue;
+                }
                 if progress.unreachable.is_empty() || left <= REHOME_WAIT {
                     return Err(no_upstream(&progress));
                 }
@@ -286,9 +291,11 @@
         let suspects = Arc::clone(&self.args.suspects);
         let fingerprint = ask.fingerprint;
         let origin = origin(ask);
+        let called = self.called(target);
         let on_release = move |release: Release| {
             drop(in_use);
             if release.outcome == Outcome::Died {
+                suspects.note_called(fingerprint, called);
                 suspects.note_origin(fingerprint, origin);
             }
             if let Some(trial) = trial {
@@ -307,6 +314,15 @@
         Permit::new(grant, target.why.to_owned(), on_release)
     }
 
+    fn called(&self, target: &Target) -> CalledUpstream {
+        let upstream = &target.state.upstream;
+        let cell = self.args.summaries.cell(&upstream.id);
+        CalledUpstream {
+            address: upstream.address,
+            incarnation: cell.map(|cell| cell.incarnation()).unwrap_or_default(),
+        }
+    }
+
     fn give_back(
         &self,
         key: HeldKey,
--- a/crates/tc-fleet/src/fleet.rs
+++ b/crates/tc-fleet/src/fleet.rs
@@ -65,7 +65,7 @@
         let listen = |source| FleetError::Listen { address, source };
         let listener = TcpListener::bind(address).await.map_err(listen)?;
         let socket = UdpSocket::bind(address).await.map_err(listen)?;
-        let parts = start_parts(&settings, store, socket).await?;
+        let parts = start_parts(&settings, store, socket, &upstream).await?;
         let node_args = NodeArgs {
             me: settings.me.clone(),
             membership: settings.membership.clone(),
--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -170,6 +170,9 @@
     pub ejected: bool,
     #[prost(bool, tag = "8")]
     pub leaving: bool,
+    /// Life of the upstream's process as its load report told; 0: not known.
+    #[prost(fixed64, tag = "9")]
+    pub incarnation: u64,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ConfigPull {
@@ -306,6 +309,9 @@
     pub concurrency: f64,
     #[prost(double, tag = "4")]
     pub cost_per_s: f64,
+    /// The share the entry goes by; absent when it has none that is not expired.
+    #[prost(message, optional, tag = "5")]
+    pub held: ::core::option::Option<ShareGrant>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct ShareGrants {
--- a/crates/tc-fleet/src/limits.rs
+++ b/crates/tc-fleet/src/limits.rs
@@ -91,7 +91,7 @@
                 let limits = view.config.workspaces.get(&name)?.limits;
                 let home = homes.entry(name).or_insert_with(|| LimitHome::new(limits));
                 let entries = shard(view, &demand.workspace.as_str().into()).len();
-                let share = home.report(now, &entry, demand_from_wire(demand), entries);
+                let share = home.report(now, &entry, demand_from_wire(&limits, demand), entries);
                 Some(share_to_wire(&demand.workspace, &share))
             })
             .collect();
@@ -249,14 +249,22 @@
         requests_per_s: demand.requests_per_s,
         concurrency: demand.concurrency,
         cost_per_s: demand.cost_per_s,
+        held: demand
+            .held
+            .as_ref()
+            .map(|share| share_to_wire(workspace.as_str(), share)),
     }
 }
 
-fn demand_from_wire(demand: &ShareDemand) -> Demand {
+fn demand_from_wire(limits: &Limits, demand: &ShareDemand) -> Demand {
     Demand {
         requests_per_s: demand.requests_per_s,
         concurrency: demand.concurrency,
         cost_per_s: demand.cost_per_s,
+        held: demand
+            .held
+            .as_ref()
+            .map(|share| share_from_wire(limits, share)),
     }
 }
 
--- a/crates/tc-fleet/src/loads.rs
+++ b/crates/tc-fleet/src/loads.rs
@@ -40,6 +40,9 @@
             if restarted {
                 log::info!(upstream = id.as_str(); "upstream restarted");
             }
+            parts
+                .summaries
+                .note_incarnation(id.as_str(), report.incarnation);
             let upstream = id.clone();
             let leaving = report.leaving;
             if node
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -113,15 +113,13 @@
         for _ in 0..mine.len().min(SUMMARIES_PER_DATAGRAM) {
             self.next_summary = self.next_summary.wrapping_add(1);
             let id = mine[self.next_summary % mine.len()];
-            let load = self
-                .parts
-                .summaries
-                .cell(id)
-                .and_then(|cell| cell.load(now));
-            if let Some((summary, leaving, _)) = load {
-                datagram
-                    .summaries
-                    .push(convert::summary_to_wire(id, &summary, leaving));
+            let Some(cell) = self.parts.summaries.cell(id) else {
+                continue;
+            };
+            if let Some((summary, leaving, _)) = cell.load(now) {
+                let incarnation = cell.incarnation();
+                let summary = convert::summary_to_wire(id, &summary, leaving, incarnation);
+                datagram.summaries.push(summary);
             }
         }
         datagram.suspects = self.parts.suspects.to_gossip(now, SUSPECTS_PER_DATAGRAM);
@@ -131,9 +129,9 @@
     pub(crate) fn take_piggyback(&mut self, now: MonoTime, datagram: &Datagram) {
         for summary in &datagram.summaries {
             let load = convert::summary_from_wire(summary);
-            self.parts
-                .summaries
-                .store(now, &summary.upstream, &load, summary.leaving);
+            let summaries = &self.parts.summaries;
+            summaries.store(now, &summary.upstream, &load, summary.leaving);
+            summaries.note_incarnation(&summary.upstream, Incarnation(summary.incarnation));
         }
         self.parts.suspects.heard(now, &datagram.suspects);
     }
--- a/crates/tc-fleet/src/peers/stream.rs
+++ b/crates/tc-fleet/src/peers/stream.rs
@@ -4,7 +4,9 @@
 
 use prost::Message as _;
 use tc_policy::HeldPermit;
-use tc_protocol::{Cost, Member, MonoTime, Outcome, PermitId, Release, RunState, UpstreamId};
+use tc_protocol::{
+    Cost, Incarnation, Member, MonoTime, Outcome, PermitId, Release, RunState, UpstreamId,
+};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::Streaming;
@@ -240,9 +242,9 @@
         let now = MonoTime::now();
         for summary in &batch.summaries {
             let load = convert::summary_from_wire(summary);
-            self.args
-                .summaries
-                .store(now, &summary.upstream, &load, summary.leaving);
+            let summaries = &self.args.summaries;
+            summaries.store(now, &summary.upstream, &load, summary.leaving);
+            summaries.note_incarnation(&summary.upstream, Incarnation(summary.incarnation));
         }
         for reply in batch.replies {
             self.reply(reply);
--- a/crates/tc-fleet/src/server.rs
+++ b/crates/tc-fleet/src/server.rs
@@ -24,6 +24,7 @@
     node::{NodeMsg, NodeParts},
     orders::OrderDesk,
     peers::unused_release,
+    summary::SummaryTable,
 };
 
 /// Answers in one batch at most.
@@ -78,7 +79,8 @@
         let (answers, to_wire) = mpsc::unbounded_channel();
         let homes = self.0.parts.homes.clone();
         tokio::spawn(read_batches(req.into_inner(), homes, answers));
-        let batches = ReceiverStream::new(batched(to_wire)).map(Ok);
+        let batches =
+            ReceiverStream::new(batched(to_wire, Arc::clone(&self.0.parts.summaries))).map(Ok);
         Ok(Response::new(Box::pin(batches)))
     }
 
@@ -260,12 +262,15 @@
 }
 
 /// Gathers what is ready into batches, so that one write carries many answers under load and none waits.
-fn batched(mut answers: mpsc::UnboundedReceiver<Numbered>) -> mpsc::Receiver<HomeBatch> {
+fn batched(
+    mut answers: mpsc::UnboundedReceiver<Numbered>,
+    loads: Arc<SummaryTable>,
+) -> mpsc::Receiver<HomeBatch> {
     let (to_wire, batches) = mpsc::channel(BATCHES_WAITING);
     tokio::spawn(async move {
         let mut ready = Vec::with_capacity(BATCH);
         while answers.recv_many(&mut ready, BATCH).await > 0 {
-            let batch = batch_of(ready.drain(..));
+            let batch = batch_of(ready.drain(..), &loads);
             let bytes = batch.encoded_len() as u64;
             metrics::counter!("tc_fleet_stream_bytes_total", "role" => "home").increment(bytes);
             if to_wire.send(batch).await.is_err() {
@@ -276,7 +281,7 @@
     batches
 }
 
-fn batch_of(answers: impl Iterator<Item = Numbered>) -> HomeBatch {
+fn batch_of(answers: impl Iterator<Item = Numbered>, loads: &SummaryTable) -> HomeBatch {
     let mut batch = HomeBatch::default();
     let mut summaries = HashMap::new();
     for numbered in answers {
@@ -296,7 +301,13 @@
     drop_answered(&mut batch.replies);
     batch.summaries = summaries
         .iter()
-        .map(|(id, (summary, leaving))| convert::summary_to_wire(id, summary, *leaving))
+        .map(|(id, (summary, leaving))| {
+            let incarnation = loads
+                .cell(id)
+                .map(|cell| cell.incarnation())
+                .unwrap_or_default();
+            convert::summary_to_wire(id, summary, *leaving, incarnation)
+        })
         .collect();
     batch
 }
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -26,7 +26,7 @@
     server::{FleetService, ServiceParts, check_token},
     store_watch::read_lists,
     summary::SummaryTable,
-    suspects::SuspectTable,
+    suspects::{Confirmer, SuspectTable},
 };
 
 /// Wait between two rounds of introductions by seeds while nobody is known.
@@ -36,6 +36,7 @@
     settings: &FleetSettings,
     store: Store,
     socket: UdpSocket,
+    upstream: &UpstreamClient,
 ) -> Result<NodeParts, FleetError> {
     let view = Arc::new(ArcSwap::from_pointee(first_view(settings)));
     let summaries = Arc::new(SummaryTable::default());
@@ -51,7 +52,11 @@
     let (homes, _) = Actor::spawn(None, HomesActor, homes_args)
         .await
         .map_err(|error| FleetError::Actors(error.to_string()))?;
-    let suspects = Arc::new(SuspectTable::new(Arc::clone(&view), Arc::clone(&peers)));
+    let suspects = Arc::new(SuspectTable::new(
+        Arc::clone(&view),
+        Arc::clone(&peers),
+        Confirmer::new(upstream.clone()),
+    ));
     Ok(NodeParts {
         view,
         known: Arc::default(),
--- a/crates/tc-fleet/src/summary.rs
+++ b/crates/tc-fleet/src/summary.rs
@@ -10,7 +10,7 @@
 };
 
 use arc_swap::ArcSwap;
-use tc_protocol::{MonoTime, UpstreamId, UpstreamSummary};
+use tc_protocol::{Incarnation, MonoTime, UpstreamId, UpstreamSummary};
 
 /// One upstream's summary, updated field by field.
 ///
@@ -24,6 +24,7 @@
     service_ms: AtomicU32,
     ejected: AtomicBool,
     leaving: AtomicBool,
+    incarnation: AtomicU64,
     updated_at: AtomicU64,
     /// Permits and asks of this instance that are not over.
     pub(crate) own_in_flight: AtomicU32,
@@ -43,6 +44,11 @@
         self.updated_at.store(now.0, Relaxed);
     }
 
+    /// Life of the upstream's process, 0 when not known.
+    pub(crate) fn incarnation(&self) -> Incarnation {
+        Incarnation(self.incarnation.load(Relaxed))
+    }
+
     /// The summary, whether the home said the upstream is leaving, and the age; `None` before the first one.
     pub(crate) fn load(&self, now: MonoTime) -> Option<(UpstreamSummary, bool, Duration)> {
         let updated_at = self.updated_at.load(Relaxed);
@@ -85,6 +91,15 @@
         self.cells.load().get(id).map(Arc::clone)
     }
 
+    /// Notes which life of its process an upstream is in; 0 says nothing.
+    pub(crate) fn note_incarnation(&self, id: &str, incarnation: Incarnation) {
+        if incarnation != Incarnation(0)
+            && let Some(cell) = self.cells.load().get(id)
+        {
+            cell.incarnation.store(incarnation.0, Relaxed);
+        }
+    }
+
     pub(crate) fn store(&self, now: MonoTime, id: &str, summary: &UpstreamSummary, leaving: bool) {
         if let Some(cell) = self.cells.load().get(id) {
             cell.store(now, summary, leaving);
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    confirm::{CalledUpstream, Confirmer},
     hearsay::Hearsay,
     home::{MAY_RUN, Origin, QUARANTINED, SuspectHome},
     trial::TrialGuard,
@@ -41,20 +42,29 @@
     view: Arc<ArcSwap<FleetView>>,
     peers: Arc<PeerPool>,
     hearsay: Hearsay,
+    /// Upstreams as they were when calls that ended in a broken connection were granted.
+    called: Mutex<HashMap<Fingerprint, CalledUpstream>>,
     /// Of inputs that died here or run as suspects.
     origins: Mutex<HashMap<Fingerprint, Origin>>,
     home: SuspectHome,
+    confirmer: Confirmer,
     spread_now: Mutex<Option<SpreadNow>>,
 }
 
 impl SuspectTable {
-    pub(crate) fn new(view: Arc<ArcSwap<FleetView>>, peers: Arc<PeerPool>) -> Self {
+    pub(crate) fn new(
+        view: Arc<ArcSwap<FleetView>>,
+        peers: Arc<PeerPool>,
+        confirmer: Confirmer,
+    ) -> Self {
         Self {
             view,
             peers,
             hearsay: Hearsay::default(),
             origins: Mutex::default(),
             home: SuspectHome::new(),
+            confirmer,
+            called: Mutex::default(),
             spread_now: Mutex::default(),
         }
     }
@@ -119,9 +129,25 @@
         origins.insert(fingerprint, origin);
     }
 
+    /// Remembers what was called when a connection broke under an input, before [`Self::died`].
+    pub(crate) fn note_called(&self, fingerprint: Fingerprint, called: CalledUpstream) {
+        let mut remembered = lock(&self.called);
+        if remembered.len() >= MOST_ORIGINS {
+            remembered.clear();
+        }
+        remembered.insert(fingerprint, called);
+    }
+
     /// An upstream died under this input. Returns once the instances have been warned, so that a resend does not outrun
     /// the warning.
     pub(crate) async fn died(self: Arc<Self>, fingerprint: Fingerprint, upstream: UpstreamId) {
+        let called = lock(&self.called).remove(&fingerprint);
+        if let Some(called) = called
+            && !self.confirmer.is_dead(&called).await
+        {
+            metrics::counter!("tc_false_deaths_total").increment(1);
+            return;
+        }
         self.hearsay.hear(MonoTime::now(), fingerprint);
         metrics::counter!("tc_suspects_total").increment(1);
         let Some(origin) = lock(&self.origins).get(&fingerprint).cloned() else {
--- a/crates/tc-fleet/tests/fleet/suspects.rs
+++ b/crates/tc-fleet/tests/fleet/suspects.rs
@@ -4,7 +4,9 @@
 
 use tc_protocol::{Ask, Cost, Fingerprint, Outcome, Permit, RefusalReason, RunState};
 
-use crate::common::{Instance, ask, run, settled, until};
+use tc_stand_ins::{Platform, Pool, PoolConfig, Recorder};
+
+use crate::common::{Instance, ask, put_config, run, settled, start_listed, until, until_settled};
 
 const SLACK: Duration = Duration::from_secs(5);
 const SHORT: Duration = Duration::from_millis(250);
@@ -102,3 +104,37 @@
         .await;
     });
 }
+
+#[test]
+fn a_connection_that_closes_under_a_call_is_no_crash() {
+    // Symptom: an innocent request is refused as one that crashes upstreams.
+    // Sequence: twice, an upstream closes an idle connection just as the request is written to it.
+    // Cause: that looks like a death; the upstream must be asked before it is taken for one.
+    run(async {
+        let recorder = Recorder::default();
+        let address = "127.0.0.1:0".parse().unwrap();
+        let cfg = PoolConfig::new("e0", "encode");
+        let pool = Pool::start(address, cfg, recorder.clone()).await.unwrap();
+        let platform = Platform::start(address).await.unwrap();
+        put_config(&platform, 1, &[pool.address()], 4).await;
+        let instances = start_listed(&platform, 2);
+        until_settled(&instances, 2, 1).await;
+        // By then its home has read a load report and told the others which life of the upstream it is.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        for instance in instances.iter().chain(&instances) {
+            let permit = instance.fleet.ask(crashing(SLACK)).await.unwrap();
+            die(instance, permit).await;
+        }
+        for instance in &instances {
+            let granted = instance.fleet.ask(crashing(SLACK)).await;
+            assert!(granted.is_ok(), "{granted:?}");
+        }
+        let permit = instances[0].fleet.ask(crashing(SLACK)).await.unwrap();
+        pool.faults().crash();
+        die(&instances[0], permit).await;
+        let trial = instances[0].fleet.ask(crashing(SLACK)).await.unwrap();
+        let second = instances[1].fleet.ask(crashing(SHORT)).await;
+        assert!(second.is_err(), "a real death made no suspect: {second:?}");
+        drop(trial);
+    });
+}
--- a/crates/tc-policy/src/limit/bucket.rs
+++ b/crates/tc-policy/src/limit/bucket.rs
@@ -176,6 +176,10 @@
             concurrency: f64::from(self.peak.get(now).max(self.in_flight))
                 + if refused { MORE_WANTED } else { 0.0 },
             cost_per_s: requests_per_s * self.mean_cost,
+            held: self
+                .held
+                .filter(|held| now < held.until)
+                .map(|held| held.share),
         }
     }
 
--- a/crates/tc-policy/src/limit/home.rs
+++ b/crates/tc-policy/src/limit/home.rs
@@ -13,9 +13,8 @@
 
 /// Splits one workspace's limits over the entries that report demand.
 ///
-/// The unexpired shares and the equal parts set aside for the live entries without one never exceed a limit. A share
-/// that was replaced counts until it would have expired: the answer that replaces it may be lost, and the entry
-/// would use the old one on.
+/// The unexpired shares and the equal parts set aside for the live entries without one never exceed a limit. Each entry
+/// tells the share it goes by, and that counts beside the one it is told: the answer may be lost.
 #[derive(Debug)]
 pub struct LimitHome {
     limits: Limits,
@@ -43,19 +42,22 @@
         self.0.retain(|&(until, _)| now < until);
     }
 
-    /// Notes a share that is told to the entry, which until then uses the `equal` part if it has none.
+    /// Notes the `told` share and what the entry goes by until it hears of it.
     ///
-    /// The answer may be lost, and the entry use on what it had. So that counts on until the answers to the next
-    /// reports have told it again; without this, one lost answer would let the sum exceed the limit.
-    fn give(&mut self, until: MonoTime, share: Option<f64>, equal: Option<f64>) {
-        let (Some(share), Some(equal)) = (share, equal) else {
+    /// The answer may be lost, and all later ones too. The entry then goes on with what it has `held`, and when that
+    /// has expired with the `equal` part at most. So both count until the entry itself says that it holds less;
+    /// without this, the sum would exceed the limit for as long as reports arrive and the answers to them do not.
+    fn give(&mut self, now: MonoTime, told: Option<f64>, equal: Option<f64>, held: Option<f64>) {
+        let (Some(told), Some(equal)) = (told, equal) else {
             return;
         };
-        if self.is_none() {
-            self.0.push((until, equal));
+        self.0.clear();
+        if let Some(held) = held {
+            self.0.push((now.after(SHARE_LASTS), held));
         }
-        self.0.retain(|&(_, earlier)| earlier > share);
-        self.0.push((until, share));
+        let without_answer = held.map_or(equal, |held| held.min(equal));
+        self.0
+            .push((now.after(SHARE_HELD), told.max(without_answer)));
     }
 
     fn is_none(&self) -> bool {
@@ -174,20 +176,27 @@
         concurrency: Option<f64>,
         cost: Option<f64>,
     ) {
-        let (until, n) = (now.after(SHARE_HELD), live as f64);
+        let n = live as f64;
         let limits = self.limits;
         let Some(me) = self.entries.get_mut(entry) else {
             return;
         };
         // Requests started under a larger share go on after it shrank, and take room until they end.
         let running = me.demand.concurrency.floor().min(me.concurrency.most());
-        me.requests
-            .give(until, requests, limits.requests_per_s.map(|l| l / n));
-        me.cost.give(until, cost, limits.cost_per_s.map(|l| l / n));
+        let held = me.demand.held.unwrap_or_default();
+        me.requests.give(
+            now,
+            requests,
+            limits.requests_per_s.map(|l| l / n),
+            held.requests_per_s,
+        );
+        me.cost
+            .give(now, cost, limits.cost_per_s.map(|l| l / n), held.cost_per_s);
         me.concurrency.give(
-            until,
+            now,
             concurrency.map(|share| share.max(running)),
             limits.concurrency.map(|l| (f64::from(l) / n).floor()),
+            held.concurrency,
         );
     }
 
--- a/crates/tc-policy/src/limit/mod.rs
+++ b/crates/tc-policy/src/limit/mod.rs
@@ -29,6 +29,8 @@
     pub concurrency: f64,
     /// Cost units a second wanted.
     pub cost_per_s: f64,
+    /// The share that the entry goes by; `None` when it has none that is not expired.
+    pub held: Option<Share>,
 }
 
 /// One entry's part of a workspace's limits; an absent one does not bind.
--- a/crates/tc-policy/tests/limits.rs
+++ b/crates/tc-policy/tests/limits.rs
@@ -32,14 +32,8 @@
     /// Starts lately, for the rate.
     starts: VecDeque<MonoTime>,
     steps: usize,
-    answers: Vec<Answers>,
-}
-
-/// Answers to one entry's reports.
-#[derive(Clone, Debug, Default)]
-struct Answers {
-    to_lose: u8,
-    since_lost: u32,
+    /// Answers to the next reports that will be lost, by entry.
+    answers_to_lose: Vec<u8>,
 }
 
 impl Fleet {
@@ -56,7 +50,7 @@
             running: vec![VecDeque::new(); entries],
             starts: VecDeque::new(),
             steps: 0,
-            answers: vec![Answers::default(); entries],
+            answers_to_lose: vec![0; entries],
         }
     }
 
@@ -79,12 +73,9 @@
             }
             if !cut_off[i] && (self.steps + i).is_multiple_of(REPORT_EVERY) {
                 let share = self.home.report(now, id, bucket.demand(now), live);
-                let answers = &mut self.answers[i];
-                if answers.to_lose > 0 {
-                    answers.to_lose -= 1;
-                    answers.since_lost = 0;
+                if self.answers_to_lose[i] > 0 {
+                    self.answers_to_lose[i] -= 1;
                 } else {
-                    answers.since_lost += 1;
                     bucket.set_share(now, share);
                 }
             }
@@ -98,13 +89,10 @@
         }
     }
 
-    /// The next answers to the entry are lost: up to two in a row, and again only once a share's lifetime of them came.
+    /// The next answers to the entry are lost, whatever their number.
     fn lose_answers(&mut self, entry: u8, count: u8) {
-        let index = usize::from(entry) % self.answers.len();
-        let answers = &mut self.answers[index];
-        if answers.since_lost >= 6 {
-            answers.to_lose = count % 3;
-        }
+        let index = usize::from(entry) % self.answers_to_lose.len();
+        self.answers_to_lose[index] = count;
     }
 
     fn in_flight(&self) -> u32 {
@@ -245,30 +233,39 @@
 fn lost_answer_does_not_free_what_the_entry_still_uses() {
     let at = MonoTime::from_millis;
     let (quiet, busy) = (InstanceId::from("quiet"), InstanceId::from("busy"));
-    let wants = |requests_per_s| Demand {
-        requests_per_s,
-        ..Demand::default()
+    let share_of = |requests_per_s| Share {
+        requests_per_s: Some(requests_per_s),
+        ..Share::default()
     };
     let mut home = LimitHome::new(limits(100.0, 10));
-    let mut report = |ms, entry, demand| {
-        let share = home.report(at(ms), entry, wants(demand), 2);
+    let mut report = |ms, entry, requests_per_s, held: Option<f64>| {
+        let demand = Demand {
+            requests_per_s,
+            held: held.map(share_of),
+            ..Demand::default()
+        };
+        let share = home.report(at(ms), entry, demand, 2);
         share.requests_per_s.expect("it is limited")
     };
-    report(0, &quiet, 0.0);
-    report(0, &busy, 0.0);
-    assert!(report(4_000, &busy, 1_000.0) <= 50.0);
+    report(0, &quiet, 0.0, None);
+    report(0, &busy, 0.0, None);
+    let half = report(4_000, &busy, 1_000.0, None);
+    assert!(half <= 50.0);
     // Lost, so the quiet entry has an equal part of 50; no more than the rest may be given.
-    let told = report(4_050, &quiet, 0.0);
+    let told = report(4_050, &quiet, 0.0, None);
     assert!(told <= 10.0, "{told} told");
-    let rest = report(4_100, &busy, 1_000.0);
+    let rest = report(4_100, &busy, 1_000.0, Some(half));
+    assert!(rest <= 50.0, "{rest} beside an equal part");
+    // Told again and not lost; the lower share counts only once the entry says that it has it.
+    let told = report(6_000, &quiet, 0.0, None);
+    let rest = report(6_100, &busy, 1_000.0, Some(rest));
     assert!(rest <= 50.0, "{rest} beside an equal part");
-    // Told again and not lost; the lower share counts only once the equal part is no more set aside.
-    report(6_000, &quiet, 0.0);
-    let all = report(7_100, &busy, 1_000.0);
+    report(6_500, &quiet, 0.0, Some(told));
+    let all = report(7_100, &busy, 1_000.0, Some(rest));
     assert!(all >= 90.0, "{all} once the other has its share");
     // The busy entry's lower share is lost too: it goes on with what it had for as long as that lasts.
-    report(7_200, &busy, 0.0);
-    let rest = report(7_300, &quiet, 1_000.0);
+    report(7_200, &busy, 0.0, Some(all));
+    let rest = report(7_300, &quiet, 1_000.0, Some(told));
     assert!(all + rest <= 100.0 + 1e-9, "{all} and {rest}");
 }
 
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -104,6 +104,7 @@
     gauge("tc_config_revision", &[], "Revision of the configuration in force."),
     count("tc_expired_permits_total", &[], "Permits that ended because their holder never released them."),
     count("tc_failures_total", &[KIND], "Problems told to callers."),
+    count("tc_false_deaths_total", &[], "Broken connections whose upstream turned out to be alive."),
     count("tc_fleet_calls_refused_total", &[], "Calls between instances refused for a wrong fleet token."),
     Metric { unit: MetricUnit::Bytes, ..count("tc_fleet_stream_bytes_total", &[ROLE], "Bytes of permit batches sent to other instances, before HTTP/2.") },
     count("tc_forwarded_total", &[], "Requests forwarded to the instance their key is bound to or their stream is at."),
