Share one handle between the stand-ins of upstreams

Engine, pool and plain service each had the same address, identifier, faults and stop on drop. UpstreamHandle has them once; the three deref to it, so their users stay as they are.

--- a/crates/tc-stand-ins/src/engine/mod.rs
+++ b/crates/tc-stand-ins/src/engine/mod.rs
@@ -13,12 +13,12 @@
     collections::HashMap,
     io,
     net::SocketAddr,
+    ops::Deref,
     sync::{Arc, Mutex},
 };
 
 use futures::{FutureExt, future::BoxFuture};
 use http::{Method, StatusCode};
-use tc_protocol::UpstreamId;
 
 use self::{
     completion::complete,
@@ -29,17 +29,18 @@
 use crate::{
     answer::{Answer, refusal},
     recorder::Recorder,
-    upstream::{Call, Identity, Slots, Upstream, UpstreamFaults},
+    upstream::{Call, Identity, Slots, Upstream, UpstreamHandle},
 };
 
 /// A running engine; dropping it stops it.
 pub struct Engine {
+    handle: UpstreamHandle,
     state: Arc<State>,
 }
 
 struct State {
     cfg: EngineConfig,
-    upstream: Upstream,
+    upstream: Arc<Upstream>,
     prefixes: Mutex<PrefixCache>,
     streams: Mutex<HashMap<Identity, Arc<StreamJob>>>,
     orders: Orders,
@@ -59,29 +60,11 @@
             prefixes: Mutex::new(PrefixCache::new(cfg.prefix_cache_entries)),
             streams: Mutex::default(),
             orders: Orders::new(cfg.models.clone()),
-            upstream,
+            upstream: Arc::clone(&upstream),
             cfg,
         });
-        Upstream::serve(&state, listener, |state| &state.upstream, handle);
-        Ok(Self { state })
-    }
-
-    /// Where it listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.state.upstream.address()
-    }
-
-    /// Its identifier.
-    #[must_use]
-    pub fn id(&self) -> &UpstreamId {
-        &self.state.upstream.id
-    }
-
-    /// Its fault switches.
-    #[must_use]
-    pub fn faults(&self) -> &UpstreamFaults {
-        &self.state.upstream.faults
+        let handle = upstream.serve(listener, Arc::clone(&state), handle);
+        Ok(Self { handle, state })
     }
 
     /// Models loaded now, as `name@version`.
@@ -97,9 +80,11 @@
     }
 }
 
-impl Drop for Engine {
-    fn drop(&mut self) {
-        self.state.upstream.close();
+impl Deref for Engine {
+    type Target = UpstreamHandle;
+
+    fn deref(&self) -> &UpstreamHandle {
+        &self.handle
     }
 }
 
--- a/crates/tc-stand-ins/src/lib.rs
+++ b/crates/tc-stand-ins/src/lib.rs
@@ -24,5 +24,5 @@
 pub use platform::{Platform, PlatformFaults, RateLimits};
 pub use pool::{Pool, PoolConfig};
 pub use recorder::{CallRecord, Ending, OrderRecord, Recorder, StageTotals};
-pub use upstream::{AnswerFault, UpstreamFaults};
+pub use upstream::{AnswerFault, UpstreamFaults, UpstreamHandle};
 pub use weight_store::WeightStore;
--- a/crates/tc-stand-ins/src/plain.rs
+++ b/crates/tc-stand-ins/src/plain.rs
@@ -1,6 +1,6 @@
 //! A plain HTTP service.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, ops::Deref, sync::Arc, time::Duration};
 
 use futures::{FutureExt, future::BoxFuture};
 use tc_protocol::{ServiceName, UpstreamId};
@@ -9,7 +9,7 @@
     answer::{Answer, json},
     output::{crashes, plain_output},
     recorder::{Ending, Recorder},
-    upstream::{Call, Identity, Slots, Upstream, UpstreamFaults, echoed, priority},
+    upstream::{Call, Identity, Slots, Upstream, UpstreamHandle, echoed, priority},
 };
 
 /// How a plain service behaves.
@@ -45,12 +45,12 @@
 ///
 /// It answers any method and path with [`plain_output`], and `GET /load` with its load report.
 pub struct Plain {
-    state: Arc<State>,
+    handle: UpstreamHandle,
 }
 
 struct State {
     cfg: PlainConfig,
-    upstream: Upstream,
+    upstream: Arc<Upstream>,
 }
 
 impl Plain {
@@ -63,33 +63,20 @@
         let slots = Slots::new(cfg.slots, cfg.load_lag);
         let (id, service) = (cfg.id.clone(), cfg.service.clone());
         let (upstream, listener) = Upstream::bind(address, id, service, slots, recorder).await?;
-        let state = Arc::new(State { cfg, upstream });
-        Upstream::serve(&state, listener, |state| &state.upstream, handle);
-        Ok(Self { state })
-    }
-
-    /// Where it listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.state.upstream.address()
-    }
-
-    /// Its identifier.
-    #[must_use]
-    pub fn id(&self) -> &UpstreamId {
-        &self.state.upstream.id
-    }
-
-    /// Its fault switches.
-    #[must_use]
-    pub fn faults(&self) -> &UpstreamFaults {
-        &self.state.upstream.faults
+        let state = Arc::new(State {
+            cfg,
+            upstream: Arc::clone(&upstream),
+        });
+        let handle = upstream.serve(listener, state, handle);
+        Ok(Self { handle })
     }
 }
 
-impl Drop for Plain {
-    fn drop(&mut self) {
-        self.state.upstream.close();
+impl Deref for Plain {
+    type Target = UpstreamHandle;
+
+    fn deref(&self) -> &UpstreamHandle {
+        &self.handle
     }
 }
 
--- a/crates/tc-stand-ins/src/pool.rs
+++ b/crates/tc-stand-ins/src/pool.rs
@@ -1,6 +1,6 @@
 //! A pool: encoder, retriever or reranker.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{io, net::SocketAddr, ops::Deref, sync::Arc, time::Duration};
 
 use futures::{FutureExt, future::BoxFuture};
 use http::{Method, StatusCode};
@@ -13,7 +13,7 @@
     answer::{Answer, json, refusal},
     output::{crashes, pool_output},
     recorder::{Ending, Recorder},
-    upstream::{Call, Identity, Slots, Upstream, UpstreamFaults, echoed, priority},
+    upstream::{Call, Identity, Slots, Upstream, UpstreamHandle, echoed, priority},
 };
 
 const BYTES_PER_KB: f64 = 1024.0;
@@ -52,12 +52,12 @@
 
 /// A running pool; dropping it stops it.
 pub struct Pool {
-    state: Arc<State>,
+    handle: UpstreamHandle,
 }
 
 struct State {
     cfg: PoolConfig,
-    upstream: Upstream,
+    upstream: Arc<Upstream>,
 }
 
 impl Pool {
@@ -70,33 +70,20 @@
         let slots = Slots::new(cfg.slots, cfg.load_lag);
         let (id, service) = (cfg.id.clone(), cfg.service.clone());
         let (upstream, listener) = Upstream::bind(address, id, service, slots, recorder).await?;
-        let state = Arc::new(State { cfg, upstream });
-        Upstream::serve(&state, listener, |state| &state.upstream, handle);
-        Ok(Self { state })
-    }
-
-    /// Where it listens.
-    #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.state.upstream.address()
-    }
-
-    /// Its identifier.
-    #[must_use]
-    pub fn id(&self) -> &UpstreamId {
-        &self.state.upstream.id
-    }
-
-    /// Its fault switches.
-    #[must_use]
-    pub fn faults(&self) -> &UpstreamFaults {
-        &self.state.upstream.faults
+        let state = Arc::new(State {
+            cfg,
+            upstream: Arc::clone(&upstream),
+        });
+        let handle = upstream.serve(listener, state, handle);
+        Ok(Self { handle })
     }
 }
 
-impl Drop for Pool {
-    fn drop(&mut self) {
-        self.state.upstream.close();
+impl Deref for Pool {
+    type Target = UpstreamHandle;
+
+    fn deref(&self) -> &UpstreamHandle {
+        &self.handle
     }
 }
 
--- a/crates/tc-stand-ins/src/upstream/mod.rs
+++ b/crates/tc-stand-ins/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer_fault;
 mod faults;
+mod handle;
 mod identity;
 mod process;
 mod slots;
@@ -9,6 +10,7 @@
 pub use answer_fault::AnswerFault;
 pub(crate) use faults::EVENT_STREAM;
 pub use faults::UpstreamFaults;
+pub use handle::UpstreamHandle;
 pub(crate) use identity::{Identity, echoed, header_text, idempotency_key, priority};
 pub(crate) use process::Life;
 pub(crate) use slots::{SlotGuard, Slots};
@@ -55,7 +57,7 @@
         service: ServiceName,
         slots: Arc<Slots>,
         recorder: Recorder,
-    ) -> io::Result<(Self, TcpListener)> {
+    ) -> io::Result<(Arc<Self>, TcpListener)> {
         let (process, listener) = Process::bind(address).await?;
         let process = Arc::new(process);
         let upstream = Self {
@@ -66,35 +68,34 @@
             faults: UpstreamFaults::new(Arc::clone(&process)),
             process,
         };
-        Ok((upstream, listener))
+        Ok((Arc::new(upstream), listener))
     }
 
-    /// Serves calls with `handle`; the switches that act on every call are applied around it.
+    /// Serves calls to `owner` with `handle`; the switches that act on every call are applied around it.
     pub(crate) fn serve<U>(
-        owner: &Arc<U>,
+        self: &Arc<Self>,
         listener: TcpListener,
-        upstream: fn(&U) -> &Upstream,
+        owner: Arc<U>,
         handle: fn(Arc<U>, Call) -> BoxFuture<'static, Answer>,
-    ) where
+    ) -> UpstreamHandle
+    where
         U: Send + Sync + 'static,
     {
-        let process = Arc::clone(&upstream(owner).process);
-        let owner = Arc::clone(owner);
-        process.serve(
+        let upstream = Arc::clone(self);
+        self.process.serve(
             listener,
             Arc::new(move |req| {
-                let owner = Arc::clone(&owner);
+                let (owner, upstream) = (Arc::clone(&owner), Arc::clone(&upstream));
                 Box::pin(async move {
                     let call = read_call(req).await?;
-                    let shared = upstream(&owner);
-                    if shared.faults.is_down() {
-                        return Ok(shared.down(&call));
+                    if upstream.faults.is_down() {
+                        return Ok(upstream.down(&call));
                     }
                     if call.is_load_request() {
-                        shared.faults.hold().await;
+                        upstream.faults.hold().await;
                     }
-                    let life = shared.life();
-                    let answer = handle(Arc::clone(&owner), call).await;
+                    let life = upstream.life();
+                    let answer = handle(owner, call).await;
                     // A crash aborts the connections a moment later; nothing may be answered in between.
                     if life.has_crashed() {
                         Err(Closed)
@@ -104,6 +105,7 @@
                 })
             }),
         );
+        UpstreamHandle::new(Arc::clone(self))
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
