Send waiting asks of a home that moves to the new home

Cause: a home that moves dropped its waiting asks with 'no upstream', and the entry took that for a refusal: every planned stop of the home of a service's only upstream failed whoever waited there. Before: the new test ends with Err(NoUpstream); after: the ask is granted by the new home once the slot is free.

--- a/crates/tc-fleet/src/entry/ask.rs
+++ b/crates/tc-fleet/src/entry/ask.rs
@@ -43,6 +43,12 @@
 /// Advice when nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// What an ask ends with when its slack runs out before anything else is known.
+const TOO_LATE: AskRefusal = AskRefusal {
+    reason: RefusalReason::TooLate,
+    retry_after: RETRY_AFTER,
+};
+
 /// What an [`AskDesk`] is made of.
 pub(crate) struct DeskArgs {
     pub(crate) me: InstanceId,
@@ -120,6 +126,10 @@
                 .await;
             match answer {
                 Some(Ok(grant)) => return Ok(self.permit(&ask, &target, grant, trial)),
+                Some(Err(verdict)) if is_moved(&verdict, &target) => {
+                    progress.last.get_or_insert(TOO_LATE);
+                    tokio::time::sleep(REHOME_WAIT.min(left)).await;
+                }
                 Some(Err(verdict)) => Self::note(&mut progress, &target, verdict),
                 None => self.unreachable(&mut progress, &target),
             }
@@ -341,6 +351,12 @@
     }
 }
 
+/// Whether the home says that the upstream has another home, which this instance's view will show in a moment.
+fn is_moved(verdict: &HomeVerdict, target: &Target) -> bool {
+    let upstream = &target.state.upstream.id;
+    matches!(verdict, HomeVerdict::Redirect { better: Some(better), .. } if better == upstream)
+}
+
 fn origin(ask: &Ask) -> Origin {
     Origin {
         workspace: ask.workspace.clone(),
--- a/crates/tc-fleet/src/homes/slot.rs
+++ b/crates/tc-fleet/src/homes/slot.rs
@@ -88,6 +88,8 @@
     waiters: HashMap<AskKey, Waiter>,
     // Two suspects on one upstream would both be blamed for its next crash, and an innocent one would be quarantined.
     suspect: Option<SuspectUse>,
+    /// Another instance is its home now.
+    moved: bool,
 }
 
 impl Slot {
@@ -104,6 +106,15 @@
             home,
             waiters: HashMap::new(),
             suspect: None,
+            moved: false,
+        }
+    }
+
+    /// Tells an entry to ask the upstream's new home: the upstream itself stays the right one.
+    fn moved_verdict(&self) -> HomeVerdict {
+        HomeVerdict::Redirect {
+            wait: Duration::ZERO,
+            better: Some(self.known.upstream.id.clone()),
         }
     }
 
@@ -114,6 +125,10 @@
         better: impl FnOnce() -> Option<UpstreamId>,
         reply: ReplyTo,
     ) {
+        if self.moved {
+            self.answer(now, self.moved_verdict(), reply);
+            return;
+        }
         if ask.suspect && self.suspect.is_some() {
             let verdict = HomeVerdict::Redirect {
                 wait: Duration::ZERO,
@@ -213,7 +228,9 @@
         self.home
             .set_config(now, known.slots, known.queue_per_workspace);
         // A home that moved away tells its waiting asks to go elsewhere, and only counts down what runs.
-        self.home.set_leaving(now, known.leaving || !known.mine);
+        // It was placed here and is not any more. One that never was is granted for an entry that knows better.
+        self.moved = (self.moved || self.known.mine) && !known.mine;
+        self.home.set_leaving(now, known.leaving || self.moved);
         self.known = known;
     }
 
@@ -234,6 +251,12 @@
                 } => {
                     self.grant_waiting(now, ask, permit, expires_in, waited);
                 }
+                HomeEvent::Dropped { ask, .. } if self.moved => {
+                    self.end_suspect(&SuspectUse::Waiting(ask));
+                    if let Some(waiter) = self.waiters.remove(&ask) {
+                        self.answer(now, self.moved_verdict(), waiter.reply);
+                    }
+                }
                 HomeEvent::Dropped {
                     ask,
                     reason,
--- a/crates/tc-fleet/tests/fleet/permits.rs
+++ b/crates/tc-fleet/tests/fleet/permits.rs
@@ -111,3 +111,32 @@
         assert!(granted.is_ok(), "{granted:?}");
     });
 }
+
+#[test]
+fn an_ask_that_waits_at_a_home_that_moves_is_granted_by_the_new_one() {
+    // Symptom: requests fail with "no upstream" whenever the home of a service's only upstream stops as planned.
+    // Sequence: the upstream's one slot is taken, an ask waits; the home leaves; the slot becomes free.
+    // Cause: the old home sends its waiting asks away; the entry must ask the new one, not take it for a refusal.
+    run(async {
+        let (_platform, instances) = settled(3, 1, 1).await;
+        let home = instances[0].fleet.view().upstreams["encode"][0]
+            .home
+            .clone()
+            .unwrap();
+        let others: Vec<_> = instances.iter().filter(|i| i.member.id != home).collect();
+        let leaving = instances.iter().find(|i| i.member.id == home).unwrap();
+        let holder = others[0].fleet.ask(ask("holder", SLACK)).await.unwrap();
+        let waiting = tokio::spawn(others[1].fleet.ask(ask("waiting", SLACK)));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        leaving.fleet.leave();
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        assert!(
+            !waiting.is_finished(),
+            "it was sent away: {:?}",
+            waiting.await
+        );
+        drop(holder);
+        let granted = waiting.await.unwrap();
+        assert!(granted.is_ok(), "{granted:?}");
+    });
+}
