Order a new version at once and refuse claims early when the store is lost

Causes: loads of a version no longer wanted counted as in progress, so that a new version was ordered only when they had run out of time (30 s); a planner placed elsewhere kept its lease until it lapsed; a claim waited its whole wait for a store that was down; tc_claims_total was counted in two places.

--- a/crates/tc-bench/src/commands/mod.rs
+++ b/crates/tc-bench/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod output;
 mod report;
 mod run;
+mod sweep;
 
 use std::process::ExitCode;
 
@@ -26,6 +27,7 @@
     demo::COMMAND,
     list::COMMAND,
     run::COMMAND,
+    sweep::COMMAND,
     compare::COMMAND,
     report::COMMAND,
 ];
--- a/crates/tc-bench/src/scenario/paused_leaseholder.rs
+++ b/crates/tc-bench/src/scenario/paused_leaseholder.rs
@@ -31,6 +31,12 @@
 const LAST_LIMIT: Duration = Duration::from_secs(9);
 /// How often the orders are looked at.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
+/// Models a second that the weight store serves, so that orders are due for some seconds after each new version.
+const WEIGHTS_PER_S: f64 = 1.0;
+/// The lease is held only while orders are due; this is how often its object is looked at, to catch the holder.
+const CATCH_EVERY: Duration = Duration::from_millis(20);
+/// Longest until the lease names a holder after a new version was ordered.
+const CATCH_LIMIT: Duration = Duration::from_secs(5);
 /// Versions of the model ordered before, during and after the pause.
 const BEFORE: &str = "2";
 const DURING: &str = "3";
@@ -58,6 +64,7 @@
     let length = settings.length(20.0);
     let shape = Shape {
         engines: ENGINES,
+        weights_per_s: Some(WEIGHTS_PER_S),
         ..settings.shape()
     };
     let mut world = World::start(standard_spec(&shape)?).await?;
@@ -127,14 +134,12 @@
     start: Instant,
     length: Duration,
 ) -> Result<Paused, BenchError> {
-    let (from, to) = (part(length, 0.15), part(length, 0.15) + PAUSE);
+    sleep_until(start, part(length, 0.15)).await;
     order_version(world, BEFORE).await?;
-    sleep_until(start, from).await;
-    let holder = lease_holder(world);
-    if let Some(at) = holder {
-        world.instances[at].pause();
-    }
+    let holder = catch_holder(world).await;
+    let from = start.elapsed();
     order_version(world, DURING).await?;
+    let to = from + PAUSE;
     sleep_until(start, to).await;
     if let Some(at) = holder {
         world.instances[at].resume();
@@ -149,6 +154,25 @@
     })
 }
 
+/// Waits until an instance holds the lease and pauses it at once; `None` when nobody holds it in time.
+///
+/// It is looked at again after the pause: had the holder given the lease up meanwhile, the run would show nothing.
+async fn catch_holder(world: &World) -> Option<usize> {
+    let begun = Instant::now();
+    while begun.elapsed() < CATCH_LIMIT {
+        if let Some(at) = lease_holder(world) {
+            world.instances[at].pause();
+            tokio::time::sleep(CATCH_EVERY).await;
+            if lease_holder(world) == Some(at) {
+                return Some(at);
+            }
+            world.instances[at].resume();
+        }
+        tokio::time::sleep(CATCH_EVERY).await;
+    }
+    None
+}
+
 /// Waits until every engine is ordered to the last version; returns how long that took.
 async fn wait_last(world: &World) -> Option<Duration> {
     let begun = Instant::now();
--- a/crates/tc-bench/src/scenario/store_outage.rs
+++ b/crates/tc-bench/src/scenario/store_outage.rs
@@ -20,6 +20,11 @@
 const TOLERANCE: f64 = 0.01;
 /// Longest a fresh instance may take to join, store or no store.
 const JOIN_LIMIT: Duration = Duration::from_secs(8);
+/// The store counts as lost after a second of failing calls; this is how long after its end the claim starts.
+const NOTICED_AFTER: Duration = Duration::from_millis(2_500);
+/// Longest until a request that needs the store is refused while it counts as lost. Far below the deadline of such
+/// requests, and above that of a request whose instance makes its first call to the store that was lost before.
+const MAX_REFUSAL_MS: f64 = 1_500.0;
 /// Target of the requests whose key needs the store.
 const CLAIMED_WORKSPACE: &str = "small-c";
 
@@ -66,6 +71,14 @@
         format!("{refused} of {}", within(&claimed, down_at, up_at).count()),
         refused > 0,
     );
+    let slowest = within(&claimed, down_at + NOTICED_AFTER, up_at)
+        .map(|r| r.took_ms)
+        .fold(0.0, f64::max);
+    report.claim(
+        "they are refused long before their deadline",
+        format!("after {slowest:.0} ms at most"),
+        refused > 0 && slowest <= MAX_REFUSAL_MS,
+    );
     report.claim(
         "keys without binding are served again after the outage",
         percent(attainment_in(&claimed, up_at + part(length, 0.05), length)),
--- a/crates/tc-bench/src/world/spec.rs
+++ b/crates/tc-bench/src/world/spec.rs
@@ -80,6 +80,8 @@
     pub(crate) places: Vec<Place>,
     /// Which policy they follow.
     pub(crate) policy: PolicyChoice,
+    /// Models a second that the weight store serves; without it engines load at once.
+    pub(crate) weights_per_s: Option<f64>,
 }
 
 /// Places of `count` instances spread over four failure domains `<prefix>-1` to `<prefix>-4` of `region`.
@@ -110,6 +112,7 @@
         timings: BTreeMap::new(),
         places,
         policy,
+        weights_per_s: None,
     })
 }
 
--- a/crates/tc-bench/src/world/standard.rs
+++ b/crates/tc-bench/src/world/standard.rs
@@ -44,6 +44,8 @@
     pub(crate) limits: Limits,
     /// Which policy the instances follow.
     pub(crate) policy: PolicyChoice,
+    /// Models a second that the weight store serves; without it engines load at once.
+    pub(crate) weights_per_s: Option<f64>,
 }
 
 impl Default for Shape {
@@ -63,6 +65,7 @@
             large_weight: 4,
             limits: Limits::default(),
             policy: PolicyChoice::Home,
+            weights_per_s: None,
         }
     }
 }
@@ -84,6 +87,7 @@
         ]),
         places: spread(shape.instances, "kl", "kl"),
         policy: shape.policy,
+        weights_per_s: shape.weights_per_s,
     })
 }
 
--- a/crates/tc-bench/src/world/start.rs
+++ b/crates/tc-bench/src/world/start.rs
@@ -4,7 +4,7 @@
 
 use tc_config::{SourceFile, merge};
 use tc_protocol::{FleetConfig, InstanceId, wire::ListedInstance, wire::ListedState};
-use tc_stand_ins::{Platform, Recorder};
+use tc_stand_ins::{Platform, Recorder, WeightStore};
 
 use super::{
     binary::SystemBinary,
@@ -43,6 +43,8 @@
     pub(crate) http: Http,
     policy: PolicyChoice,
     logs: ConfigFolder,
+    /// Stops when dropped; engines know its address.
+    _weights: Option<WeightStore>,
 }
 
 impl World {
@@ -54,7 +56,9 @@
             .map_err(|e| BenchError::world("the platform stand-in cannot listen", e))?;
         let recorder = Recorder::new();
         let drafted = merged(&spec.files)?;
-        let upstreams = start_upstreams(&spec, &drafted, &recorder).await?;
+        let weights = start_weights(spec.weights_per_s).await?;
+        let weights_at = weights.as_ref().map(WeightStore::address);
+        let upstreams = start_upstreams(&spec, &drafted, &recorder, weights_at).await?;
         let mut files = spec.files.clone();
         files.push(addresses_file(&upstreams));
         let config = Arc::new(merged(&files)?);
@@ -71,6 +75,7 @@
             http: http_client(),
             policy: spec.policy,
             logs: ConfigFolder::create()?,
+            _weights: weights,
         };
         world.list_upstreams();
         world.apply_first().await?;
@@ -170,10 +175,19 @@
     merge(files, 1).map_err(|e| BenchError::world("configuration", e))
 }
 
+async fn start_weights(per_s: Option<f64>) -> Result<Option<WeightStore>, BenchError> {
+    let Some(per_s) = per_s else { return Ok(None) };
+    WeightStore::start(SocketAddr::from(([127, 0, 0, 1], 0)), per_s)
+        .await
+        .map(Some)
+        .map_err(|e| BenchError::world("the weight store stand-in cannot listen", e))
+}
+
 async fn start_upstreams(
     spec: &WorldSpec,
     config: &FleetConfig,
     recorder: &Recorder,
+    weights: Option<SocketAddr>,
 ) -> Result<Vec<UpstreamHandle>, BenchError> {
     let mut handles = Vec::new();
     for (name, service) in &config.services {
@@ -183,7 +197,8 @@
             .copied()
             .unwrap_or(Timing::usual(service.kind));
         for upstream in &service.upstreams {
-            let handle = UpstreamHandle::start(name, service, upstream, timing, recorder).await?;
+            let handle =
+                UpstreamHandle::start(name, service, upstream, timing, recorder, weights).await?;
             handles.push(handle);
         }
     }
--- a/crates/tc-bench/src/world/upstream.rs
+++ b/crates/tc-bench/src/world/upstream.rs
@@ -33,11 +33,15 @@
         upstream: &Upstream,
         timing: Timing,
         recorder: &Recorder,
+        weights: Option<SocketAddr>,
     ) -> Result<Self, BenchError> {
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let running = match service.kind {
             ServiceKind::Engine => {
-                let cfg = engine_config(name, service, upstream, timing);
+                let cfg = EngineConfig {
+                    weight_store: weights,
+                    ..engine_config(name, service, upstream, timing)
+                };
                 Engine::start(any, cfg, recorder.clone())
                     .await
                     .map(Running::Engine)
--- a/crates/tc-fleet/src/orders/planner.rs
+++ b/crates/tc-fleet/src/orders/planner.rs
@@ -8,9 +8,7 @@
 
 use tc_membership::{EngineState, Load, ModelNeed, Plan, home_of, plan};
 use tc_platform::{Expect, Held, Lease, LeaseError, LeaseSettings, Purpose, SureWrite};
-use tc_protocol::{
-    FleetView, MonoTime, Service, ServiceKind, ServiceName, UpstreamId, UpstreamState,
-};
+use tc_protocol::{FleetView, MonoTime, Service, ServiceKind, ServiceName, UpstreamState};
 use tc_upstream::UpstreamClient;
 
 use super::{
@@ -43,7 +41,8 @@
     plan: Plan,
     /// Fencing number of the plan in the platform, if it is known to be the one held here.
     written: Option<PlanRecord>,
-    ordered: HashMap<UpstreamId, MonoTime>,
+    /// Loads ordered and not yet reported as done, each with the time of its order.
+    ordered: Vec<(Load, MonoTime)>,
 }
 
 /// Plans the services placed on this instance, for ever.
@@ -54,7 +53,13 @@
         tokio::time::sleep(wait).await;
         wait = INTERVAL;
         let view = parts.view.load_full();
-        for (name, service) in mine(&view) {
+        let mine = mine(&view);
+        for (name, planner) in &mut planners {
+            if !mine.iter().any(|(placed, _)| placed == name) {
+                planner.hand_over(name).await;
+            }
+        }
+        for (name, service) in mine {
             let planner = planners
                 .entry(name.clone())
                 .or_insert_with(|| ServicePlanner::new(&parts, &view, name.clone()));
@@ -95,7 +100,16 @@
             held: None,
             plan: Plan::default(),
             written: None,
-            ordered: HashMap::new(),
+            ordered: Vec::new(),
+        }
+    }
+
+    /// Gives the lease up when the planner is placed on another instance now, which otherwise had to wait for its end
+    /// before its first order.
+    async fn hand_over(&mut self, name: &ServiceName) {
+        let Some(held) = self.held.take() else { return };
+        if let Err(error) = self.lease.release(held).await {
+            log::debug!(service = name.as_str(); "the lease was not released: {error}");
         }
     }
 
@@ -126,9 +140,10 @@
         let fence = self.hold().await?;
         self.write_plan(parts, name, fence).await?;
         let now = MonoTime::now();
-        self.ordered.retain(|id, at| {
-            now.since(*at) < LOAD_TIME && self.plan.pending.iter().any(|load| load.upstream == *id)
-        });
+        // Loads of a version that is not wanted any more do not count: its engines would get the new one only when
+        // the old loads had run out of time.
+        self.ordered
+            .retain(|(load, at)| now.since(*at) < LOAD_TIME && self.plan.pending.contains(load));
         for load in self.plan.next_loads(now, self.ordered.len(), LOADS_AT_ONCE) {
             // Asked anew before each order: the process may have been paused since the last one.
             let Some(fence) = self.held.as_ref().and_then(Held::fence) else {
@@ -137,7 +152,7 @@
             let answer = give(parts, desk, view, name, &load, fence).await;
             self.plan.put_off(now, &load.upstream);
             if answer.accepted {
-                self.ordered.insert(load.upstream.clone(), now);
+                self.ordered.push((load.clone(), now));
                 log::info!(service = name.as_str(), upstream = load.upstream.as_str(), model = load.model.as_str(); "load ordered");
             } else {
                 log::warn!(service = name.as_str(), upstream = load.upstream.as_str(); "order refused: {}", answer.problem);
--- a/crates/tc-membership/src/plan.rs
+++ b/crates/tc-membership/src/plan.rs
@@ -106,7 +106,11 @@
     let desired = assign(models, engines, previous, targets);
     let pending = pending(models, engines, &desired);
     let mut retry_at = previous.retry_at.clone();
-    retry_at.retain(|id, _| pending.iter().any(|load| load.upstream == *id));
+    // The wait is for the load that was ordered: another model or version for the same engine is not put off.
+    retry_at.retain(|id, _| {
+        let mut same = pending.iter().filter(|load| load.upstream == *id);
+        same.any(|load| previous.pending.contains(load))
+    });
     Plan {
         desired,
         pending,
--- a/crates/tc-platform/src/claims/mod.rs
+++ b/crates/tc-platform/src/claims/mod.rs
@@ -6,6 +6,7 @@
 mod group;
 mod model;
 mod op;
+mod outage;
 mod sealed;
 mod shard;
 
@@ -34,6 +35,7 @@
 
 use crate::{Backoff, Expect, Purpose, Store, StoreError, SureWrite};
 use group::{Committer, Request, Shared, Waiter};
+use outage::Outage;
 
 pub use model::{KeyDigest, MAX_OUTCOME_BYTES};
 pub use op::{Op, Recording, Reply, ShardLimits, Ticket};
@@ -86,6 +88,7 @@
     runtime: Handle,
     shards: OnceCell<u32>,
     lanes: Mutex<HashMap<u32, UnboundedSender<Request>>>,
+    outage: Outage,
     /// Random, so that two lives of one instance never make the same claim id, even with a stuck clock.
     nonce: u32,
     next_claim: AtomicU64,
@@ -112,19 +115,25 @@
                 runtime: Handle::current(),
                 shards: OnceCell::new(),
                 lanes: Mutex::default(),
+                outage: Outage::default(),
                 nonce: rand::random(),
                 next_claim: AtomicU64::new(0),
             }),
         }
     }
 
-    /// Claims a key for a request with this body, within `wait`.
+    /// Claims a key for a request with this body, within `wait`; gives up sooner when the store cannot be reached.
     ///
     /// [`ClaimVerdict::Ours`] must be acted on only before the request's deadline, and at most once. With
     /// [`ClaimVerdict::Unavailable`] the request must not run; a claim of ours that turns out to have been written
     /// is released, so that a resend may claim again.
     pub async fn claim(&self, key: ClaimKey, body_hash: u64, wait: Duration) -> ClaimVerdict {
         let started = (MonoTime::now(), SystemTime::now());
+        let store = &self.inner.shared.store;
+        let runtime = &self.inner.runtime;
+        if self.inner.outage.refuses(store, runtime, started.0) {
+            return ClaimVerdict::Unavailable;
+        }
         let key = KeyDigest::of(&key);
         let (tx, rx) = oneshot::channel();
         let asked = async {
@@ -136,15 +145,17 @@
             self.ask(key, op, Waiter::Claim(key, tx)).await?;
             rx.await.map_err(|_| StoreError::Unreachable)
         };
-        let grant = tokio::time::timeout(wait, asked).await;
-        let verdict = match grant {
+        let grant = tokio::select! {
+            biased;
+            grant = tokio::time::timeout(wait, asked) => grant,
+            () = Outage::gives_up(store) => return ClaimVerdict::Unavailable,
+        };
+        match grant {
             // A process that was paused finds its verdict long after its time: the claim may have expired since,
             // and acting on it would run the request beside the next holder's.
             Ok(Ok(grant)) if !is_over(started, wait) => grant.take(),
             _ => ClaimVerdict::Unavailable,
-        };
-        metrics::counter!("tc_claims_total", "verdict" => verdict_word(&verdict)).increment(1);
-        verdict
+        }
     }
 
     /// Records the outcome of a claim of ours, so that resends get it; its body only when it is small.
@@ -316,13 +327,3 @@
     let by_mono = MonoTime::now().since(mono) > wait;
     by_mono || wall.elapsed().is_ok_and(|age| age > wait)
 }
-
-const fn verdict_word(verdict: &ClaimVerdict) -> &'static str {
-    match verdict {
-        ClaimVerdict::Ours { .. } => "ours",
-        ClaimVerdict::Held => "held",
-        ClaimVerdict::Recorded(_) => "recorded",
-        ClaimVerdict::OtherBody => "other_body",
-        ClaimVerdict::Unavailable => "unavailable",
-    }
-}
--- a/crates/tc-platform/src/store/mod.rs
+++ b/crates/tc-platform/src/store/mod.rs
@@ -223,6 +223,11 @@
         self.inner.tally.health()
     }
 
+    /// For how long every call has failed; zero while the last one succeeded or none was made.
+    pub(crate) fn failing_for(&self) -> Duration {
+        self.inner.tally.failing_for()
+    }
+
     /// Calls sent so far by purpose.
     #[must_use]
     pub fn calls(&self) -> BTreeMap<&'static str, u64> {
--- a/crates/tc-platform/src/store/tally.rs
+++ b/crates/tc-platform/src/store/tally.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    time::Duration,
 };
 
 use tc_protocol::{MonoTime, StoreHealth};
@@ -60,6 +61,8 @@
     calls: [AtomicU64; Purpose::ALL.len()],
     reachable: AtomicBool,
     last_success: AtomicU64,
+    /// When the first of the calls failed that all failed since; 0 while the last one succeeded.
+    failing_since: AtomicU64,
 }
 
 impl Tally {
@@ -68,6 +71,7 @@
             calls: Default::default(),
             reachable: AtomicBool::new(false),
             last_success: AtomicU64::new(MonoTime::now().0),
+            failing_since: AtomicU64::new(0),
         }
     }
 
@@ -84,6 +88,13 @@
         if answered {
             self.last_success
                 .store(MonoTime::now().0, Ordering::Relaxed);
+            self.failing_since.store(0, Ordering::Relaxed);
+        } else {
+            let (done, failed) = (Ordering::Relaxed, Ordering::Relaxed);
+            // Fails when an earlier call failed already, whose time counts.
+            let _ = self
+                .failing_since
+                .compare_exchange(0, MonoTime::now().0, done, failed);
         }
         self.reachable.store(answered, Ordering::Relaxed);
     }
@@ -96,6 +107,14 @@
         }
     }
 
+    /// For how long every call has failed; zero while the last one succeeded or none was made.
+    pub(crate) fn failing_for(&self) -> Duration {
+        match self.failing_since.load(Ordering::Relaxed) {
+            0 => Duration::ZERO,
+            since => MonoTime::now().since(MonoTime(since)),
+        }
+    }
+
     pub(crate) fn calls(&self) -> BTreeMap<&'static str, u64> {
         Purpose::ALL
             .into_iter()
--- a/crates/tc-platform/tests/claims.rs
+++ b/crates/tc-platform/tests/claims.rs
@@ -176,6 +176,26 @@
     }
 }
 
+/// Symptom: during an outage, callers without a binding are told "not run" only when their whole deadline has passed.
+/// Sequence: the store goes down; claims with a long wait come one after another; the store comes back.
+/// Cause: each claim waits for a store that cannot answer, although nothing it could learn changes its refusal.
+#[tokio::test]
+async fn a_lost_store_refuses_claims_long_before_their_wait_is_over() {
+    let platform = platform().await;
+    let a = claims(&platform, "a");
+    claim_ours(&a, "before").await;
+    platform.faults().set_down(true);
+    let started = std::time::Instant::now();
+    for name in numbered(200) {
+        assert_eq!(claim(&a, name).await, ClaimVerdict::Unavailable);
+    }
+    // The first waits until the store counts as lost; the rest do not wait.
+    assert!(started.elapsed() < LONG, "{:?}", started.elapsed());
+    platform.faults().set_down(false);
+    claim_released(&a, "after").await;
+    claim_ours(&a, "1").await;
+}
+
 /// Symptom: every resend of a request that never ran is answered "unknown" until the claim expires.
 /// Sequence: the store is slow, the caller stops waiting, then its claim is written.
 /// Cause: nobody acts on such a claim, so it has to be released.
