Split long functions of a request's run and share what stages have in common

A stage answered whole and a streamed one had the same start, dispatch and end; StageRun has them once.

--- a/crates/tc-caller/src/connection.rs
+++ b/crates/tc-caller/src/connection.rs
@@ -63,7 +63,7 @@
     let mut silence = pin!(sleep(timeouts.first_request));
     let mut check = interval(STALL_CHECK);
     check.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let (mut told, mut stopped, mut watched) = (false, false, true);
+    let (mut announced, mut stopped, mut watched) = (false, false, true);
     loop {
         tokio::select! {
             ended = served.as_mut() => {
@@ -79,8 +79,8 @@
             }
             // HTTP/1.1 callers are told by a header on their next answer: closing an idle connection here could meet a
             // request on its way, which its caller would see fail.
-            () = &mut closing, if !told => {
-                told = true;
+            () = &mut closing, if !announced => {
+                announced = true;
                 if progress.is_http2() {
                     served.as_mut().graceful_shutdown();
                 }
--- a/crates/tc-caller/src/http/caller.rs
+++ b/crates/tc-caller/src/http/caller.rs
@@ -10,7 +10,7 @@
 use crate::{
     http::{CallHeaders, Failure, headers::check_size},
     limits::MAX_TIMEOUT,
-    run::{NewRequest, RequestContext},
+    run::{AcceptedRequest, RequestContext},
     shared::Shared,
     trace,
 };
@@ -77,7 +77,7 @@
         deadline: Deadline,
         priority: u8,
     ) -> Arc<RequestContext> {
-        let request = NewRequest {
+        let request = AcceptedRequest {
             id: self.arrival.id.clone(),
             counter: self.arrival.counter,
             arrived: self.arrival.at,
--- a/crates/tc-caller/src/http/handle.rs
+++ b/crates/tc-caller/src/http/handle.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 
 use http::{
-    HeaderValue, Request, Version,
+    HeaderMap, HeaderValue, Request, Version,
     header::{CONNECTION, Entry},
     request::Parts,
 };
 use hyper::body::Incoming;
-use tc_protocol::{MonoTime, wire};
+use tc_protocol::{MonoTime, RequestId, wire};
 use tracing::Instrument;
 
 use crate::{
@@ -52,23 +52,27 @@
         metrics::counter!("tc_failures_total", "kind" => failure.kind.as_str()).increment(1);
         problem_answer(&failure, &id).into_response()
     });
-    let headers = response.headers_mut();
+    finish_headers(response.headers_mut(), &shared, &id, version);
+    response.body_mut().hold(in_flight, taken);
+    response
+}
+
+fn finish_headers(headers: &mut HeaderMap, shared: &Shared, id: &RequestId, version: Version) {
     // An answer passed through from another instance has its own.
-    if let Entry::Vacant(vacant) = headers.entry(wire::REQUEST_ID)
-        && let Ok(value) = HeaderValue::from_str(id.as_str())
-    {
-        vacant.insert(value);
+    fill(headers, wire::REQUEST_ID, id.as_str());
+    fill(headers, wire::INSTANCE, shared.settings.me.as_str());
+    if shared.is_closing() && version <= Version::HTTP_11 {
+        headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    if let Entry::Vacant(vacant) = headers.entry(wire::INSTANCE)
-        && let Ok(value) = HeaderValue::from_str(shared.settings.me.as_str())
+}
+
+/// Sets a header that is not there yet.
+fn fill(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Entry::Vacant(vacant) = headers.entry(name)
+        && let Ok(value) = HeaderValue::from_str(value)
     {
         vacant.insert(value);
     }
-    if shared.is_closing() && version <= Version::HTTP_11 {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    response.body_mut().hold(in_flight, taken);
-    response
 }
 
 async fn answer(
--- a/crates/tc-caller/src/run/attempt.rs
+++ b/crates/tc-caller/src/run/attempt.rs
@@ -3,7 +3,7 @@
 use std::{future::Future, net::SocketAddr, sync::Arc, sync::OnceLock, time::Duration};
 
 use tc_protocol::{
-    Ask, AskRefusal, Attempt, Decision, Outcome, RefusalReason, RunState, UpstreamId,
+    Ask, AskRefusal, Attempt, Decision, Outcome, Permit, RefusalReason, RunState, UpstreamId,
 };
 use tc_upstream::{CallError, CallErrorKind};
 
@@ -71,20 +71,7 @@
     let permit = (cx.shared.ports.ask)(ask_for(cx, plan, facts, this))
         .await
         .map_err(|refusal| refused(cx, plan, this, refusal))?;
-    let grant = permit.grant();
-    let target = CallTarget {
-        upstream: grant.upstream.clone(),
-        address: grant.address,
-        attempt: this.attempt,
-        remaining: cx.remaining(),
-    };
-    cx.note(Decision::Granted {
-        stage: plan.stage.clone(),
-        attempt: this.attempt,
-        upstream: target.upstream.clone(),
-        why: permit.why().to_owned(),
-        waited_ms: grant.waited.as_secs_f64() * 1e3,
-    });
+    let target = granted(cx, plan, this, &permit);
     if target.remaining.is_zero() {
         // The grant came after the deadline: dropping the permit gives it back as unused.
         return Err(Lost::Refused(AskRefusal {
@@ -111,6 +98,23 @@
     }
 }
 
+fn granted(cx: &RequestContext, plan: &StagePlan, this: &Try, permit: &Permit) -> CallTarget {
+    let grant = permit.grant();
+    cx.note(Decision::Granted {
+        stage: plan.stage.clone(),
+        attempt: this.attempt,
+        upstream: grant.upstream.clone(),
+        why: permit.why().to_owned(),
+        waited_ms: grant.waited.as_secs_f64() * 1e3,
+    });
+    CallTarget {
+        upstream: grant.upstream.clone(),
+        address: grant.address,
+        attempt: this.attempt,
+        remaining: cx.remaining(),
+    }
+}
+
 fn ask_for(cx: &RequestContext, plan: &StagePlan, facts: &InputFacts, this: &Try) -> Ask {
     Ask {
         request: cx.id.clone(),
--- a/crates/tc-caller/src/run/context.rs
+++ b/crates/tc-caller/src/run/context.rs
@@ -1,10 +1,13 @@
 //! One request: who asked, until when, and what is known of it so far.
 
-use std::sync::{
-    Arc, Mutex, PoisonError,
-    atomic::{AtomicBool, AtomicU8, Ordering},
+use std::{
+    ops::Deref,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU8, Ordering},
+    },
+    time::Duration,
 };
-use std::time::Duration;
 
 use tc_protocol::{
     Cost, Deadline, Decision, FleetView, MonoTime, PipelineName, ProblemKind, RequestId, RunState,
@@ -19,7 +22,7 @@
 };
 
 /// What is known of a request when it is accepted.
-pub(crate) struct NewRequest {
+pub(crate) struct AcceptedRequest {
     pub(crate) id: RequestId,
     pub(crate) counter: u64,
     pub(crate) arrived: MonoTime,
@@ -32,18 +35,12 @@
     pub(crate) view: Arc<FleetView>,
 }
 
-/// One request while it runs. Dropped before [`RequestContext::finish`], it counts as left by its caller.
+/// One request while it runs; derefs to what was known when it was accepted.
+///
+/// Dropped before [`RequestContext::finish`], it counts as left by its caller.
 pub(crate) struct RequestContext {
-    pub(crate) id: RequestId,
-    pub(crate) workspace: WorkspaceName,
-    pub(crate) pipeline: Option<PipelineName>,
-    pub(crate) deadline: Deadline,
-    pub(crate) priority: u8,
-    pub(crate) key: Option<Arc<str>>,
-    pub(crate) received_trace: TraceContext,
-    pub(crate) view: Arc<FleetView>,
     pub(crate) shared: Arc<Shared>,
-    arrived: MonoTime,
+    accepted: AcceptedRequest,
     steps: Arc<RequestTrace>,
     record: Arc<WorkspaceRecord>,
     run_state: AtomicU8,
@@ -52,27 +49,27 @@
     finished: AtomicBool,
 }
 
+impl Deref for RequestContext {
+    type Target = AcceptedRequest;
+
+    fn deref(&self) -> &AcceptedRequest {
+        &self.accepted
+    }
+}
+
 impl RequestContext {
-    pub(crate) fn new(shared: Arc<Shared>, request: NewRequest) -> Arc<Self> {
+    pub(crate) fn new(shared: Arc<Shared>, accepted: AcceptedRequest) -> Arc<Self> {
         let steps = Arc::new(RequestTrace::new(
-            request.id.clone(),
-            request.workspace.clone(),
-            request.pipeline.clone(),
-            request.arrived,
+            accepted.id.clone(),
+            accepted.workspace.clone(),
+            accepted.pipeline.clone(),
+            accepted.arrived,
         ));
-        shared.explanations.keep(request.counter, steps.clone());
+        shared.explanations.keep(accepted.counter, steps.clone());
         Arc::new(Self {
-            record: shared.stats.of(&request.workspace),
-            id: request.id,
-            workspace: request.workspace,
-            pipeline: request.pipeline,
-            deadline: request.deadline,
-            priority: request.priority,
-            key: request.key,
-            received_trace: request.received_trace,
-            view: request.view,
+            record: shared.stats.of(&accepted.workspace),
             shared,
-            arrived: request.arrived,
+            accepted,
             steps,
             run_state: AtomicU8::new(RunState::NotRun as u8),
             cost: Mutex::new(Cost::default()),
--- a/crates/tc-caller/src/run/generation.rs
+++ b/crates/tc-caller/src/run/generation.rs
@@ -13,10 +13,10 @@
     run::{
         attempt::{CallTarget, fail},
         context::RequestContext,
-        dispatch::{Dispatch, Tries},
+        dispatch::Tries,
         hold::{CallEnd, PermitHold},
         plan::{InputFacts, StagePlan},
-        stage::{StageDone, run_stage, stage_call},
+        stage::{StageDone, StageRun, run_stage, stage_call},
     },
     streams::StreamLog,
 };
@@ -53,43 +53,29 @@
     rest: &[StageEstimate],
     log: &StreamLog,
 ) -> Result<StageDone, Failure> {
-    let started = std::time::Instant::now();
-    let facts = InputFacts::of(cx, plan, input.as_bytes());
+    let run = StageRun::start(cx, plan, input);
     let first_item = plan.policy.estimate_first_item(plan.class);
     let mut tries = Tries::default();
-    let dispatch = Dispatch {
-        cx,
-        plan,
-        facts: &facts,
-        rest,
-        until_result: &first_item,
-    };
-    let mut won = dispatch
+    let mut won = run
+        .dispatch(rest, &first_item)
         .run(&mut tries, |target| open(cx, plan, input, target))
         .await?;
     let waited = won.hold.elapsed();
     won.hold.first_byte_after(waited);
-    plan.policy.record_first_item(plan.class, started.elapsed());
+    plan.policy.record_first_item(plan.class, run.elapsed());
     let generation = Generation {
         cx,
         plan,
         input,
         log,
-        facts: &facts,
+        facts: &run.facts,
         target: won.target,
         output: String::new(),
         last_event_id: 0,
         fruitless_resumes: 0,
     };
     let output = generation.follow(won.value, won.hold).await?;
-    (cx.shared.ports.ran_whole)(facts.fingerprint);
-    let took = started.elapsed();
-    plan.policy.record(plan.class, took);
-    Ok(StageDone {
-        output,
-        took,
-        attempts: tries.count,
-    })
+    Ok(run.done(output, &tries))
 }
 
 async fn open(
--- a/crates/tc-caller/src/run/mod.rs
+++ b/crates/tc-caller/src/run/mod.rs
@@ -12,7 +12,7 @@
 mod stage;
 mod throttle;
 
-pub(crate) use context::{NewRequest, RequestContext};
+pub(crate) use context::{AcceptedRequest, RequestContext};
 pub(crate) use pipeline::{PipelineAnswer, PipelineWork, StageSummary, run_pipeline};
 pub(crate) use plain::{AnswerBody, PlainAnswer, PlainRequest, run_plain};
 pub(crate) use throttle::Throttles;
--- a/crates/tc-caller/src/run/plain.rs
+++ b/crates/tc-caller/src/run/plain.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, header::CONTENT_LENGTH, uri::PathAndQuery};
 use http_body_util::BodyExt;
-use tc_protocol::{Outcome, RunState, Service, ServiceName};
+use tc_protocol::{Outcome, ProblemKind, RunState, Service, ServiceName};
 use tc_upstream::{CallError, PlainBody, PlainCall, PlainReply};
 use tracing::Instrument;
 
@@ -13,7 +13,7 @@
     http::Failure,
     run::{
         admission::{admit, start_share},
-        attempt::{CallTarget, fail},
+        attempt::{CallTarget, Won, fail},
         context::RequestContext,
         dispatch::{Dispatch, Tries},
         hold::{CallEnd, PermitHold},
@@ -102,9 +102,7 @@
         }
         self.cx.note_run_state(RunState::Ran);
         let detail = format!("the answer broke off: {error}");
-        let failure = self
-            .cx
-            .failure(tc_protocol::ProblemKind::UpstreamFailed, detail);
+        let failure = self.cx.failure(ProblemKind::UpstreamFailed, detail);
         self.cx.finish(Some(&failure));
         failure
     }
@@ -148,13 +146,23 @@
         until_result: &plan.timing,
     };
     let started = std::time::Instant::now();
-    let mut won = dispatch
+    let won = dispatch
         .run(&mut Tries::default(), |target| {
             let call = plain_call(cx, request, &plan, target);
             cx.shared.upstream.forward(call)
         })
         .await?;
     plan.policy.record(plan.class, started.elapsed());
+    Ok(passed_on(cx, request, facts, won).await)
+}
+
+/// The answer that `won` began; its permit is held until the body has ended.
+async fn passed_on(
+    cx: &Arc<RequestContext>,
+    request: &PlainRequest,
+    facts: InputFacts,
+    mut won: Won<PlainReply>,
+) -> PlainAnswer {
     let PlainReply {
         status,
         headers,
@@ -172,11 +180,11 @@
         outcome,
     };
     body.arrived(0).await;
-    Ok(PlainAnswer {
+    PlainAnswer {
         status,
         headers,
         body,
-    })
+    }
 }
 
 /// Bytes of an answer's body, where that is known before it comes.
--- a/crates/tc-caller/src/run/stage.rs
+++ b/crates/tc-caller/src/run/stage.rs
@@ -1,6 +1,9 @@
 //! One stage of a pipeline.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use tc_policy::StageEstimate;
 use tc_protocol::{Outcome, RunState};
@@ -43,17 +46,10 @@
     input: &Arc<str>,
     rest: &[StageEstimate],
 ) -> Result<StageDone, Failure> {
-    let started = std::time::Instant::now();
-    let facts = InputFacts::of(cx, plan, input.as_bytes());
+    let run = StageRun::start(cx, plan, input);
     let mut tries = Tries::default();
-    let dispatch = Dispatch {
-        cx,
-        plan,
-        facts: &facts,
-        rest,
-        until_result: &plan.timing,
-    };
-    let mut won = dispatch
+    let mut won = run
+        .dispatch(rest, &plan.timing)
         .run(&mut tries, |target| {
             cx.shared
                 .upstream
@@ -73,14 +69,57 @@
         cost,
         wasted: false,
     });
-    (cx.shared.ports.ran_whole)(facts.fingerprint);
-    let took = started.elapsed();
-    plan.policy.record(plan.class, took);
-    Ok(StageDone {
-        output,
-        took,
-        attempts: tries.count,
-    })
+    Ok(run.done(output, &tries))
+}
+
+/// A stage under way, however its result comes.
+pub(crate) struct StageRun<'a> {
+    cx: &'a Arc<RequestContext>,
+    plan: &'a StagePlan,
+    pub(crate) facts: InputFacts,
+    started: Instant,
+}
+
+impl<'a> StageRun<'a> {
+    pub(crate) fn start(cx: &'a Arc<RequestContext>, plan: &'a StagePlan, input: &str) -> Self {
+        Self {
+            cx,
+            plan,
+            facts: InputFacts::of(cx, plan, input.as_bytes()),
+            started: Instant::now(),
+        }
+    }
+
+    /// Its attempts; `until_result` is the time until a call brings what is waited for.
+    pub(crate) fn dispatch<'b>(
+        &'b self,
+        rest: &'b [StageEstimate],
+        until_result: &'b StageEstimate,
+    ) -> Dispatch<'b> {
+        Dispatch {
+            cx: self.cx,
+            plan: self.plan,
+            facts: &self.facts,
+            rest,
+            until_result,
+        }
+    }
+
+    pub(crate) fn elapsed(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Records the time of a whole answer and clears its input of suspicion.
+    pub(crate) fn done(&self, output: String, tries: &Tries) -> StageDone {
+        (self.cx.shared.ports.ran_whole)(self.facts.fingerprint);
+        let took = self.elapsed();
+        self.plan.policy.record(self.plan.class, took);
+        StageDone {
+            output,
+            took,
+            attempts: tries.count,
+        }
+    }
 }
 
 pub(crate) fn stage_call(
