Name suspects that were reported and the limiter by their usual terms

Hearsay becomes ReportedSuspects with contains, insert and remove; LimitDesk becomes WorkspaceLimiter.

--- a/crates/tc-fleet/src/entry/ask.rs
+++ b/crates/tc-fleet/src/entry/ask.rs
@@ -13,8 +13,8 @@
 use ractor::ActorRef;
 use tc_policy::HeldPermit;
 use tc_protocol::{
-    Ask, AskRefusal, FleetView, Grant, InstanceId, MonoTime, Outcome, Permit, RefusalReason,
-    Release, UpstreamId,
+    Ask, AskRefusal, FleetView, Grant, InstanceId, MonoTime, Outcome, Permit, PermitId,
+    RefusalReason, Release, UpstreamId,
 };
 use tokio::sync::oneshot;
 
@@ -281,21 +281,7 @@
     ) -> Permit {
         let (permit, expires_in, waited) = granted.disarm();
         let id = target.state.upstream.id.clone();
-        let held = HeldPermit {
-            permit,
-            entry: self.args.me.clone(),
-            workspace: ask.workspace.clone(),
-            expires_in,
-            estimate: ask.estimate,
-            fingerprint: ask.fingerprint,
-        };
-        let key = self.args.held.insert(Held {
-            service: ask.service.clone(),
-            upstream: id.clone(),
-            home: target.home.clone(),
-            permit: held,
-            expires_at: MonoTime::now().after(expires_in),
-        });
+        let key = self.hold(ask, target, permit, expires_in);
         let in_use = self.args.summaries.cell(&id).map(UseGuard::new);
         let give_back = self.give_back(key, &id, &target.home);
         let suspects = Arc::clone(&self.args.suspects);
@@ -324,6 +310,24 @@
         Permit::new(grant, target.why.to_owned(), on_release)
     }
 
+    /// Enters a granted permit into the table of those held here.
+    fn hold(&self, ask: &Ask, target: &Target, permit: PermitId, expires_in: Duration) -> HeldKey {
+        self.args.held.insert(Held {
+            service: ask.service.clone(),
+            upstream: target.state.upstream.id.clone(),
+            home: target.home.clone(),
+            permit: HeldPermit {
+                permit,
+                entry: self.args.me.clone(),
+                workspace: ask.workspace.clone(),
+                expires_in,
+                estimate: ask.estimate,
+                fingerprint: ask.fingerprint,
+            },
+            expires_at: MonoTime::now().after(expires_in),
+        })
+    }
+
     fn called(&self, target: &Target) -> CalledUpstream {
         let upstream = &target.state.upstream;
         let cell = self.args.summaries.cell(&upstream.id);
--- a/crates/tc-fleet/src/limits.rs
+++ b/crates/tc-fleet/src/limits.rs
@@ -31,12 +31,12 @@
 
 /// Buckets of this instance and the limit homes placed on it.
 #[derive(Default)]
-pub(crate) struct LimitDesk {
+pub(crate) struct WorkspaceLimiter {
     buckets: ArcSwap<HashMap<WorkspaceName, Arc<LimitedWorkspace>>>,
     homes: Mutex<HashMap<WorkspaceName, LimitHome>>,
 }
 
-impl LimitDesk {
+impl WorkspaceLimiter {
     /// Takes up the limits of a new configuration and the entries that callers are sent to.
     pub(crate) fn set_fleet(&self, view: &FleetView) {
         let old = self.buckets.load_full();
@@ -111,10 +111,10 @@
             let view = view.load_full();
             let reports = self.reports(&view);
             let calls = reports.into_iter().map(|(home, report)| {
-                let desk = Arc::clone(&self);
+                let limiter = Arc::clone(&self);
                 let view = Arc::clone(&view);
                 let peers = Arc::clone(&peers);
-                async move { desk.exchange(&view, &peers, &home, report).await }
+                async move { limiter.exchange(&view, &peers, &home, report).await }
             });
             futures::future::join_all(calls).await;
         }
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -24,7 +24,7 @@
     generated::Datagram,
     gossip::GossipSocket,
     homes::{HomesMsg, KnownUpstream},
-    limits::LimitDesk,
+    limits::WorkspaceLimiter,
     peers::{PeerPool, ToHome},
     summary::SummaryTable,
     suspects::SuspectTable,
@@ -44,7 +44,7 @@
     pub(crate) peers: Arc<PeerPool>,
     pub(crate) homes: ActorRef<HomesMsg>,
     pub(crate) held: Arc<HeldTable>,
-    pub(crate) limits: Arc<LimitDesk>,
+    pub(crate) limits: Arc<WorkspaceLimiter>,
     pub(crate) suspects: Arc<SuspectTable>,
     /// Upstreams drained by operators, as last read.
     pub(crate) drained: Arc<ArcSwap<BTreeSet<UpstreamId>>>,
--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -21,7 +21,7 @@
 pub(super) const QUARANTINED: u32 = 2;
 
 /// Reports of an upstream's death within this time are of the same death: entries do not know the upstream's
-/// incarnation, and each tells of its own calls.
+/// incarnation, and each reports its own calls.
 const SAME_DEATH: Duration = Duration::from_secs(1);
 /// Fingerprints whose workspace and service are remembered, at most.
 const MOST_ORIGINS: usize = 4_096;
@@ -36,7 +36,7 @@
 struct Death {
     at: MonoTime,
     number: u64,
-    told: HashSet<Fingerprint>,
+    reported: HashSet<Fingerprint>,
 }
 
 struct State {
@@ -121,6 +121,10 @@
         self.lock().suspects.adopt_quarantine(now, fingerprint);
     }
 
+    pub(super) fn lift_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
+        self.lock().suspects.lift(now, fingerprint);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -146,12 +150,12 @@
 
     /// The same number for all reports of one death.
     ///
-    /// A suspect runs once at a time, so one that is told of again died in another life of the upstream; counted as the
+    /// A suspect runs once at a time, so one that is reported again died in another life of the upstream; counted as the
     /// same death, a request that crashes an upstream each time it restarts would never be quarantined.
     fn death_number(&mut self, now: MonoTime, upstream: &UpstreamId, died: &[Fingerprint]) -> u64 {
         self.deaths
             .retain(|_, death| now.since(death.at) < SAME_DEATH);
-        let again = |death: &Death| died.iter().any(|f| death.told.contains(f));
+        let again = |death: &Death| died.iter().any(|f| death.reported.contains(f));
         if self.deaths.get(upstream).is_some_and(again) {
             self.deaths.remove(upstream);
         }
@@ -161,9 +165,9 @@
             .or_insert_with(|| Death {
                 at: now,
                 number: rand::random(),
-                told: HashSet::new(),
+                reported: HashSet::new(),
             });
-        death.told.extend(died);
+        death.reported.extend(died);
         death.number
     }
 }
--- a/crates/tc-fleet/src/suspects/mod.rs
+++ b/crates/tc-fleet/src/suspects/mod.rs
@@ -1,8 +1,8 @@
-//! Requests that may crash upstreams: what this instance has heard of, and the services whose suspects it is home of.
+//! Requests that may crash upstreams: those reported to this instance, and those of the services it is home of.
 
 mod confirm;
-mod hearsay;
 mod home;
+mod reported;
 mod table;
 mod trial;
 
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -14,8 +14,8 @@
 
 use super::{
     confirm::{CalledUpstream, Confirmer},
-    hearsay::Hearsay,
     home::{MAY_RUN, Origin, QUARANTINED, SuspectHome},
+    reported::ReportedSuspects,
     trial::TrialGuard,
 };
 use crate::{
@@ -41,7 +41,7 @@
 pub(crate) struct SuspectTable {
     view: Arc<ArcSwap<FleetView>>,
     peers: Arc<PeerPool>,
-    hearsay: Hearsay,
+    reported: ReportedSuspects,
     /// Upstreams as they were when calls that ended in a broken connection were granted.
     called: Mutex<HashMap<Fingerprint, CalledUpstream>>,
     /// Of inputs that died here or run as suspects.
@@ -60,7 +60,7 @@
         Self {
             view,
             peers,
-            hearsay: Hearsay::default(),
+            reported: ReportedSuspects::default(),
             origins: Mutex::default(),
             home: SuspectHome::new(),
             confirmer,
@@ -86,7 +86,7 @@
         slack: Duration,
     ) -> Result<Option<TrialGuard>, AskRefusal> {
         let started = MonoTime::now();
-        if !self.hearsay.knows(started, fingerprint) {
+        if !self.reported.contains(started, fingerprint) {
             return Ok(None);
         }
         let service = origin.service.clone();
@@ -148,7 +148,7 @@
             metrics::counter!("tc_false_deaths_total").increment(1);
             return;
         }
-        self.hearsay.hear(MonoTime::now(), fingerprint);
+        self.reported.insert(MonoTime::now(), fingerprint);
         metrics::counter!("tc_suspects_total").increment(1);
         let Some(origin) = lock(&self.origins).get(&fingerprint).cloned() else {
             return;
@@ -165,14 +165,14 @@
 
     /// It ran to its end: no suspect any more.
     pub(crate) fn ran_whole(self: &Arc<Self>, fingerprint: Fingerprint) {
-        if !self.hearsay.knows(MonoTime::now(), fingerprint) {
+        if !self.reported.contains(MonoTime::now(), fingerprint) {
             return;
         }
         // Unknown here: it became a suspect while it ran, elsewhere; its next trial will clear it.
         let Some(origin) = lock(&self.origins).remove(&fingerprint) else {
             return;
         };
-        self.hearsay.forget(fingerprint);
+        self.reported.remove(fingerprint);
         let cleared = vec![fingerprint.0];
         self.tell_later(SuspectReport {
             cleared,
@@ -193,7 +193,7 @@
         let answer = self.home.answer(now, report);
         if !report.died.is_empty() {
             for died in &report.died {
-                self.hearsay.hear(now, Fingerprint(*died));
+                self.reported.insert(now, Fingerprint(*died));
             }
             if let Some(spread) = lock(&self.spread_now).as_ref() {
                 spread();
@@ -205,18 +205,18 @@
     /// Suspects that a datagram told of.
     pub(crate) fn heard(&self, now: MonoTime, fingerprints: &[u64]) {
         for fingerprint in fingerprints {
-            self.hearsay.hear(now, Fingerprint(*fingerprint));
+            self.reported.insert(now, Fingerprint(*fingerprint));
         }
     }
 
     /// Suspects to tell others of: those this instance is home of, as only their home knows them to be current.
     pub(crate) fn to_gossip(&self, now: MonoTime, most: usize) -> Vec<u64> {
-        if self.hearsay.is_empty() {
+        if self.reported.is_empty() {
             return Vec::new();
         }
-        let mut current = self.home.suspects_among(self.hearsay.all());
+        let mut current = self.home.suspects_among(self.reported.all());
         for fingerprint in &current {
-            self.hearsay.hear(now, *fingerprint);
+            self.reported.insert(now, *fingerprint);
         }
         current.truncate(most);
         current
@@ -233,7 +233,13 @@
     /// Takes up a quarantine that another instance put into the platform.
     pub(crate) fn adopt_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
         self.home.adopt_quarantine(now, fingerprint);
-        self.hearsay.hear(now, fingerprint);
+        self.reported.insert(now, fingerprint);
+    }
+
+    /// Drops a quarantine that an operator lifted in the platform.
+    pub(crate) fn lift_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
+        self.home.lift_quarantine(now, fingerprint);
+        self.reported.forget(fingerprint);
     }
 
     /// All suspects of a service have one home: a home that knew only some of those that were in flight on an upstream
