Let an instance advertise another fleet address than it listens on

Calls to other instances left by any address of the machine, while datagrams left by the listening socket.

--- a/crates/tc-fleet/src/fleet.rs
+++ b/crates/tc-fleet/src/fleet.rs
@@ -61,7 +61,7 @@
         upstream: UpstreamClient,
         local: LocalReport,
     ) -> Result<Self, FleetError> {
-        let address = settings.me.fleet_address;
+        let address = settings.fleet_listen;
         let listen = |source| FleetError::Listen { address, source };
         let listener = TcpListener::bind(address).await.map_err(listen)?;
         let socket = UdpSocket::bind(address).await.map_err(listen)?;
--- a/crates/tc-fleet/src/peers/pool.rs
+++ b/crates/tc-fleet/src/peers/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -71,6 +71,7 @@
 /// All other instances this one has talked to.
 pub(crate) struct PeerPool {
     me: Member,
+    leave_from: Option<IpAddr>,
     keys: FleetKeys,
     summaries: Arc<SummaryTable>,
     traffic: tokio::runtime::Handle,
@@ -80,12 +81,14 @@
 impl PeerPool {
     pub(crate) fn new(
         me: Member,
+        listen_ip: IpAddr,
         keys: FleetKeys,
         summaries: Arc<SummaryTable>,
         traffic: tokio::runtime::Handle,
     ) -> Self {
         Self {
             me,
+            leave_from: (!listen_ip.is_unspecified()).then_some(listen_ip),
             keys,
             summaries,
             traffic,
@@ -125,7 +128,7 @@
 
     /// A client for an address whose instance is not known yet.
     pub(crate) fn client_of(&self, address: SocketAddr) -> Client {
-        FleetClient::with_interceptor(channel(address), self.add_token())
+        FleetClient::with_interceptor(channel(address, self.leave_from), self.add_token())
     }
 
     fn make(&self, member: &Member) -> Peer {
@@ -155,12 +158,15 @@
     }
 }
 
-fn channel(address: SocketAddr) -> Channel {
+// Without a fixed source a machine of several addresses leaves by any of them, seen as calls that a packet filter
+// between failure domains refuses though datagrams, which leave by the listening socket, pass.
+fn channel(address: SocketAddr, leave_from: Option<IpAddr>) -> Channel {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .unwrap_or_else(|_| Endpoint::from_static("http://127.0.0.1:1"));
     endpoint
         .connect_timeout(CONNECT_TIMEOUT)
         .tcp_nodelay(true)
+        .local_address(leave_from)
         .connect_lazy()
 }
 
--- a/crates/tc-fleet/src/settings.rs
+++ b/crates/tc-fleet/src/settings.rs
@@ -22,6 +22,9 @@
 pub struct FleetSettings {
     /// This instance.
     pub me: Member,
+    /// Where to listen for other instances, TCP and UDP. They are told `me.fleet_address`; calls to them leave from
+    /// this IP number.
+    pub fleet_listen: SocketAddr,
     /// Fleet addresses to be introduced by when the platform's list cannot be read.
     pub seeds: Vec<SocketAddr>,
     /// Keys that authenticate instances to each other.
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -42,6 +42,7 @@
     let summaries = Arc::new(SummaryTable::default());
     let peers = Arc::new(PeerPool::new(
         settings.me.clone(),
+        settings.fleet_listen.ip(),
         settings.keys.clone(),
         Arc::clone(&summaries),
         settings.traffic.clone(),
--- a/crates/tc-fleet/tests/fleet/common.rs
+++ b/crates/tc-fleet/tests/fleet/common.rs
@@ -48,6 +48,7 @@
         };
         let settings = FleetSettings {
             me: member.clone(),
+            fleet_listen: member.fleet_address,
             seeds,
             keys: FleetKeys::new(&[key]).unwrap(),
             policy: AskPolicy::Home,
--- a/crates/tc-operator/src/serve/control.rs
+++ b/crates/tc-operator/src/serve/control.rs
@@ -144,7 +144,7 @@
         id: settings.instance_id.clone(),
         incarnation: Incarnation(since_epoch.as_millis() as u64),
         caller_address: settings.listen,
-        fleet_address: settings.fleet_listen,
+        fleet_address: settings.fleet_advertise,
         failure_domain: settings.failure_domain.clone(),
         region: settings.region.clone(),
         state: MemberState::Alive,
@@ -175,6 +175,7 @@
         .collect();
     Ok(FleetSettings {
         me: me.clone(),
+        fleet_listen: settings.fleet_listen,
         seeds: settings.seeds.clone(),
         keys: FleetKeys::new(&keys).map_err(fleet_error)?,
         policy: if settings.baseline {
--- a/crates/tc-operator/src/settings/flags.rs
+++ b/crates/tc-operator/src/settings/flags.rs
@@ -23,7 +23,13 @@
     "--fleet-listen",
     "IP:PORT",
     "TANAGERCROFT_FLEET_LISTEN",
-    "where instances connect, TCP and UDP; they are told this address",
+    "where instances connect, TCP and UDP",
+);
+pub(super) const FLEET_ADVERTISE: Flag = Flag::value(
+    "--fleet-advertise",
+    "IP:PORT",
+    "TANAGERCROFT_FLEET_ADVERTISE",
+    "what other instances are told to connect to (default: --fleet-listen)",
 );
 pub(super) const ADMIN_LISTEN: Flag = Flag::value(
     "--admin-listen",
@@ -98,6 +104,7 @@
     INSTANCE_ID,
     LISTEN,
     FLEET_LISTEN,
+    FLEET_ADVERTISE,
     ADMIN_LISTEN,
     FAILURE_DOMAIN,
     REGION,
--- a/crates/tc-operator/src/settings/mod.rs
+++ b/crates/tc-operator/src/settings/mod.rs
@@ -27,8 +27,10 @@
     pub instance_id: InstanceId,
     /// Where callers connect; told to them.
     pub listen: SocketAddr,
-    /// Where other instances connect, by TCP and UDP; told to them.
+    /// Where other instances connect, by TCP and UDP; calls to them leave from its IP number.
     pub fleet_listen: SocketAddr,
+    /// What other instances are told to connect to.
+    pub fleet_advertise: SocketAddr,
     /// Where operators connect.
     pub admin_listen: SocketAddr,
     /// What this instance fails together with.
--- a/crates/tc-operator/src/settings/read.rs
+++ b/crates/tc-operator/src/settings/read.rs
@@ -9,8 +9,8 @@
 use super::{
     FLEET_KEY, OPERATOR_TOKEN, SERVE_FLAGS, Settings,
     flags::{
-        ADMIN_LISTEN, DRAIN_LIMIT, FAILURE_DOMAIN, FLEET_LISTEN, INSTANCE_ID, LISTEN, LOG,
-        MAX_BODY, OTLP_ENDPOINT, POLICY, REGION, SEEDS, STORE_CALLS, TRAFFIC_THREADS,
+        ADMIN_LISTEN, DRAIN_LIMIT, FAILURE_DOMAIN, FLEET_ADVERTISE, FLEET_LISTEN, INSTANCE_ID,
+        LISTEN, LOG, MAX_BODY, OTLP_ENDPOINT, POLICY, REGION, SEEDS, STORE_CALLS, TRAFFIC_THREADS,
     },
     missing,
 };
@@ -49,10 +49,12 @@
         errors: Vec::new(),
     };
     reader.unknown_variables();
+    let (fleet_listen, fleet_advertise) = reader.fleet_addresses();
     let read = Settings {
         instance_id: reader.name(&INSTANCE_ID, None).into(),
         listen: reader.told_address(&LISTEN),
-        fleet_listen: reader.told_address(&FLEET_LISTEN),
+        fleet_listen,
+        fleet_advertise,
         admin_listen: reader.address(&ADMIN_LISTEN),
         failure_domain: reader.name(&FAILURE_DOMAIN, None).into(),
         region: reader.name(&REGION, Some(DEFAULT_REGION)).into(),
@@ -210,6 +212,16 @@
         found
     }
 
+    /// Where to listen for instances, and what they are told. Only what they are told has to be reachable as it is.
+    fn fleet_addresses(&mut self) -> (SocketAddr, SocketAddr) {
+        if self.arguments.value(&FLEET_ADVERTISE).is_none() {
+            let both = self.told_address(&FLEET_LISTEN);
+            return (both, both);
+        }
+        let listen = self.peer_address(&FLEET_LISTEN);
+        (listen, self.told_address(&FLEET_ADVERTISE))
+    }
+
     fn peer_address(&mut self, flag: &Flag) -> SocketAddr {
         let errors = self.errors.len();
         let found = self.address(flag);
@@ -344,11 +356,14 @@
     }
 
     fn distinct_addresses(&mut self, settings: &Settings) {
-        let listens = [
+        let mut listens = vec![
             (LISTEN, settings.listen),
             (FLEET_LISTEN, settings.fleet_listen),
             (ADMIN_LISTEN, settings.admin_listen),
         ];
+        if settings.fleet_advertise != settings.fleet_listen {
+            listens.push((FLEET_ADVERTISE, settings.fleet_advertise));
+        }
         for (i, (flag, address)) in listens.iter().enumerate() {
             let same = listens[..i].iter().find(|(_, a)| a == address);
             if let Some((other, _)) = same
--- a/crates/tc-operator/tests/operator/settings.rs
+++ b/crates/tc-operator/tests/operator/settings.rs
@@ -52,6 +52,16 @@
     assert_eq!(settings.max_body_bytes, 5);
 }
 
+#[test]
+fn instances_are_told_where_this_one_listens_unless_it_advertises_another_address() {
+    let settings = read("", &[]).expect("valid");
+    assert_eq!(settings.fleet_advertise.to_string(), "10.0.0.1:8081");
+    let advertise = ("TANAGERCROFT_FLEET_ADVERTISE", "192.0.2.7:9081");
+    let settings = read("--fleet-listen 0.0.0.0:8081", &[advertise]).expect("valid");
+    assert_eq!(settings.fleet_listen.to_string(), "0.0.0.0:8081");
+    assert_eq!(settings.fleet_advertise.to_string(), "192.0.2.7:9081");
+}
+
 #[test]
 fn keys_rotate_and_no_secret_is_shown() {
     let keys = "the-new-fleet-key-0001, the-old-fleet-key-0001";
@@ -92,6 +102,12 @@
     ("--listen 0.0.0.0:8080", &[], "--listen", "nobody can connect"),
     ("--listen 10.0.0.1:0", &[], "--listen", "port 0"),
     ("--fleet-listen 10.0.0.1:8080", &[], "--fleet-listen", "is the address of --listen too"),
+    ("--fleet-listen 0.0.0.0:8081", &[], "--fleet-listen", "nobody can connect"),
+    ("--fleet-advertise 0.0.0.0:8081", &[], "--fleet-advertise", "nobody can connect"),
+    ("--fleet-advertise 10.0.0.1:0", &[], "--fleet-advertise", "port 0"),
+    ("--fleet-advertise host-a:8081", &[], "--fleet-advertise", "is a host name"),
+    ("--fleet-advertise 10.0.0.1:8080", &[], "--fleet-advertise", "is the address of --listen too"),
+    ("", &[("TANAGERCROFT_FLEET_ADVERTISE", "10.0.0.1")], "TANAGERCROFT_FLEET_ADVERTISE", "has no port"),
     ("--admin-listen :8082", &[], "--admin-listen", "not an IP number"),
     ("--platform platform.local:1", &[], "--platform", "is a host name"),
     ("--seeds 10.0.0.1:1,host:2", &[], "--seeds", "\"host:2\" is a host name"),
