Show more public functions by runnable examples; name the file of tick

Leases, plans, membership, spread, merging and kept answers get eight examples. membership/turn.rs holds Membership::tick and is called tick.rs now.

--- a/crates/tc-caller/src/idempotency/answer.rs
+++ b/crates/tc-caller/src/idempotency/answer.rs
@@ -24,6 +24,18 @@
 
 impl FinalAnswer {
     /// Approximate memory it takes, in bytes.
+    ///
+    /// ```
+    /// use tc_caller::FinalAnswer;
+    /// let answer = FinalAnswer {
+    ///     status: http::StatusCode::OK,
+    ///     headers: http::HeaderMap::new(),
+    ///     body: Some("done".into()),
+    ///     run_state: tc_protocol::RunState::Ran,
+    /// };
+    /// assert_eq!(answer.size(), 4);
+    /// assert_eq!(answer.without_body().size(), 0);
+    /// ```
     #[must_use]
     pub fn size(&self) -> usize {
         let headers: usize = self
--- a/crates/tc-config/src/error.rs
+++ b/crates/tc-config/src/error.rs
@@ -109,6 +109,17 @@
 
 impl ConfigError {
     /// The faults inside the files, when they could be read.
+    ///
+    /// ```
+    /// use tc_config::{SourceFile, merge};
+    /// let token = format!("token_sha256 = \"{:064}\"", 7);
+    /// let text = format!("[workspaces.lintas]\nwieght = 4\n{token}");
+    /// let file = SourceFile::new("10-base.toml", &text);
+    /// let error = merge(&[file], 1).unwrap_err();
+    /// let fault = &error.faults()[0];
+    /// assert_eq!(fault.location(), "10-base.toml:2");
+    /// assert_eq!(fault.key(), "workspaces.lintas.wieght");
+    /// ```
     #[must_use]
     pub fn faults(&self) -> &[Fault] {
         match self {
--- a/crates/tc-config/src/merge.rs
+++ b/crates/tc-config/src/merge.rs
@@ -42,6 +42,17 @@
 ///
 /// # Errors
 /// Those of [`merge`].
+///
+/// ```
+/// use tc_config::{SourceFile, merge_noting};
+/// let token = format!("token_sha256 = \"{:064}\"", 7);
+/// let files = [
+///     SourceFile::new("10-base.toml", &format!("[workspaces.lintas]\nweight = 2\n{token}")),
+///     SourceFile::new("20-change.toml", "[workspaces.lintas]\nweight = 4"),
+/// ];
+/// let merged = merge_noting(&files, 1).unwrap();
+/// assert_eq!(merged.overrides.len(), 1);
+/// ```
 pub fn merge_noting(files: &[SourceFile], revision: u64) -> Result<Merged, ConfigError> {
     let mut overrides = Vec::new();
     let root = merged_tree(files, &mut overrides)?;
--- a/crates/tc-membership/src/lease.rs
+++ b/crates/tc-membership/src/lease.rs
@@ -124,6 +124,19 @@
     }
 
     /// This process was paused: it may not act until a write of its own succeeds again.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tc_membership::{Holder, LeaseState};
+    /// use tc_protocol::{Incarnation, MonoTime};
+    /// let me = Holder { id: "kl-a-1".into(), incarnation: Incarnation(1) };
+    /// let mut lease = LeaseState::new(me, Duration::from_secs(3));
+    /// lease.written(MonoTime::from_millis(0), 7);
+    /// lease.woke();
+    /// let now = MonoTime::from_millis(100);
+    /// assert!(!lease.may_act(now, Duration::ZERO));
+    /// assert!(lease.renew_due(now));
+    /// ```
     pub fn woke(&mut self) {
         if let Some(held) = &mut self.held {
             held.stale = true;
@@ -149,6 +162,18 @@
 
     /// Whether this instance may try to take the lease: nobody holds it, or its version has not changed for its whole
     /// duration and `margin` since this instance first saw it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tc_membership::{Holder, LeaseState};
+    /// use tc_protocol::{Incarnation, MonoTime};
+    /// let holder = |id: &str| Holder { id: id.into(), incarnation: Incarnation(1) };
+    /// let mut lease = LeaseState::new(holder("kl-a-1"), Duration::from_secs(3));
+    /// let margin = Duration::from_millis(500);
+    /// lease.observed(MonoTime::from_millis(0), Some(holder("kl-a-2")), 7);
+    /// assert!(!lease.may_take(MonoTime::from_millis(3_000), margin));
+    /// assert!(lease.may_take(MonoTime::from_millis(3_500), margin));
+    /// ```
     #[must_use]
     pub fn may_take(&self, now: MonoTime, margin: Duration) -> bool {
         if self.held.is_some() {
--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -65,6 +65,28 @@
 
 impl Membership {
     /// An instance that knows only itself. `seed` should differ between instances.
+    ///
+    /// ```
+    /// use tc_membership::{Membership, MembershipConfig};
+    /// use tc_protocol::{Incarnation, Member, MemberState, MonoTime};
+    /// let member = |id: &str, port| Member {
+    ///     id: id.into(),
+    ///     incarnation: Incarnation(1),
+    ///     caller_address: ([127, 0, 0, 1], port).into(),
+    ///     fleet_address: ([127, 0, 0, 1], port + 1).into(),
+    ///     failure_domain: "kl-a".into(),
+    ///     region: "kl".into(),
+    ///     state: MemberState::Alive,
+    /// };
+    /// let cfg = MembershipConfig::default();
+    /// let mut first = Membership::new(cfg.clone(), member("kl-a-1", 8080), 1);
+    /// let second = Membership::new(cfg, member("kl-a-2", 8090), 2);
+    /// let now = MonoTime::from_millis(1);
+    /// first.learn(now, &second.records());
+    /// assert_eq!(first.members().len(), 2);
+    /// let probes = first.tick(now);
+    /// assert_eq!(probes[0].to, ([127, 0, 0, 1], 8091).into());
+    /// ```
     #[must_use]
     pub fn new(cfg: MembershipConfig, me: Member, seed: u64) -> Self {
         Self {
--- a/crates/tc-membership/src/membership/mod.rs
+++ b/crates/tc-membership/src/membership/mod.rs
@@ -12,7 +12,7 @@
 mod receive;
 mod record;
 mod table;
-mod turn;
+mod tick;
 
 pub use config::MembershipConfig;
 pub use machine::Membership;
--- a/crates/tc-membership/src/plan.rs
+++ b/crates/tc-membership/src/plan.rs
@@ -57,6 +57,17 @@
     /// The loads to order now: the first of those pending, so that at most `max` are in progress at once.
     ///
     /// The weight store is rate-limited: more loads at once would make every one of them slow.
+    ///
+    /// ```
+    /// use std::collections::BTreeMap;
+    /// use tc_membership::{EngineState, ModelNeed, Plan, plan};
+    /// use tc_protocol::MonoTime;
+    /// let need = ModelNeed { version: "2".into(), floor: 2, demand: 0.5 };
+    /// let engines = ["e1", "e2"].map(|id| EngineState { id: id.into(), loaded: vec![] });
+    /// let plan = plan(&BTreeMap::from([("draft".into(), need)]), &engines, &Plan::default());
+    /// assert_eq!(plan.next_loads(MonoTime::default(), 0, 1).len(), 1);
+    /// assert!(plan.next_loads(MonoTime::default(), 1, 1).is_empty());
+    /// ```
     #[must_use]
     pub fn next_loads(&self, now: MonoTime, in_progress: usize, max: usize) -> Vec<Load> {
         self.pending
--- a/crates/tc-membership/src/spread.rs
+++ b/crates/tc-membership/src/spread.rs
@@ -189,6 +189,17 @@
     }
 
     /// A revision was read whole and is invalid here. It is not pulled again; the next one is.
+    ///
+    /// ```
+    /// use tc_membership::{Pull, Spread};
+    /// use tc_protocol::MonoTime;
+    /// let mut spread = Spread::new(1);
+    /// let now = MonoTime::from_millis(1);
+    /// spread.heard(now, &"kl-a-1".into(), 4);
+    /// spread.rejected(now, 4);
+    /// assert_eq!(spread.in_force(), 0);
+    /// assert_eq!(spread.next_pull(now, false, false), Pull::Nothing);
+    /// ```
     pub fn rejected(&mut self, _now: MonoTime, revision: u64) {
         log::error!(revision; "configuration rejected as invalid; revision {} stays in force", self.in_force);
         self.known = self.known.max(revision);
