Lift quarantines by command and refuse to drain the last live instance

Causes: a quarantine could only be taken up, never dropped, so a request whose cause was mended stayed refused; draining the only live instance left callers without any address.

--- a/crates/tc-fleet/src/quarantine.rs
+++ b/crates/tc-fleet/src/quarantine.rs
@@ -15,7 +15,7 @@
 /// Added per live instance, so that the whole fleet's list calls stay at ten a second however large it grows.
 const INTERVAL_PER_INSTANCE: Duration = Duration::from_millis(100);
 
-/// Writes quarantines found here to the platform and takes up those found by others, for ever.
+/// Writes quarantines found here to the platform and takes up those found by others and those lifted by an operator, for ever.
 pub(crate) async fn keep(parts: NodeParts) {
     let mut kept: HashSet<Fingerprint> = HashSet::new();
     loop {
@@ -26,6 +26,10 @@
             listed
                 .difference(&kept)
                 .for_each(|new| parts.suspects.adopt_quarantine(now, *new));
+            // Known to have been in the platform and gone from it: an operator lifted it. It must be dropped before
+            // those found here are written, or it would be put back at once.
+            kept.difference(&listed)
+                .for_each(|lifted| parts.suspects.lift_quarantine(now, *lifted));
             kept = listed;
         }
         for (fingerprint, origin) in parts.suspects.quarantined() {
--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -121,6 +121,10 @@
         self.lock().suspects.adopt_quarantine(now, fingerprint);
     }
 
+    pub(super) fn lift_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
+        self.lock().suspects.lift(now, fingerprint);
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -236,6 +236,12 @@
         self.reported.insert(now, fingerprint);
     }
 
+    /// Drops a quarantine that an operator lifted in the platform.
+    pub(crate) fn lift_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
+        self.home.lift_quarantine(now, fingerprint);
+        self.reported.remove(fingerprint);
+    }
+
     /// All suspects of a service have one home: a home that knew only some of those that were in flight on an upstream
     /// that died could not tell the guilty one from its neighbours.
     fn home_of(view: &FleetView, service: &str) -> Option<Member> {
--- a/crates/tc-fleet/tests/fleet/common.rs
+++ b/crates/tc-fleet/tests/fleet/common.rs
@@ -55,11 +55,7 @@
             membership: tc_membership::MembershipConfig::default(),
             traffic: runtime.handle().clone(),
         };
-        let store = Store::new(StoreSettings {
-            address: platform,
-            calls_per_s: 1_000.0,
-            timeout: Duration::from_millis(500),
-        });
+        let store = store_at(platform);
         let local = LocalReport {
             explain: Box::new(|_| Box::pin(async { None })),
             report: Box::new(|()| Box::pin(async { Some("{}".to_owned()) })),
@@ -88,6 +84,19 @@
     }
 }
 
+fn store_at(platform: SocketAddr) -> Store {
+    Store::new(StoreSettings {
+        address: platform,
+        calls_per_s: 1_000.0,
+        timeout: Duration::from_millis(500),
+    })
+}
+
+/// A client of the platform, as an operator's command has one.
+pub(crate) fn store(platform: &Platform) -> Store {
+    store_at(platform.address())
+}
+
 fn free_address() -> SocketAddr {
     // The fleet address needs the same port for TCP and UDP.
     loop {
--- a/crates/tc-fleet/tests/fleet/suspects.rs
+++ b/crates/tc-fleet/tests/fleet/suspects.rs
@@ -2,11 +2,14 @@
 
 use std::time::Duration;
 
+use tc_platform::remove_quarantined;
 use tc_protocol::{Ask, Cost, Fingerprint, Outcome, Permit, RefusalReason, RunState};
 
 use tc_stand_ins::{Platform, Pool, PoolConfig, Recorder};
 
-use crate::common::{Instance, ask, put_config, run, settled, start_listed, until, until_settled};
+use crate::common::{
+    Instance, ask, put_config, run, settled, start_listed, store, until, until_settled,
+};
 
 const SLACK: Duration = Duration::from_secs(5);
 const SHORT: Duration = Duration::from_millis(250);
@@ -138,3 +141,35 @@
         drop(trial);
     });
 }
+
+#[test]
+fn a_lifted_quarantine_is_dropped_by_every_instance() {
+    // Symptom: a request that an operator lets run again is refused until every instance is replaced, or its quarantine
+    // comes back by itself.
+    // Sequence: quarantine; an operator removes it from the platform; the request is sent through each instance.
+    // Cause: instances took quarantines up from the platform and never dropped them.
+    run(async {
+        let (platform, instances) = settled(2, 6, 4).await;
+        for at in [0, 1] {
+            let permit = instances[at].fleet.ask(crashing(SLACK)).await.unwrap();
+            die(&instances[at], permit).await;
+        }
+        let kind = "tanagercroft-quarantine";
+        let is_kept = || platform.object(kind, "0000000000000bad").is_some();
+        until("the quarantine is in the platform", is_kept).await;
+        let store = store(&platform);
+        assert!(
+            remove_quarantined(&store, Fingerprint(0xbad))
+                .await
+                .unwrap()
+        );
+        for instance in &instances {
+            until("the request may run", || {
+                let asked = instance.fleet.ask(crashing(SHORT));
+                futures::executor::block_on(asked).is_ok()
+            })
+            .await;
+        }
+        assert!(!is_kept(), "the quarantine was put back");
+    });
+}
--- a/crates/tc-operator/src/apply/mod.rs
+++ b/crates/tc-operator/src/apply/mod.rs
@@ -58,7 +58,7 @@
 }
 
 /// A failed call that surely changed nothing.
-fn store_error(error: &StoreError) -> CommandError {
+pub(crate) fn store_error(error: &StoreError) -> CommandError {
     let help = miette::Diagnostic::help(error).map(|help| help.to_string());
     TcError::Peer {
         peer: "platform".to_owned(),
--- a/crates/tc-operator/src/commands/config/history.rs
+++ b/crates/tc-operator/src/commands/config/history.rs
@@ -1,6 +1,6 @@
 //! `config history`
 
-use std::{collections::BTreeMap, time::SystemTime};
+use std::collections::BTreeMap;
 
 use serde::Serialize;
 use tc_protocol::wire::ConfigObject;
@@ -8,7 +8,7 @@
 use crate::{
     Exit, apply,
     command::{Command, Context, Example, JSON, PLATFORM, Signature, block_on},
-    commands::or_dash,
+    commands::{age, or_dash},
     error::CommandError,
 };
 
@@ -88,15 +88,3 @@
         revision.files.join(" "),
     ]
 }
-
-/// Time since a moment given by another machine's clock, for people only.
-fn age(applied_at_ms: u64) -> Option<String> {
-    let at = SystemTime::UNIX_EPOCH + std::time::Duration::from_millis(applied_at_ms);
-    let seconds = SystemTime::now().duration_since(at).ok()?.as_secs();
-    Some(match seconds {
-        0..60 => format!("{seconds}s"),
-        60..3600 => format!("{}m", seconds / 60),
-        3600..86_400 => format!("{}h", seconds / 3600),
-        _ => format!("{}d", seconds / 86_400),
-    })
-}
--- a/crates/tc-operator/src/commands/mod.rs
+++ b/crates/tc-operator/src/commands/mod.rs
@@ -3,12 +3,15 @@
 mod config;
 mod drain;
 mod explain;
+mod quarantine;
 mod serve;
 mod status;
 mod undrain;
 mod upstreams;
 mod workspaces;
 
+use std::time::{Duration, SystemTime};
+
 use tc_config::nearest;
 
 use crate::{
@@ -34,6 +37,8 @@
     explain::COMMAND,
     drain::COMMAND,
     undrain::COMMAND,
+    quarantine::list::COMMAND,
+    quarantine::lift::COMMAND,
 ];
 
 /// An example of a command, as its help shows it.
@@ -76,6 +81,18 @@
     format!("{value:.1}")
 }
 
+/// Time since a moment given by another machine's clock, for people only.
+fn age(unix_ms: u64) -> Option<String> {
+    let at = SystemTime::UNIX_EPOCH + Duration::from_millis(unix_ms);
+    let seconds = SystemTime::now().duration_since(at).ok()?.as_secs();
+    Some(match seconds {
+        0..60 => format!("{seconds}s"),
+        60..3600 => format!("{}m", seconds / 60),
+        3600..86_400 => format!("{}h", seconds / 3600),
+        _ => format!("{}d", seconds / 86_400),
+    })
+}
+
 /// The word under which a value is serialised, such as `alive`.
 fn word(value: impl serde::Serialize) -> String {
     match serde_json::to_value(value) {
--- a/crates/tc-operator/src/serve/admin.rs
+++ b/crates/tc-operator/src/serve/admin.rs
@@ -1,7 +1,7 @@
 //! Gives the admin interface what it shows and does.
 
 use tc_platform::StoreError;
-use tc_protocol::{Explanation, MemberState, RequestId, UpstreamId};
+use tc_protocol::{Explanation, InstanceId, Member, MemberState, RequestId, UpstreamId};
 use tc_telemetry::MetricsHandle;
 
 use super::{
@@ -120,9 +120,7 @@
         DrainTarget::Upstream(id) => drain_upstream(running, &id, begin).await,
         DrainTarget::Instance(id) => {
             let view = running.fleet.view();
-            if view.member(&id).is_none() {
-                return Err(DrainError::NotFound);
-            }
+            check_drain_instance(&view.members, &id, begin)?;
             running
                 .fleet
                 .drain_instance(&id, begin)
@@ -132,6 +130,23 @@
     }
 }
 
+/// Refuses to drain the last instance that takes new work: callers would be told of no address at all.
+fn check_drain_instance(
+    members: &[Member],
+    id: &InstanceId,
+    begin: bool,
+) -> Result<(), DrainError> {
+    if !members.iter().any(|member| member.id == *id) {
+        return Err(DrainError::NotFound);
+    }
+    let mut others = members.iter().filter(|member| member.id != *id);
+    if begin && !others.any(|member| member.state == MemberState::Alive) {
+        let why = "it is the last live instance; start another one first".to_owned();
+        return Err(DrainError::Refused(why));
+    }
+    Ok(())
+}
+
 async fn drain_upstream(running: &Running, id: &UpstreamId, begin: bool) -> Result<(), DrainError> {
     let view = running.fleet.view();
     let known = view
--- a/crates/tc-operator/tests/operator/world.rs
+++ b/crates/tc-operator/tests/operator/world.rs
@@ -15,9 +15,10 @@
     AdminPorts, DrainError, DrainTarget, Exit, InstanceReport, Invocation, Secret, StageCost,
     StatusReport, UpstreamReport, WorkspaceReport, execute, serve_admin,
 };
+use tc_platform::{Quarantined, Store, StoreSettings, add_quarantined};
 use tc_protocol::{
-    Attempt, Cost, Decision, Explanation, MemberState, Outcome, RequestId, RunState, Step,
-    UpstreamSummary,
+    Attempt, Cost, Decision, Explanation, Fingerprint, MemberState, Outcome, RequestId, RunState,
+    Step, UpstreamSummary,
     wire::{CONFIG_KIND, CONFIG_NAME, ConfigObject},
 };
 use tc_stand_ins::Platform;
@@ -96,6 +97,7 @@
             shutdown,
             runtime,
         };
+        world.block_on(quarantine(&world.platform));
         world.write("fleet/10-services.toml", SERVICES);
         world.write("fleet/20-workspaces.toml", WORKSPACES);
         world
@@ -167,6 +169,23 @@
     }
 }
 
+/// Quarantines the one request that the examples lift.
+async fn quarantine(platform: &Platform) {
+    let store = Store::new(StoreSettings {
+        address: platform.address(),
+        calls_per_s: 50.0,
+        timeout: std::time::Duration::from_secs(5),
+    });
+    let entry = Quarantined {
+        fingerprint: Fingerprint(0xbad),
+        workspace: "lintas".into(),
+        service: "generate".into(),
+        crashes: 2,
+        added_at_ms: 0,
+    };
+    add_quarantined(&store, &entry).await.expect("quarantined");
+}
+
 fn temp_folder() -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::Relaxed);
--- a/crates/tc-policy/src/suspect.rs
+++ b/crates/tc-policy/src/suspect.rs
@@ -199,6 +199,15 @@
         self.quarantine(fp);
     }
 
+    /// An operator lifted the quarantine: the fingerprint may run as any other, and is quarantined again after as many
+    /// crashes as before.
+    pub fn lift(&mut self, now: MonoTime, fp: Fingerprint) {
+        self.forget_old(now);
+        if self.quarantined.remove(&fp) {
+            self.quarantined_order.retain(|other| *other != fp);
+        }
+    }
+
     /// Crashes, suspects and trials kept; bounded.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/tc-policy/tests/suspects.rs
+++ b/crates/tc-policy/tests/suspects.rs
@@ -136,3 +136,23 @@
         "the death is explained"
     );
 }
+
+#[test]
+fn a_lifted_fingerprint_runs_and_is_quarantined_again_after_as_many_crashes() {
+    let mut suspects = Suspects::new(2);
+    let crash = |suspects: &mut Suspects, number| {
+        suspects.died(at(1), &upstream(number), Incarnation(1), &[GUILTY]);
+    };
+    crash(&mut suspects, 0);
+    crash(&mut suspects, 1);
+    assert!(is_quarantined(&mut suspects, at(1), GUILTY));
+    suspects.lift(at(2), GUILTY);
+    assert!(!suspects.is_suspect(GUILTY));
+    assert_eq!(suspects.quarantined().count(), 0);
+    crash(&mut suspects, 2);
+    assert_eq!(suspects.try_trial(at(2), GUILTY), Trial::Run);
+    crash(&mut suspects, 3);
+    assert!(is_quarantined(&mut suspects, at(2), GUILTY));
+    suspects.lift(at(2), Fingerprint(99));
+    assert!(is_quarantined(&mut suspects, at(2), GUILTY));
+}
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -123,3 +123,23 @@
         "{said}"
     );
 }
+
+// Symptom: after a drain no caller finds an instance, and the fleet stands still.
+// Sequence: an operator drains the only instance there is.
+// Cause: a drained instance is told to no caller, also when there is no other.
+#[test]
+fn the_last_live_instance_cannot_be_drained() {
+    let nowhere = free_addresses()[0].to_string();
+    let ports = free_addresses();
+    let mut instance = Instance::start("kl-a-1", KEY, &ports, &["--platform", &nowhere]);
+    instance.says("serving callers on");
+    let drained = Command::new(env!("CARGO_BIN_EXE_tanagercroft"))
+        .args(["drain", "instance", "kl-a-1"])
+        .args(["--admin", &ports[2].to_string()])
+        .env("TANAGERCROFT_OPERATOR_TOKEN", TOKEN)
+        .output()
+        .expect("the binary starts");
+    let said = String::from_utf8_lossy(&drained.stderr).into_owned();
+    assert!(!drained.status.success(), "{said}");
+    assert!(said.contains("last live instance"), "{said}");
+}
