Tell what a fleet costs idle from what requests cost

control-cost took its figures under load only, so that the cost of being part of the fleet could not be told from the cost of requests.

--- a/crates/tc-bench/src/lib.rs
+++ b/crates/tc-bench/src/lib.rs
@@ -16,7 +16,7 @@
 pub use error::BenchError;
 pub use judge::{CallRecord, Ended, Evidence, SeenCall, Told, Verdict, judge};
 pub use measure::{
-    Claim, ControlCost, Costs, Latencies, RunReport, Slope, StageCost, WorkspaceResult, attainment,
-    by_workspace, costs, recovery_ms, slope, timeline,
+    Claim, ControlCost, Costs, Latencies, RequestCost, RunReport, Slope, StageCost,
+    WorkspaceResult, attainment, by_workspace, costs, recovery_ms, slope, timeline,
 };
 pub use report::page;
--- a/crates/tc-bench/src/measure/run_report.rs
+++ b/crates/tc-bench/src/measure/run_report.rs
@@ -6,7 +6,7 @@
 
 use super::{
     attainment::{WorkspaceResult, answered, attainment, by_workspace, timeline},
-    control::{ControlCost, Slope},
+    control::{ControlCost, RequestCost, Slope},
     cost::{StageCost, costs, ratio},
     quantile::Latencies,
 };
@@ -73,6 +73,12 @@
     pub control: ControlCost,
     /// Control cost per instance by number of instances; scenario `control-cost` only.
     pub control_by_instances: BTreeMap<usize, ControlCost>,
+    /// Control cost per instance without requests, by number of instances; scenario `control-cost` only.
+    pub idle_by_instances: BTreeMap<usize, ControlCost>,
+    /// What a request adds to the whole fleet's cost, by number of instances; scenario `control-cost` only.
+    pub per_request_by_instances: BTreeMap<usize, RequestCost>,
+    /// Further figures of one scenario, by name with unit.
+    pub figures: BTreeMap<String, f64>,
     /// Growth of control cost with the number of instances; scenario `control-cost` only.
     pub slopes: BTreeMap<String, Slope>,
     /// Attainment over time by workspace: (milliseconds, share).
--- a/crates/tc-bench/src/world/run.rs
+++ b/crates/tc-bench/src/world/run.rs
@@ -32,6 +32,8 @@
     pub(crate) verdict: Verdict,
     /// What instances spent on being part of the fleet, and on the load.
     pub(crate) control: ControlCost,
+    /// Time between the two readings that `control` is from.
+    pub(crate) measured_for: Duration,
     /// What the fault's part returned.
     pub(crate) fault: T,
 }
@@ -71,8 +73,10 @@
             .map(|at| self.instances[*at].id.clone())
             .collect();
         let before = self.probes().await;
+        let probed = Instant::now();
         let start = Instant::now() + LEAD_TIME;
         let (records, fault) = tokio::join!(run_load(load, start), fault(self, start));
+        let measured_for = probed.elapsed();
         let after = self.probes().await;
         tokio::time::sleep(SETTLE).await;
         let calls = self.seen_calls(start);
@@ -83,6 +87,7 @@
             calls,
             verdict,
             control: control_between(&before, &after),
+            measured_for,
             fault,
         }
     }
@@ -92,6 +97,13 @@
         self.run(label, seed, flows, &[], async |_, _| ()).await
     }
 
+    /// What instances spend while nothing is done to them for `length`.
+    pub(crate) async fn idle_cost(&self, length: Duration) -> ControlCost {
+        let before = self.probes().await;
+        tokio::time::sleep(length).await;
+        control_between(&before, &self.probes().await)
+    }
+
     /// Everything upstreams saw since the world's start; times count from `start`.
     pub(crate) fn seen_calls(&self, start: Instant) -> Vec<SeenCall> {
         self.recorder
