--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -4,7 +4,6 @@
 //! to be sent goes out as values. The same inputs always give the same outputs.
 
 mod addresses;
-mod lease;
 mod membership;
 mod order;
 mod pause;
@@ -14,7 +13,6 @@
 mod spread;
 
 pub use addresses::addresses;
-pub use lease::{Holder, LeaseState};
 pub use membership::{Kind, Membership, MembershipConfig, Message, Outgoing, Record};
 pub use order::{OrderGuard, StaleFence};
 pub use pause::PauseDetector;
--- a/crates/tc-membership/tests/orders.rs
+++ b/crates/tc-membership/tests/plan.rs
@@ -1,98 +1,14 @@
-//! Leases, and the plan of which models to load.
+//! The plan of which models to load.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::collections::BTreeMap;
 
-use tc_membership::{EngineState, Holder, LeaseState, ModelNeed, Plan, plan};
-use tc_protocol::{Incarnation, MonoTime};
-
-const TTL: Duration = Duration::from_secs(3);
-const MARGIN: Duration = Duration::from_millis(200);
+use tc_membership::{EngineState, ModelNeed, Plan, plan};
+use tc_protocol::MonoTime;
 
 fn at(millis: u64) -> MonoTime {
     MonoTime::from_millis(millis)
 }
 
-fn holder(incarnation: u64) -> Holder {
-    Holder {
-        id: "i1".into(),
-        incarnation: Incarnation(incarnation),
-    }
-}
-
-#[test]
-fn holder_stops_before_anyone_else_may_start() {
-    // Symptom: two instances give orders to one upstream at once.
-    // Sequence: the holder's renewals stop; another instance has seen the last one as late as can be.
-    // Cause: the holder counts its time from the answer of its write instead of from sending it.
-    let mut mine = LeaseState::new(holder(1), TTL);
-    let mut other = LeaseState::new(holder(2), TTL);
-    mine.written(at(1_000), 7);
-    other.observed(at(1_000), Some(holder(1)), 7);
-    other.observed(at(2_500), Some(holder(1)), 7);
-    for time in (1_000..6_000).step_by(50) {
-        let both = mine.may_act(at(time), MARGIN) && other.may_take(at(time), MARGIN);
-        assert!(!both, "at {time} ms");
-    }
-    assert!(other.may_take(at(4_200), MARGIN));
-}
-
-#[test]
-fn holding_ends_by() {
-    // Symptom: an instance acts on a lease that is no longer its own.
-    // Sequence: each case below, after a write that succeeded.
-    // Cause: the loss is not noticed, or the pause not told.
-    type Event = fn(&mut LeaseState);
-    let cases: [(&str, Event, bool); 6] = [
-        ("nothing", |_| {}, true),
-        ("a failed conditional write", LeaseState::lost, false),
-        ("a pause", LeaseState::woke, false),
-        (
-            "another holder",
-            |l| l.observed(at(1_100), Some(holder(2)), 8),
-            false,
-        ),
-        (
-            "a write of ours we do not know",
-            |l| l.observed(at(1_100), Some(holder(1)), 8),
-            false,
-        ),
-        (
-            "a late, older read does not",
-            |l| l.observed(at(1_100), Some(holder(2)), 6),
-            true,
-        ),
-    ];
-    for (name, event, may_act) in cases {
-        let mut lease = LeaseState::new(holder(1), TTL);
-        lease.written(at(1_000), 7);
-        event(&mut lease);
-        assert_eq!(lease.may_act(at(1_200), MARGIN), may_act, "{name}");
-    }
-}
-
-#[test]
-fn late_answer_to_an_old_write_is_no_holding() {
-    // Symptom: two holders after a slow answer.
-    // Sequence: our write succeeds as version 7; another takes the lease as 8, which we read; our answer arrives.
-    // Cause: the answer is believed without looking at what was read since.
-    let mut lease = LeaseState::new(holder(1), TTL);
-    lease.observed(at(1_000), Some(holder(2)), 8);
-    lease.written(at(900), 7);
-    assert!(!lease.may_act(at(1_100), MARGIN));
-}
-
-#[test]
-fn renewal_is_due_after_a_third_and_after_a_pause() {
-    let mut lease = LeaseState::new(holder(1), TTL);
-    lease.written(at(1_000), 7);
-    assert!(!lease.renew_due(at(1_900)));
-    assert!(lease.renew_due(at(2_000)));
-    lease.written(at(2_000), 8);
-    lease.woke();
-    assert!(lease.renew_due(at(2_100)));
-    assert_eq!(lease.version(), Some(8));
-}
-
 fn need(floor: u32, demand: f64) -> ModelNeed {
     ModelNeed {
         version: "1".into(),
