Split the start of the fleet layer and drop three unused functions

Fleet::start hands the start of orders and the asks' parts to functions of their own. Fleet::held_permits, HeldTable::len and Recorder::starts_since had no user, in tests neither.

--- a/crates/tc-fleet/src/entry/held.rs
+++ b/crates/tc-fleet/src/entry/held.rs
@@ -45,10 +45,6 @@
         self.lock().remove(key)
     }
 
-    pub(crate) fn len(&self) -> usize {
-        self.lock().len()
-    }
-
     /// Moves permits to the homes of `view`; returns those that moved, to be announced there.
     ///
     /// A new home does not know what runs on its upstream. Without the announcement it would grant up to the full
--- a/crates/tc-fleet/src/fleet.rs
+++ b/crates/tc-fleet/src/fleet.rs
@@ -75,35 +75,15 @@
             .await
             .map_err(|error| FleetError::Actors(error.to_string()))?;
         start_tasks(&settings, &parts, &node, &upstream);
-        let orders = Arc::new(OrderDesk::new(
-            Arc::clone(&parts.known),
-            Arc::clone(&parts.view),
-            parts.store.clone(),
-            upstream.clone(),
-        ));
-        tokio::spawn(run_planner(parts.clone(), Arc::clone(&orders), upstream));
-        serve(
-            &settings,
-            listener,
-            ServiceParts {
-                parts: parts.clone(),
-                node: node.clone(),
-                orders,
-                explain: local.explain,
-                report: local.report,
-            },
-        );
-        let desk = Arc::new(AskDesk::new(DeskArgs {
-            me: settings.me.id.clone(),
-            policy: settings.policy,
-            view: Arc::clone(&parts.view),
-            summaries: Arc::clone(&parts.summaries),
-            peers: Arc::clone(&parts.peers),
-            homes: parts.homes.clone(),
+        let service = ServiceParts {
+            parts: parts.clone(),
             node: node.clone(),
-            held: Arc::clone(&parts.held),
-            suspects: Arc::clone(&parts.suspects),
-        }));
+            orders: start_orders(&parts, upstream),
+            explain: local.explain,
+            report: local.report,
+        };
+        serve(&settings, listener, service);
+        let desk = Arc::new(AskDesk::new(desk_args(&settings, &parts, &node)));
         Ok(Self {
             inner: Arc::new(Inner { parts, node, desk }),
         })
@@ -169,12 +149,6 @@
         let _ = self.inner.node.cast(NodeMsg::Leave);
     }
 
-    /// Permits held by this instance's own requests.
-    #[must_use]
-    pub fn held_permits(&self) -> usize {
-        self.inner.parts.held.len()
-    }
-
     /// Upstreams homed here and permits they have in flight.
     pub async fn homes(&self) -> (usize, usize) {
         let (reply, answer) = oneshot::channel();
@@ -284,3 +258,28 @@
         }
     }
 }
+
+fn start_orders(parts: &NodeParts, upstream: UpstreamClient) -> Arc<OrderDesk> {
+    let orders = Arc::new(OrderDesk::new(
+        Arc::clone(&parts.known),
+        Arc::clone(&parts.view),
+        parts.store.clone(),
+        upstream.clone(),
+    ));
+    tokio::spawn(run_planner(parts.clone(), Arc::clone(&orders), upstream));
+    orders
+}
+
+fn desk_args(settings: &FleetSettings, parts: &NodeParts, node: &ActorRef<NodeMsg>) -> DeskArgs {
+    DeskArgs {
+        me: settings.me.id.clone(),
+        policy: settings.policy,
+        view: Arc::clone(&parts.view),
+        summaries: Arc::clone(&parts.summaries),
+        peers: Arc::clone(&parts.peers),
+        homes: parts.homes.clone(),
+        node: node.clone(),
+        held: Arc::clone(&parts.held),
+        suspects: Arc::clone(&parts.suspects),
+    }
+}
--- a/crates/tc-stand-ins/src/recorder/mod.rs
+++ b/crates/tc-stand-ins/src/recorder/mod.rs
@@ -12,7 +12,6 @@
         Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Instant,
 };
 
 use tc_protocol::{RequestId, StageName};
@@ -89,12 +88,6 @@
         doubled
     }
 
-    /// Calls started at `since` or later, in order of arrival.
-    #[must_use]
-    pub fn starts_since(&self, since: Instant) -> Vec<CallRecord> {
-        self.select(|call| call.started_at.is_some_and(|at| at >= since))
-    }
-
     /// Calls that have not ended.
     #[must_use]
     pub fn running(&self) -> usize {
