Drop times that nobody reads and a log line that stood twice

Five functions of membership and spread took a time and ignored it.

The tests of tc-membership differ in the dropped arguments only.

--- a/crates/tc-fleet/src/node/actor.rs
+++ b/crates/tc-fleet/src/node/actor.rs
@@ -120,8 +120,8 @@
             NodeMsg::Learn(records) => self.learn(now, &records),
             NodeMsg::Listed(list) => return self.listed(now, list),
             NodeMsg::Drained(drained) => return replace(&mut self.marks.drained, drained),
-            NodeMsg::Config(object) => return self.apply(now, *object),
-            NodeMsg::PlatformUnchanged => self.spread.platform_unchanged(now),
+            NodeMsg::Config(object) => return self.apply(*object),
+            NodeMsg::PlatformUnchanged => self.spread.platform_unchanged(),
             NodeMsg::PlatformFailed => self.spread.platform_failed(now),
             NodeMsg::Pulled { from, delta } => return self.pulled(now, &from, delta),
             NodeMsg::SaysLeaving { upstream, leaving } => {
@@ -132,12 +132,12 @@
                 self.tick(now, None);
             }
             NodeMsg::Leave => {
-                let outgoing = self.membership.leave(now);
+                let outgoing = self.membership.leave();
                 self.send(outgoing);
                 return true;
             }
             NodeMsg::Stay => {
-                let outgoing = self.membership.stay(now);
+                let outgoing = self.membership.stay();
                 self.send(outgoing);
                 return true;
             }
@@ -204,7 +204,7 @@
             self.spread.pull_failed(now, from);
             return false;
         };
-        self.apply(now, object)
+        self.apply(object)
     }
 
     fn spread_suspects(&mut self) {
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -137,14 +137,14 @@
     }
 
     /// Puts a configuration in force if it is valid and newer; returns whether it was.
-    pub(crate) fn apply(&mut self, now: MonoTime, object: ConfigObject) -> bool {
+    pub(crate) fn apply(&mut self, object: ConfigObject) -> bool {
         if object.revision <= self.spread.in_force() {
-            self.spread.applied(now, object.revision);
+            self.spread.applied(object.revision);
             return false;
         }
         match config::read(&object) {
             Ok(config) => {
-                if !self.spread.applied(now, object.revision) {
+                if !self.spread.applied(object.revision) {
                     return false;
                 }
                 log::info!(revision = object.revision; "configuration in force");
@@ -157,7 +157,7 @@
             Err(error) => {
                 log::error!(revision = object.revision; "configuration rejected, the last valid one stays in force: {error}");
                 metrics::counter!("tc_config_rejected_total").increment(1);
-                self.spread.rejected(now, object.revision);
+                self.spread.rejected(object.revision);
                 false
             }
         }
--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -143,7 +143,7 @@
     }
 
     /// Says that this instance is stopping on purpose.
-    pub fn leave(&mut self, _now: MonoTime) -> Vec<Outgoing> {
+    pub fn leave(&mut self) -> Vec<Outgoing> {
         if self.me.member.state != MemberState::Leaving {
             self.me.member.state = MemberState::Leaving;
             self.me.refutation += 1;
@@ -153,7 +153,7 @@
     }
 
     /// Takes a [`Membership::leave`] back.
-    pub fn stay(&mut self, _now: MonoTime) -> Vec<Outgoing> {
+    pub fn stay(&mut self) -> Vec<Outgoing> {
         if self.me.member.state == MemberState::Leaving {
             self.me.member.state = MemberState::Alive;
             self.me.refutation += 1;
--- a/crates/tc-membership/src/spread.rs
+++ b/crates/tc-membership/src/spread.rs
@@ -79,8 +79,8 @@
     /// let now = MonoTime::from_millis(1);
     /// spread.heard(now, &"kl-a-1".into(), 4);
     /// assert_eq!(spread.next_pull(now, false, false), Pull::From("kl-a-1".into()));
-    /// assert!(spread.applied(now, 4));
-    /// assert!(!spread.applied(now, 3));
+    /// assert!(spread.applied(4));
+    /// assert!(!spread.applied(3));
     /// assert_eq!(spread.in_force(), 4);
     /// ```
     #[must_use]
@@ -175,7 +175,7 @@
 
     /// A valid revision is here. Returns whether to put it in force: only if it is newer than the one that is, so that
     /// no instance ever goes back, whatever order answers come in.
-    pub fn applied(&mut self, _now: MonoTime, revision: u64) -> bool {
+    pub fn applied(&mut self, revision: u64) -> bool {
         self.known = self.known.max(revision);
         self.in_progress = None;
         if revision <= self.in_force {
@@ -196,12 +196,11 @@
     /// let mut spread = Spread::new(1);
     /// let now = MonoTime::from_millis(1);
     /// spread.heard(now, &"kl-a-1".into(), 4);
-    /// spread.rejected(now, 4);
+    /// spread.rejected(4);
     /// assert_eq!(spread.in_force(), 0);
     /// assert_eq!(spread.next_pull(now, false, false), Pull::Nothing);
     /// ```
-    pub fn rejected(&mut self, _now: MonoTime, revision: u64) {
-        log::error!(revision; "configuration rejected as invalid; revision {} stays in force", self.in_force);
+    pub fn rejected(&mut self, revision: u64) {
         self.known = self.known.max(revision);
         self.in_progress = None;
         self.rejections += 1;
@@ -233,7 +232,7 @@
     }
 
     /// The platform was read and has nothing newer.
-    pub fn platform_unchanged(&mut self, _now: MonoTime) {
+    pub fn platform_unchanged(&mut self) {
         self.end_watch();
         self.platform = Backoff::default();
         self.failures_in_a_row = 0;
--- a/crates/tc-membership/tests/spread.rs
+++ b/crates/tc-membership/tests/spread.rs
@@ -15,7 +15,7 @@
 /// An instance with revision 3 in force that has heard of 5 at `a` and 4 at `b`.
 fn behind() -> Spread {
     let mut spread = Spread::new(1);
-    assert!(spread.applied(NOW, 3));
+    assert!(spread.applied(3));
     spread.heard(NOW, &peer("a"), 5);
     spread.heard(NOW, &peer("b"), 4);
     spread
@@ -34,7 +34,7 @@
         (6, true, 6),
         (5, false, 6),
     ] {
-        assert_eq!(spread.applied(NOW, revision), applied);
+        assert_eq!(spread.applied(revision), applied);
         assert_eq!(spread.in_force(), in_force);
     }
 }
@@ -91,11 +91,11 @@
     // Cause: only the revision in force is compared.
     let mut spread = behind();
     spread.next_pull(NOW, false, false);
-    spread.rejected(NOW, 5);
+    spread.rejected(5);
     assert_eq!((spread.in_force(), spread.rejections()), (3, 1));
     spread.heard(NOW, &peer("c"), 5);
     assert_eq!(spread.next_pull(NOW, false, false), Pull::From(peer("b")));
-    spread.applied(NOW, 4);
+    spread.applied(4);
     assert_eq!(spread.next_pull(LATER, false, false), Pull::Nothing);
     spread.heard(LATER, &peer("c"), 6);
     assert_eq!(spread.next_pull(LATER, false, false), Pull::From(peer("c")));
@@ -147,7 +147,7 @@
     ];
     for (name, in_force, heard, watcher, reachable, expected) in cases {
         let mut spread = Spread::new(1);
-        spread.applied(NOW, in_force);
+        spread.applied(in_force);
         if heard > 0 {
             spread.heard(NOW, &peer("p"), heard);
         }
--- a/crates/tc-membership/tests/support/mod.rs
+++ b/crates/tc-membership/tests/support/mod.rs
@@ -170,13 +170,13 @@
     pub(crate) fn leave(&mut self, index: usize) {
         if self.runs(index) {
             self.nodes[index].left = true;
-            let out = self.nodes[index].machine.leave(self.now);
+            let out = self.nodes[index].machine.leave();
             self.send(index, out);
         }
     }
 
     pub(crate) fn publish(&mut self, index: usize, revision: u64) {
-        if self.runs(index) && self.nodes[index].spread.applied(self.now, revision) {
+        if self.runs(index) && self.nodes[index].spread.applied(revision) {
             self.nodes[index].machine.set_revision(revision);
         }
     }
@@ -269,7 +269,7 @@
         let revision = self.nodes[peer].spread.in_force();
         let reachable = self.runs(peer) && self.links.side[peer] == self.links.side[index];
         let node = &mut self.nodes[index];
-        if reachable && node.spread.applied(self.now, revision) {
+        if reachable && node.spread.applied(revision) {
             node.machine.set_revision(revision);
         } else {
             node.spread.pull_failed(self.now, from);
