--- a/crates/tc-bench/tests/measure.rs
+++ b/crates/tc-bench/tests/measure.rs
@@ -4,8 +4,8 @@
 
 use common::{call, record, right};
 use tc_bench::{
-    CallRecord, Ended, Latencies, SeenCall, Told, attainment, by_workspace, costs, recovery_ms,
-    slope, timeline,
+    CallRecord, ControlCost, Ended, Latencies, RequestCost, SeenCall, Told, attainment,
+    by_workspace, costs, recovery_ms, slope, timeline,
 };
 
 fn near(a: f64, b: f64) -> bool {
@@ -144,3 +144,24 @@
         assert!(near(line.at_zero, at_zero), "{points:?}");
     }
 }
+
+#[test]
+fn a_request_costs_what_load_adds_to_the_whole_fleet() {
+    let cost = |cpu_percent, entry: f64, home: f64| ControlCost {
+        cpu_percent,
+        stream_bytes_per_s: [("entry".to_owned(), entry), ("home".to_owned(), home)].into(),
+        ..ControlCost::default()
+    };
+    let idle = cost(0.5, 10.0, 0.0);
+    let cases = [
+        (idle.clone(), 4, 50.0, 0.0, 0.0),
+        (cost(5.5, 110.0, 25.0), 4, 50.0, 4.0, 10.0),
+        (cost(5.5, 110.0, 25.0), 8, 50.0, 8.0, 20.0),
+        (cost(5.5, 110.0, 25.0), 4, 0.0, 0.0, 0.0),
+    ];
+    for (loaded, instances, per_s, cpu_ms, stream_bytes) in cases {
+        let found = RequestCost::between(&idle, &loaded, instances, per_s);
+        assert!(near(found.cpu_ms, cpu_ms), "{instances}: {found:?}");
+        assert!(near(found.stream_bytes, stream_bytes), "{found:?}");
+    }
+}
