Cut failure domains from each other in the bench, and heal them

Cause: nothing could show what happens when failure domains cannot reach each other; the system's processes spoke directly.

A relay stands before every instance of the scenario domain-cut; the instance advertises the relay's address (--fleet-advertise). Each domain has its own loopback IP number, by which the relay tells who sends. During a cut datagrams are dropped and connections stall without being closed; after the heal those are reset. A relay cannot keep the kernel from accepting, so a connection opened during a cut opens and then nothing comes.

--- a/crates/tc-bench/src/measure/control.rs
+++ b/crates/tc-bench/src/measure/control.rs
@@ -17,6 +17,7 @@
 /// Counter of bytes of asks, answers and releases, labelled with the `role` of the instance that writes them.
 const STREAM_BYTES: &str = "tc_fleet_stream_bytes_total";
 /// Metric that counts calls to the platform, labelled with `purpose`.
+const CONFIG_REVISION: &str = "tc_config_revision";
 const PLATFORM_CALLS: &str = "tc_platform_calls_total";
 const MAYBE_APPLIED: &str = "result=\"maybe_applied\"";
 
@@ -214,6 +215,11 @@
         .filter_map(|(name, value)| Some((name, value.parse().ok()?)))
 }
 
+/// Revision of the configuration in force at an instance with these metrics; 0 before the first.
+pub(crate) fn revision_in_force(metrics: &str) -> u64 {
+    sum_of(metrics, CONFIG_REVISION, "") as u64
+}
+
 /// Calls to the platform whose write may have taken effect though its answer was lost.
 pub(crate) fn lost_answers(metrics: &str) -> f64 {
     sum_of(metrics, PLATFORM_CALLS, MAYBE_APPLIED)
--- a/crates/tc-bench/src/scenario/mod.rs
+++ b/crates/tc-bench/src/scenario/mod.rs
@@ -5,6 +5,7 @@
 mod config_race;
 mod control_cost;
 mod crashing_request;
+mod domain_cut;
 mod kill_instance;
 mod leaving_upstream;
 mod limits;
@@ -59,6 +60,7 @@
     mixed::SCENARIO,
     limits::SCENARIO,
     kill_instance::SCENARIO,
+    domain_cut::SCENARIO,
     store_outage::SCENARIO,
     lost_answers::SCENARIO,
     crashing_request::SCENARIO,
--- a/crates/tc-bench/src/world/instance.rs
+++ b/crates/tc-bench/src/world/instance.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Child, ExitStatus, Stdio},
     time::{Duration, Instant},
@@ -21,6 +21,7 @@
     FLEET_KEY, OPERATOR_TOKEN,
     binary::SystemBinary,
     ports::free_address,
+    relay::{DomainCuts, Relay, domain_ip},
     spec::{Place, PolicyChoice},
 };
 use crate::error::BenchError;
@@ -40,8 +41,11 @@
     pub(crate) place: Place,
     /// Where callers connect.
     pub(crate) caller: SocketAddr,
-    /// Where instances connect.
+    /// Where instances are told to connect.
     pub(crate) fleet: SocketAddr,
+    fleet_listen: SocketAddr,
+    /// Stands at `fleet` before this instance, where domains may be cut from each other.
+    _relay: Option<Relay>,
     /// Where operators connect.
     pub(crate) admin: SocketAddr,
     child: Option<Child>,
@@ -50,13 +54,27 @@
 
 impl Instance {
     /// An instance that has its addresses but no process yet.
-    pub(super) fn new(id: &str, place: Place, logs: &std::path::Path) -> Result<Self, BenchError> {
+    ///
+    /// With `cuts` it gets a relay, and listens for other instances at its failure domain's IP number.
+    pub(super) fn new(
+        id: &str,
+        place: Place,
+        logs: &std::path::Path,
+        cuts: Option<&DomainCuts>,
+    ) -> Result<Self, BenchError> {
+        let fleet_ip = cuts.map_or(Ipv4Addr::LOCALHOST, |_| domain_ip(&place.failure_domain));
+        let fleet_listen = free_address(fleet_ip)?;
+        let relay = cuts
+            .map(|cuts| Relay::start(fleet_listen, cuts))
+            .transpose()?;
         Ok(Self {
             id: id.into(),
             place,
-            caller: free_address()?,
-            fleet: free_address()?,
-            admin: free_address()?,
+            caller: free_address(Ipv4Addr::LOCALHOST)?,
+            fleet: relay.as_ref().map_or(fleet_listen, |r| r.address),
+            fleet_listen,
+            _relay: relay,
+            admin: free_address(Ipv4Addr::LOCALHOST)?,
             child: None,
             log: logs.join(format!("{id}.log")),
         })
@@ -99,7 +117,8 @@
         for (flag, value) in [
             ("--instance-id", self.id.to_string()),
             ("--listen", self.caller.to_string()),
-            ("--fleet-listen", self.fleet.to_string()),
+            ("--fleet-listen", self.fleet_listen.to_string()),
+            ("--fleet-advertise", self.fleet.to_string()),
             ("--admin-listen", self.admin.to_string()),
             ("--failure-domain", self.place.failure_domain.to_string()),
             ("--region", self.place.region.to_string()),
--- a/crates/tc-bench/src/world/mod.rs
+++ b/crates/tc-bench/src/world/mod.rs
@@ -5,6 +5,7 @@
 mod instance;
 mod ports;
 mod ready;
+mod relay;
 mod run;
 mod spec;
 mod standard;
@@ -12,6 +13,7 @@
 mod upstream;
 
 pub(crate) use config_folder::{Applied, ConfigFolder};
+pub(crate) use relay::DomainCuts;
 pub(crate) use run::Run;
 pub(crate) use spec::{PolicyChoice, Timing, example_spec};
 pub(crate) use standard::{Shape, standard_flows, standard_spec};
--- a/crates/tc-bench/src/world/ports.rs
+++ b/crates/tc-bench/src/world/ports.rs
@@ -17,16 +17,16 @@
 
 static NEXT: AtomicU32 = AtomicU32::new(0);
 
-/// Finds a loopback address whose port is free for both TCP and UDP.
-pub(super) fn free_address() -> Result<SocketAddr, BenchError> {
+/// Finds an address of this loopback IP number whose port is free for both TCP and UDP.
+pub(super) fn free_address(ip: Ipv4Addr) -> Result<SocketAddr, BenchError> {
     let origin = std::process::id().wrapping_mul(STRIDE);
     for _ in 0..RANGE {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST + origin.wrapping_add(step) % RANGE;
-        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port as u16));
+        let address = SocketAddr::from((ip, port as u16));
         if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
-    Err(BenchError::World("no free port on 127.0.0.1".to_owned()))
+    Err(BenchError::World(format!("no free port on {ip}")))
 }
--- a/crates/tc-bench/src/world/ready.rs
+++ b/crates/tc-bench/src/world/ready.rs
@@ -81,6 +81,17 @@
         None
     }
 
+    /// How many live instances each running instance sees; 0 for one that does not answer.
+    pub(crate) async fn alive_counts(&self) -> Vec<usize> {
+        let running = self.instances.iter().filter(|i| i.pid().is_some());
+        let counts = running.map(async |instance| {
+            let status = self.status(instance.admin).await;
+            let instances = status.map_or_else(Vec::new, |status| status.instances);
+            instances.iter().filter(|i| i.state == "alive").count()
+        });
+        futures::future::join_all(counts).await
+    }
+
     async fn status(&self, admin: std::net::SocketAddr) -> Option<Status> {
         let url = format!("http://{admin}/admin/status");
         let text = get_text(&self.http, &url, OPERATOR_TOKEN, ADMIN_TIMEOUT).await?;
--- a/crates/tc-bench/src/world/start.rs
+++ b/crates/tc-bench/src/world/start.rs
@@ -10,6 +10,7 @@
     binary::SystemBinary,
     config_folder::{Applied, ConfigFolder},
     instance::Instance,
+    relay::DomainCuts,
     spec::{Place, PolicyChoice, Timing, WorldSpec},
     upstream::UpstreamHandle,
 };
@@ -43,6 +44,7 @@
     pub(crate) http: Http,
     policy: PolicyChoice,
     logs: ConfigFolder,
+    cuts: Option<DomainCuts>,
     /// Stops when dropped; engines know its address.
     _weights: Option<WeightStore>,
 }
@@ -50,6 +52,17 @@
 impl World {
     /// Starts everything and waits until every instance serves.
     pub(crate) async fn start(spec: WorldSpec) -> Result<Self, BenchError> {
+        Self::start_with(spec, None).await
+    }
+
+    /// The same with relays between the instances, by which failure domains can be cut from each other.
+    pub(crate) async fn start_cuttable(spec: WorldSpec) -> Result<(Self, DomainCuts), BenchError> {
+        let cuts = DomainCuts::new();
+        let world = Self::start_with(spec, Some(cuts.clone())).await?;
+        Ok((world, cuts))
+    }
+
+    async fn start_with(spec: WorldSpec, cuts: Option<DomainCuts>) -> Result<Self, BenchError> {
         let binary = SystemBinary::find()?;
         let platform = Platform::start(SocketAddr::from(([127, 0, 0, 1], 0)))
             .await
@@ -75,6 +88,7 @@
             http: http_client(),
             policy: spec.policy,
             logs: ConfigFolder::create()?,
+            cuts,
             _weights: weights,
         };
         world.list_upstreams();
@@ -122,7 +136,7 @@
     pub(crate) fn prepare_instance(&mut self, place: Place) -> Result<usize, BenchError> {
         let at = self.instances.len();
         let id = format!("{}-i{}", place.failure_domain, at + 1);
-        let instance = Instance::new(&id, place, self.logs.path())?;
+        let instance = Instance::new(&id, place, self.logs.path(), self.cuts.as_ref())?;
         self.instances.push(instance);
         Ok(at)
     }
