Test where calls between instances leave from and what others are told

Two tests: a seed sees the call come from the listening IP number, and an instance that is introduced by a seed learns the advertised address. The instances of the tests can be started with a listening and an advertised address.

--- a/crates/tc-fleet/tests/fleet/common.rs
+++ b/crates/tc-fleet/tests/fleet/common.rs
@@ -31,6 +31,19 @@
         platform: SocketAddr,
         seeds: Vec<SocketAddr>,
         key: &str,
+    ) -> Self {
+        let address = free_address();
+        Self::start_at([address; 2], id, domain, platform, seeds, key)
+    }
+
+    /// One that listens for other instances at the first address and tells them the second.
+    pub(crate) fn start_at(
+        [fleet_listen, fleet_address]: [SocketAddr; 2],
+        id: &str,
+        domain: &str,
+        platform: SocketAddr,
+        seeds: Vec<SocketAddr>,
+        key: &str,
     ) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -41,14 +54,14 @@
             id: id.into(),
             incarnation: Incarnation(1),
             caller_address: free_address(),
-            fleet_address: free_address(),
+            fleet_address,
             failure_domain: domain.into(),
             region: "kl".into(),
             state: MemberState::Alive,
         };
         let settings = FleetSettings {
             me: member.clone(),
-            fleet_listen: member.fleet_address,
+            fleet_listen,
             seeds,
             keys: FleetKeys::new(&[key]).unwrap(),
             policy: AskPolicy::Home,
--- a/crates/tc-fleet/tests/fleet/main.rs
+++ b/crates/tc-fleet/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! Several instances' fleet layers in one process, over real sockets.
 
+mod addresses;
 mod common;
 mod limits;
 mod orders;
