--- a/crates/tc-bench/src/scenario/mod.rs
+++ b/crates/tc-bench/src/scenario/mod.rs
@@ -1,11 +1,13 @@
 //! The scenarios: each sets up a world, sends a load, does something to the world, and says what has to hold.
 
+mod bad_answers;
 mod broken_streams;
 mod burst;
 mod config_race;
 mod control_cost;
 mod crashing_request;
 mod domain_cut;
+mod domain_loss;
 mod kill_instance;
 mod leaving_upstream;
 mod limits;
@@ -20,6 +22,8 @@
 mod steady;
 mod store_outage;
 mod straggler;
+mod target_config;
+mod target_files;
 
 pub(crate) use mixed::flows as example_flows;
 pub(crate) use settings::Settings;
@@ -60,17 +64,20 @@
     mixed::SCENARIO,
     limits::SCENARIO,
     kill_instance::SCENARIO,
+    domain_loss::SCENARIO,
     domain_cut::SCENARIO,
     store_outage::SCENARIO,
     lost_answers::SCENARIO,
     crashing_request::SCENARIO,
     broken_streams::SCENARIO,
+    bad_answers::SCENARIO,
     config_race::SCENARIO,
     leaving_upstream::SCENARIO,
     planned_stop::SCENARIO,
     rolling_restart::SCENARIO,
     paused_leaseholder::SCENARIO,
     control_cost::SCENARIO,
+    target_config::SCENARIO,
 ];
 
 /// The scenario with this name.
--- a/crates/tc-bench/src/world/mod.rs
+++ b/crates/tc-bench/src/world/mod.rs
@@ -10,14 +10,16 @@
 mod spec;
 mod standard;
 mod start;
+mod target_places;
 mod upstream;
 
 pub(crate) use config_folder::{Applied, ConfigFolder};
 pub(crate) use relay::DomainCuts;
 pub(crate) use run::Run;
-pub(crate) use spec::{PolicyChoice, Timing, example_spec};
+pub(crate) use spec::{PolicyChoice, Timing, WorldSpec, example_spec};
 pub(crate) use standard::{Shape, standard_flows, standard_spec};
 pub(crate) use start::World;
+pub(crate) use target_places::{TARGET_DOMAINS, target_places};
 
 /// Secret the instances of a world share; worlds live on loopback addresses for seconds.
 const FLEET_KEY: &str = "bench-fleet-key-not-a-secret";
