--- a/crates/tc-bench/src/scenario/domain_cut.rs
+++ b/crates/tc-bench/src/scenario/domain_cut.rs
@@ -48,7 +48,7 @@
 
 /// What was seen while the domains were cut from each other and after.
 struct Seen {
-    /// How many instances were seen alive by each, at the end of the cut.
+    /// How many instances were seen alive by each, once the change was in force or late.
     alive_during: Vec<usize>,
     /// Time from the apply until its revision was in force at each instance.
     in_force: Option<Duration>,
