--- a/crates/tc-fleet/src/limits.rs
+++ b/crates/tc-fleet/src/limits.rs
@@ -129,12 +129,12 @@
             // Inside the shard the home sets a part aside for whoever does not report.
             let outside = limited.live_entries == OUTSIDE_SHARD;
             let idle = outside && demand.requests_per_s <= 0.0 && demand.concurrency <= 0.0;
-            let Some(home) = home_of(&format!("limit/{name}"), &view.members, None, None) else {
-                continue;
-            };
             if idle {
                 continue;
             }
+            let Some(home) = home_of(&format!("limit/{name}"), &view.members, None, None) else {
+                continue;
+            };
             let report = reports
                 .entry(home.id.clone())
                 .or_insert_with(|| ShareReport {
--- a/crates/tc-membership/src/addresses.rs
+++ b/crates/tc-membership/src/addresses.rs
@@ -50,7 +50,7 @@
 fn by_domain<'a>(workspace: &WorkspaceName, members: &'a [Member]) -> Vec<VecDeque<&'a Member>> {
     let key = workspace.as_str();
     let mut ranked = usable(members);
-    ranked.sort_by_key(|m| (Reverse(rank(INSTANCE_ROLE, key, m.id.as_str())), &m.id));
+    ranked.sort_by_cached_key(|m| (Reverse(rank(INSTANCE_ROLE, key, m.id.as_str())), &m.id));
     let mut domains: BTreeMap<(Reverse<u64>, &FailureDomain), VecDeque<&Member>> = BTreeMap::new();
     for member in ranked {
         let domain = &member.failure_domain;
