Say 'queued' only of asks that wait

Cause: every ask was answered 'queued' before its verdict, so an ask of another instance's home cost two frames and woke both sides twice. The home itself says it now, when it queues; silence still shows a home that is not there.

--- a/crates/tc-fleet/src/entry/ask.rs
+++ b/crates/tc-fleet/src/entry/ask.rs
@@ -210,6 +210,7 @@
             let _ = self.args.homes.cast(HomesMsg::Ask {
                 upstream,
                 ask: home_ask,
+                on_queued: Box::new(|| ()),
                 reply,
             });
             return;
--- a/crates/tc-fleet/src/homes/actor.rs
+++ b/crates/tc-fleet/src/homes/actor.rs
@@ -12,7 +12,7 @@
 
 use super::{
     HomeAnswer,
-    slot::{HomeAsk, HomeVerdict, KnownUpstream, ReplyTo, Slot},
+    slot::{HomeAsk, HomeVerdict, KnownUpstream, OnQueued, ReplyTo, Slot},
 };
 use crate::{settings::HOUSEKEEPING_INTERVAL, summary::SummaryTable};
 
@@ -37,6 +37,7 @@
     Ask {
         upstream: UpstreamId,
         ask: HomeAsk,
+        on_queued: OnQueued,
         reply: ReplyTo,
     },
     Cancel {
@@ -116,8 +117,9 @@
             HomesMsg::Ask {
                 upstream,
                 ask,
+                on_queued,
                 reply,
-            } => self.ask(now, &upstream, ask, reply),
+            } => self.ask(now, &upstream, ask, on_queued, reply),
             HomesMsg::Cancel {
                 upstream,
                 entry,
@@ -137,7 +139,14 @@
         }
     }
 
-    fn ask(&mut self, now: MonoTime, upstream: &UpstreamId, ask: HomeAsk, reply: ReplyTo) {
+    fn ask(
+        &mut self,
+        now: MonoTime,
+        upstream: &UpstreamId,
+        ask: HomeAsk,
+        on_queued: OnQueued,
+        reply: ReplyTo,
+    ) {
         if !self.ensure(now, upstream) {
             reply(unknown_upstream());
             return;
@@ -146,7 +155,7 @@
             return;
         };
         let better = || best_alternative(now, &self.known, &self.summaries, upstream);
-        slot.ask(now, ask, better, reply);
+        slot.ask(now, ask, better, on_queued, reply);
         self.settle(now, upstream);
     }
 
--- a/crates/tc-fleet/src/homes/slot.rs
+++ b/crates/tc-fleet/src/homes/slot.rs
@@ -68,6 +68,9 @@
 /// Takes the answer back to the entry that asked.
 pub(crate) type ReplyTo = Box<dyn FnOnce(HomeAnswer) + Send>;
 
+/// Tells the entry that its ask waits; not called when the answer is there at once.
+pub(crate) type OnQueued = Box<dyn FnOnce() + Send>;
+
 struct Waiter {
     entry: InstanceId,
     ask: u64,
@@ -123,6 +126,7 @@
         now: MonoTime,
         ask: HomeAsk,
         better: impl FnOnce() -> Option<UpstreamId>,
+        on_queued: OnQueued,
         reply: ReplyTo,
     ) {
         if self.moved {
@@ -160,6 +164,7 @@
                     self.suspect = Some(SuspectUse::Waiting(key));
                 }
                 self.waiters.insert(key, waiter);
+                on_queued();
             }
             AskVerdict::Redirect { wait } => {
                 let verdict = HomeVerdict::Redirect {
--- a/crates/tc-fleet/src/server.rs
+++ b/crates/tc-fleet/src/server.rs
@@ -220,17 +220,21 @@
 ) {
     let upstream = UpstreamId::from(ask.upstream.as_str());
     let number = ask.ask;
-    // Told before the verdict, which may take as long as the queue is: silence means that nobody is here.
-    let _ = answers.send(Numbered {
+    let waiting = Numbered {
         ask: number,
         upstream: upstream.clone(),
         answer: None,
+    };
+    let to_entry = answers.clone();
+    let on_queued = Box::new(move || {
+        let _ = to_entry.send(waiting);
     });
     let reply = reply_to(homes.clone(), upstream.clone(), number, answers.clone());
     let ask = home_ask(entry, ask);
     let _ = homes.cast(HomesMsg::Ask {
         upstream,
         ask,
+        on_queued,
         reply,
     });
 }
