--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -13,8 +13,6 @@
     table::{Merged, Table},
 };
 
-/// Instances that are told directly that this one is leaving; the others hear it from them.
-const TOLD_OF_LEAVING: usize = 32;
 /// Instances expected to probe a suspect at once, over the whole fleet: enough that it hears of the suspicion, few
 /// enough not to flood it.
 const PROBERS_OF_SUSPECT: f64 = 8.0;
@@ -142,26 +140,6 @@
         self.changed = true;
     }
 
-    /// Says that this instance is stopping on purpose.
-    pub fn leave(&mut self) -> Vec<Outgoing> {
-        if self.me.member.state != MemberState::Leaving {
-            self.me.member.state = MemberState::Leaving;
-            self.me.refutation += 1;
-            self.changed = true;
-        }
-        self.announce(TOLD_OF_LEAVING, None)
-    }
-
-    /// Takes a [`Membership::leave`] back.
-    pub fn stay(&mut self) -> Vec<Outgoing> {
-        if self.me.member.state == MemberState::Leaving {
-            self.me.member.state = MemberState::Alive;
-            self.me.refutation += 1;
-            self.changed = true;
-        }
-        self.announce(TOLD_OF_LEAVING, None)
-    }
-
     /// This process was paused: what it did not hear meanwhile says nothing.
     ///
     /// Acting on timers that ran out during the pause would call many instances dead at once, seen as a fleet that
--- a/crates/tc-membership/src/membership/mod.rs
+++ b/crates/tc-membership/src/membership/mod.rs
@@ -6,6 +6,7 @@
 
 mod config;
 mod dissemination;
+mod leaving;
 mod machine;
 mod message;
 mod probe;
