Add a mesh between instances for routed requests: members, asks for pieces, copies of the store's state

Cause: homes of batch services, and instances that the store turns away, need calls between instances without the permit streams and the polling of the product's own fleet layer. Ruled out: starting the whole fleet layer beside it, which polls the instance list and loads every half second. It reuses membership, gossip sockets, keys and channels; only the messages are new. Channels are now pinged each second, so that calls on a silent one fail within 1.7 s.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -411,6 +411,82 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LeaveAnswer {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PiecesAskMessage {
+    #[prost(string, tag = "1")]
+    pub request: ::prost::alloc::string::String,
+    #[prost(string, tag = "2")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "3")]
+    pub stage: u32,
+    #[prost(uint32, tag = "4")]
+    pub pieces: u32,
+    /// One of the two: the request's own input, or results of earlier stages.
+    #[prost(string, tag = "5")]
+    pub input_key: ::prost::alloc::string::String,
+    #[prost(string, repeated, tag = "6")]
+    pub input_results: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint64, tag = "7")]
+    pub result_bytes: u64,
+    #[prost(uint32, tag = "8")]
+    pub rank: u32,
+    #[prost(uint32, tag = "9")]
+    pub in_time_for_ms: u32,
+    #[prost(uint32, tag = "10")]
+    pub remaining_ms: u32,
+    /// Empty: anywhere.
+    #[prost(string, tag = "11")]
+    pub prefer: ::prost::alloc::string::String,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct PiecesAnswer {
+    /// One a piece, in their order; empty when refused.
+    #[prost(string, repeated, tag = "1")]
+    pub results: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    /// 0 made, 1 overloaded, 2 input gone, 3 failed, 4 late, 5 no upstream known here.
+    #[prost(uint32, tag = "2")]
+    pub refusal: u32,
+    #[prost(uint32, tag = "3")]
+    pub retry_after_ms: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FreeResultsMessage {
+    #[prost(string, repeated, tag = "1")]
+    pub results: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FreeResultsAnswer {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct WorldPull {
+    /// Version of the configuration and revision of the list of upstreams that the asker has; 0 for none.
+    #[prost(uint64, tag = "1")]
+    pub config_version: u64,
+    #[prost(uint64, tag = "2")]
+    pub upstreams_revision: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct WorldCopy {
+    /// JSON of the configuration when newer than the asker's; empty otherwise.
+    #[prost(bytes = "vec", tag = "1")]
+    pub config: ::prost::alloc::vec::Vec<u8>,
+    /// Whether the upstreams below are newer than the asker's.
+    #[prost(bool, tag = "2")]
+    pub has_upstreams: bool,
+    #[prost(uint64, tag = "3")]
+    pub upstreams_revision: u64,
+    #[prost(message, repeated, tag = "4")]
+    pub upstreams: ::prost::alloc::vec::Vec<RegistryEntry>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RegistryEntry {
+    #[prost(string, tag = "1")]
+    pub name: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// JSON as it lies in the store.
+    #[prost(bytes = "vec", tag = "3")]
+    pub value: ::prost::alloc::vec::Vec<u8>,
+}
 /// Generated client implementations.
 pub mod fleet_client {
     #![allow(
@@ -1153,3 +1229,451 @@
         const NAME: &'static str = SERVICE_NAME;
     }
 }
+/// Generated client implementations.
+pub mod mesh_client {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value
+    )]
+    use tonic::codegen::http::Uri;
+    use tonic::codegen::*;
+    /// What instances say to each other about routed requests.
+    #[derive(Debug, Clone)]
+    pub struct MeshClient<T> {
+        inner: tonic::client::Grpc<T>,
+    }
+    impl MeshClient<tonic::transport::Channel> {
+        /// Attempt to create a new client by connecting to a given endpoint.
+        pub async fn connect<D>(dst: D) -> Result<Self, tonic::transport::Error>
+        where
+            D: TryInto<tonic::transport::Endpoint>,
+            D::Error: Into<StdError>,
+        {
+            let conn = tonic::transport::Endpoint::new(dst)?.connect().await?;
+            Ok(Self::new(conn))
+        }
+    }
+    impl<T> MeshClient<T>
+    where
+        T: tonic::client::GrpcService<tonic::body::Body>,
+        T::Error: Into<StdError>,
+        T::ResponseBody: Body<Data = Bytes> + std::marker::Send + 'static,
+        <T::ResponseBody as Body>::Error: Into<StdError> + std::marker::Send,
+    {
+        pub fn new(inner: T) -> Self {
+            let inner = tonic::client::Grpc::new(inner);
+            Self { inner }
+        }
+        pub fn with_origin(inner: T, origin: Uri) -> Self {
+            let inner = tonic::client::Grpc::with_origin(inner, origin);
+            Self { inner }
+        }
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> MeshClient<InterceptedService<T, F>>
+        where
+            F: tonic::service::Interceptor,
+            T::ResponseBody: Default,
+            T: tonic::codegen::Service<
+                    http::Request<tonic::body::Body>,
+                    Response = http::Response<
+                        <T as tonic::client::GrpcService<tonic::body::Body>>::ResponseBody,
+                    >,
+                >,
+            <T as tonic::codegen::Service<http::Request<tonic::body::Body>>>::Error:
+                Into<StdError> + std::marker::Send + std::marker::Sync,
+        {
+            MeshClient::new(InterceptedService::new(inner, interceptor))
+        }
+        /// Compress requests with the given encoding.
+        ///
+        /// This requires the server to support it otherwise it might respond with an
+        /// error.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.send_compressed(encoding);
+            self
+        }
+        /// Enable decompressing responses.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.inner = self.inner.accept_compressed(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_decoding_message_size(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.inner = self.inner.max_encoding_message_size(limit);
+            self
+        }
+        /// Member list for a newcomer.
+        pub async fn introduce(
+            &mut self,
+            request: impl tonic::IntoRequest<super::Introduction>,
+        ) -> std::result::Result<tonic::Response<super::MemberList>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/Introduce");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "Introduce"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// All pieces of one stage of one request, made by the home of the stage's service. Cancelling the call takes the
+        /// pieces that were not started out of the queue.
+        pub async fn make_pieces(
+            &mut self,
+            request: impl tonic::IntoRequest<super::PiecesAskMessage>,
+        ) -> std::result::Result<tonic::Response<super::PiecesAnswer>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/MakePieces");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "MakePieces"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// Results that nobody reads any more.
+        pub async fn free_results(
+            &mut self,
+            request: impl tonic::IntoRequest<super::FreeResultsMessage>,
+        ) -> std::result::Result<tonic::Response<super::FreeResultsAnswer>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/FreeResults");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FreeResults"));
+            self.inner.unary(req, path, codec).await
+        }
+        /// What the store last said, for an instance that cannot read it.
+        pub async fn pull_world(
+            &mut self,
+            request: impl tonic::IntoRequest<super::WorldPull>,
+        ) -> std::result::Result<tonic::Response<super::WorldCopy>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/PullWorld");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "PullWorld"));
+            self.inner.unary(req, path, codec).await
+        }
+    }
+}
+/// Generated server implementations.
+pub mod mesh_server {
+    #![allow(
+        unused_variables,
+        dead_code,
+        missing_docs,
+        clippy::wildcard_imports,
+        clippy::let_unit_value
+    )]
+    use tonic::codegen::*;
+    /// Generated trait containing gRPC methods that should be implemented for use with MeshServer.
+    #[async_trait]
+    pub trait Mesh: std::marker::Send + std::marker::Sync + 'static {
+        /// Member list for a newcomer.
+        async fn introduce(
+            &self,
+            request: tonic::Request<super::Introduction>,
+        ) -> std::result::Result<tonic::Response<super::MemberList>, tonic::Status>;
+        /// All pieces of one stage of one request, made by the home of the stage's service. Cancelling the call takes the
+        /// pieces that were not started out of the queue.
+        async fn make_pieces(
+            &self,
+            request: tonic::Request<super::PiecesAskMessage>,
+        ) -> std::result::Result<tonic::Response<super::PiecesAnswer>, tonic::Status>;
+        /// Results that nobody reads any more.
+        async fn free_results(
+            &self,
+            request: tonic::Request<super::FreeResultsMessage>,
+        ) -> std::result::Result<tonic::Response<super::FreeResultsAnswer>, tonic::Status>;
+        /// What the store last said, for an instance that cannot read it.
+        async fn pull_world(
+            &self,
+            request: tonic::Request<super::WorldPull>,
+        ) -> std::result::Result<tonic::Response<super::WorldCopy>, tonic::Status>;
+    }
+    /// What instances say to each other about routed requests.
+    #[derive(Debug)]
+    pub struct MeshServer<T> {
+        inner: Arc<T>,
+        accept_compression_encodings: EnabledCompressionEncodings,
+        send_compression_encodings: EnabledCompressionEncodings,
+        max_decoding_message_size: Option<usize>,
+        max_encoding_message_size: Option<usize>,
+    }
+    impl<T> MeshServer<T> {
+        pub fn new(inner: T) -> Self {
+            Self::from_arc(Arc::new(inner))
+        }
+        pub fn from_arc(inner: Arc<T>) -> Self {
+            Self {
+                inner,
+                accept_compression_encodings: Default::default(),
+                send_compression_encodings: Default::default(),
+                max_decoding_message_size: None,
+                max_encoding_message_size: None,
+            }
+        }
+        pub fn with_interceptor<F>(inner: T, interceptor: F) -> InterceptedService<Self, F>
+        where
+            F: tonic::service::Interceptor,
+        {
+            InterceptedService::new(Self::new(inner), interceptor)
+        }
+        /// Enable decompressing requests with the given encoding.
+        #[must_use]
+        pub fn accept_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.accept_compression_encodings.enable(encoding);
+            self
+        }
+        /// Compress responses with the given encoding, if the client supports it.
+        #[must_use]
+        pub fn send_compressed(mut self, encoding: CompressionEncoding) -> Self {
+            self.send_compression_encodings.enable(encoding);
+            self
+        }
+        /// Limits the maximum size of a decoded message.
+        ///
+        /// Default: `4MB`
+        #[must_use]
+        pub fn max_decoding_message_size(mut self, limit: usize) -> Self {
+            self.max_decoding_message_size = Some(limit);
+            self
+        }
+        /// Limits the maximum size of an encoded message.
+        ///
+        /// Default: `usize::MAX`
+        #[must_use]
+        pub fn max_encoding_message_size(mut self, limit: usize) -> Self {
+            self.max_encoding_message_size = Some(limit);
+            self
+        }
+    }
+    impl<T, B> tonic::codegen::Service<http::Request<B>> for MeshServer<T>
+    where
+        T: Mesh,
+        B: Body + std::marker::Send + 'static,
+        B::Error: Into<StdError> + std::marker::Send + 'static,
+    {
+        type Response = http::Response<tonic::body::Body>;
+        type Error = std::convert::Infallible;
+        type Future = BoxFuture<Self::Response, Self::Error>;
+        fn poll_ready(
+            &mut self,
+            _cx: &mut Context<'_>,
+        ) -> Poll<std::result::Result<(), Self::Error>> {
+            Poll::Ready(Ok(()))
+        }
+        fn call(&mut self, req: http::Request<B>) -> Self::Future {
+            match req.uri().path() {
+                "/tanagercroft.fleet.v1.Mesh/Introduce" => {
+                    #[allow(non_camel_case_types)]
+                    struct IntroduceSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::Introduction> for IntroduceSvc<T> {
+                        type Response = super::MemberList;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::Introduction>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Mesh>::introduce(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = IntroduceSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/tanagercroft.fleet.v1.Mesh/MakePieces" => {
+                    #[allow(non_camel_case_types)]
+                    struct MakePiecesSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::PiecesAskMessage> for MakePiecesSvc<T> {
+                        type Response = super::PiecesAnswer;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::PiecesAskMessage>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Mesh>::make_pieces(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = MakePiecesSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/tanagercroft.fleet.v1.Mesh/FreeResults" => {
+                    #[allow(non_camel_case_types)]
+                    struct FreeResultsSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::FreeResultsMessage> for FreeResultsSvc<T> {
+                        type Response = super::FreeResultsAnswer;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::FreeResultsMessage>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Mesh>::free_results(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FreeResultsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/tanagercroft.fleet.v1.Mesh/PullWorld" => {
+                    #[allow(non_camel_case_types)]
+                    struct PullWorldSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::WorldPull> for PullWorldSvc<T> {
+                        type Response = super::WorldCopy;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::WorldPull>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Mesh>::pull_world(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = PullWorldSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                _ => Box::pin(async move {
+                    let mut response = http::Response::new(tonic::body::Body::default());
+                    let headers = response.headers_mut();
+                    headers.insert(
+                        tonic::Status::GRPC_STATUS,
+                        (tonic::Code::Unimplemented as i32).into(),
+                    );
+                    headers.insert(
+                        http::header::CONTENT_TYPE,
+                        tonic::metadata::GRPC_CONTENT_TYPE,
+                    );
+                    Ok(response)
+                }),
+            }
+        }
+    }
+    impl<T> Clone for MeshServer<T> {
+        fn clone(&self) -> Self {
+            let inner = self.inner.clone();
+            Self {
+                inner,
+                accept_compression_encodings: self.accept_compression_encodings,
+                send_compression_encodings: self.send_compression_encodings,
+                max_decoding_message_size: self.max_decoding_message_size,
+                max_encoding_message_size: self.max_encoding_message_size,
+            }
+        }
+    }
+    /// Generated gRPC service name
+    pub const SERVICE_NAME: &str = "tanagercroft.fleet.v1.Mesh";
+    impl<T> tonic::server::NamedService for MeshServer<T> {
+        const NAME: &'static str = SERVICE_NAME;
+    }
+}
--- a/crates/tc-fleet/src/gossip.rs
+++ b/crates/tc-fleet/src/gossip.rs
@@ -3,10 +3,9 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use prost::Message as _;
-use ractor::ActorRef;
 use tokio::net::UdpSocket;
 
-use crate::{FleetKeys, generated::Datagram, node::NodeMsg};
+use crate::{FleetKeys, generated::Datagram};
 
 /// Largest datagram sent or taken, in bytes; below it no network of today splits one.
 pub(crate) const MAX_DATAGRAM: usize = 1_400;
@@ -42,8 +41,8 @@
         }
     }
 
-    /// Hands every authentic datagram to the node until it is gone.
-    pub(crate) async fn receive(self, node: ActorRef<NodeMsg>) {
+    /// Hands every authentic datagram on until nobody takes them any more.
+    pub(crate) async fn receive(self, hand_on: impl Fn(Datagram) -> bool) {
         let mut buf = vec![0; MAX_DATAGRAM + 1];
         loop {
             let Ok((length, _from)) = self.socket.recv_from(&mut buf).await else {
@@ -56,7 +55,7 @@
                 metrics::counter!("tc_gossip_refused_total").increment(1);
                 continue;
             };
-            if node.cast(NodeMsg::Datagram(Box::new(datagram))).is_err() {
+            if !hand_on(datagram) {
                 return;
             }
         }
--- /dev/null
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -0,0 +1,296 @@
+//! Starting the mesh, and the handle that the rest of the process uses.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use arc_swap::ArcSwap;
+use ractor::{Actor, ActorRef};
+use tc_membership::{MembershipConfig, Record, home_of};
+use tc_protocol::{
+    InstanceId, Member,
+    routing::{PiecesAsk, ResultHandle},
+};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::watch,
+};
+use tonic::{Request, transport::server::TcpIncoming};
+
+use super::{
+    actor::{MeshActor, MeshArgs, MeshMsg, Published, others},
+    messages::{
+        MeshError, WorldCopy, WorldHave, answer_from_wire, ask_to_wire, copy_from_wire, texts,
+    },
+    peers::Peers,
+    service::{MeshHandlers, PiecesReply, Service},
+};
+use crate::{
+    FleetError, FleetKeys, convert,
+    generated::{FreeResultsMessage, Introduction, WorldPull, mesh_server::MeshServer},
+    gossip::GossipSocket,
+    peers::timed,
+    server::check_token,
+};
+
+/// How long an ask for pieces may outlive the request's own time, for the way back.
+const ASK_GRACE: Duration = Duration::from_millis(200);
+
+/// What [`Mesh::start`] needs to know.
+#[derive(Clone, Debug)]
+pub struct MeshSettings {
+    /// This instance.
+    pub me: Member,
+    /// Where to listen for other instances, TCP and UDP.
+    pub listen: SocketAddr,
+    /// Keys that authenticate instances to each other.
+    pub keys: FleetKeys,
+    /// Probe timings.
+    pub timing: MembershipConfig,
+    /// Runs calls to and from other instances; the traffic threads' runtime.
+    pub traffic: tokio::runtime::Handle,
+}
+
+/// Handle of the mesh; clones share it.
+#[derive(Clone)]
+pub struct Mesh {
+    inner: Arc<Inner>,
+}
+
+struct Inner {
+    me: Member,
+    node: ActorRef<MeshMsg>,
+    published: Arc<Published>,
+    peers: Arc<Peers>,
+}
+
+impl Mesh {
+    /// Starts the actor, sockets and server on the current runtime, which is the control thread's.
+    ///
+    /// # Errors
+    /// [`FleetError::Listen`] when the address is taken, [`FleetError::Actors`] when the actor does not start.
+    pub async fn start(
+        settings: MeshSettings,
+        handlers: Arc<MeshHandlers>,
+    ) -> Result<Self, FleetError> {
+        let address = settings.listen;
+        let listen = |source| FleetError::Listen { address, source };
+        let listener = TcpListener::bind(address).await.map_err(listen)?;
+        let socket = UdpSocket::bind(address).await.map_err(listen)?;
+        let socket = GossipSocket::new(socket, settings.keys.clone());
+        let peers = Arc::new(Peers::new(address.ip(), settings.keys.clone()));
+        let published = Arc::new(Published {
+            members: ArcSwap::from_pointee(vec![settings.me.clone()]),
+            newest: ArcSwap::from_pointee((0, None)),
+            changes: watch::Sender::new(0),
+        });
+        let args = MeshArgs {
+            me: settings.me.clone(),
+            timing: settings.timing,
+            socket: socket.clone(),
+            peers: Arc::clone(&peers),
+            published: Arc::clone(&published),
+        };
+        let (node, _) = Actor::spawn(None, MeshActor, args)
+            .await
+            .map_err(|error| FleetError::Actors(error.to_string()))?;
+        let to_node = node.clone();
+        tokio::spawn(
+            socket.receive(move |datagram| {
+                to_node.cast(MeshMsg::Datagram(Box::new(datagram))).is_ok()
+            }),
+        );
+        let service = Service {
+            node: node.clone(),
+            handlers,
+        };
+        serve(&settings.keys, &settings.traffic, listener, service);
+        Ok(Self {
+            inner: Arc::new(Inner {
+                me: settings.me,
+                node,
+                published,
+                peers,
+            }),
+        })
+    }
+
+    /// This instance.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.inner.me
+    }
+
+    /// All known instances, this one included; never waits.
+    #[must_use]
+    pub fn members(&self) -> Arc<Vec<Member>> {
+        self.inner.published.members.load_full()
+    }
+
+    /// Told whenever [`Mesh::members`] or [`Mesh::newest_revision`] may have changed.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.inner.published.changes.subscribe()
+    }
+
+    /// The newest revision of the store that any live instance has seen, and one that has when this one has not.
+    #[must_use]
+    pub fn newest_revision(&self) -> (u64, Option<Member>) {
+        let newest = self.inner.published.newest.load_full();
+        let members = self.members();
+        let holder = newest
+            .1
+            .as_ref()
+            .and_then(|id| members.iter().find(|m| m.id == *id))
+            .cloned();
+        (newest.0, holder)
+    }
+
+    /// The instance that holds the role named by `key`, leaving out those in `except`.
+    #[must_use]
+    pub fn home(&self, key: &str, except: &[InstanceId]) -> Option<Member> {
+        let members = self.members();
+        if except.is_empty() {
+            return home_of(key, &members, None, None).cloned();
+        }
+        let left: Vec<Member> = members
+            .iter()
+            .filter(|m| !except.contains(&m.id))
+            .cloned()
+            .collect();
+        home_of(key, &left, None, None).cloned()
+    }
+
+    /// Tells what revision of the store this instance has seen.
+    pub fn set_revision(&self, revision: u64) {
+        let _ = self.inner.node.cast(MeshMsg::Revision(revision));
+    }
+
+    /// First step of a planned stop: tells everyone that this instance is leaving.
+    pub fn leave(&self) {
+        let _ = self.inner.node.cast(MeshMsg::Leave);
+    }
+
+    /// A call to the instance failed: it is probed next, and the next call to it connects anew.
+    pub fn doubt(&self, id: &InstanceId) {
+        let _ = self.inner.node.cast(MeshMsg::Doubt(id.clone()));
+    }
+
+    /// Introduces this instance at an address and takes up the members known there.
+    pub async fn introduce_at(&self, address: SocketAddr) -> Result<(), MeshError> {
+        let record = Record {
+            member: self.inner.me.clone(),
+            refutation: 0,
+            revision: 0,
+        };
+        let introduction = timed(Introduction {
+            me: Some(convert::record_to_wire(&record)),
+        });
+        let mut client = self.inner.peers.client_at(address);
+        let list = client
+            .introduce(introduction)
+            .await
+            .map_err(|status| MeshError::NoAnswer {
+                instance: address.to_string().into(),
+                problem: status.message().to_owned(),
+            })?;
+        let records: Vec<Record> = list
+            .into_inner()
+            .members
+            .iter()
+            .filter_map(convert::record_from_wire)
+            .collect();
+        let _ = self.inner.node.cast(MeshMsg::Learn(records));
+        Ok(())
+    }
+
+    /// Fleet addresses of the other instances that may answer.
+    #[must_use]
+    pub fn other_addresses(&self) -> Vec<SocketAddr> {
+        others(&self.members(), &self.inner.me.id)
+    }
+
+    /// Asks a home to make the pieces of a stage. Dropping the future cancels what was not started.
+    pub async fn make_pieces(
+        &self,
+        home: &Member,
+        ask: &PiecesAsk,
+    ) -> Result<PiecesReply, MeshError> {
+        let mut req = Request::new(ask_to_wire(ask));
+        req.set_timeout(ask.remaining + ASK_GRACE);
+        let mut client = self.inner.peers.client(home);
+        let answer = client
+            .make_pieces(req)
+            .await
+            .map_err(|status| no_answer(home, &status))?;
+        answer_from_wire(&answer.into_inner()).ok_or_else(|| MeshError::Malformed {
+            instance: home.id.clone(),
+        })
+    }
+
+    /// Tells a home that nobody reads these results any more.
+    pub async fn free_results(
+        &self,
+        home: &Member,
+        results: &[ResultHandle],
+    ) -> Result<(), MeshError> {
+        let req = timed(FreeResultsMessage {
+            results: texts(results),
+        });
+        let mut client = self.inner.peers.client(home);
+        let answer = client.free_results(req).await;
+        answer
+            .map(|_| ())
+            .map_err(|status| no_answer(home, &status))
+    }
+
+    /// Gets what another instance knows of the store beyond what this one has.
+    pub async fn pull_world(&self, from: &Member, have: WorldHave) -> Result<WorldCopy, MeshError> {
+        let req = timed(WorldPull {
+            config_version: have.config_version,
+            upstreams_revision: have.upstreams_revision,
+        });
+        let mut client = self.inner.peers.client(from);
+        let copy = client
+            .pull_world(req)
+            .await
+            .map_err(|status| no_answer(from, &status))?;
+        copy_from_wire(&copy.into_inner()).ok_or_else(|| MeshError::Malformed {
+            instance: from.id.clone(),
+        })
+    }
+}
+
+fn no_answer(member: &Member, status: &tonic::Status) -> MeshError {
+    MeshError::NoAnswer {
+        instance: member.id.clone(),
+        problem: format!("{:?}: {}", status.code(), status.message()),
+    }
+}
+
+fn serve(
+    keys: &FleetKeys,
+    traffic: &tokio::runtime::Handle,
+    listener: TcpListener,
+    service: Service,
+) {
+    let service = MeshServer::with_interceptor(service, check_token(keys.clone()));
+    let Ok(listener) = listener.into_std() else {
+        log::error!("the socket for other instances cannot be moved to the traffic threads");
+        return;
+    };
+    traffic.spawn(async move {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(error) => {
+                log::error!("the socket for other instances cannot be used: {error}");
+                return;
+            }
+        };
+        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        let served = tonic::transport::Server::builder()
+            .add_service(service)
+            .serve_with_incoming(incoming);
+        if let Err(error) = served.await {
+            log::error!("serving other instances ended: {error}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -0,0 +1,210 @@
+//! Typed messages between instances and their wire forms.
+
+use std::{sync::Arc, time::Duration};
+
+use serde_json::Value;
+use tc_protocol::{
+    InstanceId,
+    routing::{PieceInput, PiecesAsk, PiecesRefusal, ResultHandle},
+};
+use thiserror::Error;
+
+use crate::{convert, generated as wire};
+
+/// Why a call to another instance brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum MeshError {
+    /// It could not be reached, or did not answer.
+    #[error("instance {instance} does not answer: {problem}")]
+    NoAnswer {
+        /// Who was called.
+        instance: InstanceId,
+        /// What went wrong.
+        problem: String,
+    },
+    /// Its answer does not fit the protocol; it is of another version or broken.
+    #[error("instance {instance} gave an answer that cannot be read")]
+    Malformed {
+        /// Who was called.
+        instance: InstanceId,
+    },
+}
+
+/// What an instance knows of the store, as numbers to compare.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorldHave {
+    /// Version of the configuration; 0 for none.
+    pub config_version: u64,
+    /// Revision of the list of upstreams; 0 for none.
+    pub upstreams_revision: u64,
+}
+
+/// An object of the store as it is handed on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorldObject {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// Its value.
+    pub value: Arc<Value>,
+}
+
+/// What one instance knows of the store beyond another.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorldCopy {
+    /// The configuration, if it is newer.
+    pub config: Option<Arc<Value>>,
+    /// Revision and objects of the list of upstreams, if it is newer.
+    pub upstreams: Option<(u64, Vec<WorldObject>)>,
+}
+
+pub(super) fn ask_to_wire(ask: &PiecesAsk) -> wire::PiecesAskMessage {
+    let (input_key, input_results) = match &ask.input {
+        PieceInput::Request(key) => (key.to_string(), Vec::new()),
+        PieceInput::Results(results) => (String::new(), texts(results)),
+    };
+    wire::PiecesAskMessage {
+        request: ask.request.to_string(),
+        service: ask.service.to_string(),
+        stage: ask.stage,
+        pieces: ask.pieces,
+        input_key,
+        input_results,
+        result_bytes: ask.result_bytes,
+        rank: u32::from(ask.rank),
+        in_time_for_ms: convert::millis(ask.in_time_for),
+        remaining_ms: convert::millis(ask.remaining),
+        prefer: ask
+            .prefer
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+    }
+}
+
+pub(super) fn ask_from_wire(message: &wire::PiecesAskMessage) -> PiecesAsk {
+    let input = if message.input_results.is_empty() {
+        PieceInput::Request(message.input_key.as_str().into())
+    } else {
+        PieceInput::Results(handles(&message.input_results).into())
+    };
+    PiecesAsk {
+        request: message.request.as_str().into(),
+        service: message.service.as_str().into(),
+        stage: message.stage,
+        pieces: message.pieces,
+        input,
+        result_bytes: message.result_bytes,
+        rank: message.rank.min(u32::from(u8::MAX)) as u8,
+        in_time_for: convert::from_millis(message.in_time_for_ms),
+        remaining: convert::from_millis(message.remaining_ms),
+        prefer: (!message.prefer.is_empty()).then(|| message.prefer.as_str().into()),
+    }
+}
+
+pub(super) fn texts(results: &[ResultHandle]) -> Vec<String> {
+    results.iter().map(|result| result.0.to_string()).collect()
+}
+
+pub(super) fn handles(texts: &[String]) -> Vec<ResultHandle> {
+    texts
+        .iter()
+        .map(|text| ResultHandle(text.as_str().into()))
+        .collect()
+}
+
+/// Numbers of refusals on the wire; 0 means that the pieces were made.
+const OVERLOADED: u32 = 1;
+const INPUT_GONE: u32 = 2;
+const FAILED: u32 = 3;
+const LATE: u32 = 4;
+const NO_UPSTREAM: u32 = 5;
+
+pub(super) fn answer_to_wire(
+    answer: Result<Vec<ResultHandle>, PiecesRefusal>,
+) -> wire::PiecesAnswer {
+    let refused = |refusal, retry_after| wire::PiecesAnswer {
+        results: Vec::new(),
+        refusal,
+        retry_after_ms: convert::millis(retry_after),
+    };
+    match answer {
+        Ok(results) => wire::PiecesAnswer {
+            results: texts(&results),
+            refusal: 0,
+            retry_after_ms: 0,
+        },
+        Err(PiecesRefusal::Overloaded { retry_after }) => refused(OVERLOADED, retry_after),
+        Err(PiecesRefusal::InputGone) => refused(INPUT_GONE, Duration::ZERO),
+        Err(PiecesRefusal::Failed) => refused(FAILED, Duration::ZERO),
+        Err(PiecesRefusal::Late) => refused(LATE, Duration::ZERO),
+        Err(PiecesRefusal::NoUpstream) => refused(NO_UPSTREAM, Duration::ZERO),
+    }
+}
+
+/// `None` when the refusal's number is not known.
+pub(super) fn answer_from_wire(
+    answer: &wire::PiecesAnswer,
+) -> Option<Result<Vec<ResultHandle>, PiecesRefusal>> {
+    Some(match answer.refusal {
+        0 => Ok(handles(&answer.results)),
+        OVERLOADED => Err(PiecesRefusal::Overloaded {
+            retry_after: convert::from_millis(answer.retry_after_ms),
+        }),
+        INPUT_GONE => Err(PiecesRefusal::InputGone),
+        FAILED => Err(PiecesRefusal::Failed),
+        LATE => Err(PiecesRefusal::Late),
+        NO_UPSTREAM => Err(PiecesRefusal::NoUpstream),
+        _ => return None,
+    })
+}
+
+pub(super) fn copy_to_wire(copy: &WorldCopy) -> wire::WorldCopy {
+    let upstreams = copy.upstreams.as_ref();
+    wire::WorldCopy {
+        config: copy
+            .config
+            .as_ref()
+            .map(|value| value.to_string().into_bytes())
+            .unwrap_or_default(),
+        has_upstreams: upstreams.is_some(),
+        upstreams_revision: upstreams.map_or(0, |(revision, _)| *revision),
+        upstreams: upstreams
+            .into_iter()
+            .flat_map(|(_, objects)| objects)
+            .map(|object| wire::RegistryEntry {
+                name: object.name.to_string(),
+                revision: object.revision,
+                value: object.value.to_string().into_bytes(),
+            })
+            .collect(),
+    }
+}
+
+/// `None` when any part cannot be read: half a copy would look like upstreams that are gone.
+pub(super) fn copy_from_wire(copy: &wire::WorldCopy) -> Option<WorldCopy> {
+    let config = if copy.config.is_empty() {
+        None
+    } else {
+        Some(Arc::new(serde_json::from_slice(&copy.config).ok()?))
+    };
+    let objects: Option<Vec<WorldObject>> = copy
+        .upstreams
+        .iter()
+        .map(|entry| {
+            Some(WorldObject {
+                name: entry.name.as_str().into(),
+                revision: entry.revision,
+                value: Arc::new(serde_json::from_slice(&entry.value).ok()?),
+            })
+        })
+        .collect();
+    let objects = objects?;
+    Some(WorldCopy {
+        config,
+        upstreams: copy
+            .has_upstreams
+            .then_some((copy.upstreams_revision, objects)),
+    })
+}
--- /dev/null
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -0,0 +1,13 @@
+//! The layer between instances for routed requests: who there is, and calls to the homes of batch services.
+//!
+//! [`Mesh::start`] runs on the control thread; the handle it gives is used by traffic threads.
+
+mod actor;
+mod handle;
+mod messages;
+mod peers;
+mod service;
+
+pub use handle::{Mesh, MeshSettings};
+pub use messages::{MeshError, WorldCopy, WorldHave, WorldObject};
+pub use service::MeshHandlers;
--- /dev/null
+++ b/crates/tc-fleet/src/mesh/peers.rs
@@ -0,0 +1,77 @@
+//! Channels to other instances, made on first use.
+
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::{Mutex, PoisonError},
+};
+
+use tc_protocol::{Incarnation, InstanceId, Member};
+use tonic::{service::interceptor::InterceptedService, transport::Channel};
+
+use crate::{
+    FleetKeys,
+    generated::mesh_client::MeshClient,
+    peers::{AddToken, channel},
+};
+
+pub(super) type Client = MeshClient<InterceptedService<Channel, AddToken>>;
+
+struct Peer {
+    address: SocketAddr,
+    incarnation: Incarnation,
+    client: Client,
+}
+
+/// Clients of all instances this one has talked to.
+pub(super) struct Peers {
+    leave_from: IpAddr,
+    keys: FleetKeys,
+    known: Mutex<HashMap<InstanceId, Peer>>,
+}
+
+impl Peers {
+    pub(super) fn new(leave_from: IpAddr, keys: FleetKeys) -> Self {
+        Self {
+            leave_from,
+            keys,
+            known: Mutex::default(),
+        }
+    }
+
+    /// The client for a member, made anew when the member restarted or moved.
+    pub(super) fn client(&self, member: &Member) -> Client {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(peer) = known.get(&member.id)
+            && peer.address == member.fleet_address
+            && peer.incarnation == member.incarnation
+        {
+            return peer.client.clone();
+        }
+        let client = self.client_at(member.fleet_address);
+        let peer = Peer {
+            address: member.fleet_address,
+            incarnation: member.incarnation,
+            client: client.clone(),
+        };
+        known.insert(member.id.clone(), peer);
+        client
+    }
+
+    /// Drops the channel of a member that does not answer: its calls fail, and the next one connects anew.
+    ///
+    /// A channel may have gone silent for good while a new one would work.
+    pub(super) fn forget(&self, id: &InstanceId) {
+        self.known
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(id);
+    }
+
+    /// A client for an address whose instance is not known yet.
+    pub(super) fn client_at(&self, address: SocketAddr) -> Client {
+        let token = AddToken::new(&self.keys);
+        let leave_from = (!self.leave_from.is_unspecified()).then_some(self.leave_from);
+        MeshClient::with_interceptor(channel(address, leave_from), token)
+    }
+}
--- a/crates/tc-fleet/src/peers/pool.rs
+++ b/crates/tc-fleet/src/peers/pool.rs
@@ -23,11 +23,25 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How often a channel with calls in progress is checked.
+const PING_EVERY: Duration = Duration::from_secs(1);
+/// How long the answer to a check may take. A peer that was paused or cut off fails its calls after at most the sum.
+const PING_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Adds the fleet token to every call.
 #[derive(Clone)]
 pub(crate) struct AddToken(MetadataValue<Ascii>);
 
+impl AddToken {
+    pub(crate) fn new(keys: &FleetKeys) -> Self {
+        // The token is hexadecimal digits only, which every header value may hold.
+        Self(
+            MetadataValue::try_from(keys.token())
+                .unwrap_or_else(|_| MetadataValue::from_static("")),
+        )
+    }
+}
+
 impl Interceptor for AddToken {
     fn call(&mut self, mut req: Request<()>) -> Result<Request<()>, Status> {
         req.metadata_mut().insert(TOKEN_HEADER, self.0.clone());
@@ -128,7 +142,7 @@
 
     /// A client for an address whose instance is not known yet.
     pub(crate) fn client_of(&self, address: SocketAddr) -> Client {
-        FleetClient::with_interceptor(channel(address, self.leave_from), self.add_token())
+        FleetClient::with_interceptor(channel(address, self.leave_from), AddToken::new(&self.keys))
     }
 
     fn make(&self, member: &Member) -> Peer {
@@ -148,23 +162,17 @@
             to_home,
         }
     }
-
-    fn add_token(&self) -> AddToken {
-        // The token is hexadecimal digits only, which every header value may hold.
-        AddToken(
-            MetadataValue::try_from(self.keys.token())
-                .unwrap_or_else(|_| MetadataValue::from_static("")),
-        )
-    }
 }
 
 // Without a fixed source a machine of several addresses leaves by any of them, seen as calls that a packet filter
 // between failure domains refuses though datagrams, which leave by the listening socket, pass.
-fn channel(address: SocketAddr, leave_from: Option<IpAddr>) -> Channel {
+pub(crate) fn channel(address: SocketAddr, leave_from: Option<IpAddr>) -> Channel {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .unwrap_or_else(|_| Endpoint::from_static("http://127.0.0.1:1"));
     endpoint
         .connect_timeout(CONNECT_TIMEOUT)
+        .http2_keep_alive_interval(PING_EVERY)
+        .keep_alive_timeout(PING_TIMEOUT)
         .tcp_nodelay(true)
         .local_address(leave_from)
         .connect_lazy()
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -90,7 +90,9 @@
     node: &ActorRef<NodeMsg>,
     upstream: &UpstreamClient,
 ) {
-    tokio::spawn(parts.socket.clone().receive(node.clone()));
+    let to_node = node.clone();
+    let hand_on = move |datagram| to_node.cast(NodeMsg::Datagram(Box::new(datagram))).is_ok();
+    tokio::spawn(parts.socket.clone().receive(hand_on));
     tokio::spawn(read_lists(parts.clone(), node.clone()));
     tokio::spawn(read_loads(parts.clone(), upstream.clone(), node.clone()));
     let limits = Arc::clone(&parts.limits);
