--- /dev/null
+++ b/crates/tc-gateway/src/call.rs
@@ -0,0 +1,132 @@
+//! What headers of requests and answers say, decoded.
+
+use std::{sync::Arc, time::Duration};
+
+use tc_protocol::{UpstreamId, WorkspaceName, routing::ResultHandle};
+use thiserror::Error;
+
+/// What a caller's request says in its headers.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallHead {
+    /// The caller's name for this attempt of its request.
+    pub request: Arc<str>,
+    /// How long the caller waits.
+    pub remaining: Option<Duration>,
+    /// The key that tells the workspace.
+    pub key: Option<Arc<str>>,
+    /// The prompt, when the request is for a model.
+    pub prompt: Option<Prompt>,
+    /// How many pieces each stage of the route has.
+    pub pieces: Vec<u32>,
+    /// The request's own input for stages.
+    pub piece_key: Option<Arc<str>>,
+    /// The last event the caller has, when it resumes a stream.
+    pub resume_after: Option<u64>,
+}
+
+/// A model request's prompt as a chain of parts that requests share.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens in.
+    pub tokens_in: u32,
+    /// Most tokens out.
+    pub tokens_out: u32,
+    /// The parts in their order; the last one belongs to the request itself.
+    pub parts: Vec<PromptPart>,
+}
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Identifies its content.
+    pub id: u64,
+    /// How many tokens it has.
+    pub tokens: u32,
+}
+
+impl Prompt {
+    /// The longest chain of parts that other requests share too, as one number; `None` when nothing is shared.
+    ///
+    /// ```
+    /// use tc_gateway::{Prompt, PromptPart};
+    /// let part = |id| PromptPart { id, tokens: 10 };
+    /// let prompt = |parts| Prompt { tokens_in: 30, tokens_out: 5, parts };
+    /// let first = prompt(vec![part(1), part(2), part(8)]);
+    /// let second = prompt(vec![part(1), part(2), part(9)]);
+    /// assert_eq!(first.shared_key(), second.shared_key());
+    /// assert_eq!(prompt(vec![part(1)]).shared_key(), None);
+    /// ```
+    #[must_use]
+    pub fn shared_key(&self) -> Option<u64> {
+        let shared = self.parts.len().checked_sub(2)?;
+        Some(self.parts[shared].id)
+    }
+}
+
+/// Why a request's headers cannot be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum HeadError {
+    /// A header that every request needs is missing.
+    #[error("the header {0} is missing")]
+    Missing(&'static str),
+    /// A header's value does not fit its form.
+    #[error("the header {0} cannot be read")]
+    Malformed(&'static str),
+}
+
+/// What the system tells an upstream besides the caller's own headers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamHead<'a> {
+    /// How long the upstream has.
+    pub remaining: Duration,
+    /// The life of the upstream's process that is meant; another one at its address must not run the request.
+    pub upstream: &'a UpstreamId,
+    /// Whose request it is.
+    pub workspace: Option<&'a WorkspaceName>,
+    /// Results of the route's last stages; `None` when the route has no stages.
+    pub inputs: Option<&'a [ResultHandle]>,
+    /// The last event that was delivered, when a stream goes on after it.
+    pub resume_after: Option<u64>,
+}
+
+/// Whether an upstream took a request, as its answer says.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Taken {
+    /// It did, or does not say otherwise.
+    #[default]
+    Yes,
+    /// It has not run the request and will not.
+    NotRun,
+    /// It has not run the request because an input of it is gone.
+    InputGone,
+    /// Another process has the address; it has not run the request.
+    OtherProcess,
+}
+
+/// What an upstream's answer says in its status and headers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// Whether the upstream took the request.
+    pub taken: Taken,
+    /// The request that the answer names.
+    pub request: Option<Arc<str>>,
+    /// It bears the upstream's mark of a genuine answer.
+    pub sealed: bool,
+    /// The body is not in the form that was asked for.
+    pub encoded: bool,
+    /// The answer is a stream of events.
+    pub is_stream: bool,
+    /// What the upstream says of its load.
+    pub load: Option<UpstreamLoad>,
+}
+
+/// An upstream's load as it tells it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct UpstreamLoad {
+    /// Requests it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests it can work on.
+    pub slots: u32,
+}
--- /dev/null
+++ b/crates/tc-gateway/src/events.rs
@@ -0,0 +1,83 @@
+//! Splits an event stream into whole events, so that a broken one is never passed on.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event taken, in bytes. Events hold a few tokens of text; one without an end would fill the memory.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// One whole event with its blank line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its bytes as sent.
+    pub bytes: Bytes,
+    /// Its number, if it has one.
+    pub id: Option<u64>,
+}
+
+/// Takes bytes as they come and gives whole events.
+///
+/// ```
+/// use tc_gateway::EventSplitter;
+/// let mut events = EventSplitter::default();
+/// assert!(events.push(b"id: 1\ndata: a\n"));
+/// assert!(events.take_event().is_none());
+/// assert!(events.push(b"\nid: 2"));
+/// assert_eq!(events.take_event().unwrap().id, Some(1));
+/// assert!(events.take_event().is_none());
+/// assert!(events.has_rest());
+/// ```
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    rest: BytesMut,
+    /// Where the search for the end of the next event goes on.
+    searched: usize,
+}
+
+impl EventSplitter {
+    /// Takes bytes; false when an event grows larger than any may be.
+    pub fn push(&mut self, bytes: &[u8]) -> bool {
+        self.rest.extend_from_slice(bytes);
+        self.rest.len() <= MAX_EVENT_BYTES
+    }
+
+    /// The next whole event.
+    pub fn take_event(&mut self) -> Option<Event> {
+        let Some(end) = end_of_event(&self.rest, self.searched) else {
+            // A blank line may be cut anywhere: look again at the last three bytes.
+            self.searched = self.rest.len().saturating_sub(3);
+            return None;
+        };
+        self.searched = 0;
+        let bytes = self.rest.split_to(end).freeze();
+        let id = id_of(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// Whether a part of an event is left.
+    #[must_use]
+    pub fn has_rest(&self) -> bool {
+        !self.rest.is_empty()
+    }
+}
+
+/// Index behind the first blank line from `from` on.
+fn end_of_event(bytes: &[u8], from: usize) -> Option<usize> {
+    let mut at = from;
+    while let Some(found) = bytes[at..].iter().position(|b| *b == b'\n') {
+        let next = at + found + 1;
+        match bytes.get(next) {
+            Some(b'\n') => return Some(next + 1),
+            Some(b'\r') if bytes.get(next + 1) == Some(&b'\n') => return Some(next + 2),
+            _ => at = next,
+        }
+    }
+    None
+}
+
+fn id_of(event: &[u8]) -> Option<u64> {
+    event
+        .split(|b| *b == b'\n')
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .filter_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
+        .next_back()
+}
--- /dev/null
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -0,0 +1,91 @@
+//! Calls of a batch service's home to upstreams.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use tc_policy::{BatchCall, CallEnd};
+use tc_protocol::{RunState, ServiceName, routing::ResultHandle};
+use tc_upstream::{CallErrorKind, RawCall};
+
+use super::{HomeContext, home::address_of};
+use crate::call::Taken;
+
+/// Longest time for a call that frees results; it is answered at once, and repeating it is harmless.
+const FREE_LIMIT: Duration = Duration::from_millis(500);
+
+/// Makes one call and tells how it ended.
+pub(super) async fn make_pieces(
+    cx: &HomeContext,
+    service: &ServiceName,
+    call: BatchCall,
+) -> CallEnd {
+    let Some(address) = address_of(cx, service, &call.upstream) else {
+        return CallEnd::NotRun;
+    };
+    let raw = RawCall {
+        upstream: call.upstream.clone(),
+        address,
+        request: (cx.edges.batch_call)(&call.pieces, &call.upstream),
+        remaining: call.limit,
+        // An answer names no call, so a late second one on a kept connection would be taken for the next call's.
+        reuse: false,
+    };
+    let mut reply = match cx.client.exchange_raw(raw).await {
+        Ok(reply) => reply,
+        Err(error) => {
+            log::warn!(service = service.as_str(), upstream = call.upstream.as_str(), pieces = call.pieces.len(), error = error.to_string().as_str(); "a batch call failed");
+            return match (error.kind, error.run_state) {
+                (CallErrorKind::Connect, RunState::NotRun) => CallEnd::Unreachable,
+                _ => CallEnd::Failed,
+            };
+        }
+    };
+    let head = (cx.edges.read_answer)(&reply.head);
+    if head.taken != Taken::Yes {
+        log::debug!(service = service.as_str(), upstream = call.upstream.as_str(), status = reply.head.status.as_u16(); "a batch call was not taken");
+        return CallEnd::NotRun;
+    }
+    let body = reply.body.collect().await.ok();
+    let results = body.and_then(|body| (cx.edges.read_batch)(&body));
+    match results {
+        Some(results) if reply.head.status.is_success() && results.len() == call.pieces.len() => {
+            CallEnd::Answered(results)
+        }
+        _ => {
+            log::warn!(service = service.as_str(), upstream = call.upstream.as_str(), status = reply.head.status.as_u16(); "the answer of a batch call cannot be used");
+            CallEnd::Failed
+        }
+    }
+}
+
+/// Tells the makers of results that nobody reads them any more. A lost call costs room until the results lapse.
+pub(super) fn free_at_makers(cx: &Arc<HomeContext>, handles: &[ResultHandle]) {
+    let mut by_maker: HashMap<SocketAddr, Vec<ResultHandle>> = HashMap::new();
+    for handle in handles {
+        match handle.maker().and_then(|maker| maker.parse().ok()) {
+            Some(maker) => by_maker.entry(maker).or_default().push(handle.clone()),
+            None => log::warn!(result = &*handle.0; "a result names no maker and cannot be freed"),
+        }
+    }
+    for (maker, handles) in by_maker {
+        tokio::spawn(free_at(Arc::clone(cx), maker, handles));
+    }
+}
+
+async fn free_at(cx: Arc<HomeContext>, maker: SocketAddr, handles: Vec<ResultHandle>) {
+    let raw = RawCall {
+        upstream: maker.to_string().into(),
+        address: maker,
+        request: (cx.edges.free_call)(&handles),
+        remaining: FREE_LIMIT,
+        reuse: true,
+    };
+    match cx.client.exchange_raw(raw).await {
+        Ok(mut reply) => {
+            // Read to its end so that the connection can be kept; what it says changes nothing.
+            let _ = reply.body.collect().await;
+        }
+        Err(error) => {
+            log::debug!(results = handles.len(), error = error.to_string().as_str(); "results could not be freed and lapse by themselves");
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -0,0 +1,241 @@
+//! The home of one batch service: drives its planner.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    time::Duration,
+};
+
+use slotmap::SecondaryMap;
+use tc_policy::{BatchCall, BatchPlanner, BatchUpstream, JobKey, NewJob, RepeatBudget, Settled};
+use tc_protocol::{
+    MonoTime, ServiceName, UpstreamId,
+    routing::{BatchSpec, PiecesAsk, PiecesRefusal, ResultHandle},
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    time::timeout,
+};
+
+use super::{HomeContext, PiecesReply, calls};
+
+/// Longest sleep between two looks at the planner when nothing is known to come.
+const IDLE_LOOK: Duration = Duration::from_secs(1);
+
+struct Inner {
+    planner: BatchPlanner,
+    waiting: SecondaryMap<JobKey, oneshot::Sender<PiecesReply>>,
+}
+
+/// See the module.
+pub(super) struct BatchHome {
+    cx: Arc<HomeContext>,
+    service: ServiceName,
+    inner: Mutex<Inner>,
+    /// Wakes the task that sleeps until the planner's next moment.
+    wake: Notify,
+}
+
+impl BatchHome {
+    pub(super) fn start(cx: Arc<HomeContext>, service: ServiceName, spec: BatchSpec) -> Arc<Self> {
+        let repeats = RepeatBudget::new(cx.budgets.of_home());
+        let home = Arc::new(Self {
+            cx,
+            service,
+            inner: Mutex::new(Inner {
+                planner: BatchPlanner::new(spec, repeats),
+                waiting: SecondaryMap::new(),
+            }),
+            wake: Notify::new(),
+        });
+        home.take_world();
+        tokio::spawn(follow_world(Arc::downgrade(&home)));
+        tokio::spawn(keep_time(Arc::downgrade(&home)));
+        home
+    }
+
+    /// Makes the pieces of a stage. Dropping the future takes back what was not started.
+    pub(super) async fn make(self: Arc<Self>, ask: PiecesAsk) -> PiecesReply {
+        let now = MonoTime::now();
+        let (reply, answer) = oneshot::channel();
+        let request = Arc::clone(&ask.request);
+        let job = {
+            let mut inner = self.lock();
+            let wait = inner.planner.expected_wait();
+            let pushed = inner.planner.push(now, new_job(now, ask));
+            let job = pushed.inspect_err(|refusal| {
+                log::info!(request = &*request, service = self.service.as_str(), wait_ms = wait.as_millis() as u64, refusal = format!("{refusal:?}").as_str(); "stage refused");
+            })?;
+            inner.waiting.insert(job, reply);
+            job
+        };
+        let cancel = CancelOnDrop {
+            home: Arc::clone(&self),
+            job: Some(job),
+        };
+        self.drive();
+        self.wake.notify_one();
+        let answer = answer.await;
+        cancel.keep();
+        // The sender is dropped only with the home itself.
+        answer.unwrap_or(Err(PiecesRefusal::Failed))
+    }
+
+    /// Results that are given up take no room any more.
+    pub(super) fn freed(self: &Arc<Self>, handles: &[ResultHandle]) {
+        {
+            let mut inner = self.lock();
+            for handle in handles {
+                inner.planner.freed(handle);
+            }
+        }
+        self.drive();
+    }
+
+    /// Starts every call that the planner wants now.
+    fn drive(self: &Arc<Self>) {
+        let now = MonoTime::now();
+        loop {
+            let call = self.lock().planner.next_call(now);
+            let Some(call) = call else { return };
+            tokio::spawn(Arc::clone(self).run(call));
+        }
+    }
+
+    async fn run(self: Arc<Self>, call: BatchCall) {
+        let key = call.key;
+        let end = calls::make_pieces(&self.cx, &self.service, call).await;
+        let settled = self.lock().planner.end_call(MonoTime::now(), key, end);
+        self.settle(settled);
+        self.drive();
+        self.wake.notify_one();
+    }
+
+    fn settle(&self, settled: Settled) {
+        calls::free_at_makers(&self.cx, &settled.unwanted);
+        let mut inner = self.lock();
+        for handle in &settled.unwanted {
+            inner.planner.freed(handle);
+        }
+        for finished in settled.finished {
+            if let Some(reply) = inner.waiting.remove(finished.job) {
+                // Fails only when the asker has gone, which frees the results itself.
+                let _ = reply.send(finished.result);
+            }
+        }
+    }
+
+    fn cancel(&self, job: JobKey) {
+        let unwanted = {
+            let mut inner = self.lock();
+            inner.waiting.remove(job);
+            let unwanted = inner.planner.cancel(job);
+            for handle in &unwanted {
+                inner.planner.freed(handle);
+            }
+            unwanted
+        };
+        calls::free_at_makers(&self.cx, &unwanted);
+    }
+
+    fn take_world(&self) {
+        let world = self.cx.world.load();
+        let upstreams: Vec<BatchUpstream> = world
+            .upstreams
+            .of_service(self.service.as_str())
+            .iter()
+            .filter(|upstream| !upstream.draining)
+            .map(|upstream| BatchUpstream {
+                id: upstream.id.clone(),
+                domain: upstream.failure_domain.clone(),
+            })
+            .collect();
+        let service = world
+            .config
+            .as_ref()
+            .and_then(|config| config.service(self.service.as_str()));
+        let mut inner = self.lock();
+        if let Some(spec) = service.and_then(|service| service.batch) {
+            inner.planner.set_spec(spec);
+        }
+        inner.planner.set_upstreams(&upstreams);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn new_job(now: MonoTime, ask: PiecesAsk) -> NewJob {
+    NewJob {
+        request: ask.request,
+        stage: ask.stage,
+        pieces: ask.pieces,
+        input: ask.input,
+        result_bytes: ask.result_bytes,
+        rank: ask.rank,
+        in_time_until: now.after(ask.in_time_for),
+        deadline: now.after(ask.remaining),
+        prefer: ask.prefer,
+    }
+}
+
+/// Takes a job back when its asker leaves.
+struct CancelOnDrop {
+    home: Arc<BatchHome>,
+    job: Option<JobKey>,
+}
+
+impl CancelOnDrop {
+    /// The job has ended by itself.
+    fn keep(mut self) {
+        self.job = None;
+    }
+}
+
+impl Drop for CancelOnDrop {
+    fn drop(&mut self) {
+        if let Some(job) = self.job.take() {
+            self.home.cancel(job);
+        }
+    }
+}
+
+async fn follow_world(home: Weak<BatchHome>) {
+    let Some(mut changes) = home.upgrade().map(|home| home.cx.world.changes()) else {
+        return;
+    };
+    while changes.changed().await.is_ok() {
+        let Some(home) = home.upgrade() else { return };
+        home.take_world();
+        home.drive();
+    }
+}
+
+/// Looks at the planner when time alone changes what is possible.
+async fn keep_time(home: Weak<BatchHome>) {
+    loop {
+        let Some(home) = home.upgrade() else { return };
+        let now = MonoTime::now();
+        let next = home.lock().planner.next_wake(now);
+        let wait = next.map_or(IDLE_LOOK, |at| at.since(now).max(Duration::from_millis(5)));
+        // Woken early or not, the planner is looked at.
+        let _ = timeout(wait, home.wake.notified()).await;
+        let settled = home.lock().planner.expire(MonoTime::now());
+        home.settle(settled);
+        home.drive();
+    }
+}
+
+/// Whether an upstream still takes work, looked up right before it is called.
+pub(super) fn address_of(
+    cx: &HomeContext,
+    service: &ServiceName,
+    id: &UpstreamId,
+) -> Option<std::net::SocketAddr> {
+    let world = cx.world.load();
+    let upstreams = world.upstreams.of_service(service.as_str());
+    upstreams
+        .iter()
+        .find(|upstream| upstream.id == *id && !upstream.draining)
+        .map(|upstream| upstream.address)
+}
--- /dev/null
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -0,0 +1,88 @@
+//! Batch services homed here: asks come in, calls go out as the planner decides, results go back.
+
+mod calls;
+mod free;
+mod home;
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use tc_protocol::{
+    ServiceName,
+    routing::{PiecesAsk, PiecesRefusal, ResultHandle},
+};
+use tc_upstream::UpstreamClient;
+
+use crate::{budgets::RepeatBudgets, edges::Edges, world::WorldCell};
+
+pub(crate) use free::Freer;
+use home::BatchHome;
+
+/// Answer to an ask for pieces.
+pub(crate) type PiecesReply = Result<Vec<ResultHandle>, PiecesRefusal>;
+
+/// What every home needs.
+pub(crate) struct HomeContext {
+    pub(crate) edges: Edges,
+    pub(crate) client: UpstreamClient,
+    pub(crate) world: Arc<WorldCell>,
+    pub(crate) budgets: Arc<RepeatBudgets>,
+}
+
+/// The homes that were asked for here, by service.
+pub(crate) struct BatchHomes {
+    cx: Arc<HomeContext>,
+    by_service: Mutex<HashMap<ServiceName, Arc<BatchHome>>>,
+}
+
+impl BatchHomes {
+    pub(crate) fn new(cx: HomeContext) -> Self {
+        Self {
+            cx: Arc::new(cx),
+            by_service: Mutex::default(),
+        }
+    }
+
+    /// Makes the pieces of a stage. Dropping the future takes back what was not started.
+    pub(crate) async fn make_pieces(&self, ask: PiecesAsk) -> PiecesReply {
+        match self.home(&ask.service) {
+            Some(home) => home.make(ask).await,
+            None => Err(PiecesRefusal::NoUpstream),
+        }
+    }
+
+    /// Frees results at their makers, and the room that they took.
+    pub(crate) fn free_results(&self, handles: &[ResultHandle]) {
+        let homes: Vec<Arc<BatchHome>> = {
+            let homes = self.lock();
+            homes.values().cloned().collect()
+        };
+        for home in homes {
+            home.freed(handles);
+        }
+        calls::free_at_makers(&self.cx, handles);
+    }
+
+    /// The home of a service, started when it is first asked for; `None` for a service that makes no pieces.
+    fn home(&self, service: &ServiceName) -> Option<Arc<BatchHome>> {
+        if let Some(home) = self.lock().get(service) {
+            return Some(Arc::clone(home));
+        }
+        let world = self.cx.world.load();
+        let spec = world.config.as_ref()?.service(service.as_str())?.batch?;
+        let mut homes = self.lock();
+        let home = homes.entry(service.clone()).or_insert_with(|| {
+            log::info!(service = service.as_str(); "this instance is asked to be the home of a batch service");
+            BatchHome::start(Arc::clone(&self.cx), service.clone(), spec)
+        });
+        Some(Arc::clone(home))
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<ServiceName, Arc<BatchHome>>> {
+        self.by_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/tc-gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! Routed requests: a caller's request is passed on to an upstream of its route's service, after the stages that the
+//! route names, and the upstream's answer comes back as it is.
+//!
+//! The rules, limits, retries and recovery live here. How headers, configuration and the store spell things is told
+//! by [`Edges`], plain functions that the crate speaking to the outside provides.
+
+mod budgets;
+mod call;
+mod edges;
+mod events;
+mod homes;
+mod routing;
+mod run;
+mod serve;
+mod settings;
+mod start;
+mod stop;
+mod upstreams;
+mod world;
+
+pub use call::{
+    AnswerHead, CallHead, HeadError, Prompt, PromptPart, Taken, UpstreamHead, UpstreamLoad,
+};
+pub use edges::{DirectoryQuestion, Edges, StoreKinds};
+pub use events::{Event, EventSplitter};
+pub use routing::{RouteTable, RouteTableError};
+pub use settings::{GatewaySettings, RepeatSettings};
+pub use start::{GatewayError, run};
--- /dev/null
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -0,0 +1,256 @@
+//! One send of a request to an upstream.
+
+use std::{sync::Arc, time::Duration};
+
+use http::{Request, Uri, uri::PathAndQuery};
+use http_body_util::Full;
+use tc_protocol::{
+    FailureDomain, RunState, UpstreamId,
+    routing::{RegisteredUpstream, ResultHandle},
+};
+use tc_upstream::{RawCall, RawReply};
+use tokio::time::Instant;
+
+use super::{Refusal, RoutedRequest, RunContext};
+use crate::{
+    call::{AnswerHead, Prompt, Taken, UpstreamHead},
+    upstreams::{CallHealth, InFlight},
+};
+
+/// A request with less time left is not sent any more: no upstream could answer it.
+const LEAST_TIME: Duration = Duration::from_millis(10);
+
+/// What was learnt from sends of one request so far.
+#[derive(Debug, Default)]
+pub(super) struct Attempts {
+    /// Sends that left this process.
+    pub(super) sent: u32,
+    /// Whether any send may have run.
+    pub(super) may_have_run: bool,
+    /// Upstreams not to be tried again.
+    pub(super) tried: Vec<UpstreamId>,
+    /// Whether the next send is a repeat of one that reached an upstream.
+    arrived: bool,
+    /// Whom the send in progress is for.
+    current: Option<UpstreamId>,
+}
+
+/// Why a send brought no answer that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum SendFailure {
+    /// It has not run there.
+    NotRun,
+    /// It has not run there because its inputs are gone.
+    InputGone,
+    /// It may have run.
+    Unknown,
+    /// No upstream is left to try.
+    NoUpstream,
+    /// No time is left.
+    NoTime,
+}
+
+/// An answer whose head was checked.
+pub(super) struct Answered {
+    pub(super) reply: RawReply,
+    pub(super) head: AnswerHead,
+    pub(super) upstream: Arc<RegisteredUpstream>,
+    pub(super) sent_at: Instant,
+    /// Counts the call as in progress while the answer is read.
+    pub(super) in_flight: InFlight,
+}
+
+/// What is sent besides the request.
+#[derive(Clone, Copy, Default)]
+pub(super) struct SendWith<'a> {
+    pub(super) inputs: Option<&'a [ResultHandle]>,
+    pub(super) domain: Option<&'a FailureDomain>,
+    pub(super) resume_after: Option<u64>,
+    /// Ends the send before the request's own time.
+    pub(super) limit: Option<Duration>,
+}
+
+impl Attempts {
+    /// Whether the request may be sent once more after a failure.
+    pub(super) fn may_send_again(
+        &mut self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        failure: SendFailure,
+    ) -> bool {
+        let allowed = match failure {
+            SendFailure::NotRun | SendFailure::InputGone => true,
+            SendFailure::Unknown => req.route.repeat.may_repeat(),
+            SendFailure::NoUpstream | SendFailure::NoTime => false,
+        };
+        if !allowed || self.sent >= req.route.max_attempts || req.time_left() < LEAST_TIME {
+            return false;
+        }
+        !self.arrived || cx.budgets.try_spend(&req.service, cx.instances())
+    }
+
+    /// What to tell the caller when nothing more is tried.
+    pub(super) fn refusal(&self, req: &RoutedRequest, failure: SendFailure) -> Refusal {
+        if self.may_have_run {
+            return if req.time_left() < LEAST_TIME {
+                Refusal::timed_out()
+            } else {
+                Refusal::unknown("an upstream broke off and may have run the request")
+            };
+        }
+        match failure {
+            SendFailure::NoUpstream => Refusal::not_run_now("no upstream of the service is known"),
+            SendFailure::NoTime => Refusal::timed_out(),
+            SendFailure::InputGone => Refusal::not_run_now("results of a stage were lost"),
+            SendFailure::NotRun | SendFailure::Unknown => {
+                Refusal::not_run_now("no upstream took the request")
+            }
+        }
+    }
+
+    /// Sends the request to the upstream that suits best and waits for the head of its answer.
+    pub(super) async fn send(
+        &mut self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        with: SendWith<'_>,
+    ) -> Result<Answered, SendFailure> {
+        let time_left = req.time_left();
+        if time_left < LEAST_TIME {
+            return Err(SendFailure::NoTime);
+        }
+        let (upstream, in_flight) = self.choose(cx, req, with.domain)?;
+        let remaining = with.limit.map_or(time_left, |limit| limit.min(time_left));
+        let call = RawCall {
+            upstream: upstream.id.clone(),
+            address: upstream.address,
+            request: request_to(cx, req, &upstream, &with),
+            remaining,
+            reuse: false,
+        };
+        let sent_at = Instant::now();
+        self.sent += 1;
+        self.current = Some(upstream.id.clone());
+        let exchanged = cx.client.exchange_raw(call).await;
+        let reply = match exchanged {
+            Ok(reply) => reply,
+            Err(error) => {
+                let not_run = error.run_state == RunState::NotRun;
+                log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), not_run = not_run, error = error.to_string().as_str(), after_ms = sent_at.elapsed().as_millis() as u64; "a send brought no answer");
+                cx.book.note(&upstream.id, CallHealth::Failed);
+                self.tried.push(upstream.id.clone());
+                return Err(self.unanswered(not_run));
+            }
+        };
+        self.arrived = true;
+        let answered = Answered {
+            head: (cx.edges.read_answer)(&reply.head),
+            reply,
+            upstream,
+            sent_at,
+            in_flight,
+        };
+        self.check(cx, req, answered)
+    }
+
+    fn choose(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        domain: Option<&FailureDomain>,
+    ) -> Result<(Arc<RegisteredUpstream>, InFlight), SendFailure> {
+        let world = cx.world.load();
+        let all = world.upstreams.of_service(req.service.as_str());
+        let kept = req.head.prompt.as_ref().and_then(Prompt::shared_key);
+        let chosen = cx.book.choose(all, &self.tried, kept, domain);
+        chosen.ok_or(SendFailure::NoUpstream)
+    }
+
+    fn unanswered(&mut self, not_run: bool) -> SendFailure {
+        if not_run {
+            self.sent -= 1;
+            return SendFailure::NotRun;
+        }
+        self.arrived = true;
+        self.may_have_run = true;
+        SendFailure::Unknown
+    }
+
+    /// Tells answers that belong to this request and are genuine from all others.
+    fn check(
+        &mut self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        answered: Answered,
+    ) -> Result<Answered, SendFailure> {
+        let head = &answered.head;
+        let id = &answered.upstream.id;
+        if head.taken != Taken::Yes {
+            let status = answered.reply.head.status.as_u16();
+            log::info!(request = &*req.head.request, upstream = id.as_str(), status = status, taken = format!("{:?}", head.taken).as_str(); "an upstream did not take a request");
+            cx.book.note(id, CallHealth::Full);
+            self.tried.push(id.clone());
+            return Err(if head.taken == Taken::InputGone {
+                SendFailure::InputGone
+            } else {
+                SendFailure::NotRun
+            });
+        }
+        let is_ours = head
+            .request
+            .as_ref()
+            .is_none_or(|named| *named == req.head.request);
+        let is_genuine = head.sealed && !head.encoded;
+        let is_success = answered.reply.head.status.is_success();
+        if !is_ours || (is_success && !is_genuine) {
+            log::warn!(request = &*req.head.request, upstream = id.as_str(), ours = is_ours, sealed = head.sealed, encoded = head.encoded; "an answer is not this request's or not genuine");
+            return Err(self.spoilt(cx, id));
+        }
+        Ok(answered)
+    }
+
+    /// The next send goes to another upstream than the last one.
+    pub(super) fn leave_out_current(&mut self) {
+        self.tried.extend(self.current.take());
+    }
+
+    /// A send was given up while its answer was awaited.
+    pub(super) fn gave_up_waiting(&mut self, cx: &RunContext) {
+        self.arrived = true;
+        self.may_have_run = true;
+        if let Some(id) = self.current.take() {
+            cx.book.note(&id, CallHealth::Failed);
+            self.tried.push(id);
+        }
+    }
+
+    /// The upstream ran the request, but its answer cannot be used.
+    pub(super) fn spoilt(&mut self, cx: &RunContext, id: &UpstreamId) -> SendFailure {
+        cx.book.note(id, CallHealth::Failed);
+        self.tried.push(id.clone());
+        self.may_have_run = true;
+        SendFailure::Unknown
+    }
+}
+
+fn request_to(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    upstream: &RegisteredUpstream,
+    with: &SendWith<'_>,
+) -> Request<Full<bytes::Bytes>> {
+    let own = UpstreamHead {
+        remaining: req.time_left(),
+        upstream: &upstream.id,
+        workspace: req.workspace.as_ref().map(|w| &w.name),
+        inputs: with.inputs,
+        resume_after: with.resume_after.or(req.head.resume_after),
+    };
+    let path = req.parts.uri.path_and_query();
+    let path = path.cloned().unwrap_or(PathAndQuery::from_static("/"));
+    let mut request = Request::new(Full::new(req.body.clone()));
+    *request.method_mut() = req.parts.method.clone();
+    *request.uri_mut() = Uri::from(path);
+    *request.headers_mut() = (cx.edges.upstream_headers)(&req.parts.headers, &own);
+    request
+}
--- /dev/null
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -0,0 +1,111 @@
+//! The run of one request: its stages, then the request itself, then the answer.
+
+mod attempt;
+mod home_ask;
+mod plain;
+mod refusal;
+mod stages;
+mod stream;
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{Response, request::Parts};
+use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
+use tc_fleet::Mesh;
+use tc_protocol::{
+    MemberState, ServiceName,
+    routing::{Route, RoutedWorkspace},
+};
+use tc_upstream::UpstreamClient;
+use thiserror::Error;
+use tokio::time::Instant;
+
+use crate::{
+    budgets::RepeatBudgets,
+    call::CallHead,
+    edges::Edges,
+    homes::{BatchHomes, Freer},
+    upstreams::UpstreamBook,
+    world::WorldCell,
+};
+
+pub(crate) use refusal::{Refusal, own_answer};
+
+/// Body of an answer to a caller. An error cuts the caller's connection, so that no broken answer looks whole.
+pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, StreamCut>;
+
+/// Why an answer that had begun was not finished.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("the answer broke off")]
+pub(crate) struct StreamCut;
+
+/// A body that is there whole.
+pub(crate) fn whole(bytes: Bytes) -> AnswerBody {
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// What all runs share.
+pub(crate) struct RunContext {
+    pub(crate) edges: Edges,
+    pub(crate) world: Arc<WorldCell>,
+    pub(crate) mesh: Mesh,
+    pub(crate) homes: Arc<BatchHomes>,
+    pub(crate) freer: Freer,
+    pub(crate) book: Arc<UpstreamBook>,
+    pub(crate) budgets: Arc<RepeatBudgets>,
+    pub(crate) client: UpstreamClient,
+}
+
+impl RunContext {
+    /// Instances that take part in budgets: all that may be sending.
+    fn instances(&self) -> usize {
+        let members = self.mesh.members();
+        members
+            .iter()
+            .filter(|m| m.state != MemberState::Dead)
+            .count()
+    }
+}
+
+/// A request that was routed and may run.
+pub(crate) struct RoutedRequest {
+    pub(crate) head: CallHead,
+    pub(crate) parts: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: ServiceName,
+    pub(crate) workspace: Option<Arc<RoutedWorkspace>>,
+    pub(crate) arrived: Instant,
+    /// When its caller or its route ends it.
+    pub(crate) deadline: Instant,
+}
+
+impl RoutedRequest {
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Rank among requests, 0 first: the workspace's goes before the route's.
+    fn rank(&self) -> u8 {
+        let own = self.workspace.as_ref().and_then(|w| w.priority);
+        own.unwrap_or(self.route.priority)
+    }
+}
+
+/// Runs a request to its answer, or to the first event of a streamed one.
+pub(crate) async fn run(cx: Arc<RunContext>, req: RoutedRequest) -> Response<AnswerBody> {
+    cx.budgets.note_request(&req.service, cx.instances());
+    let req = Arc::new(req);
+    let answered = if req.route.repeat.is_stream() {
+        stream::run(Arc::clone(&cx), Arc::clone(&req)).await
+    } else {
+        plain::run(&cx, &req).await
+    };
+    answered.unwrap_or_else(|refusal| {
+        refusal.log(&req);
+        own_answer(&cx.edges, &req.head.request, &refusal)
+    })
+}
--- /dev/null
+++ b/crates/tc-gateway/src/run/plain.rs
@@ -0,0 +1,120 @@
+//! Requests whose answer is passed on whole.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Response, StatusCode, response::Parts};
+
+use super::{
+    AnswerBody, Refusal, RoutedRequest, RunContext,
+    attempt::{Answered, Attempts, SendFailure, SendWith},
+    stages::{self, StageResults},
+    whole,
+};
+use crate::upstreams::CallHealth;
+
+/// Part of the time left that the first send of a request may take when another may follow: an upstream that hangs
+/// leaves enough for a second one.
+const FIRST_SEND_PART: f64 = 0.45;
+
+/// Runs a request and gives its answer whole.
+pub(super) async fn run(
+    cx: &RunContext,
+    req: &RoutedRequest,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut attempts = Attempts::default();
+    let mut results = make_stages(cx, req).await?;
+    let mut last_failure = None;
+    loop {
+        let with = SendWith {
+            inputs: inputs_of(req, &results),
+            domain: results.domain.as_ref(),
+            resume_after: None,
+            limit: first_send_limit(req, &attempts),
+        };
+        let failure = match attempts.send(cx, req, with).await {
+            Ok(answered) => match read(cx, req, &mut attempts, answered).await {
+                Ok(answer) if is_worth_repeating(answer.status()) => {
+                    attempts.leave_out_current();
+                    last_failure = Some(answer);
+                    SendFailure::Unknown
+                }
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            },
+            Err(failure) => failure,
+        };
+        if !attempts.may_send_again(cx, req, failure) {
+            // What an upstream itself said goes before words of our own.
+            return last_failure.ok_or_else(|| attempts.refusal(req, failure));
+        }
+        if failure == SendFailure::InputGone {
+            results = make_stages(cx, req).await?;
+        }
+    }
+}
+
+/// Makes the stages of a route that has any.
+pub(super) async fn make_stages(
+    cx: &RunContext,
+    req: &RoutedRequest,
+) -> Result<StageResults, Refusal> {
+    stages::make_all(cx, req).await.map_err(Refusal::from)
+}
+
+/// The results that go with a request; `None` for routes without stages.
+pub(super) fn inputs_of<'a>(
+    req: &RoutedRequest,
+    results: &'a StageResults,
+) -> Option<&'a [tc_protocol::routing::ResultHandle]> {
+    (!req.route.stages.is_empty()).then_some(&*results.inputs)
+}
+
+/// An upstream's failure that another upstream may not have.
+fn is_worth_repeating(status: StatusCode) -> bool {
+    status.is_server_error()
+}
+
+fn first_send_limit(req: &RoutedRequest, attempts: &Attempts) -> Option<Duration> {
+    let may_follow = req.route.repeat.may_repeat() && attempts.sent + 1 < req.route.max_attempts;
+    may_follow.then(|| {
+        let part = req.time_left().mul_f64(FIRST_SEND_PART);
+        part.max(req.route.aim)
+    })
+}
+
+/// Reads an answer to its end: only a whole one is passed on.
+pub(super) async fn read(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    attempts: &mut Attempts,
+    answered: Answered,
+) -> Result<Response<AnswerBody>, SendFailure> {
+    let Answered {
+        mut reply,
+        upstream,
+        sent_at,
+        in_flight,
+        ..
+    } = answered;
+    let first_byte = sent_at.elapsed();
+    let body = reply.body.collect().await;
+    drop(in_flight);
+    match body {
+        Ok(body) => {
+            cx.book.note(&upstream.id, CallHealth::Answered(first_byte));
+            Ok(answer(cx, &reply.head, body))
+        }
+        Err(error) => {
+            log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = error.to_string().as_str(); "an answer broke off");
+            Err(attempts.spoilt(cx, &upstream.id))
+        }
+    }
+}
+
+fn answer(cx: &RunContext, head: &Parts, body: Bytes) -> Response<AnswerBody> {
+    let mut answer = Response::new(whole(body));
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = (cx.edges.caller_headers)(&head.headers);
+    answer
+}
--- /dev/null
+++ b/crates/tc-gateway/src/run/refusal.rs
@@ -0,0 +1,108 @@
+//! Answers of the system's own, and what each promises.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use tc_protocol::routing::PiecesRefusal;
+
+use super::{AnswerBody, RoutedRequest, whole};
+use crate::edges::Edges;
+
+/// When a caller is told to come back if nothing better is known: about the time in which an upstream that just
+/// failed or filled up has been found out and others have taken over.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// Why a request ends without an upstream's answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) status: StatusCode,
+    pub(crate) retry_after: Option<Duration>,
+    /// What happened, for logs and the answer's text.
+    pub(crate) reason: &'static str,
+}
+
+impl Refusal {
+    /// It has not run and will not: only said when no upstream can have begun it.
+    pub(crate) fn not_run(reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            retry_after: Some(retry_after),
+            reason,
+        }
+    }
+
+    /// It has not run; the cause passes soon.
+    pub(crate) fn not_run_now(reason: &'static str) -> Self {
+        Self::not_run(reason, COME_BACK)
+    }
+
+    /// It may have run.
+    pub(crate) fn unknown(reason: &'static str) -> Self {
+        Self::plain(StatusCode::BAD_GATEWAY, reason)
+    }
+
+    /// Its time is over, and it may have run.
+    pub(crate) fn timed_out() -> Self {
+        Self::plain(
+            StatusCode::GATEWAY_TIMEOUT,
+            "no answer within the time allowed",
+        )
+    }
+
+    /// An answer that depends on the request alone.
+    pub(crate) fn plain(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            retry_after: None,
+            reason,
+        }
+    }
+
+    pub(crate) fn log(&self, req: &RoutedRequest) {
+        log::info!(
+            request = &*req.head.request,
+            route = &*req.route.name,
+            status = self.status.as_u16(),
+            reason = self.reason,
+            after_ms = req.arrived.elapsed().as_millis() as u64;
+            "request ended without an upstream's answer"
+        );
+    }
+}
+
+impl From<PiecesRefusal> for Refusal {
+    /// A request whose stages were not made has not run, whatever became of its pieces.
+    fn from(refusal: PiecesRefusal) -> Self {
+        match refusal {
+            PiecesRefusal::Overloaded { retry_after } => {
+                Self::not_run("a stage before the request has too much to do", retry_after)
+            }
+            PiecesRefusal::InputGone => Self::not_run_now("results of a stage were lost"),
+            PiecesRefusal::Failed => Self::not_run_now("a stage before the request failed"),
+            PiecesRefusal::Late => Self::not_run_now("a stage could not be done in time"),
+            PiecesRefusal::NoUpstream => Self::not_run_now("no upstream of a stage is known"),
+        }
+    }
+}
+
+/// Builds an answer of the system's own.
+pub(crate) fn own_answer(edges: &Edges, request: &str, refusal: &Refusal) -> Response<AnswerBody> {
+    let status = refusal.status.as_str().to_owned();
+    metrics::counter!("tc_routed_refusals_total", "status" => status, "reason" => refusal.reason)
+        .increment(1);
+    let body = serde_json::json!({ "status": refusal.status.as_u16(), "detail": refusal.reason });
+    let mut answer = Response::new(whole(Bytes::from(body.to_string())));
+    *answer.status_mut() = refusal.status;
+    *answer.headers_mut() = (edges.own_headers)(request);
+    let json = HeaderValue::from_static("application/problem+json");
+    answer.headers_mut().insert(header::CONTENT_TYPE, json);
+    if let Some(wait) = refusal.retry_after {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        // Digits and a dot are always a valid header value.
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            answer.headers_mut().insert(header::RETRY_AFTER, value);
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -0,0 +1,284 @@
+//! Requests whose answer is a stream of events, passed on event by event.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use futures::stream;
+use http::Response;
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
+use tokio::time::timeout;
+
+use super::{
+    AnswerBody, Refusal, RoutedRequest, RunContext, StreamCut,
+    attempt::{Answered, Attempts, SendFailure, SendWith},
+    plain::{inputs_of, make_stages, read},
+    stages::StageResults,
+};
+use crate::{
+    events::{Event, EventSplitter},
+    upstreams::CallHealth,
+};
+
+/// A resumable stream without an event for so many times the longest pause allowed goes on elsewhere.
+const STALLED_PAUSES: u32 = 4;
+/// Shortest such time: an engine may preempt a run for some hundred milliseconds.
+const LEAST_STALL: Duration = Duration::from_secs(1);
+/// Part of the time left that a resumable stream waits for its first event before another engine is tried.
+const FIRST_EVENT_PART: f64 = 0.45;
+
+/// Runs a request to its first event; the rest follows in the answer's body.
+pub(super) async fn run(
+    cx: Arc<RunContext>,
+    req: Arc<RoutedRequest>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let mut attempts = Attempts::default();
+    let mut results = make_stages(&cx, &req).await?;
+    loop {
+        let failure = match open(&cx, &req, &mut attempts, &results, None).await {
+            Ok(Opened::Whole(answer)) => return Ok(answer),
+            Ok(Opened::Stream(open)) => {
+                // The engine has read its inputs by its first event.
+                drop(results);
+                return Ok(streamed(cx, req, attempts, *open));
+            }
+            Err(failure) => failure,
+        };
+        if !attempts.may_send_again(&cx, &req, failure) {
+            return Err(attempts.refusal(&req, failure));
+        }
+        if failure == SendFailure::InputGone {
+            results = make_stages(&cx, &req).await?;
+        }
+    }
+}
+
+/// An answer that has begun.
+enum Opened {
+    /// It is no stream, or one that ended before any event.
+    Whole(Response<AnswerBody>),
+    Stream(Box<OpenStream>),
+}
+
+/// A stream from one engine.
+struct OpenStream {
+    answered: Answered,
+    events: EventSplitter,
+    first: Option<Event>,
+}
+
+async fn open(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    attempts: &mut Attempts,
+    results: &StageResults,
+    resume_after: Option<u64>,
+) -> Result<Opened, SendFailure> {
+    let with = SendWith {
+        inputs: inputs_of(req, results),
+        domain: results.domain.as_ref(),
+        resume_after,
+        limit: None,
+    };
+    let limit = first_event_limit(req, attempts);
+    let opened = async {
+        let answered = attempts.send(cx, req, with).await?;
+        if !answered.head.is_stream || !answered.reply.head.status.is_success() {
+            return read(cx, req, attempts, answered).await.map(Opened::Whole);
+        }
+        first_event(cx, req, attempts, answered).await
+    };
+    if let Ok(opened) = timeout(limit, opened).await {
+        return opened;
+    }
+    log::info!(request = &*req.head.request; "no first event in time; another engine is tried");
+    attempts.gave_up_waiting(cx);
+    Err(SendFailure::Unknown)
+}
+
+fn first_event_limit(req: &RoutedRequest, attempts: &Attempts) -> Duration {
+    let may_follow = req.route.repeat.may_repeat() && attempts.sent + 1 < req.route.max_attempts;
+    if may_follow {
+        req.time_left().mul_f64(FIRST_EVENT_PART).max(req.route.aim)
+    } else {
+        // The call itself ends with the request's time.
+        req.time_left() + LEAST_STALL
+    }
+}
+
+async fn first_event(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    attempts: &mut Attempts,
+    mut answered: Answered,
+) -> Result<Opened, SendFailure> {
+    let mut events = EventSplitter::default();
+    loop {
+        if let Some(first) = events.take_event() {
+            let first_byte = answered.sent_at.elapsed();
+            cx.book
+                .note(&answered.upstream.id, CallHealth::Answered(first_byte));
+            return Ok(Opened::Stream(Box::new(OpenStream {
+                answered,
+                events,
+                first: Some(first),
+            })));
+        }
+        match answered.reply.body.chunk().await {
+            Some(Ok(bytes)) if events.push(&bytes) => {}
+            None if !events.has_rest() => {
+                return Ok(Opened::Stream(Box::new(OpenStream {
+                    answered,
+                    events,
+                    first: None,
+                })));
+            }
+            other => {
+                let error = other.and_then(Result::err).map(|e| e.to_string());
+                log::info!(request = &*req.head.request, upstream = answered.upstream.id.as_str(), error = error.as_deref().unwrap_or("it ended inside an event"); "a stream broke before its first event");
+                return Err(attempts.spoilt(cx, &answered.upstream.id));
+            }
+        }
+    }
+}
+
+/// A stream on its way to the caller. Dropping it cancels the engine's run.
+struct Relay {
+    cx: Arc<RunContext>,
+    req: Arc<RoutedRequest>,
+    attempts: Attempts,
+    open: OpenStream,
+    /// The last event that was passed on.
+    last_id: Option<u64>,
+    ended: bool,
+}
+
+fn streamed(
+    cx: Arc<RunContext>,
+    req: Arc<RoutedRequest>,
+    attempts: Attempts,
+    open: OpenStream,
+) -> Response<AnswerBody> {
+    let head = &open.answered.reply.head;
+    let (status, headers) = (head.status, (cx.edges.caller_headers)(&head.headers));
+    let relay = Relay {
+        last_id: req.head.resume_after,
+        cx,
+        req,
+        attempts,
+        open,
+        ended: false,
+    };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let next = relay.next().await?;
+        Some((next.map(Frame::data), relay))
+    });
+    let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+impl Relay {
+    /// The next whole events; `None` at the end of a whole stream.
+    async fn next(&mut self) -> Option<Result<Bytes, StreamCut>> {
+        loop {
+            if let Some(events) = self.ready_events() {
+                return Some(Ok(events));
+            }
+            if self.ended {
+                return None;
+            }
+            match self.read_more().await {
+                Ok(()) => {}
+                Err(problem) => {
+                    if let Err(cut) = self.go_on_elsewhere(&problem).await {
+                        self.ended = true;
+                        return Some(Err(cut));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whole events that were read and not passed on yet, in one piece.
+    fn ready_events(&mut self) -> Option<Bytes> {
+        let mut ready: Option<BytesMut> = None;
+        while let Some(event) = self
+            .open
+            .first
+            .take()
+            .or_else(|| self.open.events.take_event())
+        {
+            // Events that the caller has already come again when a stream goes on elsewhere.
+            if event.id.is_some() && event.id <= self.last_id {
+                continue;
+            }
+            self.last_id = event.id.or(self.last_id);
+            ready
+                .get_or_insert_default()
+                .extend_from_slice(&event.bytes);
+        }
+        ready.map(BytesMut::freeze)
+    }
+
+    async fn read_more(&mut self) -> Result<(), String> {
+        let stall = self.stall();
+        let next = self.open.answered.reply.body.chunk();
+        let next = match stall {
+            Some(stall) => timeout(stall, next)
+                .await
+                .map_err(|_| "no event for too long".to_owned())?,
+            None => next.await,
+        };
+        match next {
+            Some(Ok(bytes)) if self.open.events.push(&bytes) => Ok(()),
+            Some(Ok(_)) => Err("an event is too large".to_owned()),
+            Some(Err(error)) => Err(error.to_string()),
+            None if self.open.events.has_rest() => Err("it ended inside an event".to_owned()),
+            None => {
+                self.ended = true;
+                Ok(())
+            }
+        }
+    }
+
+    /// How long a stream that can go on elsewhere may be silent.
+    fn stall(&self) -> Option<Duration> {
+        let may_follow =
+            self.req.route.repeat.may_repeat() && self.attempts.sent < self.req.route.max_attempts;
+        let pause = self.req.route.max_pause.unwrap_or(LEAST_STALL);
+        may_follow.then(|| (pause * STALLED_PAUSES).max(LEAST_STALL))
+    }
+
+    /// Resumes a stream that broke, if its route and budget allow it.
+    async fn go_on_elsewhere(&mut self, problem: &str) -> Result<(), StreamCut> {
+        let upstream = self.open.answered.upstream.id.clone();
+        log::info!(request = &*self.req.head.request, upstream = upstream.as_str(), last_event = self.last_id.unwrap_or(0), problem = problem, after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
+        let mut failure = self.attempts.spoilt(&self.cx, &upstream);
+        while self.attempts.may_send_again(&self.cx, &self.req, failure) {
+            failure = match self.resume().await {
+                Ok(()) => return Ok(()),
+                Err(failure) => failure,
+            };
+        }
+        metrics::counter!("tc_routed_streams_cut_total").increment(1);
+        Err(StreamCut)
+    }
+
+    async fn resume(&mut self) -> Result<(), SendFailure> {
+        let (cx, req) = (&self.cx, &self.req);
+        let results = make_stages(cx, req)
+            .await
+            .map_err(|_| SendFailure::NoUpstream)?;
+        let opened = open(cx, req, &mut self.attempts, &results, self.last_id).await?;
+        match opened {
+            Opened::Stream(open) => {
+                log::info!(request = &*req.head.request, upstream = open.answered.upstream.id.as_str(), after_event = self.last_id.unwrap_or(0); "a stream goes on elsewhere");
+                self.open = *open;
+                Ok(())
+            }
+            Opened::Whole(_) => Err(SendFailure::Unknown),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -0,0 +1,186 @@
+//! A caller's request from its header to its run.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tc_protocol::routing::{Route, RoutedWorkspace};
+use tokio::time::{Instant, timeout_at};
+
+use super::Connections;
+use crate::{
+    call::CallHead,
+    routing::target_of,
+    run::{AnswerBody, Refusal, RoutedRequest, RunContext, own_answer, run},
+    stop::StopState,
+    world::ConfigInForce,
+};
+
+/// How long a request waits for the first configuration of a process that has just started.
+const FIRST_CONFIG: Duration = Duration::from_millis(150);
+/// When a caller is told to come back to an instance that has no configuration.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(300);
+/// When a caller is told to come back, to another instance, from one that is stopping.
+const STOPPING_RETRY: Duration = Duration::from_millis(20);
+
+/// Serves callers' requests.
+#[derive(Clone)]
+pub(crate) struct CallerService {
+    pub(crate) cx: Arc<RunContext>,
+    pub(crate) connections: Connections,
+    pub(crate) stop: Arc<StopState>,
+}
+
+/// Counts a request until its answer has been sent or its caller has left.
+struct InFlightRequest(Arc<AtomicUsize>);
+
+impl InFlightRequest {
+    fn start(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(count))
+    }
+}
+
+impl Drop for InFlightRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl CallerService {
+    /// Answers one request.
+    pub(crate) async fn answer(self, req: Request<Incoming>) -> Response<AnswerBody> {
+        let arrived = Instant::now();
+        let counted = InFlightRequest::start(&self.connections.in_flight);
+        let (parts, body) = req.into_parts();
+        let (head, answered) = match (self.cx.edges.read_request)(&parts) {
+            Ok(head) => {
+                let request = Arc::clone(&head.request);
+                (request, self.admit(arrived, parts, head, body).await)
+            }
+            Err(error) => {
+                log::info!(error = error.to_string().as_str(), path = parts.uri.path(); "a request's header cannot be used");
+                let reason = "a header of the request is missing or cannot be read";
+                (
+                    Arc::default(),
+                    Err(Refusal::plain(StatusCode::BAD_REQUEST, reason)),
+                )
+            }
+        };
+        let mut answer = match answered {
+            Ok(routed) => run(Arc::clone(&self.cx), routed).await,
+            Err(refusal) => own_answer(&self.cx.edges, &head, &refusal),
+        };
+        if self.stop.is_stopping() {
+            // The caller opens its next connection elsewhere instead of meeting this one's end.
+            let close = HeaderValue::from_static("close");
+            answer.headers_mut().insert(header::CONNECTION, close);
+        }
+        answer.map(|body| {
+            body.map_frame(move |frame| {
+                let _ = &counted;
+                frame
+            })
+            .boxed_unsync()
+        })
+    }
+
+    /// Decides whether a request may run, and reads its body.
+    async fn admit(
+        &self,
+        arrived: Instant,
+        parts: Parts,
+        head: CallHead,
+        body: Incoming,
+    ) -> Result<RoutedRequest, Refusal> {
+        let config = self.config().await?;
+        let route = find_route(&config, &parts)?;
+        let workspace = workspace_of(&config, &route, &head)?;
+        let service = target_of(&route, &head.request)
+            .cloned()
+            .ok_or_else(|| Refusal::not_run_now("the route names no service"))?;
+        if !self.stop.may_start(route.repeat.is_stream()) {
+            return Err(Refusal::not_run(
+                "this instance is stopping",
+                STOPPING_RETRY,
+            ));
+        }
+        let longest = head.remaining.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + longest;
+        let body = read_body(body, config.routing.limits.body_bytes, deadline).await?;
+        Ok(RoutedRequest {
+            head,
+            parts,
+            body,
+            route,
+            service,
+            workspace,
+            arrived,
+            deadline,
+        })
+    }
+
+    async fn config(&self) -> Result<Arc<ConfigInForce>, Refusal> {
+        if self.cx.world.load().config.is_none() {
+            crate::world::first_config(&self.cx.world, FIRST_CONFIG).await;
+        }
+        let world = self.cx.world.load();
+        world.config.clone().ok_or_else(|| {
+            Refusal::not_run("this instance has no configuration yet", NO_CONFIG_RETRY)
+        })
+    }
+}
+
+fn find_route(config: &ConfigInForce, parts: &Parts) -> Result<Arc<Route>, Refusal> {
+    let host = parts
+        .headers
+        .get(header::HOST)
+        .and_then(|h| h.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let route = config.routes.find(host, parts.uri.path());
+    route
+        .cloned()
+        .ok_or_else(|| Refusal::plain(StatusCode::NOT_FOUND, "no route takes this host and path"))
+}
+
+fn workspace_of(
+    config: &ConfigInForce,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<Arc<RoutedWorkspace>>, Refusal> {
+    let known = head
+        .key
+        .as_ref()
+        .and_then(|key| config.routing.keys.get(key));
+    if known.is_none() && config.routing.keys_needed && !route.public {
+        let reason = "no workspace has this key";
+        return Err(Refusal::plain(StatusCode::UNAUTHORIZED, reason));
+    }
+    Ok(known.cloned())
+}
+
+async fn read_body(body: Incoming, largest: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    match timeout_at(deadline, Limited::new(body, largest).collect()).await {
+        Ok(Ok(whole)) => Ok(whole.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let reason = "the body is larger than the configuration allows";
+            Err(Refusal::plain(StatusCode::PAYLOAD_TOO_LARGE, reason))
+        }
+        Ok(Err(_)) => {
+            let reason = "the body broke off or is malformed";
+            Err(Refusal::plain(StatusCode::BAD_REQUEST, reason))
+        }
+        Err(_) => {
+            let reason = "the body did not come in time";
+            Err(Refusal::plain(StatusCode::REQUEST_TIMEOUT, reason))
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-gateway/src/settings.rs
@@ -0,0 +1,48 @@
+//! Settings of the gateway.
+
+use std::{net::SocketAddr, time::Duration};
+
+use tc_fleet::FleetKeys;
+use tc_protocol::Member;
+
+/// What [`crate::run`] needs to know.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// This instance, with the addresses that others are told.
+    pub me: Member,
+    /// Name of the machine; it stays the same over restarts, the instance's identifier does not.
+    pub machine: String,
+    /// Where callers are asked to come to.
+    pub listen: SocketAddr,
+    /// Where readiness is asked for.
+    pub ready_listen: Option<SocketAddr>,
+    /// Where callers ask for addresses.
+    pub directory_listen: Option<SocketAddr>,
+    /// Where metrics are served.
+    pub metrics_listen: Option<SocketAddr>,
+    /// Fleet addresses of instances that may know others.
+    pub seeds: Vec<SocketAddr>,
+    /// Keys that authenticate instances to each other.
+    pub keys: FleetKeys,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Calls to the store this instance may make a second.
+    pub store_calls_per_s: f64,
+    /// How often requests may be sent again, over all instances.
+    pub repeats: RepeatSettings,
+    /// Time between SIGTERM and the end of the process.
+    pub grace: Duration,
+    /// Longest time callers keep a list of addresses.
+    pub address_max_age: Duration,
+}
+
+/// The fleet's budget for sending requests again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatSettings {
+    /// Repeats a request.
+    pub ratio: f64,
+    /// Repeats in a window besides.
+    pub extra: f64,
+    /// The window.
+    pub window: Duration,
+}
--- /dev/null
+++ b/crates/tc-gateway/src/start.rs
@@ -0,0 +1,378 @@
+//! Wires the parts of one gateway process together and runs them until it is told to stop.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::FutureExt;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use miette::Diagnostic;
+use tc_fleet::{FleetError, Mesh, MeshHandlers, MeshSettings};
+use tc_membership::MembershipConfig;
+use tc_platform::{Purpose, Store, StoreSettings};
+use tc_upstream::{ClientSettings, UpstreamClient};
+use thiserror::Error;
+use tokio::{net::TcpListener, time::sleep};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    budgets::RepeatBudgets,
+    edges::Edges,
+    homes::{BatchHomes, Freer, HomeContext},
+    run::{AnswerBody, RunContext},
+    serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
+    settings::GatewaySettings,
+    stop::{Asked, Signals, StopState, stop},
+    upstreams::UpstreamBook,
+    world::{WorldCell, follow_peers, watch_config, watch_upstreams},
+};
+
+/// Longest time one call to the store may take; it answers in milliseconds when it is well.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time to connect to an upstream: two lost opening packets would take longer, and another upstream is near.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest answer of an upstream.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// How often an instance that knows no other looks for some.
+const LOOK_FOR_OTHERS: Duration = Duration::from_millis(500);
+/// How often upstreams that are gone are forgotten.
+const FORGET_EVERY: Duration = Duration::from_secs(10);
+
+/// Why the gateway could not run.
+#[derive(Debug, Error, Diagnostic)]
+pub enum GatewayError {
+    /// An address cannot be listened on.
+    #[error("cannot listen on {address}: {source}")]
+    #[diagnostic(
+        code(tc::gateway::listen),
+        help("choose a free address of this machine")
+    )]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// The layer between instances did not start.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Fleet(#[from] FleetError),
+    /// Signals or threads cannot be had.
+    #[error("cannot start: {0}")]
+    #[diagnostic(code(tc::gateway::start))]
+    System(#[from] std::io::Error),
+}
+
+/// Runs a gateway process until SIGTERM or SIGINT has ended it.
+///
+/// The calling thread's runtime is the control thread's; requests run on `traffic`. `metrics` renders the metrics,
+/// `reload` is called at SIGHUP.
+pub async fn run(
+    settings: GatewaySettings,
+    edges: Edges,
+    traffic: tokio::runtime::Handle,
+    metrics: MetricsText,
+    reload: impl Fn() + Send,
+) -> Result<(), GatewayError> {
+    let mut signals = Signals::new()?;
+    let listeners = Listeners::bind(&settings).await?;
+    let store = Store::new(StoreSettings {
+        address: settings.store,
+        calls_per_s: settings.store_calls_per_s,
+        timeout: STORE_TIMEOUT,
+    });
+    let world = Arc::new(WorldCell::new(edges));
+    tokio::spawn(watch_config(store.clone(), edges, Arc::clone(&world)));
+    tokio::spawn(watch_upstreams(store.clone(), edges, Arc::clone(&world)));
+    let cx = start_context(&settings, edges, Arc::clone(&world), &traffic).await?;
+    tokio::spawn(follow_peers(cx.mesh.clone(), Arc::clone(&world)));
+    tokio::spawn(join(settings.clone(), edges, store, cx.mesh.clone()));
+    tokio::spawn(forget(Arc::clone(&world), Arc::clone(&cx.book)));
+    let stop_state = Arc::new(StopState::new(settings.grace));
+    let connections = Connections::default();
+    let stop_accepting = CancellationToken::new();
+    let served = Served {
+        cx: Arc::clone(&cx),
+        stop: Arc::clone(&stop_state),
+        connections: connections.clone(),
+        stop_accepting: stop_accepting.clone(),
+    };
+    served.start(&settings, &traffic, listeners, metrics)?;
+    log::info!(instance = settings.me.id.as_str(), listen = settings.listen.to_string().as_str(), domain = settings.me.failure_domain.as_str(); "started");
+    while signals.next().await == Asked::Reload {
+        reload();
+    }
+    stop(&stop_state, &cx.mesh, &connections, &stop_accepting).await;
+    Ok(())
+}
+
+async fn start_context(
+    settings: &GatewaySettings,
+    edges: Edges,
+    world: Arc<WorldCell>,
+    traffic: &tokio::runtime::Handle,
+) -> Result<Arc<RunContext>, GatewayError> {
+    let client = UpstreamClient::new(ClientSettings {
+        connect_timeout: CONNECT_TIMEOUT,
+        max_response_bytes: MAX_ANSWER_BYTES,
+        ..ClientSettings::default()
+    });
+    let budgets = Arc::new(RepeatBudgets::new(settings.repeats));
+    let homes = Arc::new(BatchHomes::new(HomeContext {
+        edges,
+        client: client.clone(),
+        world: Arc::clone(&world),
+        budgets: Arc::clone(&budgets),
+    }));
+    let mesh_settings = MeshSettings {
+        me: settings.me.clone(),
+        listen: settings.me.fleet_address,
+        keys: settings.keys.clone(),
+        timing: MembershipConfig::default(),
+        traffic: traffic.clone(),
+    };
+    let mesh = Mesh::start(mesh_settings, handlers(&homes, &world)).await?;
+    let freer = {
+        let _entered = traffic.enter();
+        start_freer(mesh.clone(), Arc::clone(&homes))
+    };
+    Ok(Arc::new(RunContext {
+        edges,
+        world,
+        mesh,
+        homes,
+        freer,
+        book: Arc::default(),
+        budgets,
+        client,
+    }))
+}
+
+fn handlers(homes: &Arc<BatchHomes>, world: &Arc<WorldCell>) -> Arc<MeshHandlers> {
+    let makers = Arc::clone(homes);
+    let freers = Arc::clone(homes);
+    let world = Arc::clone(world);
+    Arc::new(MeshHandlers {
+        make_pieces: Box::new(move |ask| {
+            let homes = Arc::clone(&makers);
+            async move { homes.make_pieces(ask).await }.boxed()
+        }),
+        free_results: Box::new(move |results| freers.free_results(&results)),
+        world: Box::new(move |have| world.copy_beyond(have)),
+    })
+}
+
+/// Results go back through the home of their service; without it, straight to their makers.
+fn start_freer(mesh: Mesh, homes: Arc<BatchHomes>) -> Freer {
+    Freer::start(move |service, results| {
+        let (mesh, homes) = (mesh.clone(), Arc::clone(&homes));
+        async move {
+            let home = mesh.home(service.as_str(), &[]);
+            let other = home.filter(|home| home.id != mesh.me().id);
+            let Some(home) = other else {
+                homes.free_results(&results);
+                return;
+            };
+            if let Err(error) = mesh.free_results(&home, &results).await {
+                log::debug!(error = error.to_string().as_str(); "the home of results cannot be told");
+                homes.free_results(&results);
+            }
+        }
+    })
+}
+
+struct Listeners {
+    callers: TcpListener,
+    ready: Option<TcpListener>,
+    directory: Option<TcpListener>,
+    metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    async fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
+        Ok(Self {
+            callers: bind(settings.listen).await?,
+            ready: bind_some(settings.ready_listen).await?,
+            directory: bind_some(settings.directory_listen).await?,
+            metrics: bind_some(settings.metrics_listen).await?,
+        })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| GatewayError::Listen { address, source })
+}
+
+async fn bind_some(address: Option<SocketAddr>) -> Result<Option<TcpListener>, GatewayError> {
+    match address {
+        Some(address) => bind(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// What the listeners serve.
+struct Served {
+    cx: Arc<RunContext>,
+    stop: Arc<StopState>,
+    connections: Connections,
+    stop_accepting: CancellationToken,
+}
+
+impl Served {
+    fn start(
+        &self,
+        settings: &GatewaySettings,
+        traffic: &tokio::runtime::Handle,
+        listeners: Listeners,
+        metrics: MetricsText,
+    ) -> Result<(), GatewayError> {
+        let _entered = traffic.enter();
+        self.start_callers(on_traffic(listeners.callers)?);
+        let info = InfoService {
+            cx: Arc::clone(&self.cx),
+            stop: Arc::clone(&self.stop),
+            address_max_age: settings.address_max_age,
+            metrics,
+        };
+        if let Some(listener) = listeners.ready {
+            let info = info.clone();
+            self.start_info(on_traffic(listener)?, move |req| info.ready(&req));
+        }
+        if let Some(listener) = listeners.directory {
+            let info = info.clone();
+            self.start_info(on_traffic(listener)?, move |req| info.directory(&req));
+        }
+        if let Some(listener) = listeners.metrics {
+            self.start_info(on_traffic(listener)?, move |_req| info.metrics());
+        }
+        Ok(())
+    }
+
+    fn start_callers(&self, listener: TcpListener) {
+        let service = CallerService {
+            cx: Arc::clone(&self.cx),
+            connections: self.connections.clone(),
+            stop: Arc::clone(&self.stop),
+        };
+        let world = Arc::clone(&self.cx.world);
+        let limits = move || connection_limits(&world);
+        let stop = self.stop_accepting.clone();
+        let answer = move |req| service.clone().answer(req);
+        tokio::spawn(accept(
+            listener,
+            self.connections.clone(),
+            limits,
+            stop,
+            answer,
+        ));
+    }
+
+    /// Small questions are answered to the end of the process.
+    fn start_info<F>(&self, listener: TcpListener, answer: F)
+    where
+        F: Fn(Request<Incoming>) -> Response<AnswerBody> + Clone + Send + 'static,
+    {
+        let answer = move |req| std::future::ready(answer(req));
+        let world = Arc::clone(&self.cx.world);
+        let limits = move || connection_limits(&world);
+        let never = CancellationToken::new();
+        tokio::spawn(accept(
+            listener,
+            Connections::default(),
+            limits,
+            never,
+            answer,
+        ));
+    }
+}
+
+fn connection_limits(world: &WorldCell) -> ConnectionLimits {
+    let world = world.load();
+    let limits = world
+        .config
+        .as_ref()
+        .map(|config| config.routing.limits)
+        .unwrap_or_default();
+    ConnectionLimits {
+        idle: limits.idle_timeout,
+        header_bytes: limits.header_bytes,
+    }
+}
+
+/// Moves a listener to the runtime that is entered.
+fn on_traffic(listener: TcpListener) -> Result<TcpListener, GatewayError> {
+    Ok(TcpListener::from_std(listener.into_std()?)?)
+}
+
+/// Tells the store of this instance, and finds others: by seeds, and by what the store lists.
+///
+/// Seeds may be stale or down; the list may be out of reach. Either is enough, and one instance that is found tells
+/// of all others.
+async fn join(settings: GatewaySettings, edges: Edges, store: Store, mesh: Mesh) {
+    let me = settings.me.fleet_address;
+    let mut registered = false;
+    loop {
+        let mut candidates = settings.seeds.clone();
+        if !registered {
+            registered = register(&settings, edges, &store).await;
+        }
+        if mesh.other_addresses().is_empty() || !registered {
+            candidates.extend(listed(edges, &store).await);
+        }
+        candidates.retain(|address| *address != me);
+        candidates.sort_unstable();
+        candidates.dedup();
+        if mesh.other_addresses().is_empty() {
+            for address in candidates {
+                if let Err(error) = mesh.introduce_at(address).await {
+                    log::debug!(error = error.to_string().as_str(); "an instance that may know others does not answer");
+                }
+            }
+        }
+        if registered && !mesh.other_addresses().is_empty() {
+            return;
+        }
+        sleep(LOOK_FOR_OTHERS).await;
+    }
+}
+
+async fn register(settings: &GatewaySettings, edges: Edges, store: &Store) -> bool {
+    let value = serde_json::json!({ "fleet": settings.me.fleet_address.to_string() });
+    let kind = edges.kinds.members;
+    let put = store
+        .put_kind(
+            Purpose::Members,
+            &edges.store,
+            kind,
+            &settings.machine,
+            &value,
+        )
+        .await;
+    if let Err(error) = &put {
+        log::warn!(error = error.to_string().as_str(); "this instance could not be written to the store; tried again");
+    }
+    put.is_ok()
+}
+
+async fn listed(edges: Edges, store: &Store) -> Vec<SocketAddr> {
+    let kind = edges.kinds.members;
+    match store.list_kind(Purpose::Members, &edges.store, kind).await {
+        Ok(page) => page
+            .items
+            .iter()
+            .filter_map(|object| object.value.get("fleet")?.as_str()?.parse().ok())
+            .collect(),
+        Err(error) => {
+            log::warn!(error = error.to_string().as_str(); "other instances cannot be read from the store");
+            Vec::new()
+        }
+    }
+}
+
+async fn forget(world: Arc<WorldCell>, book: Arc<UpstreamBook>) {
+    loop {
+        sleep(FORGET_EVERY).await;
+        let world = world.load();
+        book.retain(|id| world.upstreams.contains(id));
+    }
+}
--- /dev/null
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -0,0 +1,160 @@
+//! What the store says, as this instance knows it: the configuration in force and the registered upstreams.
+//!
+//! Each instance watches the store; one that the store turns away gets copies from the others.
+
+mod config;
+mod peers;
+mod removals;
+mod upstreams;
+mod watch;
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use serde_json::Value;
+use tc_fleet::{WorldCopy, WorldHave, WorldObject};
+use tc_platform::ObjectEvent;
+use tokio::sync::watch::{Receiver, Sender};
+
+use crate::edges::Edges;
+
+pub(crate) use config::ConfigInForce;
+pub(crate) use peers::follow_peers;
+pub(crate) use upstreams::UpstreamTable;
+pub(crate) use watch::{first_config, watch_config, watch_upstreams};
+
+/// What requests read; never changes once published.
+#[derive(Clone, Default)]
+pub(crate) struct World {
+    /// `None` until one is known.
+    pub(crate) config: Option<Arc<ConfigInForce>>,
+    pub(crate) upstreams: Arc<UpstreamTable>,
+}
+
+/// Holds the newest world, and decides what is newer.
+pub(crate) struct WorldCell {
+    edges: Edges,
+    published: ArcSwap<World>,
+    /// Taken by writers only.
+    writing: Mutex<()>,
+    changes: Sender<u64>,
+}
+
+impl WorldCell {
+    pub(crate) fn new(edges: Edges) -> Self {
+        Self {
+            edges,
+            published: ArcSwap::default(),
+            writing: Mutex::default(),
+            changes: Sender::new(0),
+        }
+    }
+
+    /// The world as of now; never waits.
+    pub(crate) fn load(&self) -> Arc<World> {
+        self.published.load_full()
+    }
+
+    /// Told at every change.
+    pub(crate) fn changes(&self) -> Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Highest revision of the store that anything known here has.
+    pub(crate) fn revision(&self) -> u64 {
+        let world = self.load();
+        let config = world.config.as_ref().map_or(0, |config| config.revision);
+        config.max(world.upstreams.revision())
+    }
+
+    pub(crate) fn have(&self) -> WorldHave {
+        let world = self.load();
+        WorldHave {
+            config_version: world.config.as_ref().map_or(0, |c| c.routing.version),
+            upstreams_revision: world.upstreams.revision(),
+        }
+    }
+
+    /// What is known here beyond what another instance has.
+    pub(crate) fn copy_beyond(&self, have: WorldHave) -> WorldCopy {
+        let world = self.load();
+        let newer = |config: &&Arc<ConfigInForce>| config.routing.version > have.config_version;
+        let config = world.config.as_ref().filter(newer);
+        let upstreams = &world.upstreams;
+        WorldCopy {
+            config: config.map(|config| Arc::clone(&config.raw)),
+            upstreams: (upstreams.revision() > have.upstreams_revision)
+                .then(|| (upstreams.revision(), upstreams.objects())),
+        }
+    }
+
+    /// Puts a configuration in force if it is valid and newer than the one that is.
+    ///
+    /// A lower version never goes in force within a process's life: a read may be stale, and a peer may lag.
+    pub(crate) fn apply_config(&self, raw: &Arc<Value>, revision: u64) {
+        let _writing = self.write();
+        let world = self.load();
+        let config = match ConfigInForce::read(&self.edges, raw, revision) {
+            Ok(config) => config,
+            Err(problem) => {
+                log::error!(revision = revision, problem = problem.as_str(); "configuration rejected; the last valid one stays in force");
+                metrics::counter!("tc_config_rejected_total").increment(1);
+                return;
+            }
+        };
+        let before = world.config.as_ref().map_or(0, |c| c.routing.version);
+        if config.routing.version <= before {
+            return;
+        }
+        log::info!(version = config.routing.version, before = before, revision = revision, routes = config.routing.routes.len(); "configuration in force");
+        metrics::gauge!("tc_config_revision").set(config.routing.version as f64);
+        self.publish(World {
+            config: Some(Arc::new(config)),
+            upstreams: Arc::clone(&world.upstreams),
+        });
+    }
+
+    /// Takes up changes of registered upstreams.
+    pub(crate) fn apply_upstream_events(&self, events: &[ObjectEvent], at: u64) {
+        let _writing = self.write();
+        let world = self.load();
+        let upstreams = world.upstreams.with_events(&self.edges, events, at);
+        self.publish_upstreams(&world, upstreams);
+    }
+
+    /// Takes up the whole list of registered upstreams as of a revision.
+    pub(crate) fn replace_upstreams(&self, objects: &[WorldObject], at: u64) {
+        let _writing = self.write();
+        let world = self.load();
+        if at < world.upstreams.revision() {
+            return;
+        }
+        let upstreams = world.upstreams.replaced(&self.edges, objects, at);
+        self.publish_upstreams(&world, upstreams);
+    }
+
+    fn publish_upstreams(&self, world: &World, upstreams: UpstreamTable) {
+        let changed = !upstreams.same_upstreams(&world.upstreams);
+        if changed {
+            log::info!(upstreams = upstreams.len(), before = world.upstreams.len(), revision = upstreams.revision(); "list of upstreams changed");
+        }
+        let next = World {
+            config: world.config.clone(),
+            upstreams: Arc::new(upstreams),
+        };
+        if changed {
+            self.publish(next);
+        } else {
+            self.published.store(Arc::new(next));
+        }
+    }
+
+    fn publish(&self, world: World) {
+        self.published.store(Arc::new(world));
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn write(&self) -> MutexGuard<'_, ()> {
+        self.writing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/tc-operator/src/commands/mod.rs
+++ b/crates/tc-operator/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod config;
 mod drain;
 mod explain;
+mod gateway;
 mod quarantine;
 mod serve;
 mod status;
@@ -26,6 +27,7 @@
 /// The table of commands, in the order the help lists them.
 pub(crate) const ALL: &[Command] = &[
     serve::COMMAND,
+    gateway::COMMAND,
     config::check::COMMAND,
     config::apply::COMMAND,
     config::show::COMMAND,
--- a/crates/tc-operator/src/lib.rs
+++ b/crates/tc-operator/src/lib.rs
@@ -8,6 +8,7 @@
 mod commands;
 mod error;
 mod exit;
+mod gateway;
 mod output;
 mod run;
 mod secret;
--- a/crates/tc-operator/src/run.rs
+++ b/crates/tc-operator/src/run.rs
@@ -46,9 +46,10 @@
 /// Runs this process's command line.
 #[must_use]
 pub fn run() -> ExitCode {
+    // Not locked: the threads of a long-running command write their logs there too.
     let exit = execute(
         Invocation::from_process(),
-        &mut std::io::stdout().lock(),
+        &mut std::io::stdout(),
         &mut std::io::stderr(),
     );
     exit.code().into()
--- a/crates/tc-operator/src/settings/mod.rs
+++ b/crates/tc-operator/src/settings/mod.rs
@@ -17,8 +17,8 @@
     error::CommandError,
 };
 
-pub(crate) use flags::{FLEET_KEY, OPERATOR_TOKEN, SERVE_FLAGS};
-pub(crate) use read::{ADDRESS_HELP, address, operator_token};
+pub(crate) use flags::{OPERATOR_TOKEN, SERVE_FLAGS};
+pub(crate) use read::{ADDRESS_HELP, address, fleet_keys, operator_token};
 
 /// Everything an instance learns at its start.
 #[derive(Clone, Debug)]
--- a/crates/tc-operator/src/settings/read.rs
+++ b/crates/tc-operator/src/settings/read.rs
@@ -7,7 +7,8 @@
 use tc_protocol::TcError;
 
 use super::{
-    FLEET_KEY, OPERATOR_TOKEN, SERVE_FLAGS, Settings,
+    OPERATOR_TOKEN, SERVE_FLAGS, Settings,
+    flags::FLEET_KEY,
     flags::{
         ADMIN_LISTEN, DRAIN_LIMIT, FAILURE_DOMAIN, FLEET_ADVERTISE, FLEET_LISTEN, INSTANCE_ID,
         LISTEN, LOG, MAX_BODY, OTLP_ENDPOINT, POLICY, REGION, SEEDS, STORE_CALLS, TRAFFIC_THREADS,
@@ -124,6 +125,22 @@
     }
 }
 
+/// The keys between instances, for commands that take nothing else of `serve`'s settings.
+pub(crate) fn fleet_keys(arguments: &Arguments) -> Result<Vec<Secret>, CommandError> {
+    let mut reader = Reader {
+        arguments,
+        errors: Vec::new(),
+    };
+    let keys = reader.fleet_keys();
+    if reader.errors.is_empty() {
+        Ok(keys)
+    } else {
+        Err(CommandError::Settings {
+            errors: reader.errors,
+        })
+    }
+}
+
 struct Reader<'a> {
     arguments: &'a Arguments,
     errors: Vec<TcError>,
--- a/crates/tc-operator/tests/operator/usage.rs
+++ b/crates/tc-operator/tests/operator/usage.rs
@@ -89,9 +89,10 @@
         for part in ["Usage: tanagercroft ", "Exit codes:"] {
             assert!(help.contains(part), "{name} has no {part}");
         }
-        // It runs until it is stopped, so that an example of it could not be run as a test.
+        // These run until they are stopped, so that an example of them could not be run as a test.
+        let runs_on = ["serve", "gateway"].contains(&name.as_str());
         assert!(
-            name == "serve" || help.contains("Examples:"),
+            runs_on || help.contains("Examples:"),
             "{name} has no examples"
         );
         helped += 1;
--- a/crates/tc-telemetry/src/logs/mod.rs
+++ b/crates/tc-telemetry/src/logs/mod.rs
@@ -3,6 +3,7 @@
 mod gate;
 mod line;
 mod mask;
+mod queue;
 
 pub use gate::{GateVerdict, RateGate};
 
@@ -37,6 +38,21 @@
         })
 }
 
+/// Logs the same lines to standard output, never blocking whoever logs: lines that nobody reads are dropped.
+///
+/// Fails as [`init_logs`] does, and when the thread that writes cannot be started.
+pub fn init_logs_on_stdout(level: &str) -> Result<(), TelemetryError> {
+    let twice = |problem: String| TelemetryError::Twice {
+        what: "logs",
+        problem,
+    };
+    let writer = queue::QueueWriter::start(io::stdout()).map_err(|e| twice(e.to_string()))?;
+    builder(level)?
+        .target(Target::Pipe(Box::new(writer)))
+        .try_init()
+        .map_err(|e| twice(e.to_string()))
+}
+
 /// A logger that writes the same lines to `out`, without making it the process's logger.
 ///
 /// ```
