End stages with the caller's patience

The route now carries that time and stages end with it. Ruled out: refusing all that would be late, as late answers are worth a fraction.

--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -88,6 +88,13 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Time until the caller leaves if nothing has come: the request's time, or what its patience leaves of it.
+    fn time_to_first(&self) -> Duration {
+        let left = self.time_left();
+        let patience = self.route.patience.unwrap_or(left);
+        left.min(patience.saturating_sub(self.arrived.elapsed()))
+    }
+
     /// Rank among requests, 0 first: the workspace's goes before the route's.
     fn rank(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|w| w.priority);
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -221,7 +221,7 @@
         result_bytes: spec.result_bytes,
         rank: req.rank(),
         in_time_for: in_time_for(cx, req, graph.depth(stage)),
-        remaining: req.time_left(),
+        remaining: req.time_to_first().saturating_sub(ENGINE_TIME),
         prefer: wanted.filter(|_| is_large).cloned(),
     }
 }
--- a/crates/tc-protocol/src/routing/config.rs
+++ b/crates/tc-protocol/src/routing/config.rs
@@ -113,6 +113,8 @@
     pub public: bool,
     /// Longest pause between two events of a stream.
     pub max_pause: Option<Duration>,
+    /// How long callers wait for a stream's first event before they leave, if that is less than their deadline.
+    pub patience: Option<Duration>,
 }
 
 /// One stage of a route.
