--- a/crates/tc-policy/src/pick.rs
+++ b/crates/tc-policy/src/pick.rs
@@ -53,8 +53,11 @@
 /// ```
 #[must_use]
 pub fn pick_upstream(candidates: &[PickCandidate<'_>], wish: &PickWish<'_>) -> Option<usize> {
+    // A prompt read again costs several times what moving its inputs between domains does, so a domain is looked at
+    // only when nothing is kept: 6,300 tokens against 3.8 MB.
+    let domain = wish.domain.filter(|_| wish.kept.is_none());
     let near: Vec<usize> = indices(candidates)
-        .filter(|i| wish.domain.is_none_or(|d| d == candidates[*i].domain))
+        .filter(|i| domain.is_none_or(|d| d == candidates[*i].domain))
         .collect();
     let pool = if near.is_empty() {
         indices(candidates).collect()
