--- a/crates/tc-gateway/src/homes/free.rs
+++ b/crates/tc-gateway/src/homes/free.rs
@@ -6,7 +6,7 @@
 use tokio::{sync::mpsc, time::sleep};
 
 /// How long results are gathered. Room for a result is worth a hundred times this, and one call carries all.
-const GATHER: Duration = Duration::from_millis(20);
+const GATHER: Duration = Duration::from_millis(5);
 /// Results taken up in one go.
 const MOST: usize = 4_096;
 
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -19,13 +19,16 @@
 /// About half a call of the services met so far (200 to 370 ms): a more urgent request overtakes what would start one
 /// call before it, and no rank waits behind a stream of more urgent ones for ever.
 const RANK_STEP: Duration = Duration::from_millis(150);
+/// How much earlier a job counts as due once some of its pieces are made: more than what lies between any two jobs of
+/// one service, so that started jobs are finished first.
+const START_STEP: Duration = Duration::from_secs(5);
 /// By how much a job yields on an upstream outside the failure domain where its results are wanted.
-const AWAY_STEP: Duration = Duration::from_millis(100);
+const AWAY_STEP: Duration = Duration::from_millis(250);
 /// Results of a job from this size on are worth keeping in one failure domain; smaller ones cost less than a wait.
 const LARGE_RESULTS_BYTES: u64 = 256 << 10;
 /// Longest time for which a job waits for an upstream in the domain where it is wanted, though another is free: about
-/// half a call, after which one there has most likely become free.
-const WAIT_FOR_DOMAIN: Duration = Duration::from_millis(200);
+/// a third of a call, after which one there has most likely become free.
+const WAIT_FOR_DOMAIN: Duration = Duration::from_millis(100);
 /// Part of the time to spare that such a wait may use.
 const WAIT_PART: f64 = 0.5;
 /// Time to spare that is kept for waits still to come: a queue and a longer call at each of two stages.
@@ -78,6 +81,11 @@
         }
     }
 
+    /// Whether some of its pieces are made or in a call.
+    fn is_started(&self) -> bool {
+        self.waiting.len() < self.results.len()
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.results.iter().all(Option::is_some)
     }
@@ -87,6 +95,10 @@
     /// What can still be in time goes before what is late already: a late answer is worth a fraction, and work on it
     /// would make the next ones late too, seen as a whole burst answered just after its aim.
     pub(super) fn order(&self, ends: MonoTime, domain: &FailureDomain) -> (bool, MonoTime) {
+        if self.is_started() {
+            // What is made of it takes room until the rest is made too.
+            return (false, self.new.in_time_until.before(START_STEP));
+        }
         let is_late = self.new.in_time_until < ends;
         let due = if is_late {
             self.new.deadline
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -32,7 +32,7 @@
 const GIVE_UP_EXTRA: Duration = Duration::from_millis(500);
 /// Part of an upstream's room that is planned with: sizes of results are told as an average only, and a result that
 /// was given up takes room until its upstream hears of it.
-const ROOM_PART: f64 = 0.85;
+const ROOM_PART: f64 = 0.95;
 /// How often results that ran out are looked for.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
--- a/crates/tc-protocol/src/clock.rs
+++ b/crates/tc-protocol/src/clock.rs
@@ -37,6 +37,12 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// This time moved back by `by`, at most to the origin.
+    #[must_use]
+    pub const fn before(self, by: Duration) -> Self {
+        Self(self.0.saturating_sub(by.as_micros() as u64))
+    }
+
     /// This time moved forward by `by`.
     #[must_use]
     pub const fn after(self, by: Duration) -> Self {
