--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -437,6 +437,12 @@
     /// Empty: anywhere.
     #[prost(string, tag = "11")]
     pub prefer: ::prost::alloc::string::String,
+    /// The same for every attempt of a caller's request; 0 when that cannot be told.
+    #[prost(fixed64, tag = "12")]
+    pub fingerprint: u64,
+    /// Bytes of inputs that are kept at their makers until the stage is done.
+    #[prost(uint64, tag = "13")]
+    pub held_bytes: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct PiecesAnswer {
@@ -448,6 +454,9 @@
     pub refusal: u32,
     #[prost(uint32, tag = "3")]
     pub retry_after_ms: u32,
+    /// Expected wait at the home as of now, for asks to come.
+    #[prost(uint32, tag = "4")]
+    pub wait_ms: u32,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FreeResultsMessage {
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -29,5 +29,7 @@
 pub use error::FleetError;
 pub use fleet::{Fleet, LocalReport};
 pub use key::FleetKeys;
-pub use mesh::{Mesh, MeshError, MeshHandlers, MeshSettings, WorldCopy, WorldHave, WorldObject};
+pub use mesh::{
+    Mesh, MeshError, MeshHandlers, MeshSettings, PiecesAnswer, WorldCopy, WorldHave, WorldObject,
+};
 pub use settings::{AskPolicy, FleetSettings};
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -18,10 +18,11 @@
 use super::{
     actor::{MeshActor, MeshArgs, MeshMsg, Published, others},
     messages::{
-        MeshError, WorldCopy, WorldHave, answer_from_wire, ask_to_wire, copy_from_wire, texts,
+        MeshError, PiecesAnswer, WorldCopy, WorldHave, answer_from_wire, ask_to_wire,
+        copy_from_wire, texts,
     },
     peers::Peers,
-    service::{MeshHandlers, PiecesReply, Service},
+    service::{MeshHandlers, Service},
 };
 use crate::{
     FleetError, FleetKeys, convert,
@@ -213,7 +214,7 @@
         &self,
         home: &Member,
         ask: &PiecesAsk,
-    ) -> Result<PiecesReply, MeshError> {
+    ) -> Result<PiecesAnswer, MeshError> {
         let mut req = Request::new(ask_to_wire(ask));
         req.set_timeout(ask.remaining + ASK_GRACE);
         let mut client = self.inner.peers.client(home);
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -30,6 +30,15 @@
     },
 }
 
+/// What a home answers to an ask for pieces.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PiecesAnswer {
+    /// The results in the order of the pieces, or why there are none.
+    pub reply: Result<Vec<ResultHandle>, PiecesRefusal>,
+    /// How long what comes now is expected to wait there.
+    pub wait: Duration,
+}
+
 /// What an instance knows of the store, as numbers to compare.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorldHave {
@@ -80,6 +89,8 @@
             .as_ref()
             .map(ToString::to_string)
             .unwrap_or_default(),
+        fingerprint: ask.fingerprint,
+        held_bytes: ask.held_bytes,
     }
 }
 
@@ -100,6 +111,8 @@
         in_time_for: convert::from_millis(message.in_time_for_ms),
         remaining: convert::from_millis(message.remaining_ms),
         prefer: (!message.prefer.is_empty()).then(|| message.prefer.as_str().into()),
+        fingerprint: message.fingerprint,
+        held_bytes: message.held_bytes,
     }
 }
 
@@ -121,19 +134,20 @@
 const LATE: u32 = 4;
 const NO_UPSTREAM: u32 = 5;
 
-pub(super) fn answer_to_wire(
-    answer: Result<Vec<ResultHandle>, PiecesRefusal>,
-) -> wire::PiecesAnswer {
+pub(super) fn answer_to_wire(answer: PiecesAnswer) -> wire::PiecesAnswer {
+    let wait_ms = convert::millis(answer.wait);
     let refused = |refusal, retry_after| wire::PiecesAnswer {
         results: Vec::new(),
         refusal,
         retry_after_ms: convert::millis(retry_after),
+        wait_ms,
     };
-    match answer {
+    match answer.reply {
         Ok(results) => wire::PiecesAnswer {
             results: texts(&results),
             refusal: 0,
             retry_after_ms: 0,
+            wait_ms,
         },
         Err(PiecesRefusal::Overloaded { retry_after }) => refused(OVERLOADED, retry_after),
         Err(PiecesRefusal::InputGone) => refused(INPUT_GONE, Duration::ZERO),
@@ -144,10 +158,8 @@
 }
 
 /// `None` when the refusal's number is not known.
-pub(super) fn answer_from_wire(
-    answer: &wire::PiecesAnswer,
-) -> Option<Result<Vec<ResultHandle>, PiecesRefusal>> {
-    Some(match answer.refusal {
+pub(super) fn answer_from_wire(answer: &wire::PiecesAnswer) -> Option<PiecesAnswer> {
+    let reply = match answer.refusal {
         0 => Ok(handles(&answer.results)),
         OVERLOADED => Err(PiecesRefusal::Overloaded {
             retry_after: convert::from_millis(answer.retry_after_ms),
@@ -157,6 +169,10 @@
         LATE => Err(PiecesRefusal::Late),
         NO_UPSTREAM => Err(PiecesRefusal::NoUpstream),
         _ => return None,
+    };
+    Some(PiecesAnswer {
+        reply,
+        wait: convert::from_millis(answer.wait_ms),
     })
 }
 
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -9,5 +9,5 @@
 mod service;
 
 pub use handle::{Mesh, MeshSettings};
-pub use messages::{MeshError, WorldCopy, WorldHave, WorldObject};
+pub use messages::{MeshError, PiecesAnswer, WorldCopy, WorldHave, WorldObject};
 pub use service::MeshHandlers;
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -4,29 +4,29 @@
 
 use futures::future::BoxFuture;
 use ractor::ActorRef;
-use tc_protocol::routing::{PiecesAsk, PiecesRefusal, ResultHandle};
+use tc_protocol::routing::{PiecesAsk, ResultHandle};
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status};
 
 use super::{
     actor::MeshMsg,
-    messages::{WorldCopy, WorldHave, answer_to_wire, ask_from_wire, copy_to_wire, handles},
+    messages::{
+        PiecesAnswer, WorldCopy, WorldHave, answer_to_wire, ask_from_wire, copy_to_wire, handles,
+    },
 };
 use crate::{
     convert,
     generated::{
-        FreeResultsAnswer, FreeResultsMessage, Introduction, MemberList, PiecesAnswer,
-        PiecesAskMessage, WorldCopy as WireCopy, WorldPull, mesh_server::Mesh as MeshService,
+        FreeResultsAnswer, FreeResultsMessage, Introduction, MemberList,
+        PiecesAnswer as WireAnswer, PiecesAskMessage, WorldCopy as WireCopy, WorldPull,
+        mesh_server::Mesh as MeshService,
     },
 };
 
-/// Answer to an ask for pieces.
-pub(super) type PiecesReply = Result<Vec<ResultHandle>, PiecesRefusal>;
-
 /// What this instance does for others. Futures that are dropped cancel what they stand for.
 pub struct MeshHandlers {
     /// Makes the pieces of a stage as the home of its service.
-    pub make_pieces: Box<dyn Fn(PiecesAsk) -> BoxFuture<'static, PiecesReply> + Send + Sync>,
+    pub make_pieces: Box<dyn Fn(PiecesAsk) -> BoxFuture<'static, PiecesAnswer> + Send + Sync>,
     /// Gives up results.
     pub free_results: Box<dyn Fn(Vec<ResultHandle>) + Send + Sync>,
     /// What is known here of the store beyond what the asker has.
@@ -63,7 +63,7 @@
     async fn make_pieces(
         &self,
         req: Request<PiecesAskMessage>,
-    ) -> Result<Response<PiecesAnswer>, Status> {
+    ) -> Result<Response<WireAnswer>, Status> {
         let ask = ask_from_wire(&req.into_inner());
         let answer = (self.handlers.make_pieces)(ask).await;
         Ok(Response::new(answer_to_wire(answer)))
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -80,6 +80,11 @@
         answer.unwrap_or(Err(PiecesRefusal::Failed))
     }
 
+    /// How long what comes now is expected to wait.
+    pub(super) fn expected_wait(&self) -> Duration {
+        self.lock().planner.expected_wait()
+    }
+
     /// Results that are given up take no room any more.
     pub(super) fn freed(self: &Arc<Self>, handles: &[ResultHandle]) {
         {
@@ -176,6 +181,8 @@
         in_time_until: now.after(ask.in_time_for),
         deadline: now.after(ask.remaining),
         prefer: ask.prefer,
+        fingerprint: ask.fingerprint,
+        held_bytes: ask.held_bytes,
     }
 }
 
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -7,8 +7,10 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 
+use tc_fleet::PiecesAnswer;
 use tc_protocol::{
     ServiceName,
     routing::{PiecesAsk, PiecesRefusal, ResultHandle},
@@ -46,10 +48,17 @@
     }
 
     /// Makes the pieces of a stage. Dropping the future takes back what was not started.
-    pub(crate) async fn make_pieces(&self, ask: PiecesAsk) -> PiecesReply {
+    pub(crate) async fn make_pieces(&self, ask: PiecesAsk) -> PiecesAnswer {
         match self.home(&ask.service) {
-            Some(home) => home.make(ask).await,
-            None => Err(PiecesRefusal::NoUpstream),
+            Some(home) => {
+                let reply = Arc::clone(&home).make(ask).await;
+                let wait = home.expected_wait();
+                PiecesAnswer { reply, wait }
+            }
+            None => PiecesAnswer {
+                reply: Err(PiecesRefusal::NoUpstream),
+                wait: Duration::ZERO,
+            },
         }
     }
 
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -4,12 +4,14 @@
 
 use http::{Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
+use tc_policy::PickWish;
 use tc_protocol::{
     FailureDomain, RunState, UpstreamId,
     routing::{RegisteredUpstream, ResultHandle},
 };
 use tc_upstream::{RawCall, RawReply};
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Refusal, RoutedRequest, RunContext};
 use crate::{
@@ -162,7 +164,12 @@
         let world = cx.world.load();
         let all = world.upstreams.of_service(req.service.as_str());
         let kept = req.head.prompt.as_ref().and_then(Prompt::shared_key);
-        let chosen = cx.book.choose(all, &self.tried, kept, domain);
+        let wish = PickWish {
+            kept,
+            domain,
+            chance: xxh3_64(req.head.request.as_bytes()),
+        };
+        let chosen = cx.book.choose(all, &self.tried, &wish);
         chosen.ok_or(SendFailure::NoUpstream)
     }
 
@@ -185,6 +192,9 @@
     ) -> Result<Answered, SendFailure> {
         let head = &answered.head;
         let id = &answered.upstream.id;
+        if let Some(load) = head.load {
+            cx.book.note_load(id, load);
+        }
         if head.taken != Taken::Yes {
             let status = answered.reply.head.status.as_u16();
             log::info!(request = &*req.head.request, upstream = id.as_str(), status = status, taken = format!("{:?}", head.taken).as_str(); "an upstream did not take a request");
--- a/crates/tc-gateway/src/run/home_ask.rs
+++ b/crates/tc-gateway/src/run/home_ask.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use tc_fleet::PiecesAnswer;
 use tc_protocol::{InstanceId, Member, MemberState, routing::PiecesAsk};
 use tokio::time::Instant;
 
@@ -33,7 +34,7 @@
             () = gone(cx, &home) => Err("it was found dead or suspect".to_owned()),
         };
         match asked {
-            Ok(reply) => return reply,
+            Ok(answer) => return noted(cx, &ask, answer),
             Err(problem) => {
                 log::warn!(request = &*ask.request, service = key, home = home.id.as_str(), problem = problem.as_str(); "the home of a stage does not answer");
                 cx.mesh.doubt(&home.id);
@@ -44,7 +45,13 @@
             }
         }
     }
-    cx.homes.make_pieces(ask).await
+    let answer = cx.homes.make_pieces(ask.clone()).await;
+    noted(cx, &ask, answer)
+}
+
+fn noted(cx: &RunContext, ask: &PiecesAsk, answer: PiecesAnswer) -> PiecesReply {
+    cx.waits.note(&ask.service, answer.wait);
+    answer.reply
 }
 
 /// Done when the instance is no longer thought to be well.
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -6,6 +6,7 @@
 mod refusal;
 mod stages;
 mod stream;
+mod waits;
 
 use std::{sync::Arc, time::Duration};
 
@@ -20,6 +21,7 @@
 use tc_upstream::UpstreamClient;
 use thiserror::Error;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     budgets::RepeatBudgets,
@@ -31,6 +33,7 @@
 };
 
 pub(crate) use refusal::{Refusal, own_answer};
+pub(crate) use waits::StageWaits;
 
 /// Body of an answer to a caller. An error cuts the caller's connection, so that no broken answer looks whole.
 pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, StreamCut>;
@@ -56,6 +59,7 @@
     pub(crate) freer: Freer,
     pub(crate) book: Arc<UpstreamBook>,
     pub(crate) budgets: Arc<RepeatBudgets>,
+    pub(crate) waits: StageWaits,
     pub(crate) client: UpstreamClient,
 }
 
@@ -95,6 +99,29 @@
         left.min(patience.saturating_sub(self.arrived.elapsed()))
     }
 
+    /// The same for every attempt of a caller's request: each attempt has another identifier, but the same workspace, path
+    /// and prompt or body.
+    fn fingerprint(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(
+            self.workspace
+                .as_ref()
+                .map_or("", |w| w.name.as_str())
+                .as_bytes(),
+        );
+        hasher.update(self.parts.uri.path().as_bytes());
+        match self
+            .head
+            .prompt
+            .as_ref()
+            .and_then(|prompt| prompt.parts.last())
+        {
+            Some(own) => hasher.update(&own.id.to_le_bytes()),
+            None => hasher.update(&self.body),
+        }
+        hasher.digest()
+    }
+
     /// Rank among requests, 0 first: the workspace's goes before the route's.
     fn rank(&self) -> u8 {
         let own = self.workspace.as_ref().and_then(|w| w.priority);
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -14,6 +14,9 @@
 /// Time of one stage that is still to come, as a multiple of a call's fixed time: the call with some pieces, and half
 /// of another that it waits for.
 const STAGE_TIME: f64 = 1.6;
+/// Part of the time until its caller leaves that the stages of a request may be expected to take; beyond it the request
+/// is refused before any of them is begun.
+const MOST_TIME: f64 = 0.8;
 /// Time from the last stage's end to an engine's first event: fetching results, reading the prompt and the first
 /// step take 60 to 160 ms.
 const ENGINE_TIME: Duration = Duration::from_millis(150);
@@ -79,6 +82,12 @@
 ) -> Result<StageResults, PiecesRefusal> {
     let stages = &req.route.stages;
     let mut graph = Graph::new(stages, &req.head.pieces);
+    let (expected, longest_wait) = graph.time_of_all(cx);
+    if expected > req.time_to_first().mul_f64(MOST_TIME) {
+        return Err(PiecesRefusal::Overloaded {
+            retry_after: longest_wait,
+        });
+    }
     let mut held = HeldResults::new(cx.freer.clone(), stages);
     let wanted = wanted_domain(cx, req);
     let mut running: FuturesUnordered<BoxFuture<'_, (usize, PiecesReply)>> =
@@ -157,6 +166,47 @@
         1 + followers.map(|i| self.depth(i)).max().unwrap_or(0)
     }
 
+    /// Bytes of all results of a stage.
+    fn size_of(&self, stage: usize) -> u64 {
+        self.stages[stage].result_bytes * u64::from(self.pieces[stage])
+    }
+
+    /// Expected time of a stage that is still to come, its wait included.
+    fn time_of(&self, cx: &RunContext, stage: usize) -> Duration {
+        if self.is_over(stage) {
+            return Duration::ZERO;
+        }
+        let service = &self.stages[stage].service;
+        let world = cx.world.load();
+        let batch = world
+            .config
+            .as_ref()
+            .and_then(|config| config.service(service.as_str())?.batch);
+        let call_time = batch.map(|batch| batch.call_time).unwrap_or_default();
+        call_time.mul_f64(STAGE_TIME) + cx.waits.of(service)
+    }
+
+    /// Expected time of the longest chain that follows a stage.
+    fn time_after(&self, cx: &RunContext, stage: usize) -> Duration {
+        let followers = (0..self.stages.len()).filter(|i| self.stages[*i].after.contains(&stage));
+        followers
+            .map(|i| self.time_of(cx, i) + self.time_after(cx, i))
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Expected time of all stages, and the longest wait among them.
+    fn time_of_all(&self, cx: &RunContext) -> (Duration, Duration) {
+        let first = (0..self.stages.len()).filter(|i| self.stages[*i].after.is_empty());
+        let all = first
+            .map(|i| self.time_of(cx, i) + self.time_after(cx, i))
+            .max();
+        let waits = (0..self.stages.len())
+            .filter(|i| !self.is_over(*i))
+            .map(|i| cx.waits.of(&self.stages[i].service));
+        (all.unwrap_or_default(), waits.max().unwrap_or_default())
+    }
+
     /// Stages to be started now: their inputs are there, and no longer chain is still to be made.
     ///
     /// A stage beside a long chain is started so that both end together. Its results would otherwise be kept while
@@ -219,9 +269,11 @@
         input,
         result_bytes: spec.result_bytes,
         rank: req.rank(),
-        in_time_for: in_time_for(cx, req, graph.depth(stage)),
+        in_time_for: in_time_for(req, graph.time_after(cx, stage)),
         remaining: req.time_to_first().saturating_sub(ENGINE_TIME),
         prefer: preferred(cx, graph, held, stage, wanted),
+        held_bytes: spec.after.iter().map(|before| graph.size_of(*before)).sum(),
+        fingerprint: req.fingerprint(),
     }
 }
 
@@ -235,37 +287,24 @@
 ) -> Option<FailureDomain> {
     let spec = &graph.stages[stage];
     let pieces = u64::from(graph.pieces[stage]);
-    let size_of = |i: usize| graph.stages[i].result_bytes * u64::from(graph.pieces[i]);
-    let read: u64 = spec.after.iter().map(|before| size_of(*before)).sum();
+    let read: u64 = spec.after.iter().map(|before| graph.size_of(*before)).sum();
     // Every piece reads all of it.
     if read * pieces >= LARGE_BYTES {
-        let largest = spec.after.iter().copied().max_by_key(|i| size_of(*i))?;
+        let largest = spec
+            .after
+            .iter()
+            .copied()
+            .max_by_key(|i| graph.size_of(*i))?;
         return domain_of(cx, &held.by_stage[largest]);
     }
     let is_last = !graph.stages.iter().any(|s| s.after.contains(&stage));
     wanted
-        .filter(|_| is_last && size_of(stage) >= LARGE_BYTES)
+        .filter(|_| is_last && graph.size_of(stage) >= LARGE_BYTES)
         .cloned()
 }
 
 /// Time until a stage must be done so that what follows it can still be in time.
-fn in_time_for(cx: &RunContext, req: &RoutedRequest, depth: usize) -> Duration {
-    let world = cx.world.load();
-    let call_time = req
-        .route
-        .stages
-        .iter()
-        .filter_map(|stage| {
-            world
-                .config
-                .as_ref()?
-                .service(stage.service.as_str())?
-                .batch
-        })
-        .map(|batch| batch.call_time)
-        .max()
-        .unwrap_or_default();
-    let following = call_time.mul_f64(STAGE_TIME) * (depth.saturating_sub(1)) as u32;
+fn in_time_for(req: &RoutedRequest, following: Duration) -> Duration {
     req.route
         .aim
         .saturating_sub(req.arrived.elapsed())
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -18,7 +18,7 @@
     budgets::RepeatBudgets,
     edges::Edges,
     homes::{BatchHomes, Freer, HomeContext},
-    run::{AnswerBody, RunContext},
+    run::{AnswerBody, RunContext, StageWaits},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
     settings::GatewaySettings,
     stop::{Asked, Signals, StopState, stop},
@@ -143,6 +143,7 @@
         freer,
         book: Arc::default(),
         budgets,
+        waits: StageWaits::default(),
         client,
     }))
 }
--- a/crates/tc-gateway/src/upstreams.rs
+++ b/crates/tc-gateway/src/upstreams.rs
@@ -9,6 +9,8 @@
 use tc_policy::{PickCandidate, PickWish, pick_upstream};
 use tc_protocol::{FailureDomain, MonoTime, UpstreamId, routing::RegisteredUpstream};
 
+use crate::call::UpstreamLoad;
+
 /// First pause after a call failed; doubles with each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
 /// Longest pause: an upstream that is back is tried again within this time.
@@ -20,6 +22,8 @@
 /// An upstream counts as slow from this multiple of the median of its service on. First answers vary by two with the
 /// length of the prompt.
 const SLOW_FROM: f64 = 2.5;
+/// How long an upstream's own word on its load says anything: about as long as a call takes.
+const REPORT_LIFE: Duration = Duration::from_millis(100);
 /// How long a time says anything.
 const TIME_LIFE: Duration = Duration::from_secs(6);
 
@@ -30,6 +34,19 @@
     not_before: MonoTime,
     /// Average time to the first byte, in milliseconds, and when it last changed.
     first_byte_ms: Option<(f64, MonoTime)>,
+    /// Work in progress there as it last told, and when.
+    reported: Option<(u32, MonoTime)>,
+}
+
+impl Known {
+    /// Work in progress there: what this instance sent, or what the upstream told a moment ago if that is more.
+    fn load(&self, now: MonoTime) -> f64 {
+        let own = f64::from(self.in_flight);
+        match self.reported {
+            Some((told, at)) if now.since(at) < REPORT_LIFE => own.max(f64::from(told)),
+            _ => own,
+        }
+    }
 }
 
 /// Everything this instance knows of upstreams; shared by all requests.
@@ -76,8 +93,7 @@
         self: &Arc<Self>,
         all: &[Arc<RegisteredUpstream>],
         except: &[UpstreamId],
-        kept: Option<u64>,
-        domain: Option<&FailureDomain>,
+        wish: &PickWish<'_>,
     ) -> Option<(Arc<RegisteredUpstream>, InFlight)> {
         let now = MonoTime::now();
         let mut known = self.lock();
@@ -97,13 +113,12 @@
             .map(|u| PickCandidate {
                 id: &u.id,
                 domain: &u.failure_domain,
-                load: known.get(&u.id).map_or(0.0, |k| f64::from(k.in_flight)),
+                load: known.get(&u.id).map_or(0.0, |k| k.load(now)),
                 slots: u.slots,
                 slowness: slowness(known.get(&u.id), median, now),
             })
             .collect();
-        let wish = PickWish { kept, domain };
-        let chosen = Arc::clone(pool[pick_upstream(&candidates, &wish)?]);
+        let chosen = Arc::clone(pool[pick_upstream(&candidates, wish)?]);
         known.entry(chosen.id.clone()).or_default().in_flight += 1;
         let in_flight = InFlight {
             book: Arc::clone(self),
@@ -137,7 +152,7 @@
             .collect();
         let wish = PickWish {
             kept: Some(kept),
-            domain: None,
+            ..PickWish::default()
         };
         pick_upstream(&candidates, &wish).map(|i| sound[i].failure_domain.clone())
     }
@@ -167,6 +182,12 @@
         }
     }
 
+    /// Takes up what an upstream says of its load.
+    pub(crate) fn note_load(&self, id: &UpstreamId, load: UpstreamLoad) {
+        let reported = (load.running + load.waiting, MonoTime::now());
+        self.lock().entry(id.clone()).or_default().reported = Some(reported);
+    }
+
     /// Forgets upstreams that are gone.
     pub(crate) fn retain(&self, keep: impl Fn(&UpstreamId) -> bool) {
         self.lock()
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -55,6 +55,10 @@
     pub deadline: MonoTime,
     /// Where its results are wanted.
     pub prefer: Option<FailureDomain>,
+    /// Bytes of inputs that are kept at their makers until it is done.
+    pub held_bytes: u64,
+    /// Tells a request that comes back after a refusal; 0 when it cannot be told.
+    pub fingerprint: u64,
 }
 
 #[derive(Debug)]
@@ -68,6 +72,8 @@
     pub(super) failures: u32,
     /// Until then only upstreams in the preferred domain get it.
     pub(super) stays_until: MonoTime,
+    /// Whether it was refused before and has come back.
+    pub(super) returned: bool,
 }
 
 impl Job {
@@ -77,10 +83,16 @@
             results: vec![None; new.pieces as usize],
             failures: 0,
             stays_until: MonoTime::default(),
+            returned: false,
             new,
         }
     }
 
+    /// Whether none of its pieces was made or is in a call.
+    pub(super) fn is_untouched(&self) -> bool {
+        !self.is_started()
+    }
+
     /// Whether some of its pieces are made or in a call.
     fn is_started(&self) -> bool {
         self.waiting.len() < self.results.len()
@@ -91,24 +103,30 @@
     }
 
     /// Order of jobs for a call that would end at `ends` on an upstream in `domain`; the lowest goes first.
+    pub(super) fn order(&self, ends: MonoTime, domain: &FailureDomain) -> (bool, MonoTime) {
+        let (is_late, due) = self.place(ends);
+        let is_away = self.new.prefer.as_ref().is_some_and(|d| d != domain);
+        let away = if is_away { AWAY_STEP } else { Duration::ZERO };
+        (is_late, due.after(away))
+    }
+
+    /// Place in the queue wherever it is made, for a call that would end at `ends`.
     ///
     /// What can still be in time goes before what is late already: a late answer is worth a fraction, and work on it
     /// would make the next ones late too, seen as a whole burst answered just after its aim.
-    pub(super) fn order(&self, ends: MonoTime, domain: &FailureDomain) -> (bool, MonoTime) {
+    pub(super) fn place(&self, ends: MonoTime) -> (bool, MonoTime) {
         if self.is_started() {
             // What is made of it takes room until the rest is made too.
             return (false, self.new.in_time_until.before(START_STEP));
         }
-        let is_late = self.new.in_time_until < ends;
+        // One whose inputs take much room is not left for last: the stage before could not go on meanwhile.
+        let is_late = self.new.in_time_until < ends && self.new.held_bytes < LARGE_RESULTS_BYTES;
         let due = if is_late {
             self.new.deadline
         } else {
             self.new.in_time_until
         };
-        let is_away = self.new.prefer.as_ref().is_some_and(|d| d != domain);
-        let away = if is_away { AWAY_STEP } else { Duration::ZERO };
-        let order = due.after(RANK_STEP * u32::from(self.new.rank)).after(away);
-        (is_late, order)
+        (is_late, due.after(RANK_STEP * u32::from(self.new.rank)))
     }
 
     /// The first piece of a stage with large results decides where the others are wanted, unless that is known.
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -12,6 +12,7 @@
     job::{Job, JobKey, NewJob},
     maker::{BatchUpstream, Maker},
     piece_times::PieceTimes,
+    refused::Refused,
     results::Results,
 };
 use crate::RepeatBudget;
@@ -26,6 +27,10 @@
 /// Part of a job's remaining time that its expected wait may use up; beyond it the job is refused at once, as it
 /// would most likely be held to its deadline for nothing.
 const MOST_WAIT: f64 = 0.5;
+/// The same for a request that was refused before and has come back: a second refusal is worse than a first.
+const MOST_WAIT_RETURNED: f64 = 0.8;
+/// The same for a job that waits already: it is kept for longer, as a refusal now is later than one at its arrival.
+const MOST_WAIT_QUEUED: f64 = 0.8;
 /// A call that takes this many times its expected time is given up.
 const GIVE_UP_FACTOR: f64 = 3.0;
 /// Added to that: a call may wait for another home's call at the upstream.
@@ -100,6 +105,7 @@
     results: Results,
     times: PieceTimes,
     repeats: RepeatBudget,
+    refused: Refused,
     next_expiry: MonoTime,
 }
 
@@ -115,6 +121,7 @@
             results: Results::default(),
             times: PieceTimes::default(),
             repeats,
+            refused: Refused::default(),
             next_expiry: MonoTime::default(),
         }
     }
@@ -158,25 +165,33 @@
     /// Expected time until everything that waits has been taken into a call.
     #[must_use]
     pub fn expected_wait(&self) -> Duration {
-        let work: f64 = self
-            .jobs
-            .values()
-            .map(|job| job.waiting.len() as f64 * self.share_of_call(job.new.result_bytes))
-            .sum();
-        let speed: f64 = self
-            .makers
-            .values()
-            .filter(|maker| maker.ready && maker.failures == 0)
-            .map(|maker| f64::from(self.spec.slots) / maker.speed)
-            .sum();
-        if speed <= 0.0 {
-            return if work > 0.0 {
-                self.spec.call_time
-            } else {
-                Duration::ZERO
-            };
+        self.time_of(self.jobs.values().map(|job| self.work_of(job)).sum())
+    }
+
+    /// Seconds of one ordinary upstream that what waits of a job takes.
+    fn work_of(&self, job: &Job) -> f64 {
+        job.waiting.len() as f64 * self.share_of_call(job.new.result_bytes)
+    }
+
+    /// How long all upstreams together take for so many seconds of work.
+    fn time_of(&self, work: f64) -> Duration {
+        let speed = self.total_speed() * f64::from(self.spec.slots);
+        if speed > 0.0 {
+            Duration::from_secs_f64(work / speed)
+        } else if work > 0.0 {
+            // All fail at the moment; one more call tells.
+            self.spec.call_time
+        } else {
+            Duration::ZERO
         }
-        Duration::from_secs_f64(work / speed)
+    }
+
+    /// Expected time until a job is taken into a call, behind those that go before it.
+    fn wait_of(&self, now: MonoTime, job: &Job) -> Duration {
+        let ends = now.after(self.spec.call_time);
+        let place = job.place(ends);
+        let before = self.jobs.values().filter(|other| other.place(ends) < place);
+        self.time_of(before.map(|other| self.work_of(other)).sum())
     }
 
     /// Seconds that one piece takes of a full call.
@@ -190,22 +205,38 @@
         if !self.has_upstreams() {
             return Err(PiecesRefusal::NoUpstream);
         }
-        let wait = self.expected_wait();
-        let remaining = new.deadline.since(now);
-        if remaining < self.spec.call_time {
+        if new.deadline.since(now) < self.spec.call_time {
             return Err(PiecesRefusal::Late);
         }
-        if wait > remaining.mul_f64(MOST_WAIT) {
-            return Err(PiecesRefusal::Overloaded { retry_after: wait });
+        let mut job = Job::new(new);
+        job.returned = self.refused.came_back(now, job.new.fingerprint);
+        let wait = self.wait_of(now, &job);
+        let part = if job.returned {
+            MOST_WAIT_RETURNED
+        } else {
+            MOST_WAIT
+        };
+        if !self.is_worth_waiting(now, &job, wait, part) {
+            return Err(self.overloaded(now, &job, wait));
         }
         self.repeats.note_request(now);
-        let mut job = Job::new(new);
         if self.makes_in(job.new.prefer.as_ref()) {
             job.stay(now, self.spec.call_time);
         }
         Ok(self.jobs.insert(job))
     }
 
+    /// Whether a job will most likely be done before nobody waits for it any more.
+    fn is_worth_waiting(&self, now: MonoTime, job: &Job, wait: Duration, part: f64) -> bool {
+        let most = job.new.deadline.since(now).mul_f64(part);
+        wait.is_zero() || wait + self.spec.call_time <= most
+    }
+
+    fn overloaded(&mut self, now: MonoTime, job: &Job, wait: Duration) -> PiecesRefusal {
+        self.refused.note(now, job.new.fingerprint);
+        PiecesRefusal::Overloaded { retry_after: wait }
+    }
+
     /// Whether any upstream that may get work is in the domain.
     fn makes_in(&self, domain: Option<&FailureDomain>) -> bool {
         self.makers
@@ -221,17 +252,37 @@
         job.results.into_iter().flatten().collect()
     }
 
-    /// Jobs whose time is over without all their pieces made.
+    /// Refuses jobs whose time is over, and those that will most likely not be done in their time any more.
+    ///
+    /// The latter are refused before their time is over, as more urgent ones went before them: their callers can still
+    /// turn elsewhere, and the room that they hold is free for others.
     pub fn expire(&mut self, now: MonoTime) -> Settled {
-        let late: Vec<JobKey> = self
+        let mut settled = Settled::default();
+        let ends = now.after(self.spec.call_time);
+        let mut queue: Vec<((bool, MonoTime), JobKey)> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.new.deadline <= now)
-            .map(|(key, _)| key)
+            .filter(|(_, job)| !job.waiting.is_empty() || job.new.deadline <= now)
+            .map(|(key, job)| (job.place(ends), key))
             .collect();
-        let mut settled = Settled::default();
-        for key in late {
-            self.refuse(key, PiecesRefusal::Late, &mut settled);
+        queue.sort_unstable();
+        let mut before = 0.0;
+        for (_, key) in queue {
+            let job = &self.jobs[key];
+            let work = self.work_of(job);
+            if job.new.deadline <= now {
+                self.refuse(key, PiecesRefusal::Late, &mut settled);
+                continue;
+            }
+            let wait = self.time_of(before);
+            if job.is_untouched() && !self.is_worth_waiting(now, job, wait, MOST_WAIT_QUEUED) {
+                let fingerprint = job.new.fingerprint;
+                self.refused.note(now, fingerprint);
+                let refusal = PiecesRefusal::Overloaded { retry_after: wait };
+                self.refuse(key, refusal, &mut settled);
+                continue;
+            }
+            before += work;
         }
         settled
     }
--- a/crates/tc-policy/src/pick.rs
+++ b/crates/tc-policy/src/pick.rs
@@ -31,6 +31,8 @@
     pub kept: Option<u64>,
     /// Where it should run.
     pub domain: Option<&'a FailureDomain>,
+    /// Differs between requests; spreads those that nothing else tells apart.
+    pub chance: u64,
 }
 
 /// Chooses an upstream; `None` without candidates.
@@ -43,7 +45,7 @@
 /// let ids = ["a".into(), "b".into()];
 /// let domain = "kl-a".into();
 /// let at = |id, load| PickCandidate { id, domain: &domain, load, slots: 4, slowness: 1.0 };
-/// let wish = PickWish { kept: Some(7), domain: None };
+/// let wish = PickWish { kept: Some(7), domain: None, chance: 1 };
 /// let idle = [at(&ids[0], 0.0), at(&ids[1], 0.0)];
 /// let first = pick_upstream(&idle, &wish).unwrap();
 /// assert_eq!(pick_upstream(&idle, &wish), Some(first));
@@ -64,15 +66,12 @@
     } else {
         near
     };
-    let fit = within_bound(candidates, &pool);
+    let fit = within_bound(candidates, &pool, wish.chance);
     match wish.kept {
         Some(key) => fit
             .into_iter()
             .max_by_key(|i| hashed_score(key, candidates[*i].id.as_str())),
-        None => fit.into_iter().min_by(|a, b| {
-            let by_use = |i: usize| usage(&candidates[i]);
-            by_use(*a).total_cmp(&by_use(*b))
-        }),
+        None => least_used(candidates, fit, wish.chance),
     }
 }
 
@@ -86,7 +85,7 @@
 }
 
 /// Those that have not much more to do than the mean; the least used one when all have.
-fn within_bound(candidates: &[PickCandidate<'_>], pool: &[usize]) -> Vec<usize> {
+fn within_bound(candidates: &[PickCandidate<'_>], pool: &[usize], chance: u64) -> Vec<usize> {
     let loads = pool
         .iter()
         .map(|i| candidates[*i].load * candidates[*i].slowness);
@@ -103,9 +102,21 @@
     if !fit.is_empty() {
         return fit;
     }
-    let least = pool.iter().copied().min_by(|a, b| {
-        let by_use = |i: usize| usage(&candidates[i]);
-        by_use(*a).total_cmp(&by_use(*b))
-    });
-    least.into_iter().collect()
+    least_used(candidates, pool.to_vec(), chance)
+        .into_iter()
+        .collect()
+}
+
+/// The least used one; equally used ones share by chance.
+///
+/// Every instance sees few requests of its own. If equals were taken in order, all instances would send to the same
+/// upstream, seen as one that refuses requests while its peers are idle.
+fn least_used(candidates: &[PickCandidate<'_>], among: Vec<usize>, chance: u64) -> Option<usize> {
+    among.into_iter().min_by(|a, b| {
+        let used = |i: usize| usage(&candidates[i]);
+        let drawn = |i: usize| hashed_score(chance, candidates[i].id.as_str());
+        used(*a)
+            .total_cmp(&used(*b))
+            .then_with(|| drawn(*a).cmp(&drawn(*b)))
+    })
 }
--- a/crates/tc-protocol/src/routing/piece.rs
+++ b/crates/tc-protocol/src/routing/piece.rs
@@ -53,6 +53,10 @@
     pub remaining: Duration,
     /// Where the results will be read, when that is known and matters.
     pub prefer: Option<FailureDomain>,
+    /// Bytes of inputs that are kept at their makers until the stage is done.
+    pub held_bytes: u64,
+    /// The same for every attempt of a caller's request; 0 when that cannot be told.
+    pub fingerprint: u64,
 }
 
 /// One piece in a call to an upstream.
