--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -80,9 +80,9 @@
         answer.unwrap_or(Err(PiecesRefusal::Failed))
     }
 
-    /// How long what comes now is expected to wait.
+    /// How long what can still be in time is expected to wait.
     pub(super) fn expected_wait(&self) -> Duration {
-        self.lock().planner.expected_wait()
+        self.lock().planner.expected_wait_in_time(MonoTime::now())
     }
 
     /// Results that are given up take no room any more.
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -74,6 +74,8 @@
     pub(super) stays_until: MonoTime,
     /// Whether it was refused before and has come back.
     pub(super) returned: bool,
+    /// Whether it was expected to be late when it came; see [`Job::place`].
+    pub(super) expected_late: bool,
 }
 
 impl Job {
@@ -84,6 +86,7 @@
             failures: 0,
             stays_until: MonoTime::default(),
             returned: false,
+            expected_late: false,
             new,
         }
     }
@@ -112,15 +115,18 @@
 
     /// Place in the queue wherever it is made, for a call that would end at `ends`.
     ///
-    /// What can still be in time goes before what is late already: a late answer is worth a fraction, and work on it
-    /// would make the next ones late too, seen as a whole burst answered just after its aim.
+    /// What can be in time goes before what cannot: a late answer is worth a fraction, and work on it would make the next
+    /// ones late too, seen as a whole burst answered just after its aim. For the same reason what was expected to be late
+    /// when it came never joins the others: by time alone each job would be done at the last moment, and one longer call
+    /// later all of them late.
     pub(super) fn place(&self, ends: MonoTime) -> (bool, MonoTime) {
         if self.is_started() {
             // What is made of it takes room until the rest is made too.
             return (false, self.new.in_time_until.before(START_STEP));
         }
         // One whose inputs take much room is not left for last: the stage before could not go on meanwhile.
-        let is_late = self.new.in_time_until < ends && self.new.held_bytes < LARGE_RESULTS_BYTES;
+        let is_late = (self.expected_late || self.new.in_time_until < ends)
+            && self.new.held_bytes < LARGE_RESULTS_BYTES;
         let due = if is_late {
             self.new.deadline
         } else {
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -33,11 +33,17 @@
 const MOST_WAIT_QUEUED: f64 = 0.8;
 /// A call that takes this many times its expected time is given up.
 const GIVE_UP_FACTOR: f64 = 3.0;
+/// What a call is taken to last before any has ended, as a multiple of its fixed time.
+const FIRST_TYPICAL: f64 = 1.3;
+/// Weight of the newest call in the average: a dozen calls, half a second of one service, move it by most.
+const TYPICAL_WEIGHT: f64 = 0.1;
 /// Added to that: a call may wait for another home's call at the upstream.
 const GIVE_UP_EXTRA: Duration = Duration::from_millis(500);
 /// Part of an upstream's room that is planned with: sizes of results are told as an average only, and a result that
 /// was given up takes room until its upstream hears of it.
 const ROOM_PART: f64 = 0.95;
+/// A job that waits for nobody is done after its own call and a part of the one that its upstream is at.
+const NEXT_CALL: f64 = 1.2;
 /// How often results that ran out are looked for.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
@@ -106,6 +112,8 @@
     times: PieceTimes,
     repeats: RepeatBudget,
     refused: Refused,
+    /// Running average of the time of a call, in seconds.
+    typical_call_s: f64,
     next_expiry: MonoTime,
 }
 
@@ -122,6 +130,7 @@
             times: PieceTimes::default(),
             repeats,
             refused: Refused::default(),
+            typical_call_s: spec.call_time.as_secs_f64() * FIRST_TYPICAL,
             next_expiry: MonoTime::default(),
         }
     }
@@ -186,10 +195,27 @@
         }
     }
 
+    /// How long what can still be in time is expected to wait; what is late waits for it.
+    #[must_use]
+    pub fn expected_wait_in_time(&self, now: MonoTime) -> Duration {
+        let ends = self.typical_end(now);
+        let in_time = self.jobs.values().filter(|job| !job.place(ends).0);
+        self.time_of(in_time.map(|job| self.work_of(job)).sum())
+    }
+
+    fn typical_call(&self) -> Duration {
+        Duration::from_secs_f64(self.typical_call_s)
+    }
+
+    /// When a call that is begun now would end.
+    fn typical_end(&self, now: MonoTime) -> MonoTime {
+        now.after(self.typical_call())
+    }
+
     /// Expected time until a job is taken into a call, behind those that go before it.
     fn wait_of(&self, now: MonoTime, job: &Job) -> Duration {
-        let ends = now.after(self.spec.call_time);
-        let place = job.place(ends);
+        let place = job.place(self.typical_end(now));
+        let ends = self.typical_end(now);
         let before = self.jobs.values().filter(|other| other.place(ends) < place);
         self.time_of(before.map(|other| self.work_of(other)).sum())
     }
@@ -210,6 +236,8 @@
         }
         let mut job = Job::new(new);
         job.returned = self.refused.came_back(now, job.new.fingerprint);
+        let in_time = self.wait_of(now, &job) + self.typical_call().mul_f64(NEXT_CALL);
+        job.expected_late = job.new.in_time_until < now.after(in_time);
         let wait = self.wait_of(now, &job);
         let part = if job.returned {
             MOST_WAIT_RETURNED
@@ -258,7 +286,7 @@
     /// turn elsewhere, and the room that they hold is free for others.
     pub fn expire(&mut self, now: MonoTime) -> Settled {
         let mut settled = Settled::default();
-        let ends = now.after(self.spec.call_time);
+        let ends = self.typical_end(now);
         let mut queue: Vec<((bool, MonoTime), JobKey)> = self
             .jobs
             .iter()
@@ -391,7 +419,7 @@
 
     /// Pieces for a call on this upstream, best first.
     fn choose(&self, now: MonoTime, maker: &Maker) -> Vec<(JobKey, u32)> {
-        let ends = now.after(self.spec.call_time.mul_f64(maker.speed));
+        let ends = now.after(self.typical_call().mul_f64(maker.speed));
         let mut jobs: Vec<(JobKey, &Job)> = self
             .jobs
             .iter()
@@ -475,6 +503,7 @@
                 if results.contains(&Err(PieceFailure::NoRoom)) {
                     maker.refused(now);
                 }
+                self.typical_call_s += TYPICAL_WEIGHT * (took.as_secs_f64() - self.typical_call_s);
                 self.times.learn(&self.spec, &call.kinds, took, maker.speed);
                 maker.answered(took, call.expected.div_f64(maker.speed));
             }
