--- a/crates/tc-policy/src/batch/mod.rs
+++ b/crates/tc-policy/src/batch/mod.rs
@@ -5,6 +5,7 @@
 //!
 //! [`BatchPlanner`] only decides; whoever drives it makes the calls it names and tells it how they ended.
 
+mod demand;
 mod job;
 mod maker;
 mod piece_times;
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -9,6 +9,7 @@
 };
 
 use super::{
+    demand::Demand,
     job::{Job, JobKey, NewJob},
     maker::{BatchUpstream, Maker},
     piece_times::PieceTimes,
@@ -26,7 +27,7 @@
 const MOST_FAILURES: u32 = 3;
 /// Part of a job's remaining time that its expected wait may use up; beyond it the job is refused at once, as it
 /// would most likely be held to its deadline for nothing.
-const MOST_WAIT: f64 = 0.5;
+const MOST_WAIT: f64 = 0.3;
 /// The same for a request that was refused before and has come back: a second refusal is worse than a first.
 const MOST_WAIT_RETURNED: f64 = 0.8;
 /// The same for a job that waits already: it is kept for longer, as a refusal now is later than one at its arrival.
@@ -42,6 +43,8 @@
 /// Part of an upstream's room that is planned with: sizes of results are told as an average only, and a result that
 /// was given up takes room until its upstream hears of it.
 const ROOM_PART: f64 = 0.95;
+/// Part of the upstreams' time that is left for late work at least, for an estimate that stays finite.
+const LEAST_FREE: f64 = 0.02;
 /// A job that waits for nobody is done after its own call and a part of the one that its upstream is at.
 const NEXT_CALL: f64 = 1.2;
 /// How often results that ran out are looked for.
@@ -114,6 +117,8 @@
     refused: Refused,
     /// Running average of the time of a call, in seconds.
     typical_call_s: f64,
+    /// Work that comes in time to be done in time.
+    demand: Demand,
     next_expiry: MonoTime,
 }
 
@@ -130,6 +135,7 @@
             times: PieceTimes::default(),
             repeats,
             refused: Refused::default(),
+            demand: Demand::default(),
             typical_call_s: spec.call_time.as_secs_f64() * FIRST_TYPICAL,
             next_expiry: MonoTime::default(),
         }
@@ -217,7 +223,19 @@
         let place = job.place(self.typical_end(now));
         let ends = self.typical_end(now);
         let before = self.jobs.values().filter(|other| other.place(ends) < place);
-        self.time_of(before.map(|other| self.work_of(other)).sum())
+        let work = before.map(|other| self.work_of(other)).sum();
+        if place.0 {
+            self.time_of_late(now, work)
+        } else {
+            self.time_of(work)
+        }
+    }
+
+    /// How long so many seconds of work take that is done only when nothing else is to be done.
+    fn time_of_late(&self, now: MonoTime, work: f64) -> Duration {
+        let speed = self.total_speed() * f64::from(self.spec.slots);
+        let free = 1.0 - self.demand.per_second(now) / speed.max(f64::MIN_POSITIVE);
+        self.time_of(work).div_f64(free.max(LEAST_FREE))
     }
 
     /// Seconds that one piece takes of a full call.
@@ -248,6 +266,9 @@
             return Err(self.overloaded(now, &job, wait));
         }
         self.repeats.note_request(now);
+        if !job.expected_late {
+            self.demand.add(now, self.work_of(&job));
+        }
         if self.makes_in(job.new.prefer.as_ref()) {
             job.stay(now, self.spec.call_time);
         }
@@ -295,14 +316,18 @@
             .collect();
         queue.sort_unstable();
         let mut before = 0.0;
-        for (_, key) in queue {
+        for (place, key) in queue {
             let job = &self.jobs[key];
             let work = self.work_of(job);
             if job.new.deadline <= now {
                 self.refuse(key, PiecesRefusal::Late, &mut settled);
                 continue;
             }
-            let wait = self.time_of(before);
+            let wait = if place.0 {
+                self.time_of_late(now, before)
+            } else {
+                self.time_of(before)
+            };
             if job.is_untouched() && !self.is_worth_waiting(now, job, wait, MOST_WAIT_QUEUED) {
                 let fingerprint = job.new.fingerprint;
                 self.refused.note(now, fingerprint);
