--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -35,6 +35,10 @@
 pub(crate) use refusal::{Refusal, own_answer};
 pub(crate) use waits::StageWaits;
 
+/// Ranks that routes are told apart by within a workspace's rank; routes use 0 to 2, and more would let a workspace wait
+/// for long only because another one's rank is one higher.
+const RANKS_OF_ROUTES: u8 = 3;
+
 /// Body of an answer to a caller. An error cuts the caller's connection, so that no broken answer looks whole.
 pub(crate) type AnswerBody = UnsyncBoxBody<Bytes, StreamCut>;
 
@@ -122,10 +126,14 @@
         hasher.digest()
     }
 
-    /// Rank among requests, 0 first: the workspace's goes before the route's.
+    /// Rank among requests, 0 first: by workspace, and within one by route.
     fn rank(&self) -> u8 {
-        let own = self.workspace.as_ref().and_then(|w| w.priority);
-        own.unwrap_or(self.route.priority)
+        let workspace = self.workspace.as_ref().and_then(|w| w.priority);
+        let within = self.route.priority.min(RANKS_OF_ROUTES - 1);
+        match workspace {
+            Some(rank) => rank.saturating_mul(RANKS_OF_ROUTES).saturating_add(within),
+            None => within,
+        }
     }
 }
 
