--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -437,9 +437,6 @@
     /// Empty: anywhere.
     #[prost(string, tag = "11")]
     pub prefer: ::prost::alloc::string::String,
-    /// The same for every attempt of a caller's request; 0 when that cannot be told.
-    #[prost(fixed64, tag = "12")]
-    pub fingerprint: u64,
     /// Bytes of inputs that are kept at their makers until the stage is done.
     #[prost(uint64, tag = "13")]
     pub held_bytes: u64,
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -89,7 +89,6 @@
             .as_ref()
             .map(ToString::to_string)
             .unwrap_or_default(),
-        fingerprint: ask.fingerprint,
         held_bytes: ask.held_bytes,
     }
 }
@@ -111,7 +110,6 @@
         in_time_for: convert::from_millis(message.in_time_for_ms),
         remaining: convert::from_millis(message.remaining_ms),
         prefer: (!message.prefer.is_empty()).then(|| message.prefer.as_str().into()),
-        fingerprint: message.fingerprint,
         held_bytes: message.held_bytes,
     }
 }
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -181,7 +181,6 @@
         in_time_until: now.after(ask.in_time_for),
         deadline: now.after(ask.remaining),
         prefer: ask.prefer,
-        fingerprint: ask.fingerprint,
         held_bytes: ask.held_bytes,
     }
 }
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -24,5 +24,6 @@
 pub use edges::{DirectoryQuestion, Edges, StoreKinds};
 pub use events::{Event, EventSplitter};
 pub use routing::{RouteTable, RouteTableError};
+pub use serve::MetricsText;
 pub use settings::{GatewaySettings, RepeatSettings};
-pub use start::{GatewayError, run};
+pub use start::{Gateway, GatewayError, run};
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -21,7 +21,6 @@
 use tc_upstream::UpstreamClient;
 use thiserror::Error;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     budgets::RepeatBudgets,
@@ -103,29 +102,6 @@
         left.min(patience.saturating_sub(self.arrived.elapsed()))
     }
 
-    /// The same for every attempt of a caller's request: each attempt has another identifier, but the same workspace, path
-    /// and prompt or body.
-    fn fingerprint(&self) -> u64 {
-        let mut hasher = Xxh3::new();
-        hasher.update(
-            self.workspace
-                .as_ref()
-                .map_or("", |w| w.name.as_str())
-                .as_bytes(),
-        );
-        hasher.update(self.parts.uri.path().as_bytes());
-        match self
-            .head
-            .prompt
-            .as_ref()
-            .and_then(|prompt| prompt.parts.last())
-        {
-            Some(own) => hasher.update(&own.id.to_le_bytes()),
-            None => hasher.update(&self.body),
-        }
-        hasher.digest()
-    }
-
     /// Rank among requests, 0 first: by workspace, and within one by route.
     fn rank(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|w| w.priority);
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -273,7 +273,6 @@
         remaining: req.time_to_first().saturating_sub(ENGINE_TIME),
         prefer: preferred(cx, graph, held, stage, wanted),
         held_bytes: spec.after.iter().map(|before| graph.size_of(*before)).sum(),
-        fingerprint: req.fingerprint(),
     }
 }
 
--- a/crates/tc-gateway/src/serve/info.rs
+++ b/crates/tc-gateway/src/serve/info.rs
@@ -20,7 +20,7 @@
 const MOST_ADDRESSES: usize = 64;
 
 /// Renders the metrics of this process.
-pub(crate) type MetricsText = Arc<dyn Fn() -> String + Send + Sync>;
+pub type MetricsText = Arc<dyn Fn() -> String + Send + Sync>;
 
 /// Answers small questions.
 #[derive(Clone)]
--- a/crates/tc-gateway/src/serve/mod.rs
+++ b/crates/tc-gateway/src/serve/mod.rs
@@ -6,4 +6,5 @@
 
 pub(crate) use accept::{ConnectionLimits, Connections, accept};
 pub(crate) use callers::CallerService;
-pub(crate) use info::{InfoService, MetricsText};
+pub(crate) use info::InfoService;
+pub use info::MetricsText;
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -62,10 +62,63 @@
     System(#[from] std::io::Error),
 }
 
-/// Runs a gateway process until SIGTERM or SIGINT has ended it.
+/// One gateway instance that is serving.
+pub struct Gateway {
+    cx: Arc<RunContext>,
+    stop: Arc<StopState>,
+    connections: Connections,
+    stop_accepting: CancellationToken,
+}
+
+impl Gateway {
+    /// Starts an instance on the current runtime, which is the control thread's; requests run on `traffic`.
+    ///
+    /// `metrics` renders the metrics.
+    pub async fn start(
+        settings: GatewaySettings,
+        edges: Edges,
+        traffic: tokio::runtime::Handle,
+        metrics: MetricsText,
+    ) -> Result<Self, GatewayError> {
+        let listeners = Listeners::bind(&settings).await?;
+        let store = Store::new(StoreSettings {
+            address: settings.store,
+            calls_per_s: settings.store_calls_per_s,
+            timeout: STORE_TIMEOUT,
+        });
+        let world = Arc::new(WorldCell::new(edges));
+        let cx = start_context(&settings, edges, Arc::clone(&world), &traffic).await?;
+        tokio::spawn(watch_config(store.clone(), edges, Arc::clone(&world)));
+        tokio::spawn(watch_upstreams(store.clone(), edges, Arc::clone(&world)));
+        tokio::spawn(follow_peers(cx.mesh.clone(), Arc::clone(&world)));
+        tokio::spawn(join(settings.clone(), edges, store, cx.mesh.clone()));
+        tokio::spawn(forget(world, Arc::clone(&cx.book)));
+        let gateway = Self {
+            cx,
+            stop: Arc::new(StopState::new(settings.grace)),
+            connections: Connections::default(),
+            stop_accepting: CancellationToken::new(),
+        };
+        gateway.serve(&settings, &traffic, listeners, metrics)?;
+        log::info!(instance = settings.me.id.as_str(), listen = settings.listen.to_string().as_str(), domain = settings.me.failure_domain.as_str(); "started");
+        Ok(gateway)
+    }
+
+    /// Stops it as planned: done when the process may end.
+    pub async fn stop(&self) {
+        stop(
+            &self.stop,
+            &self.cx.mesh,
+            &self.connections,
+            &self.stop_accepting,
+        )
+        .await;
+    }
+}
+
+/// Runs a gateway process until SIGTERM or SIGINT has ended it; `reload` is called at SIGHUP.
 ///
-/// The calling thread's runtime is the control thread's; requests run on `traffic`. `metrics` renders the metrics,
-/// `reload` is called at SIGHUP.
+/// For the other arguments see [`Gateway::start`].
 pub async fn run(
     settings: GatewaySettings,
     edges: Edges,
@@ -74,34 +127,11 @@
     reload: impl Fn() + Send,
 ) -> Result<(), GatewayError> {
     let mut signals = Signals::new()?;
-    let listeners = Listeners::bind(&settings).await?;
-    let store = Store::new(StoreSettings {
-        address: settings.store,
-        calls_per_s: settings.store_calls_per_s,
-        timeout: STORE_TIMEOUT,
-    });
-    let world = Arc::new(WorldCell::new(edges));
-    tokio::spawn(watch_config(store.clone(), edges, Arc::clone(&world)));
-    tokio::spawn(watch_upstreams(store.clone(), edges, Arc::clone(&world)));
-    let cx = start_context(&settings, edges, Arc::clone(&world), &traffic).await?;
-    tokio::spawn(follow_peers(cx.mesh.clone(), Arc::clone(&world)));
-    tokio::spawn(join(settings.clone(), edges, store, cx.mesh.clone()));
-    tokio::spawn(forget(Arc::clone(&world), Arc::clone(&cx.book)));
-    let stop_state = Arc::new(StopState::new(settings.grace));
-    let connections = Connections::default();
-    let stop_accepting = CancellationToken::new();
-    let served = Served {
-        cx: Arc::clone(&cx),
-        stop: Arc::clone(&stop_state),
-        connections: connections.clone(),
-        stop_accepting: stop_accepting.clone(),
-    };
-    served.start(&settings, &traffic, listeners, metrics)?;
-    log::info!(instance = settings.me.id.as_str(), listen = settings.listen.to_string().as_str(), domain = settings.me.failure_domain.as_str(); "started");
+    let gateway = Gateway::start(settings, edges, traffic, metrics).await?;
     while signals.next().await == Asked::Reload {
         reload();
     }
-    stop(&stop_state, &cx.mesh, &connections, &stop_accepting).await;
+    gateway.stop().await;
     Ok(())
 }
 
@@ -211,16 +241,8 @@
     }
 }
 
-/// What the listeners serve.
-struct Served {
-    cx: Arc<RunContext>,
-    stop: Arc<StopState>,
-    connections: Connections,
-    stop_accepting: CancellationToken,
-}
-
-impl Served {
-    fn start(
+impl Gateway {
+    fn serve(
         &self,
         settings: &GatewaySettings,
         traffic: &tokio::runtime::Handle,
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -57,8 +57,6 @@
     pub prefer: Option<FailureDomain>,
     /// Bytes of inputs that are kept at their makers until it is done.
     pub held_bytes: u64,
-    /// Tells a request that comes back after a refusal; 0 when it cannot be told.
-    pub fingerprint: u64,
 }
 
 #[derive(Debug)]
@@ -72,8 +70,6 @@
     pub(super) failures: u32,
     /// Until then only upstreams in the preferred domain get it.
     pub(super) stays_until: MonoTime,
-    /// Whether it was refused before and has come back.
-    pub(super) returned: bool,
     /// Whether it was expected to be late when it came; see [`Job::place`].
     pub(super) expected_late: bool,
 }
@@ -85,7 +81,6 @@
             results: vec![None; new.pieces as usize],
             failures: 0,
             stays_until: MonoTime::default(),
-            returned: false,
             expected_late: false,
             new,
         }
--- a/crates/tc-policy/src/batch/mod.rs
+++ b/crates/tc-policy/src/batch/mod.rs
@@ -10,7 +10,6 @@
 mod maker;
 mod piece_times;
 mod planner;
-mod refused;
 mod results;
 
 pub use job::{JobKey, NewJob};
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -13,7 +13,6 @@
     job::{Job, JobKey, NewJob},
     maker::{BatchUpstream, Maker},
     piece_times::PieceTimes,
-    refused::Refused,
     results::Results,
 };
 use crate::RepeatBudget;
@@ -28,8 +27,6 @@
 /// Part of a job's remaining time that its expected wait may use up; beyond it the job is refused at once, as it
 /// would most likely be held to its deadline for nothing.
 const MOST_WAIT: f64 = 0.3;
-/// The same for a request that was refused before and has come back: a second refusal is worse than a first.
-const MOST_WAIT_RETURNED: f64 = 0.8;
 /// The same for a job that waits already: it is kept for longer, as a refusal now is later than one at its arrival.
 const MOST_WAIT_QUEUED: f64 = 0.8;
 /// A call that takes this many times its expected time is given up.
@@ -114,7 +111,6 @@
     results: Results,
     times: PieceTimes,
     repeats: RepeatBudget,
-    refused: Refused,
     /// Running average of the time of a call, in seconds.
     typical_call_s: f64,
     /// Work that comes in time to be done in time.
@@ -134,7 +130,6 @@
             results: Results::default(),
             times: PieceTimes::default(),
             repeats,
-            refused: Refused::default(),
             demand: Demand::default(),
             typical_call_s: spec.call_time.as_secs_f64() * FIRST_TYPICAL,
             next_expiry: MonoTime::default(),
@@ -222,7 +217,10 @@
     fn wait_of(&self, now: MonoTime, job: &Job) -> Duration {
         let place = job.place(self.typical_end(now));
         let ends = self.typical_end(now);
-        let before = self.jobs.values().filter(|other| other.place(ends) < place);
+        let before = self
+            .jobs
+            .values()
+            .filter(|other| other.place(ends) <= place);
         let work = before.map(|other| self.work_of(other)).sum();
         if place.0 {
             self.time_of_late(now, work)
@@ -253,17 +251,11 @@
             return Err(PiecesRefusal::Late);
         }
         let mut job = Job::new(new);
-        job.returned = self.refused.came_back(now, job.new.fingerprint);
         let in_time = self.wait_of(now, &job) + self.typical_call().mul_f64(NEXT_CALL);
         job.expected_late = job.new.in_time_until < now.after(in_time);
         let wait = self.wait_of(now, &job);
-        let part = if job.returned {
-            MOST_WAIT_RETURNED
-        } else {
-            MOST_WAIT
-        };
-        if !self.is_worth_waiting(now, &job, wait, part) {
-            return Err(self.overloaded(now, &job, wait));
+        if !self.is_worth_waiting(now, &job, wait, MOST_WAIT) {
+            return Err(PiecesRefusal::Overloaded { retry_after: wait });
         }
         self.repeats.note_request(now);
         if !job.expected_late {
@@ -281,11 +273,6 @@
         wait.is_zero() || wait + self.spec.call_time <= most
     }
 
-    fn overloaded(&mut self, now: MonoTime, job: &Job, wait: Duration) -> PiecesRefusal {
-        self.refused.note(now, job.new.fingerprint);
-        PiecesRefusal::Overloaded { retry_after: wait }
-    }
-
     /// Whether any upstream that may get work is in the domain.
     fn makes_in(&self, domain: Option<&FailureDomain>) -> bool {
         self.makers
@@ -329,8 +316,6 @@
                 self.time_of(before)
             };
             if job.is_untouched() && !self.is_worth_waiting(now, job, wait, MOST_WAIT_QUEUED) {
-                let fingerprint = job.new.fingerprint;
-                self.refused.note(now, fingerprint);
                 let refusal = PiecesRefusal::Overloaded { retry_after: wait };
                 self.refuse(key, refusal, &mut settled);
                 continue;
--- a/crates/tc-protocol/src/routing/piece.rs
+++ b/crates/tc-protocol/src/routing/piece.rs
@@ -55,8 +55,6 @@
     pub prefer: Option<FailureDomain>,
     /// Bytes of inputs that are kept at their makers until the stage is done.
     pub held_bytes: u64,
-    /// The same for every attempt of a caller's request; 0 when that cannot be told.
-    pub fingerprint: u64,
 }
 
 /// One piece in a call to an upstream.
