--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -63,6 +63,8 @@
             let wait = inner.planner.expected_wait();
             let pushed = inner.planner.push(now, new_job(now, ask));
             let job = pushed.inspect_err(|refusal| {
+                let service = self.service.as_str().to_owned();
+                metrics::counter!("tc_stage_refusals_total", "service" => service).increment(1);
                 log::info!(request = &*request, service = self.service.as_str(), wait_ms = wait.as_millis() as u64, refusal = format!("{refusal:?}").as_str(); "stage refused");
             })?;
             inner.waiting.insert(job, reply);
@@ -108,7 +110,14 @@
 
     async fn run(self: Arc<Self>, call: BatchCall) {
         let key = call.key;
+        let started = MonoTime::now();
+        let service = self.service.as_str().to_owned();
+        metrics::counter!("tc_batch_pieces_total", "service" => service.clone())
+            .increment(call.pieces.len() as u64);
         let end = calls::make_pieces(&self.cx, &self.service, call).await;
+        let took = MonoTime::now().since(started);
+        metrics::histogram!("tc_batch_call_ms", "service" => service)
+            .record(took.as_secs_f64() * 1_000.0);
         let settled = self.lock().planner.end_call(MonoTime::now(), key, end);
         self.settle(settled);
         self.drive();
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -11,11 +11,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{Response, request::Parts};
+use http::{Response, StatusCode, request::Parts};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use tc_fleet::Mesh;
 use tc_protocol::{
-    MemberState, ServiceName,
+    MemberState, ServiceName, UpstreamId,
     routing::{Route, RoutedWorkspace},
 };
 use tc_upstream::UpstreamClient;
@@ -102,6 +102,24 @@
         left.min(patience.saturating_sub(self.arrived.elapsed()))
     }
 
+    /// Logs and counts that an upstream answered.
+    fn note_answer(&self, upstream: &UpstreamId, status: StatusCode, sends: u32) {
+        let after = self.arrived.elapsed();
+        let service = self.service.as_str().to_owned();
+        metrics::counter!("tc_routed_answers_total", "service" => service.clone()).increment(1);
+        metrics::histogram!("tc_routed_first_byte_ms", "service" => service)
+            .record(after.as_secs_f64() * 1_000.0);
+        log::info!(
+            request = &*self.head.request,
+            route = &*self.route.name,
+            upstream = upstream.as_str(),
+            status = status.as_u16(),
+            sends = sends,
+            after_ms = after.as_millis() as u64;
+            "an upstream answers"
+        );
+    }
+
     /// Rank among requests, 0 first: by workspace, and within one by route.
     fn rank(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|w| w.priority);
--- a/crates/tc-gateway/src/run/plain.rs
+++ b/crates/tc-gateway/src/run/plain.rs
@@ -103,6 +103,7 @@
     match body {
         Ok(body) => {
             cx.book.note(&upstream.id, CallHealth::Answered(first_byte));
+            req.note_answer(&upstream.id, reply.head.status, attempts.sent);
             Ok(answer(cx, &reply.head, body))
         }
         Err(error) => {
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -118,6 +118,11 @@
             let first_byte = answered.sent_at.elapsed();
             cx.book
                 .note(&answered.upstream.id, CallHealth::Answered(first_byte));
+            req.note_answer(
+                &answered.upstream.id,
+                answered.reply.head.status,
+                attempts.sent,
+            );
             return Ok(Opened::Stream(Box::new(OpenStream {
                 answered,
                 events,
--- a/crates/tc-telemetry/src/logs/mod.rs
+++ b/crates/tc-telemetry/src/logs/mod.rs
@@ -6,6 +6,7 @@
 mod queue;
 
 pub use gate::{GateVerdict, RateGate};
+pub use queue::QueueWriter;
 
 use std::{
     hash::Hasher,
@@ -46,7 +47,7 @@
         what: "logs",
         problem,
     };
-    let writer = queue::QueueWriter::start(io::stdout()).map_err(|e| twice(e.to_string()))?;
+    let writer = QueueWriter::start(io::stdout()).map_err(|e| twice(e.to_string()))?;
     builder(level)?
         .target(Target::Pipe(Box::new(writer)))
         .try_init()
--- a/crates/tc-telemetry/src/logs/queue.rs
+++ b/crates/tc-telemetry/src/logs/queue.rs
@@ -13,14 +13,20 @@
 /// Lines that may wait: some seconds' worth at the most lines a process writes, and well under a megabyte.
 const WAITING_LINES: usize = 2_048;
 
-/// Puts whole lines into the queue; each write of the logger is one line.
-pub(super) struct QueueWriter {
+/// Puts whole lines into the queue; each write of the logger is one line. A write never blocks.
+///
+/// ```
+/// use std::io::Write;
+/// let mut lines = tc_telemetry::QueueWriter::start(std::io::sink()).unwrap();
+/// lines.write_all(b"{}\n").unwrap();
+/// ```
+pub struct QueueWriter {
     lines: SyncSender<Vec<u8>>,
 }
 
 impl QueueWriter {
     /// Starts the thread that writes to `out`.
-    pub(super) fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
+    pub fn start(out: impl Write + Send + 'static) -> io::Result<Self> {
         let (lines, waiting) = sync_channel(WAITING_LINES);
         thread::Builder::new()
             .name("logs".to_owned())
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -65,7 +65,7 @@
 const KIND: Label = words("kind", 19);
 const UPSTREAM_KIND: Label = words("kind", 6);
 const OUTCOME: Label = words("outcome", 7);
-const PURPOSE: Label = words("purpose", 6);
+const PURPOSE: Label = words("purpose", 8);
 const RESULT: Label = words("result", 8);
 /// The problems, and `answered`, `late` and `caller-left`.
 const REQUEST_RESULT: Label = words("result", 22);
@@ -80,6 +80,9 @@
 };
 /// Statuses that the admin interface answers with.
 const STATUS: Label = words("status", 8);
+/// Statuses that the gateway itself answers with, and why.
+const REFUSAL_STATUS: Label = words("status", 10);
+const REASON: Label = words("reason", 24);
 const VERDICT: Label = words("verdict", 6);
 const WAY: Label = words("way", 2);
 const WORKSPACE: Label = Label {
@@ -98,6 +101,8 @@
 #[rustfmt::skip]
 pub const METRICS: &[Metric] = &[
     count("tc_admin_requests_total", &[STATUS], "Requests to the admin interface."),
+    millis("tc_batch_call_ms", &[SERVICE], "Time of a call that makes pieces of stages."),
+    count("tc_batch_pieces_total", &[SERVICE], "Pieces of stages sent to upstreams."),
     count("tc_caller_resumes_total", &[], "Streams that a caller came back to with Last-Event-ID."),
     count("tc_claims_total", &[VERDICT], "Claims on idempotency keys in the platform's store."),
     count("tc_config_rejected_total", &[], "Configurations that were read and refused as invalid."),
@@ -114,14 +119,21 @@
     count("tc_gossip_send_failures_total", &[], "Gossip messages the kernel refused to send."),
     count("tc_hedges_total", &[SERVICE], "Second calls made beside a slow one."),
     count("tc_late_results_total", &[], "Results dropped because another attempt had won or nobody waited."),
+    count("tc_log_lines_dropped_total", &[], "Log lines dropped because nobody read the output."),
     count("tc_log_lines_suppressed_total", &[], "Log lines left out by the rate gate."),
     count("tc_outcomes_not_recorded_total", &[], "Claims whose outcome could not be recorded."),
     count("tc_pauses_total", &[], "Times this process found that it had been paused."),
     count("tc_platform_calls_total", &[PURPOSE, RESULT], "Calls to the platform."),
     count("tc_redirects_total", &[], "Asks that a home redirected to another upstream."),
+    count("tc_registry_unreadable_total", &[], "Registered upstreams that could not be read and were left out."),
     count("tc_requests_total", &[WORKSPACE, REQUEST_RESULT], "Requests that ended."),
     count("tc_retries_total", &[SERVICE], "Calls repeated after a failure."),
+    count("tc_routed_answers_total", &[SERVICE], "Routed requests that an upstream answered."),
+    millis("tc_routed_first_byte_ms", &[SERVICE], "Time from a routed request's arrival to the first byte of its answer."),
+    count("tc_routed_refusals_total", &[REFUSAL_STATUS, REASON], "Routed requests that ended without an upstream's answer."),
+    count("tc_routed_streams_cut_total", &[], "Streams that broke after they had begun and could not be resumed."),
     millis("tc_stage_ms", &[STAGE], "Time of a stage's call."),
+    count("tc_stage_refusals_total", &[SERVICE], "Stages of requests that their home refused at once."),
     count("tc_stalled_callers_total", &[], "Connections closed because their caller took nothing of its answer."),
     count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
     count("tc_superseded_total", &[], "Times this process found another, later one with its instance's name."),
