--- a/crates/tc-bench/src/world/binary.rs
+++ b/crates/tc-bench/src/world/binary.rs
@@ -23,7 +23,8 @@
             .parent()
             .ok_or_else(|| BenchError::Binary("this tool is in no folder".to_owned()))?;
         if let Some(cargo) = env::var_os("CARGO") {
-            build(Path::new(&cargo))?;
+            // The tool itself may have been built into another target folder than the default one.
+            build(Path::new(&cargo), &folder.join(".."))?;
             return Self::of_first(&[folder.join("../release"), folder.to_owned()]);
         }
         Self::of_first(&[folder.to_owned(), folder.join("../release")])
@@ -44,9 +45,17 @@
     }
 }
 
-fn build(cargo: &Path) -> Result<(), BenchError> {
+fn build(cargo: &Path, target: &Path) -> Result<(), BenchError> {
     let status = Command::new(cargo)
-        .args(["build", "--release", "--quiet", "--bin", NAME])
+        .args([
+            "build",
+            "--release",
+            "--quiet",
+            "--bin",
+            NAME,
+            "--target-dir",
+        ])
+        .arg(target)
         .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../.."))
         .status()
         .map_err(|e| BenchError::Binary(format!("cargo cannot be started: {e}")))?;
--- a/crates/tc-operator/src/gateway.rs
+++ b/crates/tc-operator/src/gateway.rs
@@ -26,9 +26,9 @@
 
 /// Runs one instance until a signal ends it. The calling thread becomes the control thread.
 pub(crate) fn run(start: &Start) -> Result<(), CommandError> {
+    let settings = read_settings(start)?;
     tc_telemetry::init_logs_on_stdout(LOG_LEVEL).map_err(internal)?;
     let metrics = tc_telemetry::init_metrics().map_err(internal)?;
-    let settings = read_settings(start)?;
     let traffic = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(TRAFFIC_THREADS)
         .thread_name("traffic")
--- a/crates/tc-operator/src/settings/read.rs
+++ b/crates/tc-operator/src/settings/read.rs
@@ -175,6 +175,8 @@
         let known: Vec<&str> = flags
             .filter_map(|flag| flag.variable)
             .chain([FLEET_KEY, OPERATOR_TOKEN])
+            // Set by the platform for every process it starts; `gateway` reads it.
+            .chain([tc_platform_adapter::SETTINGS_VARIABLE])
             .collect();
         let arguments = self.arguments;
         for name in arguments.variable_names() {
--- a/crates/tc-operator/tests/operator/main.rs
+++ b/crates/tc-operator/tests/operator/main.rs
@@ -4,6 +4,7 @@
 mod apply;
 mod callers;
 mod examples;
+mod gateway;
 mod lost;
 mod peers;
 mod race;
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -255,7 +255,7 @@
         job.expected_late = job.new.in_time_until < now.after(in_time);
         let wait = self.wait_of(now, &job);
         if !self.is_worth_waiting(now, &job, wait, MOST_WAIT) {
-            return Err(PiecesRefusal::Overloaded { retry_after: wait });
+            return Err(self.overloaded());
         }
         self.repeats.note_request(now);
         if !job.expected_late {
@@ -267,6 +267,13 @@
         Ok(self.jobs.insert(job))
     }
 
+    /// A refusal with the time until what waits now is worked off: then a request that comes has the queue to itself.
+    fn overloaded(&self) -> PiecesRefusal {
+        PiecesRefusal::Overloaded {
+            retry_after: self.expected_wait(),
+        }
+    }
+
     /// Whether a job will most likely be done before nobody waits for it any more.
     fn is_worth_waiting(&self, now: MonoTime, job: &Job, wait: Duration, part: f64) -> bool {
         let most = job.new.deadline.since(now).mul_f64(part);
@@ -316,7 +323,7 @@
                 self.time_of(before)
             };
             if job.is_untouched() && !self.is_worth_waiting(now, job, wait, MOST_WAIT_QUEUED) {
-                let refusal = PiecesRefusal::Overloaded { retry_after: wait };
+                let refusal = self.overloaded();
                 self.refuse(key, refusal, &mut settled);
                 continue;
             }
--- a/crates/tc-policy/tests/batch.rs
+++ b/crates/tc-policy/tests/batch.rs
@@ -314,6 +314,8 @@
     let Some(PiecesRefusal::Overloaded { retry_after }) = refusal else {
         panic!("nothing was refused: {refusal:?}");
     };
+    // It tells when the queue is worked off, whatever the refused job itself would have had to wait.
+    assert_eq!(retry_after, planner.expected_wait());
     assert!(retry_after > Duration::from_millis(300), "{retry_after:?}");
 }
 
