Split the batch planner and the gateway's start by job; name a job's place

Cause: read as a newcomer: 650 lines in one file held the queue, the choice of a call and the estimates of waits, and tuples stood for a place in the queue; joining other instances stood in the start. No behaviour changed.

--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod edges;
 mod events;
 mod homes;
+mod join;
 mod routing;
 mod run;
 mod serve;
--- /dev/null
+++ b/crates/tc-policy/src/batch/choose.rs
@@ -0,0 +1,173 @@
+//! Which call comes next: on which upstream, with which pieces.
+
+use std::time::Duration;
+
+use tc_protocol::{FailureDomain, MonoTime, UpstreamId, routing::PieceOrder};
+
+use super::{
+    job::{Job, JobKey},
+    maker::Maker,
+    planner::{BatchCall, BatchPlanner, Call, EXPIRE_EVERY},
+};
+
+/// A call that takes this many times its expected time is given up.
+const GIVE_UP_FACTOR: f64 = 3.0;
+/// Added to that: a call may wait for another home's call at the upstream.
+const GIVE_UP_EXTRA: Duration = Duration::from_millis(500);
+/// Part of an upstream's room that is planned with: sizes of results are told as an average only, and a result that
+/// was given up takes room until its upstream hears of it.
+const ROOM_PART: f64 = 0.95;
+
+impl BatchPlanner {
+    /// The next call to be made, if an upstream is free and something waits; asked again until there is none.
+    pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
+        self.expire_results(now);
+        let mut free: Vec<(UpstreamId, f64)> = self
+            .makers
+            .iter()
+            .filter(|(_, maker)| maker.is_free(now, self.spec.slots))
+            .map(|(id, maker)| (id.clone(), maker.speed))
+            .collect();
+        free.sort_by(|a, b| a.1.total_cmp(&b.1));
+        free.into_iter().find_map(|(id, _)| self.call_on(now, &id))
+    }
+
+    /// When something may be possible that is not now, if that is known.
+    #[must_use]
+    pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
+        let paused = self
+            .makers
+            .values()
+            .filter(|maker| maker.ready && maker.not_before > now)
+            .map(|maker| maker.not_before);
+        let deadlines = self.jobs.values().map(|job| job.new.deadline);
+        let stays = self
+            .jobs
+            .values()
+            .filter(|job| !job.waiting.is_empty() && job.stays_until > now)
+            .map(|job| job.stays_until);
+        let room = (!self.jobs.is_empty()).then_some(now.after(EXPIRE_EVERY));
+        paused.chain(deadlines).chain(stays).chain(room).min()
+    }
+
+    fn call_on(&mut self, now: MonoTime, id: &UpstreamId) -> Option<BatchCall> {
+        let maker = self.makers.get(id)?;
+        if self.is_better_left_idle(now, maker) {
+            return None;
+        }
+        let pieces = self.choose(now, maker);
+        if pieces.is_empty() {
+            return None;
+        }
+        let kinds: Vec<u64> = pieces
+            .iter()
+            .map(|(job, _)| self.jobs[*job].new.result_bytes)
+            .collect();
+        let expected = self.times.expect(&self.spec, &kinds).mul_f64(maker.speed);
+        let domain = maker.domain.clone();
+        let orders = self.take(now, &pieces, &domain);
+        if let Some(maker) = self.makers.get_mut(id) {
+            maker.calls += 1;
+            maker.room_used += kinds.iter().sum::<u64>();
+            maker.busy_until = now.after(expected);
+        }
+        let key = self.calls.insert(Call {
+            upstream: id.clone(),
+            pieces,
+            kinds,
+            started: now,
+            expected,
+        });
+        Some(BatchCall {
+            key,
+            upstream: id.clone(),
+            pieces: orders,
+            limit: expected.mul_f64(GIVE_UP_FACTOR) + GIVE_UP_EXTRA,
+        })
+    }
+
+    /// Whether what waits is done sooner by faster upstreams alone.
+    ///
+    /// Work given to a slow upstream only because it is free is late there, although the others would have come to it
+    /// in time.
+    fn is_better_left_idle(&self, now: MonoTime, maker: &Maker) -> bool {
+        let own = self.spec.call_time.mul_f64(maker.speed);
+        let faster: Vec<&Maker> = self
+            .makers
+            .values()
+            .filter(|other| other.ready && other.failures == 0 && other.speed * 1.5 < maker.speed)
+            .collect();
+        let Some(soonest) = faster
+            .iter()
+            .map(|other| {
+                let start = if other.calls < self.spec.slots {
+                    Duration::ZERO
+                } else {
+                    other.busy_until.since(now)
+                };
+                start + self.spec.call_time.mul_f64(other.speed)
+            })
+            .min()
+        else {
+            return false;
+        };
+        let speed: f64 = faster.iter().map(|other| 1.0 / other.speed).sum();
+        let all = self.expected_wait().as_secs_f64() * self.total_speed() / speed;
+        own > soonest + Duration::from_secs_f64(all)
+    }
+
+    pub(super) fn total_speed(&self) -> f64 {
+        let ready = self.makers.values().filter(|m| m.ready && m.failures == 0);
+        ready.map(|m| 1.0 / m.speed).sum()
+    }
+
+    /// Pieces for a call on this upstream, best first.
+    fn choose(&self, now: MonoTime, maker: &Maker) -> Vec<(JobKey, u32)> {
+        let ends = now.after(self.typical_call().mul_f64(maker.speed));
+        let mut jobs: Vec<(JobKey, &Job)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.waiting.is_empty() && job.new.deadline > now)
+            .filter(|(_, job)| job.may_go_to(now, &maker.domain))
+            .collect();
+        jobs.sort_by_key(|(_, job)| job.place_in(ends, &maker.domain));
+        let usable = (self.spec.room_bytes as f64 * ROOM_PART) as u64;
+        let mut room = usable.saturating_sub(maker.room_used);
+        let mut chosen = Vec::with_capacity(self.spec.max_pieces);
+        for (key, job) in jobs {
+            for piece in &job.waiting {
+                if chosen.len() >= self.spec.max_pieces {
+                    return chosen;
+                }
+                if job.new.result_bytes > room {
+                    break;
+                }
+                room -= job.new.result_bytes;
+                chosen.push((key, *piece));
+            }
+        }
+        chosen
+    }
+
+    fn take(
+        &mut self,
+        now: MonoTime,
+        pieces: &[(JobKey, u32)],
+        domain: &FailureDomain,
+    ) -> Vec<PieceOrder> {
+        let mut orders = Vec::with_capacity(pieces.len());
+        for (key, piece) in pieces {
+            let job = &mut self.jobs[*key];
+            job.waiting.retain(|waiting| waiting != piece);
+            job.placed_in(now, domain, self.spec.call_time);
+            orders.push(PieceOrder {
+                request: job.new.request.clone(),
+                stage: job.new.stage,
+                piece: *piece,
+                remaining: job.new.deadline.since(now),
+                input: job.new.input.clone(),
+            });
+        }
+        orders
+    }
+}
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -59,6 +59,15 @@
     pub held_bytes: u64,
 }
 
+/// Place of a job in the queue; the lowest goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Place {
+    /// What is late goes after all that can be in time.
+    pub(super) is_late: bool,
+    /// When it should be done, moved by rank and distance.
+    pub(super) due: MonoTime,
+}
+
 #[derive(Debug)]
 pub(super) struct Job {
     pub(super) new: NewJob,
@@ -100,12 +109,15 @@
         self.results.iter().all(Option::is_some)
     }
 
-    /// Order of jobs for a call that would end at `ends` on an upstream in `domain`; the lowest goes first.
-    pub(super) fn order(&self, ends: MonoTime, domain: &FailureDomain) -> (bool, MonoTime) {
-        let (is_late, due) = self.place(ends);
+    /// Place for a call that would end at `ends` on an upstream in `domain`.
+    pub(super) fn place_in(&self, ends: MonoTime, domain: &FailureDomain) -> Place {
+        let place = self.place(ends);
         let is_away = self.new.prefer.as_ref().is_some_and(|d| d != domain);
         let away = if is_away { AWAY_STEP } else { Duration::ZERO };
-        (is_late, due.after(away))
+        Place {
+            due: place.due.after(away),
+            ..place
+        }
     }
 
     /// Place in the queue wherever it is made, for a call that would end at `ends`.
@@ -114,10 +126,13 @@
     /// ones late too, seen as a whole burst answered just after its aim. For the same reason what was expected to be late
     /// when it came never joins the others: by time alone each job would be done at the last moment, and one longer call
     /// later all of them late.
-    pub(super) fn place(&self, ends: MonoTime) -> (bool, MonoTime) {
+    pub(super) fn place(&self, ends: MonoTime) -> Place {
         if self.is_started() {
             // What is made of it takes room until the rest is made too.
-            return (false, self.new.in_time_until.before(START_STEP));
+            return Place {
+                is_late: false,
+                due: self.new.in_time_until.before(START_STEP),
+            };
         }
         // One whose inputs take much room is not left for last: the stage before could not go on meanwhile.
         let is_late = (self.expected_late || self.new.in_time_until < ends)
@@ -127,7 +142,10 @@
         } else {
             self.new.in_time_until
         };
-        (is_late, due.after(RANK_STEP * u32::from(self.new.rank)))
+        Place {
+            is_late,
+            due: due.after(RANK_STEP * u32::from(self.new.rank)),
+        }
     }
 
     /// The first piece of a stage with large results decides where the others are wanted, unless that is known.
--- a/crates/tc-policy/src/batch/maker.rs
+++ b/crates/tc-policy/src/batch/maker.rs
@@ -66,11 +66,12 @@
         self.note_speed(ratio);
     }
 
+    /// It is full, of calls or of results that others keep there.
     pub(super) fn refused(&mut self, now: MonoTime) {
         self.not_before = self.not_before.max(now.after(FULL_PAUSE));
     }
 
-    /// It has no room for results: what is kept there is more than is known here.
+    /// A call broke or was given up: a pause that grows with each failure in a row, and what its time tells.
     pub(super) fn failed(&mut self, now: MonoTime, took: Duration, expected: Duration) {
         let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
         self.failures += 1;
--- a/crates/tc-policy/src/batch/mod.rs
+++ b/crates/tc-policy/src/batch/mod.rs
@@ -5,12 +5,14 @@
 //!
 //! [`BatchPlanner`] only decides; whoever drives it makes the calls it names and tells it how they ended.
 
+mod choose;
 mod demand;
 mod job;
 mod maker;
 mod piece_times;
 mod planner;
 mod results;
+mod waits;
 
 pub use job::{JobKey, NewJob};
 pub use maker::BatchUpstream;
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -10,7 +10,7 @@
 
 use super::{
     demand::Demand,
-    job::{Job, JobKey, NewJob},
+    job::{Job, JobKey, NewJob, Place},
     maker::{BatchUpstream, Maker},
     piece_times::PieceTimes,
     results::Results,
@@ -29,23 +29,14 @@
 const MOST_WAIT: f64 = 0.3;
 /// The same for a job that waits already: it is kept for longer, as a refusal now is later than one at its arrival.
 const MOST_WAIT_QUEUED: f64 = 0.8;
-/// A call that takes this many times its expected time is given up.
-const GIVE_UP_FACTOR: f64 = 3.0;
 /// What a call is taken to last before any has ended, as a multiple of its fixed time.
 const FIRST_TYPICAL: f64 = 1.3;
 /// Weight of the newest call in the average: a dozen calls, half a second of one service, move it by most.
 const TYPICAL_WEIGHT: f64 = 0.1;
-/// Added to that: a call may wait for another home's call at the upstream.
-const GIVE_UP_EXTRA: Duration = Duration::from_millis(500);
-/// Part of an upstream's room that is planned with: sizes of results are told as an average only, and a result that
-/// was given up takes room until its upstream hears of it.
-const ROOM_PART: f64 = 0.95;
-/// Part of the upstreams' time that is left for late work at least, for an estimate that stays finite.
-const LEAST_FREE: f64 = 0.02;
 /// A job that waits for nobody is done after its own call and a part of the one that its upstream is at.
 const NEXT_CALL: f64 = 1.2;
 /// How often results that ran out are looked for.
-const EXPIRE_EVERY: Duration = Duration::from_millis(250);
+pub(super) const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
 /// A call to be made.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,30 +83,30 @@
 }
 
 #[derive(Debug)]
-struct Call {
-    upstream: UpstreamId,
-    pieces: Vec<(JobKey, u32)>,
+pub(super) struct Call {
+    pub(super) upstream: UpstreamId,
+    pub(super) pieces: Vec<(JobKey, u32)>,
     /// Kinds of the pieces, by size of result.
-    kinds: Vec<u64>,
-    started: MonoTime,
-    expected: Duration,
+    pub(super) kinds: Vec<u64>,
+    pub(super) started: MonoTime,
+    pub(super) expected: Duration,
 }
 
 /// Decides for one service. See the module.
 #[derive(Debug)]
 pub struct BatchPlanner {
-    spec: BatchSpec,
-    jobs: SlotMap<JobKey, Job>,
-    calls: SlotMap<CallKey, Call>,
-    makers: BTreeMap<UpstreamId, Maker>,
-    results: Results,
-    times: PieceTimes,
-    repeats: RepeatBudget,
+    pub(super) spec: BatchSpec,
+    pub(super) jobs: SlotMap<JobKey, Job>,
+    pub(super) calls: SlotMap<CallKey, Call>,
+    pub(super) makers: BTreeMap<UpstreamId, Maker>,
+    pub(super) results: Results,
+    pub(super) times: PieceTimes,
+    pub(super) repeats: RepeatBudget,
     /// Running average of the time of a call, in seconds.
-    typical_call_s: f64,
+    pub(super) typical_call_s: f64,
     /// Work that comes in time to be done in time.
-    demand: Demand,
-    next_expiry: MonoTime,
+    pub(super) demand: Demand,
+    pub(super) next_expiry: MonoTime,
 }
 
 impl BatchPlanner {
@@ -172,76 +163,6 @@
         (self.jobs.len(), pieces)
     }
 
-    /// Expected time until everything that waits has been taken into a call.
-    #[must_use]
-    pub fn expected_wait(&self) -> Duration {
-        self.time_of(self.jobs.values().map(|job| self.work_of(job)).sum())
-    }
-
-    /// Seconds of one ordinary upstream that what waits of a job takes.
-    fn work_of(&self, job: &Job) -> f64 {
-        job.waiting.len() as f64 * self.share_of_call(job.new.result_bytes)
-    }
-
-    /// How long all upstreams together take for so many seconds of work.
-    fn time_of(&self, work: f64) -> Duration {
-        let speed = self.total_speed() * f64::from(self.spec.slots);
-        if speed > 0.0 {
-            Duration::from_secs_f64(work / speed)
-        } else if work > 0.0 {
-            // All fail at the moment; one more call tells.
-            self.spec.call_time
-        } else {
-            Duration::ZERO
-        }
-    }
-
-    /// How long what can still be in time is expected to wait; what is late waits for it.
-    #[must_use]
-    pub fn expected_wait_in_time(&self, now: MonoTime) -> Duration {
-        let ends = self.typical_end(now);
-        let in_time = self.jobs.values().filter(|job| !job.place(ends).0);
-        self.time_of(in_time.map(|job| self.work_of(job)).sum())
-    }
-
-    fn typical_call(&self) -> Duration {
-        Duration::from_secs_f64(self.typical_call_s)
-    }
-
-    /// When a call that is begun now would end.
-    fn typical_end(&self, now: MonoTime) -> MonoTime {
-        now.after(self.typical_call())
-    }
-
-    /// Expected time until a job is taken into a call, behind those that go before it.
-    fn wait_of(&self, now: MonoTime, job: &Job) -> Duration {
-        let place = job.place(self.typical_end(now));
-        let ends = self.typical_end(now);
-        let before = self
-            .jobs
-            .values()
-            .filter(|other| other.place(ends) <= place);
-        let work = before.map(|other| self.work_of(other)).sum();
-        if place.0 {
-            self.time_of_late(now, work)
-        } else {
-            self.time_of(work)
-        }
-    }
-
-    /// How long so many seconds of work take that is done only when nothing else is to be done.
-    fn time_of_late(&self, now: MonoTime, work: f64) -> Duration {
-        let speed = self.total_speed() * f64::from(self.spec.slots);
-        let free = 1.0 - self.demand.per_second(now) / speed.max(f64::MIN_POSITIVE);
-        self.time_of(work).div_f64(free.max(LEAST_FREE))
-    }
-
-    /// Seconds that one piece takes of a full call.
-    fn share_of_call(&self, kind: u64) -> f64 {
-        let call = self.spec.call_time.as_secs_f64() / self.spec.max_pieces.max(1) as f64;
-        call + self.times.of(&self.spec, kind)
-    }
-
     /// Takes up a job, or refuses it at once when it would most likely wait in vain.
     pub fn push(&mut self, now: MonoTime, new: NewJob) -> Result<JobKey, PiecesRefusal> {
         if !self.has_upstreams() {
@@ -251,8 +172,9 @@
             return Err(PiecesRefusal::Late);
         }
         let mut job = Job::new(new);
-        let in_time = self.wait_of(now, &job) + self.typical_call().mul_f64(NEXT_CALL);
-        job.expected_late = job.new.in_time_until < now.after(in_time);
+        let done_after = self.wait_of(now, &job) + self.typical_call().mul_f64(NEXT_CALL);
+        job.expected_late = job.new.in_time_until < now.after(done_after);
+        // Again, as a job that is expected to be late has another place.
         let wait = self.wait_of(now, &job);
         if !self.is_worth_waiting(now, &job, wait, MOST_WAIT) {
             return Err(self.overloaded());
@@ -274,12 +196,6 @@
         }
     }
 
-    /// Whether a job will most likely be done before nobody waits for it any more.
-    fn is_worth_waiting(&self, now: MonoTime, job: &Job, wait: Duration, part: f64) -> bool {
-        let most = job.new.deadline.since(now).mul_f64(part);
-        wait.is_zero() || wait + self.spec.call_time <= most
-    }
-
     /// Whether any upstream that may get work is in the domain.
     fn makes_in(&self, domain: Option<&FailureDomain>) -> bool {
         self.makers
@@ -302,7 +218,7 @@
     pub fn expire(&mut self, now: MonoTime) -> Settled {
         let mut settled = Settled::default();
         let ends = self.typical_end(now);
-        let mut queue: Vec<((bool, MonoTime), JobKey)> = self
+        let mut queue: Vec<(Place, JobKey)> = self
             .jobs
             .iter()
             .filter(|(_, job)| !job.waiting.is_empty() || job.new.deadline <= now)
@@ -317,11 +233,7 @@
                 self.refuse(key, PiecesRefusal::Late, &mut settled);
                 continue;
             }
-            let wait = if place.0 {
-                self.time_of_late(now, before)
-            } else {
-                self.time_of(before)
-            };
+            let wait = self.time_behind(now, place, before);
             if job.is_untouched() && !self.is_worth_waiting(now, job, wait, MOST_WAIT_QUEUED) {
                 let refusal = self.overloaded();
                 self.refuse(key, refusal, &mut settled);
@@ -332,158 +244,6 @@
         settled
     }
 
-    /// The next call to be made, if an upstream is free and something waits; asked again until there is none.
-    pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
-        self.expire_results(now);
-        let mut free: Vec<(UpstreamId, f64)> = self
-            .makers
-            .iter()
-            .filter(|(_, maker)| maker.is_free(now, self.spec.slots))
-            .map(|(id, maker)| (id.clone(), maker.speed))
-            .collect();
-        free.sort_by(|a, b| a.1.total_cmp(&b.1));
-        free.into_iter().find_map(|(id, _)| self.call_on(now, &id))
-    }
-
-    /// When something may be possible that is not now, if that is known.
-    #[must_use]
-    pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
-        let paused = self
-            .makers
-            .values()
-            .filter(|maker| maker.ready && maker.not_before > now)
-            .map(|maker| maker.not_before);
-        let deadlines = self.jobs.values().map(|job| job.new.deadline);
-        let stays = self
-            .jobs
-            .values()
-            .filter(|job| !job.waiting.is_empty() && job.stays_until > now)
-            .map(|job| job.stays_until);
-        let room = (!self.jobs.is_empty()).then_some(now.after(EXPIRE_EVERY));
-        paused.chain(deadlines).chain(stays).chain(room).min()
-    }
-
-    fn call_on(&mut self, now: MonoTime, id: &UpstreamId) -> Option<BatchCall> {
-        let maker = self.makers.get(id)?;
-        if self.is_better_left_idle(now, maker) {
-            return None;
-        }
-        let pieces = self.choose(now, maker);
-        if pieces.is_empty() {
-            return None;
-        }
-        let kinds: Vec<u64> = pieces
-            .iter()
-            .map(|(job, _)| self.jobs[*job].new.result_bytes)
-            .collect();
-        let expected = self.times.expect(&self.spec, &kinds).mul_f64(maker.speed);
-        let domain = maker.domain.clone();
-        let orders = self.take(now, &pieces, &domain);
-        if let Some(maker) = self.makers.get_mut(id) {
-            maker.calls += 1;
-            maker.room_used += kinds.iter().sum::<u64>();
-            maker.busy_until = now.after(expected);
-        }
-        let key = self.calls.insert(Call {
-            upstream: id.clone(),
-            pieces,
-            kinds,
-            started: now,
-            expected,
-        });
-        Some(BatchCall {
-            key,
-            upstream: id.clone(),
-            pieces: orders,
-            limit: expected.mul_f64(GIVE_UP_FACTOR) + GIVE_UP_EXTRA,
-        })
-    }
-
-    /// Whether what waits is done sooner by faster upstreams alone.
-    ///
-    /// Work given to a slow upstream only because it is free is late there, although the others would have come to it
-    /// in time.
-    fn is_better_left_idle(&self, now: MonoTime, maker: &Maker) -> bool {
-        let own = self.spec.call_time.mul_f64(maker.speed);
-        let faster: Vec<&Maker> = self
-            .makers
-            .values()
-            .filter(|other| other.ready && other.failures == 0 && other.speed * 1.5 < maker.speed)
-            .collect();
-        let Some(soonest) = faster
-            .iter()
-            .map(|other| {
-                let start = if other.calls < self.spec.slots {
-                    Duration::ZERO
-                } else {
-                    other.busy_until.since(now)
-                };
-                start + self.spec.call_time.mul_f64(other.speed)
-            })
-            .min()
-        else {
-            return false;
-        };
-        let speed: f64 = faster.iter().map(|other| 1.0 / other.speed).sum();
-        let all = self.expected_wait().as_secs_f64() * self.total_speed() / speed;
-        own > soonest + Duration::from_secs_f64(all)
-    }
-
-    fn total_speed(&self) -> f64 {
-        let ready = self.makers.values().filter(|m| m.ready && m.failures == 0);
-        ready.map(|m| 1.0 / m.speed).sum()
-    }
-
-    /// Pieces for a call on this upstream, best first.
-    fn choose(&self, now: MonoTime, maker: &Maker) -> Vec<(JobKey, u32)> {
-        let ends = now.after(self.typical_call().mul_f64(maker.speed));
-        let mut jobs: Vec<(JobKey, &Job)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.waiting.is_empty() && job.new.deadline > now)
-            .filter(|(_, job)| job.may_go_to(now, &maker.domain))
-            .collect();
-        jobs.sort_by_key(|(_, job)| job.order(ends, &maker.domain));
-        let usable = (self.spec.room_bytes as f64 * ROOM_PART) as u64;
-        let mut room = usable.saturating_sub(maker.room_used);
-        let mut chosen = Vec::with_capacity(self.spec.max_pieces);
-        for (key, job) in jobs {
-            for piece in &job.waiting {
-                if chosen.len() >= self.spec.max_pieces {
-                    return chosen;
-                }
-                if job.new.result_bytes > room {
-                    break;
-                }
-                room -= job.new.result_bytes;
-                chosen.push((key, *piece));
-            }
-        }
-        chosen
-    }
-
-    fn take(
-        &mut self,
-        now: MonoTime,
-        pieces: &[(JobKey, u32)],
-        domain: &FailureDomain,
-    ) -> Vec<PieceOrder> {
-        let mut orders = Vec::with_capacity(pieces.len());
-        for (key, piece) in pieces {
-            let job = &mut self.jobs[*key];
-            job.waiting.retain(|waiting| waiting != piece);
-            job.placed_in(now, domain, self.spec.call_time);
-            orders.push(PieceOrder {
-                request: job.new.request.clone(),
-                stage: job.new.stage,
-                piece: *piece,
-                remaining: job.new.deadline.since(now),
-                input: job.new.input.clone(),
-            });
-        }
-        orders
-    }
-
     /// Takes up how a call ended.
     pub fn end_call(&mut self, now: MonoTime, key: CallKey, end: CallEnd) -> Settled {
         let mut settled = Settled::default();
@@ -633,7 +393,7 @@
         }
     }
 
-    fn expire_results(&mut self, now: MonoTime) {
+    pub(super) fn expire_results(&mut self, now: MonoTime) {
         if now < self.next_expiry {
             return;
         }
