After a refused batch call, find out with one piece before the next full call; count the store as back after a list

Ruled out: a longer pause alone (150 ms): five upstreams in a row still take 60 repeats at once; the test shows it.

--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -51,6 +51,8 @@
     loop {
         let mut from = match store.list_kind(Purpose::Config, &edges.store, kind).await {
             Ok(page) => {
+                lost.answered();
+                retry.failures = 0;
                 for object in page
                     .items
                     .iter()
--- a/crates/tc-policy/src/batch/choose.rs
+++ b/crates/tc-policy/src/batch/choose.rs
@@ -14,6 +14,9 @@
 const GIVE_UP_FACTOR: f64 = 3.0;
 /// Added to that: a call may wait for another home's call at the upstream.
 const GIVE_UP_EXTRA: Duration = Duration::from_millis(500);
+/// Pieces in a call after one that was refused: it finds out whether upstreams take calls again. Each refused piece spends
+/// a repeat, and full calls to upstreams that are all full would use up the budget of seconds at once.
+const PROBE_PIECES: usize = 1;
 /// Part of an upstream's room that is planned with: sizes of results are told as an average only, and a result that
 /// was given up takes room until its upstream hears of it.
 const ROOM_PART: f64 = 0.95;
@@ -133,10 +136,15 @@
         jobs.sort_by_key(|(_, job)| job.place_in(ends, &maker.domain));
         let usable = (self.spec.room_bytes as f64 * ROOM_PART) as u64;
         let mut room = usable.saturating_sub(maker.room_used);
-        let mut chosen = Vec::with_capacity(self.spec.max_pieces);
+        let most = if self.last_refused {
+            PROBE_PIECES
+        } else {
+            self.spec.max_pieces
+        };
+        let mut chosen = Vec::with_capacity(most);
         for (key, job) in jobs {
             for piece in &job.waiting {
-                if chosen.len() >= self.spec.max_pieces {
+                if chosen.len() >= most {
                     return chosen;
                 }
                 if job.new.result_bytes > room {
--- a/crates/tc-policy/src/batch/maker.rs
+++ b/crates/tc-policy/src/batch/maker.rs
@@ -4,9 +4,10 @@
 
 use tc_protocol::{FailureDomain, MonoTime, UpstreamId};
 
-/// Pause after an upstream refused a call because it was full: about the time of a sixth of a call, as another
-/// home's call must end first.
-const FULL_PAUSE: Duration = Duration::from_millis(40);
+/// Pause after an upstream refused a call because it was full: about half a call, as calls of another home, or of this
+/// one's life before a restart, must end first. Each refused call spends as many repeats as it has pieces, so a shorter
+/// pause uses up the budget before the upstream is free.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
 /// First pause after a call failed; doubles with each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Longest pause: an upstream that is back is used again within this time.
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -106,6 +106,8 @@
     pub(super) typical_call_s: f64,
     /// Work that comes in time to be done in time.
     pub(super) demand: Demand,
+    /// Whether the last call that ended was refused as the upstream was full.
+    pub(super) last_refused: bool,
     pub(super) next_expiry: MonoTime,
 }
 
@@ -122,6 +124,7 @@
             times: PieceTimes::default(),
             repeats,
             demand: Demand::default(),
+            last_refused: false,
             typical_call_s: spec.call_time.as_secs_f64() * FIRST_TYPICAL,
             next_expiry: MonoTime::default(),
         }
@@ -250,6 +253,7 @@
         let Some(call) = self.calls.remove(key) else {
             return settled;
         };
+        self.last_refused = end == CallEnd::NotRun;
         self.note_maker(now, &call, &end);
         match end {
             CallEnd::Answered(results) => {
--- a/crates/tc-policy/tests/batch.rs
+++ b/crates/tc-policy/tests/batch.rs
@@ -369,6 +369,32 @@
     assert_eq!(settled.finished[0].result, Err(PiecesRefusal::Failed));
 }
 
+/// Symptom: just after all instances were restarted, stages are refused as failed for two seconds. Sequence: upstreams
+/// still work on calls of the instances' former lives and refuse new ones; each refusal spends as many repeats as the call
+/// has pieces. Cause: a full upstream is asked again and again before its calls can have ended.
+#[test]
+fn full_upstreams_do_not_use_up_the_repeats() {
+    let mut planner = BatchPlanner::new(spec(), repeats(60.0));
+    planner.set_upstreams(&upstreams(&["a", "a", "a", "a", "a"]));
+    let mut finished = Vec::new();
+    for name in ["x", "y", "z"] {
+        push(&mut planner, at(0), job(name, 4));
+    }
+    for now in 0..1_000 {
+        while let Some(call) = planner.next_call(at(now)) {
+            // The former calls end after 300 ms.
+            let end = if now < 300 {
+                CallEnd::NotRun
+            } else {
+                made(&call)
+            };
+            finished.extend(planner.end_call(at(now), call.key, end).finished);
+        }
+    }
+    assert_eq!(finished.len(), 3);
+    assert!(finished.iter().all(|f| f.result.is_ok()), "{finished:?}");
+}
+
 #[test]
 fn a_call_that_never_left_costs_no_repeat() {
     let mut planner = BatchPlanner::new(spec(), repeats(0.0));
