--- a/crates/tc-gateway/src/run/plain.rs
+++ b/crates/tc-gateway/src/run/plain.rs
@@ -49,7 +49,7 @@
             return last_failure.ok_or_else(|| attempts.refusal(req, failure));
         }
         if failure == SendFailure::InputGone {
-            results = make_stages(cx, req).await?;
+            results = make_stages_again(cx, req, &attempts).await?;
         }
     }
 }
@@ -62,6 +62,24 @@
     stages::make_all(cx, req).await.map_err(Refusal::from)
 }
 
+/// Makes the stages once more after their results were lost.
+///
+/// An earlier send may have run the request, so a stage that fails now does not make it "not run".
+pub(super) async fn make_stages_again(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    attempts: &Attempts,
+) -> Result<StageResults, Refusal> {
+    let made = make_stages(cx, req).await;
+    made.map_err(|refusal| {
+        if attempts.may_have_run {
+            attempts.refusal(req, SendFailure::InputGone)
+        } else {
+            refusal
+        }
+    })
+}
+
 /// The results that go with a request; `None` for routes without stages.
 pub(super) fn inputs_of<'a>(
     req: &RoutedRequest,
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -12,7 +12,7 @@
 use super::{
     AnswerBody, Refusal, RoutedRequest, RunContext, StreamCut,
     attempt::{Answered, Attempts, SendFailure, SendWith},
-    plain::{inputs_of, make_stages, read},
+    plain::{inputs_of, make_stages, make_stages_again, read},
     stages::StageResults,
 };
 use crate::{
@@ -48,7 +48,7 @@
             return Err(attempts.refusal(&req, failure));
         }
         if failure == SendFailure::InputGone {
-            results = make_stages(&cx, &req).await?;
+            results = make_stages_again(&cx, &req, &attempts).await?;
         }
     }
 }
