--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -27,8 +27,8 @@
     world::ConfigInForce,
 };
 
-/// How long a request waits for the first configuration of a process that has just started.
-const FIRST_CONFIG: Duration = Duration::from_millis(150);
+/// How long a request waits for the first configuration and list of upstreams of a process that has just started.
+const FIRST_WORLD: Duration = Duration::from_millis(150);
 /// When a caller is told to come back to an instance that has no configuration.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(300);
 /// When a caller is told to come back, to another instance, from one that is stopping.
@@ -159,8 +159,8 @@
     }
 
     async fn config(&self) -> Result<Arc<ConfigInForce>, Refusal> {
-        if self.cx.world.load().config.is_none() {
-            crate::world::first_config(&self.cx.world, FIRST_CONFIG).await;
+        if !self.cx.world.load().is_known() {
+            crate::world::first_world(&self.cx.world, FIRST_WORLD).await;
         }
         let world = self.cx.world.load();
         world.config.clone().ok_or_else(|| {
--- a/crates/tc-gateway/src/serve/info.rs
+++ b/crates/tc-gateway/src/serve/info.rs
@@ -37,8 +37,7 @@
         if !(self.cx.edges.is_ready_question)(req.uri()) {
             return text(StatusCode::NOT_FOUND, Bytes::new());
         }
-        let has_config = self.cx.world.load().config.is_some();
-        if has_config && !self.stop.is_stopping() {
+        if self.cx.world.load().is_known() && !self.stop.is_stopping() {
             text(StatusCode::OK, Bytes::from_static(b"ready\n"))
         } else {
             text(
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -21,7 +21,7 @@
 pub(crate) use config::ConfigInForce;
 pub(crate) use peers::follow_peers;
 pub(crate) use upstreams::UpstreamTable;
-pub(crate) use watch::{first_config, watch_config, watch_upstreams};
+pub(crate) use watch::{first_world, watch_config, watch_upstreams};
 
 /// What requests read; never changes once published.
 #[derive(Clone, Default)]
@@ -31,6 +31,13 @@
     pub(crate) upstreams: Arc<UpstreamTable>,
 }
 
+impl World {
+    /// Whether both the configuration and a list of upstreams are known: before that every request would be refused.
+    pub(crate) fn is_known(&self) -> bool {
+        self.config.is_some() && self.upstreams.revision() > 0
+    }
+}
+
 /// Holds the newest world, and decides what is newer.
 pub(crate) struct WorldCell {
     edges: Edges,
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -272,16 +272,16 @@
     }
 }
 
-/// Waits until the world has a configuration, at most so long.
-pub(crate) async fn first_config(cell: &WorldCell, longest: Duration) {
+/// Waits until the world is known, at most so long.
+pub(crate) async fn first_world(cell: &WorldCell, longest: Duration) {
     let mut changes = cell.changes();
     let known = async {
-        while cell.load().config.is_none() {
+        while !cell.load().is_known() {
             if changes.changed().await.is_err() {
                 return;
             }
         }
     };
-    // Without one in time the caller goes on and refuses requests until one is known.
+    // Without it in time the caller goes on and refuses requests until one is known.
     let _ = timeout(longest, known).await;
 }
