Move the gateway's stand-ins into tc-stand-ins, in the product's words

Cause: the store, scripted servers and makers of pieces stood in platform/tests, spelled with the platform's names and a hand-made parser of requests, so no other test or soak could use them. They are now ScriptedServer, ObjectStore and PieceMaker (heads read by httparse); the platform's spelling of them is platform/src/outside, behind a feature that the shipped binary does not have. The shelf of results also notes what no test saw before: results of another request, a later stage, or twice.

Ruled out: refusing a length beside chunks. hyper drops the length before we see it, ends the connection and smuggles nothing (tested).

--- a/crates/tc-stand-ins/src/lib.rs
+++ b/crates/tc-stand-ins/src/lib.rs
@@ -5,24 +5,32 @@
 
 mod answer;
 mod engine;
+mod objects;
 mod output;
+mod pieces;
 mod plain;
 mod platform;
 mod pool;
 mod rate;
 mod recorder;
+mod scripted;
 mod server;
 mod sync;
 mod upstream;
 mod weight_store;
 
 pub use engine::{Engine, EngineConfig};
+pub use objects::{ObjectCall, ObjectSpelling, ObjectStore, ShownObject, StoreMode};
 pub use output::{
     CRASH_MARKER, StageKind, engine_output, expected_pipeline_output, plain_output, pool_output,
 };
+pub use pieces::{
+    AskedPiece, MakerCall, MakerConfig, MakerSpelling, NotMade, PieceMaker, ResultShelf,
+};
 pub use plain::{Plain, PlainConfig};
 pub use platform::{Platform, PlatformFaults, RateLimits};
 pub use pool::{Pool, PoolConfig};
 pub use recorder::{CallRecord, Ending, OrderRecord, Recorder, StageTotals};
+pub use scripted::{Received, Script, ScriptedServer, Step, whole_answer};
 pub use upstream::{AnswerFault, UpstreamFaults, UpstreamHandle};
 pub use weight_store::WeightStore;
--- /dev/null
+++ b/crates/tc-stand-ins/src/objects.rs
@@ -0,0 +1,276 @@
+//! An object store with lists and watches, in any spelling.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use serde_json::Value;
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep, sleep_until},
+};
+
+use crate::{
+    scripted::{Received, Script, ScriptedServer, Step, whole_answer},
+    sync::lock,
+};
+
+/// Content type of every answer.
+const JSON: &str = "content-type: application/json\r\n";
+
+/// A call to the store, decoded.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ObjectCall {
+    /// All objects of a kind.
+    List {
+        /// The kind.
+        kind: String,
+    },
+    /// Changes of a kind since a revision.
+    Watch {
+        /// The kind.
+        kind: String,
+        /// The last revision that is known.
+        from: u64,
+        /// Longest wait for a change.
+        wait: Duration,
+    },
+    /// Creates or replaces an object.
+    Put {
+        /// The kind.
+        kind: String,
+        /// Its name.
+        name: String,
+        /// Its value.
+        value: Value,
+    },
+}
+
+/// An object as a list or a watch shows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShownObject {
+    /// Its name.
+    pub name: String,
+    /// The revision of its last change.
+    pub revision: u64,
+    /// Its value; `None` once it is removed.
+    pub value: Option<Value>,
+}
+
+/// How a store spells calls and answers.
+#[derive(Clone, Copy)]
+pub struct ObjectSpelling {
+    /// Decodes a call; `None` when it is none.
+    pub read_call: fn(&Received) -> Option<ObjectCall>,
+    /// Encodes a list as of a revision.
+    pub list: fn(&[ShownObject], u64) -> Value,
+    /// Encodes changes up to a revision.
+    pub changes: fn(&[ShownObject], u64) -> Value,
+    /// Status by which it says that a watch's history is gone.
+    pub history_gone: u16,
+}
+
+/// How the store treats its callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers.
+    #[default]
+    Well,
+    /// It resets every connection.
+    Down,
+    /// It takes calls and never answers.
+    Silent,
+    /// It answers, this much later.
+    Slow(Duration),
+    /// It does what it is asked, and its answer is lost.
+    LosesAnswers,
+    /// It has dropped its history, says so and keeps none: watches of an old revision are told to list again.
+    HistoryGone,
+    /// It has dropped its history and does not say so: watches of an old revision hang.
+    Forgetful,
+    /// Its lists are right, and its watches never say anything again.
+    DeafWatches,
+    /// It turns calls away: too many.
+    Limited,
+}
+
+#[derive(Default)]
+struct Objects {
+    revision: u64,
+    by_kind: BTreeMap<String, BTreeMap<String, ShownObject>>,
+    mode: StoreMode,
+}
+
+impl Objects {
+    fn change(&mut self, kind: &str, name: &str, value: Option<Value>) {
+        self.revision += 1;
+        let object = ShownObject {
+            name: name.to_owned(),
+            revision: self.revision,
+            value,
+        };
+        let kind = self.by_kind.entry(kind.to_owned()).or_default();
+        kind.insert(name.to_owned(), object);
+    }
+
+    fn of_kind(&self, kind: &str) -> impl Iterator<Item = &ShownObject> {
+        self.by_kind
+            .get(kind)
+            .into_iter()
+            .flat_map(BTreeMap::values)
+    }
+
+    fn present(&self, kind: &str) -> Vec<ShownObject> {
+        let present = self.of_kind(kind).filter(|object| object.value.is_some());
+        present.cloned().collect()
+    }
+
+    fn changed_since(&self, kind: &str, from: u64) -> Vec<ShownObject> {
+        let newer = self.of_kind(kind).filter(|object| object.revision > from);
+        let mut changed: Vec<ShownObject> = newer.cloned().collect();
+        changed.sort_by_key(|object| object.revision);
+        changed
+    }
+}
+
+struct Shared {
+    objects: Mutex<Objects>,
+    changed: Notify,
+    /// Ends watches that wait.
+    cut: Notify,
+    spelling: ObjectSpelling,
+}
+
+/// The store. Dropping it closes its connections.
+pub struct ObjectStore {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    server: ScriptedServer,
+}
+
+impl ObjectStore {
+    /// Starts an empty store on a free port.
+    pub async fn start(spelling: ObjectSpelling) -> Self {
+        let shared = Arc::new(Shared {
+            objects: Mutex::new(Objects {
+                revision: 1,
+                ..Objects::default()
+            }),
+            changed: Notify::new(),
+            cut: Notify::new(),
+            spelling,
+        });
+        let answering = Arc::clone(&shared);
+        let server = ScriptedServer::start(move |req| {
+            let shared = Arc::clone(&answering);
+            async move { shared.answer(&req).await }
+        })
+        .await;
+        Self {
+            address: server.address,
+            shared,
+            server,
+        }
+    }
+
+    /// Creates or replaces an object.
+    pub fn put(&self, kind: &str, name: &str, value: Value) {
+        self.shared.change(kind, name, Some(value));
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.shared.change(kind, name, None);
+    }
+
+    /// The objects of a kind that are there.
+    #[must_use]
+    pub fn objects(&self, kind: &str) -> Vec<ShownObject> {
+        lock(&self.shared.objects).present(kind)
+    }
+
+    /// Changes how callers are treated, and cuts the watches that wait.
+    pub fn set_mode(&self, mode: StoreMode) {
+        lock(&self.shared.objects).mode = mode;
+        self.shared.cut.notify_waiters();
+    }
+
+    /// Calls that came so far.
+    #[must_use]
+    pub fn calls(&self) -> usize {
+        self.server.received().len()
+    }
+}
+
+impl Shared {
+    fn change(&self, kind: &str, name: &str, value: Option<Value>) {
+        lock(&self.objects).change(kind, name, value);
+        self.changed.notify_waiters();
+    }
+
+    async fn answer(&self, req: &Received) -> Script {
+        let mode = lock(&self.objects).mode;
+        match mode {
+            StoreMode::Down => return vec![Step::Reset],
+            StoreMode::Silent => return vec![Step::Pause(Duration::MAX)],
+            StoreMode::Limited => return whole_answer(429, "", ""),
+            StoreMode::Slow(pause) => sleep(pause).await,
+            _ => {}
+        }
+        let Some(call) = (self.spelling.read_call)(req) else {
+            return whole_answer(400, "", "");
+        };
+        let script = self.carry_out(call, mode).await;
+        if mode == StoreMode::LosesAnswers {
+            return vec![Step::Pause(Duration::MAX)];
+        }
+        script
+    }
+
+    async fn carry_out(&self, call: ObjectCall, mode: StoreMode) -> Script {
+        match call {
+            ObjectCall::List { kind } => {
+                let objects = lock(&self.objects);
+                let list = (self.spelling.list)(&objects.present(&kind), objects.revision);
+                whole_answer(200, JSON, &list.to_string())
+            }
+            ObjectCall::Put { kind, name, value } => {
+                self.change(&kind, &name, Some(value));
+                whole_answer(200, JSON, "{}")
+            }
+            ObjectCall::Watch { kind, from, wait } => self.watch(&kind, from, wait, mode).await,
+        }
+    }
+
+    async fn watch(&self, kind: &str, from: u64, wait: Duration, mode: StoreMode) -> Script {
+        let ends = Instant::now() + wait;
+        let is_old = from < lock(&self.objects).revision;
+        if is_old && mode == StoreMode::HistoryGone {
+            return whole_answer(self.spelling.history_gone, "", "");
+        }
+        if mode == StoreMode::DeafWatches {
+            return vec![Step::Pause(Duration::MAX)];
+        }
+        let hangs = is_old && mode == StoreMode::Forgetful;
+        loop {
+            let (news, cut) = (self.changed.notified(), self.cut.notified());
+            let (events, at) = {
+                let objects = lock(&self.objects);
+                (objects.changed_since(kind, from), objects.revision)
+            };
+            if (!events.is_empty() && !hangs) || Instant::now() >= ends {
+                let changes = (self.spelling.changes)(&events, at);
+                return whole_answer(200, JSON, &changes.to_string());
+            }
+            tokio::select! {
+                () = news => {}
+                () = cut => return vec![Step::Reset],
+                () = sleep_until(ends) => {}
+            }
+        }
+    }
+}
