Notice suspended time, and read the store anew after a pause

Cause: the steady clock leaves out the time of a suspended machine. A process that woke went on with its old list of upstreams and passed on the time that a request had had before, while its watch might have gone silent meanwhile. Change: FreezeWatch compares looks at both clocks; a pause of 0.8 s or more makes both watches list again, and the next send waits for that, 300 ms at most. A request's time counts suspended time. The mesh's own detector of pauses is gone: one copy. Ruled out: refusing while the store is away (upstreams are told whom a request is for and say when it is not for them).

--- a/crates/tc-fleet/src/mesh/actor.rs
+++ b/crates/tc-fleet/src/mesh/actor.rs
@@ -4,17 +4,13 @@
 
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use tc_membership::{Membership, MembershipConfig, Outgoing, PauseDetector, Record};
+use tc_membership::{Membership, MembershipConfig, Outgoing, Record};
 use tc_protocol::{InstanceId, Member, MemberState, MonoTime};
 use tokio::sync::{oneshot, watch};
 
 use super::peers::Peers;
 use crate::{convert, generated::Datagram, gossip::GossipSocket};
 
-/// A gap in the beat above this means that the process was paused.
-const PAUSE_THRESHOLD: Duration = Duration::from_millis(800);
-/// How often pauses are looked for; well inside the threshold.
-const BEAT: Duration = Duration::from_millis(250);
 /// Shortest wait between two ticks, so that a timer that is always due cannot keep the thread busy.
 const LEAST_TICK: Duration = Duration::from_millis(10);
 
@@ -27,11 +23,12 @@
     Introduced(Box<Record>, oneshot::Sender<Vec<Record>>),
     /// A call to it failed: probe it next.
     Doubt(InstanceId),
+    /// This process was absent for a while.
+    Woke,
     /// The revision of the store that this instance has seen.
     Revision(u64),
     Leave,
     Tick,
-    Beat,
 }
 
 /// What other threads read.
@@ -53,7 +50,6 @@
 
 pub(super) struct MeshState {
     membership: Membership,
-    pause: PauseDetector,
     args: MeshArgs,
 }
 
@@ -70,15 +66,9 @@
         myself: ActorRef<MeshMsg>,
         args: MeshArgs,
     ) -> Result<MeshState, ActorProcessingErr> {
-        myself.send_interval(BEAT, || MeshMsg::Beat);
         myself.send_after(LEAST_TICK, || MeshMsg::Tick);
         let membership = Membership::new(args.timing.clone(), args.me.clone(), rand::random());
-        let pause = PauseDetector::new(PAUSE_THRESHOLD);
-        let mut state = MeshState {
-            membership,
-            pause,
-            args,
-        };
+        let mut state = MeshState { membership, args };
         state.publish();
         Ok(state)
     }
@@ -111,6 +101,11 @@
                 self.membership.suspect(now, &id);
                 self.tick(now);
             }
+            MeshMsg::Woke => {
+                // What it knew before may be wrong by now: others may have taken it for dead.
+                self.membership.woke(now);
+                self.tick(now);
+            }
             MeshMsg::Revision(revision) => self.membership.set_revision(revision),
             MeshMsg::Leave => {
                 let outgoing = self.membership.leave();
@@ -121,7 +116,6 @@
                 let wait = self.membership.next_wake().since(MonoTime::now());
                 myself.send_after(wait.max(LEAST_TICK), || MeshMsg::Tick);
             }
-            MeshMsg::Beat => self.beat(now),
         }
     }
 
@@ -144,17 +138,6 @@
         self.send(outgoing);
     }
 
-    fn beat(&mut self, now: MonoTime) {
-        let Some(gap) = self.pause.beat(now) else {
-            return;
-        };
-        // What this instance knew before the pause may be wrong by now: others may have taken it for dead.
-        log::warn!(gap_ms = gap.as_millis() as u64; "this process was paused");
-        metrics::counter!("tc_pauses_total").increment(1);
-        self.membership.woke(now);
-        self.tick(now);
-    }
-
     fn send(&self, outgoing: Vec<Outgoing>) {
         for out in outgoing {
             let datagram = convert::message_to_wire(&out.message);
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -170,6 +170,11 @@
         let _ = self.inner.node.cast(MeshMsg::Leave);
     }
 
+    /// This process did not run for a while: others may have taken it for dead.
+    pub fn woke(&self) {
+        let _ = self.inner.node.cast(MeshMsg::Woke);
+    }
+
     /// A call to the instance failed: it is probed next, and the next call to it connects anew.
     pub fn doubt(&self, id: &InstanceId) {
         let _ = self.inner.node.cast(MeshMsg::Doubt(id.clone()));
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod call;
 mod edges;
 mod events;
+mod freeze;
 mod homes;
 mod join;
 mod routing;
@@ -24,6 +25,7 @@
 };
 pub use edges::{DirectoryQuestion, Edges, StoreKinds};
 pub use events::{Event, EventSplitter};
+pub use freeze::{SuspendedTime, suspended_time};
 pub use routing::{RouteTable, RouteTableError};
 pub use serve::MetricsText;
 pub use settings::{GatewaySettings, RepeatSettings};
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -121,6 +121,7 @@
         if time_left < LEAST_TIME {
             return Err(SendFailure::NoTime);
         }
+        cx.world.read_anew().await;
         let (upstream, in_flight) = self.choose(cx, req, with.domain)?;
         let remaining = with.limit.map_or(time_left, |limit| limit.min(time_left));
         let call = RawCall {
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -26,6 +26,7 @@
     budgets::RepeatBudgets,
     call::CallHead,
     edges::Edges,
+    freeze::{SuspendedTime, TimeAllowed},
     homes::{BatchHomes, Freer},
     upstreams::UpstreamBook,
     world::WorldCell,
@@ -64,6 +65,7 @@
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) waits: StageWaits,
     pub(crate) client: UpstreamClient,
+    pub(crate) suspended: SuspendedTime,
 }
 
 impl RunContext {
@@ -86,13 +88,13 @@
     pub(crate) service: ServiceName,
     pub(crate) workspace: Option<Arc<RoutedWorkspace>>,
     pub(crate) arrived: Instant,
-    /// When its caller or its route ends it.
-    pub(crate) deadline: Instant,
+    /// Until its caller or its route ends it.
+    pub(crate) allowed: TimeAllowed,
 }
 
 impl RoutedRequest {
     fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.allowed.left()
     }
 
     /// Time until the caller leaves if nothing has come: the request's time, or what its patience leaves of it.
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -21,6 +21,7 @@
 use super::Connections;
 use crate::{
     call::CallHead,
+    freeze::TimeAllowed,
     routing::target_of,
     run::{AnswerBody, Refusal, RoutedRequest, RunContext, StreamCut, own_answer, run},
     stop::StopState,
@@ -143,8 +144,10 @@
                 STOPPING_RETRY,
             ));
         }
+        let suspended = self.cx.suspended;
         let longest = head.remaining.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + longest;
+        let allowed = TimeAllowed::until(deadline, suspended);
         let body = read_body(body, config.routing.limits.body_bytes, deadline).await?;
         Ok(RoutedRequest {
             head,
@@ -154,7 +157,7 @@
             service,
             workspace,
             arrived,
-            deadline,
+            allowed,
         })
     }
 
--- a/crates/tc-gateway/src/settings.rs
+++ b/crates/tc-gateway/src/settings.rs
@@ -5,6 +5,8 @@
 use tc_fleet::FleetKeys;
 use tc_protocol::Member;
 
+use crate::freeze::SuspendedTime;
+
 /// What [`crate::run`] needs to know.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -34,6 +36,8 @@
     pub grace: Duration,
     /// Longest time callers keep a list of addresses.
     pub address_max_age: Duration,
+    /// Tells how long the machine was suspended; [`crate::suspended_time`] but in tests.
+    pub suspended: SuspendedTime,
 }
 
 /// The fleet's budget for sending requests again.
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -17,6 +17,7 @@
 use crate::{
     budgets::RepeatBudgets,
     edges::Edges,
+    freeze::FreezeWatch,
     homes::{BatchHomes, Freer, HomeContext},
     join::join,
     run::{AnswerBody, RunContext, StageWaits},
@@ -85,13 +86,15 @@
             calls_per_s: settings.store_calls_per_s,
             timeout: STORE_TIMEOUT,
         });
-        let world = Arc::new(WorldCell::new(edges));
+        let freezes = Arc::new(FreezeWatch::new(settings.suspended));
+        let world = Arc::new(WorldCell::new(edges, Arc::clone(&freezes)));
         let cx = start_context(&settings, edges, Arc::clone(&world), &traffic).await?;
         tokio::spawn(watch_config(store.clone(), edges, Arc::clone(&world)));
         tokio::spawn(watch_upstreams(store.clone(), edges, Arc::clone(&world)));
         tokio::spawn(follow_peers(cx.mesh.clone(), Arc::clone(&world)));
         tokio::spawn(join(settings.clone(), edges, store, cx.mesh.clone()));
         tokio::spawn(forget(world, Arc::clone(&cx.book)));
+        tokio::spawn(notice_absences(freezes, cx.mesh.clone()));
         let gateway = Self {
             cx,
             stop: Arc::new(StopState::new(settings.grace)),
@@ -174,6 +177,7 @@
         budgets,
         waits: StageWaits::default(),
         client,
+        suspended: settings.suspended,
     }))
 }
 
@@ -326,6 +330,11 @@
     Ok(TcpListener::from_std(listener.into_std()?)?)
 }
 
+/// An instance that was absent may have been taken for dead, and may take others for what they no longer are.
+async fn notice_absences(freezes: Arc<FreezeWatch>, mesh: Mesh) {
+    freezes.keep_looking(|| mesh.woke()).await;
+}
+
 async fn forget(world: Arc<WorldCell>, book: Arc<UpstreamBook>) {
     loop {
         sleep(FORGET_EVERY).await;
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -3,12 +3,19 @@
 //! Each instance watches the store; one that the store turns away gets copies from the others.
 
 mod config;
+mod kind_watch;
 mod peers;
 mod removals;
 mod upstreams;
 mod watch;
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use serde_json::Value;
@@ -16,7 +23,7 @@
 use tc_platform::ObjectEvent;
 use tokio::sync::watch::{Receiver, Sender};
 
-use crate::edges::Edges;
+use crate::{edges::Edges, freeze::FreezeWatch};
 
 pub(crate) use config::ConfigInForce;
 pub(crate) use peers::follow_peers;
@@ -38,6 +45,17 @@
     }
 }
 
+/// Longest wait for a fresh reading after an absence. The store answers in milliseconds; without it, upstreams are told
+/// whom a request is meant for and say so when it is not for them.
+const FRESH_WAIT: Duration = Duration::from_millis(300);
+
+/// What is read from the store by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WorldPart {
+    Config,
+    Upstreams,
+}
+
 /// Holds the newest world, and decides what is newer.
 pub(crate) struct WorldCell {
     edges: Edges,
@@ -45,18 +63,67 @@
     /// Taken by writers only.
     writing: Mutex<()>,
     changes: Sender<u64>,
+    freezes: Arc<FreezeWatch>,
+    /// Absences of this process before the last whole reading of each part.
+    read_after: [AtomicU64; 2],
+    /// The last absence after which no reading came in time, so that requests no longer wait for one.
+    gave_up_after: AtomicU64,
 }
 
 impl WorldCell {
-    pub(crate) fn new(edges: Edges) -> Self {
+    pub(crate) fn new(edges: Edges, freezes: Arc<FreezeWatch>) -> Self {
         Self {
             edges,
             published: ArcSwap::default(),
             writing: Mutex::default(),
             changes: Sender::new(0),
+            freezes,
+            read_after: Default::default(),
+            gave_up_after: AtomicU64::new(0),
+        }
+    }
+
+    pub(crate) fn freezes(&self) -> Arc<FreezeWatch> {
+        Arc::clone(&self.freezes)
+    }
+
+    /// A part was read whole, after this many absences of this process.
+    pub(crate) fn note_read(&self, part: WorldPart, absences: u64) {
+        self.read_after[part as usize].store(absences, Ordering::Release);
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    /// Waits, after an absence of this process, until the store was read anew; not longer than it takes when it is well.
+    ///
+    /// What was known before the absence may send a request to an upstream that has left since, or to another process
+    /// at its address.
+    pub(crate) async fn read_anew(&self) {
+        let absences = self.freezes.count();
+        let mut changes = self.changes();
+        let fresh = async {
+            while !self.is_read_after(absences) {
+                if changes.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        if tokio::time::timeout(FRESH_WAIT, fresh).await.is_err() {
+            log::warn!(
+                "the store was not read anew after an absence; requests go on by what was known before"
+            );
+            self.gave_up_after.fetch_max(absences, Ordering::Release);
         }
     }
 
+    fn is_read_after(&self, absences: u64) -> bool {
+        let read = self
+            .read_after
+            .iter()
+            .map(|read| read.load(Ordering::Acquire));
+        let gave_up = self.gave_up_after.load(Ordering::Acquire);
+        read.min().unwrap_or_default().max(gave_up) >= absences
+    }
+
     /// The world as of now; never waits.
     pub(crate) fn load(&self) -> Arc<World> {
         self.published.load_full()
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -1,147 +1,102 @@
 //! Watching the store for the configuration and the registered upstreams.
-//!
-//! A watch that broke is never taken up where it ended: the store may have dropped the history since, and then holds
-//! the new watch until the next change, seen as an instance that keeps an old configuration for seconds. One list
-//! shows what was missed.
 
 use std::{sync::Arc, time::Duration};
 
 use tc_fleet::WorldObject;
-use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage, Watched};
+use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
 use tc_protocol::MonoTime;
 use tokio::time::{sleep, timeout};
 
-use super::{WorldCell, removals::HeldRemovals};
+use super::{
+    WorldCell, WorldPart,
+    kind_watch::{Followed, KindWatch, Seen, WATCH_WAIT},
+    removals::HeldRemovals,
+};
 use crate::edges::Edges;
 
-/// How long a watch waits for a change. Each watch is one priced call; a connection that went silent is noticed by
-/// the kernel's probes, so a long wait costs nothing.
-const WATCH_WAIT: Duration = Duration::from_secs(25);
 /// Pause after changes of upstreams before the next watch. Upstreams start and leave many at a time, and each watch that
 /// returns is a priced call on every instance: with a pause one call brings what came in it. An upstream that leaves
 /// gets work for so much longer, a small part of the seconds that it allows.
 const GATHER: Duration = Duration::from_millis(300);
-/// First wait after a failed call; doubles with each failure in a row.
-const FIRST_RETRY: Duration = Duration::from_millis(50);
-/// Longest wait: the store's return is noticed within it.
-const LONGEST_RETRY: Duration = Duration::from_millis(800);
-
-/// Waits between failed calls, jittered so that instances do not return to the store in step.
-struct Retry {
-    failures: u32,
-}
-
-impl Retry {
-    async fn pause(&mut self) {
-        let wait = FIRST_RETRY * 2u32.pow(self.failures.min(8));
-        self.failures += 1;
-        sleep(
-            wait.min(LONGEST_RETRY)
-                .mul_f64(0.5 + 0.5 * rand::random::<f64>()),
-        )
-        .await;
-    }
-}
 
 /// Keeps the configuration up to date; runs until it is dropped.
 pub(crate) async fn watch_config(store: Store, edges: Edges, cell: Arc<WorldCell>) {
-    let kind = edges.kinds.config;
-    let mut retry = Retry { failures: 0 };
-    let mut lost = Lost::new("configuration");
+    let followed = Followed {
+        store,
+        dialect: edges.store,
+        kind: edges.kinds.config,
+        purpose: Purpose::Config,
+        what: "configuration",
+    };
+    let mut watch = KindWatch::new(followed, cell.freezes());
+    let apply = |object: &StoredObject| {
+        if *object.name == *edges.kinds.config_name {
+            cell.apply_config(&object.value, object.revision);
+        }
+    };
     loop {
-        let mut from = match store.list_kind(Purpose::Config, &edges.store, kind).await {
-            Ok(page) => {
-                lost.answered();
-                retry.failures = 0;
-                for object in page
-                    .items
-                    .iter()
-                    .filter(|o| *o.name == *edges.kinds.config_name)
-                {
-                    cell.apply_config(&object.value, object.revision);
-                }
-                page.at
+        match watch.next(WATCH_WAIT).await {
+            Seen::All(page, absences) => {
+                page.items.iter().for_each(apply);
+                cell.note_read(WorldPart::Config, absences);
             }
-            Err(error) => {
-                lost.failed(&error);
-                retry.pause().await;
-                continue;
-            }
-        };
-        loop {
-            let watched = store
-                .watch_kind(Purpose::Config, &edges.store, kind, from, WATCH_WAIT)
-                .await;
-            match watched {
-                Ok(Watched::Changes(page)) => {
-                    lost.answered();
-                    retry.failures = 0;
-                    for event in &page.events {
-                        if let ObjectEvent::Put(object) = event
-                            && *object.name == *edges.kinds.config_name
-                        {
-                            cell.apply_config(&object.value, object.revision);
-                        }
+            Seen::Changes(page) => {
+                for event in &page.events {
+                    if let ObjectEvent::Put(object) = event {
+                        apply(object);
                     }
-                    from = page.at;
-                }
-                Ok(Watched::HistoryGone) => break,
-                Err(error) => {
-                    lost.failed(&error);
-                    retry.pause().await;
-                    break;
                 }
             }
+            Seen::Failed => {}
         }
     }
 }
 
 /// Keeps the list of upstreams up to date; runs until it is dropped.
 pub(crate) async fn watch_upstreams(store: Store, edges: Edges, cell: Arc<WorldCell>) {
-    let mut watcher = UpstreamWatcher {
+    let followed = Followed {
         store,
-        edges,
+        dialect: edges.store,
+        kind: edges.kinds.upstreams,
+        purpose: Purpose::Registry,
+        what: "list of upstreams",
+    };
+    let mut watch = KindWatch::new(followed, cell.freezes());
+    let mut upstreams = UpstreamKeeper {
         cell,
         removals: HeldRemovals::default(),
-        retry: Retry { failures: 0 },
-        lost: Lost::new("list of upstreams"),
     };
     loop {
-        if let Some(from) = watcher.list().await {
-            watcher.watch(from).await;
-        }
+        let seen = watch.next(upstreams.wait()).await;
+        upstreams.take(seen).await;
     }
 }
 
-struct UpstreamWatcher {
-    store: Store,
-    edges: Edges,
+struct UpstreamKeeper {
     cell: Arc<WorldCell>,
     removals: HeldRemovals,
-    retry: Retry,
-    lost: Lost,
 }
 
-impl UpstreamWatcher {
-    /// Reads the whole list; the revision to watch from, or nothing when the store did not answer.
-    async fn list(&mut self) -> Option<u64> {
-        let kind = self.edges.kinds.upstreams;
-        let listed = self
-            .store
-            .list_kind(Purpose::Registry, &self.edges.store, kind)
-            .await;
-        match listed {
-            Ok(page) => {
-                self.answered();
-                let at = page.at;
+impl UpstreamKeeper {
+    async fn take(&mut self, seen: Seen) {
+        let now = MonoTime::now();
+        match seen {
+            Seen::All(page, absences) => {
+                self.removals.answered(now);
                 self.take_list(page);
-                Some(at)
+                self.cell.note_read(WorldPart::Upstreams, absences);
             }
-            Err(error) => {
-                self.failed(&error).await;
-                None
+            Seen::Changes(page) => {
+                self.removals.answered(now);
+                let any = !page.events.is_empty();
+                self.take_events(page.events, page.at);
+                if any {
+                    sleep(GATHER).await;
+                }
             }
+            Seen::Failed => self.removals.failed(now),
         }
+        self.apply_due();
     }
 
     /// Turns a list into changes, so that removals just after an outage are held as the watch's are.
@@ -171,43 +126,7 @@
             })
             .collect();
         let present = page.items.into_iter().map(ObjectEvent::Put);
-        let events = present.chain(gone).collect();
-        self.take_events(WatchPage {
-            events,
-            at: page.at,
-        });
-    }
-
-    /// Watches from a revision until the history is gone.
-    async fn watch(&mut self, mut from: u64) {
-        let kind = self.edges.kinds.upstreams;
-        loop {
-            let store = self.store.clone();
-            let watch = store.watch_kind(
-                Purpose::Registry,
-                &self.edges.store,
-                kind,
-                from,
-                self.wait(),
-            );
-            match watch.await {
-                Ok(Watched::Changes(page)) => {
-                    self.answered();
-                    from = page.at;
-                    let any = !page.events.is_empty();
-                    self.take_events(page);
-                    if any {
-                        sleep(GATHER).await;
-                    }
-                }
-                Ok(Watched::HistoryGone) => return,
-                Err(error) => {
-                    self.failed(&error).await;
-                    return;
-                }
-            }
-            self.apply_due();
-        }
+        self.take_events(present.chain(gone).collect(), page.at);
     }
 
     /// Shorter while removals are held, so that they count in time.
@@ -218,10 +137,10 @@
         })
     }
 
-    fn take_events(&mut self, page: WatchPage) {
-        let events = self.removals.sift(MonoTime::now(), page.events);
+    fn take_events(&mut self, events: Vec<ObjectEvent>, at: u64) {
+        let events = self.removals.sift(MonoTime::now(), events);
         if !events.is_empty() {
-            self.cell.apply_upstream_events(&events, page.at);
+            self.cell.apply_upstream_events(&events, at);
         }
     }
 
@@ -232,44 +151,6 @@
             self.cell.apply_upstream_events(&due, at);
         }
     }
-
-    fn answered(&mut self) {
-        self.retry.failures = 0;
-        self.removals.answered(MonoTime::now());
-        self.lost.answered();
-    }
-
-    async fn failed(&mut self, error: &StoreError) {
-        self.removals.failed(MonoTime::now());
-        self.lost.failed(error);
-        self.retry.pause().await;
-    }
-}
-
-/// Logs a dependency once when it is lost and once when it is regained.
-struct Lost {
-    what: &'static str,
-    since: Option<MonoTime>,
-}
-
-impl Lost {
-    fn new(what: &'static str) -> Self {
-        Self { what, since: None }
-    }
-
-    fn failed(&mut self, error: &StoreError) {
-        if self.since.is_none() {
-            self.since = Some(MonoTime::now());
-            log::warn!(what = self.what, error = error.to_string().as_str(); "the store does not answer; the last known state stays in force");
-        }
-    }
-
-    fn answered(&mut self) {
-        if let Some(since) = self.since.take() {
-            let away = MonoTime::now().since(since);
-            log::info!(what = self.what, away_ms = away.as_millis() as u64; "the store answers again");
-        }
-    }
 }
 
 /// Waits until the world is known, at most so long.
