Stop requests that crash upstreams on every instance, also routed ones

Cause: a routed request that kills whatever runs it was sent on by every instance for ever; suspects were known only to the product's own interface. Now a connection that breaks under a request is told to the home of its service's suspects; from the second crash in a row it runs one at a time over all instances, after the third it is refused with 503 for ten minutes; a whole run anywhere clears it. SuspectTable reaches homes through a closure, so that both layers between instances use one copy of table, home and gossip. Ruled out: trials from the first crash, as on the own interface. All that one crash cuts off would queue for each other; upstreams crash by themselves too. Ruled out: two crashes. A request that is repeated on a flapping upstream is in two crashes by chance.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -1375,6 +1375,21 @@
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FreeResults"));
             self.inner.unary(req, path, codec).await
         }
+        /// Requests that may crash upstreams, at the home of their service.
+        pub async fn suspects(
+            &mut self,
+            request: impl tonic::IntoRequest<super::SuspectReport>,
+        ) -> std::result::Result<tonic::Response<super::SuspectAnswer>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/Suspects");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "Suspects"));
+            self.inner.unary(req, path, codec).await
+        }
         /// What the store last said, for an instance that cannot read it.
         pub async fn pull_world(
             &mut self,
@@ -1422,6 +1437,11 @@
             &self,
             request: tonic::Request<super::FreeResultsMessage>,
         ) -> std::result::Result<tonic::Response<super::FreeResultsAnswer>, tonic::Status>;
+        /// Requests that may crash upstreams, at the home of their service.
+        async fn suspects(
+            &self,
+            request: tonic::Request<super::SuspectReport>,
+        ) -> std::result::Result<tonic::Response<super::SuspectAnswer>, tonic::Status>;
         /// What the store last said, for an instance that cannot read it.
         async fn pull_world(
             &self,
@@ -1615,6 +1635,43 @@
                     };
                     Box::pin(fut)
                 }
+                "/tanagercroft.fleet.v1.Mesh/Suspects" => {
+                    #[allow(non_camel_case_types)]
+                    struct SuspectsSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::SuspectReport> for SuspectsSvc<T> {
+                        type Response = super::SuspectAnswer;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::SuspectReport>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Mesh>::suspects(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = SuspectsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/tanagercroft.fleet.v1.Mesh/PullWorld" => {
                     #[allow(non_camel_case_types)]
                     struct PullWorldSvc<T: Mesh>(pub Arc<T>);
--- a/crates/tc-fleet/src/mesh/actor.rs
+++ b/crates/tc-fleet/src/mesh/actor.rs
@@ -9,7 +9,10 @@
 use tokio::sync::{oneshot, watch};
 
 use super::peers::Peers;
-use crate::{convert, generated::Datagram, gossip::GossipSocket};
+use crate::{
+    convert, generated::Datagram, gossip::GossipSocket, suspects::SUSPECTS_PER_DATAGRAM,
+    suspects::SuspectTable,
+};
 
 /// Shortest wait between two ticks, so that a timer that is always due cannot keep the thread busy.
 const LEAST_TICK: Duration = Duration::from_millis(10);
@@ -23,6 +26,8 @@
     Introduced(Box<Record>, oneshot::Sender<Vec<Record>>),
     /// A call to it failed: probe it next.
     Doubt(InstanceId),
+    /// Tell every instance of suspects now.
+    SpreadSuspects,
     /// This process was absent for a while.
     Woke,
     /// The revision of the store that this instance has seen.
@@ -46,6 +51,7 @@
     pub(super) socket: GossipSocket,
     pub(super) peers: Arc<Peers>,
     pub(super) published: Arc<Published>,
+    pub(super) suspects: Arc<SuspectTable>,
 }
 
 pub(super) struct MeshState {
@@ -101,6 +107,10 @@
                 self.membership.suspect(now, &id);
                 self.tick(now);
             }
+            MeshMsg::SpreadSuspects => {
+                let outgoing = self.membership.announce_to_all();
+                self.send(outgoing);
+            }
             MeshMsg::Woke => {
                 // What it knew before may be wrong by now: others may have taken it for dead.
                 self.membership.woke(now);
@@ -124,6 +134,7 @@
             metrics::counter!("tc_gossip_refused_total").increment(1);
             return;
         };
+        self.args.suspects.heard(now, &datagram.suspects);
         let outgoing = self.membership.handle(now, &message);
         self.send(outgoing);
     }
@@ -140,7 +151,11 @@
 
     fn send(&self, outgoing: Vec<Outgoing>) {
         for out in outgoing {
-            let datagram = convert::message_to_wire(&out.message);
+            let mut datagram = convert::message_to_wire(&out.message);
+            datagram.suspects = self
+                .args
+                .suspects
+                .to_gossip(MonoTime::now(), SUSPECTS_PER_DATAGRAM);
             self.args.socket.send(out.to, &datagram);
         }
     }
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -6,7 +6,7 @@
 use ractor::{Actor, ActorRef};
 use tc_membership::{MembershipConfig, Record, home_of};
 use tc_protocol::{
-    InstanceId, Member,
+    AskRefusal, Fingerprint, InstanceId, Member, ServiceName, UpstreamId, WorkspaceName,
     routing::{PiecesAsk, ResultHandle},
 };
 use tokio::{
@@ -23,6 +23,7 @@
     },
     peers::Peers,
     service::{MeshHandlers, Service},
+    suspects::suspect_table,
 };
 use crate::{
     FleetError, FleetKeys, convert,
@@ -30,6 +31,7 @@
     gossip::GossipSocket,
     peers::timed,
     server::check_token,
+    suspects::{Origin, SuspectTable, TrialGuard},
 };
 
 /// How long an ask for pieces may outlive the request's own time, for the way back.
@@ -50,6 +52,11 @@
     pub traffic: tokio::runtime::Handle,
 }
 
+/// The run of a request that may crash upstreams; others of its kind wait until it is dropped.
+pub struct SuspectRun {
+    _trial: TrialGuard,
+}
+
 /// Handle of the mesh; clones share it.
 #[derive(Clone)]
 pub struct Mesh {
@@ -61,6 +68,7 @@
     node: ActorRef<MeshMsg>,
     published: Arc<Published>,
     peers: Arc<Peers>,
+    suspects: Arc<SuspectTable>,
 }
 
 impl Mesh {
@@ -83,12 +91,14 @@
             newest: ArcSwap::from_pointee((0, None)),
             changes: watch::Sender::new(0),
         });
+        let suspects = Arc::new(suspect_table(&settings.me.id, &published, &peers));
         let args = MeshArgs {
             me: settings.me.clone(),
             timing: settings.timing,
             socket: socket.clone(),
             peers: Arc::clone(&peers),
             published: Arc::clone(&published),
+            suspects: Arc::clone(&suspects),
         };
         let (node, _) = Actor::spawn(None, MeshActor, args)
             .await
@@ -99,8 +109,13 @@
                 to_node.cast(MeshMsg::Datagram(Box::new(datagram))).is_ok()
             }),
         );
+        let spreader = node.clone();
+        suspects.set_spread_now(Box::new(move || {
+            let _ = spreader.cast(MeshMsg::SpreadSuspects);
+        }));
         let service = Service {
             node: node.clone(),
+            suspects: Arc::clone(&suspects),
             handlers,
         };
         serve(&settings.keys, &settings.traffic, listener, service);
@@ -110,6 +125,7 @@
                 node,
                 published,
                 peers,
+                suspects,
             }),
         })
     }
@@ -248,6 +264,47 @@
             .map_err(|status| no_answer(home, &status))
     }
 
+    /// Waits for leave to run a request: at once unless it has crashed upstreams, in which case it runs once at a time
+    /// over all instances, and not at all after a few crashes in a row.
+    ///
+    /// The guard is to be held until the run has ended.
+    pub async fn try_run(
+        &self,
+        input: Fingerprint,
+        service: &ServiceName,
+        workspace: &WorkspaceName,
+        slack: Duration,
+    ) -> Result<Option<SuspectRun>, AskRefusal> {
+        let origin = Origin {
+            workspace: workspace.clone(),
+            service: service.clone(),
+        };
+        let trial = self.inner.suspects.try_trial(input, origin, slack).await?;
+        Ok(trial.map(|trial| SuspectRun { _trial: trial }))
+    }
+
+    /// An upstream's connection broke while it ran a request. Tells the home of such requests without waiting for it.
+    pub fn broke_under(
+        &self,
+        input: Fingerprint,
+        service: &ServiceName,
+        workspace: &WorkspaceName,
+        upstream: UpstreamId,
+    ) {
+        let suspects = Arc::clone(&self.inner.suspects);
+        let origin = Origin {
+            workspace: workspace.clone(),
+            service: service.clone(),
+        };
+        suspects.note_origin(input, origin);
+        tokio::spawn(suspects.died(input, upstream));
+    }
+
+    /// A request ran to its end: it crashes nothing.
+    pub fn ran_whole(&self, input: Fingerprint) {
+        self.inner.suspects.ran_whole(input);
+    }
+
     /// Gets what another instance knows of the store beyond what this one has.
     pub async fn pull_world(&self, from: &Member, have: WorldHave) -> Result<WorldCopy, MeshError> {
         let req = timed(WorldPull {
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -7,7 +7,8 @@
 mod messages;
 mod peers;
 mod service;
+mod suspects;
 
-pub use handle::{Mesh, MeshSettings};
+pub use handle::{Mesh, MeshSettings, SuspectRun};
 pub use messages::{MeshError, PiecesAnswer, WorldCopy, WorldHave, WorldObject};
 pub use service::MeshHandlers;
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -4,7 +4,10 @@
 
 use futures::future::BoxFuture;
 use ractor::ActorRef;
-use tc_protocol::routing::{PiecesAsk, ResultHandle};
+use tc_protocol::{
+    MonoTime,
+    routing::{PiecesAsk, ResultHandle},
+};
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status};
 
@@ -18,9 +21,10 @@
     convert,
     generated::{
         FreeResultsAnswer, FreeResultsMessage, Introduction, MemberList,
-        PiecesAnswer as WireAnswer, PiecesAskMessage, WorldCopy as WireCopy, WorldPull,
-        mesh_server::Mesh as MeshService,
+        PiecesAnswer as WireAnswer, PiecesAskMessage, SuspectAnswer, SuspectReport,
+        WorldCopy as WireCopy, WorldPull, mesh_server::Mesh as MeshService,
     },
+    suspects::SuspectTable,
 };
 
 /// What this instance does for others. Futures that are dropped cancel what they stand for.
@@ -38,6 +42,7 @@
 pub(super) struct Service {
     pub(super) node: ActorRef<MeshMsg>,
     pub(super) handlers: Arc<MeshHandlers>,
+    pub(super) suspects: Arc<SuspectTable>,
 }
 
 #[tonic::async_trait]
@@ -77,6 +82,14 @@
         Ok(Response::new(FreeResultsAnswer {}))
     }
 
+    async fn suspects(
+        &self,
+        req: Request<SuspectReport>,
+    ) -> Result<Response<SuspectAnswer>, Status> {
+        let answer = self.suspects.answer(MonoTime::now(), &req.into_inner());
+        Ok(Response::new(answer))
+    }
+
     async fn pull_world(&self, req: Request<WorldPull>) -> Result<Response<WireCopy>, Status> {
         let pull = req.into_inner();
         let copy = (self.handlers.world)(WorldHave {
--- a/crates/tc-fleet/src/node/actor.rs
+++ b/crates/tc-fleet/src/node/actor.rs
@@ -208,33 +208,7 @@
     }
 
     fn spread_suspects(&mut self) {
-        let to: Vec<_> = self
-            .membership
-            .members()
-            .into_iter()
-            .filter(|member| member.id != self.me.id)
-            .map(|member| member.fleet_address)
-            .collect();
-        let Some(me) = self
-            .membership
-            .records()
-            .into_iter()
-            .find(|r| r.member.id == self.me.id)
-        else {
-            return;
-        };
-        let message = tc_membership::Message {
-            from: me,
-            kind: tc_membership::Kind::Announcement,
-            changes: Vec::new(),
-        };
-        let outgoing = to
-            .into_iter()
-            .map(|to| tc_membership::Outgoing {
-                to,
-                message: message.clone(),
-            })
-            .collect();
+        let outgoing = self.membership.announce_to_all();
         self.send(outgoing);
     }
 
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -27,13 +27,11 @@
     limits::WorkspaceLimiter,
     peers::{PeerPool, ToHome},
     summary::SummaryTable,
-    suspects::SuspectTable,
+    suspects::{SUSPECTS_PER_DATAGRAM, SuspectTable},
 };
 
 /// Summaries of own homes put into one datagram at most.
 const SUMMARIES_PER_DATAGRAM: usize = 6;
-/// Suspect fingerprints put into one datagram at most.
-const SUSPECTS_PER_DATAGRAM: usize = 8;
 
 /// What the node shares with other parts.
 #[derive(Clone)]
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -8,9 +8,10 @@
 
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorRef};
-use tc_membership::Record;
+use tc_membership::{Record, home_of};
 use tc_platform::Store;
-use tc_protocol::{FleetView, StoreHealth};
+use tc_policy::SuspectPolicy;
+use tc_protocol::{FleetView, Policy, StoreHealth};
 use tc_upstream::UpstreamClient;
 use tokio::net::{TcpListener, UdpSocket};
 use tonic::transport::server::TcpIncoming;
@@ -26,7 +27,7 @@
     server::{FleetService, ServiceParts, check_token},
     store_watch::read_lists,
     summary::SummaryTable,
-    suspects::{Confirmer, SuspectTable},
+    suspects::{Confirmer, SuspectTable, TellHome, Told},
 };
 
 /// Wait between two rounds of introductions by seeds while nobody is known.
@@ -54,9 +55,10 @@
         .await
         .map_err(|error| FleetError::Actors(error.to_string()))?;
     let suspects = Arc::new(SuspectTable::new(
-        Arc::clone(&view),
-        Arc::clone(&peers),
-        Confirmer::new(upstream.clone()),
+        settings.me.id.clone(),
+        suspect_policy(),
+        tell_home(&view, &peers),
+        Some(Confirmer::new(upstream.clone())),
     ));
     Ok(NodeParts {
         view,
@@ -74,6 +76,33 @@
     })
 }
 
+/// Every crash makes its neighbours suspects at once: few inputs are in flight on one upstream, and a crash costs seconds.
+fn suspect_policy() -> SuspectPolicy {
+    SuspectPolicy {
+        crashes_to_quarantine: Policy::default().crashes_to_quarantine,
+        crashes_to_trial: 1,
+        quarantine_life: None,
+    }
+}
+
+fn tell_home(view: &Arc<ArcSwap<FleetView>>, peers: &Arc<PeerPool>) -> TellHome {
+    let (view, peers) = (Arc::clone(view), Arc::clone(peers));
+    Box::new(move |key, report| {
+        let view = view.load_full();
+        let peers = Arc::clone(&peers);
+        Box::pin(async move {
+            let Some(home) = home_of(&key, &view.members, None, None) else {
+                return Told::Nowhere;
+            };
+            if home.id == view.me.id {
+                return Told::Here;
+            }
+            let answer = peers.get(home).client().suspects(timed(report)).await;
+            answer.map_or(Told::Nowhere, |answer| Told::There(answer.into_inner()))
+        })
+    })
+}
+
 fn first_view(settings: &FleetSettings) -> FleetView {
     FleetView {
         me: settings.me.clone(),
--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -6,10 +6,8 @@
     time::Duration,
 };
 
-use tc_policy::{Suspects, Trial};
-use tc_protocol::{
-    Fingerprint, Incarnation, MonoTime, Policy, ServiceName, UpstreamId, WorkspaceName,
-};
+use tc_policy::{SuspectPolicy, Suspects, Trial};
+use tc_protocol::{Fingerprint, Incarnation, MonoTime, ServiceName, UpstreamId, WorkspaceName};
 
 use crate::{
     convert,
@@ -41,7 +39,7 @@
 
 struct State {
     suspects: Suspects,
-    crashes_to_quarantine: u32,
+    policy: SuspectPolicy,
     deaths: HashMap<UpstreamId, Death>,
     origins: HashMap<Fingerprint, Origin>,
 }
@@ -52,12 +50,11 @@
 }
 
 impl SuspectHome {
-    pub(super) fn new() -> Self {
-        let crashes_to_quarantine = Policy::default().crashes_to_quarantine;
+    pub(super) fn new(policy: SuspectPolicy) -> Self {
         Self {
             state: Mutex::new(State {
-                suspects: Suspects::new(crashes_to_quarantine),
-                crashes_to_quarantine,
+                suspects: Suspects::with_policy(policy),
+                policy,
                 deaths: HashMap::new(),
                 origins: HashMap::new(),
             }),
@@ -67,12 +64,12 @@
     /// Takes up the configured number of crashes; quarantines stay.
     pub(super) fn set_crashes_to_quarantine(&self, now: MonoTime, crashes: u32) {
         let mut state = self.lock();
-        if state.crashes_to_quarantine == crashes {
+        if state.policy.crashes_to_quarantine == crashes {
             return;
         }
         let quarantined: Vec<Fingerprint> = state.suspects.quarantined().collect();
-        state.crashes_to_quarantine = crashes;
-        state.suspects = Suspects::new(crashes);
+        state.policy.crashes_to_quarantine = crashes;
+        state.suspects = Suspects::with_policy(state.policy);
         for fingerprint in quarantined {
             state.suspects.adopt_quarantine(now, fingerprint);
         }
--- a/crates/tc-fleet/src/suspects/mod.rs
+++ b/crates/tc-fleet/src/suspects/mod.rs
@@ -8,5 +8,5 @@
 
 pub(crate) use confirm::{CalledUpstream, Confirmer};
 pub(crate) use home::Origin;
-pub(crate) use table::SuspectTable;
+pub(crate) use table::{SUSPECTS_PER_DATAGRAM, SuspectTable, TellHome, Told};
 pub(crate) use trial::TrialGuard;
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -6,10 +6,10 @@
     time::Duration,
 };
 
-use arc_swap::ArcSwap;
-use tc_membership::home_of;
+use futures::future::BoxFuture;
+use tc_policy::SuspectPolicy;
 use tc_protocol::{
-    AskRefusal, Fingerprint, FleetView, Member, MonoTime, RefusalReason, ServiceName, UpstreamId,
+    AskRefusal, Fingerprint, InstanceId, MonoTime, RefusalReason, ServiceName, UpstreamId,
 };
 
 use super::{
@@ -21,7 +21,6 @@
 use crate::{
     convert,
     generated::{SuspectAnswer, SuspectReport},
-    peers::{PeerPool, timed},
 };
 
 /// Wait before a suspect whose home cannot be reached is tried again.
@@ -34,35 +33,55 @@
 /// Inputs of running calls whose origin is remembered, at most.
 const MOST_ORIGINS: usize = 4_096;
 
+/// Suspect fingerprints put into one datagram at most.
+pub(crate) const SUSPECTS_PER_DATAGRAM: usize = 8;
+
 /// Asks the node to tell every live instance of the suspects now.
 pub(crate) type SpreadNow = Box<dyn Fn() + Send + Sync>;
 
+/// Where a report to the home of some suspects went.
+pub(crate) enum Told {
+    /// This instance is their home.
+    Here,
+    /// Another instance is, and answered.
+    There(SuspectAnswer),
+    /// Their home cannot be reached.
+    Nowhere,
+}
+
+/// Tells the home that a key names. All suspects of a service have one home: a home that knew only some of those that
+/// were in flight on an upstream that died could not tell the guilty one from its neighbours.
+pub(crate) type TellHome =
+    Box<dyn Fn(String, SuspectReport) -> BoxFuture<'static, Told> + Send + Sync>;
+
 /// All that this instance knows of suspects.
 pub(crate) struct SuspectTable {
-    view: Arc<ArcSwap<FleetView>>,
-    peers: Arc<PeerPool>,
+    me: InstanceId,
+    tell_home: TellHome,
     reported: ReportedSuspects,
     /// Upstreams as they were when calls that ended in a broken connection were granted.
     called: Mutex<HashMap<Fingerprint, CalledUpstream>>,
     /// Of inputs that died here or run as suspects.
     origins: Mutex<HashMap<Fingerprint, Origin>>,
     home: SuspectHome,
-    confirmer: Confirmer,
+    /// Whether a connection that broke means a death; without one it always does.
+    confirmer: Option<Confirmer>,
     spread_now: Mutex<Option<SpreadNow>>,
 }
 
 impl SuspectTable {
     pub(crate) fn new(
-        view: Arc<ArcSwap<FleetView>>,
-        peers: Arc<PeerPool>,
-        confirmer: Confirmer,
+        me: InstanceId,
+        policy: SuspectPolicy,
+        tell_home: TellHome,
+        confirmer: Option<Confirmer>,
     ) -> Self {
         Self {
-            view,
-            peers,
+            me,
+            tell_home,
             reported: ReportedSuspects::default(),
             origins: Mutex::default(),
-            home: SuspectHome::new(),
+            home: SuspectHome::new(policy),
             confirmer,
             called: Mutex::default(),
             spread_now: Mutex::default(),
@@ -142,8 +161,8 @@
     /// the warning.
     pub(crate) async fn died(self: Arc<Self>, fingerprint: Fingerprint, upstream: UpstreamId) {
         let called = lock(&self.called).remove(&fingerprint);
-        if let Some(called) = called
-            && !self.confirmer.is_dead(&called).await
+        if let (Some(called), Some(confirmer)) = (called, &self.confirmer)
+            && !confirmer.is_dead(&called).await
         {
             metrics::counter!("tc_false_deaths_total").increment(1);
             return;
@@ -191,9 +210,11 @@
     /// A home's answer to an entry's report.
     pub(crate) fn answer(&self, now: MonoTime, report: &SuspectReport) -> SuspectAnswer {
         let answer = self.home.answer(now, report);
-        if !report.died.is_empty() {
-            for died in &report.died {
-                self.reported.insert(now, Fingerprint(*died));
+        let died = report.died.iter().copied().map(Fingerprint).collect();
+        let suspects = self.home.suspects_among(died);
+        if !suspects.is_empty() {
+            for suspect in suspects {
+                self.reported.insert(now, suspect);
             }
             if let Some(spread) = lock(&self.spread_now).as_ref() {
                 spread();
@@ -242,22 +263,14 @@
         self.reported.remove(fingerprint);
     }
 
-    /// All suspects of a service have one home: a home that knew only some of those that were in flight on an upstream
-    /// that died could not tell the guilty one from its neighbours.
-    fn home_of(view: &FleetView, service: &str) -> Option<Member> {
-        home_of(&format!("suspects/{service}"), &view.members, None, None).cloned()
-    }
-
     /// Tells the service's home; `None` when it cannot be reached.
     async fn tell(&self, report: &SuspectReport) -> Option<SuspectAnswer> {
-        let view = self.view.load_full();
-        let home = Self::home_of(&view, &report.service)?;
-        if home.id == view.me.id {
-            return Some(self.answer(MonoTime::now(), report));
+        let key = format!("suspects/{}", report.service);
+        match (self.tell_home)(key, report.clone()).await {
+            Told::Here => Some(self.answer(MonoTime::now(), report)),
+            Told::There(answer) => Some(answer),
+            Told::Nowhere => None,
         }
-        let mut client = self.peers.get(&home).client();
-        let answer = client.suspects(timed(report.clone())).await;
-        answer.ok().map(tonic::Response::into_inner)
     }
 
     fn tell_later(self: &Arc<Self>, report: SuspectReport) {
@@ -269,7 +282,7 @@
 
     fn empty_report(&self, service: &ServiceName) -> SuspectReport {
         SuspectReport {
-            from: self.view.load().me.id.to_string(),
+            from: self.me.to_string(),
             service: service.to_string(),
             ..SuspectReport::default()
         }
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -9,7 +9,7 @@
     FailureDomain, RunState, UpstreamId,
     routing::{RegisteredUpstream, ResultHandle},
 };
-use tc_upstream::{RawCall, RawReply};
+use tc_upstream::{CallError, CallErrorKind, RawCall, RawReply};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -52,6 +52,24 @@
     NoTime,
 }
 
+/// What is wrong with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Spoilt {
+    /// It ended before its end, as when the upstream crashes.
+    Broke,
+    /// It is too late, too large, or another's.
+    Wrong,
+}
+
+impl From<&CallError> for Spoilt {
+    fn from(error: &CallError) -> Self {
+        match error.kind {
+            CallErrorKind::Broken => Self::Broke,
+            _ => Self::Wrong,
+        }
+    }
+}
+
 /// An answer whose head was checked.
 pub(super) struct Answered {
     pub(super) reply: RawReply,
@@ -140,6 +158,9 @@
             Err(error) => {
                 let not_run = error.run_state == RunState::NotRun;
                 log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), not_run = not_run, error = error.to_string().as_str(), after_ms = sent_at.elapsed().as_millis() as u64; "a send brought no answer");
+                if error.kind == CallErrorKind::Broken {
+                    broke_under(cx, req, &upstream.id);
+                }
                 cx.book.note(&upstream.id, CallHealth::Failed);
                 self.tried.push(upstream.id.clone());
                 return Err(self.unanswered(not_run));
@@ -215,7 +236,7 @@
         let is_success = answered.reply.head.status.is_success();
         if !is_ours || (is_success && !is_genuine) {
             log::warn!(request = &*req.head.request, upstream = id.as_str(), ours = is_ours, sealed = head.sealed, encoded = head.encoded; "an answer is not this request's or not genuine");
-            return Err(self.spoilt(cx, id));
+            return Err(self.spoilt(cx, req, id, Spoilt::Wrong));
         }
         Ok(answered)
     }
@@ -236,7 +257,16 @@
     }
 
     /// The upstream ran the request, but its answer cannot be used.
-    pub(super) fn spoilt(&mut self, cx: &RunContext, id: &UpstreamId) -> SendFailure {
+    pub(super) fn spoilt(
+        &mut self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        id: &UpstreamId,
+        how: Spoilt,
+    ) -> SendFailure {
+        if how == Spoilt::Broke {
+            broke_under(cx, req, id);
+        }
         cx.book.note(id, CallHealth::Failed);
         self.tried.push(id.clone());
         self.may_have_run = true;
@@ -244,6 +274,13 @@
     }
 }
 
+/// An upstream may have crashed of the request it ran.
+fn broke_under(cx: &RunContext, req: &RoutedRequest, upstream: &UpstreamId) {
+    let (input, workspace) = (req.fingerprint(), req.workspace_name());
+    cx.mesh
+        .broke_under(input, &req.service, &workspace, upstream.clone());
+}
+
 fn request_to(
     cx: &RunContext,
     req: &RoutedRequest,
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -13,14 +13,15 @@
 use bytes::Bytes;
 use http::{Response, StatusCode, request::Parts};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use tc_fleet::Mesh;
+use tc_fleet::{Mesh, SuspectRun};
 use tc_protocol::{
-    MemberState, ServiceName, UpstreamId,
+    AskRefusal, Fingerprint, MemberState, RefusalReason, ServiceName, UpstreamId, WorkspaceName,
     routing::{Route, RoutedWorkspace},
 };
 use tc_upstream::UpstreamClient;
 use thiserror::Error;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
     budgets::RepeatBudgets,
@@ -70,7 +71,7 @@
 
 impl RunContext {
     /// Instances that take part in budgets: all that may be sending.
-    fn instances(&self) -> usize {
+    pub(crate) fn instances(&self) -> usize {
         let members = self.mesh.members();
         members
             .iter()
@@ -90,6 +91,8 @@
     pub(crate) arrived: Instant,
     /// Until its caller or its route ends it.
     pub(crate) allowed: TimeAllowed,
+    /// Held while the request runs if it may crash upstreams.
+    pub(crate) suspect: Option<SuspectRun>,
 }
 
 impl RoutedRequest {
@@ -122,6 +125,23 @@
         );
     }
 
+    /// What is the same in every sending of the request: path, workspace and body.
+    fn fingerprint(&self) -> Fingerprint {
+        let mut hasher = Xxh3::new();
+        hasher.update(self.parts.uri.path().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(self.workspace_name().as_str().as_bytes());
+        hasher.update(&[0]);
+        hasher.update(&self.body);
+        // Zero stands for no request at all.
+        Fingerprint(hasher.digest().max(1))
+    }
+
+    fn workspace_name(&self) -> WorkspaceName {
+        let workspace = self.workspace.as_ref();
+        workspace.map_or_else(|| "".into(), |workspace| workspace.name.clone())
+    }
+
     /// Rank among requests, 0 first: by workspace, and within one by route.
     fn rank(&self) -> u8 {
         let workspace = self.workspace.as_ref().and_then(|w| w.priority);
@@ -134,8 +154,12 @@
 }
 
 /// Runs a request to its answer, or to the first event of a streamed one.
-pub(crate) async fn run(cx: Arc<RunContext>, req: RoutedRequest) -> Response<AnswerBody> {
+pub(crate) async fn run(cx: Arc<RunContext>, mut req: RoutedRequest) -> Response<AnswerBody> {
     cx.budgets.note_request(&req.service, cx.instances());
+    if let Err(refusal) = hold_suspect(&cx, &mut req).await {
+        refusal.log(&req);
+        return own_answer(&cx.edges, &req.head.request, &refusal);
+    }
     let req = Arc::new(req);
     let answered = if req.route.repeat.is_stream() {
         stream::run(Arc::clone(&cx), Arc::clone(&req)).await
@@ -147,3 +171,20 @@
         own_answer(&cx.edges, &req.head.request, &refusal)
     })
 }
+
+/// Waits for leave to run a request that may crash upstreams; refuses one that has done so too often.
+async fn hold_suspect(cx: &RunContext, req: &mut RoutedRequest) -> Result<(), Refusal> {
+    let (input, workspace) = (req.fingerprint(), req.workspace_name());
+    let slack = req.time_to_first();
+    let held = cx.mesh.try_run(input, &req.service, &workspace, slack);
+    req.suspect = held.await.map_err(|refused| refused_suspect(&refused))?;
+    Ok(())
+}
+
+fn refused_suspect(refused: &AskRefusal) -> Refusal {
+    let reason = match refused.reason {
+        RefusalReason::Quarantined => "the request has crashed upstreams that ran it",
+        _ => "the request may crash upstreams and another run of it is in progress",
+    };
+    Refusal::not_run(reason, refused.retry_after)
+}
--- a/crates/tc-gateway/src/run/plain.rs
+++ b/crates/tc-gateway/src/run/plain.rs
@@ -7,7 +7,7 @@
 
 use super::{
     AnswerBody, Refusal, RoutedRequest, RunContext,
-    attempt::{Answered, Attempts, SendFailure, SendWith},
+    attempt::{Answered, Attempts, SendFailure, SendWith, Spoilt},
     stages::{self, StageResults},
     whole,
 };
@@ -122,11 +122,12 @@
         Ok(body) => {
             cx.book.note(&upstream.id, CallHealth::Answered(first_byte));
             req.note_answer(&upstream.id, reply.head.status, attempts.sent);
+            cx.mesh.ran_whole(req.fingerprint());
             Ok(answer(cx, &reply.head, body))
         }
         Err(error) => {
             log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = error.to_string().as_str(); "an answer broke off");
-            Err(attempts.spoilt(cx, &upstream.id))
+            Err(attempts.spoilt(cx, req, &upstream.id, Spoilt::from(&error)))
         }
     }
 }
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -7,11 +7,12 @@
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use tc_upstream::CallError;
 use tokio::time::timeout;
 
 use super::{
     AnswerBody, Refusal, RoutedRequest, RunContext, StreamCut,
-    attempt::{Answered, Attempts, SendFailure, SendWith},
+    attempt::{Answered, Attempts, SendFailure, SendWith, Spoilt},
     plain::{inputs_of, make_stages, make_stages_again, read},
     stages::StageResults,
 };
@@ -139,14 +140,40 @@
                 })));
             }
             other => {
-                let error = other.and_then(Result::err).map(|e| e.to_string());
-                log::info!(request = &*req.head.request, upstream = answered.upstream.id.as_str(), error = error.as_deref().unwrap_or("it ended inside an event"); "a stream broke before its first event");
-                return Err(attempts.spoilt(cx, &answered.upstream.id));
+                let broken = Broken::from_end(other.and_then(Result::err));
+                let upstream = &answered.upstream.id;
+                log::info!(request = &*req.head.request, upstream = upstream.as_str(), error = broken.problem.as_str(); "a stream broke before its first event");
+                return Err(attempts.spoilt(cx, req, upstream, broken.how));
             }
         }
     }
 }
 
+/// How a stream ended before its end.
+struct Broken {
+    how: Spoilt,
+    problem: String,
+}
+
+impl Broken {
+    /// The connection failed, or ended where no event ends.
+    fn from_end(error: Option<CallError>) -> Self {
+        let how = error.as_ref().map_or(Spoilt::Broke, Spoilt::from);
+        let problem = error.map_or_else(
+            || "it ended inside an event".to_owned(),
+            |error| error.to_string(),
+        );
+        Self { how, problem }
+    }
+
+    fn wrong(problem: &str) -> Self {
+        Self {
+            how: Spoilt::Wrong,
+            problem: problem.to_owned(),
+        }
+    }
+}
+
 /// A stream on its way to the caller. Dropping it cancels the engine's run.
 struct Relay {
     cx: Arc<RunContext>,
@@ -196,8 +223,8 @@
             }
             match self.read_more().await {
                 Ok(()) => {}
-                Err(problem) => {
-                    if let Err(cut) = self.go_on_elsewhere(&problem).await {
+                Err(broken) => {
+                    if let Err(cut) = self.go_on_elsewhere(&broken).await {
                         self.ended = true;
                         return Some(Err(cut));
                     }
@@ -227,22 +254,23 @@
         ready.map(BytesMut::freeze)
     }
 
-    async fn read_more(&mut self) -> Result<(), String> {
+    async fn read_more(&mut self) -> Result<(), Broken> {
         let stall = self.stall();
         let next = self.open.answered.reply.body.chunk();
         let next = match stall {
             Some(stall) => timeout(stall, next)
                 .await
-                .map_err(|_| "no event for too long".to_owned())?,
+                .map_err(|_| Broken::wrong("no event for too long"))?,
             None => next.await,
         };
         match next {
             Some(Ok(bytes)) if self.open.events.push(&bytes) => Ok(()),
-            Some(Ok(_)) => Err("an event is too large".to_owned()),
-            Some(Err(error)) => Err(error.to_string()),
-            None if self.open.events.has_rest() => Err("it ended inside an event".to_owned()),
+            Some(Ok(_)) => Err(Broken::wrong("an event is too large")),
+            Some(Err(error)) => Err(Broken::from_end(Some(error))),
+            None if self.open.events.has_rest() => Err(Broken::from_end(None)),
             None => {
                 self.ended = true;
+                self.cx.mesh.ran_whole(self.req.fingerprint());
                 Ok(())
             }
         }
@@ -257,10 +285,12 @@
     }
 
     /// Resumes a stream that broke, if its route and budget allow it.
-    async fn go_on_elsewhere(&mut self, problem: &str) -> Result<(), StreamCut> {
+    async fn go_on_elsewhere(&mut self, broken: &Broken) -> Result<(), StreamCut> {
         let upstream = self.open.answered.upstream.id.clone();
-        log::info!(request = &*self.req.head.request, upstream = upstream.as_str(), last_event = self.last_id.unwrap_or(0), problem = problem, after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
-        let mut failure = self.attempts.spoilt(&self.cx, &upstream);
+        log::info!(request = &*self.req.head.request, upstream = upstream.as_str(), last_event = self.last_id.unwrap_or(0), problem = broken.problem.as_str(), after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
+        let mut failure = self
+            .attempts
+            .spoilt(&self.cx, &self.req, &upstream, broken.how);
         while self.attempts.may_send_again(&self.cx, &self.req, failure) {
             failure = match self.resume().await {
                 Ok(()) => return Ok(()),
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -158,6 +158,7 @@
             workspace,
             arrived,
             allowed,
+            suspect: None,
         })
     }
 
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -106,6 +106,12 @@
         Ok(gateway)
     }
 
+    /// Instances that are not thought to be dead, this one included.
+    #[must_use]
+    pub fn members(&self) -> usize {
+        self.cx.instances()
+    }
+
     /// Stops it as planned: done when the process may end.
     pub async fn stop(&self) {
         stop(
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -29,5 +29,5 @@
 pub use rendezvous::{rendezvous, rendezvous_score};
 pub use repeats::{RepeatBudget, RepeatLimits};
 pub use retry::retry_delay;
-pub use suspect::{Suspects, Trial};
+pub use suspect::{SuspectPolicy, Suspects, Trial};
 pub use throttle::Throttle;
--- a/crates/tc-policy/src/suspect.rs
+++ b/crates/tc-policy/src/suspect.rs
@@ -53,22 +53,36 @@
     in_flight: BTreeSet<Fingerprint>,
 }
 
+/// When a request is taken for one that crashes upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SuspectPolicy {
+    /// Crashes after which it is quarantined (at least 1).
+    pub crashes_to_quarantine: u32,
+    /// Crashes from which on it runs as a trial only, one at a time (at least 1).
+    ///
+    /// With 1 an innocent neighbour of the first crash waits for the trials of the others; with more it does not, and
+    /// the request that crashes upstreams may take some at the same moment.
+    pub crashes_to_trial: u32,
+    /// How long a quarantine lasts; for good, until it is lifted, when `None`.
+    pub quarantine_life: Option<Duration>,
+}
+
 /// The suspects, trials and quarantined fingerprints at one home. Memory is bounded.
 #[derive(Debug)]
 pub struct Suspects {
-    crashes_to_quarantine: usize,
+    policy: SuspectPolicy,
     crashes: BTreeMap<CrashKey, Crash>,
     /// Unexplained crashes that each suspect was in flight in.
     crashes_of: HashMap<Fingerprint, BTreeSet<CrashKey>>,
     trials: HashMap<Fingerprint, MonoTime>,
-    quarantined: BTreeSet<Fingerprint>,
+    quarantined: BTreeMap<Fingerprint, MonoTime>,
     quarantined_order: VecDeque<Fingerprint>,
     /// Crashes whose guilty one is known; the oldest goes first.
     explained: VecDeque<CrashKey>,
 }
 
 impl Suspects {
-    /// Quarantines after `crashes_to_quarantine` crashes (at least 1).
+    /// Quarantines after `crashes_to_quarantine` crashes (at least 1), for good; suspects run as trials from the first.
     ///
     /// ```
     /// use tc_policy::{Suspects, Trial};
@@ -83,12 +97,37 @@
     /// ```
     #[must_use]
     pub fn new(crashes_to_quarantine: u32) -> Self {
+        Self::with_policy(SuspectPolicy {
+            crashes_to_quarantine,
+            crashes_to_trial: 1,
+            quarantine_life: None,
+        })
+    }
+
+    /// Decides by `policy`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tc_policy::{SuspectPolicy, Suspects};
+    /// use tc_protocol::{Fingerprint, Incarnation, MonoTime};
+    /// let mut suspects = Suspects::with_policy(SuspectPolicy {
+    ///     crashes_to_quarantine: 3,
+    ///     crashes_to_trial: 2,
+    ///     quarantine_life: Some(Duration::from_secs(600)),
+    /// });
+    /// suspects.died(MonoTime(1), &"gen-1".into(), Incarnation(1), &[Fingerprint(7)]);
+    /// assert!(!suspects.is_suspect(Fingerprint(7)));
+    /// suspects.died(MonoTime(2), &"gen-2".into(), Incarnation(1), &[Fingerprint(7)]);
+    /// assert!(suspects.is_suspect(Fingerprint(7)));
+    /// ```
+    #[must_use]
+    pub fn with_policy(policy: SuspectPolicy) -> Self {
         Self {
-            crashes_to_quarantine: crashes_to_quarantine.max(1) as usize,
+            policy,
             crashes: BTreeMap::new(),
             crashes_of: HashMap::new(),
             trials: HashMap::new(),
-            quarantined: BTreeSet::new(),
+            quarantined: BTreeMap::new(),
             quarantined_order: VecDeque::new(),
             explained: VecDeque::new(),
         }
@@ -114,7 +153,7 @@
         if self.explained.contains(&key) {
             return;
         }
-        if fps.iter().any(|fp| self.quarantined.contains(fp)) {
+        if fps.iter().any(|fp| self.quarantined.contains_key(fp)) {
             self.explain(&key);
             return;
         }
@@ -130,14 +169,19 @@
             }
         }
         if let Some(guilty) = self.guilty_of(&key) {
-            self.quarantine(guilty);
+            self.quarantine(now, guilty);
         }
     }
 
     /// Whether the fingerprint may run only as a trial.
     #[must_use]
     pub fn is_suspect(&self, fp: Fingerprint) -> bool {
-        self.crashes_of.contains_key(&fp) || self.quarantined.contains(&fp)
+        self.needs_trial(fp) || self.quarantined.contains_key(&fp)
+    }
+
+    fn needs_trial(&self, fp: Fingerprint) -> bool {
+        let crashes = self.crashes_of.get(&fp).map_or(0, BTreeSet::len);
+        crashes > 0 && crashes >= self.policy.crashes_to_trial as usize
     }
 
     /// Asks to run a suspect.
@@ -147,11 +191,14 @@
     /// refused or a third upstream be lost to find out.
     pub fn try_trial(&mut self, now: MonoTime, fp: Fingerprint) -> Trial {
         self.forget_old(now);
-        if self.quarantined.contains(&fp) {
+        if self.quarantined.contains_key(&fp) {
             return Trial::Quarantined {
                 retry_after: QUARANTINE_RETRY_AFTER,
             };
         }
+        if !self.needs_trial(fp) {
+            return Trial::Run;
+        }
         let Some(crashes) = self.crashes_of.get(&fp) else {
             return Trial::Run;
         };
@@ -190,20 +237,20 @@
 
     /// The quarantined fingerprints.
     pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        self.quarantined.iter().copied()
+        self.quarantined.keys().copied()
     }
 
     /// Takes over a quarantine found elsewhere.
     pub fn adopt_quarantine(&mut self, now: MonoTime, fp: Fingerprint) {
         self.forget_old(now);
-        self.quarantine(fp);
+        self.quarantine(now, fp);
     }
 
     /// An operator lifted the quarantine: the fingerprint may run as any other, and is quarantined again after as many
     /// crashes as before.
     pub fn lift(&mut self, now: MonoTime, fp: Fingerprint) {
         self.forget_old(now);
-        if self.quarantined.remove(&fp) {
+        if self.quarantined.remove(&fp).is_some() {
             self.quarantined_order.retain(|other| *other != fp);
         }
     }
@@ -232,7 +279,7 @@
             .iter()
             .map(|&fp| (self.crashes_of.get(&fp).map_or(0, BTreeSet::len), fp));
         let most = counted.clone().map(|(crashes, _)| crashes).max()?;
-        if most < self.crashes_to_quarantine {
+        if most < self.policy.crashes_to_quarantine.max(1) as usize {
             return None;
         }
         let mut worst = counted.filter(|&(crashes, _)| crashes == most);
@@ -241,8 +288,8 @@
     }
 
     /// Quarantines the fingerprint; the crashes it was in are explained, and its neighbours in them go free.
-    fn quarantine(&mut self, guilty: Fingerprint) {
-        if self.quarantined.insert(guilty) {
+    fn quarantine(&mut self, now: MonoTime, guilty: Fingerprint) {
+        if self.quarantined.insert(guilty, now).is_none() {
             self.quarantined_order.push_back(guilty);
         }
         if self.quarantined_order.len() > MOST_QUARANTINED
@@ -283,6 +330,11 @@
     fn forget_old(&mut self, now: MonoTime) {
         self.trials
             .retain(|_, started| now.since(*started) < TRIAL_LASTS);
+        if let Some(life) = self.policy.quarantine_life {
+            self.quarantined.retain(|_, since| now.since(*since) < life);
+            self.quarantined_order
+                .retain(|fp| self.quarantined.contains_key(fp));
+        }
         while let Some((key, at)) = self.oldest_crash() {
             if self.crashes.len() <= MOST_CRASHES && now.since(at) < FORGET_CRASH_AFTER {
                 break;
--- a/crates/tc-policy/tests/suspects.rs
+++ b/crates/tc-policy/tests/suspects.rs
@@ -1,9 +1,9 @@
 //! Requests that crash upstreams: quarantined after two, with no innocent refused.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use bolero::generator::produce;
-use tc_policy::{Suspects, Trial};
+use tc_policy::{SuspectPolicy, Suspects, Trial};
 use tc_protocol::{Fingerprint, Incarnation, MonoTime, UpstreamId};
 
 const GUILTY: Fingerprint = Fingerprint(0);
@@ -156,3 +156,28 @@
     suspects.lift(at(2), Fingerprint(99));
     assert!(is_quarantined(&mut suspects, at(2), GUILTY));
 }
+
+/// Symptom: after one upstream crashed, all that it ran queue for each other. Sequence: forty requests are in flight on an
+/// upstream that crashes for a reason of its own; their callers send them again. Cause: each must run alone.
+#[test]
+fn with_trials_from_the_second_crash_neighbours_of_one_crash_run_at_once() {
+    let mut suspects = Suspects::with_policy(SuspectPolicy {
+        crashes_to_quarantine: 3,
+        crashes_to_trial: 2,
+        quarantine_life: Some(Duration::from_mins(10)),
+    });
+    let all: Vec<Fingerprint> = (0..40).map(Fingerprint).collect();
+    suspects.died(at(1), &upstream(1), Incarnation(1), &all);
+    for &fp in &all {
+        assert_eq!(suspects.try_trial(at(2), fp), Trial::Run);
+    }
+    // The guilty one crashes the next; from now on it runs alone, and after the third crash not at all.
+    suspects.died(at(3), &upstream(2), Incarnation(1), &[GUILTY]);
+    assert_eq!(suspects.try_trial(at(4), GUILTY), Trial::Run);
+    let second = suspects.try_trial(at(5), GUILTY);
+    assert!(matches!(second, Trial::Busy { .. }), "{second:?}");
+    suspects.died(at(6), &upstream(3), Incarnation(1), &[GUILTY]);
+    assert!(is_quarantined(&mut suspects, at(7), GUILTY));
+    assert!(is_quarantined(&mut suspects, at(590_000), GUILTY));
+    assert_eq!(suspects.try_trial(at(600_007), GUILTY), Trial::Run);
+}
