Judge the whole chain of stages before the first, by what the homes tell

The entry judged each stage alone: a constant for its time, the wait of its home as of before the burst had reached it. Change: homes tell how they stand with each answer: what waits by due time, what a job takes, what they make in a second, what late work finds free, and what will come to the stages behind them. The entry judges the whole chain by it (tc-policy StageGraph, StageOutlooks, PiecesByDue), refuses at once what is worth beginning at no price, and gives every stage its true due time. Test of the load: stage_graph::a_burst_that_the_second_stage_cannot_carry_is_refused_before_the_first.

Hand over what a home has not begun when its service moves

Change: a home that is no longer one sends untouched asks away as moved; entries ask the new one. Tests: batch::handing.

Also: planner.rs and tests/batch.rs split by job; stages.rs lost its graph to tc-policy.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -414,7 +414,7 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LeaveAnswer {}
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PiecesAskMessage {
     #[prost(string, tag = "1")]
     pub request: ::prost::alloc::string::String,
@@ -443,20 +443,62 @@
     /// Bytes of inputs that are kept at their makers until the stage is done.
     #[prost(uint64, tag = "13")]
     pub held_bytes: u64,
+    /// What the stages that read its results will ask for.
+    #[prost(message, repeated, tag = "14")]
+    pub following: ::prost::alloc::vec::Vec<FollowingPieces>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FollowingPieces {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub pieces: u32,
+}
+/// Pieces of a service that are on their way to its home.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct ComingPieces {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    /// Of requests that can be in time, by due time in steps of 250 ms.
+    #[prost(uint32, repeated, tag = "2")]
+    pub in_time: ::prost::alloc::vec::Vec<u32>,
+    /// Of all requests.
+    #[prost(uint32, tag = "3")]
+    pub all: u32,
+}
+/// How a home stands.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct HomeOutlook {
+    /// Time of a job that waits for nobody.
+    #[prost(uint32, tag = "1")]
+    pub own_ms: u32,
+    /// Pieces that can be in time, by due time in steps of 250 ms.
+    #[prost(uint32, repeated, tag = "2")]
+    pub in_time: ::prost::alloc::vec::Vec<u32>,
+    /// All pieces that wait.
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+    #[prost(float, tag = "4")]
+    pub pieces_per_s: f32,
+    /// Part of that which in-time work leaves.
+    #[prost(float, tag = "5")]
+    pub free: f32,
+    #[prost(message, repeated, tag = "6")]
+    pub coming: ::prost::alloc::vec::Vec<ComingPieces>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PiecesAnswer {
     /// One a piece, in their order; empty when refused.
     #[prost(string, repeated, tag = "1")]
     pub results: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
-    /// 0 made, 1 overloaded, 2 input gone, 3 failed, 4 late, 5 no upstream known here.
+    /// 0 made, 1 overloaded, 2 input gone, 3 failed, 4 late, 5 no upstream known here, 6 another home has it.
     #[prost(uint32, tag = "2")]
     pub refusal: u32,
     #[prost(uint32, tag = "3")]
     pub retry_after_ms: u32,
-    /// Expected wait at the home as of now, for asks to come.
-    #[prost(uint32, tag = "4")]
-    pub wait_ms: u32,
+    /// How the home stands; absent where no home can tell.
+    #[prost(message, optional, tag = "4")]
+    pub home: ::core::option::Option<HomeOutlook>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FreeResultsMessage {
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -1,10 +1,11 @@
 //! Typed messages between instances and their wire forms.
 
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 use serde_json::Value;
+use tc_policy::{Coming, HomeOutlook, PiecesByDue};
 use tc_protocol::{
-    InstanceId,
+    InstanceId, ServiceName,
     routing::{PieceInput, PiecesAsk, PiecesRefusal, ResultHandle},
 };
 use thiserror::Error;
@@ -35,8 +36,8 @@
 pub struct PiecesAnswer {
     /// The results in the order of the pieces, or why there are none.
     pub reply: Result<Vec<ResultHandle>, PiecesRefusal>,
-    /// How long what comes now is expected to wait there.
-    pub wait: Duration,
+    /// How the home stands; `None` where no home can tell.
+    pub home: Option<HomeOutlook>,
 }
 
 /// What an instance knows of the store, as numbers to compare.
@@ -90,6 +91,7 @@
             .map(ToString::to_string)
             .unwrap_or_default(),
         held_bytes: ask.held_bytes,
+        following: following_to_wire(&ask.following),
     }
 }
 
@@ -111,6 +113,54 @@
         remaining: convert::from_millis(message.remaining_ms),
         prefer: (!message.prefer.is_empty()).then(|| message.prefer.as_str().into()),
         held_bytes: message.held_bytes,
+        following: following_from_wire(&message.following),
+    }
+}
+
+fn following_to_wire(following: &[(ServiceName, u32)]) -> Vec<wire::FollowingPieces> {
+    let to_wire = |(service, pieces): &(ServiceName, u32)| wire::FollowingPieces {
+        service: service.to_string(),
+        pieces: *pieces,
+    };
+    following.iter().map(to_wire).collect()
+}
+
+fn following_from_wire(following: &[wire::FollowingPieces]) -> Vec<(ServiceName, u32)> {
+    let from_wire = |next: &wire::FollowingPieces| (next.service.as_str().into(), next.pieces);
+    following.iter().map(from_wire).collect()
+}
+
+fn outlook_to_wire(outlook: &HomeOutlook) -> wire::HomeOutlook {
+    let coming = |(service, coming): (&ServiceName, &Coming)| wire::ComingPieces {
+        service: service.to_string(),
+        in_time: coming.in_time.counts().to_vec(),
+        all: coming.all,
+    };
+    wire::HomeOutlook {
+        own_ms: convert::millis(outlook.own),
+        in_time: outlook.in_time.counts().to_vec(),
+        waiting: outlook.waiting,
+        pieces_per_s: outlook.pieces_per_s as f32,
+        free: outlook.free as f32,
+        coming: outlook.coming.iter().map(coming).collect(),
+    }
+}
+
+fn outlook_from_wire(outlook: &wire::HomeOutlook) -> HomeOutlook {
+    let coming = |coming: &wire::ComingPieces| {
+        let pieces = Coming {
+            in_time: PiecesByDue::from_counts(&coming.in_time),
+            all: coming.all,
+        };
+        (coming.service.as_str().into(), pieces)
+    };
+    HomeOutlook {
+        own: convert::from_millis(outlook.own_ms),
+        in_time: PiecesByDue::from_counts(&outlook.in_time),
+        waiting: outlook.waiting,
+        pieces_per_s: f64::from(outlook.pieces_per_s),
+        free: f64::from(outlook.free),
+        coming: outlook.coming.iter().map(coming).collect(),
     }
 }
 
@@ -131,28 +181,24 @@
 const FAILED: u32 = 3;
 const LATE: u32 = 4;
 const NO_UPSTREAM: u32 = 5;
+const MOVED: u32 = 6;
 
 pub(super) fn answer_to_wire(answer: PiecesAnswer) -> wire::PiecesAnswer {
-    let wait_ms = convert::millis(answer.wait);
-    let refused = |refusal, retry_after| wire::PiecesAnswer {
-        results: Vec::new(),
-        refusal,
-        retry_after_ms: convert::millis(retry_after),
-        wait_ms,
-    };
+    let mut message = wire::PiecesAnswer::default();
     match answer.reply {
-        Ok(results) => wire::PiecesAnswer {
-            results: texts(&results),
-            refusal: 0,
-            retry_after_ms: 0,
-            wait_ms,
-        },
-        Err(PiecesRefusal::Overloaded { retry_after }) => refused(OVERLOADED, retry_after),
-        Err(PiecesRefusal::InputGone) => refused(INPUT_GONE, Duration::ZERO),
-        Err(PiecesRefusal::Failed) => refused(FAILED, Duration::ZERO),
-        Err(PiecesRefusal::Late) => refused(LATE, Duration::ZERO),
-        Err(PiecesRefusal::NoUpstream) => refused(NO_UPSTREAM, Duration::ZERO),
+        Ok(results) => message.results = texts(&results),
+        Err(PiecesRefusal::Overloaded { retry_after }) => {
+            message.refusal = OVERLOADED;
+            message.retry_after_ms = convert::millis(retry_after);
+        }
+        Err(PiecesRefusal::InputGone) => message.refusal = INPUT_GONE,
+        Err(PiecesRefusal::Failed) => message.refusal = FAILED,
+        Err(PiecesRefusal::Late) => message.refusal = LATE,
+        Err(PiecesRefusal::NoUpstream) => message.refusal = NO_UPSTREAM,
+        Err(PiecesRefusal::Moved) => message.refusal = MOVED,
     }
+    message.home = answer.home.as_ref().map(outlook_to_wire);
+    message
 }
 
 /// `None` when the refusal's number is not known.
@@ -166,11 +212,12 @@
         FAILED => Err(PiecesRefusal::Failed),
         LATE => Err(PiecesRefusal::Late),
         NO_UPSTREAM => Err(PiecesRefusal::NoUpstream),
+        MOVED => Err(PiecesRefusal::Moved),
         _ => return None,
     };
     Some(PiecesAnswer {
         reply,
-        wait: convert::from_millis(answer.wait_ms),
+        home: answer.home.as_ref().map(outlook_from_wire),
     })
 }
 
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -6,7 +6,9 @@
 };
 
 use slotmap::SecondaryMap;
-use tc_policy::{BatchCall, BatchPlanner, BatchUpstream, JobKey, NewJob, RepeatBudget, Settled};
+use tc_policy::{
+    BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, NewJob, RepeatBudget, Settled,
+};
 use tc_protocol::{
     MonoTime, ServiceName, UpstreamId,
     routing::{BatchSpec, PiecesAsk, PiecesRefusal, ResultHandle},
@@ -82,9 +84,9 @@
         answer.unwrap_or(Err(PiecesRefusal::Failed))
     }
 
-    /// How long what can still be in time is expected to wait.
-    pub(super) fn expected_wait(&self) -> Duration {
-        self.lock().planner.expected_wait_in_time(MonoTime::now())
+    /// How this home stands, for requests that begin now.
+    pub(super) fn outlook(&self) -> HomeOutlook {
+        self.lock().planner.outlook(MonoTime::now())
     }
 
     /// Results that are given up take no room any more.
@@ -138,6 +140,16 @@
         }
     }
 
+    /// Sends asks whose work was not begun on to the service's new home.
+    pub(super) fn hand_over(&self) {
+        let settled = self.lock().planner.hand_over();
+        let asks = settled.finished.len();
+        if asks > 0 {
+            log::info!(service = self.service.as_str(), asks = asks; "another instance is the home of a batch service now; asks are sent on");
+        }
+        self.settle(settled);
+    }
+
     fn cancel(&self, job: JobKey) {
         let unwanted = {
             let mut inner = self.lock();
@@ -191,6 +203,7 @@
         deadline: now.after(ask.remaining),
         prefer: ask.prefer,
         held_bytes: ask.held_bytes,
+        following: ask.following,
     }
 }
 
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -7,7 +7,6 @@
 use std::{
     collections::HashMap,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
 };
 
 use tc_fleet::PiecesAnswer;
@@ -52,12 +51,12 @@
         match self.home(&ask.service) {
             Some(home) => {
                 let reply = Arc::clone(&home).make(ask).await;
-                let wait = home.expected_wait();
-                PiecesAnswer { reply, wait }
+                let home = Some(home.outlook());
+                PiecesAnswer { reply, home }
             }
             None => PiecesAnswer {
                 reply: Err(PiecesRefusal::NoUpstream),
-                wait: Duration::ZERO,
+                home: None,
             },
         }
     }
@@ -74,6 +73,18 @@
         calls::free_at_makers(&self.cx, handles);
     }
 
+    /// Hands over every service that is homed elsewhere by now.
+    pub(crate) fn hand_over(&self, is_here: impl Fn(&ServiceName) -> bool) {
+        let moved: Vec<Arc<BatchHome>> = {
+            let homes = self.lock();
+            let moved = homes.iter().filter(|(service, _)| !is_here(service));
+            moved.map(|(_, home)| Arc::clone(home)).collect()
+        };
+        for home in moved {
+            home.hand_over();
+        }
+    }
+
     /// The home of a service, started when it is first asked for; `None` for a service that makes no pieces.
     fn home(&self, service: &ServiceName) -> Option<Arc<BatchHome>> {
         if let Some(home) = self.lock().get(service) {
--- a/crates/tc-gateway/src/run/home_ask.rs
+++ b/crates/tc-gateway/src/run/home_ask.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use tc_fleet::PiecesAnswer;
-use tc_protocol::{InstanceId, Member, MemberState, routing::PiecesAsk};
+use tc_protocol::{
+    InstanceId, Member, MemberState,
+    routing::{PiecesAsk, PiecesRefusal},
+};
 use tokio::time::Instant;
 
 use super::RunContext;
@@ -11,47 +14,65 @@
 
 /// Homes tried before this instance makes the pieces itself.
 const HOMES: usize = 2;
+/// Times that an ask follows a home that moves: members' lists agree within a second, and an ask waits longer than that
+/// only in an overload.
+const MOST_MOVES: u32 = 4;
+/// Pause before an ask that was sent on asks again, so that the news of the new home can arrive here.
+const NEWS_TIME: Duration = Duration::from_millis(20);
 
 /// Gets the pieces of a stage made.
 ///
 /// Two homes for a moment make calls that are less full; they never make an answer wrong, as upstreams refuse calls
 /// when they have too many.
-pub(super) async fn ask_home(cx: &RunContext, mut ask: PiecesAsk) -> PiecesReply {
+pub(super) async fn ask_home(cx: &RunContext, ask: PiecesAsk) -> PiecesReply {
     let started = Instant::now();
-    let (in_time_for, remaining) = (ask.in_time_for, ask.remaining);
     let mut failed: Vec<InstanceId> = Vec::new();
-    while failed.len() < HOMES {
-        let key = ask.service.as_str();
-        let Some(home) = cx
-            .mesh
-            .home(key, &failed)
-            .filter(|h| h.id != cx.mesh.me().id)
-        else {
-            break;
+    let mut moves = 0;
+    loop {
+        let now_asked = PiecesAsk {
+            in_time_for: ask.in_time_for.saturating_sub(started.elapsed()),
+            remaining: ask.remaining.saturating_sub(started.elapsed()),
+            ..ask.clone()
         };
-        let asked = tokio::select! {
-            answer = cx.mesh.make_pieces(&home, &ask) => answer.map_err(|error| error.to_string()),
-            () = gone(cx, &home) => Err("it was found dead or suspect".to_owned()),
+        let Some(answer) = ask_once(cx, &now_asked, &mut failed).await else {
+            continue;
         };
-        match asked {
-            Ok(answer) => return noted(cx, &ask, answer),
-            Err(problem) => {
-                log::warn!(request = &*ask.request, service = key, home = home.id.as_str(), problem = problem.as_str(); "the home of a stage does not answer");
-                cx.mesh.doubt(&home.id);
-                failed.push(home.id);
-                let took = started.elapsed();
-                ask.in_time_for = in_time_for.saturating_sub(took);
-                ask.remaining = remaining.saturating_sub(took);
-            }
+        if let Some(home) = answer.home {
+            cx.outlooks.note(&ask.service, home);
+        }
+        if answer.reply != Err(PiecesRefusal::Moved) || moves >= MOST_MOVES {
+            return answer.reply;
         }
+        moves += 1;
+        tokio::time::sleep(NEWS_TIME).await;
     }
-    let answer = cx.homes.make_pieces(ask.clone()).await;
-    noted(cx, &ask, answer)
 }
 
-fn noted(cx: &RunContext, ask: &PiecesAsk, answer: PiecesAnswer) -> PiecesReply {
-    cx.waits.note(&ask.service, answer.wait);
-    answer.reply
+/// Asks the instance that is the home as far as is known here; `None` if it does not answer, which is noted in `failed`.
+async fn ask_once(
+    cx: &RunContext,
+    ask: &PiecesAsk,
+    failed: &mut Vec<InstanceId>,
+) -> Option<PiecesAnswer> {
+    let key = ask.service.as_str();
+    let home = cx.mesh.home(key, failed);
+    let other = home.filter(|home| home.id != cx.mesh.me().id && failed.len() < HOMES);
+    let Some(home) = other else {
+        return Some(cx.homes.make_pieces(ask.clone()).await);
+    };
+    let asked = tokio::select! {
+        answer = cx.mesh.make_pieces(&home, ask) => answer.map_err(|error| error.to_string()),
+        () = gone(cx, &home) => Err("it was found dead or suspect".to_owned()),
+    };
+    match asked {
+        Ok(answer) => Some(answer),
+        Err(problem) => {
+            log::warn!(request = &*ask.request, service = key, home = home.id.as_str(), problem = problem.as_str(); "the home of a stage does not answer");
+            cx.mesh.doubt(&home.id);
+            failed.push(home.id);
+            None
+        }
+    }
 }
 
 /// Done when the instance is no longer thought to be well.
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -2,11 +2,11 @@
 
 mod attempt;
 mod home_ask;
+mod outlooks;
 mod plain;
 mod refusal;
 mod stages;
 mod stream;
-mod waits;
 
 use std::{sync::Arc, time::Duration};
 
@@ -33,8 +33,8 @@
     world::WorldCell,
 };
 
+pub(crate) use outlooks::SharedOutlooks;
 pub(crate) use refusal::{Refusal, own_answer};
-pub(crate) use waits::StageWaits;
 
 /// Ranks that routes are told apart by within a workspace's rank; routes use 0 to 2, and more would let a workspace wait
 /// for long only because another one's rank is one higher.
@@ -64,7 +64,7 @@
     pub(crate) freer: Freer,
     pub(crate) book: Arc<UpstreamBook>,
     pub(crate) budgets: Arc<RepeatBudgets>,
-    pub(crate) waits: StageWaits,
+    pub(crate) outlooks: SharedOutlooks,
     pub(crate) client: UpstreamClient,
     pub(crate) suspended: SuspendedTime,
 }
--- /dev/null
+++ b/crates/tc-gateway/src/run/outlooks.rs
@@ -0,0 +1,24 @@
+//! What the stages' homes last told, shared by all requests of this instance.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use tc_policy::{ExpectedStages, HomeOutlook, JudgedRequest, StageOutlooks};
+use tc_protocol::{MonoTime, ServiceName};
+
+/// See [`StageOutlooks`].
+#[derive(Debug, Default)]
+pub(crate) struct SharedOutlooks(Mutex<StageOutlooks>);
+
+impl SharedOutlooks {
+    pub(crate) fn note(&self, service: &ServiceName, home: HomeOutlook) {
+        self.lock().note(MonoTime::now(), service, home);
+    }
+
+    pub(crate) fn expect(&self, request: &JudgedRequest<'_>) -> ExpectedStages {
+        self.lock().expect(MonoTime::now(), request)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StageOutlooks> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/tc-gateway/src/run/refusal.rs
+++ b/crates/tc-gateway/src/run/refusal.rs
@@ -81,6 +81,7 @@
             PiecesRefusal::InputGone => Self::not_run_now("results of a stage were lost"),
             PiecesRefusal::Failed => Self::not_run_now("a stage before the request failed"),
             PiecesRefusal::Late => Self::not_run_now("a stage could not be done in time"),
+            PiecesRefusal::Moved => Self::not_run_now("the home of a stage moves"),
             PiecesRefusal::NoUpstream => Self::not_run_now("no upstream of a stage is known"),
         }
     }
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -20,7 +20,7 @@
     freeze::FreezeWatch,
     homes::{BatchHomes, Freer, HomeContext},
     join::join,
-    run::{AnswerBody, RunContext, StageWaits},
+    run::{AnswerBody, RunContext, SharedOutlooks},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
     settings::GatewaySettings,
     stop::{Asked, Signals, StopState, stop},
@@ -93,6 +93,7 @@
         tokio::spawn(watch_upstreams(store.clone(), edges, Arc::clone(&world)));
         tokio::spawn(follow_peers(cx.mesh.clone(), Arc::clone(&world)));
         tokio::spawn(join(settings.clone(), edges, store, cx.mesh.clone()));
+        tokio::spawn(follow_roles(cx.mesh.clone(), Arc::clone(&cx.homes)));
         tokio::spawn(forget(world, Arc::clone(&cx.book)));
         tokio::spawn(notice_absences(freezes, cx.mesh.clone()));
         let gateway = Self {
@@ -181,7 +182,7 @@
         freer,
         book: Arc::default(),
         budgets,
-        waits: StageWaits::default(),
+        outlooks: SharedOutlooks::default(),
         client,
         suspended: settings.suspended,
     }))
@@ -336,6 +337,17 @@
     Ok(TcpListener::from_std(listener.into_std()?)?)
 }
 
+/// Hands homes over when the members change.
+async fn follow_roles(mesh: Mesh, homes: Arc<BatchHomes>) {
+    let mut changes = mesh.changes();
+    while changes.changed().await.is_ok() {
+        homes.hand_over(|service| {
+            let home = mesh.home(service.as_str(), &[]);
+            home.is_none_or(|home| home.id == mesh.me().id)
+        });
+    }
+}
+
 /// An instance that was absent may have been taken for dead, and may take others for what they no longer are.
 async fn notice_absences(freezes: Arc<FreezeWatch>, mesh: Mesh) {
     freezes.keep_looking(|| mesh.woke()).await;
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use tc_protocol::{
-    FailureDomain, MonoTime,
+    FailureDomain, MonoTime, ServiceName,
     routing::{PieceInput, ResultHandle},
 };
 
@@ -18,7 +18,7 @@
 ///
 /// About half a call of the services met so far (200 to 370 ms): a more urgent request overtakes what would start one
 /// call before it, and no rank waits behind a stream of more urgent ones for ever.
-const RANK_STEP: Duration = Duration::from_millis(250);
+pub(super) const RANK_STEP: Duration = Duration::from_millis(250);
 /// How much earlier a job counts as due once some of its pieces are made: more than what lies between any two jobs of
 /// one service, so that started jobs are finished first.
 const START_STEP: Duration = Duration::from_secs(5);
@@ -57,6 +57,8 @@
     pub prefer: Option<FailureDomain>,
     /// Bytes of inputs that are kept at their makers until it is done.
     pub held_bytes: u64,
+    /// Pieces of the stages that read its results, by their service.
+    pub following: Vec<(ServiceName, u32)>,
 }
 
 /// Place of a job in the queue; the lowest goes first.
--- a/crates/tc-policy/src/batch/mod.rs
+++ b/crates/tc-policy/src/batch/mod.rs
@@ -5,15 +5,23 @@
 //!
 //! [`BatchPlanner`] only decides; whoever drives it makes the calls it names and tells it how they ended.
 
+mod by_due;
 mod choose;
 mod demand;
+mod ends;
 mod job;
 mod maker;
+mod outlook;
+mod outlooks;
 mod piece_times;
 mod planner;
 mod results;
 mod waits;
 
+pub use by_due::PiecesByDue;
+pub use ends::{CallEnd, Finished, Settled};
 pub use job::{JobKey, NewJob};
 pub use maker::BatchUpstream;
-pub use planner::{BatchCall, BatchPlanner, CallEnd, CallKey, Finished, Settled};
+pub use outlook::{Coming, HomeOutlook};
+pub use outlooks::{ExpectedStages, JudgedRequest, StageOutlooks};
+pub use planner::{BatchCall, BatchPlanner, CallKey};
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -5,15 +5,17 @@
 use slotmap::SlotMap;
 use tc_protocol::{
     FailureDomain, MonoTime, UpstreamId,
-    routing::{BatchSpec, PieceFailure, PieceOrder, PieceResult, PiecesRefusal, ResultHandle},
+    routing::{BatchSpec, PieceOrder, PiecesRefusal, ResultHandle},
 };
 
 use super::{
     demand::Demand,
+    ends::Settled,
     job::{Job, JobKey, NewJob, Place},
     maker::{BatchUpstream, Maker},
     piece_times::PieceTimes,
     results::Results,
+    waits::NEXT_CALL,
 };
 use crate::RepeatBudget;
 
@@ -22,8 +24,6 @@
     pub struct CallKey;
 }
 
-/// Failed calls after which a job is given up: its pieces may be what fails them.
-const MOST_FAILURES: u32 = 3;
 /// Part of a job's remaining time that its expected wait may use up; beyond it the job is refused at once, as it
 /// would most likely be held to its deadline for nothing.
 const MOST_WAIT: f64 = 0.3;
@@ -31,10 +31,6 @@
 const MOST_WAIT_QUEUED: f64 = 0.8;
 /// What a call is taken to last before any has ended, as a multiple of its fixed time.
 const FIRST_TYPICAL: f64 = 1.3;
-/// Weight of the newest call in the average: a dozen calls, half a second of one service, move it by most.
-const TYPICAL_WEIGHT: f64 = 0.1;
-/// A job that waits for nobody is done after its own call and a part of the one that its upstream is at.
-const NEXT_CALL: f64 = 1.2;
 /// How often results that ran out are looked for.
 pub(super) const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 
@@ -51,37 +47,6 @@
     pub limit: Duration,
 }
 
-/// How a call ended.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CallEnd {
-    /// The upstream answered, one result a piece.
-    Answered(Vec<PieceResult>),
-    /// The upstream said that it has not taken the call, or it was never sent.
-    NotRun,
-    /// No connection could be made.
-    Unreachable,
-    /// It broke, was given up, or its answer cannot be read.
-    Failed,
-}
-
-/// A job that ended.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Finished {
-    /// Which one.
-    pub job: JobKey,
-    /// The results in the order of the pieces, or why there are none.
-    pub result: Result<Vec<ResultHandle>, PiecesRefusal>,
-}
-
-/// What the end of a call brought.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Settled {
-    /// Jobs that ended.
-    pub finished: Vec<Finished>,
-    /// Results that nobody waits for; they are to be freed at their makers.
-    pub unwanted: Vec<ResultHandle>,
-}
-
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) upstream: UpstreamId,
@@ -247,149 +212,24 @@
         settled
     }
 
-    /// Takes up how a call ended.
-    pub fn end_call(&mut self, now: MonoTime, key: CallKey, end: CallEnd) -> Settled {
+    /// Sends away every job that was not begun: another home has the service now.
+    ///
+    /// Two homes that both work off a backlog send each upstream twice the calls it can make; each call then waits there
+    /// for the other home's, seen as calls of twice their time until the old home is done, seconds later.
+    pub fn hand_over(&mut self) -> Settled {
         let mut settled = Settled::default();
-        let Some(call) = self.calls.remove(key) else {
-            return settled;
-        };
-        self.last_refused = end == CallEnd::NotRun;
-        self.note_maker(now, &call, &end);
-        match end {
-            CallEnd::Answered(results) => {
-                for ((job, piece), result) in call.pieces.iter().zip(results) {
-                    self.piece_ended(now, &call.upstream, (*job, *piece), result, &mut settled);
-                }
-            }
-            CallEnd::NotRun | CallEnd::Unreachable => {
-                let arrived = end == CallEnd::NotRun;
-                self.send_again(now, &call, arrived, false, &mut settled);
-            }
-            CallEnd::Failed => self.send_again(now, &call, true, true, &mut settled),
+        let untouched: Vec<JobKey> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.is_untouched())
+            .map(|(key, _)| key)
+            .collect();
+        for key in untouched {
+            self.refuse(key, PiecesRefusal::Moved, &mut settled);
         }
         settled
     }
 
-    fn note_maker(&mut self, now: MonoTime, call: &Call, end: &CallEnd) {
-        let Some(maker) = self.makers.get_mut(&call.upstream) else {
-            return;
-        };
-        let took = now.since(call.started);
-        maker.calls = maker.calls.saturating_sub(1);
-        maker.room_used = maker
-            .room_used
-            .saturating_sub(call.kinds.iter().sum::<u64>());
-        match end {
-            CallEnd::Answered(results) => {
-                if results.contains(&Err(PieceFailure::NoRoom)) {
-                    maker.refused(now);
-                }
-                self.typical_call_s += TYPICAL_WEIGHT * (took.as_secs_f64() - self.typical_call_s);
-                self.times.learn(&self.spec, &call.kinds, took, maker.speed);
-                maker.answered(took, call.expected.div_f64(maker.speed));
-            }
-            CallEnd::NotRun => maker.refused(now),
-            CallEnd::Unreachable | CallEnd::Failed => {
-                maker.failed(now, took, call.expected.div_f64(maker.speed));
-            }
-        }
-        let is_gone = !maker.ready && maker.calls == 0;
-        if is_gone {
-            self.makers.remove(&call.upstream);
-        }
-    }
-
-    fn piece_ended(
-        &mut self,
-        now: MonoTime,
-        maker: &UpstreamId,
-        (key, piece): (JobKey, u32),
-        result: PieceResult,
-        settled: &mut Settled,
-    ) {
-        let Some(job) = self.jobs.get_mut(key) else {
-            settled.unwanted.extend(result.ok());
-            return;
-        };
-        match result {
-            Ok(handle) => {
-                let bytes = job.new.result_bytes;
-                job.results[piece as usize] = Some(handle.clone());
-                let until = now.after(self.spec.result_life);
-                self.results.keep(handle, maker, bytes, until);
-                if let Some(maker) = self.makers.get_mut(maker) {
-                    maker.room_used += bytes;
-                }
-                self.finish_if_done(key, settled);
-            }
-            Err(PieceFailure::Late) => self.refuse(key, PiecesRefusal::Late, settled),
-            Err(PieceFailure::InputGone) => self.refuse(key, PiecesRefusal::InputGone, settled),
-            Err(PieceFailure::NoRoom) => self.wait_again(now, key, piece, false, settled),
-            Err(PieceFailure::Failed) => self.wait_again(now, key, piece, true, settled),
-        }
-    }
-
-    fn finish_if_done(&mut self, key: JobKey, settled: &mut Settled) {
-        if !self.jobs[key].is_done() {
-            return;
-        }
-        if let Some(job) = self.jobs.remove(key) {
-            settled.finished.push(Finished {
-                job: key,
-                result: Ok(job.results.into_iter().flatten().collect()),
-            });
-        }
-    }
-
-    /// Puts the pieces of a call that brought nothing back into the queue.
-    fn send_again(
-        &mut self,
-        now: MonoTime,
-        call: &Call,
-        arrived: bool,
-        failed: bool,
-        settled: &mut Settled,
-    ) {
-        for (key, piece) in &call.pieces {
-            if !self.jobs.contains_key(*key) {
-                continue;
-            }
-            if arrived {
-                self.wait_again(now, *key, *piece, failed, settled);
-            } else {
-                self.jobs[*key].waiting.push_front(*piece);
-            }
-        }
-    }
-
-    /// A piece that reached an upstream and was not made waits for another call, while the budget allows it.
-    fn wait_again(
-        &mut self,
-        now: MonoTime,
-        key: JobKey,
-        piece: u32,
-        failed: bool,
-        settled: &mut Settled,
-    ) {
-        let Some(job) = self.jobs.get_mut(key) else {
-            return;
-        };
-        job.failures += u32::from(failed);
-        if job.failures > MOST_FAILURES || !self.repeats.try_spend(now) {
-            self.refuse(key, PiecesRefusal::Failed, settled);
-            return;
-        }
-        job.waiting.push_front(piece);
-    }
-
-    fn refuse(&mut self, key: JobKey, refusal: PiecesRefusal, settled: &mut Settled) {
-        settled.unwanted.extend(self.cancel(key));
-        settled.finished.push(Finished {
-            job: key,
-            result: Err(refusal),
-        });
-    }
-
     /// A result is no longer needed, or was freed.
     pub fn freed(&mut self, handle: &ResultHandle) {
         if let Some((maker, bytes)) = self.results.give_up(handle) {
--- a/crates/tc-policy/src/batch/waits.rs
+++ b/crates/tc-policy/src/batch/waits.rs
@@ -12,6 +12,9 @@
 /// Part of the upstreams' time that is left for late work at least, for an estimate that stays finite.
 const LEAST_FREE: f64 = 0.02;
 
+/// A job that waits for nobody is done after its own call and a part of the one that its upstream is at.
+pub(super) const NEXT_CALL: f64 = 1.2;
+
 impl BatchPlanner {
     /// Expected time until everything that waits has been taken into a call.
     #[must_use]
@@ -26,7 +29,7 @@
 
     /// How long all upstreams together take for so many seconds of work.
     pub(super) fn time_of(&self, work: f64) -> Duration {
-        let speed = self.total_speed() * f64::from(self.spec.slots);
+        let speed = self.speed();
         if speed > 0.0 {
             Duration::from_secs_f64(work / speed)
         } else if work > 0.0 {
@@ -37,14 +40,6 @@
         }
     }
 
-    /// How long what can still be in time is expected to wait; what is late waits for it.
-    #[must_use]
-    pub fn expected_wait_in_time(&self, now: MonoTime) -> Duration {
-        let ends = self.typical_end(now);
-        let in_time = self.jobs.values().filter(|job| !job.place(ends).is_late);
-        self.time_of(in_time.map(|job| self.work_of(job)).sum())
-    }
-
     pub(super) fn typical_call(&self) -> Duration {
         Duration::from_secs_f64(self.typical_call_s)
     }
@@ -77,13 +72,22 @@
 
     /// How long so many seconds of work take that is done only when nothing else is to be done.
     fn time_of_late(&self, now: MonoTime, work: f64) -> Duration {
-        let speed = self.total_speed() * f64::from(self.spec.slots);
-        let free = 1.0 - self.demand.per_second(now) / speed.max(f64::MIN_POSITIVE);
-        self.time_of(work).div_f64(free.max(LEAST_FREE))
+        self.time_of(work).div_f64(self.free_for_late(now))
+    }
+
+    /// Part of the upstreams' time that work which comes to be done in time leaves.
+    pub(super) fn free_for_late(&self, now: MonoTime) -> f64 {
+        let free = 1.0 - self.demand.per_second(now) / self.speed().max(f64::MIN_POSITIVE);
+        free.max(LEAST_FREE)
+    }
+
+    /// Seconds of one ordinary upstream's time that all together give in a second.
+    pub(super) fn speed(&self) -> f64 {
+        self.total_speed() * f64::from(self.spec.slots)
     }
 
     /// Seconds that one piece takes of a full call.
-    fn share_of_call(&self, kind: u64) -> f64 {
+    pub(super) fn share_of_call(&self, kind: u64) -> f64 {
         let call = self.spec.call_time.as_secs_f64() / self.spec.max_pieces.max(1) as f64;
         call + self.times.of(&self.spec, kind)
     }
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -13,12 +13,14 @@
 mod rendezvous;
 mod repeats;
 mod retry;
+mod stage_graph;
 mod suspect;
 mod throttle;
 
 pub use admission::{admit, hedge_after, slack_for};
 pub use batch::{
-    BatchCall, BatchPlanner, BatchUpstream, CallEnd, CallKey, Finished, JobKey, NewJob, Settled,
+    BatchCall, BatchPlanner, BatchUpstream, CallEnd, CallKey, Coming, ExpectedStages, Finished,
+    HomeOutlook, JobKey, JudgedRequest, NewJob, PiecesByDue, Settled, StageOutlooks,
 };
 pub use budget::Budget;
 pub use choice::{Candidate, Choice, choose};
@@ -29,5 +31,6 @@
 pub use rendezvous::{rendezvous, rendezvous_score};
 pub use repeats::{RepeatBudget, RepeatLimits};
 pub use retry::retry_delay;
+pub use stage_graph::StageGraph;
 pub use suspect::{SuspectPolicy, Suspects, Trial};
 pub use throttle::Throttle;
--- /dev/null
+++ b/crates/tc-policy/tests/batch/common.rs
@@ -0,0 +1,98 @@
+//! A planner and jobs for the tests of batch planning.
+
+use std::time::Duration;
+
+use tc_policy::{
+    BatchCall, BatchPlanner, BatchUpstream, CallEnd, JobKey, NewJob, RepeatBudget, RepeatLimits,
+};
+use tc_protocol::{
+    MonoTime,
+    routing::{BatchSpec, PieceInput, ResultHandle},
+};
+
+/// Call 200 ms, 12 ms a piece, 14 pieces, 32 MB: a service whose upstreams pay much for a call and little for a piece.
+pub(crate) fn spec() -> BatchSpec {
+    BatchSpec {
+        slots: 1,
+        queue: 2,
+        max_pieces: 14,
+        call_time: Duration::from_millis(200),
+        piece_time: Duration::from_millis(12),
+        room_bytes: 32_000_000,
+        result_life: Duration::from_secs(4),
+    }
+}
+
+pub(crate) fn repeats(extra: f64) -> RepeatBudget {
+    RepeatBudget::new(RepeatLimits {
+        ratio: 0.2,
+        extra,
+        window: Duration::from_secs(10),
+    })
+}
+
+pub(crate) fn planner(domains: &[&str]) -> BatchPlanner {
+    let mut planner = BatchPlanner::new(spec(), repeats(20.0));
+    planner.set_upstreams(&upstreams(domains));
+    planner
+}
+
+pub(crate) fn upstreams(domains: &[&str]) -> Vec<BatchUpstream> {
+    let numbered = domains.iter().enumerate();
+    numbered
+        .map(|(i, domain)| BatchUpstream {
+            id: format!("u{i}").into(),
+            domain: (*domain).into(),
+        })
+        .collect()
+}
+
+pub(crate) fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(1_000 + ms)
+}
+
+pub(crate) fn job(name: &str, pieces: u32) -> NewJob {
+    NewJob {
+        request: name.into(),
+        stage: 0,
+        pieces,
+        input: PieceInput::Request("k".into()),
+        result_bytes: 8_000,
+        rank: 0,
+        in_time_until: at(900),
+        deadline: at(3_600),
+        prefer: None,
+        held_bytes: 0,
+        following: Vec::new(),
+    }
+}
+
+pub(crate) fn names(call: &BatchCall) -> Vec<String> {
+    let named = call
+        .pieces
+        .iter()
+        .map(|p| format!("{}/{}", p.request, p.piece));
+    named.collect()
+}
+
+pub(crate) fn made(call: &BatchCall) -> CallEnd {
+    let results = call.pieces.iter();
+    CallEnd::Answered(
+        results
+            .map(|p| {
+                Ok(handle(&format!(
+                    "{}-{}-{}",
+                    call.upstream, p.request, p.piece
+                )))
+            })
+            .collect(),
+    )
+}
+
+pub(crate) fn handle(name: &str) -> ResultHandle {
+    ResultHandle(format!("10.0.0.1:80/{name}").into())
+}
+
+pub(crate) fn push(planner: &mut BatchPlanner, now: MonoTime, new: NewJob) -> JobKey {
+    planner.push(now, new).expect("the job is taken")
+}
--- /dev/null
+++ b/crates/tc-policy/tests/batch/main.rs
@@ -0,0 +1,6 @@
+//! Batch planning at the home of a service.
+
+mod common;
+mod ends;
+mod handing;
+mod order;
--- a/crates/tc-protocol/src/routing/piece.rs
+++ b/crates/tc-protocol/src/routing/piece.rs
@@ -55,6 +55,8 @@
     pub prefer: Option<FailureDomain>,
     /// Bytes of inputs that are kept at their makers until the stage is done.
     pub held_bytes: u64,
+    /// Pieces of the stages that read its results, by their service.
+    pub following: Vec<(ServiceName, u32)>,
 }
 
 /// One piece in a call to an upstream.
@@ -104,4 +106,6 @@
     Late,
     /// This instance is not able to make it: it knows no upstream of the service.
     NoUpstream,
+    /// The service has another home by now; it is to be asked.
+    Moved,
 }
