--- a/crates/tc-operator/src/lib.rs
+++ b/crates/tc-operator/src/lib.rs
@@ -9,6 +9,7 @@
 mod error;
 mod exit;
 mod gateway;
+mod log_lines;
 mod output;
 mod run;
 mod secret;
--- a/crates/tc-operator/tests/operator/main.rs
+++ b/crates/tc-operator/tests/operator/main.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod examples;
 mod gateway;
+mod logs;
 mod lost;
 mod peers;
 mod race;
--- a/crates/tc-operator/tests/operator/usage.rs
+++ b/crates/tc-operator/tests/operator/usage.rs
@@ -41,6 +41,7 @@
     ("status --admin 127.0.0.1:1", Exit::Unreachable, "cannot connect"),
     ("status --admin 127.0.0.1:9300 extra", Exit::Usage, "unexpected argument"),
     ("explain a/../b --admin 127.0.0.1:9300", Exit::Usage, "cannot be the id of a request"),
+    ("explain r1 --logs no-such-file", Exit::Failed, "cannot read no-such-file"),
     ("explain no-such-request --admin 127.0.0.1:9300", Exit::Failed, "nothing is kept of this request"),
     ("drain gen-1 --admin 127.0.0.1:9300", Exit::Usage, "ID is missing"),
     ("drain upstraem gen-1 --admin 127.0.0.1:9300", Exit::Usage, "did you mean upstream?"),
--- a/crates/tc-operator/tests/operator/world.rs
+++ b/crates/tc-operator/tests/operator/world.rs
@@ -64,6 +64,18 @@
     pub(crate) err: String,
 }
 
+/// Lines of two instances about two requests, with something else between them.
+const LOG_LINES: &str = concat!(
+    r#"{"ts":"2026-03-04T20:36:31.350Z","level":"INFO","target":"tc_gateway::run","message":"an upstream answers","request":"85a329663e983a89","route":"r-ha52eum","upstream":"i-003c4dae1d","status":200,"sends":1,"after_ms":1350}"#,
+    "\nthe collector was restarted\n",
+    r#"{"ts":"2026-03-04T20:36:35.081Z","level":"INFO","target":"tc_gateway::run::stream","message":"a stream broke","request":"85a329663e983a89","upstream":"i-003c4dae1d","last_event":189,"problem":"connection broke","after_ms":5081}"#,
+    "\n",
+    r#"{"ts":"2026-03-04T20:36:32.500Z","level":"INFO","target":"tc_gateway::run","message":"an upstream answers","request":"85a329663e983a8","upstream":"i-1","status":200,"sends":1,"after_ms":3}"#,
+    "\n",
+    r#"{"ts":"2026-03-04T20:36:33.000Z","level":"INFO","target":"tc_gateway::world","message":"configuration in force","version":7}"#,
+    "\n",
+);
+
 pub(crate) struct World {
     pub(crate) platform: Arc<Platform>,
     pub(crate) admin: SocketAddr,
@@ -100,6 +112,7 @@
         world.block_on(quarantine(&world.platform));
         world.write("fleet/10-services.toml", SERVICES);
         world.write("fleet/20-workspaces.toml", WORKSPACES);
+        world.write("instances.log", LOG_LINES);
         world
     }
 
--- a/crates/tc-protocol/src/decision.rs
+++ b/crates/tc-protocol/src/decision.rs
@@ -1,6 +1,9 @@
 //! Decisions kept per request, so that operators can ask what happened to it and why.
 
+use std::collections::BTreeMap;
+
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 use crate::{
     Attempt, Cost, Outcome, PipelineName, RefusalReason, RequestId, RunState, StageName,
@@ -97,6 +100,14 @@
     },
     /// The caller went away first.
     CallerLeft,
+    /// A decision as a process logged it.
+    Logged {
+        /// What was decided.
+        message: String,
+        /// What decided it, and the outcome.
+        #[serde(flatten)]
+        details: BTreeMap<String, Value>,
+    },
 }
 
 /// A decision and when it was taken.
