--- a/crates/tc-caller/src/idempotency/forward.rs
+++ b/crates/tc-caller/src/idempotency/forward.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use futures::StreamExt;
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Method, Request, Response, Uri, Version,
-    header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING, UPGRADE},
+    HeaderMap, HeaderValue, Method, Request, Response, Uri, Version,
+    header::{CONTENT_LENGTH, HOST},
 };
 use http_body_util::{BodyExt, Full};
 use hyper_util::{
@@ -14,6 +14,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 use tc_protocol::{InstanceId, wire};
+use tc_upstream::remove_hop_by_hop;
 
 use thiserror::Error;
 
@@ -33,18 +34,6 @@
 /// Longest time to connect to another instance.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    CONNECTION,
-    CONTENT_LENGTH,
-    HOST,
-    TRANSFER_ENCODING,
-    UPGRADE,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    HeaderName::from_static("te"),
-];
-
 /// A request to pass on.
 pub(crate) struct Onward {
     pub(crate) method: Method,
@@ -106,9 +95,10 @@
         .body(Full::new(onward.body))?;
     let headers = request.headers_mut();
     *headers = onward.headers;
-    for name in HOP_BY_HOP {
-        headers.remove(name);
-    }
+    remove_hop_by_hop(headers);
+    // The body goes on whole, with its own length, and to another host.
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(HOST);
     headers.insert(wire::FORWARDED, HeaderValue::from_str(me.as_str())?);
     let millis = onward.remaining.as_millis().max(1) as u64;
     headers.insert(wire::TIMEOUT_MS, HeaderValue::from(millis));
@@ -117,9 +107,8 @@
 
 fn passed_through(response: Response<hyper::body::Incoming>) -> CallerResponse {
     let (mut parts, body) = response.into_parts();
-    for name in HOP_BY_HOP {
-        parts.headers.remove(name);
-    }
+    remove_hop_by_hop(&mut parts.headers);
+    parts.headers.remove(CONTENT_LENGTH);
     parts.version = Version::default();
     parts.extensions.clear();
     let chunks = body
--- a/crates/tc-upstream/src/headers.rs
+++ b/crates/tc-upstream/src/headers.rs
@@ -1,25 +1,12 @@
 //! Headers towards upstreams, and what of a plain service's headers passes either way.
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderValue, header};
 use tc_protocol::wire::{
     FORWARDED, IDEMPOTENCY_KEY, INSTANCE, INSTANCE_BINDING, PRIORITY, RUN_STATE, TIMEOUT_MS,
     TRACEPARENT,
 };
 
-use crate::{error::CallError, identity::Identity, site::CallSite};
-
-/// Headers that concern one connection only (RFC 9110, section 7.6.1).
-const HOP_BY_HOP: [HeaderName; 9] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-];
+use crate::{error::CallError, hop_by_hop::remove_hop_by_hop, identity::Identity, site::CallSite};
 
 /// Headers of this system's own interfaces; neither side may speak in its name.
 const OURS: [&str; 8] = [
@@ -86,25 +73,9 @@
 }
 
 fn strip_both_ways(headers: &mut HeaderMap) {
-    for name in named_by_connection(headers) {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP {
-        headers.remove(name);
-    }
+    remove_hop_by_hop(headers);
     for name in OURS {
         headers.remove(name);
     }
     Identity::remove_from(headers);
 }
-
-/// Names that the `Connection` header declares to concern this connection only.
-fn named_by_connection(headers: &HeaderMap) -> Vec<HeaderName> {
-    headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect()
-}
