Take no number that another home tells at its word

Sums are saturating or in floating point, waits are bounded. A stage follows earlier ones only (configurations are checked for that), so the graph needs no ordering of its own.

--- a/crates/tc-policy/src/batch/by_due.rs
+++ b/crates/tc-policy/src/batch/by_due.rs
@@ -27,22 +27,24 @@
 impl PiecesByDue {
     /// Adds pieces that are due after `due`.
     pub fn add(&mut self, due: Duration, pieces: u32) {
-        self.counts[bucket(due)] += pieces;
+        let count = &mut self.counts[bucket(due)];
+        *count = count.saturating_add(pieces);
     }
 
     /// Pieces due before `due`; within a bucket they count as spread evenly.
     #[must_use]
     pub fn due_before(&self, due: Duration) -> f64 {
         let last = bucket(due);
-        let whole: u32 = self.counts[..last].iter().sum();
+        let whole: f64 = self.counts[..last].iter().copied().map(f64::from).sum();
         let into = due.as_secs_f64() / STEP.as_secs_f64() - last as f64;
-        f64::from(whole) + f64::from(self.counts[last]) * into.min(1.0)
+        whole + f64::from(self.counts[last]) * into.min(1.0)
     }
 
     /// All of them.
     #[must_use]
     pub fn all(&self) -> u32 {
-        self.counts.iter().sum()
+        let add = |sum: u32, count: &u32| sum.saturating_add(*count);
+        self.counts.iter().fold(0, add)
     }
 
     /// The buckets, earliest first, without empty ones at the end; for a message.
--- a/crates/tc-policy/src/batch/outlook.rs
+++ b/crates/tc-policy/src/batch/outlook.rs
@@ -54,7 +54,7 @@
             let is_late = place.is_late || job.expected_late;
             for (service, pieces) in &job.new.following {
                 let coming = outlook.coming.entry(service.clone()).or_default();
-                coming.all += pieces;
+                coming.all = coming.all.saturating_add(*pieces);
                 if !is_late {
                     coming.in_time.add(due, *pieces);
                 }
--- a/crates/tc-policy/src/batch/outlooks.rs
+++ b/crates/tc-policy/src/batch/outlooks.rs
@@ -22,6 +22,9 @@
 /// times as many are refused late.
 const MADE_MEANWHILE: f64 = 0.5;
 
+/// Longest wait that is told apart from others, in seconds: no request waits for so long.
+const LONGEST_WAIT_S: f64 = 3_600.0;
+
 /// The last word of each home.
 ///
 /// A chain of stages is as good as its most loaded one. Without this a request would pass its first stages, take
@@ -71,7 +74,8 @@
         let own: Vec<Duration> = (0..stages)
             .map(|stage| self.own(now, request, stage))
             .collect();
-        for stage in request.graph.in_order() {
+        // Each stage follows earlier ones only.
+        for stage in 0..stages {
             if request.graph.is_over(stage) {
                 continue;
             }
@@ -151,8 +155,8 @@
         travel: Duration,
     ) -> Duration {
         let coming = self.coming(now, request.graph, stage);
-        let coming: u32 = coming.map(|(_, coming)| coming.all).sum();
-        let ahead = f64::from(told.waiting + coming);
+        let coming: f64 = coming.map(|(_, coming)| f64::from(coming.all)).sum();
+        let ahead = f64::from(told.waiting) + coming;
         time_for(ahead, told.pieces_per_s * told.free, travel)
     }
 }
@@ -162,5 +166,7 @@
     if per_s <= 0.0 {
         return Duration::ZERO;
     }
-    Duration::from_secs_f64(pieces / per_s).saturating_sub(travel.mul_f64(MADE_MEANWHILE))
+    // What another instance told may be no number at all.
+    let seconds = (pieces / per_s).min(LONGEST_WAIT_S);
+    Duration::from_secs_f64(seconds).saturating_sub(travel.mul_f64(MADE_MEANWHILE))
 }
--- a/crates/tc-policy/src/stage_graph.rs
+++ b/crates/tc-policy/src/stage_graph.rs
@@ -28,7 +28,7 @@
 
 impl<'a> StageGraph<'a> {
     /// Begins with nothing made. `pieces` tells how many pieces each stage has; missing numbers count as none, and a stage
-    /// without pieces is left out.
+    /// without pieces is left out. Each stage must follow earlier ones only, as a valid configuration's do.
     ///
     /// ```
     /// use tc_policy::StageGraph;
@@ -154,14 +154,6 @@
             .unwrap_or_default()
     }
 
-    /// All stages, each after those that it follows.
-    #[must_use]
-    pub fn in_order(&self) -> Vec<usize> {
-        let mut order: Vec<usize> = (0..self.stages.len()).collect();
-        order.sort_by_key(|stage| self.level(*stage));
-        order
-    }
-
     /// Whether the stages are worth beginning; if not, when to come back.
     ///
     /// A request that can be in time is. One that cannot takes what is left at every stage, so it is worth beginning
@@ -199,15 +191,6 @@
         (0..self.stages.len()).filter(move |next| self.stages[*next].after.contains(&stage))
     }
 
-    /// Number of stages on the longest chain that ends before this one.
-    fn level(&self, stage: usize) -> usize {
-        let before = self.stages[stage].after.iter();
-        before
-            .map(|before| 1 + self.level(*before))
-            .max()
-            .unwrap_or(0)
-    }
-
     /// Number of stages on the longest chain that begins with this one.
     fn depth(&self, stage: usize) -> usize {
         if self.states[stage] == StageState::Omitted {
--- a/crates/tc-policy/tests/stage_graph.rs
+++ b/crates/tc-policy/tests/stage_graph.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use tc_policy::{
-    BatchPlanner, BatchUpstream, CallEnd, CallKey, JobKey, JudgedRequest, NewJob, RepeatBudget,
-    RepeatLimits, StageGraph, StageOutlooks,
+    BatchPlanner, BatchUpstream, CallEnd, CallKey, HomeOutlook, JobKey, JudgedRequest, NewJob,
+    PiecesByDue, RepeatBudget, RepeatLimits, StageGraph, StageOutlooks,
 };
 use tc_protocol::{
     MonoTime, ServiceName,
@@ -257,3 +257,44 @@
         "{judged:?} against {alone:?}"
     );
 }
+
+/// Symptom: an instance ends by itself. Sequence: another one, of another version or broken, tells numbers that are none.
+/// Cause: a wait is computed from them as they are.
+#[test]
+fn no_numbers_that_a_home_tells_bring_an_entry_down() {
+    let stages = [stage("first", &[], 8_000), stage("second", &[0], 8_000)];
+    let graph = StageGraph::new(&stages, &[1, 4]);
+    let now = MonoTime::from_millis(1_000);
+    for number in [
+        f64::NAN,
+        f64::INFINITY,
+        f64::NEG_INFINITY,
+        -1.0,
+        0.0,
+        1e-300,
+        1e300,
+    ] {
+        let mut told = StageOutlooks::default();
+        for service in ["first", "second"] {
+            let outlook = HomeOutlook {
+                waiting: u32::MAX,
+                in_time: PiecesByDue::from_counts(&[u32::MAX; 40]),
+                pieces_per_s: number,
+                free: number,
+                ..HomeOutlook::default()
+            };
+            told.note(now, &service.into(), outlook);
+        }
+        let expected = told.expect(
+            now,
+            &JudgedRequest {
+                graph: &graph,
+                call_times: &[ms(200); 2],
+                until_aim: AIM,
+                rank: u8::MAX,
+            },
+        );
+        // Whatever it decides, it decides.
+        let _ = graph.worth_beginning(&expected, AIM, LEAVES);
+    }
+}
