--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -99,6 +99,9 @@
     /// at its address.
     pub(crate) async fn read_anew(&self) {
         let absences = self.freezes.count();
+        if self.is_read_after(absences) {
+            return;
+        }
         let mut changes = self.changes();
         let fresh = async {
             while !self.is_read_after(absences) {
