--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -7,10 +7,7 @@
 };
 
 use nix::sys::signal::Signal;
-use tc_platform_adapter::outside::{
-    CONFIG_KIND, CONFIG_NAME, OutsideRoute, UPSTREAMS_KIND, config, object_spelling, ready_text,
-};
-use tc_protocol::routing::RepeatRule;
+use tc_platform_adapter::outside::{object_spelling, ready_text};
 use tc_stand_ins::{ObjectStore, StoreMode};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -20,9 +17,10 @@
 };
 
 use super::{
-    callers::{KEY, KINDS, Tellings, Told, call, call_until},
+    callers::{KINDS, Tellings, Told, call, call_until},
+    faults::End,
     judge::{CleanStop, Evidence, Left, judge},
-    plan::{CALM_END, Fault, Plan, UpstreamMode},
+    plan::{CALM_END, Plan, UpstreamMode},
     process::{GRACE, SoakInstance},
     upstreams::{ENGINES, STAGE, Seen, SoakUpstream, WEB},
 };
@@ -30,10 +28,6 @@
 
 /// Longest wait for the processes at the start.
 const START_LIMIT: Duration = Duration::from_secs(20);
-/// A configuration is in force this long after the store took it, if the store is well.
-const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
-/// Time between an upstream's word that it leaves and its end.
-const LEAVES_AFTER: Duration = Duration::from_millis(2_500);
 /// How often the play is looked at.
 const STEP: Duration = Duration::from_millis(10);
 /// Requests of each kind that every instance must serve at the end.
@@ -56,33 +50,26 @@
     pub folder: PathBuf,
 }
 
-struct Soak {
-    started: Instant,
-    store: ObjectStore,
-    seen: Arc<Seen>,
-    instances: Vec<SoakInstance>,
-    upstreams: Vec<SoakUpstream>,
-    tellings: Tellings,
-    version: u64,
-    next_upstream: usize,
-    store_fault_until: Instant,
+pub(super) struct Soak {
+    pub(super) started: Instant,
+    pub(super) store: ObjectStore,
+    pub(super) seen: Arc<Seen>,
+    pub(super) instances: Vec<SoakInstance>,
+    pub(super) upstreams: Vec<SoakUpstream>,
+    pub(super) tellings: Tellings,
+    pub(super) version: u64,
+    pub(super) next_upstream: usize,
+    pub(super) store_fault_until: Instant,
     /// Until when something other than a planned stop harms an instance.
-    harmed_until: Vec<Instant>,
-    stops: Vec<CleanStop>,
-    left: Vec<Left>,
-    leaving: Vec<(Instant, String)>,
-    config_due: Option<(Instant, u64)>,
-    timeline: Vec<String>,
-    broken: Vec<String>,
-}
-
-/// An end of a fault.
-#[derive(Clone, Copy, Debug)]
-enum End {
-    Restart(usize),
-    Continue(usize),
-    StoreWell,
-    UpstreamWell(usize),
+    pub(super) harmed_until: Vec<Instant>,
+    /// Instances whose processes are to be started once they have ended.
+    pub(super) to_start: Vec<bool>,
+    pub(super) stops: Vec<CleanStop>,
+    pub(super) left: Vec<Left>,
+    pub(super) leaving: Vec<(Instant, String)>,
+    pub(super) config_due: Option<(Instant, u64)>,
+    pub(super) timeline: Vec<String>,
+    pub(super) broken: Vec<String>,
 }
 
 /// Plays a plan on fresh processes.
@@ -134,6 +121,7 @@
             seen,
             next_upstream: plan.upstreams,
             harmed_until: vec![now; plan.instances],
+            to_start: vec![false; plan.instances],
             instances: instances?,
             upstreams,
             tellings: Tellings::default(),
@@ -171,33 +159,6 @@
         self.timeline.push(format!("{at:7.3} s  {what}"));
     }
 
-    /// A new version keeps all routes of the callers and replaces the one that was added before.
-    fn write_config(&mut self) {
-        self.version += 1;
-        let mut routes: Vec<OutsideRoute> = KINDS
-            .iter()
-            .map(|kind| OutsideRoute {
-                name: kind.route.to_owned(),
-                service: if kind.repeat.is_stream() {
-                    ENGINES
-                } else {
-                    WEB
-                },
-                repeat: kind.repeat,
-                stage: kind.staged.then_some(STAGE),
-            })
-            .collect();
-        routes.push(OutsideRoute {
-            name: added_route(self.version),
-            service: WEB,
-            repeat: RepeatRule::Idempotent,
-            stage: None,
-        });
-        let value = config(self.version, &routes, &[STAGE], KEY);
-        self.store.put(CONFIG_KIND, CONFIG_NAME, value);
-        self.config_due = Some((Instant::now() + IN_FORCE_AFTER, self.version));
-    }
-
     async fn faults(&mut self, plan: &Plan, end: Instant) -> Result<(), BenchError> {
         let mut begins = plan.faults.iter().peekable();
         let mut ends: Vec<(Instant, End)> = Vec::new();
@@ -217,167 +178,19 @@
             ends = later;
             let due: Vec<(Instant, End)> = due;
             for (_, over) in due {
-                self.end(over)?;
+                self.end(over);
             }
+            self.start_ended()?;
             self.let_go(now);
             self.check_config(now).await;
             sleep_until(now + STEP).await;
         }
         for (_, over) in ends {
-            self.end(over)?;
+            self.end(over);
         }
         Ok(())
     }
 
-    async fn begin(&mut self, fault: Fault, until: Instant) -> Option<End> {
-        let now = Instant::now();
-        match fault {
-            Fault::Kill(instance) => {
-                self.harm(instance, until);
-                self.instances[instance].signal(Signal::SIGKILL);
-                Some(End::Restart(instance))
-            }
-            Fault::Stop(instance) => {
-                let is_calm =
-                    self.harmed_until[instance] < now && self.instances[instance].is_running();
-                if is_calm {
-                    self.stops.push(CleanStop {
-                        instance,
-                        from: now,
-                        until: now + GRACE,
-                    });
-                }
-                self.instances[instance].signal(Signal::SIGTERM);
-                Some(End::Restart(instance))
-            }
-            Fault::Pause(instance) => {
-                self.harm(instance, until);
-                self.instances[instance].signal(Signal::SIGSTOP);
-                Some(End::Continue(instance))
-            }
-            Fault::Reload(instance) => {
-                self.instances[instance].signal(Signal::SIGHUP);
-                None
-            }
-            Fault::Store(mode) => {
-                self.store_fault_until = self.store_fault_until.max(until);
-                self.left
-                    .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
-                self.config_due = None;
-                self.store.set_mode(mode);
-                Some(End::StoreWell)
-            }
-            Fault::Upstream(upstream, mode) => {
-                for service in [WEB, ENGINES] {
-                    self.seen.set_mode(&format!("{service}-{upstream}"), mode);
-                }
-                Some(End::UpstreamWell(upstream))
-            }
-            Fault::Leave(upstream) => {
-                self.leave(upstream).await;
-                None
-            }
-            Fault::Config => {
-                self.write_config();
-                if now < self.store_fault_until {
-                    self.config_due = None;
-                }
-                None
-            }
-        }
-    }
-
-    /// Something other than a planned stop happens to an instance: what it does then proves nothing of its stops.
-    fn harm(&mut self, instance: usize, until: Instant) {
-        let now = Instant::now();
-        self.harmed_until[instance] = self.harmed_until[instance].max(until + GRACE);
-        self.stops
-            .retain(|stop| stop.instance != instance || stop.until < now);
-        // An instance that is away learns of leaving upstreams and configurations when it is back.
-        self.left
-            .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
-        self.config_due = None;
-    }
-
-    fn end(&mut self, end: End) -> Result<(), BenchError> {
-        match end {
-            End::Restart(instance) => {
-                // A process in its grace ends by itself first.
-                self.instances[instance].run()?;
-            }
-            End::Continue(instance) => self.instances[instance].signal(Signal::SIGCONT),
-            End::StoreWell => self.store.set_mode(StoreMode::Well),
-            End::UpstreamWell(upstream) => {
-                for service in [WEB, ENGINES] {
-                    let name = format!("{service}-{upstream}");
-                    self.seen.set_mode(&name, UpstreamMode::Well);
-                }
-            }
-        }
-        Ok(())
-    }
-
-    async fn leave(&mut self, upstream: usize) {
-        let now = Instant::now();
-        let of_web = self.upstreams.iter().filter(|u| u.service == WEB);
-        let Some(leaving) = of_web.into_iter().nth(upstream) else {
-            return;
-        };
-        let name = leaving.name.clone();
-        if self.leaving.iter().any(|(_, other)| *other == name) {
-            return;
-        }
-        leaving.register(&self.store, true);
-        if now >= self.store_fault_until && self.harmed_until.iter().all(|until| *until < now) {
-            self.left.push(Left {
-                upstream: name.clone(),
-                at: now,
-            });
-        }
-        self.leaving.push((now + LEAVES_AFTER, name));
-        self.next_upstream += 1;
-        let fresh = format!("{WEB}-{}", self.next_upstream);
-        let started = SoakUpstream::start(fresh, WEB, &self.seen, &self.store).await;
-        self.upstreams.push(started);
-    }
-
-    /// Upstreams whose time is over end.
-    fn let_go(&mut self, now: Instant) {
-        let over: Vec<String> = self
-            .leaving
-            .iter()
-            .filter(|(at, _)| *at <= now)
-            .map(|(_, name)| name.clone())
-            .collect();
-        for name in over {
-            self.store.remove(UPSTREAMS_KIND, &name);
-            self.upstreams.retain(|upstream| upstream.name != name);
-            self.leaving.retain(|(_, leaving)| *leaving != name);
-        }
-    }
-
-    /// A configuration that was due with nothing in its way is in force on every instance that serves.
-    async fn check_config(&mut self, now: Instant) {
-        let Some((_, version)) = self.config_due.filter(|(due, _)| *due <= now) else {
-            return;
-        };
-        self.config_due = None;
-        let kind = KINDS[1];
-        for number in 0..self.instances.len() {
-            let address = self.instances[number].callers;
-            let route = added_route(version);
-            let id = format!("c{version}-{number}");
-            let asked = call(&route, kind, &id, number, address, None).await;
-            if let Some((told, _)) = asked
-                && told.status == 404
-            {
-                let what =
-                    format!("config: version {version} is not in force on instance {number}");
-                self.broken.push(what);
-            }
-        }
-    }
-
     /// All is well from now on.
     async fn heal(&mut self) -> Result<(), BenchError> {
         self.note("all is well from here on");
@@ -453,10 +266,6 @@
     }
 }
 
-fn added_route(version: u64) -> String {
-    format!("added-{version}")
-}
-
 fn is_served(told: &Told) -> bool {
     told.status == 200 && told.whole
 }
--- /dev/null
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -0,0 +1,224 @@
+//! The faults of a soak: how each begins and ends, and what it excuses.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use tc_platform_adapter::outside::{
+    CONFIG_KIND, CONFIG_NAME, OutsideRoute, UPSTREAMS_KIND, config,
+};
+use tc_protocol::routing::RepeatRule;
+use tc_stand_ins::StoreMode;
+use tokio::time::Instant;
+
+use super::{
+    callers::{KEY, KINDS, call},
+    drive::Soak,
+    judge::{CleanStop, Left},
+    plan::{Fault, UpstreamMode},
+    process::GRACE,
+    upstreams::{ENGINES, STAGE, SoakUpstream, WEB},
+};
+use crate::error::BenchError;
+
+/// A configuration is in force this long after the store took it, if the store is well.
+const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
+/// Time between an upstream's word that it leaves and its end.
+const LEAVES_AFTER: Duration = Duration::from_millis(2_500);
+
+/// An end of a fault.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum End {
+    Restart(usize),
+    Continue(usize),
+    StoreWell,
+    UpstreamWell(usize),
+}
+
+impl Soak {
+    /// A new version keeps all routes of the callers and replaces the one that was added before.
+    pub(super) fn write_config(&mut self) {
+        self.version += 1;
+        let mut routes: Vec<OutsideRoute> = KINDS
+            .iter()
+            .map(|kind| OutsideRoute {
+                name: kind.route.to_owned(),
+                service: if kind.repeat.is_stream() {
+                    ENGINES
+                } else {
+                    WEB
+                },
+                repeat: kind.repeat,
+                stage: kind.staged.then_some(STAGE),
+            })
+            .collect();
+        routes.push(OutsideRoute {
+            name: added_route(self.version),
+            service: WEB,
+            repeat: RepeatRule::Idempotent,
+            stage: None,
+        });
+        let value = config(self.version, &routes, &[STAGE], KEY);
+        self.store.put(CONFIG_KIND, CONFIG_NAME, value);
+        self.config_due = Some((Instant::now() + IN_FORCE_AFTER, self.version));
+    }
+
+    pub(super) async fn begin(&mut self, fault: Fault, until: Instant) -> Option<End> {
+        let now = Instant::now();
+        match fault {
+            Fault::Kill(instance) => {
+                self.harm(instance, until);
+                self.instances[instance].signal(Signal::SIGKILL);
+                Some(End::Restart(instance))
+            }
+            Fault::Stop(instance) => {
+                let is_calm =
+                    self.harmed_until[instance] < now && self.instances[instance].is_running();
+                if is_calm {
+                    self.stops.push(CleanStop {
+                        instance,
+                        from: now,
+                        until: now + GRACE,
+                    });
+                }
+                self.instances[instance].signal(Signal::SIGTERM);
+                Some(End::Restart(instance))
+            }
+            Fault::Pause(instance) => {
+                self.harm(instance, until);
+                self.instances[instance].signal(Signal::SIGSTOP);
+                Some(End::Continue(instance))
+            }
+            Fault::Reload(instance) => {
+                self.instances[instance].signal(Signal::SIGHUP);
+                None
+            }
+            Fault::Store(mode) => {
+                self.store_fault_until = self.store_fault_until.max(until);
+                self.left
+                    .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
+                self.config_due = None;
+                self.store.set_mode(mode);
+                Some(End::StoreWell)
+            }
+            Fault::Upstream(upstream, mode) => {
+                for service in [WEB, ENGINES] {
+                    self.seen.set_mode(&format!("{service}-{upstream}"), mode);
+                }
+                Some(End::UpstreamWell(upstream))
+            }
+            Fault::Leave(upstream) => {
+                self.leave(upstream).await;
+                None
+            }
+            Fault::Config => {
+                self.write_config();
+                if now < self.store_fault_until {
+                    self.config_due = None;
+                }
+                None
+            }
+        }
+    }
+
+    /// Something other than a planned stop happens to an instance: what it does then proves nothing of its stops.
+    fn harm(&mut self, instance: usize, until: Instant) {
+        let now = Instant::now();
+        self.harmed_until[instance] = self.harmed_until[instance].max(until + GRACE);
+        self.stops
+            .retain(|stop| stop.instance != instance || stop.until < now);
+        // An instance that is away learns of leaving upstreams and configurations when it is back.
+        self.left
+            .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
+        self.config_due = None;
+    }
+
+    pub(super) fn end(&mut self, end: End) {
+        match end {
+            End::Restart(instance) => self.to_start[instance] = true,
+            End::Continue(instance) => self.instances[instance].signal(Signal::SIGCONT),
+            End::StoreWell => self.store.set_mode(StoreMode::Well),
+            End::UpstreamWell(upstream) => {
+                for service in [WEB, ENGINES] {
+                    let name = format!("{service}-{upstream}");
+                    self.seen.set_mode(&name, UpstreamMode::Well);
+                }
+            }
+        }
+    }
+
+    /// Starts processes whose time away is over; one in its grace ends by itself first.
+    pub(super) fn start_ended(&mut self) -> Result<(), BenchError> {
+        for number in 0..self.instances.len() {
+            if self.to_start[number] && !self.instances[number].is_running() {
+                self.to_start[number] = false;
+                self.instances[number].run()?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn leave(&mut self, upstream: usize) {
+        let now = Instant::now();
+        let of_web = self.upstreams.iter().filter(|u| u.service == WEB);
+        let Some(leaving) = of_web.into_iter().nth(upstream) else {
+            return;
+        };
+        let name = leaving.name.clone();
+        if self.leaving.iter().any(|(_, other)| *other == name) {
+            return;
+        }
+        leaving.register(&self.store, true);
+        if now >= self.store_fault_until && self.harmed_until.iter().all(|until| *until < now) {
+            self.left.push(Left {
+                upstream: name.clone(),
+                at: now,
+            });
+        }
+        self.leaving.push((now + LEAVES_AFTER, name));
+        self.next_upstream += 1;
+        let fresh = format!("{WEB}-{}", self.next_upstream);
+        let started = SoakUpstream::start(fresh, WEB, &self.seen, &self.store).await;
+        self.upstreams.push(started);
+    }
+
+    /// Upstreams whose time is over end.
+    pub(super) fn let_go(&mut self, now: Instant) {
+        let over: Vec<String> = self
+            .leaving
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, name)| name.clone())
+            .collect();
+        for name in over {
+            self.store.remove(UPSTREAMS_KIND, &name);
+            self.upstreams.retain(|upstream| upstream.name != name);
+            self.leaving.retain(|(_, leaving)| *leaving != name);
+        }
+    }
+
+    /// A configuration that was due with nothing in its way is in force on every instance that serves.
+    pub(super) async fn check_config(&mut self, now: Instant) {
+        let Some((_, version)) = self.config_due.filter(|(due, _)| *due <= now) else {
+            return;
+        };
+        self.config_due = None;
+        let kind = KINDS[1];
+        for number in 0..self.instances.len() {
+            let address = self.instances[number].callers;
+            let route = added_route(version);
+            let id = format!("c{version}-{number}");
+            let asked = call(&route, kind, &id, number, address, None).await;
+            if let Some((told, _)) = asked
+                && told.status == 404
+            {
+                let what =
+                    format!("config: version {version} is not in force on instance {number}");
+                self.broken.push(what);
+            }
+        }
+    }
+}
+
+fn added_route(version: u64) -> String {
+    format!("added-{version}")
+}
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod callers;
 mod drive;
+mod faults;
 mod judge;
 mod plan;
 mod process;
