Make the soak's check of configurations able to fail

Now only instances that something was in the way of are left out, and at the end the last version must be in force everywhere.

--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -215,6 +215,7 @@
 
     /// Every instance serves every kind of request once all has been well for a while.
     async fn last_requests(&mut self) {
+        self.expect_last_config().await;
         for number in 0..self.instances.len() {
             let address = self.instances[number].callers;
             for kind in KINDS {
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -126,10 +126,9 @@
         self.harmed_until[instance] = self.harmed_until[instance].max(until + GRACE);
         self.stops
             .retain(|stop| stop.instance != instance || stop.until < now);
-        // An instance that is away learns of leaving upstreams and configurations when it is back.
+        // An instance that is away learns of leaving upstreams when it is back.
         self.left
             .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
-        self.config_due = None;
     }
 
     pub(super) fn end(&mut self, end: End) {
@@ -196,14 +195,27 @@
         }
     }
 
-    /// A configuration that was due with nothing in its way is in force on every instance that serves.
+    /// A configuration that the store gave out all the while is in force on every instance that nothing was in the way of.
     pub(super) async fn check_config(&mut self, now: Instant) {
-        let Some((_, version)) = self.config_due.filter(|(due, _)| *due <= now) else {
+        let Some((due, version)) = self.config_due.filter(|(due, _)| *due <= now) else {
             return;
         };
         self.config_due = None;
+        let written = due - IN_FORCE_AFTER;
+        let calm = |number: &usize| self.harmed_until[*number] < written;
+        let calm: Vec<usize> = (0..self.instances.len()).filter(calm).collect();
+        self.expect_config(version, &calm).await;
+    }
+
+    /// The last configuration is in force on every instance.
+    pub(super) async fn expect_last_config(&mut self) {
+        let all: Vec<usize> = (0..self.instances.len()).collect();
+        self.expect_config(self.version, &all).await;
+    }
+
+    async fn expect_config(&mut self, version: u64, on: &[usize]) {
         let kind = KINDS[1];
-        for number in 0..self.instances.len() {
+        for &number in on {
             let address = self.instances[number].callers;
             let route = added_route(version);
             let id = format!("c{version}-{number}");
