--- a/crates/tc-fleet/tests/fleet/common.rs
+++ b/crates/tc-fleet/tests/fleet/common.rs
@@ -112,14 +112,7 @@
 }
 
 fn free_address() -> SocketAddr {
-    // The fleet address needs the same port for TCP and UDP.
-    loop {
-        let tcp = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = tcp.local_addr().unwrap();
-        if std::net::UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
+    tc_stand_ins::free_address(std::net::Ipv4Addr::LOCALHOST.into()).unwrap()
 }
 
 /// Instances `i0`, `i1`, … listed at the platform.
--- a/crates/tc-operator/tests/quick_start.rs
+++ b/crates/tc-operator/tests/quick_start.rs
@@ -5,7 +5,7 @@
 use std::{
     collections::BTreeMap,
     fs,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process::Command,
     thread::{self, JoinHandle},
@@ -239,8 +239,11 @@
     words
 }
 
-/// Three addresses that nothing listens on, all held until the last is chosen.
+/// Three addresses that nothing listens on.
 fn free_addresses() -> [String; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
-    listeners.map(|listener| listener.local_addr().expect("an address").to_string())
+    let ip = std::net::Ipv4Addr::LOCALHOST.into();
+    [(); 3].map(|()| {
+        let free = tc_stand_ins::free_address(ip);
+        free.expect("a free port").to_string()
+    })
 }
--- a/crates/tc-stand-ins/src/lib.rs
+++ b/crates/tc-stand-ins/src/lib.rs
@@ -11,6 +11,7 @@
 mod plain;
 mod platform;
 mod pool;
+mod ports;
 mod rate;
 mod recorder;
 mod scripted;
@@ -30,6 +31,7 @@
 pub use plain::{Plain, PlainConfig};
 pub use platform::{Platform, PlatformFaults, RateLimits};
 pub use pool::{Pool, PoolConfig};
+pub use ports::free_address;
 pub use recorder::{CallRecord, Ending, OrderRecord, Recorder, StageTotals};
 pub use scripted::{Received, Script, ScriptedServer, Step, whole_answer};
 pub use upstream::{AnswerFault, UpstreamFaults, UpstreamHandle};
--- a/tests/serve.rs
+++ b/tests/serve.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{BufRead, BufReader},
-    net::{SocketAddr, TcpListener},
+    net::SocketAddr,
     process::{Child, Command, Stdio},
     sync::mpsc::{Receiver, channel},
     thread,
@@ -79,10 +79,10 @@
     }
 }
 
-/// Three addresses that nothing listens on, all held until the last is chosen.
+/// Three addresses that nothing listens on.
 fn free_addresses() -> [SocketAddr; 3] {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").expect("a port"));
-    listeners.map(|listener| listener.local_addr().expect("an address"))
+    let ip = std::net::Ipv4Addr::LOCALHOST.into();
+    [(); 3].map(|()| tc_stand_ins::free_address(ip).expect("a free port"))
 }
 
 // Symptom: callers are refused as not ready, and nothing tells the operator why.
