--- a/crates/tc-stand-ins/src/objects.rs
+++ b/crates/tc-stand-ins/src/objects.rs
@@ -93,6 +93,8 @@
     Forgetful,
     /// Its lists are right, and its watches never say anything again.
     DeafWatches,
+    /// The same for watches of one kind.
+    DeafWatchesOf(&'static str),
     /// It turns calls away: too many.
     Limited,
 }
@@ -252,7 +254,12 @@
         if is_old && mode == StoreMode::HistoryGone {
             return whole_answer(self.spelling.history_gone, "", "");
         }
-        if mode == StoreMode::DeafWatches {
+        let is_deaf = match mode {
+            StoreMode::DeafWatches => true,
+            StoreMode::DeafWatchesOf(deaf) => deaf == kind,
+            _ => false,
+        };
+        if is_deaf {
             return vec![Step::Pause(Duration::MAX)];
         }
         let hangs = is_old && mode == StoreMode::Forgetful;
