--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -248,18 +248,6 @@
         self.superseded_by
     }
 
-    /// Tells the news, and what rides on them, to every other instance.
-    pub fn announce_to_all(&mut self) -> Vec<Outgoing> {
-        let members = self.members();
-        let others = members
-            .iter()
-            .filter(|member| member.id != self.me.member.id);
-        let to: Vec<SocketAddr> = others.map(|member| member.fleet_address).collect();
-        to.into_iter()
-            .map(|to| self.send(to, Kind::Announcement, None))
-            .collect()
-    }
-
     /// Number of instances that are not dead, this one included.
     pub(super) fn size(&self) -> usize {
         self.table.live().count() + 1
@@ -377,15 +365,6 @@
         Outgoing { to, message }
     }
 
-    /// Tells the news to `count` instances chosen by chance.
-    pub(super) fn announce(&mut self, count: usize, about: Option<&InstanceId>) -> Vec<Outgoing> {
-        let peers = self.some_peers(count, about);
-        peers
-            .into_iter()
-            .map(|(_, to)| self.send(to, Kind::Announcement, about))
-            .collect()
-    }
-
     /// Up to `count` instances that are not accused, chosen by chance.
     pub(super) fn some_peers(
         &mut self,
--- a/crates/tc-membership/src/membership/mod.rs
+++ b/crates/tc-membership/src/membership/mod.rs
@@ -4,6 +4,7 @@
 //! others; one that does not answer is suspected, and dead unless it refutes in time; what is learned travels on the
 //! probes themselves, so the cost per instance does not grow with their number.
 
+mod announce;
 mod config;
 mod dissemination;
 mod leaving;
