--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -504,6 +504,59 @@
     pub home: ::core::option::Option<HomeOutlook>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EngineAskMessage {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub tokens_in: u32,
+    #[prost(uint32, tag = "3")]
+    pub tokens_out: u32,
+    /// Parts of the prompt in their order: identifiers, and as many numbers of tokens.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub part_ids: ::prost::alloc::vec::Vec<u64>,
+    #[prost(uint32, repeated, tag = "5")]
+    pub part_tokens: ::prost::alloc::vec::Vec<u32>,
+    /// Results that the engine fetches: where they lie, and as many numbers of bytes.
+    #[prost(string, repeated, tag = "6")]
+    pub input_domains: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint64, repeated, tag = "7")]
+    pub input_bytes: ::prost::alloc::vec::Vec<u64>,
+    #[prost(string, repeated, tag = "8")]
+    pub except: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(uint32, tag = "9")]
+    pub remaining_ms: u32,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EngineChoiceMessage {
+    /// Empty: no engine is known here.
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Empty: nothing is fetched.
+    #[prost(string, tag = "2")]
+    pub fetch_from: ::prost::alloc::string::String,
+    #[prost(uint64, tag = "3")]
+    pub run: u64,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct RunNewsMessage {
+    #[prost(string, tag = "1")]
+    pub service: ::prost::alloc::string::String,
+    #[prost(message, repeated, tag = "2")]
+    pub news: ::prost::alloc::vec::Vec<RunNews>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunNews {
+    #[prost(uint64, tag = "1")]
+    pub run: u64,
+    /// 0 first event, 1 ended, 2 failed.
+    #[prost(uint32, tag = "2")]
+    pub what: u32,
+    #[prost(uint32, tag = "3")]
+    pub took_ms: u32,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct RunNewsAnswer {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FreeResultsMessage {
     #[prost(string, repeated, tag = "1")]
     pub results: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
@@ -1420,6 +1473,40 @@
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FreeResults"));
             self.inner.unary(req, path, codec).await
         }
+        /// An engine for a prompt, chosen by the home of its service.
+        pub async fn choose_engine(
+            &mut self,
+            request: impl tonic::IntoRequest<super::EngineAskMessage>,
+        ) -> std::result::Result<tonic::Response<super::EngineChoiceMessage>, tonic::Status>
+        {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/ChooseEngine");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new(
+                "tanagercroft.fleet.v1.Mesh",
+                "ChooseEngine",
+            ));
+            self.inner.unary(req, path, codec).await
+        }
+        /// What became of runs whose engines were chosen by this home.
+        pub async fn tell_runs(
+            &mut self,
+            request: impl tonic::IntoRequest<super::RunNewsMessage>,
+        ) -> std::result::Result<tonic::Response<super::RunNewsAnswer>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path = http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/TellRuns");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "TellRuns"));
+            self.inner.unary(req, path, codec).await
+        }
         /// Requests that may crash upstreams, at the home of their service.
         pub async fn suspects(
             &mut self,
@@ -1482,6 +1569,16 @@
             &self,
             request: tonic::Request<super::FreeResultsMessage>,
         ) -> std::result::Result<tonic::Response<super::FreeResultsAnswer>, tonic::Status>;
+        /// An engine for a prompt, chosen by the home of its service.
+        async fn choose_engine(
+            &self,
+            request: tonic::Request<super::EngineAskMessage>,
+        ) -> std::result::Result<tonic::Response<super::EngineChoiceMessage>, tonic::Status>;
+        /// What became of runs whose engines were chosen by this home.
+        async fn tell_runs(
+            &self,
+            request: tonic::Request<super::RunNewsMessage>,
+        ) -> std::result::Result<tonic::Response<super::RunNewsAnswer>, tonic::Status>;
         /// Requests that may crash upstreams, at the home of their service.
         async fn suspects(
             &self,
@@ -1680,6 +1777,81 @@
                     };
                     Box::pin(fut)
                 }
+                "/tanagercroft.fleet.v1.Mesh/ChooseEngine" => {
+                    #[allow(non_camel_case_types)]
+                    struct ChooseEngineSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::EngineAskMessage> for ChooseEngineSvc<T> {
+                        type Response = super::EngineChoiceMessage;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::EngineAskMessage>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Mesh>::choose_engine(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = ChooseEngineSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/tanagercroft.fleet.v1.Mesh/TellRuns" => {
+                    #[allow(non_camel_case_types)]
+                    struct TellRunsSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::RunNewsMessage> for TellRunsSvc<T> {
+                        type Response = super::RunNewsAnswer;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::RunNewsMessage>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut = async move { <T as Mesh>::tell_runs(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = TellRunsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 "/tanagercroft.fleet.v1.Mesh/Suspects" => {
                     #[allow(non_camel_case_types)]
                     struct SuspectsSvc<T: Mesh>(pub Arc<T>);
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -30,7 +30,7 @@
 pub use fleet::{Fleet, LocalReport};
 pub use key::FleetKeys;
 pub use mesh::{
-    Mesh, MeshError, MeshHandlers, MeshSettings, PiecesAnswer, SuspectRun, WorldCopy, WorldHave,
-    WorldObject,
+    ChooseEngine, Mesh, MeshError, MeshHandlers, MeshSettings, PiecesAnswer, SuspectRun, TellRuns,
+    WorldCopy, WorldHave, WorldObject,
 };
 pub use settings::{AskPolicy, FleetSettings};
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -7,7 +7,7 @@
 use tc_membership::{MembershipConfig, Record, home_of};
 use tc_protocol::{
     AskRefusal, Fingerprint, InstanceId, Member, ServiceName, UpstreamId, WorkspaceName,
-    routing::{PiecesAsk, ResultHandle},
+    routing::{EngineAsk, EngineChoice, PiecesAsk, ResultHandle, RunReport},
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -19,7 +19,7 @@
     actor::{MeshActor, MeshArgs, MeshMsg, Published, others},
     messages::{
         MeshError, PiecesAnswer, WorldCopy, WorldHave, answer_from_wire, ask_to_wire,
-        copy_from_wire, texts,
+        choice_from_wire, copy_from_wire, engine_ask_to_wire, news_to_wire, texts,
     },
     peers::Peers,
     service::{MeshHandlers, Service},
@@ -27,7 +27,9 @@
 };
 use crate::{
     FleetError, FleetKeys, convert,
-    generated::{FreeResultsMessage, Introduction, WorldPull, mesh_server::MeshServer},
+    generated::{
+        FreeResultsMessage, Introduction, RunNewsMessage, WorldPull, mesh_server::MeshServer,
+    },
     gossip::GossipSocket,
     peers::timed,
     server::check_token,
@@ -37,6 +39,10 @@
 /// How long an ask for pieces may outlive the request's own time, for the way back.
 const ASK_GRACE: Duration = Duration::from_millis(200);
 
+/// Longest wait for a home's choice of an engine. An answer takes one to five milliseconds; an instance that waits longer
+/// chooses by itself, which costs less than the tenth of an aim.
+const CHOICE_LIMIT: Duration = Duration::from_millis(60);
+
 /// What [`Mesh::start`] needs to know.
 #[derive(Clone, Debug)]
 pub struct MeshSettings {
@@ -264,6 +270,40 @@
             .map_err(|status| no_answer(home, &status))
     }
 
+    /// Asks the home of a model service for an engine; `None` when it knows none.
+    pub async fn choose_engine(
+        &self,
+        home: &Member,
+        ask: &EngineAsk,
+    ) -> Result<Option<EngineChoice>, MeshError> {
+        let mut req = Request::new(engine_ask_to_wire(ask));
+        req.set_timeout(CHOICE_LIMIT);
+        let mut client = self.inner.peers.client(home);
+        let choice = client
+            .choose_engine(req)
+            .await
+            .map_err(|status| no_answer(home, &status))?;
+        Ok(choice_from_wire(&choice.into_inner()))
+    }
+
+    /// Tells the home that chose engines for runs what became of them.
+    pub async fn tell_runs(
+        &self,
+        home: &Member,
+        service: &ServiceName,
+        news: &[RunReport],
+    ) -> Result<(), MeshError> {
+        let req = timed(RunNewsMessage {
+            service: service.to_string(),
+            news: news.iter().map(news_to_wire).collect(),
+        });
+        let mut client = self.inner.peers.client(home);
+        let answer = client.tell_runs(req).await;
+        answer
+            .map(|_| ())
+            .map_err(|status| no_answer(home, &status))
+    }
+
     /// Waits for leave to run a request: at once unless it has crashed upstreams, in which case it runs once at a time
     /// over all instances, and not at all after a few crashes in a row.
     ///
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -1,12 +1,15 @@
 //! Typed messages between instances and their wire forms.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use serde_json::Value;
 use tc_policy::{Coming, HomeOutlook, PiecesByDue};
 use tc_protocol::{
     InstanceId, ServiceName,
-    routing::{PieceInput, PiecesAsk, PiecesRefusal, ResultHandle},
+    routing::{
+        EngineAsk, EngineChoice, EngineNews, PieceInput, PiecesAsk, PiecesRefusal, Prompt,
+        PromptPart, ResultHandle, RunReport,
+    },
 };
 use thiserror::Error;
 
@@ -132,6 +135,92 @@
     following.iter().map(from_wire).collect()
 }
 
+pub(super) fn engine_ask_to_wire(ask: &EngineAsk) -> wire::EngineAskMessage {
+    let (part_ids, part_tokens) = ask.prompt.parts.iter().map(|p| (p.id, p.tokens)).unzip();
+    let inputs = ask.inputs.iter();
+    let (input_domains, input_bytes) = inputs.map(|(d, b)| (d.to_string(), *b)).unzip();
+    wire::EngineAskMessage {
+        service: ask.service.to_string(),
+        tokens_in: ask.prompt.tokens_in,
+        tokens_out: ask.prompt.tokens_out,
+        part_ids,
+        part_tokens,
+        input_domains,
+        input_bytes,
+        except: ask.except.iter().map(ToString::to_string).collect(),
+        remaining_ms: convert::millis(ask.remaining),
+    }
+}
+
+pub(super) fn engine_ask_from_wire(message: &wire::EngineAskMessage) -> EngineAsk {
+    let parts = message.part_ids.iter().zip(&message.part_tokens);
+    let inputs = message.input_domains.iter().zip(&message.input_bytes);
+    EngineAsk {
+        service: message.service.as_str().into(),
+        prompt: Prompt {
+            tokens_in: message.tokens_in,
+            tokens_out: message.tokens_out,
+            parts: parts
+                .map(|(id, tokens)| PromptPart {
+                    id: *id,
+                    tokens: *tokens,
+                })
+                .collect(),
+        },
+        inputs: inputs
+            .map(|(domain, bytes)| (domain.as_str().into(), *bytes))
+            .collect(),
+        except: message.except.iter().map(|id| id.as_str().into()).collect(),
+        remaining: convert::from_millis(message.remaining_ms),
+    }
+}
+
+pub(super) fn choice_to_wire(choice: Option<EngineChoice>) -> wire::EngineChoiceMessage {
+    choice.map_or_else(Default::default, |choice| wire::EngineChoiceMessage {
+        upstream: choice.upstream.to_string(),
+        fetch_from: choice
+            .fetch_from
+            .map(|id| id.to_string())
+            .unwrap_or_default(),
+        run: choice.run,
+    })
+}
+
+pub(super) fn choice_from_wire(message: &wire::EngineChoiceMessage) -> Option<EngineChoice> {
+    let named = |id: &str| (!id.is_empty()).then(|| id.into());
+    Some(EngineChoice {
+        upstream: named(&message.upstream)?,
+        fetch_from: named(&message.fetch_from),
+        run: message.run,
+    })
+}
+
+pub(super) fn news_to_wire(report: &RunReport) -> wire::RunNews {
+    let (what, took) = match report.news {
+        EngineNews::FirstEvent(took) => (0, took),
+        EngineNews::Ended => (1, Duration::ZERO),
+        EngineNews::Failed => (2, Duration::ZERO),
+    };
+    wire::RunNews {
+        run: report.run,
+        what,
+        took_ms: convert::millis(took),
+    }
+}
+
+/// News of a kind that is not known here, as of a later version, ends the run: nothing is then counted for ever.
+pub(super) fn news_from_wire(news: &wire::RunNews) -> RunReport {
+    let what = match news.what {
+        0 => EngineNews::FirstEvent(convert::from_millis(news.took_ms)),
+        2 => EngineNews::Failed,
+        _ => EngineNews::Ended,
+    };
+    RunReport {
+        run: news.run,
+        news: what,
+    }
+}
+
 fn outlook_to_wire(outlook: &HomeOutlook) -> wire::HomeOutlook {
     let coming = |(service, coming): (&ServiceName, &Coming)| wire::ComingPieces {
         service: service.to_string(),
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -11,4 +11,4 @@
 
 pub use handle::{Mesh, MeshSettings, SuspectRun};
 pub use messages::{MeshError, PiecesAnswer, WorldCopy, WorldHave, WorldObject};
-pub use service::MeshHandlers;
+pub use service::{ChooseEngine, MeshHandlers, TellRuns};
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -5,8 +5,8 @@
 use futures::future::BoxFuture;
 use ractor::ActorRef;
 use tc_protocol::{
-    MonoTime,
-    routing::{PiecesAsk, ResultHandle},
+    MonoTime, ServiceName,
+    routing::{EngineAsk, EngineChoice, PiecesAsk, ResultHandle, RunReport},
 };
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status};
@@ -14,25 +14,36 @@
 use super::{
     actor::MeshMsg,
     messages::{
-        PiecesAnswer, WorldCopy, WorldHave, answer_to_wire, ask_from_wire, copy_to_wire, handles,
+        PiecesAnswer, WorldCopy, WorldHave, answer_to_wire, ask_from_wire, choice_to_wire,
+        copy_to_wire, engine_ask_from_wire, handles, news_from_wire,
     },
 };
 use crate::{
     convert,
     generated::{
-        FreeResultsAnswer, FreeResultsMessage, Introduction, MemberList,
-        PiecesAnswer as WireAnswer, PiecesAskMessage, SuspectAnswer, SuspectReport,
-        WorldCopy as WireCopy, WorldPull, mesh_server::Mesh as MeshService,
+        EngineAskMessage, EngineChoiceMessage, FreeResultsAnswer, FreeResultsMessage, Introduction,
+        MemberList, PiecesAnswer as WireAnswer, PiecesAskMessage, RunNewsAnswer, RunNewsMessage,
+        SuspectAnswer, SuspectReport, WorldCopy as WireCopy, WorldPull,
+        mesh_server::Mesh as MeshService,
     },
     suspects::SuspectTable,
 };
 
+/// Chooses an engine for a prompt; `None` when none is known.
+pub type ChooseEngine = dyn Fn(&EngineAsk) -> Option<EngineChoice> + Send + Sync;
+/// Takes up what became of runs of a service.
+pub type TellRuns = dyn Fn(&ServiceName, &[RunReport]) + Send + Sync;
+
 /// What this instance does for others. Futures that are dropped cancel what they stand for.
 pub struct MeshHandlers {
     /// Makes the pieces of a stage as the home of its service.
     pub make_pieces: Box<dyn Fn(PiecesAsk) -> BoxFuture<'static, PiecesAnswer> + Send + Sync>,
     /// Gives up results.
     pub free_results: Box<dyn Fn(Vec<ResultHandle>) + Send + Sync>,
+    /// Chooses an engine as the home of its service.
+    pub choose_engine: Box<ChooseEngine>,
+    /// Takes up what became of runs whose engines were chosen here.
+    pub tell_runs: Box<TellRuns>,
     /// What is known here of the store beyond what the asker has.
     pub world: Box<dyn Fn(WorldHave) -> WorldCopy + Send + Sync>,
 }
@@ -82,6 +93,25 @@
         Ok(Response::new(FreeResultsAnswer {}))
     }
 
+    async fn choose_engine(
+        &self,
+        req: Request<EngineAskMessage>,
+    ) -> Result<Response<EngineChoiceMessage>, Status> {
+        let ask = engine_ask_from_wire(&req.into_inner());
+        let choice = (self.handlers.choose_engine)(&ask);
+        Ok(Response::new(choice_to_wire(choice)))
+    }
+
+    async fn tell_runs(
+        &self,
+        req: Request<RunNewsMessage>,
+    ) -> Result<Response<RunNewsAnswer>, Status> {
+        let message = req.into_inner();
+        let news: Vec<RunReport> = message.news.iter().map(news_from_wire).collect();
+        (self.handlers.tell_runs)(&message.service.as_str().into(), &news);
+        Ok(Response::new(RunNewsAnswer {}))
+    }
+
     async fn suspects(
         &self,
         req: Request<SuspectReport>,
--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -2,7 +2,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tc_protocol::{UpstreamId, WorkspaceName, routing::ResultHandle};
+use std::net::SocketAddr;
+
+use tc_protocol::{
+    UpstreamId, WorkspaceName,
+    routing::{Prompt, ResultHandle},
+};
 use thiserror::Error;
 
 /// What a caller's request says in its headers.
@@ -24,45 +29,6 @@
     pub resume_after: Option<u64>,
 }
 
-/// A model request's prompt as a chain of parts that requests share.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Prompt {
-    /// Tokens in.
-    pub tokens_in: u32,
-    /// Most tokens out.
-    pub tokens_out: u32,
-    /// The parts in their order; the last one belongs to the request itself.
-    pub parts: Vec<PromptPart>,
-}
-
-/// One part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Identifies its content.
-    pub id: u64,
-    /// How many tokens it has.
-    pub tokens: u32,
-}
-
-impl Prompt {
-    /// The longest chain of parts that other requests share too, as one number; `None` when nothing is shared.
-    ///
-    /// ```
-    /// use tc_gateway::{Prompt, PromptPart};
-    /// let part = |id| PromptPart { id, tokens: 10 };
-    /// let prompt = |parts| Prompt { tokens_in: 30, tokens_out: 5, parts };
-    /// let first = prompt(vec![part(1), part(2), part(8)]);
-    /// let second = prompt(vec![part(1), part(2), part(9)]);
-    /// assert_eq!(first.shared_key(), second.shared_key());
-    /// assert_eq!(prompt(vec![part(1)]).shared_key(), None);
-    /// ```
-    #[must_use]
-    pub fn shared_key(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(2)?;
-        Some(self.parts[shared].id)
-    }
-}
-
 /// Why a request's headers cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum HeadError {
@@ -87,6 +53,8 @@
     pub inputs: Option<&'a [ResultHandle]>,
     /// The last event that was delivered, when a stream goes on after it.
     pub resume_after: Option<u64>,
+    /// Another engine that keeps more of the prompt; the upstream fetches it from there.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// Whether an upstream took a request, as its answer says.
--- /dev/null
+++ b/crates/tc-gateway/src/engines/ask.rs
@@ -0,0 +1,64 @@
+//! Asking the home of a model service for an engine, and going on without it when it does not answer.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use tc_protocol::{
+    Member, UpstreamId,
+    routing::{EngineAsk, EngineChoice, RegisteredUpstream},
+};
+
+use super::EngineRun;
+use crate::{run::RunContext, world::World};
+
+/// An engine that a home chose.
+pub(crate) struct ChosenEngine {
+    pub(crate) upstream: Arc<RegisteredUpstream>,
+    /// Another engine from which it fetches what that one keeps of the prompt.
+    pub(crate) fetch_from: Option<SocketAddr>,
+    pub(crate) run: EngineRun,
+}
+
+/// Asks for an engine; `None` when no home knows one that is known here too.
+pub(crate) async fn ask_for_engine(cx: &RunContext, ask: &EngineAsk) -> Option<ChosenEngine> {
+    let home = cx.mesh.home(ask.service.as_str(), &[]);
+    let home = home.filter(|home| home.id != cx.mesh.me().id);
+    let (choice, home) = match home {
+        Some(home) => match cx.mesh.choose_engine(&home, ask).await {
+            Ok(choice) => (choice?, Some(home)),
+            Err(error) => {
+                log::info!(service = ask.service.as_str(), home = home.id.as_str(), error = error.to_string().as_str(); "the home of engines does not answer; this instance chooses by itself");
+                cx.mesh.doubt(&home.id);
+                (cx.engines.choose(ask)?, None)
+            }
+        },
+        None => (cx.engines.choose(ask)?, None),
+    };
+    chosen(cx, ask, &choice, home)
+}
+
+fn chosen(
+    cx: &RunContext,
+    ask: &EngineAsk,
+    choice: &EngineChoice,
+    home: Option<Member>,
+) -> Option<ChosenEngine> {
+    let run = EngineRun::new(cx.run_news.clone(), home, ask.service.clone(), choice.run);
+    let world = cx.world.load();
+    let find = |id: &UpstreamId| find_ready(&world, ask, id);
+    Some(ChosenEngine {
+        // The home may know less of who leaves than this instance does.
+        upstream: find(&choice.upstream).filter(|engine| !ask.except.contains(&engine.id))?,
+        fetch_from: choice
+            .fetch_from
+            .as_ref()
+            .and_then(find)
+            .map(|source| source.address),
+        run,
+    })
+}
+
+fn find_ready(world: &World, ask: &EngineAsk, id: &UpstreamId) -> Option<Arc<RegisteredUpstream>> {
+    let engines = world.upstreams.of_service(ask.service.as_str());
+    let found = engines.iter().find(|engine| engine.id == *id);
+    found.filter(|engine| !engine.draining).cloned()
+}
--- /dev/null
+++ b/crates/tc-gateway/src/engines/homes.rs
@@ -0,0 +1,102 @@
+//! The homes of model services on this instance, by service.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, PoisonError},
+};
+
+use tc_policy::{EngineCandidate, EnginePlanner};
+use tc_protocol::{
+    MonoTime, ServiceName,
+    routing::{EngineAsk, EngineChoice, EngineSpec, RunReport},
+};
+
+use crate::world::{World, WorldCell};
+
+struct Home {
+    planner: EnginePlanner,
+    /// The world that the planner's engines were taken from.
+    world: Option<Arc<World>>,
+}
+
+/// Chooses engines for the services homed here, and for any other when its home does not answer.
+pub(crate) struct EngineHomes {
+    world: Arc<WorldCell>,
+    by_service: Mutex<HashMap<ServiceName, Home>>,
+}
+
+impl EngineHomes {
+    pub(crate) fn new(world: Arc<WorldCell>) -> Self {
+        Self {
+            world,
+            by_service: Mutex::default(),
+        }
+    }
+
+    /// Chooses an engine; `None` when none is known or the service has no engines.
+    pub(crate) fn choose(&self, ask: &EngineAsk) -> Option<EngineChoice> {
+        let world = self.world.load();
+        let config = world.config.as_ref()?;
+        let spec = config.service(ask.service.as_str())?.engine?;
+        let mut homes = self.lock();
+        let home = homes.entry(ask.service.clone()).or_insert_with(|| {
+            log::info!(service = ask.service.as_str(); "this instance chooses engines of a service");
+            Home {
+                planner: EnginePlanner::new(spec),
+                world: None,
+            }
+        });
+        home.take_world(&world, &ask.service, spec);
+        let choice = home.planner.choose(MonoTime::now(), ask);
+        let (runs, engines) = home.planner.size();
+        log::debug!(service = ask.service.as_str(), tokens = ask.prompt.tokens_in, runs = runs, engines = engines, choice = format!("{choice:?}").as_str(); "an engine is chosen");
+        if choice.as_ref().is_some_and(|c| c.fetch_from.is_some()) {
+            metrics::counter!("tc_prompt_fetches_total", "service" => ask.service.as_str().to_owned())
+                .increment(1);
+        }
+        choice
+    }
+
+    /// Takes up what became of runs whose engines were chosen here.
+    pub(crate) fn note(&self, service: &ServiceName, news: &[RunReport]) {
+        let now = MonoTime::now();
+        let mut homes = self.lock();
+        let Some(home) = homes.get_mut(service) else {
+            log::debug!(service = service.as_str(), runs = news.len(); "news of runs that this instance chose no engine for");
+            return;
+        };
+        for report in news {
+            home.planner.note(now, report.run, report.news);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<ServiceName, Home>> {
+        self.by_service
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Home {
+    /// Takes up the engines that may get new work, if they may have changed.
+    fn take_world(&mut self, world: &Arc<World>, service: &ServiceName, spec: EngineSpec) {
+        let is_same = self
+            .world
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, world));
+        if is_same {
+            return;
+        }
+        let engines = world.upstreams.of_service(service.as_str());
+        let engines: Vec<EngineCandidate> = engines
+            .iter()
+            .filter(|engine| !engine.draining)
+            .map(|engine| EngineCandidate {
+                id: engine.id.clone(),
+                domain: engine.failure_domain.clone(),
+            })
+            .collect();
+        self.planner.set_engines(spec, &engines);
+        self.world = Some(Arc::clone(world));
+    }
+}
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -148,12 +148,11 @@
         }
         let world = self.cx.world.load();
         for input in inputs {
-            match world.upstreams.maker_of(input) {
-                Some(maker) => self.cx.freer.free(&maker.service, [input.clone()]),
-                None => {
-                    log::debug!(result = &*input.0; "the maker of a result is gone, and the result with it")
-                }
-            }
+            let Some(maker) = world.upstreams.maker_of(input) else {
+                log::debug!(result = &*input.0; "the maker of a result is gone, and the result with it");
+                continue;
+            };
+            self.cx.freer.free(&maker.service, [input.clone()]);
         }
     }
 
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod budgets;
 mod call;
 mod edges;
+mod engines;
 mod events;
 mod freeze;
 mod homes;
@@ -20,9 +21,7 @@
 mod upstreams;
 mod world;
 
-pub use call::{
-    AnswerHead, CallHead, HeadError, Prompt, PromptPart, Taken, UpstreamHead, UpstreamLoad,
-};
+pub use call::{AnswerHead, CallHead, HeadError, Taken, UpstreamHead, UpstreamLoad};
 pub use edges::{DirectoryQuestion, Edges, StoreKinds};
 pub use events::{Event, EventSplitter};
 pub use freeze::{SuspendedTime, suspended_time};
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -1,21 +1,22 @@
 //! One send of a request to an upstream.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
 use tc_policy::PickWish;
 use tc_protocol::{
-    FailureDomain, RunState, UpstreamId,
-    routing::{RegisteredUpstream, ResultHandle},
+    RunState, UpstreamId,
+    routing::{EngineAsk, Prompt, RegisteredUpstream},
 };
 use tc_upstream::{CallError, CallErrorKind, RawCall, RawReply};
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Refusal, RoutedRequest, RunContext};
+use super::{Refusal, RoutedRequest, RunContext, stages::StageResults};
 use crate::{
-    call::{AnswerHead, Prompt, Taken, UpstreamHead},
+    call::{AnswerHead, Taken, UpstreamHead},
+    engines::{EngineRun, ask_for_engine},
     upstreams::{CallHealth, InFlight},
 };
 
@@ -78,13 +79,23 @@
     pub(super) sent_at: Instant,
     /// Counts the call as in progress while the answer is read.
     pub(super) in_flight: InFlight,
+    /// The run at an engine that a home chose.
+    pub(super) run: Option<EngineRun>,
+}
+
+/// Whom a request is sent to.
+struct Target {
+    upstream: Arc<RegisteredUpstream>,
+    in_flight: InFlight,
+    fetch_from: Option<SocketAddr>,
+    run: Option<EngineRun>,
 }
 
 /// What is sent besides the request.
 #[derive(Clone, Copy, Default)]
 pub(super) struct SendWith<'a> {
-    pub(super) inputs: Option<&'a [ResultHandle]>,
-    pub(super) domain: Option<&'a FailureDomain>,
+    /// What the request's stages left; `None` for routes without stages.
+    pub(super) results: Option<&'a StageResults>,
     pub(super) resume_after: Option<u64>,
     /// Ends the send before the request's own time.
     pub(super) limit: Option<Duration>,
@@ -140,12 +151,13 @@
             return Err(SendFailure::NoTime);
         }
         cx.world.read_anew().await;
-        let (upstream, in_flight) = self.choose(cx, req, with.domain)?;
+        let mut target = self.choose(cx, req, with.results).await?;
+        let upstream = Arc::clone(&target.upstream);
         let remaining = with.limit.map_or(time_left, |limit| limit.min(time_left));
         let call = RawCall {
             upstream: upstream.id.clone(),
             address: upstream.address,
-            request: request_to(cx, req, &upstream, &with),
+            request: request_to(cx, req, &target, &with),
             remaining,
             reuse: false,
         };
@@ -162,6 +174,9 @@
                     broke_under(cx, req, &upstream.id);
                 }
                 cx.book.note(&upstream.id, CallHealth::Failed);
+                if let Some(run) = &mut target.run {
+                    run.failed();
+                }
                 self.tried.push(upstream.id.clone());
                 return Err(self.unanswered(not_run));
             }
@@ -172,27 +187,68 @@
             reply,
             upstream,
             sent_at,
-            in_flight,
+            in_flight: target.in_flight,
+            run: target.run,
         };
         self.check(cx, req, answered)
     }
 
-    fn choose(
+    async fn choose(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        results: Option<&StageResults>,
+    ) -> Result<Target, SendFailure> {
+        if let Some(ask) = self.engine_ask(req, results)
+            && let Some(chosen) = ask_for_engine(cx, &ask).await
+        {
+            let in_flight = cx.book.count(&chosen.upstream.id);
+            return Ok(Target {
+                upstream: chosen.upstream,
+                in_flight,
+                fetch_from: chosen.fetch_from,
+                run: Some(chosen.run),
+            });
+        }
+        self.choose_here(cx, req, results)
+    }
+
+    /// The question for the home of a model service; `None` for requests without a prompt.
+    fn engine_ask(&self, req: &RoutedRequest, results: Option<&StageResults>) -> Option<EngineAsk> {
+        Some(EngineAsk {
+            service: req.service.clone(),
+            prompt: req.head.prompt.clone()?,
+            inputs: results
+                .map(|results| results.lie_in.clone())
+                .unwrap_or_default(),
+            except: self.tried.clone(),
+            remaining: req.time_left(),
+        })
+    }
+
+    /// Chooses by what this instance has seen itself.
+    fn choose_here(
         &self,
         cx: &RunContext,
         req: &RoutedRequest,
-        domain: Option<&FailureDomain>,
-    ) -> Result<(Arc<RegisteredUpstream>, InFlight), SendFailure> {
+        results: Option<&StageResults>,
+    ) -> Result<Target, SendFailure> {
         let world = cx.world.load();
         let all = world.upstreams.of_service(req.service.as_str());
         let kept = req.head.prompt.as_ref().and_then(Prompt::shared_key);
         let wish = PickWish {
             kept,
-            domain,
+            domain: results.and_then(StageResults::largest_domain),
             chance: xxh3_64(req.head.request.as_bytes()),
         };
         let chosen = cx.book.choose(all, &self.tried, &wish);
-        chosen.ok_or(SendFailure::NoUpstream)
+        let (upstream, in_flight) = chosen.ok_or(SendFailure::NoUpstream)?;
+        Ok(Target {
+            upstream,
+            in_flight,
+            fetch_from: None,
+            run: None,
+        })
     }
 
     fn unanswered(&mut self, not_run: bool) -> SendFailure {
@@ -210,7 +266,7 @@
         &mut self,
         cx: &RunContext,
         req: &RoutedRequest,
-        answered: Answered,
+        mut answered: Answered,
     ) -> Result<Answered, SendFailure> {
         let head = &answered.head;
         let id = &answered.upstream.id;
@@ -222,6 +278,11 @@
             log::info!(request = &*req.head.request, upstream = id.as_str(), status = status, taken = format!("{:?}", head.taken).as_str(); "an upstream did not take a request");
             cx.book.note(id, CallHealth::Full);
             self.tried.push(id.clone());
+            if head.taken != Taken::InputGone
+                && let Some(run) = &mut answered.run
+            {
+                run.failed();
+            }
             return Err(if head.taken == Taken::InputGone {
                 SendFailure::InputGone
             } else {
@@ -284,15 +345,16 @@
 fn request_to(
     cx: &RunContext,
     req: &RoutedRequest,
-    upstream: &RegisteredUpstream,
+    target: &Target,
     with: &SendWith<'_>,
 ) -> Request<Full<bytes::Bytes>> {
     let own = UpstreamHead {
         remaining: req.time_left(),
-        upstream: &upstream.id,
+        upstream: &target.upstream.id,
         workspace: req.workspace.as_ref().map(|w| &w.name),
-        inputs: with.inputs,
+        inputs: with.results.map(|results| &*results.inputs),
         resume_after: with.resume_after.or(req.head.resume_after),
+        fetch_from: target.fetch_from,
     };
     let path = req.parts.uri.path_and_query();
     let path = path.cloned().unwrap_or(PathAndQuery::from_static("/"));
--- a/crates/tc-gateway/src/run/plain.rs
+++ b/crates/tc-gateway/src/run/plain.rs
@@ -27,8 +27,7 @@
     let mut last_failure = None;
     loop {
         let with = SendWith {
-            inputs: inputs_of(req, &results),
-            domain: results.domain.as_ref(),
+            results: results_of(req, &results),
             resume_after: None,
             limit: first_send_limit(req, &attempts),
         };
@@ -81,11 +80,11 @@
 }
 
 /// The results that go with a request; `None` for routes without stages.
-pub(super) fn inputs_of<'a>(
+pub(super) fn results_of<'a>(
     req: &RoutedRequest,
     results: &'a StageResults,
-) -> Option<&'a [tc_protocol::routing::ResultHandle]> {
-    (!req.route.stages.is_empty()).then_some(&*results.inputs)
+) -> Option<&'a StageResults> {
+    (!req.route.stages.is_empty()).then_some(results)
 }
 
 /// An upstream's failure that another upstream may not have.
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -62,12 +62,20 @@
     }
 }
 
+impl StageResults {
+    /// Where the request is best run: where most bytes lie, if they are many.
+    pub(super) fn largest_domain(&self) -> Option<&FailureDomain> {
+        let largest = self.lie_in.iter().max_by_key(|(_, bytes)| *bytes)?;
+        (largest.1 >= LARGE_BYTES).then_some(&largest.0)
+    }
+}
+
 /// What the stages of a request left for the request itself.
 pub(super) struct StageResults {
     /// Results that the engine reads.
     pub(super) inputs: Vec<ResultHandle>,
-    /// Where the engine should run, when large results lie there.
-    pub(super) domain: Option<FailureDomain>,
+    /// Where they lie, and how many bytes of them.
+    pub(super) lie_in: Vec<(FailureDomain, u64)>,
     /// Gives all of it up when dropped.
     _held: HeldResults,
 }
@@ -104,12 +112,11 @@
         .worth_beginning(&expected(cx, req, &graph), until_aim, req.time_to_first())
         .map_err(|retry_after| PiecesRefusal::Overloaded { retry_after })?;
     let mut held = HeldResults::new(cx.freer.clone(), stages);
-    let wanted = wanted_domain(cx, req);
     let mut running: FuturesUnordered<BoxFuture<'_, Made>> = FuturesUnordered::new();
     loop {
         for stage in graph.startable() {
             graph.begin(stage);
-            let ask = ask_for(cx, req, &graph, &held, stage, wanted.as_ref());
+            let ask = ask_for(cx, req, &graph, &held, stage);
             let inputs_given_up = ask.is_last_reader;
             running.push(Box::pin(async move {
                 let reply = ask_home(cx, ask).await;
@@ -135,7 +142,7 @@
     }
     let inputs = held.last(stages);
     Ok(StageResults {
-        domain: domain_of_large(cx, req, &held),
+        lie_in: domains_of_last(cx, req, &held),
         inputs,
         _held: held,
     })
@@ -168,7 +175,6 @@
     graph: &StageGraph<'_>,
     held: &HeldResults,
     stage: usize,
-    wanted: Option<&FailureDomain>,
 ) -> PiecesAsk {
     let spec = &req.route.stages[stage];
     let expected = expected(cx, req, graph);
@@ -194,20 +200,19 @@
         remaining: req
             .time_to_first()
             .saturating_sub(cx.prompt_times.expect(req)),
-        prefer: preferred(cx, graph, held, stage, wanted),
+        prefer: preferred(cx, graph, held, stage),
         held_bytes: spec.after.iter().map(|before| graph.size_of(*before)).sum(),
         is_last_reader: graph.is_last_reader(stage),
         following: graph.following(stage),
     }
 }
 
-/// Where a stage is best made: where its inputs lie if they are large, else where its large results will be read.
+/// Where a stage is best made: where its inputs lie if they are large. An engine is chosen by where large results lie.
 fn preferred(
     cx: &RunContext,
     graph: &StageGraph<'_>,
     held: &HeldResults,
     stage: usize,
-    wanted: Option<&FailureDomain>,
 ) -> Option<FailureDomain> {
     let spec = &graph.stages()[stage];
     let pieces = u64::from(graph.pieces(stage));
@@ -221,10 +226,7 @@
             .max_by_key(|i| graph.size_of(*i))?;
         return domain_of(cx, &held.by_stage[largest]);
     }
-    let is_last = !graph.stages().iter().any(|s| s.after.contains(&stage));
-    wanted
-        .filter(|_| is_last && graph.size_of(stage) >= LARGE_BYTES)
-        .cloned()
+    None
 }
 
 /// Time until a stage must be done so that what follows it can still be in time.
@@ -235,40 +237,32 @@
         .saturating_sub(following + cx.prompt_times.expect(req))
 }
 
-/// Where an engine that has kept the request's prompt runs.
-fn wanted_domain(cx: &RunContext, req: &RoutedRequest) -> Option<FailureDomain> {
-    let kept = req.head.prompt.as_ref()?.shared_key()?;
-    let world = cx.world.load();
-    cx.book
-        .domain_for(world.upstreams.of_service(req.service.as_str()), kept)
-}
-
-/// Where the first large result lies.
-fn domain_of_large(
+/// Where the results lie that the request itself reads, and how many bytes of them.
+fn domains_of_last(
     cx: &RunContext,
     req: &RoutedRequest,
     held: &HeldResults,
-) -> Option<FailureDomain> {
-    let stages = req.route.stages.iter().zip(&held.by_stage);
-    stages
-        .filter(|(stage, _)| stage.result_bytes >= LARGE_BYTES)
-        .find_map(|(_, results)| domain_of(cx, results))
+) -> Vec<(FailureDomain, u64)> {
+    let world = cx.world.load();
+    let mut bytes: HashMap<FailureDomain, u64> = HashMap::new();
+    for (stage, (_, results)) in req.route.stages.iter().zip(&held.by_stage) {
+        for maker in results.iter().filter_map(|r| world.upstreams.maker_of(r)) {
+            *bytes.entry(maker.failure_domain.clone()).or_default() += stage.result_bytes;
+        }
+    }
+    bytes.into_iter().collect()
 }
 
 /// Where most of a stage's results lie.
 fn domain_of(
     cx: &RunContext,
-    (service, results): &(ServiceName, Vec<ResultHandle>),
+    (_, results): &(ServiceName, Vec<ResultHandle>),
 ) -> Option<FailureDomain> {
-    let mut counts: HashMap<&str, usize> = HashMap::new();
-    for maker in results.iter().filter_map(ResultHandle::maker) {
-        *counts.entry(maker).or_default() += 1;
-    }
-    let (maker, _) = counts.into_iter().max_by_key(|(_, count)| *count)?;
     let world = cx.world.load();
-    let upstreams = world.upstreams.of_service(service.as_str());
-    upstreams
-        .iter()
-        .find(|upstream| upstream.address.to_string() == maker)
-        .map(|upstream| upstream.failure_domain.clone())
+    let mut counts: HashMap<&FailureDomain, usize> = HashMap::new();
+    for maker in results.iter().filter_map(|r| world.upstreams.maker_of(r)) {
+        *counts.entry(&maker.failure_domain).or_default() += 1;
+    }
+    let most = counts.into_iter().max_by_key(|(_, count)| *count);
+    most.map(|(domain, _)| domain.clone())
 }
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -13,7 +13,7 @@
 use super::{
     AnswerBody, Refusal, RoutedRequest, RunContext, StreamCut,
     attempt::{Answered, Attempts, SendFailure, SendWith, Spoilt},
-    plain::{inputs_of, make_stages, make_stages_again, read},
+    plain::{make_stages, make_stages_again, read, results_of},
     stages::StageResults,
 };
 use crate::{
@@ -76,8 +76,7 @@
     resume_after: Option<u64>,
 ) -> Result<Opened, SendFailure> {
     let with = SendWith {
-        inputs: inputs_of(req, results),
-        domain: results.domain.as_ref(),
+        results: results_of(req, results),
         resume_after,
         limit: None,
     };
@@ -118,6 +117,9 @@
         if let Some(first) = events.take_event() {
             let first_byte = answered.sent_at.elapsed();
             cx.prompt_times.learn(req, first_byte);
+            if let Some(run) = &answered.run {
+                run.first_event(first_byte);
+            }
             cx.book
                 .note(&answered.upstream.id, CallHealth::Answered(first_byte));
             req.note_answer(
@@ -142,6 +144,9 @@
             }
             other => {
                 let broken = Broken::from_end(other.and_then(Result::err));
+                if let Some(run) = &mut answered.run {
+                    run.failed();
+                }
                 let upstream = &answered.upstream.id;
                 log::info!(request = &*req.head.request, upstream = upstream.as_str(), error = broken.problem.as_str(); "a stream broke before its first event");
                 return Err(attempts.spoilt(cx, req, upstream, broken.how));
@@ -289,6 +294,9 @@
     async fn go_on_elsewhere(&mut self, broken: &Broken) -> Result<(), StreamCut> {
         let upstream = self.open.answered.upstream.id.clone();
         log::info!(request = &*self.req.head.request, upstream = upstream.as_str(), last_event = self.last_id.unwrap_or(0), problem = broken.problem.as_str(), after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
+        if let Some(run) = &mut self.open.answered.run {
+            run.failed();
+        }
         let mut failure = self
             .attempts
             .spoilt(&self.cx, &self.req, &upstream, broken.how);
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -18,6 +18,7 @@
 use crate::{
     budgets::RepeatBudgets,
     edges::Edges,
+    engines::{EngineHomes, NewsSender},
     freeze::FreezeWatch,
     homes::{BatchHomes, Freer, GivenUp, HomeContext},
     join::join,
@@ -178,13 +179,18 @@
         timing: MembershipConfig::default(),
         traffic: traffic.clone(),
     };
-    let mesh = Mesh::start(mesh_settings, handlers(&homes, &world)).await?;
+    let engines = Arc::new(EngineHomes::new(Arc::clone(&world)));
+    let mesh = Mesh::start(mesh_settings, handlers(&homes, &engines, &world)).await?;
+    let (run_news, told) = NewsSender::new();
+    traffic.spawn(told.pass_on(mesh.clone(), Arc::clone(&engines)));
     traffic.spawn(free_results(given_up, mesh.clone(), Arc::clone(&homes)));
     Ok(Arc::new(RunContext {
         edges,
         world,
         mesh,
         homes,
+        engines,
+        run_news,
         freer,
         book: Arc::default(),
         budgets,
@@ -195,7 +201,13 @@
     }))
 }
 
-fn handlers(homes: &Arc<BatchHomes>, world: &Arc<WorldCell>) -> Arc<MeshHandlers> {
+fn handlers(
+    homes: &Arc<BatchHomes>,
+    engines: &Arc<EngineHomes>,
+    world: &Arc<WorldCell>,
+) -> Arc<MeshHandlers> {
+    let choosers = Arc::clone(engines);
+    let told = Arc::clone(engines);
     let makers = Arc::clone(homes);
     let freers = Arc::clone(homes);
     let world = Arc::clone(world);
@@ -205,6 +217,8 @@
             async move { homes.make_pieces(ask).await }.boxed()
         }),
         free_results: Box::new(move |results| freers.free_results(&results)),
+        choose_engine: Box::new(move |ask| choosers.choose(ask)),
+        tell_runs: Box::new(move |service, news| told.note(service, news)),
         world: Box::new(move |have| world.copy_beyond(have)),
     })
 }
--- a/crates/tc-gateway/src/upstreams.rs
+++ b/crates/tc-gateway/src/upstreams.rs
@@ -7,7 +7,7 @@
 };
 
 use tc_policy::{PickCandidate, PickWish, pick_upstream};
-use tc_protocol::{FailureDomain, MonoTime, UpstreamId, routing::RegisteredUpstream};
+use tc_protocol::{MonoTime, UpstreamId, routing::RegisteredUpstream};
 
 use crate::call::UpstreamLoad;
 
@@ -127,34 +127,13 @@
         Some((chosen, in_flight))
     }
 
-    /// Where a request that wants what `kept` names would be sent, with no call counted.
-    pub(crate) fn domain_for(
-        &self,
-        all: &[Arc<RegisteredUpstream>],
-        kept: u64,
-    ) -> Option<FailureDomain> {
-        let now = MonoTime::now();
-        let known = self.lock();
-        let sound: Vec<&Arc<RegisteredUpstream>> = all
-            .iter()
-            .filter(|u| !u.draining)
-            .filter(|u| known.get(&u.id).is_none_or(|k| k.not_before <= now))
-            .collect();
-        let candidates: Vec<PickCandidate<'_>> = sound
-            .iter()
-            .map(|u| PickCandidate {
-                id: &u.id,
-                domain: &u.failure_domain,
-                load: 0.0,
-                slots: u.slots,
-                slowness: 1.0,
-            })
-            .collect();
-        let wish = PickWish {
-            kept: Some(kept),
-            ..PickWish::default()
-        };
-        pick_upstream(&candidates, &wish).map(|i| sound[i].failure_domain.clone())
+    /// Counts a call to an upstream that was chosen elsewhere.
+    pub(crate) fn count(self: &Arc<Self>, id: &UpstreamId) -> InFlight {
+        self.lock().entry(id.clone()).or_default().in_flight += 1;
+        InFlight {
+            book: Arc::clone(self),
+            id: id.clone(),
+        }
     }
 
     /// Takes up how a call went.
--- /dev/null
+++ b/crates/tc-policy/src/engines/engine.rs
@@ -0,0 +1,77 @@
+//! One engine as its home knows it.
+
+use std::time::Duration;
+
+use tc_protocol::{FailureDomain, MonoTime};
+
+use super::kept::KeptParts;
+
+/// First pause after a run failed; doubles with each failure in a row.
+const FIRST_PAUSE: Duration = Duration::from_millis(300);
+/// Longest pause: an engine that is back is used again within this time.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+/// Weight of the newest run in the speed: an engine turns slow for seconds, in which it reads some ten prompts.
+const SPEED_WEIGHT: f64 = 0.2;
+/// Bounds of the speed, so that one odd time cannot keep an engine out of use.
+const SPEED_BOUNDS: (f64, f64) = (0.5, 10.0);
+/// Shortest time from which something is learnt of the speed: below it, steps of other requests count for more.
+const LEAST_TO_LEARN: Duration = Duration::from_millis(40);
+
+#[derive(Debug)]
+pub(super) struct Engine {
+    pub(super) domain: FailureDomain,
+    pub(super) slots: u32,
+    /// Whether it is registered and not leaving.
+    pub(super) ready: bool,
+    pub(super) kept: KeptParts,
+    /// Runs that have not ended.
+    pub(super) runs: u32,
+    /// When it has read all that it was given, as far as expected.
+    pub(super) read_all_at: MonoTime,
+    /// Time it takes against what is expected; 2 is half as fast.
+    pub(super) speed: f64,
+    failures: u32,
+    not_before: MonoTime,
+}
+
+impl Engine {
+    pub(super) fn new(domain: FailureDomain, slots: u32) -> Self {
+        Self {
+            domain,
+            slots,
+            ready: true,
+            kept: KeptParts::default(),
+            runs: 0,
+            read_all_at: MonoTime::default(),
+            speed: 1.0,
+            failures: 0,
+            not_before: MonoTime::default(),
+        }
+    }
+
+    pub(super) fn is_sound(&self, now: MonoTime) -> bool {
+        self.not_before <= now
+    }
+
+    pub(super) const fn has_slot(&self) -> bool {
+        self.runs < self.slots
+    }
+
+    /// A run had its first event; `expected` tells what was expected of it if it had not to wait for others.
+    pub(super) fn answered(&mut self, took: Duration, expected: Option<Duration>) {
+        self.failures = 0;
+        self.not_before = MonoTime::default();
+        let Some(expected) = expected.filter(|expected| *expected >= LEAST_TO_LEARN) else {
+            return;
+        };
+        let ratio = took.as_secs_f64() / expected.as_secs_f64();
+        let speed = self.speed + SPEED_WEIGHT * (ratio - self.speed);
+        self.speed = speed.clamp(SPEED_BOUNDS.0, SPEED_BOUNDS.1);
+    }
+
+    pub(super) fn failed(&mut self, now: MonoTime) {
+        let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
+        self.failures += 1;
+        self.not_before = now.after(pause.min(LONGEST_PAUSE));
+    }
+}
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod batch;
 mod budget;
 mod choice;
+mod engines;
 mod estimate;
 mod home;
 mod limit;
@@ -25,6 +26,7 @@
 };
 pub use budget::Budget;
 pub use choice::{Candidate, Choice, choose};
+pub use engines::{EngineCandidate, EnginePlanner};
 pub use estimate::{Estimators, SizeClass, StageEstimate};
 pub use home::{AskKey, AskVerdict, HeldPermit, Home, HomeConfig, HomeEvent, NewAsk};
 pub use limit::{Demand, LimitHome, Share, ShareBucket};
--- /dev/null
+++ b/crates/tc-policy/tests/engines/common.rs
@@ -0,0 +1,93 @@
+//! Engines and prompts for the tests of their choice.
+
+use std::time::Duration;
+
+use tc_policy::{EngineCandidate, EnginePlanner};
+use tc_protocol::{
+    MonoTime, UpstreamId,
+    routing::{EngineAsk, EngineChoice, EngineNews, EngineSpec, Prompt, PromptPart},
+};
+
+/// Tokens that an engine reads in a millisecond.
+pub(crate) const TOKENS_PER_MS: u32 = 60;
+
+pub(crate) const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) const fn at(ms: u64) -> MonoTime {
+    MonoTime::from_millis(1_000 + ms)
+}
+
+pub(crate) const fn spec() -> EngineSpec {
+    EngineSpec {
+        slots: 8,
+        memory_tokens: 100_000,
+    }
+}
+
+pub(crate) fn candidates(domains: &[&str]) -> Vec<EngineCandidate> {
+    let numbered = domains.iter().enumerate();
+    numbered
+        .map(|(i, domain)| EngineCandidate {
+            id: id(i),
+            domain: (*domain).into(),
+        })
+        .collect()
+}
+
+pub(crate) fn id(number: usize) -> UpstreamId {
+    format!("e{number}").into()
+}
+
+/// A planner that has learnt how fast engines read.
+pub(crate) fn planner(domains: &[&str]) -> EnginePlanner {
+    let mut planner = EnginePlanner::new(spec());
+    planner.set_engines(spec(), &candidates(domains));
+    for round in 0..20 {
+        let tokens = if round % 2 == 0 { 600 } else { 6_000 };
+        let choice = choose(&mut planner, at(0), &ask(&[(1_000 + round, tokens)]));
+        planner.note(at(0), choice.run, EngineNews::FirstEvent(time_of(tokens)));
+        planner.note(at(0), choice.run, EngineNews::Ended);
+    }
+    planner
+}
+
+pub(crate) fn time_of(tokens: u32) -> Duration {
+    ms(20 + u64::from(tokens / TOKENS_PER_MS))
+}
+
+/// A prompt of these parts.
+pub(crate) fn ask(parts: &[(u64, u32)]) -> EngineAsk {
+    EngineAsk {
+        service: "model".into(),
+        prompt: Prompt {
+            tokens_in: parts.iter().map(|(_, tokens)| tokens).sum(),
+            tokens_out: 100,
+            parts: parts
+                .iter()
+                .map(|(id, tokens)| PromptPart {
+                    id: *id,
+                    tokens: *tokens,
+                })
+                .collect(),
+        },
+        inputs: Vec::new(),
+        except: Vec::new(),
+        remaining: ms(10_000),
+    }
+}
+
+#[track_caller]
+pub(crate) fn choose(planner: &mut EnginePlanner, now: MonoTime, ask: &EngineAsk) -> EngineChoice {
+    planner.choose(now, ask).expect("there are engines")
+}
+
+/// Lets a prompt be read to its end; returns who read it.
+pub(crate) fn read(planner: &mut EnginePlanner, now: MonoTime, ask: &EngineAsk) -> UpstreamId {
+    let choice = choose(planner, now, ask);
+    let took = time_of(ask.prompt.tokens_in);
+    planner.note(now, choice.run, EngineNews::FirstEvent(took));
+    planner.note(now, choice.run, EngineNews::Ended);
+    choice.upstream
+}
--- /dev/null
+++ b/crates/tc-policy/tests/engines/main.rs
@@ -0,0 +1,6 @@
+//! Choice of engines at the home of a model service.
+
+mod choice;
+mod common;
+mod fuzz;
+mod load;
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod piece;
+mod prompt;
 mod upstream;
 
 pub use config::{
@@ -13,4 +14,5 @@
 pub use piece::{
     PieceFailure, PieceInput, PieceOrder, PieceResult, PiecesAsk, PiecesRefusal, ResultHandle,
 };
+pub use prompt::{EngineAsk, EngineChoice, EngineNews, Prompt, PromptPart, RunReport};
 pub use upstream::RegisteredUpstream;
