--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -100,6 +100,7 @@
             .list_kind(*purpose, dialect, kind)
             .await?;
         self.from = Some(page.at);
+        self.note_unreadable(&page.unreadable);
         Ok(Seen::All(page, absences))
     }
 
@@ -122,12 +123,22 @@
         match watched {
             Watched::Changes(page) => {
                 self.from = Some(page.at);
+                self.note_unreadable(&page.unreadable);
                 Ok(Some(Seen::Changes(page)))
             }
             Watched::HistoryGone => Ok(None),
         }
     }
 
+    /// Objects that another writer has put into the store and that cannot be read: the others hold.
+    fn note_unreadable(&self, problems: &[String]) {
+        let Some(first) = problems.first() else {
+            return;
+        };
+        log::warn!(what = self.followed.what, objects = problems.len(), problem = first.as_str(); "objects in the store cannot be read and are left out");
+        metrics::counter!("tc_registry_unreadable_total").increment(problems.len() as u64);
+    }
+
     fn answered(&mut self) {
         self.failures = 0;
         if let Some(since) = self.lost_since.take() {
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -1,7 +1,7 @@
 //! The registered upstreams, by service.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
 };
@@ -31,6 +31,7 @@
     entries: BTreeMap<Arc<str>, Entry>,
     by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>>,
     by_address: HashMap<SocketAddr, Arc<RegisteredUpstream>>,
+    lives: HashSet<UpstreamId>,
 }
 
 impl UpstreamTable {
@@ -53,8 +54,9 @@
         self.by_address.get(&address)
     }
 
+    /// Whether this life of a process is registered.
     pub(crate) fn contains(&self, id: &UpstreamId) -> bool {
-        self.entries.contains_key(id.as_str())
+        self.lives.contains(id)
     }
 
     /// Names of all entries.
@@ -124,7 +126,9 @@
     fn from_entries(entries: BTreeMap<Arc<str>, Entry>, revision: u64) -> Self {
         let mut by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>> = HashMap::new();
         let mut by_address = HashMap::new();
+        let mut lives = HashSet::new();
         for upstream in entries.values().filter_map(|e| e.upstream.as_ref()) {
+            lives.insert(upstream.id.clone());
             by_address.insert(upstream.address, Arc::clone(upstream));
             by_service
                 .entry(upstream.service.clone())
@@ -136,6 +140,7 @@
             entries,
             by_service,
             by_address,
+            lives,
         }
     }
 }
--- a/crates/tc-platform/src/kinds.rs
+++ b/crates/tc-platform/src/kinds.rs
@@ -33,6 +33,8 @@
     pub has_more: bool,
     /// The store's revision that the page shows.
     pub at: u64,
+    /// Why objects were left out that cannot be read, one line each.
+    pub unreadable: Vec<String>,
 }
 
 /// One change of an object.
@@ -56,6 +58,8 @@
     pub events: Vec<ObjectEvent>,
     /// Where to go on.
     pub at: u64,
+    /// Why changes were left out that cannot be read, one line each.
+    pub unreadable: Vec<String>,
 }
 
 /// How a store spells these calls.
