--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -98,6 +98,7 @@
     match make_once(cx, req).await {
         Err(PiecesRefusal::InputGone) => {
             log::info!(request = &*req.head.request, after_ms = req.arrived.elapsed().as_millis() as u64; "results of a stage are gone; the stages are made again");
+            metrics::counter!("tc_stages_remade_total").increment(1);
             make_once(cx, req).await
         }
         made => made,
