Let the time for which inputs are kept come down again after a bad second

In the first seconds upstreams work on calls of the lives before, inputs are gone when they are fetched, and the time for which they are kept doubled with each and never came down: inputs were not given up early any more.

It now shrinks by a hundredth with each job that finds its inputs, within 1 and 16 times.

--- a/crates/tc-policy/src/batch/ends.rs
+++ b/crates/tc-policy/src/batch/ends.rs
@@ -137,6 +137,7 @@
         }
         if let Some(job) = self.jobs.remove(key) {
             settled.read.extend(job.inputs_left());
+            self.note_inputs_found(&job);
             settled.finished.push(Finished {
                 job: key,
                 result: Ok(job.results.into_iter().flatten().collect()),
--- a/crates/tc-policy/src/batch/inputs.rs
+++ b/crates/tc-policy/src/batch/inputs.rs
@@ -24,6 +24,11 @@
 const LINKS: f64 = 4.0;
 /// By how much the time is lengthened each time that inputs were given up too early.
 const LENGTHEN: f64 = 2.0;
+/// By how much it is shortened with each job that found its inputs. With the step above, one job in seventy may find them
+/// gone before the time grows; after a restart of all instances it has come down again within some hundred jobs.
+const SHORTEN: f64 = 0.99;
+/// Bounds of what both do together, so that a bad second does not outlast the load that it came from.
+const FACTOR_BOUNDS: (f64, f64) = (1.0, 16.0);
 /// Longest time, as a multiple of a typical call: from there on inputs are kept until the call has ended.
 const MOST_CALLS: f64 = 2.0;
 
@@ -48,7 +53,16 @@
 
     /// Inputs were gone when their reader fetched them.
     fn was_too_short(&mut self) {
-        self.factor *= LENGTHEN;
+        self.move_by(LENGTHEN);
+    }
+
+    /// A job found its inputs.
+    fn was_enough(&mut self) {
+        self.move_by(SHORTEN);
+    }
+
+    fn move_by(&mut self, step: f64) {
+        self.factor = (self.factor * step).clamp(FACTOR_BOUNDS.0, FACTOR_BOUNDS.1);
     }
 }
 
@@ -90,6 +104,13 @@
         times.min()
     }
 
+    /// A job that reads results was made to its end.
+    pub(super) fn note_inputs_found(&mut self, job: &Job) {
+        if job.new.is_last_reader {
+            self.fetch_time.was_enough();
+        }
+    }
+
     /// An upstream found an input of this job gone.
     pub(super) fn note_input_gone(&mut self, key: JobKey) {
         let given_up = self.jobs.get(key).is_some_and(Job::has_no_inputs);
