--- a/crates/tc-policy/tests/home_fuzz/main.rs
+++ b/crates/tc-policy/tests/home_fuzz/main.rs
@@ -1,11 +1,13 @@
 //! Any sequence of asks, releases, expiries, moves and reports, against a plain list of what should be held.
 
+mod op;
 mod oracle;
 #[path = "../support/mod.rs"]
 mod support;
 
 use bolero::generator::produce;
-use oracle::{Op, Oracle};
+use op::Op;
+use oracle::Oracle;
 use support::ms;
 
 /// Inputs that failed once. The first one: a probe of an ejected upstream was started above its slots.
--- a/crates/tc-policy/tests/home_fuzz/oracle.rs
+++ b/crates/tc-policy/tests/home_fuzz/oracle.rs
@@ -1,66 +1,25 @@
-//! A plain list of what a home should hold, and the operations that change it.
+//! A plain list of what a home should hold.
 
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
 
-use bolero::TypeGenerator;
 use tc_policy::{AskKey, AskVerdict, HeldPermit, Home, HomeConfig, HomeEvent, NewAsk};
 use tc_protocol::{
     Fingerprint, Incarnation, InstanceId, MonoTime, Outcome, PermitId, RefusalReason, Release,
     wire::LoadReport,
 };
 
-use crate::support::{self, ask, busy, ms};
+use crate::{
+    op::Op,
+    support::{self, ask, busy, ms},
+};
 
 const GRACE: Duration = ms(50);
 const ENTRIES: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
 const WORKSPACES: [&str; 4] = ["a", "b", "c", "d"];
 
-#[derive(Clone, Copy, Debug, TypeGenerator)]
-pub(crate) enum Op {
-    Ask {
-        who: u8,
-        priority: u8,
-        slack_ms: u8,
-        run_for_ms: u8,
-        estimate: u8,
-        may_redirect: bool,
-    },
-    Cancel(u8),
-    Release {
-        which: u8,
-        outcome: u8,
-        took_ms: u8,
-    },
-    ReleaseUnknown(u64),
-    Wait {
-        ms: u8,
-    },
-    Adopt {
-        permit: u8,
-        who: u8,
-        expires_in_ms: u8,
-    },
-    EntryGone(u8),
-    Load {
-        running: u8,
-        slots: u8,
-        incarnation: bool,
-        leaving: u8,
-    },
-    Config {
-        slots: u8,
-        queue: u8,
-    },
-    Leaving(u8),
-    Service {
-        median_ms: u8,
-        may_eject: bool,
-    },
-}
-
 #[derive(Debug)]
 struct Held {
     entry: InstanceId,
