--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -234,7 +234,11 @@
 pub struct Introduction {
     #[prost(message, optional, tag = "1")]
     pub me: ::core::option::Option<MemberRecord>,
+    /// Digest of the members that the sender takes for live; 0: it wants the list in any case.
+    #[prost(uint64, tag = "2")]
+    pub view: u64,
 }
+/// Empty when the answering instance's view has the digest that was asked with.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MemberList {
     #[prost(message, repeated, tag = "1")]
@@ -564,7 +568,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct FreeResultsAnswer {}
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct WorldPull {
+pub struct WorldHave {
     /// Version of the configuration and revision of the list of upstreams that the asker has; 0 for none.
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
@@ -572,17 +576,31 @@
     pub upstreams_revision: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
-pub struct WorldCopy {
+pub struct WorldNews {
+    /// Whether the sender itself hears from the store.
+    #[prost(bool, tag = "1")]
+    pub in_touch: bool,
     /// JSON of the configuration when newer than the asker's; empty otherwise.
-    #[prost(bytes = "vec", tag = "1")]
+    #[prost(bytes = "vec", tag = "2")]
     pub config: ::prost::alloc::vec::Vec<u8>,
-    /// Whether the upstreams below are newer than the asker's.
-    #[prost(bool, tag = "2")]
-    pub has_upstreams: bool,
+    /// Revision of the store at which the configuration was written.
     #[prost(uint64, tag = "3")]
-    pub upstreams_revision: u64,
-    #[prost(message, repeated, tag = "4")]
-    pub upstreams: ::prost::alloc::vec::Vec<RegistryEntry>,
+    pub config_revision: u64,
+    #[prost(message, optional, tag = "4")]
+    pub upstreams: ::core::option::Option<UpstreamNews>,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct UpstreamNews {
+    /// Revision of the store that the receiver's list then has.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(message, repeated, tag = "2")]
+    pub changed: ::prost::alloc::vec::Vec<RegistryEntry>,
+    /// Names of entries that are gone; or, if `is_whole`, names of all that there are.
+    #[prost(string, repeated, tag = "3")]
+    pub names: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(bool, tag = "4")]
+    pub is_whole: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RegistryEntry {
@@ -1522,21 +1540,24 @@
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "Suspects"));
             self.inner.unary(req, path, codec).await
         }
-        /// What the store last said, for an instance that cannot read it.
-        pub async fn pull_world(
+        /// What the store says, for instances that do not watch it: at once what the asker lacks, then each change.
+        pub async fn follow_world(
             &mut self,
-            request: impl tonic::IntoRequest<super::WorldPull>,
-        ) -> std::result::Result<tonic::Response<super::WorldCopy>, tonic::Status> {
+            request: impl tonic::IntoRequest<super::WorldHave>,
+        ) -> std::result::Result<
+            tonic::Response<tonic::codec::Streaming<super::WorldNews>>,
+            tonic::Status,
+        > {
             self.inner.ready().await.map_err(|e| {
                 tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
             })?;
             let codec = tonic_prost::ProstCodec::default();
             let path =
-                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/PullWorld");
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/FollowWorld");
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "PullWorld"));
-            self.inner.unary(req, path, codec).await
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FollowWorld"));
+            self.inner.server_streaming(req, path, codec).await
         }
     }
 }
@@ -1584,11 +1605,16 @@
             &self,
             request: tonic::Request<super::SuspectReport>,
         ) -> std::result::Result<tonic::Response<super::SuspectAnswer>, tonic::Status>;
-        /// What the store last said, for an instance that cannot read it.
-        async fn pull_world(
+        /// Server streaming response type for the FollowWorld method.
+        type FollowWorldStream: tonic::codegen::tokio_stream::Stream<
+                Item = std::result::Result<super::WorldNews, tonic::Status>,
+            > + std::marker::Send
+            + 'static;
+        /// What the store says, for instances that do not watch it: at once what the asker lacks, then each change.
+        async fn follow_world(
             &self,
-            request: tonic::Request<super::WorldPull>,
-        ) -> std::result::Result<tonic::Response<super::WorldCopy>, tonic::Status>;
+            request: tonic::Request<super::WorldHave>,
+        ) -> std::result::Result<tonic::Response<Self::FollowWorldStream>, tonic::Status>;
     }
     /// What instances say to each other about routed requests.
     #[derive(Debug)]
@@ -1889,18 +1915,21 @@
                     };
                     Box::pin(fut)
                 }
-                "/tanagercroft.fleet.v1.Mesh/PullWorld" => {
+                "/tanagercroft.fleet.v1.Mesh/FollowWorld" => {
                     #[allow(non_camel_case_types)]
-                    struct PullWorldSvc<T: Mesh>(pub Arc<T>);
-                    impl<T: Mesh> tonic::server::UnaryService<super::WorldPull> for PullWorldSvc<T> {
-                        type Response = super::WorldCopy;
-                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                    struct FollowWorldSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::ServerStreamingService<super::WorldHave> for FollowWorldSvc<T> {
+                        type Response = super::WorldNews;
+                        type ResponseStream = T::FollowWorldStream;
+                        type Future =
+                            BoxFuture<tonic::Response<Self::ResponseStream>, tonic::Status>;
                         fn call(
                             &mut self,
-                            request: tonic::Request<super::WorldPull>,
+                            request: tonic::Request<super::WorldHave>,
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
-                            let fut = async move { <T as Mesh>::pull_world(&inner, request).await };
+                            let fut =
+                                async move { <T as Mesh>::follow_world(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -1910,7 +1939,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = PullWorldSvc(inner);
+                        let method = FollowWorldSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
@@ -1921,7 +1950,7 @@
                                 max_decoding_message_size,
                                 max_encoding_message_size,
                             );
-                        let res = grpc.unary(method, req).await;
+                        let res = grpc.server_streaming(method, req).await;
                         Ok(res)
                     };
                     Box::pin(fut)
--- a/crates/tc-fleet/src/mesh/actor.rs
+++ b/crates/tc-fleet/src/mesh/actor.rs
@@ -1,6 +1,13 @@
 //! Membership on the control thread: datagrams and timers go through one actor, which publishes the list of members.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -20,18 +27,16 @@
 /// What can be told to the actor.
 pub(crate) enum MeshMsg {
     Datagram(Box<Datagram>),
-    /// Records of an introduction.
-    Learn(Vec<Record>),
-    /// A newcomer introduced itself and wants to know who there is.
-    Introduced(Box<Record>, oneshot::Sender<Vec<Record>>),
+    /// Records of an introduction; answered with whether anything of them was news.
+    Learn(Vec<Record>, oneshot::Sender<bool>),
+    /// Another instance tells of itself and of its view, and wants to know who there is if this one's view differs.
+    Introduced(Box<Record>, u64, oneshot::Sender<Vec<Record>>),
     /// A call to it failed: probe it next.
     Doubt(InstanceId),
     /// Tell every instance of suspects now.
     SpreadSuspects,
     /// This process was absent for a while.
     Woke,
-    /// The revision of the store that this instance has seen.
-    Revision(u64),
     Leave,
     Tick,
 }
@@ -39,9 +44,9 @@
 /// What other threads read.
 pub(super) struct Published {
     pub(super) members: ArcSwap<Vec<Member>>,
-    /// The newest revision heard of, and who has it when this instance does not.
-    pub(super) newest: ArcSwap<(u64, Option<InstanceId>)>,
-    /// Counts changes of the two above.
+    /// Digest of the members that are not dead.
+    pub(super) view: AtomicU64,
+    /// Counts changes of the members.
     pub(super) changes: watch::Sender<u64>,
 }
 
@@ -96,11 +101,22 @@
     fn take(&mut self, now: MonoTime, message: MeshMsg, myself: &ActorRef<MeshMsg>) {
         match message {
             MeshMsg::Datagram(datagram) => self.datagram(now, &datagram),
-            MeshMsg::Learn(records) => self.learn(now, &records),
-            MeshMsg::Introduced(newcomer, reply) => {
-                self.membership.learn(now, &[*newcomer]);
-                // Fails only when the newcomer has given up.
-                let _ = reply.send(self.membership.records());
+            MeshMsg::Learn(records, reply) => {
+                let news = self.membership.learn(now, &records);
+                self.tick(now);
+                // Fails only when nobody waits for it any more.
+                let _ = reply.send(news);
+            }
+            MeshMsg::Introduced(other, view, reply) => {
+                self.membership.learn(now, &[*other]);
+                let same = self.membership.view() == view;
+                let records = if same {
+                    Vec::new()
+                } else {
+                    self.membership.records()
+                };
+                // Fails only when the other has given up.
+                let _ = reply.send(records);
             }
             MeshMsg::Doubt(id) => {
                 self.args.peers.forget(&id);
@@ -116,7 +132,6 @@
                 self.membership.woke(now);
                 self.tick(now);
             }
-            MeshMsg::Revision(revision) => self.membership.set_revision(revision),
             MeshMsg::Leave => {
                 let outgoing = self.membership.leave();
                 self.send(outgoing);
@@ -139,11 +154,6 @@
         self.send(outgoing);
     }
 
-    fn learn(&mut self, now: MonoTime, records: &[Record]) {
-        self.membership.learn(now, records);
-        self.tick(now);
-    }
-
     fn tick(&mut self, now: MonoTime) {
         let outgoing = self.membership.tick(now);
         self.send(outgoing);
@@ -161,31 +171,29 @@
     }
 
     fn publish(&mut self) {
-        let newest = self.membership.newest_revision();
-        let published = &self.args.published;
-        let news = **published.newest.load() != newest;
-        if news {
-            published.newest.store(Arc::new(newest));
-        }
-        let members_changed = self.membership.take_changed();
-        if members_changed {
-            let members = self.membership.members();
-            note_changes(&published.members.load(), &members);
-            published.members.store(Arc::new(members));
-        }
-        if news || members_changed {
-            published.changes.send_modify(|count| *count += 1);
+        if !self.membership.take_changed() {
+            return;
         }
+        let published = &self.args.published;
+        let members = self.membership.members();
+        note_changes(&published.members.load(), &members);
+        published.members.store(Arc::new(members));
+        let view = self.membership.view();
+        published.view.store(view, Ordering::Release);
+        published.changes.send_modify(|count| *count += 1);
     }
 }
 
 /// One log line for each member whose state is another than before.
+///
+/// Both lists are in order of identifier and are walked once together: looked up one by one, the members of a fleet of
+/// hundreds cost half a millisecond a change, and a failure domain that is lost brings hundreds of changes.
 fn note_changes(before: &[Member], after: &[Member]) {
-    let state_in = |members: &[Member], id: &InstanceId| -> Option<MemberState> {
-        members.iter().find(|m| m.id == *id).map(|m| m.state)
-    };
+    let mut before = before.iter().peekable();
     for member in after {
-        if state_in(before, &member.id) != Some(member.state) {
+        while before.next_if(|known| known.id < member.id).is_some() {}
+        let known = before.next_if(|known| known.id == member.id);
+        if known.map(|known| known.state) != Some(member.state) {
             log::info!(
                 instance = member.id.as_str(),
                 state = format!("{:?}", member.state).as_str(),
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -1,34 +1,42 @@
 //! Starting the mesh, and the handle that the rest of the process uses.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
+use futures::{StreamExt, stream::BoxStream};
 use ractor::{Actor, ActorRef};
-use tc_membership::{MembershipConfig, Record, home_of};
+use tc_membership::{Compared, MembershipConfig, Record, home_of};
 use tc_protocol::{
     AskRefusal, Fingerprint, InstanceId, Member, ServiceName, UpstreamId, WorkspaceName,
     routing::{EngineAsk, EngineChoice, PiecesAsk, ResultHandle, RunReport},
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::watch,
+    sync::{oneshot, watch},
 };
 use tonic::{Request, transport::server::TcpIncoming};
 
 use super::{
     actor::{MeshActor, MeshArgs, MeshMsg, Published, others},
     messages::{
-        MeshError, PiecesAnswer, WorldCopy, WorldHave, answer_from_wire, ask_to_wire,
-        choice_from_wire, copy_from_wire, engine_ask_to_wire, news_to_wire, texts,
+        MeshError, PiecesAnswer, WorldHave, WorldNews, answer_from_wire, ask_to_wire,
+        choice_from_wire, engine_ask_to_wire, news_to_wire, texts, world_news_from_wire,
     },
-    peers::Peers,
+    peers::{Client, Peers},
     service::{MeshHandlers, Service},
     suspects::suspect_table,
 };
 use crate::{
     FleetError, FleetKeys, convert,
     generated::{
-        FreeResultsMessage, Introduction, RunNewsMessage, WorldPull, mesh_server::MeshServer,
+        self as wire, FreeResultsMessage, Introduction, RunNewsMessage, mesh_server::MeshServer,
     },
     gossip::GossipSocket,
     peers::timed,
@@ -94,7 +102,7 @@
         let peers = Arc::new(Peers::new(address.ip(), settings.keys.clone()));
         let published = Arc::new(Published {
             members: ArcSwap::from_pointee(vec![settings.me.clone()]),
-            newest: ArcSwap::from_pointee((0, None)),
+            view: AtomicU64::new(0),
             changes: watch::Sender::new(0),
         });
         let suspects = Arc::new(suspect_table(&settings.me.id, &published, &peers));
@@ -148,25 +156,12 @@
         self.inner.published.members.load_full()
     }
 
-    /// Told whenever [`Mesh::members`] or [`Mesh::newest_revision`] may have changed.
+    /// Told whenever [`Mesh::members`] may have changed.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
         self.inner.published.changes.subscribe()
     }
 
-    /// The newest revision of the store that any live instance has seen, and one that has when this one has not.
-    #[must_use]
-    pub fn newest_revision(&self) -> (u64, Option<Member>) {
-        let newest = self.inner.published.newest.load_full();
-        let members = self.members();
-        let holder = newest
-            .1
-            .as_ref()
-            .and_then(|id| members.iter().find(|m| m.id == *id))
-            .cloned();
-        (newest.0, holder)
-    }
-
     /// The instance that holds the role named by `key`, leaving out those in `except`.
     #[must_use]
     pub fn home(&self, key: &str, except: &[InstanceId]) -> Option<Member> {
@@ -182,11 +177,6 @@
         home_of(key, &left, None, None).cloned()
     }
 
-    /// Tells what revision of the store this instance has seen.
-    pub fn set_revision(&self, revision: u64) {
-        let _ = self.inner.node.cast(MeshMsg::Revision(revision));
-    }
-
     /// First step of a planned stop: tells everyone that this instance is leaving.
     pub fn leave(&self) {
         let _ = self.inner.node.cast(MeshMsg::Leave);
@@ -204,6 +194,29 @@
 
     /// Introduces this instance at an address and takes up the members known there.
     pub async fn introduce_at(&self, address: SocketAddr) -> Result<(), MeshError> {
+        let client = self.inner.peers.client_at(address);
+        let asked: InstanceId = address.to_string().into();
+        self.compare_with(client, &asked, 0).await.map(|_| ())
+    }
+
+    /// Compares the list of members with another instance's and takes up what that one knows beyond.
+    pub async fn compare_members(&self, other: &Member) -> Result<Compared, MeshError> {
+        let view = self.inner.published.view.load(Ordering::Acquire);
+        let client = self.inner.peers.client(other);
+        self.compare_with(client, &other.id, view).await
+    }
+
+    /// A `view` of 0 asks for the list in any case.
+    async fn compare_with(
+        &self,
+        mut client: Client,
+        asked: &InstanceId,
+        view: u64,
+    ) -> Result<Compared, MeshError> {
+        let no_answer = |problem: String| MeshError::NoAnswer {
+            instance: asked.clone(),
+            problem,
+        };
         let record = Record {
             member: self.inner.me.clone(),
             refutation: 0,
@@ -211,23 +224,27 @@
         };
         let introduction = timed(Introduction {
             me: Some(convert::record_to_wire(&record)),
+            view,
         });
-        let mut client = self.inner.peers.client_at(address);
-        let list = client
-            .introduce(introduction)
-            .await
-            .map_err(|status| MeshError::NoAnswer {
-                instance: address.to_string().into(),
-                problem: status.message().to_owned(),
-            })?;
-        let records: Vec<Record> = list
-            .into_inner()
-            .members
+        let list = client.introduce(introduction).await;
+        let list = list.map_err(|status| no_answer(status.message().to_owned()))?;
+        let members = list.into_inner().members;
+        if members.is_empty() {
+            return Ok(Compared::Same);
+        }
+        let records: Vec<Record> = members
             .iter()
             .filter_map(convert::record_from_wire)
             .collect();
-        let _ = self.inner.node.cast(MeshMsg::Learn(records));
-        Ok(())
+        let (reply, news) = oneshot::channel();
+        let _ = self.inner.node.cast(MeshMsg::Learn(records, reply));
+        let news = news.await;
+        let news = news.map_err(|_| no_answer("this instance is stopping".to_owned()))?;
+        Ok(if news {
+            Compared::News
+        } else {
+            Compared::NoNews
+        })
     }
 
     /// Fleet addresses of the other instances that may answer.
@@ -345,20 +362,31 @@
         self.inner.suspects.ran_whole(input);
     }
 
-    /// Gets what another instance knows of the store beyond what this one has.
-    pub async fn pull_world(&self, from: &Member, have: WorldHave) -> Result<WorldCopy, MeshError> {
-        let req = timed(WorldPull {
+    /// Follows what another instance hears from the store: at once what this one lacks, then each change.
+    ///
+    /// The stream ends with an error; dropping it ends it for the other too.
+    pub async fn follow_world(
+        &self,
+        from: &Member,
+        have: WorldHave,
+    ) -> Result<BoxStream<'static, Result<WorldNews, MeshError>>, MeshError> {
+        let have = wire::WorldHave {
             config_version: have.config_version,
             upstreams_revision: have.upstreams_revision,
-        });
+        };
         let mut client = self.inner.peers.client(from);
-        let copy = client
-            .pull_world(req)
+        let news = client
+            .follow_world(have)
             .await
             .map_err(|status| no_answer(from, &status))?;
-        copy_from_wire(&copy.into_inner()).ok_or_else(|| MeshError::Malformed {
-            instance: from.id.clone(),
-        })
+        let from = from.clone();
+        let read = move |news: Result<wire::WorldNews, tonic::Status>| {
+            let news = news.map_err(|status| no_answer(&from, &status))?;
+            world_news_from_wire(&news).ok_or_else(|| MeshError::Malformed {
+                instance: from.id.clone(),
+            })
+        };
+        Ok(news.into_inner().map(read).boxed())
     }
 }
 
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -63,13 +63,35 @@
     pub value: Arc<Value>,
 }
 
-/// What one instance knows of the store beyond another.
+/// What one instance tells another of the store.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct WorldCopy {
-    /// The configuration, if it is newer.
-    pub config: Option<Arc<Value>>,
-    /// Revision and objects of the list of upstreams, if it is newer.
-    pub upstreams: Option<(u64, Vec<WorldObject>)>,
+pub struct WorldNews {
+    /// Whether the sender itself hears from the store.
+    pub in_touch: bool,
+    /// The configuration and the store's revision of it, if it is newer.
+    pub config: Option<(Arc<Value>, u64)>,
+    /// What is new about upstreams.
+    pub upstreams: Option<UpstreamNews>,
+}
+
+/// How one list of upstreams differs from an earlier one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamNews {
+    /// Revision of the later list.
+    pub revision: u64,
+    /// Entries that are new or changed.
+    pub changed: Vec<WorldObject>,
+    /// Entries that are gone.
+    pub gone: Gone,
+}
+
+/// Which entries of a list are gone.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Gone {
+    /// These.
+    Named(Vec<Arc<str>>),
+    /// All but these.
+    AllBut(Vec<Arc<str>>),
 }
 
 pub(super) fn ask_to_wire(ask: &PiecesAsk) -> wire::PiecesAskMessage {
@@ -312,51 +334,72 @@
     })
 }
 
-pub(super) fn copy_to_wire(copy: &WorldCopy) -> wire::WorldCopy {
-    let upstreams = copy.upstreams.as_ref();
-    wire::WorldCopy {
-        config: copy
-            .config
-            .as_ref()
-            .map(|value| value.to_string().into_bytes())
+pub(super) fn world_news_to_wire(news: &WorldNews) -> wire::WorldNews {
+    let config = news.config.as_ref();
+    wire::WorldNews {
+        in_touch: news.in_touch,
+        config: config
+            .map(|(value, _)| value.to_string().into_bytes())
             .unwrap_or_default(),
-        has_upstreams: upstreams.is_some(),
-        upstreams_revision: upstreams.map_or(0, |(revision, _)| *revision),
-        upstreams: upstreams
-            .into_iter()
-            .flat_map(|(_, objects)| objects)
-            .map(|object| wire::RegistryEntry {
-                name: object.name.to_string(),
-                revision: object.revision,
-                value: object.value.to_string().into_bytes(),
-            })
-            .collect(),
+        config_revision: config.map_or(0, |(_, revision)| *revision),
+        upstreams: news.upstreams.as_ref().map(upstream_news_to_wire),
     }
 }
 
-/// `None` when any part cannot be read: half a copy would look like upstreams that are gone.
-pub(super) fn copy_from_wire(copy: &wire::WorldCopy) -> Option<WorldCopy> {
-    let config = if copy.config.is_empty() {
+fn upstream_news_to_wire(news: &UpstreamNews) -> wire::UpstreamNews {
+    let (names, is_whole) = match &news.gone {
+        Gone::Named(names) => (names, false),
+        Gone::AllBut(names) => (names, true),
+    };
+    let entry = |object: &WorldObject| wire::RegistryEntry {
+        name: object.name.to_string(),
+        revision: object.revision,
+        value: object.value.to_string().into_bytes(),
+    };
+    wire::UpstreamNews {
+        revision: news.revision,
+        changed: news.changed.iter().map(entry).collect(),
+        names: names.iter().map(ToString::to_string).collect(),
+        is_whole,
+    }
+}
+
+/// `None` when any part cannot be read: half of the news would look like upstreams that are gone.
+pub(super) fn world_news_from_wire(news: &wire::WorldNews) -> Option<WorldNews> {
+    let config = if news.config.is_empty() {
         None
     } else {
-        Some(Arc::new(serde_json::from_slice(&copy.config).ok()?))
+        let value = serde_json::from_slice(&news.config).ok()?;
+        Some((Arc::new(value), news.config_revision))
     };
-    let objects: Option<Vec<WorldObject>> = copy
-        .upstreams
-        .iter()
-        .map(|entry| {
-            Some(WorldObject {
-                name: entry.name.as_str().into(),
-                revision: entry.revision,
-                value: Arc::new(serde_json::from_slice(&entry.value).ok()?),
-            })
-        })
-        .collect();
-    let objects = objects?;
-    Some(WorldCopy {
+    let upstreams = match &news.upstreams {
+        Some(upstreams) => Some(upstream_news_from_wire(upstreams)?),
+        None => None,
+    };
+    Some(WorldNews {
+        in_touch: news.in_touch,
         config,
-        upstreams: copy
-            .has_upstreams
-            .then_some((copy.upstreams_revision, objects)),
+        upstreams,
+    })
+}
+
+fn upstream_news_from_wire(news: &wire::UpstreamNews) -> Option<UpstreamNews> {
+    let object = |entry: &wire::RegistryEntry| {
+        Some(WorldObject {
+            name: entry.name.as_str().into(),
+            revision: entry.revision,
+            value: Arc::new(serde_json::from_slice(&entry.value).ok()?),
+        })
+    };
+    let changed: Option<Vec<WorldObject>> = news.changed.iter().map(object).collect();
+    let names = news.names.iter().map(|name| name.as_str().into()).collect();
+    Some(UpstreamNews {
+        revision: news.revision,
+        changed: changed?,
+        gone: if news.is_whole {
+            Gone::AllBut(names)
+        } else {
+            Gone::Named(names)
+        },
     })
 }
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -10,5 +10,7 @@
 mod suspects;
 
 pub use handle::{Mesh, MeshSettings, SuspectRun};
-pub use messages::{MeshError, PiecesAnswer, WorldCopy, WorldHave, WorldObject};
+pub use messages::{
+    Gone, MeshError, PiecesAnswer, UpstreamNews, WorldHave, WorldNews, WorldObject,
+};
 pub use service::{ChooseEngine, MeshHandlers, TellRuns};
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use futures::future::BoxFuture;
+use futures::{StreamExt, future::BoxFuture, stream::BoxStream};
 use ractor::ActorRef;
 use tc_protocol::{
     MonoTime, ServiceName,
@@ -14,8 +14,8 @@
 use super::{
     actor::MeshMsg,
     messages::{
-        PiecesAnswer, WorldCopy, WorldHave, answer_to_wire, ask_from_wire, choice_to_wire,
-        copy_to_wire, engine_ask_from_wire, handles, news_from_wire,
+        PiecesAnswer, WorldHave, WorldNews, answer_to_wire, ask_from_wire, choice_to_wire,
+        engine_ask_from_wire, handles, news_from_wire, world_news_to_wire,
     },
 };
 use crate::{
@@ -23,7 +23,7 @@
     generated::{
         EngineAskMessage, EngineChoiceMessage, FreeResultsAnswer, FreeResultsMessage, Introduction,
         MemberList, PiecesAnswer as WireAnswer, PiecesAskMessage, RunNewsAnswer, RunNewsMessage,
-        SuspectAnswer, SuspectReport, WorldCopy as WireCopy, WorldPull,
+        SuspectAnswer, SuspectReport, WorldHave as WireHave, WorldNews as WireNews,
         mesh_server::Mesh as MeshService,
     },
     suspects::SuspectTable,
@@ -44,8 +44,8 @@
     pub choose_engine: Box<ChooseEngine>,
     /// Takes up what became of runs whose engines were chosen here.
     pub tell_runs: Box<TellRuns>,
-    /// What is known here of the store beyond what the asker has.
-    pub world: Box<dyn Fn(WorldHave) -> WorldCopy + Send + Sync>,
+    /// Tells of the store: at once what the asker lacks, then each change, until the stream is dropped.
+    pub world: Box<dyn Fn(WorldHave) -> BoxStream<'static, WorldNews> + Send + Sync>,
 }
 
 /// The service; cheap to clone.
@@ -59,16 +59,15 @@
 #[tonic::async_trait]
 impl MeshService for Service {
     async fn introduce(&self, req: Request<Introduction>) -> Result<Response<MemberList>, Status> {
-        let newcomer = req
-            .into_inner()
+        let introduction = req.into_inner();
+        let other = introduction
             .me
             .as_ref()
             .and_then(convert::record_from_wire)
             .ok_or_else(|| Status::invalid_argument("the introduction has no member"))?;
         let (reply, answer) = oneshot::channel();
-        let _ = self
-            .node
-            .cast(MeshMsg::Introduced(Box::new(newcomer), reply));
+        let introduced = MeshMsg::Introduced(Box::new(other), introduction.view, reply);
+        let _ = self.node.cast(introduced);
         let records = answer
             .await
             .map_err(|_| Status::unavailable("this instance is stopping"))?;
@@ -120,12 +119,18 @@
         Ok(Response::new(answer))
     }
 
-    async fn pull_world(&self, req: Request<WorldPull>) -> Result<Response<WireCopy>, Status> {
-        let pull = req.into_inner();
-        let copy = (self.handlers.world)(WorldHave {
-            config_version: pull.config_version,
-            upstreams_revision: pull.upstreams_revision,
+    type FollowWorldStream = BoxStream<'static, Result<WireNews, Status>>;
+
+    async fn follow_world(
+        &self,
+        req: Request<WireHave>,
+    ) -> Result<Response<Self::FollowWorldStream>, Status> {
+        let have = req.into_inner();
+        let news = (self.handlers.world)(WorldHave {
+            config_version: have.config_version,
+            upstreams_revision: have.upstreams_revision,
         });
-        Ok(Response::new(copy_to_wire(&copy)))
+        let news = news.map(|news| Ok(world_news_to_wire(&news)));
+        Ok(Response::new(news.boxed()))
     }
 }
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -151,6 +151,7 @@
             let mut client = parts.peers.client_of(*seed);
             let introduction = timed(Introduction {
                 me: Some(me.clone()),
+                view: 0,
             });
             let Ok(list) = client.introduce(introduction).await else {
                 continue;
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -7,7 +7,7 @@
 use hyper::body::Incoming;
 use miette::Diagnostic;
 use tc_fleet::{FleetError, Mesh, MeshHandlers, MeshSettings};
-use tc_membership::MembershipConfig;
+use tc_membership::{MembershipConfig, SourceTiming, store_watchers};
 use tc_platform::{Store, StoreSettings};
 use tc_protocol::{ServiceName, routing::ResultHandle};
 use tc_upstream::{ClientSettings, UpstreamClient};
@@ -21,13 +21,16 @@
     engines::{EngineHomes, NewsSender},
     freeze::FreezeWatch,
     homes::{BatchHomes, Freer, GivenUp, HomeContext},
-    join::join,
+    join::{join, keep_members_same, look_for_strangers},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
     settings::GatewaySettings,
     stop::{Asked, Signals, StopState, stop},
     upstreams::UpstreamBook,
-    world::{WorldCell, follow_peers, watch_config, watch_upstreams},
+    world::{
+        StoreRole, WatchContext, WorldCell, follow_source, tell_world, watch_config,
+        watch_upstreams,
+    },
 };
 
 /// Longest time one call to the store may take; it answers in milliseconds when it is well.
@@ -91,23 +94,28 @@
         let freezes = Arc::new(FreezeWatch::new(settings.suspended));
         let world = Arc::new(WorldCell::new(edges, Arc::clone(&freezes)));
         let cx = start_context(&settings, edges, Arc::clone(&world), &traffic).await?;
-        let checks = checks_watches(cx.mesh.clone());
-        tokio::spawn(watch_config(
-            store.clone(),
-            edges,
-            Arc::clone(&world),
-            Arc::clone(&checks),
-        ));
-        let leave_time = settings.leave_time;
-        tokio::spawn(watch_upstreams(
-            store.clone(),
+        let source_timing = SourceTiming::within(settings.leave_time);
+        let role = StoreRole::new();
+        let watch = WatchContext {
+            store: store.clone(),
             edges,
-            Arc::clone(&world),
-            leave_time,
-            checks,
+            cell: Arc::clone(&world),
+            leave_time: settings.leave_time,
+            watches: role.watches(),
+            checks: checks_watches(cx.mesh.clone()),
+        };
+        tokio::spawn(watch_config(watch.clone()));
+        tokio::spawn(watch_upstreams(watch));
+        let followed = Arc::clone(&world);
+        tokio::spawn(follow_source(
+            cx.mesh.clone(),
+            followed,
+            source_timing,
+            role,
         ));
-        tokio::spawn(follow_peers(cx.mesh.clone(), Arc::clone(&world)));
+        tokio::spawn(look_for_strangers(edges, store.clone(), cx.mesh.clone()));
         tokio::spawn(join(settings.clone(), edges, store, cx.mesh.clone()));
+        tokio::spawn(keep_members_same(cx.mesh.clone()));
         tokio::spawn(follow_roles(cx.mesh.clone(), Arc::clone(&cx.homes)));
         tokio::spawn(forget(world, Arc::clone(&cx.book)));
         tokio::spawn(notice_absences(freezes, cx.mesh.clone()));
@@ -187,7 +195,7 @@
         traffic: traffic.clone(),
     };
     let engines = Arc::new(EngineHomes::new(Arc::clone(&world)));
-    let mesh = Mesh::start(mesh_settings, handlers(&homes, &engines, &world)).await?;
+    let mesh = Mesh::start(mesh_settings, handlers(settings, &homes, &engines, &world)).await?;
     let (run_news, told) = NewsSender::new();
     traffic.spawn(told.pass_on(mesh.clone(), Arc::clone(&engines)));
     traffic.spawn(free_results(given_up, mesh.clone(), Arc::clone(&homes)));
@@ -209,6 +217,7 @@
 }
 
 fn handlers(
+    settings: &GatewaySettings,
     homes: &Arc<BatchHomes>,
     engines: &Arc<EngineHomes>,
     world: &Arc<WorldCell>,
@@ -217,6 +226,7 @@
     let told = Arc::clone(engines);
     let makers = Arc::clone(homes);
     let freers = Arc::clone(homes);
+    let beat = SourceTiming::within(settings.leave_time).beat;
     let world = Arc::clone(world);
     Arc::new(MeshHandlers {
         make_pieces: Box::new(move |ask| {
@@ -226,15 +236,18 @@
         free_results: Box::new(move |results| freers.free_results(&results)),
         choose_engine: Box::new(move |ask| choosers.choose(ask)),
         tell_runs: Box::new(move |service, news| told.note(service, news)),
-        world: Box::new(move |have| world.copy_beyond(have)),
+        world: Box::new(move |have| tell_world(&world, have, beat)),
     })
 }
 
 /// Whether this instance is the one that checks for all whether the store's watches tell what there is.
 fn checks_watches(mesh: Mesh) -> Arc<dyn Fn() -> bool + Send + Sync> {
     Arc::new(move || {
-        let checker = mesh.home("watches of the store", &[]);
-        checker.is_some_and(|checker| checker.id == mesh.me().id)
+        let members = mesh.members();
+        let watchers = store_watchers(&members);
+        watchers
+            .first()
+            .is_some_and(|first| first.id == mesh.me().id)
     })
 }
 
--- /dev/null
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -0,0 +1,187 @@
+//! Hearing of the store from another instance.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::{StreamExt, stream::BoxStream};
+use tc_fleet::{Mesh, MeshError, WorldNews};
+use tc_membership::{SourceTiming, StoreSource};
+use tc_protocol::{InstanceId, MonoTime};
+use tokio::{
+    sync::watch::{Receiver, Sender},
+    time::{sleep, timeout},
+};
+
+use super::{WorldCell, WorldPart};
+
+/// Whether this instance watches the store, as the rest of the process reads it.
+pub(crate) struct StoreRole {
+    watches: Sender<bool>,
+}
+
+impl StoreRole {
+    /// A role that is not decided yet.
+    pub(crate) fn new() -> Self {
+        Self {
+            watches: Sender::new(false),
+        }
+    }
+
+    /// Told when it changes.
+    pub(crate) fn watches(&self) -> Receiver<bool> {
+        self.watches.subscribe()
+    }
+}
+
+type News = BoxStream<'static, Result<WorldNews, MeshError>>;
+
+/// Another instance's news, as they come.
+struct Following {
+    from: InstanceId,
+    news: News,
+    /// Absences of this process before it was begun.
+    absences: u64,
+}
+
+struct Follower {
+    mesh: Mesh,
+    cell: Arc<WorldCell>,
+    source: StoreSource,
+    role: StoreRole,
+    following: Option<Following>,
+}
+
+/// Follows one of the instances that watch the store, and decides whether this one watches it too; runs until it is dropped.
+pub(crate) async fn follow_source(
+    mesh: Mesh,
+    cell: Arc<WorldCell>,
+    timing: SourceTiming,
+    role: StoreRole,
+) {
+    let mut members = mesh.changes();
+    let freezes = cell.freezes();
+    let mut absences = freezes.changes();
+    let me = mesh.me().id.clone();
+    let mut follower = Follower {
+        source: StoreSource::new(me, timing, MonoTime::now()),
+        mesh,
+        cell,
+        role,
+        following: None,
+    };
+    follower.take_members();
+    loop {
+        follower.look().await;
+        let look_again = follower.source.look_again();
+        let news = next_news(&mut follower.following, look_again);
+        tokio::select! {
+            heard = news => follower.take(heard),
+            _ = members.changed() => follower.take_members(),
+            // What was told before the absence may be old by now: the source tells anew what is lacking.
+            _ = absences.changed() => follower.following = None,
+        }
+    }
+}
+
+/// What came of waiting for news.
+enum Heard {
+    /// Nothing yet.
+    Nothing,
+    News(WorldNews),
+    /// Why none will come any more.
+    Broke(String),
+}
+
+async fn next_news(following: &mut Option<Following>, wait: Duration) -> Heard {
+    let Some(following) = following else {
+        sleep(wait).await;
+        return Heard::Nothing;
+    };
+    match timeout(wait, following.news.next()).await {
+        Ok(Some(Ok(news))) => Heard::News(news),
+        Ok(Some(Err(error))) => Heard::Broke(error.to_string()),
+        Ok(None) => Heard::Broke("its news ended".to_owned()),
+        Err(_) => Heard::Nothing,
+    }
+}
+
+impl Follower {
+    fn take_members(&mut self) {
+        let members = self.mesh.members();
+        self.source.members_changed(MonoTime::now(), &members);
+    }
+
+    /// Begins to follow whoever is to be followed now, and says whether this instance watches.
+    async fn look(&mut self) {
+        let now = MonoTime::now();
+        let source = self.source.source(now);
+        let followed = self.following.as_ref().map(|f| &f.from);
+        if source.as_ref() != followed {
+            self.following = None;
+            if let Some(source) = source {
+                self.begin(source).await;
+            }
+        }
+        let watches = self.source.watches(MonoTime::now());
+        let changed = self.role.watches.send_if_modified(|known| {
+            let changed = *known != watches;
+            *known = watches;
+            changed
+        });
+        if changed {
+            log::info!(watches = watches; "whether this instance watches the store has changed");
+            metrics::gauge!("tc_store_watcher").set(f64::from(u8::from(watches)));
+        }
+    }
+
+    async fn begin(&mut self, source: InstanceId) {
+        let members = self.mesh.members();
+        let Some(member) = members.iter().find(|member| member.id == source) else {
+            return;
+        };
+        let absences = self.cell.freezes().count();
+        let have = self.cell.have();
+        let limit = self.source.look_again();
+        let begun = timeout(limit, self.mesh.follow_world(member, have)).await;
+        match begun {
+            Ok(Ok(news)) => {
+                log::info!(from = source.as_str(), config = have.config_version, upstreams = have.upstreams_revision; "another instance is followed for news of the store");
+                self.following = Some(Following {
+                    from: source,
+                    news,
+                    absences,
+                });
+            }
+            Ok(Err(error)) => self.broke(&source, &error.to_string()),
+            Err(_) => self.broke(&source, "no answer in time"),
+        }
+    }
+
+    fn take(&mut self, heard: Heard) {
+        let Some(following) = &self.following else {
+            return;
+        };
+        let from = following.from.clone();
+        let absences = following.absences;
+        match heard {
+            Heard::Nothing => {}
+            Heard::News(news) => self.take_news(&from, absences, &news),
+            Heard::Broke(problem) => self.broke(&from, &problem),
+        }
+    }
+
+    fn take_news(&mut self, from: &InstanceId, absences: u64, news: &WorldNews) {
+        self.cell.apply_news(news);
+        self.source.heard(MonoTime::now(), from, news.in_touch);
+        if news.in_touch {
+            self.cell.note_read(WorldPart::Config, absences);
+            self.cell.note_read(WorldPart::Upstreams, absences);
+        }
+    }
+
+    fn broke(&mut self, from: &InstanceId, problem: &str) {
+        log::info!(from = from.as_str(), problem = problem; "an instance that is followed for news of the store does not tell any");
+        self.following = None;
+        self.source.broke(MonoTime::now(), from);
+        self.mesh.doubt(from);
+    }
+}
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use tc_platform::{
-    KindDialect, ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage, Watched,
+    Freshness, KindDialect, ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage, Watched,
 };
 use tc_protocol::MonoTime;
 use tokio::{sync::watch::Receiver, time::sleep, time::timeout};
@@ -22,13 +22,6 @@
 /// Longest wait: the store's return is noticed within it.
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
 
-/// How often one instance lists what all of them watch.
-///
-/// A store may answer no watch any more while its connections live and its other calls are answered. All instances then keep
-/// what they had until their watches end, half a minute later, and none can tell it from a quiet store. One list by one
-/// instance shows it, and the others hear of it within half a second. A change is to count within two seconds; two calls
-/// every 0.7 s of one instance are a sixth of what eight instances call on an ordinary day.
-const CHECK_EVERY: Duration = Duration::from_millis(700);
 /// How long a watch may take to tell what a list shows already.
 const WATCH_LAG: Duration = Duration::from_millis(150);
 
@@ -52,6 +45,12 @@
     pub(super) what: &'static str,
     /// Whether this instance is the one that checks the watches of all.
     pub(super) checks: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// How often that one lists what all of them watch.
+    ///
+    /// A store may answer no watch any more while its connections live and its other calls are answered. All instances then
+    /// keep what they had until their watches end, half a minute later, and none can tell it from a quiet store. One list by
+    /// one instance shows it, and the others hear of it from that one.
+    pub(super) check_every: Duration,
 }
 
 /// What a watch that was checked meanwhile brought.
@@ -64,7 +63,7 @@
 impl Followed {
     async fn list(&self) -> Result<ListPage, StoreError> {
         self.store
-            .list_kind(self.purpose, &self.dialect, self.kind)
+            .list_kind(self.purpose, &self.dialect, self.kind, Freshness::Current)
             .await
     }
 
@@ -80,7 +79,7 @@
             .watch_kind(self.purpose, &self.dialect, self.kind, from, wait);
         tokio::pin!(watching);
         loop {
-            if let Ok(watched) = timeout(CHECK_EVERY, &mut watching).await {
+            if let Ok(watched) = timeout(self.check_every, &mut watching).await {
                 return watched.map(Checked::Watched);
             }
             let Some(page) = self.missed(from, names).await else {
@@ -139,6 +138,11 @@
         }
     }
 
+    /// Begins anew with a list, as after a time in which nothing was watched.
+    pub(super) fn begin_anew(&mut self) {
+        self.from = None;
+    }
+
     /// What the store says next; waits up to `wait` for a change, or pauses after a failure.
     pub(super) async fn next(&mut self, wait: Duration) -> Seen {
         loop {
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -1,34 +1,37 @@
 //! What the store says, as this instance knows it: the configuration in force and the registered upstreams.
 //!
-//! Each instance watches the store; one that the store turns away gets copies from the others.
+//! A few instances watch the store and tell the others of each change ([`tell`]); the others follow one of them ([`follow`])
+//! and watch by themselves only when nobody tells them anything.
 
 mod config;
+mod follow;
 mod kind_watch;
-mod peers;
 mod removals;
+mod tell;
 mod upstreams;
 mod watch;
 
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use serde_json::Value;
-use tc_fleet::{WorldCopy, WorldHave, WorldObject};
+use tc_fleet::{WorldHave, WorldNews, WorldObject};
 use tc_platform::ObjectEvent;
 use tokio::sync::watch::{Receiver, Sender};
 
 use crate::{edges::Edges, freeze::FreezeWatch};
 
 pub(crate) use config::ConfigInForce;
-pub(crate) use peers::follow_peers;
+pub(crate) use follow::{StoreRole, follow_source};
+pub(crate) use tell::tell_world;
 pub(crate) use upstreams::UpstreamTable;
-pub(crate) use watch::{first_world, watch_config, watch_upstreams};
+pub(crate) use watch::{WatchContext, first_world, watch_config, watch_upstreams};
 
 /// What requests read; never changes once published.
 #[derive(Clone, Default)]
@@ -39,6 +42,11 @@
 }
 
 impl World {
+    /// Version of the configuration; 0 for none.
+    fn config_version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |c| c.routing.version)
+    }
+
     /// Whether both the configuration and a list of upstreams are known: before that every request would be refused.
     pub(crate) fn is_known(&self) -> bool {
         self.config.is_some() && self.upstreams.revision() > 0
@@ -66,6 +74,8 @@
     freezes: Arc<FreezeWatch>,
     /// Absences of this process before the last whole reading of each part.
     read_after: [AtomicU64; 2],
+    /// Whether the store answered last, for each part.
+    in_touch: [AtomicBool; 2],
     /// The last absence after which no reading came in time, so that requests no longer wait for one.
     gave_up_after: AtomicU64,
 }
@@ -79,6 +89,7 @@
             changes: Sender::new(0),
             freezes,
             read_after: Default::default(),
+            in_touch: Default::default(),
             gave_up_after: AtomicU64::new(0),
         }
     }
@@ -137,31 +148,36 @@
         self.changes.subscribe()
     }
 
-    /// Highest revision of the store that anything known here has.
-    pub(crate) fn revision(&self) -> u64 {
-        let world = self.load();
-        let config = world.config.as_ref().map_or(0, |config| config.revision);
-        config.max(world.upstreams.revision())
-    }
-
     pub(crate) fn have(&self) -> WorldHave {
         let world = self.load();
         WorldHave {
-            config_version: world.config.as_ref().map_or(0, |c| c.routing.version),
+            config_version: world.config_version(),
             upstreams_revision: world.upstreams.revision(),
         }
     }
 
-    /// What is known here beyond what another instance has.
-    pub(crate) fn copy_beyond(&self, have: WorldHave) -> WorldCopy {
-        let world = self.load();
-        let newer = |config: &&Arc<ConfigInForce>| config.routing.version > have.config_version;
-        let config = world.config.as_ref().filter(newer);
-        let upstreams = &world.upstreams;
-        WorldCopy {
-            config: config.map(|config| Arc::clone(&config.raw)),
-            upstreams: (upstreams.revision() > have.upstreams_revision)
-                .then(|| (upstreams.revision(), upstreams.objects())),
+    /// Whether this instance hears from the store about a part.
+    pub(crate) fn note_touch(&self, part: WorldPart, in_touch: bool) {
+        self.in_touch[part as usize].store(in_touch, Ordering::Release);
+    }
+
+    /// Whether this instance hears from the store itself, about all of it.
+    pub(crate) fn is_in_touch(&self) -> bool {
+        let mut parts = self.in_touch.iter();
+        parts.all(|part| part.load(Ordering::Acquire)) && self.load().is_known()
+    }
+
+    /// Takes up what another instance tells of the store.
+    pub(crate) fn apply_news(&self, news: &WorldNews) {
+        if let Some((raw, revision)) = &news.config {
+            self.apply_config(raw, *revision);
+        }
+        if let Some(upstreams) = &news.upstreams {
+            let _writing = self.write();
+            let world = self.load();
+            if let Some(next) = world.upstreams.with_news(&self.edges, upstreams) {
+                self.publish_upstreams(&world, next);
+            }
         }
     }
 
@@ -179,7 +195,7 @@
                 return;
             }
         };
-        let before = world.config.as_ref().map_or(0, |c| c.routing.version);
+        let before = world.config_version();
         if config.routing.version <= before {
             return;
         }
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -7,8 +7,8 @@
 };
 
 use serde_json::Value;
-use tc_fleet::WorldObject;
-use tc_platform::ObjectEvent;
+use tc_fleet::{Gone, UpstreamNews, WorldObject};
+use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{
     ServiceName, UpstreamId,
     routing::{RegisteredUpstream, ResultHandle},
@@ -71,10 +71,36 @@
         upstreams(self) == upstreams(other)
     }
 
-    /// The entries as they lie in the store, to be handed on.
-    pub(crate) fn objects(&self) -> Vec<WorldObject> {
-        self.entries
-            .iter()
+    /// What a list of an earlier revision lacks; the names of all entries tell what is gone from it.
+    pub(crate) fn news_since(&self, revision: u64) -> UpstreamNews {
+        UpstreamNews {
+            revision: self.revision,
+            changed: self.objects(|_, entry| entry.revision > revision),
+            gone: Gone::AllBut(self.entries.keys().cloned().collect()),
+        }
+    }
+
+    /// How this list differs from an earlier one; `None` if it does not.
+    pub(crate) fn news_after(&self, earlier: &Self) -> Option<UpstreamNews> {
+        let is_new = |name: &str, entry: &Entry| {
+            let known = earlier.entries.get(name);
+            known.is_none_or(|known| known.revision != entry.revision)
+        };
+        let gone = earlier.entries.keys();
+        let gone = gone.filter(|name| !self.entries.contains_key(*name));
+        let news = UpstreamNews {
+            revision: self.revision,
+            changed: self.objects(is_new),
+            gone: Gone::Named(gone.cloned().collect()),
+        };
+        (self.revision != earlier.revision || news.gone != Gone::Named(Vec::new())).then_some(news)
+    }
+
+    /// Entries as they lie in the store, to be handed on.
+    fn objects(&self, which: impl Fn(&str, &Entry) -> bool) -> Vec<WorldObject> {
+        let entries = self.entries.iter();
+        let chosen = entries.filter(|(name, entry)| which(name, entry));
+        chosen
             .map(|(name, entry)| WorldObject {
                 name: Arc::clone(name),
                 revision: entry.revision,
@@ -83,6 +109,34 @@
             .collect()
     }
 
+    /// This list with another instance's news taken up; `None` when they are older than what is known here.
+    pub(crate) fn with_news(&self, edges: &Edges, news: &UpstreamNews) -> Option<Self> {
+        if news.revision < self.revision {
+            return None;
+        }
+        let put = |object: &WorldObject| {
+            ObjectEvent::Put(StoredObject {
+                name: Arc::clone(&object.name),
+                revision: object.revision,
+                value: Arc::clone(&object.value),
+            })
+        };
+        let removed = |name: &Arc<str>| ObjectEvent::Removed {
+            name: Arc::clone(name),
+            revision: news.revision,
+        };
+        let mut events: Vec<ObjectEvent> = news.changed.iter().map(put).collect();
+        match &news.gone {
+            Gone::Named(names) => events.extend(names.iter().map(removed)),
+            Gone::AllBut(names) => {
+                let left: HashSet<&Arc<str>> = names.iter().collect();
+                let gone = self.entries.keys().filter(|name| !left.contains(name));
+                events.extend(gone.map(removed));
+            }
+        }
+        Some(self.with_events(edges, &events, news.revision))
+    }
+
     /// This table with changes taken up.
     pub(crate) fn with_events(&self, edges: &Edges, events: &[ObjectEvent], at: u64) -> Self {
         let mut entries = self.entries.clone();
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -5,7 +5,10 @@
 use tc_fleet::WorldObject;
 use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
 use tc_protocol::MonoTime;
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::watch::Receiver,
+    time::{sleep, timeout},
+};
 
 use super::{
     WorldCell, WorldPart,
@@ -21,29 +24,92 @@
 /// left for a slow store, the way to the upstream and a wait there.
 const GATHER_PART: f64 = 0.25;
 
-/// Keeps the configuration up to date; runs until it is dropped.
-pub(crate) async fn watch_config(
-    store: Store,
-    edges: Edges,
+/// Part of the same time after which one instance lists what all watch: see [`Followed::check_every`]. Two lists of one
+/// instance in a third of the bound are a tenth of what the watching instances call on an ordinary day.
+const CHECK_PART: f64 = 0.35;
+
+/// What both watches need.
+#[derive(Clone)]
+pub(crate) struct WatchContext {
+    pub(crate) store: Store,
+    pub(crate) edges: Edges,
+    pub(crate) cell: Arc<WorldCell>,
+    /// How long an upstream serves on after it said that it leaves.
+    pub(crate) leave_time: Duration,
+    /// Whether this instance watches at all; the others hear from those that do.
+    pub(crate) watches: Receiver<bool>,
+    /// Whether this instance is the one that checks the watches of all.
+    pub(crate) checks: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl WatchContext {
+    fn followed(&self, kind: &'static str, purpose: Purpose, what: &'static str) -> Followed {
+        Followed {
+            store: self.store.clone(),
+            dialect: self.edges.store,
+            kind,
+            purpose,
+            what,
+            checks: Arc::clone(&self.checks),
+            check_every: self.leave_time.mul_f64(CHECK_PART),
+        }
+    }
+}
+
+/// A watch that stands still while this instance is not one of those that watch.
+struct GatedWatch {
+    watch: KindWatch,
+    watches: Receiver<bool>,
     cell: Arc<WorldCell>,
-    checks: Arc<dyn Fn() -> bool + Send + Sync>,
-) {
-    let followed = Followed {
-        store,
-        dialect: edges.store,
-        kind: edges.kinds.config,
-        purpose: Purpose::Config,
-        what: "configuration",
-        checks,
-    };
-    let mut watch = KindWatch::new(followed, cell.freezes());
+    part: WorldPart,
+}
+
+impl GatedWatch {
+    fn new(cx: &WatchContext, followed: Followed, part: WorldPart) -> Self {
+        Self {
+            watch: KindWatch::new(followed, cx.cell.freezes()),
+            watches: cx.watches.clone(),
+            cell: Arc::clone(&cx.cell),
+            part,
+        }
+    }
+
+    /// What the store says next; `None` when the process ends.
+    async fn next(&mut self, wait: Duration) -> Option<Seen> {
+        loop {
+            if !*self.watches.borrow_and_update() {
+                self.cell.note_touch(self.part, false);
+                self.watch.begin_anew();
+                self.watches.changed().await.ok()?;
+                continue;
+            }
+            let seen = tokio::select! {
+                seen = self.watch.next(wait) => seen,
+                changed = self.watches.changed() => {
+                    changed.ok()?;
+                    continue;
+                }
+            };
+            let answered = !matches!(seen, Seen::Failed);
+            self.cell.note_touch(self.part, answered);
+            return Some(seen);
+        }
+    }
+}
+
+/// Keeps the configuration up to date; runs until it is dropped.
+pub(crate) async fn watch_config(cx: WatchContext) {
+    let kinds = cx.edges.kinds;
+    let followed = cx.followed(kinds.config, Purpose::Config, "configuration");
+    let mut watch = GatedWatch::new(&cx, followed, WorldPart::Config);
+    let cell = cx.cell;
     let apply = |object: &StoredObject| {
-        if *object.name == *edges.kinds.config_name {
+        if *object.name == *kinds.config_name {
             cell.apply_config(&object.value, object.revision);
         }
     };
-    loop {
-        match watch.next(WATCH_WAIT).await {
+    while let Some(seen) = watch.next(WATCH_WAIT).await {
+        match seen {
             Seen::All(page, absences) => {
                 page.items.iter().for_each(apply);
                 cell.note_read(WorldPart::Config, absences);
@@ -61,29 +127,16 @@
 }
 
 /// Keeps the list of upstreams up to date; runs until it is dropped.
-pub(crate) async fn watch_upstreams(
-    store: Store,
-    edges: Edges,
-    cell: Arc<WorldCell>,
-    leave_time: Duration,
-    checks: Arc<dyn Fn() -> bool + Send + Sync>,
-) {
-    let followed = Followed {
-        store,
-        dialect: edges.store,
-        kind: edges.kinds.upstreams,
-        purpose: Purpose::Registry,
-        what: "list of upstreams",
-        checks,
-    };
-    let mut watch = KindWatch::new(followed, cell.freezes());
+pub(crate) async fn watch_upstreams(cx: WatchContext) {
+    let kind = cx.edges.kinds.upstreams;
+    let followed = cx.followed(kind, Purpose::Registry, "list of upstreams");
+    let mut watch = GatedWatch::new(&cx, followed, WorldPart::Upstreams);
     let mut upstreams = UpstreamKeeper {
-        cell,
+        cell: cx.cell,
         removals: HeldRemovals::default(),
-        gather: leave_time.mul_f64(GATHER_PART),
+        gather: cx.leave_time.mul_f64(GATHER_PART),
     };
-    loop {
-        let seen = watch.next(upstreams.wait()).await;
+    while let Some(seen) = watch.next(upstreams.wait()).await {
         upstreams.take(seen).await;
     }
 }
--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -11,6 +11,8 @@
 mod plan;
 mod rank;
 mod spread;
+mod store_source;
+mod view_sync;
 
 pub use addresses::addresses;
 pub use membership::{Kind, Membership, MembershipConfig, Message, Outgoing, Record};
@@ -19,3 +21,5 @@
 pub use placement::{home_of, watchers};
 pub use plan::{EngineState, Load, ModelNeed, Plan, plan};
 pub use spread::{Pull, Spread};
+pub use store_source::{SourceTiming, StoreSource, store_watchers};
+pub use view_sync::{Compared, ViewSync};
--- a/crates/tc-membership/src/membership/machine.rs
+++ b/crates/tc-membership/src/membership/machine.rs
@@ -115,7 +115,10 @@
     ///
     /// Members that are new to this instance are not passed on: whoever told them has done so, and a newcomer that
     /// repeated the whole list would fill everyone's messages for minutes. A newcomer makes itself known by its probes.
-    pub fn learn(&mut self, now: MonoTime, records: &[Record]) {
+    ///
+    /// Returns whether anything of it was news.
+    pub fn learn(&mut self, now: MonoTime, records: &[Record]) -> bool {
+        let changed_before = std::mem::take(&mut self.changed);
         for record in records {
             let is_new = self.table.get(&record.member.id).is_none();
             self.take_up(now, record);
@@ -123,6 +126,9 @@
                 self.queue.remove(&record.member.id);
             }
         }
+        let news = self.changed;
+        self.changed |= changed_before;
+        news
     }
 
     /// Takes up the platform's lagging list of who may exist.
@@ -205,6 +211,16 @@
         records
     }
 
+    /// A digest of the members that are not dead, for comparing two lists without sending them; never 0.
+    #[must_use]
+    pub fn view(&self) -> u64 {
+        let live = self.table.live().map(|(_, e)| &e.record.member);
+        let digest = live.chain([&self.me.member]).fold(0, |digest, member| {
+            digest ^ xxh3_64_with_seed(member.id.as_str().as_bytes(), member.incarnation.0)
+        });
+        digest.max(1)
+    }
+
     /// Whether [`Membership::members`] may have changed since last asked.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
--- a/crates/tc-membership/src/placement.rs
+++ b/crates/tc-membership/src/placement.rs
@@ -51,7 +51,7 @@
 ///
 /// Instances differ by five times in processor and a hundred times in network. A home on the weakest would delay every
 /// call of its service: 250 to 590 ms were seen on an eighth of a core behind 10 Mbit/s.
-fn weighted(key: &str, member: &Member) -> f64 {
+pub(crate) fn weighted(key: &str, member: &Member) -> f64 {
     // Evenly between 0 and 1, neither included.
     let even = (rank(HOME_ROLE, key, member.id.as_str()) as f64 + 1.0) / (u64::MAX as f64 + 2.0);
     f64::from(member.strength.max(1)) / -even.min(1.0 - f64::EPSILON).ln()
--- /dev/null
+++ b/crates/tc-membership/src/view_sync.rs
@@ -0,0 +1,86 @@
+//! When an instance compares its list of members with another's.
+//!
+//! Probes carry news, three records each. An instance that starts together with many others is introduced while the
+//! one that introduces it knows only those that came before; from then on it hears of about one member a second, and it
+//! places roles among the few that it knows. Seen as two homes of one service for the rest of a day: calls of the second
+//! wait at upstreams that the first takes for free. So lists are compared, as digests, until they agree, and now and then
+//! after that.
+
+use std::time::Duration;
+
+use tc_protocol::MonoTime;
+
+/// Wait until the first comparison, and again after each that brought news: an instance that was introduced among
+/// hundreds knows them all after three or four.
+const FIRST: Duration = Duration::from_millis(250);
+/// Longest wait. Two digests a few seconds apart are 50 bytes a second; two lists that differ in one record are told so
+/// within it, where the records on probes take a minute among hundreds.
+const LONGEST: Duration = Duration::from_secs(4);
+/// Longest wait while lists differ, though the other's told nothing new: a third may know what both of them lack.
+const LONGEST_UNLIKE: Duration = Duration::from_millis(500);
+/// Part by which waits vary, so that instances that start together do not ask in step.
+const JITTER: f64 = 0.5;
+
+/// What a comparison brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Compared {
+    /// The other's list has the same members.
+    Same,
+    /// It differs, and told something that was not known here.
+    News,
+    /// It differs, but told nothing new: the other knows less, or what it tells is disputed.
+    NoNews,
+    /// The other did not answer.
+    NoAnswer,
+}
+
+/// The times of comparisons.
+///
+/// ```
+/// use tc_membership::{Compared, ViewSync};
+/// use tc_protocol::MonoTime;
+/// let start = MonoTime::from_millis(1_000);
+/// let mut sync = ViewSync::new(start, 0.0);
+/// let first = sync.next();
+/// sync.compared(first, Compared::Same, 0.0);
+/// assert!(sync.next().since(first) > first.since(start), "lists that agree are compared less often");
+/// ```
+#[derive(Clone, Debug)]
+pub struct ViewSync {
+    wait: Duration,
+    next: MonoTime,
+}
+
+impl ViewSync {
+    /// `chance` is between 0 and 1, as in [`ViewSync::compared`].
+    #[must_use]
+    pub fn new(now: MonoTime, chance: f64) -> Self {
+        let mut sync = Self {
+            wait: FIRST,
+            next: now,
+        };
+        sync.schedule(now, chance);
+        sync
+    }
+
+    /// When to compare next.
+    #[must_use]
+    pub fn next(&self) -> MonoTime {
+        self.next
+    }
+
+    /// Takes up what a comparison brought; `chance`, between 0 and 1, varies the wait until the next.
+    pub fn compared(&mut self, now: MonoTime, outcome: Compared, chance: f64) {
+        self.wait = match outcome {
+            Compared::News | Compared::NoAnswer => FIRST,
+            Compared::NoNews => (self.wait * 2).min(LONGEST_UNLIKE),
+            Compared::Same => (self.wait * 2).min(LONGEST),
+        };
+        self.schedule(now, chance);
+    }
+
+    fn schedule(&mut self, now: MonoTime, chance: f64) {
+        let varied = 1.0 + JITTER * (chance - 0.5);
+        self.next = now.after(self.wait.mul_f64(varied));
+    }
+}
--- a/crates/tc-platform/src/kinds.rs
+++ b/crates/tc-platform/src/kinds.rs
@@ -62,11 +62,20 @@
     pub unreadable: Vec<String>,
 }
 
+/// How current a list must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It shows all that the store had acknowledged when it was asked.
+    Current,
+    /// It may be seconds old; such a list costs a fraction and counts towards no rate.
+    SecondsOld,
+}
+
 /// How a store spells these calls.
 #[derive(Clone, Copy, Debug)]
 pub struct KindDialect {
     /// Path of a list of a kind's objects, after a name.
-    pub list_path: fn(&str, Option<&str>) -> String,
+    pub list_path: fn(&str, Option<&str>, Freshness) -> String,
     /// Reads a list.
     pub read_list: fn(&[u8]) -> Option<ListPage>,
     /// Path of a watch of a kind from a revision on, with the longest time to wait.
@@ -99,11 +108,13 @@
         purpose: Purpose,
         dialect: &KindDialect,
         kind: &str,
+        freshness: Freshness,
     ) -> Result<ListPage, StoreError> {
         let mut all: Option<ListPage> = None;
         loop {
             let after = all.as_ref().and_then(|page| page.items.last());
-            let path = (dialect.list_path)(kind, after.map(|object| &*object.name));
+            let after = after.map(|object| &*object.name);
+            let path = (dialect.list_path)(kind, after, freshness);
             let body = self.read_body(purpose, &path, self.timeout()).await?;
             let page = (dialect.read_list)(&body).ok_or(StoreError::Malformed)?;
             let has_more = page.has_more && !page.items.is_empty();
--- a/crates/tc-platform/src/lib.rs
+++ b/crates/tc-platform/src/lib.rs
@@ -13,7 +13,7 @@
 pub use claims::{CLAIM_KIND, Claims, ClaimsSettings, MAX_OUTCOME_BYTES};
 pub use config::{ApplyResult, apply_config, read_config, watch_config};
 pub use error::StoreError;
-pub use kinds::{KindDialect, ListPage, ObjectEvent, StoredObject, WatchPage, Watched};
+pub use kinds::{Freshness, KindDialect, ListPage, ObjectEvent, StoredObject, WatchPage, Watched};
 pub use leases::{Held, LEASE_KIND, Lease, LeaseError, LeaseSettings};
 pub use quarantine::{
     QUARANTINE_KIND, Quarantined, add_quarantined, list_quarantined, remove_quarantined,
