Find out whether any upstream has room before jobs are put in order for each

Cause: where room binds, nearly every upstream of a batch service is free and full of results, and a home that looks for the next call sorts all waiting jobs for each of them in vain, at each ask, each freed result and each end of a call. Found by counting at the size of the large deployment (47 upstreams, room of 22 results each) and shown by a bench without network.

One ask (push, look, outlook, cancel), upstreams free without room: 100 upstreams, 1,000 jobs 12.3 ms before, 62 us after; 100 and 100 905 us, 24 us; 10 and 1,000 1.3 ms, 52 us; 700 and 1,000 85 ms, 309 us. All at work: unchanged (1 to 79 us). Decisions are the same: tests of the planner and its fuzzed oracle pass unchanged.

--- /dev/null
+++ b/crates/tc-policy/benches/batch_home.rs
@@ -0,0 +1,108 @@
+//! What one ask costs the home of a batch service, by the number of its upstreams and of the jobs that wait.
+//!
+//! `cargo bench -p tc-policy --bench batch_home`. Two states of overload: every upstream at work, and every upstream free but
+//! without room for results, which is where a home looks at all of them in vain each time that anything happens.
+
+use std::{hint::black_box, time::Duration};
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use tc_policy::{BatchPlanner, BatchUpstream, CallEnd, NewJob, RepeatBudget, RepeatLimits};
+use tc_protocol::{
+    MonoTime,
+    routing::{BatchSpec, PieceInput, ResultHandle},
+};
+
+const UPSTREAMS: [usize; 3] = [10, 100, 700];
+const JOBS: [usize; 3] = [10, 100, 1_000];
+const RESULT_BYTES: u64 = 8_000;
+
+fn spec() -> BatchSpec {
+    BatchSpec {
+        slots: 1,
+        queue: 2,
+        max_pieces: 14,
+        call_time: Duration::from_millis(200),
+        piece_time: Duration::from_millis(12),
+        room_bytes: 14 * RESULT_BYTES * 100 / 95 + 1,
+        result_life: Duration::from_secs(4),
+        link_bytes_per_s: 1.25e9,
+    }
+}
+
+fn now() -> MonoTime {
+    MonoTime::from_millis(10_000)
+}
+
+fn job(number: usize, pieces: u32) -> NewJob {
+    NewJob {
+        request: format!("r{number}").into(),
+        stage: 0,
+        pieces,
+        input: PieceInput::Request("k".into()),
+        result_bytes: RESULT_BYTES,
+        rank: (number % 3) as u8,
+        in_time_until: now().after(Duration::from_millis(60_000 + number as u64 % 700)),
+        deadline: now().after(Duration::from_secs(600)),
+        prefer: None,
+        held_bytes: 0,
+        is_last_reader: false,
+        following: vec![("next".into(), 2)],
+    }
+}
+
+/// A planner all of whose upstreams have one full call each, or have its results and no room left.
+fn planner(upstreams: usize, jobs: usize, at_work: bool) -> BatchPlanner {
+    let repeats = RepeatBudget::new(RepeatLimits {
+        ratio: 0.2,
+        extra: 20.0,
+        window: Duration::from_secs(10),
+    });
+    let mut planner = BatchPlanner::new(spec(), repeats);
+    let upstream = |i: usize| BatchUpstream {
+        id: format!("u{i}").into(),
+        domain: format!("d{}", i % 6).into(),
+    };
+    let upstreams: Vec<BatchUpstream> = (0..upstreams).map(upstream).collect();
+    planner.set_upstreams(&upstreams);
+    for number in 0..upstreams.len() {
+        planner.push(now(), job(number, 14)).expect("it is taken");
+        let call = planner.next_call(now()).expect("an upstream is free");
+        if at_work {
+            continue;
+        }
+        let result = |i: usize| Ok(ResultHandle(format!("{number}/{i}").into()));
+        let made = CallEnd::Answered((0..call.pieces.len()).map(result).collect());
+        planner.end_call(now(), call.key, made);
+    }
+    for number in 0..jobs {
+        planner.push(now(), job(number, 2)).expect("it is taken");
+    }
+    planner
+}
+
+fn one_ask(c: &mut Criterion) {
+    for (state, at_work) in [("at_work", true), ("without_room", false)] {
+        let mut group = c.benchmark_group(format!("one_ask/{state}"));
+        group.sample_size(20);
+        group.measurement_time(Duration::from_millis(700));
+        group.warm_up_time(Duration::from_millis(200));
+        for upstreams in UPSTREAMS {
+            for jobs in JOBS {
+                let mut planner = planner(upstreams, jobs, at_work);
+                let id = BenchmarkId::new(format!("{upstreams}_upstreams"), jobs);
+                group.bench_function(id, |b| {
+                    b.iter(|| {
+                        let key = planner.push(now(), job(0, 2)).expect("it is taken");
+                        assert!(planner.next_call(now()).is_none());
+                        black_box(planner.outlook(now()));
+                        planner.cancel(key);
+                    });
+                });
+            }
+        }
+        group.finish();
+    }
+}
+
+criterion_group!(benches, one_ask);
+criterion_main!(benches);
--- a/crates/tc-policy/src/batch/choose.rs
+++ b/crates/tc-policy/src/batch/choose.rs
@@ -1,6 +1,6 @@
 //! Which call comes next: on which upstream, with which pieces.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use tc_protocol::{FailureDomain, MonoTime, UpstreamId, routing::PieceOrder};
 
@@ -21,6 +21,21 @@
 /// was given up takes room until its upstream hears of it.
 const ROOM_PART: f64 = 0.95;
 
+/// Bytes of the smallest result that waits to be made, by where it may be made; none where nothing waits.
+#[derive(Default)]
+struct LeastRoom<'a> {
+    anywhere: Option<u64>,
+    by_domain: HashMap<&'a FailureDomain, Option<u64>>,
+}
+
+impl LeastRoom<'_> {
+    fn in_domain(&self, domain: &FailureDomain) -> Option<u64> {
+        let here = self.by_domain.get(domain).copied().flatten();
+        let both = [here, self.anywhere].into_iter().flatten();
+        both.min()
+    }
+}
+
 impl BatchPlanner {
     /// The next call to be made, if an upstream is free and something waits; asked again until there is none.
     pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
@@ -31,10 +46,45 @@
             .filter(|(_, maker)| maker.is_free(now, self.spec.slots))
             .map(|(id, maker)| (id.clone(), maker.speed))
             .collect();
+        if free.is_empty() {
+            return None;
+        }
+        let least = self.least_room(now);
+        free.retain(|(id, _)| {
+            let least = self.makers.get(id).and_then(|m| least.in_domain(&m.domain));
+            least.is_some_and(|bytes| bytes <= self.room_at(id))
+        });
         free.sort_by(|a, b| a.1.total_cmp(&b.1));
         free.into_iter().find_map(|(id, _)| self.call_on(now, &id))
     }
 
+    /// The least room that any job which waits needs of an upstream.
+    ///
+    /// Where room binds, most upstreams are free and have none, each time that anything happens. Ordering all jobs for each of
+    /// them only to find that out took a home of 100 upstreams 12 ms an ask with 1,000 jobs waiting; so it is found out first.
+    fn least_room(&self, now: MonoTime) -> LeastRoom<'_> {
+        let mut least = LeastRoom::default();
+        for job in self.jobs.values() {
+            if job.waiting.is_empty() || job.new.deadline <= now {
+                continue;
+            }
+            let bytes = job.new.result_bytes;
+            let of = match job.waits_for(now) {
+                None => &mut least.anywhere,
+                Some(domain) => least.by_domain.entry(domain).or_default(),
+            };
+            *of = Some(of.map_or(bytes, |known| known.min(bytes)));
+        }
+        least
+    }
+
+    /// Room for results that is left at an upstream.
+    fn room_at(&self, id: &UpstreamId) -> u64 {
+        let usable = (self.spec.room_bytes as f64 * ROOM_PART) as u64;
+        let reserved = self.makers.get(id).map_or(0, |maker| maker.reserved);
+        usable.saturating_sub(reserved + self.results.bytes_at(id))
+    }
+
     /// When something may be possible that is not now, if that is known.
     #[must_use]
     pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
@@ -147,9 +197,7 @@
             .filter(|(_, job)| job.may_go_to(now, &maker.domain))
             .collect();
         jobs.sort_by_key(|(_, job)| job.place_in(ends, &maker.domain));
-        let usable = (self.spec.room_bytes as f64 * ROOM_PART) as u64;
-        let used = maker.reserved + self.results.bytes_at(id);
-        let mut room = usable.saturating_sub(used);
+        let mut room = self.room_at(id);
         let most = if self.last_refused {
             PROBE_PIECES
         } else {
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -209,8 +209,14 @@
         self.stays_until = now.after(spare.mul_f64(WAIT_PART).min(longest));
     }
 
+    /// The only domain whose upstreams may get it now, if it waits for one.
+    pub(super) fn waits_for(&self, now: MonoTime) -> Option<&FailureDomain> {
+        let prefer = self.new.prefer.as_ref();
+        prefer.filter(|_| now < self.stays_until)
+    }
+
     /// Whether an upstream in `domain` may get it.
     pub(super) fn may_go_to(&self, now: MonoTime, domain: &FailureDomain) -> bool {
-        now >= self.stays_until || self.new.prefer.as_ref().is_none_or(|d| d == domain)
+        self.waits_for(now).is_none_or(|only| only == domain)
     }
 }
