--- a/crates/tc-membership/src/view_sync.rs
+++ b/crates/tc-membership/src/view_sync.rs
@@ -47,9 +47,14 @@
 /// while !sync.is_settled() {
 ///     sync.compared(sync.next(), Compared::Same, 0.5);
 /// }
-/// let before = sync.next();
-/// sync.compared(before, Compared::Same, 0.5);
-/// assert!(sync.next().since(before) > before.since(start), "lists that agree are compared less often");
+/// let last = sync.next();
+/// sync.compared(last, Compared::Same, 0.5);
+/// let longer = sync.next().since(last);
+/// sync.compared(sync.next(), Compared::News, 0.5);
+/// sync.compared(sync.next(), Compared::News, 0.5);
+/// let shorter = sync.next();
+/// sync.compared(shorter, Compared::News, 0.5);
+/// assert!(longer > sync.next().since(shorter), "lists that agree are compared less often");
 /// ```
 #[derive(Clone, Debug)]
 pub struct ViewSync {
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -137,6 +137,7 @@
     count("tc_stage_refusals_total", &[SERVICE], "Stages of requests that their home refused at once."),
     count("tc_stages_remade_total", &[], "Requests whose stages were made again as results were gone."),
     count("tc_stalled_callers_total", &[], "Connections closed because their caller took nothing of its answer."),
+    gauge("tc_store_watcher", &[], "1 while this instance watches the store itself: four of a fleet, and others whom nobody tells anything."),
     count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
     count("tc_superseded_total", &[], "Times this process found another, later one with its instance's name."),
     count("tc_suspects_total", &[], "Inputs that became suspects because an upstream died under them."),
