--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -2,42 +2,38 @@
 
 use std::{
     net::SocketAddr,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, atomic::AtomicU64},
     time::Duration,
 };
 
 use arc_swap::ArcSwap;
 use futures::{StreamExt, stream::BoxStream};
 use ractor::{Actor, ActorRef};
-use tc_membership::{Compared, MembershipConfig, Record, home_of};
+use tc_membership::{MembershipConfig, home_of};
 use tc_protocol::{
     AskRefusal, Fingerprint, InstanceId, Member, ServiceName, UpstreamId, WorkspaceName,
     routing::{EngineAsk, EngineChoice, PiecesAsk, ResultHandle, RunReport},
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
-    sync::{oneshot, watch},
+    sync::watch,
 };
 use tonic::{Code, Request, transport::server::TcpIncoming};
 
 use super::{
     actor::{MeshActor, MeshArgs, MeshMsg, Published, others},
     messages::{
-        MeshError, PiecesAnswer, WorldHave, WorldNews, answer_from_wire, ask_to_wire,
-        choice_from_wire, engine_ask_to_wire, news_to_wire, texts, world_news_from_wire,
+        MeshError, PiecesAnswer, answer_from_wire, ask_to_wire, choice_from_wire,
+        engine_ask_to_wire, news_to_wire, texts,
     },
-    peers::{Client, Peers},
+    peers::Peers,
     service::{MeshHandlers, Service},
     suspects::suspect_table,
+    world_news::{WorldHave, WorldNews, world_news_from_wire},
 };
 use crate::{
-    FleetError, FleetKeys, convert,
-    generated::{
-        self as wire, FreeResultsMessage, Introduction, RunNewsMessage, mesh_server::MeshServer,
-    },
+    FleetError, FleetKeys,
+    generated::{self as wire, FreeResultsMessage, RunNewsMessage, mesh_server::MeshServer},
     gossip::GossipSocket,
     peers::timed,
     server::check_token,
@@ -74,14 +70,14 @@
 /// Handle of the mesh; clones share it.
 #[derive(Clone)]
 pub struct Mesh {
-    inner: Arc<Inner>,
+    pub(super) inner: Arc<Inner>,
 }
 
-struct Inner {
-    me: Member,
-    node: ActorRef<MeshMsg>,
-    published: Arc<Published>,
-    peers: Arc<Peers>,
+pub(super) struct Inner {
+    pub(super) me: Member,
+    pub(super) node: ActorRef<MeshMsg>,
+    pub(super) published: Arc<Published>,
+    pub(super) peers: Arc<Peers>,
     suspects: Arc<SuspectTable>,
 }
 
@@ -198,79 +194,6 @@
         let _ = self.inner.node.cast(MeshMsg::Doubt(id.clone()));
     }
 
-    /// Introduces this instance at an address and takes up the members known there.
-    pub async fn introduce_at(&self, address: SocketAddr) -> Result<(), MeshError> {
-        let client = self.inner.peers.client_at(address);
-        let asked: InstanceId = address.to_string().into();
-        self.compare_with(client, &asked).await.map(|_| ())
-    }
-
-    /// Makes this instance known at an address without asking who there is.
-    pub async fn announce_at(&self, address: SocketAddr) -> Result<(), MeshError> {
-        let mut client = self.inner.peers.client_at(address);
-        let introduction = timed(Introduction {
-            me: Some(self.own_record()),
-            only_announces: true,
-            ..Introduction::default()
-        });
-        let announced = client.introduce(introduction).await;
-        let failed = |status: tonic::Status| MeshError::NoAnswer {
-            instance: address.to_string().into(),
-            problem: status.message().to_owned(),
-        };
-        announced.map(|_| ()).map_err(failed)
-    }
-
-    fn own_record(&self) -> wire::MemberRecord {
-        convert::record_to_wire(&Record {
-            member: self.inner.me.clone(),
-            refutation: 0,
-            revision: 0,
-        })
-    }
-
-    /// Compares the list of members with another instance's and takes up what that one knows beyond.
-    pub async fn compare_members(&self, other: &Member) -> Result<Compared, MeshError> {
-        let client = self.inner.peers.client(other);
-        self.compare_with(client, &other.id).await
-    }
-
-    async fn compare_with(
-        &self,
-        mut client: Client,
-        asked: &InstanceId,
-    ) -> Result<Compared, MeshError> {
-        let no_answer = |problem: String| MeshError::NoAnswer {
-            instance: asked.clone(),
-            problem,
-        };
-        let stopping = |_| no_answer("this instance is stopping".to_owned());
-        let (reply, known) = oneshot::channel();
-        let _ = self.inner.node.cast(MeshMsg::Known(reply));
-        let introduction = timed(Introduction {
-            me: Some(self.own_record()),
-            view: self.inner.published.view.load(Ordering::Acquire),
-            known: known.await.map_err(stopping)?,
-            only_announces: false,
-        });
-        let list = client.introduce(introduction).await;
-        let list = list.map_err(|status| no_answer(status.message().to_owned()))?;
-        let list = list.into_inner();
-        if list.same_view {
-            return Ok(Compared::Same);
-        }
-        let lacking = list.members.iter();
-        let lacking: Vec<Record> = lacking.filter_map(convert::record_from_wire).collect();
-        let (reply, news) = oneshot::channel();
-        let _ = self.inner.node.cast(MeshMsg::Learn(lacking, reply));
-        let news = news.await.map_err(stopping)?;
-        Ok(if news {
-            Compared::News
-        } else {
-            Compared::NoNews
-        })
-    }
-
     /// Fleet addresses of the other instances that may answer.
     #[must_use]
     pub fn other_addresses(&self) -> Vec<SocketAddr> {
--- /dev/null
+++ b/crates/tc-fleet/src/mesh/members.rs
@@ -0,0 +1,89 @@
+//! Telling other instances of this one, and comparing lists of members with theirs.
+
+use std::{net::SocketAddr, sync::atomic::Ordering};
+
+use tc_membership::{Compared, Record};
+use tc_protocol::{InstanceId, Member};
+use tokio::sync::oneshot;
+
+use super::{actor::MeshMsg, handle::Mesh, messages::MeshError, peers::Client};
+use crate::{
+    convert,
+    generated::{self as wire, Introduction},
+    peers::timed,
+};
+
+impl Mesh {
+    /// Introduces this instance at an address and takes up the members known there.
+    pub async fn introduce_at(&self, address: SocketAddr) -> Result<(), MeshError> {
+        let client = self.inner.peers.client_at(address);
+        let asked: InstanceId = address.to_string().into();
+        self.compare_with(client, &asked).await.map(|_| ())
+    }
+
+    /// Makes this instance known at an address without asking who there is.
+    pub async fn announce_at(&self, address: SocketAddr) -> Result<(), MeshError> {
+        let mut client = self.inner.peers.client_at(address);
+        let introduction = timed(Introduction {
+            me: Some(self.own_record()),
+            only_announces: true,
+            ..Introduction::default()
+        });
+        let announced = client.introduce(introduction).await;
+        let failed = |status: tonic::Status| MeshError::NoAnswer {
+            instance: address.to_string().into(),
+            problem: status.message().to_owned(),
+        };
+        announced.map(|_| ()).map_err(failed)
+    }
+
+    fn own_record(&self) -> wire::MemberRecord {
+        convert::record_to_wire(&Record {
+            member: self.inner.me.clone(),
+            refutation: 0,
+            revision: 0,
+        })
+    }
+
+    /// Compares the list of members with another instance's and takes up what that one knows beyond.
+    pub async fn compare_members(&self, other: &Member) -> Result<Compared, MeshError> {
+        let client = self.inner.peers.client(other);
+        self.compare_with(client, &other.id).await
+    }
+
+    async fn compare_with(
+        &self,
+        mut client: Client,
+        asked: &InstanceId,
+    ) -> Result<Compared, MeshError> {
+        let no_answer = |problem: String| MeshError::NoAnswer {
+            instance: asked.clone(),
+            problem,
+        };
+        let stopping = |_| no_answer("this instance is stopping".to_owned());
+        let (reply, known) = oneshot::channel();
+        let _ = self.inner.node.cast(MeshMsg::Known(reply));
+        let introduction = timed(Introduction {
+            me: Some(self.own_record()),
+            view: self.inner.published.view.load(Ordering::Acquire),
+            known: known.await.map_err(stopping)?,
+            only_announces: false,
+        });
+        let list = client.introduce(introduction).await;
+        let list = list.map_err(|status| no_answer(status.message().to_owned()))?;
+        let list = list.into_inner();
+        if list.same_view {
+            return Ok(Compared::Same);
+        }
+        let lacking = list.members.iter();
+        let lacking: Vec<Record> = lacking.filter_map(convert::record_from_wire).collect();
+        let (reply, news) = oneshot::channel();
+        let _ = self.inner.node.cast(MeshMsg::Learn(lacking, reply));
+        let news = news.await.map_err(stopping)?;
+        Ok(if news {
+            Compared::News
+        } else {
+            Compared::NoNews
+        })
+    }
+}
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -4,13 +4,14 @@
 
 mod actor;
 mod handle;
+mod members;
 mod messages;
 mod peers;
 mod service;
 mod suspects;
+mod world_news;
 
 pub use handle::{Mesh, MeshSettings, SuspectRun};
-pub use messages::{
-    Gone, MeshError, PiecesAnswer, UpstreamNews, WorldHave, WorldNews, WorldObject,
-};
+pub use messages::{MeshError, PiecesAnswer};
 pub use service::{ChooseEngine, MeshHandlers, TellRuns};
+pub use world_news::{Gone, UpstreamNews, WorldHave, WorldNews, WorldObject};
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -14,9 +14,10 @@
 use super::{
     actor::{Introduced, MeshMsg},
     messages::{
-        PiecesAnswer, WorldHave, WorldNews, answer_to_wire, ask_from_wire, choice_to_wire,
-        engine_ask_from_wire, handles, news_from_wire, world_news_to_wire,
+        PiecesAnswer, answer_to_wire, ask_from_wire, choice_to_wire, engine_ask_from_wire, handles,
+        news_from_wire,
     },
+    world_news::{WorldHave, WorldNews, world_news_to_wire},
 };
 use crate::{
     convert,
--- /dev/null
+++ b/crates/tc-fleet/src/mesh/world_news.rs
@@ -0,0 +1,128 @@
+//! What instances tell each other of the store, and its wire form.
+
+use std::sync::Arc;
+
+use serde_json::Value;
+
+use crate::generated as wire;
+
+/// What an instance knows of the store, as numbers to compare.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct WorldHave {
+    /// Version of the configuration; 0 for none.
+    pub config_version: u64,
+    /// Revision of the list of upstreams; 0 for none.
+    pub upstreams_revision: u64,
+}
+
+/// An object of the store as it is handed on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorldObject {
+    /// Its name.
+    pub name: Arc<str>,
+    /// Revision of its last change.
+    pub revision: u64,
+    /// Its value.
+    pub value: Arc<Value>,
+}
+
+/// What one instance tells another of the store.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct WorldNews {
+    /// Whether the sender itself hears from the store.
+    pub in_touch: bool,
+    /// The configuration and the store's revision of it, if it is newer.
+    pub config: Option<(Arc<Value>, u64)>,
+    /// What is new about upstreams.
+    pub upstreams: Option<UpstreamNews>,
+}
+
+/// How one list of upstreams differs from an earlier one.
+#[derive(Clone, Debug, PartialEq)]
+pub struct UpstreamNews {
+    /// Revision of the later list.
+    pub revision: u64,
+    /// Entries that are new or changed.
+    pub changed: Vec<WorldObject>,
+    /// Entries that are gone.
+    pub gone: Gone,
+}
+
+/// Which entries of a list are gone.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Gone {
+    /// These.
+    Named(Vec<Arc<str>>),
+    /// All but these.
+    AllBut(Vec<Arc<str>>),
+}
+
+pub(super) fn world_news_to_wire(news: &WorldNews) -> wire::WorldNews {
+    let config = news.config.as_ref();
+    wire::WorldNews {
+        in_touch: news.in_touch,
+        config: config
+            .map(|(value, _)| value.to_string().into_bytes())
+            .unwrap_or_default(),
+        config_revision: config.map_or(0, |(_, revision)| *revision),
+        upstreams: news.upstreams.as_ref().map(upstream_news_to_wire),
+    }
+}
+
+fn upstream_news_to_wire(news: &UpstreamNews) -> wire::UpstreamNews {
+    let (names, is_whole) = match &news.gone {
+        Gone::Named(names) => (names, false),
+        Gone::AllBut(names) => (names, true),
+    };
+    let entry = |object: &WorldObject| wire::RegistryEntry {
+        name: object.name.to_string(),
+        revision: object.revision,
+        value: object.value.to_string().into_bytes(),
+    };
+    wire::UpstreamNews {
+        revision: news.revision,
+        changed: news.changed.iter().map(entry).collect(),
+        names: names.iter().map(ToString::to_string).collect(),
+        is_whole,
+    }
+}
+
+/// `None` when any part cannot be read: half of the news would look like upstreams that are gone.
+pub(super) fn world_news_from_wire(news: &wire::WorldNews) -> Option<WorldNews> {
+    let config = if news.config.is_empty() {
+        None
+    } else {
+        let value = serde_json::from_slice(&news.config).ok()?;
+        Some((Arc::new(value), news.config_revision))
+    };
+    let upstreams = match &news.upstreams {
+        Some(upstreams) => Some(upstream_news_from_wire(upstreams)?),
+        None => None,
+    };
+    Some(WorldNews {
+        in_touch: news.in_touch,
+        config,
+        upstreams,
+    })
+}
+
+fn upstream_news_from_wire(news: &wire::UpstreamNews) -> Option<UpstreamNews> {
+    let object = |entry: &wire::RegistryEntry| {
+        Some(WorldObject {
+            name: entry.name.as_str().into(),
+            revision: entry.revision,
+            value: Arc::new(serde_json::from_slice(&entry.value).ok()?),
+        })
+    };
+    let changed: Option<Vec<WorldObject>> = news.changed.iter().map(object).collect();
+    let names = news.names.iter().map(|name| name.as_str().into()).collect();
+    Some(UpstreamNews {
+        revision: news.revision,
+        changed: changed?,
+        gone: if news.is_whole {
+            Gone::AllBut(names)
+        } else {
+            Gone::Named(names)
+        },
+    })
+}
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod freeze;
 mod homes;
 mod join;
+mod listeners;
 mod routing;
 mod run;
 mod serve;
--- /dev/null
+++ b/crates/tc-gateway/src/listeners.rs
@@ -0,0 +1,43 @@
+//! The sockets on which an instance listens.
+
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+
+use crate::{settings::GatewaySettings, start::GatewayError};
+
+/// The sockets of one instance.
+pub(crate) struct Listeners {
+    pub(crate) callers: TcpListener,
+    pub(crate) ready: Option<TcpListener>,
+    pub(crate) directory: Option<TcpListener>,
+    pub(crate) metrics: Option<TcpListener>,
+}
+
+impl Listeners {
+    pub(crate) async fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
+        Ok(Self {
+            callers: bind(settings.listen).await?,
+            ready: bind_some(settings.ready_listen).await?,
+            directory: bind_some(settings.directory_listen).await?,
+            metrics: bind_some(settings.metrics_listen).await?,
+        })
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|source| GatewayError::Listen { address, source })
+}
+
+async fn bind_some(address: Option<SocketAddr>) -> Result<Option<TcpListener>, GatewayError> {
+    match address {
+        Some(address) => bind(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Moves a listener to the runtime that is entered.
+pub(crate) fn on_traffic(listener: TcpListener) -> Result<TcpListener, GatewayError> {
+    Ok(TcpListener::from_std(listener.into_std()?)?)
+}
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -22,6 +22,7 @@
     freeze::FreezeWatch,
     homes::{BatchHomes, Freer, GivenUp, HomeContext},
     join::{Finder, Settled, keep_members_same},
+    listeners::{Listeners, on_traffic},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
     settings::GatewaySettings,
@@ -282,36 +283,6 @@
     given_up.gather(free).await;
 }
 
-struct Listeners {
-    callers: TcpListener,
-    ready: Option<TcpListener>,
-    directory: Option<TcpListener>,
-    metrics: Option<TcpListener>,
-}
-
-impl Listeners {
-    async fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
-        Ok(Self {
-            callers: bind(settings.listen).await?,
-            ready: bind_some(settings.ready_listen).await?,
-            directory: bind_some(settings.directory_listen).await?,
-            metrics: bind_some(settings.metrics_listen).await?,
-        })
-    }
-}
-
-async fn bind(address: SocketAddr) -> Result<TcpListener, GatewayError> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|source| GatewayError::Listen { address, source })
-}
-
-async fn bind_some(address: Option<SocketAddr>) -> Result<Option<TcpListener>, GatewayError> {
-    match address {
-        Some(address) => bind(address).await.map(Some),
-        None => Ok(None),
-    }
-}
-
 impl Gateway {
     fn serve(
         &self,
@@ -393,11 +364,6 @@
     }
 }
 
-/// Moves a listener to the runtime that is entered.
-fn on_traffic(listener: TcpListener) -> Result<TcpListener, GatewayError> {
-    Ok(TcpListener::from_std(listener.into_std()?)?)
-}
-
 /// Hands homes over when the members change.
 async fn follow_roles(mesh: Mesh, homes: Arc<BatchHomes>) {
     let mut changes = mesh.changes();
--- a/crates/tc-membership/src/membership/mod.rs
+++ b/crates/tc-membership/src/membership/mod.rs
@@ -15,6 +15,7 @@
 mod record;
 mod table;
 mod tick;
+mod view;
 
 pub use config::MembershipConfig;
 pub use machine::Membership;
