Take up differences only on top of the list they were taken from

The source's first word is older and left out; its next difference spans revisions that the instance has, and does not name what was both written and removed in between, so that entry stays for ever. Seen it would be as calls to upstreams that are long gone, after any change of source.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -610,6 +610,9 @@
     pub names: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(bool, tag = "4")]
     pub is_whole: bool,
+    /// Revision of the list that these are the differences from, unless `is_whole`.
+    #[prost(uint64, tag = "5")]
+    pub since: u64,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RegistryEntry {
--- a/crates/tc-fleet/src/mesh/world_news.rs
+++ b/crates/tc-fleet/src/mesh/world_news.rs
@@ -51,8 +51,13 @@
 /// Which entries of a list are gone.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Gone {
-    /// These.
-    Named(Vec<Arc<str>>),
+    /// These, from the list of an earlier revision.
+    Named {
+        /// Revision of that list. On top of another one the differences would leave entries that are gone from both.
+        since: u64,
+        /// What is gone from it.
+        names: Vec<Arc<str>>,
+    },
     /// All but these.
     AllBut(Vec<Arc<str>>),
 }
@@ -70,9 +75,9 @@
 }
 
 fn upstream_news_to_wire(news: &UpstreamNews) -> wire::UpstreamNews {
-    let (names, is_whole) = match &news.gone {
-        Gone::Named(names) => (names, false),
-        Gone::AllBut(names) => (names, true),
+    let (names, is_whole, since) = match &news.gone {
+        Gone::Named { since, names } => (names, false, *since),
+        Gone::AllBut(names) => (names, true, 0),
     };
     let entry = |object: &WorldObject| wire::RegistryEntry {
         name: object.name.to_string(),
@@ -84,6 +89,7 @@
         changed: news.changed.iter().map(entry).collect(),
         names: names.iter().map(ToString::to_string).collect(),
         is_whole,
+        since,
     }
 }
 
@@ -122,7 +128,10 @@
         gone: if news.is_whole {
             Gone::AllBut(names)
         } else {
-            Gone::Named(names)
+            Gone::Named {
+                since: news.since,
+                names,
+            }
         },
     })
 }
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -30,3 +30,4 @@
 pub use serve::MetricsText;
 pub use settings::{GatewaySettings, RepeatSettings};
 pub use start::{Gateway, GatewayError, run};
+pub use world::{TakenUp, UpstreamTable};
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -179,8 +179,12 @@
     }
 
     fn take_news(&mut self, from: &InstanceId, absences: u64, news: &WorldNews) {
-        self.cell.apply_news(news);
         self.source.heard(MonoTime::now(), from, news.in_touch);
+        if !self.cell.apply_news(news) {
+            log::info!(from = from.as_str(); "news of the store do not fit what is known here; the source is asked anew");
+            self.following = None;
+            return;
+        }
         if news.in_touch {
             self.cell.note_read(WorldPart::Config, absences);
             self.cell.note_read(WorldPart::Upstreams, absences);
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) use config::ConfigInForce;
 pub(crate) use follow::{StoreRole, follow_source};
 pub(crate) use tell::tell_world;
-pub(crate) use upstreams::UpstreamTable;
+pub use upstreams::{TakenUp, UpstreamTable};
 pub(crate) use watch::{WatchContext, first_world, watch_config, watch_upstreams};
 
 /// What requests read; never changes once published.
@@ -167,18 +167,22 @@
         parts.all(|part| part.load(Ordering::Acquire)) && self.load().is_known()
     }
 
-    /// Takes up what another instance tells of the store.
-    pub(crate) fn apply_news(&self, news: &WorldNews) {
+    /// Takes up what another instance tells of the store; `false` when it must be asked for what is lacking instead.
+    pub(crate) fn apply_news(&self, news: &WorldNews) -> bool {
         if let Some((raw, revision)) = &news.config {
             self.apply_config(raw, *revision);
         }
-        if let Some(upstreams) = &news.upstreams {
-            let _writing = self.write();
-            let world = self.load();
-            if let Some(next) = world.upstreams.with_news(&self.edges, upstreams) {
-                self.publish_upstreams(&world, next);
-            }
+        let Some(upstreams) = &news.upstreams else {
+            return true;
+        };
+        let _writing = self.write();
+        let world = self.load();
+        match world.upstreams.with_news(&self.edges, upstreams) {
+            TakenUp::Newer(next) => self.publish_upstreams(&world, next),
+            TakenUp::Older => {}
+            TakenUp::Unfit => return false,
         }
+        true
     }
 
     /// Puts a configuration in force if it is valid and newer than the one that is.
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -16,6 +16,20 @@
 
 use crate::edges::Edges;
 
+/// What came of another instance's news.
+#[derive(Clone, Debug)]
+pub enum TakenUp {
+    /// The list with them.
+    Newer(UpstreamTable),
+    /// They are older than what is known here.
+    Older,
+    /// They are differences from another list than this one: ask for what is lacking.
+    ///
+    /// An instance that goes on with a source which is behind it would otherwise keep for ever what was both written and
+    /// removed between the source's list and its own, seen as calls to upstreams that are long gone.
+    Unfit,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     revision: u64,
@@ -26,7 +40,7 @@
 
 /// A list of upstreams as of a revision of the store.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct UpstreamTable {
+pub struct UpstreamTable {
     revision: u64,
     entries: BTreeMap<Arc<str>, Entry>,
     by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>>,
@@ -35,7 +49,9 @@
 }
 
 impl UpstreamTable {
-    pub(crate) fn revision(&self) -> u64 {
+    /// The store's revision that it shows.
+    #[must_use]
+    pub fn revision(&self) -> u64 {
         self.revision
     }
 
@@ -72,7 +88,8 @@
     }
 
     /// What a list of an earlier revision lacks; the names of all entries tell what is gone from it.
-    pub(crate) fn news_since(&self, revision: u64) -> UpstreamNews {
+    #[must_use]
+    pub fn news_since(&self, revision: u64) -> UpstreamNews {
         UpstreamNews {
             revision: self.revision,
             changed: self.objects(|_, entry| entry.revision > revision),
@@ -81,19 +98,24 @@
     }
 
     /// How this list differs from an earlier one; `None` if it does not.
-    pub(crate) fn news_after(&self, earlier: &Self) -> Option<UpstreamNews> {
+    #[must_use]
+    pub fn news_after(&self, earlier: &Self) -> Option<UpstreamNews> {
         let is_new = |name: &str, entry: &Entry| {
             let known = earlier.entries.get(name);
             known.is_none_or(|known| known.revision != entry.revision)
         };
         let gone = earlier.entries.keys();
         let gone = gone.filter(|name| !self.entries.contains_key(*name));
-        let news = UpstreamNews {
+        let names: Vec<Arc<str>> = gone.cloned().collect();
+        let differs = self.revision != earlier.revision || !names.is_empty();
+        differs.then(|| UpstreamNews {
             revision: self.revision,
             changed: self.objects(is_new),
-            gone: Gone::Named(gone.cloned().collect()),
-        };
-        (self.revision != earlier.revision || news.gone != Gone::Named(Vec::new())).then_some(news)
+            gone: Gone::Named {
+                since: earlier.revision,
+                names,
+            },
+        })
     }
 
     /// Entries as they lie in the store, to be handed on.
@@ -109,36 +131,46 @@
             .collect()
     }
 
-    /// This list with another instance's news taken up; `None` when they are older than what is known here.
-    pub(crate) fn with_news(&self, edges: &Edges, news: &UpstreamNews) -> Option<Self> {
+    /// Takes up another instance's news.
+    #[must_use]
+    pub fn with_news(&self, edges: &Edges, news: &UpstreamNews) -> TakenUp {
         if news.revision < self.revision {
-            return None;
+            return TakenUp::Older;
         }
-        let put = |object: &WorldObject| {
+        let gone: Vec<Arc<str>> = match &news.gone {
+            Gone::Named { since, .. } if *since != self.revision => {
+                let is_newer = news.revision > self.revision;
+                return if is_newer {
+                    TakenUp::Unfit
+                } else {
+                    TakenUp::Older
+                };
+            }
+            Gone::Named { names, .. } => names.clone(),
+            Gone::AllBut(names) => {
+                let left: HashSet<&Arc<str>> = names.iter().collect();
+                let gone = self.entries.keys().filter(|name| !left.contains(name));
+                gone.cloned().collect()
+            }
+        };
+        let removed = gone.into_iter().map(|name| ObjectEvent::Removed {
+            name,
+            revision: news.revision,
+        });
+        let put = news.changed.iter().map(|object| {
             ObjectEvent::Put(StoredObject {
                 name: Arc::clone(&object.name),
                 revision: object.revision,
                 value: Arc::clone(&object.value),
             })
-        };
-        let removed = |name: &Arc<str>| ObjectEvent::Removed {
-            name: Arc::clone(name),
-            revision: news.revision,
-        };
-        let mut events: Vec<ObjectEvent> = news.changed.iter().map(put).collect();
-        match &news.gone {
-            Gone::Named(names) => events.extend(names.iter().map(removed)),
-            Gone::AllBut(names) => {
-                let left: HashSet<&Arc<str>> = names.iter().collect();
-                let gone = self.entries.keys().filter(|name| !left.contains(name));
-                events.extend(gone.map(removed));
-            }
-        }
-        Some(self.with_events(edges, &events, news.revision))
+        });
+        let events: Vec<ObjectEvent> = put.chain(removed).collect();
+        TakenUp::Newer(self.with_events(edges, &events, news.revision))
     }
 
     /// This table with changes taken up.
-    pub(crate) fn with_events(&self, edges: &Edges, events: &[ObjectEvent], at: u64) -> Self {
+    #[must_use]
+    pub fn with_events(&self, edges: &Edges, events: &[ObjectEvent], at: u64) -> Self {
         let mut entries = self.entries.clone();
         for event in events {
             match event {
