--- a/crates/tc-membership/src/membership/view.rs
+++ b/crates/tc-membership/src/membership/view.rs
@@ -37,7 +37,7 @@
     }
 
     /// What an instance lacks that knows these members: those it does not know, and those of them that are dead; the strongest
-    /// first, no more than [`MOST_LACKING`].
+    /// first, no more than a few dozen at a time.
     ///
     /// Among hundreds a whole list is 30 KB, and where all start at once a seed with a slow link would tell it to a hundred:
     /// four seconds were seen until the last of 295 knew the others. Cut short, it is a moment, and the rest comes from others
