Send nothing new to evacuated failure domains, from any instance

Cause: nothing read the operators' orders to evacuate a domain. The few instances that watch the store watch these orders too and tell them to all with the news of configuration and upstreams: one mechanism, told whole, as there are as many as failure domains at most. Upstreams there are marked in the list that every decision reads, so choice at homes, choice by an instance itself, calls of pieces (looked up right before the call), sources of kept prompt parts and calls that give up results leave them out. Ruled out: a second list beside the upstreams', which each decision would have to ask.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -583,6 +583,9 @@
     pub config_version: u64,
     #[prost(uint64, tag = "2")]
     pub upstreams_revision: u64,
+    /// Revision of the evacuated failure domains that the asker has; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub evacuated_revision: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct WorldNews {
@@ -597,6 +600,17 @@
     pub config_revision: u64,
     #[prost(message, optional, tag = "4")]
     pub upstreams: ::core::option::Option<UpstreamNews>,
+    /// All evacuated failure domains, if that is newer than what the asker has.
+    #[prost(message, optional, tag = "5")]
+    pub evacuated: ::core::option::Option<EvacuatedDomains>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct EvacuatedDomains {
+    /// Revision of the store that this shows.
+    #[prost(uint64, tag = "1")]
+    pub revision: u64,
+    #[prost(string, repeated, tag = "2")]
+    pub names: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct UpstreamNews {
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -30,7 +30,7 @@
 pub use fleet::{Fleet, LocalReport};
 pub use key::FleetKeys;
 pub use mesh::{
-    ChooseEngine, Gone, Mesh, MeshError, MeshHandlers, MeshSettings, PiecesAnswer, SuspectRun,
-    TellRuns, UpstreamNews, WorldHave, WorldNews, WorldObject,
+    ChooseEngine, EvacuatedDomains, Gone, Mesh, MeshError, MeshHandlers, MeshSettings,
+    PiecesAnswer, SuspectRun, TellRuns, UpstreamNews, WorldHave, WorldNews, WorldObject,
 };
 pub use settings::{AskPolicy, FleetSettings};
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -14,4 +14,4 @@
 pub use handle::{Mesh, MeshSettings, SuspectRun};
 pub use messages::{MeshError, PiecesAnswer};
 pub use service::{ChooseEngine, MeshHandlers, TellRuns};
-pub use world_news::{Gone, UpstreamNews, WorldHave, WorldNews, WorldObject};
+pub use world_news::{EvacuatedDomains, Gone, UpstreamNews, WorldHave, WorldNews, WorldObject};
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -139,6 +139,7 @@
         let news = (self.handlers.world)(WorldHave {
             config_version: have.config_version,
             upstreams_revision: have.upstreams_revision,
+            evacuated_revision: have.evacuated_revision,
         });
         let news = news.map(|news| Ok(world_news_to_wire(&news)));
         Ok(Response::new(news.boxed()))
--- a/crates/tc-fleet/src/mesh/world_news.rs
+++ b/crates/tc-fleet/src/mesh/world_news.rs
@@ -1,8 +1,9 @@
 //! What instances tell each other of the store, and its wire form.
 
-use std::sync::Arc;
+use std::{collections::BTreeSet, sync::Arc};
 
 use serde_json::Value;
+use tc_protocol::FailureDomain;
 
 use crate::generated as wire;
 
@@ -13,6 +14,8 @@
     pub config_version: u64,
     /// Revision of the list of upstreams; 0 for none.
     pub upstreams_revision: u64,
+    /// Revision of the evacuated failure domains; 0 for none.
+    pub evacuated_revision: u64,
 }
 
 /// An object of the store as it is handed on.
@@ -35,6 +38,19 @@
     pub config: Option<(Arc<Value>, u64)>,
     /// What is new about upstreams.
     pub upstreams: Option<UpstreamNews>,
+    /// All evacuated failure domains, if that is newer.
+    pub evacuated: Option<EvacuatedDomains>,
+}
+
+/// The failure domains whose upstreams must get nothing new, as of a revision of the store.
+///
+/// There are as many as there are failure domains at most, so they are always told whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EvacuatedDomains {
+    /// The store's revision that it shows; 0 before anything is known.
+    pub revision: u64,
+    /// Which.
+    pub domains: BTreeSet<FailureDomain>,
 }
 
 /// How one list of upstreams differs from an earlier one.
@@ -71,6 +87,23 @@
             .unwrap_or_default(),
         config_revision: config.map_or(0, |(_, revision)| *revision),
         upstreams: news.upstreams.as_ref().map(upstream_news_to_wire),
+        evacuated: news.evacuated.as_ref().map(evacuated_to_wire),
+    }
+}
+
+fn evacuated_to_wire(evacuated: &EvacuatedDomains) -> wire::EvacuatedDomains {
+    let names = evacuated.domains.iter();
+    wire::EvacuatedDomains {
+        revision: evacuated.revision,
+        names: names.map(|domain| domain.as_str().to_owned()).collect(),
+    }
+}
+
+fn evacuated_from_wire(evacuated: &wire::EvacuatedDomains) -> EvacuatedDomains {
+    let names = evacuated.names.iter();
+    EvacuatedDomains {
+        revision: evacuated.revision,
+        domains: names.map(|name| name.as_str().into()).collect(),
     }
 }
 
@@ -109,6 +142,7 @@
         in_touch: news.in_touch,
         config,
         upstreams,
+        evacuated: news.evacuated.as_ref().map(evacuated_from_wire),
     })
 }
 
--- a/crates/tc-gateway/src/edges.rs
+++ b/crates/tc-gateway/src/edges.rs
@@ -32,6 +32,8 @@
     pub config_name: &'static str,
     /// Kind of the registered upstreams.
     pub upstreams: &'static str,
+    /// Kind of the operators' orders to evacuate a failure domain, each named like the domain.
+    pub evacuations: &'static str,
     /// Kind of this system's own instances.
     pub members: &'static str,
 }
--- a/crates/tc-gateway/src/engines/ask.rs
+++ b/crates/tc-gateway/src/engines/ask.rs
@@ -79,5 +79,5 @@
 fn find_ready(world: &World, ask: &EngineAsk, id: &UpstreamId) -> Option<Arc<RegisteredUpstream>> {
     let engines = world.upstreams.of_service(ask.service.as_str());
     let found = engines.iter().find(|engine| engine.id == *id);
-    found.filter(|engine| !engine.draining).cloned()
+    found.filter(|engine| engine.takes_work()).cloned()
 }
--- a/crates/tc-gateway/src/engines/homes.rs
+++ b/crates/tc-gateway/src/engines/homes.rs
@@ -90,7 +90,7 @@
         let engines = world.upstreams.of_service(service.as_str());
         let engines: Vec<EngineCandidate> = engines
             .iter()
-            .filter(|engine| !engine.draining)
+            .filter(|engine| engine.takes_work())
             .map(|engine| EngineCandidate {
                 id: engine.id.clone(),
                 domain: engine.failure_domain.clone(),
--- a/crates/tc-gateway/src/homes/calls.rs
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -58,9 +58,16 @@
 }
 
 /// Tells the makers of results that nobody reads them any more. A lost call costs room until the results lapse.
+///
+/// Makers in an evacuated failure domain are told nothing: results there take room that no piece is to get.
 pub(super) fn free_at_makers(cx: &Arc<HomeContext>, handles: &[ResultHandle]) {
+    let world = cx.world.load();
+    let is_evacuated = |handle: &ResultHandle| {
+        let maker = world.upstreams.maker_of(handle);
+        maker.is_some_and(|maker| maker.evacuated)
+    };
     let mut by_maker: HashMap<SocketAddr, Vec<ResultHandle>> = HashMap::new();
-    for handle in handles {
+    for handle in handles.iter().filter(|handle| !is_evacuated(handle)) {
         match handle.maker().and_then(|maker| maker.parse().ok()) {
             Some(maker) => by_maker.entry(maker).or_default().push(handle.clone()),
             None => log::warn!(result = &*handle.0; "a result names no maker and cannot be freed"),
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -14,7 +14,7 @@
     routing::{BatchSpec, PiecesAsk, PiecesRefusal, ResultHandle},
 };
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, oneshot, watch::Receiver},
     time::timeout,
 };
 
@@ -49,8 +49,11 @@
             }),
             wake: Notify::new(),
         });
+        // Before the world is taken up: a change between the two would be missed until the next one, seen as a home that
+        // knows no upstream for seconds while all are registered.
+        let changes = home.cx.world.changes();
         home.take_world();
-        tokio::spawn(follow_world(Arc::downgrade(&home)));
+        tokio::spawn(follow_world(Arc::downgrade(&home), changes));
         tokio::spawn(keep_time(Arc::downgrade(&home)));
         home
     }
@@ -185,7 +188,7 @@
             .upstreams
             .of_service(self.service.as_str())
             .iter()
-            .filter(|upstream| !upstream.draining)
+            .filter(|upstream| upstream.takes_work())
             .map(|upstream| BatchUpstream {
                 id: upstream.id.clone(),
                 domain: upstream.failure_domain.clone(),
@@ -245,10 +248,7 @@
     }
 }
 
-async fn follow_world(home: Weak<BatchHome>) {
-    let Some(mut changes) = home.upgrade().map(|home| home.cx.world.changes()) else {
-        return;
-    };
+async fn follow_world(home: Weak<BatchHome>, mut changes: Receiver<u64>) {
     while changes.changed().await.is_ok() {
         let Some(home) = home.upgrade() else { return };
         home.take_world();
@@ -284,6 +284,6 @@
     let upstreams = world.upstreams.of_service(service.as_str());
     upstreams
         .iter()
-        .find(|upstream| upstream.id == *id && !upstream.draining)
+        .find(|upstream| upstream.id == *id && upstream.takes_work())
         .map(|upstream| upstream.address)
 }
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -28,6 +28,6 @@
 pub use freeze::{SuspendedTime, suspended_time};
 pub use routing::{RouteTable, RouteTableError};
 pub use serve::MetricsText;
-pub use settings::{GatewaySettings, RepeatSettings};
+pub use settings::{ColdAllowance, GatewaySettings, RepeatSettings};
 pub use start::{Gateway, GatewayError, run};
 pub use world::{TakenUp, UpstreamTable};
--- a/crates/tc-gateway/src/settings.rs
+++ b/crates/tc-gateway/src/settings.rs
@@ -36,12 +36,26 @@
     pub grace: Duration,
     /// How long an upstream serves on after it said that it leaves.
     pub leave_time: Duration,
+    /// How long after the store has acknowledged it an evacuation may take to count on every instance; `None` where
+    /// failure domains are not evacuated, so that nobody watches for it.
+    pub evacuate_time: Option<Duration>,
+    /// How far beyond what they bear cold upstreams may be driven.
+    pub cold: ColdAllowance,
     /// Longest time callers keep a list of addresses.
     pub address_max_age: Duration,
     /// Tells how long the machine was suspended; [`crate::suspended_time`] but in tests.
     pub suspended: SuspendedTime,
 }
 
+/// How far beyond what it bears a cold upstream may be driven, by all instances together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdAllowance {
+    /// Multiple of the requests a second that it bears.
+    pub excess: f64,
+    /// Requests a second besides.
+    pub slack: f64,
+}
+
 /// The fleet's budget for sending requests again.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RepeatSettings {
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -29,8 +29,8 @@
     stop::{Asked, Signals, StopState, stop},
     upstreams::UpstreamBook,
     world::{
-        StoreRole, WatchContext, WorldCell, follow_source, tell_world, watch_config,
-        watch_upstreams,
+        StoreRole, WatchContext, WorldCell, WorldPart, follow_source, tell_world, watch_config,
+        watch_evacuations, watch_upstreams,
     },
 };
 
@@ -96,7 +96,7 @@
         let world = Arc::new(WorldCell::new(edges, Arc::clone(&freezes)));
         let settled = Settled::soon();
         let cx = start_context(&settings, edges, Arc::clone(&world), &traffic, &settled).await?;
-        let source_timing = SourceTiming::within(settings.leave_time);
+        let source_timing = SourceTiming::within(news_bound(&settings));
         let role = StoreRole::new();
         let watch = WatchContext {
             store: store.clone(),
@@ -107,7 +107,12 @@
             checks: checks_watches(cx.mesh.clone()),
         };
         tokio::spawn(watch_config(watch.clone()));
-        tokio::spawn(watch_upstreams(watch));
+        tokio::spawn(watch_upstreams(watch.clone()));
+        if let Some(bound) = settings.evacuate_time {
+            tokio::spawn(watch_evacuations(watch, bound));
+        } else {
+            world.leave_out(WorldPart::Evacuations);
+        }
         let followed = Arc::clone(&world);
         tokio::spawn(follow_source(
             cx.mesh.clone(),
@@ -238,7 +243,7 @@
     let told = Arc::clone(engines);
     let makers = Arc::clone(homes);
     let freers = Arc::clone(homes);
-    let beat = SourceTiming::within(settings.leave_time).beat;
+    let beat = SourceTiming::within(news_bound(settings)).beat;
     let world = Arc::clone(world);
     Arc::new(MeshHandlers {
         make_pieces: Box::new(move |ask| {
@@ -252,6 +257,12 @@
     })
 }
 
+/// Bound within which whatever the store says must count on every instance.
+fn news_bound(settings: &GatewaySettings) -> Duration {
+    let evacuate_time = settings.evacuate_time.unwrap_or(settings.leave_time);
+    settings.leave_time.min(evacuate_time)
+}
+
 /// Whether this instance is the one that checks for all whether the store's watches tell what there is.
 fn checks_watches(mesh: Mesh) -> Arc<dyn Fn() -> bool + Send + Sync> {
     Arc::new(move || {
--- a/crates/tc-gateway/src/upstreams.rs
+++ b/crates/tc-gateway/src/upstreams.rs
@@ -99,7 +99,7 @@
         let mut known = self.lock();
         let fit: Vec<&Arc<RegisteredUpstream>> = all
             .iter()
-            .filter(|u| !u.draining && !except.contains(&u.id))
+            .filter(|u| u.takes_work() && !except.contains(&u.id))
             .collect();
         let sound: Vec<&Arc<RegisteredUpstream>> = fit
             .iter()
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -188,6 +188,7 @@
         if news.in_touch {
             self.cell.note_read(WorldPart::Config, absences);
             self.cell.note_read(WorldPart::Upstreams, absences);
+            self.cell.note_read(WorldPart::Evacuations, absences);
         }
     }
 
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -143,6 +143,11 @@
         self.from = None;
     }
 
+    /// Names of the objects that there are, as of what the store said last.
+    pub(super) const fn names(&self) -> &BTreeSet<Arc<str>> {
+        &self.names
+    }
+
     /// What the store says next; waits up to `wait` for a change, or pauses after a failure.
     pub(super) async fn next(&mut self, wait: Duration) -> Seen {
         loop {
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -4,6 +4,7 @@
 //! and watch by themselves only when nobody tells them anything.
 
 mod config;
+mod evacuated;
 mod follow;
 mod kind_watch;
 mod removals;
@@ -21,13 +22,15 @@
 
 use arc_swap::ArcSwap;
 use serde_json::Value;
-use tc_fleet::{WorldHave, WorldNews, WorldObject};
+use tc_fleet::{EvacuatedDomains, WorldHave, WorldNews, WorldObject};
 use tc_platform::ObjectEvent;
+use tc_protocol::FailureDomain;
 use tokio::sync::watch::{Receiver, Sender};
 
 use crate::{edges::Edges, freeze::FreezeWatch};
 
 pub(crate) use config::ConfigInForce;
+pub(crate) use evacuated::watch_evacuations;
 pub(crate) use follow::{StoreRole, follow_source};
 pub(crate) use tell::tell_world;
 pub use upstreams::{TakenUp, UpstreamTable};
@@ -38,7 +41,9 @@
 pub(crate) struct World {
     /// `None` until one is known.
     pub(crate) config: Option<Arc<ConfigInForce>>,
+    /// Those in evacuated failure domains are marked.
     pub(crate) upstreams: Arc<UpstreamTable>,
+    pub(crate) evacuated: Arc<EvacuatedDomains>,
 }
 
 impl World {
@@ -62,8 +67,12 @@
 pub(crate) enum WorldPart {
     Config,
     Upstreams,
+    Evacuations,
 }
 
+/// How many parts there are.
+const PARTS: usize = 3;
+
 /// Holds the newest world, and decides what is newer.
 pub(crate) struct WorldCell {
     edges: Edges,
@@ -73,9 +82,9 @@
     changes: Sender<u64>,
     freezes: Arc<FreezeWatch>,
     /// Absences of this process before the last whole reading of each part.
-    read_after: [AtomicU64; 2],
+    read_after: [AtomicU64; PARTS],
     /// Whether the store answered last, for each part.
-    in_touch: [AtomicBool; 2],
+    in_touch: [AtomicBool; PARTS],
     /// The last absence after which no reading came in time, so that requests no longer wait for one.
     gave_up_after: AtomicU64,
 }
@@ -98,9 +107,16 @@
         Arc::clone(&self.freezes)
     }
 
+    /// A part that there is none of on this deployment: nothing waits for it.
+    pub(crate) fn leave_out(&self, part: WorldPart) {
+        self.read_after[part as usize].store(u64::MAX, Ordering::Release);
+        self.note_touch(part, true);
+    }
+
     /// A part was read whole, after this many absences of this process.
     pub(crate) fn note_read(&self, part: WorldPart, absences: u64) {
-        self.read_after[part as usize].store(absences, Ordering::Release);
+        // A part that was left out stays read for good.
+        self.read_after[part as usize].fetch_max(absences, Ordering::AcqRel);
         self.changes.send_modify(|count| *count += 1);
     }
 
@@ -153,6 +169,7 @@
         WorldHave {
             config_version: world.config_version(),
             upstreams_revision: world.upstreams.revision(),
+            evacuated_revision: world.evacuated.revision,
         }
     }
 
@@ -172,6 +189,9 @@
         if let Some((raw, revision)) = &news.config {
             self.apply_config(raw, *revision);
         }
+        if let Some(evacuated) = &news.evacuated {
+            self.apply_evacuated(evacuated);
+        }
         let Some(upstreams) = &news.upstreams else {
             return true;
         };
@@ -208,9 +228,37 @@
         self.publish(World {
             config: Some(Arc::new(config)),
             upstreams: Arc::clone(&world.upstreams),
+            evacuated: Arc::clone(&world.evacuated),
         });
     }
 
+    /// Puts in force which failure domains are evacuated, unless it is older than what is known.
+    pub(crate) fn apply_evacuated(&self, evacuated: &EvacuatedDomains) {
+        let _writing = self.write();
+        let world = self.load();
+        let known = &world.evacuated;
+        if evacuated.revision < known.revision {
+            return;
+        }
+        let is_change = evacuated.domains != known.domains;
+        let next = World {
+            config: world.config.clone(),
+            upstreams: if is_change {
+                Arc::new(world.upstreams.with_evacuated(&evacuated.domains))
+            } else {
+                Arc::clone(&world.upstreams)
+            },
+            evacuated: Arc::new(evacuated.clone()),
+        };
+        if !is_change {
+            self.published.store(Arc::new(next));
+            return;
+        }
+        log::info!(domains = names_of(evacuated).as_str(), before = names_of(known).as_str(), revision = evacuated.revision; "evacuated failure domains changed");
+        metrics::gauge!("tc_evacuated_domains").set(evacuated.domains.len() as f64);
+        self.publish(next);
+    }
+
     /// Takes up changes of registered upstreams.
     pub(crate) fn apply_upstream_events(&self, events: &[ObjectEvent], at: u64) {
         let _writing = self.write();
@@ -238,6 +286,7 @@
         let next = World {
             config: world.config.clone(),
             upstreams: Arc::new(upstreams),
+            evacuated: Arc::clone(&world.evacuated),
         };
         if changed {
             self.publish(next);
@@ -255,3 +304,12 @@
         self.writing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn names_of(evacuated: &EvacuatedDomains) -> String {
+    let names: Vec<&str> = evacuated
+        .domains
+        .iter()
+        .map(FailureDomain::as_str)
+        .collect();
+    names.join(",")
+}
--- a/crates/tc-gateway/src/world/tell.rs
+++ b/crates/tc-gateway/src/world/tell.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures::{StreamExt, stream, stream::BoxStream};
-use tc_fleet::{WorldHave, WorldNews};
+use tc_fleet::{EvacuatedDomains, WorldHave, WorldNews};
 use tokio::{sync::watch::Receiver, time::timeout};
 
 use super::{World, WorldCell};
@@ -56,25 +56,32 @@
     }
 
     fn news(&self, world: &Arc<World>) -> WorldNews {
-        let (known_version, upstreams) = match &self.last {
+        let (known_version, known_evacuated, upstreams) = match &self.last {
             Last::Has(have) => {
                 let upstreams = &world.upstreams;
                 let is_known = upstreams.revision() > 0;
                 let news = is_known.then(|| upstreams.news_since(have.upstreams_revision));
-                (have.config_version, news)
+                (have.config_version, have.evacuated_revision, news)
             }
             Last::World(last) => {
                 let same = Arc::ptr_eq(&last.upstreams, &world.upstreams);
                 let news = (!same).then(|| world.upstreams.news_after(&last.upstreams));
-                (last.config_version(), news.flatten())
+                let known_evacuated = if last.evacuated.domains == world.evacuated.domains {
+                    world.evacuated.revision
+                } else {
+                    last.evacuated.revision
+                };
+                (last.config_version(), known_evacuated, news.flatten())
             }
         };
         let config = world.config.as_ref();
         let config = config.filter(|config| config.routing.version > known_version);
+        let is_newer = world.evacuated.revision > known_evacuated;
         WorldNews {
             in_touch: self.cell.is_in_touch(),
             config: config.map(|config| (Arc::clone(&config.raw), config.revision)),
             upstreams,
+            evacuated: is_newer.then(|| EvacuatedDomains::clone(&world.evacuated)),
         }
     }
 }
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -1,7 +1,7 @@
 //! The registered upstreams, by service.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
 };
@@ -10,7 +10,7 @@
 use tc_fleet::{Gone, UpstreamNews, WorldObject};
 use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{
-    ServiceName, UpstreamId,
+    FailureDomain, ServiceName, UpstreamId,
     routing::{RegisteredUpstream, ResultHandle},
 };
 
@@ -46,6 +46,8 @@
     by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>>,
     by_address: HashMap<SocketAddr, Arc<RegisteredUpstream>>,
     lives: HashSet<UpstreamId>,
+    /// Where nothing new may be sent to any of them.
+    evacuated: BTreeSet<FailureDomain>,
 }
 
 impl UpstreamTable {
@@ -190,7 +192,13 @@
                 }
             }
         }
-        Self::from_entries(entries, self.revision.max(at))
+        Self::from_entries(entries, self.revision.max(at), self.evacuated.clone())
+    }
+
+    /// This table with other failure domains evacuated.
+    #[must_use]
+    pub fn with_evacuated(&self, evacuated: &BTreeSet<FailureDomain>) -> Self {
+        Self::from_entries(self.entries.clone(), self.revision, evacuated.clone())
     }
 
     /// The table of a whole list.
@@ -206,20 +214,25 @@
                 (Arc::clone(&object.name), entry)
             })
             .collect();
-        Self::from_entries(entries, at)
+        Self::from_entries(entries, at, self.evacuated.clone())
     }
 
-    fn from_entries(entries: BTreeMap<Arc<str>, Entry>, revision: u64) -> Self {
+    fn from_entries(
+        entries: BTreeMap<Arc<str>, Entry>,
+        revision: u64,
+        evacuated: BTreeSet<FailureDomain>,
+    ) -> Self {
         let mut by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>> = HashMap::new();
         let mut by_address = HashMap::new();
         let mut lives = HashSet::new();
-        for upstream in entries.values().filter_map(|e| e.upstream.as_ref()) {
+        for registered in entries.values().filter_map(|e| e.upstream.as_ref()) {
+            let upstream = marked(registered, &evacuated);
             lives.insert(upstream.id.clone());
-            by_address.insert(upstream.address, Arc::clone(upstream));
+            by_address.insert(upstream.address, Arc::clone(&upstream));
             by_service
                 .entry(upstream.service.clone())
                 .or_default()
-                .push(Arc::clone(upstream));
+                .push(upstream);
         }
         Self {
             revision,
@@ -227,10 +240,24 @@
             by_service,
             by_address,
             lives,
+            evacuated,
         }
     }
 }
 
+fn marked(
+    registered: &Arc<RegisteredUpstream>,
+    evacuated: &BTreeSet<FailureDomain>,
+) -> Arc<RegisteredUpstream> {
+    if !evacuated.contains(&registered.failure_domain) {
+        return Arc::clone(registered);
+    }
+    Arc::new(RegisteredUpstream {
+        evacuated: true,
+        ..RegisteredUpstream::clone(registered)
+    })
+}
+
 fn read(edges: &Edges, name: &str, revision: u64, raw: &Arc<Value>) -> Entry {
     let upstream = match (edges.read_upstream)(name, raw) {
         Ok(upstream) => Some(Arc::new(upstream)),
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -1,6 +1,6 @@
 //! Watching the store for the configuration and the registered upstreams.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 use tc_fleet::WorldObject;
 use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
@@ -43,7 +43,14 @@
 }
 
 impl WatchContext {
-    fn followed(&self, kind: &'static str, purpose: Purpose, what: &'static str) -> Followed {
+    /// What to follow; a change of it must count within `bound`.
+    pub(super) fn followed(
+        &self,
+        kind: &'static str,
+        purpose: Purpose,
+        what: &'static str,
+        bound: Duration,
+    ) -> Followed {
         Followed {
             store: self.store.clone(),
             dialect: self.edges.store,
@@ -51,13 +58,13 @@
             purpose,
             what,
             checks: Arc::clone(&self.checks),
-            check_every: self.leave_time.mul_f64(CHECK_PART),
+            check_every: bound.mul_f64(CHECK_PART),
         }
     }
 }
 
 /// A watch that stands still while this instance is not one of those that watch.
-struct GatedWatch {
+pub(super) struct GatedWatch {
     watch: KindWatch,
     watches: Receiver<bool>,
     cell: Arc<WorldCell>,
@@ -65,7 +72,7 @@
 }
 
 impl GatedWatch {
-    fn new(cx: &WatchContext, followed: Followed, part: WorldPart) -> Self {
+    pub(super) fn new(cx: &WatchContext, followed: Followed, part: WorldPart) -> Self {
         Self {
             watch: KindWatch::new(followed, cx.cell.freezes()),
             watches: cx.watches.clone(),
@@ -74,8 +81,13 @@
         }
     }
 
+    /// See [`KindWatch::names`].
+    pub(super) const fn names(&self) -> &BTreeSet<Arc<str>> {
+        self.watch.names()
+    }
+
     /// What the store says next; `None` when the process ends.
-    async fn next(&mut self, wait: Duration) -> Option<Seen> {
+    pub(super) async fn next(&mut self, wait: Duration) -> Option<Seen> {
         loop {
             if !*self.watches.borrow_and_update() {
                 self.cell.note_touch(self.part, false);
@@ -100,7 +112,12 @@
 /// Keeps the configuration up to date; runs until it is dropped.
 pub(crate) async fn watch_config(cx: WatchContext) {
     let kinds = cx.edges.kinds;
-    let followed = cx.followed(kinds.config, Purpose::Config, "configuration");
+    let followed = cx.followed(
+        kinds.config,
+        Purpose::Config,
+        "configuration",
+        cx.leave_time,
+    );
     let mut watch = GatedWatch::new(&cx, followed, WorldPart::Config);
     let cell = cx.cell;
     let apply = |object: &StoredObject| {
@@ -129,7 +146,7 @@
 /// Keeps the list of upstreams up to date; runs until it is dropped.
 pub(crate) async fn watch_upstreams(cx: WatchContext) {
     let kind = cx.edges.kinds.upstreams;
-    let followed = cx.followed(kind, Purpose::Registry, "list of upstreams");
+    let followed = cx.followed(kind, Purpose::Registry, "list of upstreams", cx.leave_time);
     let mut watch = GatedWatch::new(&cx, followed, WorldPart::Upstreams);
     let mut upstreams = UpstreamKeeper {
         cell: cx.cell,
--- a/crates/tc-gateway/tests/routing.rs
+++ b/crates/tc-gateway/tests/routing.rs
@@ -29,6 +29,7 @@
         max_connections: 1,
         batch: None,
         engine: None,
+        cold: None,
     };
     RoutingConfig {
         routes: routes.into_iter().map(Arc::new).collect(),
--- a/crates/tc-protocol/src/routing/config.rs
+++ b/crates/tc-protocol/src/routing/config.rs
@@ -139,6 +139,17 @@
     pub batch: Option<BatchSpec>,
     /// Set when its upstreams are model engines.
     pub engine: Option<EngineSpec>,
+    /// Set when its upstreams are fragile for a while after they start.
+    pub cold: Option<ColdSpec>,
+}
+
+/// How an upstream behaves while it is cold: just started, or with what it had warmed up lost.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdSpec {
+    /// How long it is cold after its start.
+    pub lasts: Duration,
+    /// Requests a second that it bears meanwhile; well above them it crashes.
+    pub bears_per_s: f64,
 }
 
 /// How one upstream of a batch service works.
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -8,7 +8,7 @@
 mod upstream;
 
 pub use config::{
-    BatchSpec, CallerLimits, EngineSpec, RepeatRule, Route, RouteStage, RoutedService,
+    BatchSpec, CallerLimits, ColdSpec, EngineSpec, RepeatRule, Route, RouteStage, RoutedService,
     RoutedWorkspace, RoutingConfig,
 };
 pub use piece::{
--- a/crates/tc-protocol/src/routing/upstream.rs
+++ b/crates/tc-protocol/src/routing/upstream.rs
@@ -1,6 +1,6 @@
 //! Upstreams as they register themselves.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::{FailureDomain, ServiceName, UpstreamId};
 
@@ -19,4 +19,34 @@
     pub slots: u32,
     /// Whether it is about to stop and must get no new work.
     pub draining: bool,
+    /// Whether operators have its failure domain evacuated: it must get no new work until they take that back.
+    pub evacuated: bool,
+    /// How much longer it stays cold, by its own word at its last registration; zero when it is warm.
+    pub cold_left: Duration,
+}
+
+impl RegisteredUpstream {
+    /// Whether anything new may be sent to it.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tc_protocol::routing::RegisteredUpstream;
+    /// let mut upstream = RegisteredUpstream {
+    ///     id: "engine-1".into(),
+    ///     service: "engines".into(),
+    ///     address: ([10, 0, 0, 1], 80).into(),
+    ///     failure_domain: "kl-a".into(),
+    ///     slots: 4,
+    ///     draining: false,
+    ///     evacuated: false,
+    ///     cold_left: Duration::ZERO,
+    /// };
+    /// assert!(upstream.takes_work());
+    /// upstream.evacuated = true;
+    /// assert!(!upstream.takes_work());
+    /// ```
+    #[must_use]
+    pub const fn takes_work(&self) -> bool {
+        !self.draining && !self.evacuated
+    }
 }
