Drive cold engines no further than they bear, whoever chooses them

Cause: entries said how long an engine stays cold and nobody read it; an empty engine looks best to every prompt and got its 24 places filled in one go. Nothing held the bound of 27 requests in any second over all instances. The limit is shared out beforehand: a third for the home of the service, a third for a second one while views differ or it moves, a third for instances that reach none, nine of which may send to an engine by themselves, one request a second each. Warm engines are held to two thirds while others have had less, as one may have turned cold unheard. Engines of a domain that is taken back count as cold for as long as a start takes, until their own word comes. Services without cold engines take none of these paths. Ruled out: permits agreed on request by request (a home that does not answer is when they are needed).

--- a/crates/tc-gateway/src/edges.rs
+++ b/crates/tc-gateway/src/edges.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 use tc_platform::KindDialect;
 use tc_protocol::{
-    FailureDomain, Region, UpstreamId,
+    FailureDomain, MonoTime, Region, UpstreamId,
     routing::{PieceOrder, PieceResult, RegisteredUpstream, ResultHandle, RoutingConfig},
 };
 
@@ -59,8 +59,8 @@
     pub free_call: fn(&[ResultHandle]) -> Request<Full<Bytes>>,
     /// Decodes and validates a configuration; the error says what is wrong and where.
     pub read_config: fn(&Value) -> Result<RoutingConfig, String>,
-    /// Decodes a registered upstream by its name in the store.
-    pub read_upstream: fn(&str, &Value) -> Result<RegisteredUpstream, String>,
+    /// Decodes a registered upstream by its name in the store, as heard at that moment.
+    pub read_upstream: fn(&str, &Value, MonoTime) -> Result<RegisteredUpstream, String>,
     /// How the store is spoken to.
     pub store: KindDialect,
     /// Names in the store.
--- a/crates/tc-gateway/src/engines/ask.rs
+++ b/crates/tc-gateway/src/engines/ask.rs
@@ -39,7 +39,7 @@
                         cx.mesh.doubt(&home.id);
                     }
                 }
-                (cx.engines.choose(ask)?, None)
+                (cx.engines.choose_alone(&cx.mesh, ask)?, None)
             }
         },
         None => (cx.engines.choose(ask)?, None),
--- a/crates/tc-gateway/src/engines/homes.rs
+++ b/crates/tc-gateway/src/engines/homes.rs
@@ -5,13 +5,17 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
+use tc_fleet::Mesh;
 use tc_policy::{EngineCandidate, EnginePlanner};
 use tc_protocol::{
-    MonoTime, ServiceName,
+    MonoTime, ServiceName, UpstreamId,
     routing::{EngineAsk, EngineChoice, EngineSpec, RunReport},
 };
 
-use crate::world::{World, WorldCell};
+use crate::{
+    cold::ColdSends,
+    world::{World, WorldCell},
+};
 
 struct Home {
     planner: EnginePlanner,
@@ -22,22 +26,50 @@
 /// Chooses engines for the services homed here, and for any other when its home does not answer.
 pub(crate) struct EngineHomes {
     world: Arc<WorldCell>,
+    cold: Arc<ColdSends>,
     by_service: Mutex<HashMap<ServiceName, Home>>,
 }
 
 impl EngineHomes {
-    pub(crate) fn new(world: Arc<WorldCell>) -> Self {
+    pub(crate) fn new(world: Arc<WorldCell>, cold: Arc<ColdSends>) -> Self {
         Self {
             world,
+            cold,
             by_service: Mutex::default(),
         }
     }
 
-    /// Chooses an engine; `None` when none is known or the service has no engines.
+    /// Chooses an engine as the home of its service; `None` when there is none that may get the request.
     pub(crate) fn choose(&self, ask: &EngineAsk) -> Option<EngineChoice> {
+        self.choose_by(ask, |planner| planner.choose(MonoTime::now(), ask))
+    }
+
+    /// Chooses an engine for a request of this instance, which cannot ask the home of the service.
+    pub(crate) fn choose_alone(&self, mesh: &Mesh, ask: &EngineAsk) -> Option<EngineChoice> {
+        let world = self.world.load();
+        let config = world.config.as_ref()?;
+        let service = config.service(ask.service.as_str())?;
+        let limit = self.cold.limit(service);
+        let may = |id: &UpstreamId| {
+            limit.is_none_or(|limit| self.cold.has_share(mesh, id, limit.loners()))
+        };
+        let choice = self.choose_by(ask, |planner| {
+            planner.choose_alone(MonoTime::now(), ask, may)
+        })?;
+        self.cold.note(service, &choice.upstream);
+        Some(choice)
+    }
+
+    /// `None` as well when the service has no engines.
+    fn choose_by(
+        &self,
+        ask: &EngineAsk,
+        choose: impl FnOnce(&mut EnginePlanner) -> Option<EngineChoice>,
+    ) -> Option<EngineChoice> {
         let world = self.world.load();
         let config = world.config.as_ref()?;
-        let spec = config.service(ask.service.as_str())?.engine?;
+        let service = config.service(ask.service.as_str())?;
+        let spec = service.engine?;
         let mut homes = self.lock();
         let home = homes.entry(ask.service.clone()).or_insert_with(|| {
             log::info!(service = ask.service.as_str(); "this instance chooses engines of a service");
@@ -47,7 +79,8 @@
             }
         });
         home.take_world(&world, &ask.service, spec);
-        let choice = home.planner.choose(MonoTime::now(), ask);
+        home.planner.set_cold_limit(self.cold.limit(service));
+        let choice = choose(&mut home.planner);
         let (runs, engines) = home.planner.size();
         log::debug!(service = ask.service.as_str(), tokens = ask.prompt.tokens_in, runs = runs, engines = engines, choice = format!("{choice:?}").as_str(); "the home of engines chose");
         if choice.as_ref().is_some_and(|c| c.fetch_from.is_some()) {
@@ -94,6 +127,7 @@
             .map(|engine| EngineCandidate {
                 id: engine.id.clone(),
                 domain: engine.failure_domain.clone(),
+                cold_until: engine.cold_until,
             })
             .collect();
         self.planner.set_engines(spec, &engines);
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod budgets;
 mod call;
+mod cold;
 mod edges;
 mod engines;
 mod events;
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -241,8 +241,18 @@
             domain: results.and_then(StageResults::largest_domain),
             chance: xxh3_64(req.head.request.as_bytes()),
         };
-        let chosen = cx.book.choose(all, &self.tried, &wish);
+        let service = world
+            .config
+            .as_ref()
+            .and_then(|config| config.service(req.service.as_str()));
+        let admits = |upstream: &RegisteredUpstream| {
+            service.is_none_or(|service| cx.cold.may_send(&cx.mesh, service, upstream))
+        };
+        let chosen = cx.book.choose(all, &self.tried, admits, &wish);
         let (upstream, in_flight) = chosen.ok_or(SendFailure::NoUpstream)?;
+        if let Some(service) = service {
+            cx.cold.note(service, &upstream.id);
+        }
         Ok(Target {
             upstream,
             in_flight,
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -27,6 +27,7 @@
 use crate::{
     budgets::RepeatBudgets,
     call::CallHead,
+    cold::ColdSends,
     edges::Edges,
     engines::{EngineHomes, NewsSender},
     freeze::{SuspendedTime, TimeAllowed},
@@ -68,6 +69,7 @@
     pub(crate) run_news: NewsSender,
     pub(crate) freer: Freer,
     pub(crate) book: Arc<UpstreamBook>,
+    pub(crate) cold: Arc<ColdSends>,
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) outlooks: SharedOutlooks,
     pub(crate) prompt_times: SharedPromptTimes,
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     budgets::RepeatBudgets,
+    cold::ColdSends,
     edges::Edges,
     engines::{EngineHomes, NewsSender},
     freeze::FreezeWatch,
@@ -27,7 +28,6 @@
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
     settings::GatewaySettings,
     stop::{Asked, Signals, StopState, stop},
-    upstreams::UpstreamBook,
     world::{
         StoreRole, WatchContext, WorldCell, WorldPart, follow_source, tell_world, watch_config,
         watch_evacuations, watch_upstreams,
@@ -132,7 +132,7 @@
         tokio::spawn(finder.join());
         tokio::spawn(keep_members_same(cx.mesh.clone(), settled));
         tokio::spawn(follow_roles(cx.mesh.clone(), Arc::clone(&cx.homes)));
-        tokio::spawn(forget(world, Arc::clone(&cx.book)));
+        tokio::spawn(forget(Arc::clone(&cx)));
         tokio::spawn(notice_absences(freezes, cx.mesh.clone()));
         let gateway = Self {
             cx,
@@ -210,7 +210,8 @@
         timing: MembershipConfig::default(),
         traffic: traffic.clone(),
     };
-    let engines = Arc::new(EngineHomes::new(Arc::clone(&world)));
+    let cold = Arc::new(ColdSends::new(settings.cold));
+    let engines = Arc::new(EngineHomes::new(Arc::clone(&world), Arc::clone(&cold)));
     let mesh = Mesh::start(mesh_settings, handlers(settings, &homes, &engines, &world)).await?;
     let (run_news, told) = NewsSender::new();
     traffic.spawn(told.pass_on(mesh.clone(), Arc::clone(&engines)));
@@ -224,6 +225,7 @@
         run_news,
         freer,
         book: Arc::default(),
+        cold,
         budgets,
         outlooks: SharedOutlooks::default(),
         prompt_times: SharedPromptTimes::default(),
@@ -391,10 +393,11 @@
     freezes.keep_looking(|| mesh.woke()).await;
 }
 
-async fn forget(world: Arc<WorldCell>, book: Arc<UpstreamBook>) {
+async fn forget(cx: Arc<RunContext>) {
     loop {
         sleep(FORGET_EVERY).await;
-        let world = world.load();
-        book.retain(|id| world.upstreams.contains(id));
+        let world = cx.world.load();
+        cx.book.retain(|id| world.upstreams.contains(id));
+        cx.cold.retain(|id| world.upstreams.contains(id));
     }
 }
--- a/crates/tc-gateway/src/upstreams.rs
+++ b/crates/tc-gateway/src/upstreams.rs
@@ -86,20 +86,21 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Chooses an upstream among `all` but `except`, and counts a call to it.
+    /// Chooses an upstream among those of `all` that `admits` lets through, but `except`, and counts a call to it.
     ///
     /// Upstreams that pause after failures are chosen only when there is no other.
     pub(crate) fn choose(
         self: &Arc<Self>,
         all: &[Arc<RegisteredUpstream>],
         except: &[UpstreamId],
+        admits: impl Fn(&RegisteredUpstream) -> bool,
         wish: &PickWish<'_>,
     ) -> Option<(Arc<RegisteredUpstream>, InFlight)> {
         let now = MonoTime::now();
         let mut known = self.lock();
         let fit: Vec<&Arc<RegisteredUpstream>> = all
             .iter()
-            .filter(|u| u.takes_work() && !except.contains(&u.id))
+            .filter(|u| u.takes_work() && !except.contains(&u.id) && admits(u))
             .collect();
         let sound: Vec<&Arc<RegisteredUpstream>> = fit
             .iter()
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -24,7 +24,7 @@
 use serde_json::Value;
 use tc_fleet::{EvacuatedDomains, WorldHave, WorldNews, WorldObject};
 use tc_platform::ObjectEvent;
-use tc_protocol::FailureDomain;
+use tc_protocol::{FailureDomain, MonoTime, ServiceName};
 use tokio::sync::watch::{Receiver, Sender};
 
 use crate::{edges::Edges, freeze::FreezeWatch};
@@ -241,10 +241,20 @@
             return;
         }
         let is_change = evacuated.domains != known.domains;
+        let now = MonoTime::now();
+        let cold_until = |service: &ServiceName| {
+            let config = world.config.as_ref();
+            let cold = config.and_then(|config| config.service(service.as_str())?.cold);
+            cold.map_or_else(MonoTime::default, |cold| now.after(cold.lasts))
+        };
         let next = World {
             config: world.config.clone(),
             upstreams: if is_change {
-                Arc::new(world.upstreams.with_evacuated(&evacuated.domains))
+                Arc::new(
+                    world
+                        .upstreams
+                        .with_evacuated(&evacuated.domains, cold_until),
+                )
             } else {
                 Arc::clone(&world.upstreams)
             },
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -10,7 +10,7 @@
 use tc_fleet::{Gone, UpstreamNews, WorldObject};
 use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{
-    FailureDomain, ServiceName, UpstreamId,
+    FailureDomain, MonoTime, ServiceName, UpstreamId,
     routing::{RegisteredUpstream, ResultHandle},
 };
 
@@ -177,8 +177,9 @@
         for event in events {
             match event {
                 ObjectEvent::Put(object) => {
-                    let known = entries.get(&object.name).map_or(0, |e| e.revision);
-                    if object.revision >= known {
+                    // Read once only: how long it stays cold counts from when it was first heard.
+                    let known = entries.get(&object.name).map(|e| e.revision);
+                    if known.is_none_or(|known| object.revision > known) {
                         let entry = read(edges, &object.name, object.revision, &object.value);
                         entries.insert(Arc::clone(&object.name), entry);
                     }
@@ -196,9 +197,25 @@
     }
 
     /// This table with other failure domains evacuated.
+    ///
+    /// Upstreams of a domain that is taken back may have lost what they had warmed up, and say so only with their next
+    /// heartbeat: until their own word comes they count as cold until `cold_until` tells, by their service.
     #[must_use]
-    pub fn with_evacuated(&self, evacuated: &BTreeSet<FailureDomain>) -> Self {
-        Self::from_entries(self.entries.clone(), self.revision, evacuated.clone())
+    pub fn with_evacuated(
+        &self,
+        evacuated: &BTreeSet<FailureDomain>,
+        cold_until: impl Fn(&ServiceName) -> MonoTime,
+    ) -> Self {
+        let mut entries = self.entries.clone();
+        let upstreams = entries.values_mut().filter_map(|e| e.upstream.as_mut());
+        for upstream in upstreams {
+            let domain = &upstream.failure_domain;
+            if self.evacuated.contains(domain) && !evacuated.contains(domain) {
+                let returned = Arc::make_mut(upstream);
+                returned.cold_until = returned.cold_until.max(cold_until(&returned.service));
+            }
+        }
+        Self::from_entries(entries, self.revision, evacuated.clone())
     }
 
     /// The table of a whole list.
@@ -259,7 +276,7 @@
 }
 
 fn read(edges: &Edges, name: &str, revision: u64, raw: &Arc<Value>) -> Entry {
-    let upstream = match (edges.read_upstream)(name, raw) {
+    let upstream = match (edges.read_upstream)(name, raw, MonoTime::now()) {
         Ok(upstream) => Some(Arc::new(upstream)),
         Err(problem) => {
             log::warn!(upstream = name, revision = revision, problem = problem.as_str(); "a registered upstream cannot be read and is left out");
--- a/crates/tc-policy/src/engines/engine.rs
+++ b/crates/tc-policy/src/engines/engine.rs
@@ -5,6 +5,7 @@
 use tc_protocol::{FailureDomain, MonoTime};
 
 use super::kept::KeptParts;
+use crate::{ColdLimit, RecentSends};
 
 /// First pause after a run failed; doubles with each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -23,6 +24,10 @@
     pub(super) slots: u32,
     /// Whether it is registered and not leaving.
     pub(super) ready: bool,
+    /// Until when it is cold, as far as known.
+    pub(super) cold_until: MonoTime,
+    /// What was sent there lately.
+    pub(super) recent: RecentSends,
     pub(super) kept: KeptParts,
     /// Runs that have not ended.
     pub(super) runs: u32,
@@ -40,6 +45,8 @@
             domain,
             slots,
             ready: true,
+            cold_until: MonoTime::default(),
+            recent: RecentSends::default(),
             kept: KeptParts::default(),
             runs: 0,
             read_all_at: MonoTime::default(),
@@ -57,6 +64,21 @@
         self.runs < self.slots
     }
 
+    pub(super) fn is_cold(&self, now: MonoTime) -> bool {
+        self.cold_until > now
+    }
+
+    /// Whether a home may still send to it in this moment without driving it beyond what it bears if it is cold.
+    pub(super) fn bears_more(&self, now: MonoTime, limit: Option<ColdLimit>) -> bool {
+        let Some(limit) = limit else { return true };
+        let most = if self.is_cold(now) {
+            limit.of_home()
+        } else {
+            limit.of_home_if_warm()
+        };
+        self.recent.count(now) < most
+    }
+
     /// A run had its first event; `expected` tells what was expected of it if it had not to wait for others.
     pub(super) fn answered(&mut self, took: Duration, expected: Option<Duration>) {
         self.failures = 0;
--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -9,7 +9,7 @@
 };
 
 use super::engine::Engine;
-use crate::{PromptTimes, rendezvous::hashed_score};
+use crate::{ColdLimit, PromptTimes, rendezvous::hashed_score};
 
 slotmap::new_key_type! {
     /// A run at an engine that has not ended.
@@ -39,6 +39,8 @@
     pub id: UpstreamId,
     /// Where it runs.
     pub domain: FailureDomain,
+    /// Until when it is cold, as far as known.
+    pub cold_until: MonoTime,
 }
 
 #[derive(Debug)]
@@ -53,6 +55,17 @@
     forget_at: MonoTime,
 }
 
+/// Classes of engines, the ones to be taken first before the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Fitness {
+    /// It has a place and has not failed lately.
+    Fit,
+    /// It got as much lately as it bears if it has turned cold unheard.
+    Driven,
+    /// It failed lately or has no place.
+    Unsound,
+}
+
 /// What one engine would mean for a prompt.
 struct Weighed<'a> {
     id: &'a UpstreamId,
@@ -69,6 +82,8 @@
 #[derive(Debug)]
 pub struct EnginePlanner {
     spec: EngineSpec,
+    /// Set when engines are fragile while they are cold.
+    cold: Option<ColdLimit>,
     engines: BTreeMap<UpstreamId, Engine>,
     runs: SlotMap<RunKey, Run>,
     times: PromptTimes,
@@ -80,12 +95,18 @@
     pub fn new(spec: EngineSpec) -> Self {
         Self {
             spec,
+            cold: None,
             engines: BTreeMap::new(),
             runs: SlotMap::with_key(),
             times: PromptTimes::default(),
         }
     }
 
+    /// Takes up how much engines bear while they are cold.
+    pub const fn set_cold_limit(&mut self, limit: Option<ColdLimit>) {
+        self.cold = limit;
+    }
+
     /// Takes up the list of engines that may get new work. What one that is no longer listed kept is forgotten once its
     /// runs have ended.
     pub fn set_engines(&mut self, spec: EngineSpec, listed: &[EngineCandidate]) {
@@ -100,15 +121,38 @@
                 .entry(candidate.id.clone())
                 .or_insert_with(|| Engine::new(candidate.domain.clone(), spec.slots));
             engine.ready = true;
+            engine.cold_until = candidate.cold_until;
         }
         self.engines
             .retain(|_, engine| engine.ready || engine.runs > 0);
     }
 
-    /// Chooses an engine; `None` when there is none.
+    /// Chooses an engine as the home of the service; `None` when there is none that may get the request.
     pub fn choose(&mut self, now: MonoTime, ask: &EngineAsk) -> Option<EngineChoice> {
+        let cold = self.cold;
+        self.choose_among(now, ask, |_, engine| {
+            !engine.is_cold(now) || engine.bears_more(now, cold)
+        })
+    }
+
+    /// Chooses an engine for an instance that cannot ask the home, among the warm ones that `may` names.
+    pub fn choose_alone(
+        &mut self,
+        now: MonoTime,
+        ask: &EngineAsk,
+        may: impl Fn(&UpstreamId) -> bool,
+    ) -> Option<EngineChoice> {
+        self.choose_among(now, ask, |id, engine| !engine.is_cold(now) && may(id))
+    }
+
+    fn choose_among(
+        &mut self,
+        now: MonoTime,
+        ask: &EngineAsk,
+        may: impl Fn(&UpstreamId, &Engine) -> bool,
+    ) -> Option<EngineChoice> {
         self.forget_lost_runs(now);
-        let best = self.best(now, ask)?;
+        let best = self.best(now, ask, may)?;
         let upstream = best.id.clone();
         let fetch_from = best.source.cloned();
         let run = Run {
@@ -132,6 +176,9 @@
         let most_tokens = self.most_kept();
         if let Some(engine) = self.engines.get_mut(&run.upstream) {
             engine.runs += 1;
+            if self.cold.is_some() {
+                engine.recent.note(now);
+            }
             engine.read_all_at = engine.read_all_at.max(now).after(run.expected);
             engine.kept.note(&run.parts, false, most_tokens);
         }
@@ -160,21 +207,37 @@
         (self.runs.len(), self.engines.len())
     }
 
-    fn best<'a>(&'a self, now: MonoTime, ask: &EngineAsk) -> Option<Weighed<'a>> {
-        let fit: Vec<(&UpstreamId, &Engine)> = self
+    fn best<'a>(
+        &'a self,
+        now: MonoTime,
+        ask: &EngineAsk,
+        may: impl Fn(&UpstreamId, &Engine) -> bool,
+    ) -> Option<Weighed<'a>> {
+        let fit: Vec<(Fitness, &UpstreamId, &Engine)> = self
             .engines
             .iter()
-            .filter(|(id, engine)| engine.ready && !ask.except.contains(id))
+            .filter(|(id, engine)| engine.ready && !ask.except.contains(id) && may(id, engine))
+            .map(|(id, engine)| (self.fitness(now, engine), id, engine))
             .collect();
-        let sound = |engine: &Engine| engine.is_sound(now) && engine.has_slot();
-        let any_sound = fit.iter().any(|(_, engine)| sound(engine));
+        let fittest = fit.iter().map(|(fitness, ..)| *fitness).min()?;
         let sources = self.sources(now, &ask.prompt.parts);
         fit.into_iter()
-            .filter(|(_, engine)| !any_sound || sound(engine))
+            .filter(|(fitness, ..)| *fitness == fittest)
+            .map(|(_, id, engine)| (id, engine))
             .map(|(id, engine)| self.weigh(now, ask, id, engine, &sources))
             .min_by_key(|option| (option.cost, option.chance))
     }
 
+    fn fitness(&self, now: MonoTime, engine: &Engine) -> Fitness {
+        if !engine.is_sound(now) || !engine.has_slot() {
+            Fitness::Unsound
+        } else if engine.bears_more(now, self.cold) {
+            Fitness::Fit
+        } else {
+            Fitness::Driven
+        }
+    }
+
     /// The two engines that most of a prompt can be fetched from, best first.
     fn sources(&self, now: MonoTime, parts: &[PromptPart]) -> Vec<(u32, &UpstreamId)> {
         let mut sources: Vec<(u32, &UpstreamId)> = self
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -6,6 +6,7 @@
 mod batch;
 mod budget;
 mod choice;
+mod cold;
 mod engines;
 mod estimate;
 mod home;
@@ -26,6 +27,7 @@
 };
 pub use budget::Budget;
 pub use choice::{Candidate, Choice, choose};
+pub use cold::{ColdLimit, RecentSends, may_send_alone};
 pub use engines::{EngineCandidate, EnginePlanner};
 pub use estimate::{Estimators, SizeClass, StageEstimate};
 pub use home::{AskKey, AskVerdict, HeldPermit, Home, HomeConfig, HomeEvent, NewAsk};
--- a/crates/tc-policy/tests/engines/common.rs
+++ b/crates/tc-policy/tests/engines/common.rs
@@ -32,6 +32,7 @@
         .map(|(i, domain)| EngineCandidate {
             id: id(i),
             domain: (*domain).into(),
+            cold_until: MonoTime::default(),
         })
         .collect()
 }
--- a/crates/tc-protocol/src/routing/upstream.rs
+++ b/crates/tc-protocol/src/routing/upstream.rs
@@ -1,8 +1,8 @@
 //! Upstreams as they register themselves.
 
-use std::{net::SocketAddr, time::Duration};
+use std::net::SocketAddr;
 
-use crate::{FailureDomain, ServiceName, UpstreamId};
+use crate::{FailureDomain, MonoTime, ServiceName, UpstreamId};
 
 /// One life of an upstream's process. A restart registers under another identifier.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,16 +21,15 @@
     pub draining: bool,
     /// Whether operators have its failure domain evacuated: it must get no new work until they take that back.
     pub evacuated: bool,
-    /// How much longer it stays cold, by its own word at its last registration; zero when it is warm.
-    pub cold_left: Duration,
+    /// Until when it is cold, as far as known: by its own word, or as it may have lost what it had warmed up.
+    pub cold_until: MonoTime,
 }
 
 impl RegisteredUpstream {
     /// Whether anything new may be sent to it.
     ///
     /// ```
-    /// use std::time::Duration;
-    /// use tc_protocol::routing::RegisteredUpstream;
+    /// use tc_protocol::{MonoTime, routing::RegisteredUpstream};
     /// let mut upstream = RegisteredUpstream {
     ///     id: "engine-1".into(),
     ///     service: "engines".into(),
@@ -39,7 +38,7 @@
     ///     slots: 4,
     ///     draining: false,
     ///     evacuated: false,
-    ///     cold_left: Duration::ZERO,
+    ///     cold_until: MonoTime::default(),
     /// };
     /// assert!(upstream.takes_work());
     /// upstream.evacuated = true;
