Send what an upstream turned away on to another one, whatever the route allows in runs

Cause: an upstream's 421 or 'full' counted as the one run that a route allows, so a stream with 13 s left was refused to its caller 1.5 s after it came. What has not run now goes on, at most three times a request and within the shared budget of repeats. Ruled out: counting it as no send at all, as a service that is full everywhere would be asked again by everybody.

--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -23,11 +23,18 @@
 /// A request with less time left is not sent any more: no upstream could answer it.
 const LEAST_TIME: Duration = Duration::from_millis(10);
 
+/// Sends of one request that upstreams may turn away before it is given up. What was turned away has not run, so it does not
+/// count towards the runs that its route allows; but each one is a repeat that the others' budget lacks, and an upstream that
+/// is full tells that its peers soon are.
+const MOST_TURNED_AWAY: u32 = 3;
+
 /// What was learnt from sends of one request so far.
 #[derive(Debug, Default)]
 pub(super) struct Attempts {
-    /// Sends that left this process.
+    /// Sends that left this process and may have run.
     pub(super) sent: u32,
+    /// Sends that an upstream turned away without having run the request.
+    turned_away: u32,
     /// Whether any send may have run.
     pub(super) may_have_run: bool,
     /// Upstreams not to be tried again.
@@ -114,7 +121,9 @@
             SendFailure::Unknown => req.route.repeat.may_repeat(),
             SendFailure::NoUpstream | SendFailure::NoTime => false,
         };
-        if !allowed || self.sent >= req.route.max_attempts || req.time_left() < LEAST_TIME {
+        let is_used_up =
+            self.sent >= req.route.max_attempts || self.turned_away >= MOST_TURNED_AWAY;
+        if !allowed || is_used_up || req.time_left() < LEAST_TIME {
             return false;
         }
         !self.arrived || cx.budgets.try_spend(&req.service, cx.instances())
@@ -288,6 +297,8 @@
             log::info!(request = &*req.head.request, upstream = id.as_str(), status = status, taken = format!("{:?}", head.taken).as_str(); "an upstream did not take a request");
             cx.book.note(id, CallHealth::Full);
             self.tried.push(id.clone());
+            self.sent -= 1;
+            self.turned_away += 1;
             if head.taken != Taken::InputGone
                 && let Some(run) = &mut answered.run
             {
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -107,6 +107,7 @@
     count("tc_claims_total", &[VERDICT], "Claims on idempotency keys in the platform's store."),
     count("tc_config_rejected_total", &[], "Configurations that were read and refused as invalid."),
     gauge("tc_config_revision", &[], "Revision of the configuration in force."),
+    gauge("tc_evacuated_domains", &[], "Failure domains that are evacuated, as this instance knows. Values that differ between instances for longer than seconds mean that some hear from nobody."),
     count("tc_expired_permits_total", &[], "Permits that ended because their holder never released them."),
     count("tc_failures_total", &[KIND], "Problems told to callers."),
     count("tc_false_deaths_total", &[], "Broken connections whose upstream turned out to be alive."),
