--- a/crates/tc-policy/tests/judge.rs
+++ b/crates/tc-policy/tests/judge.rs
@@ -9,7 +9,7 @@
 };
 
 const CALL: Duration = Duration::from_millis(200);
-const AIM: Duration = Duration::from_millis(1_000);
+const AIM: Duration = Duration::from_secs(1);
 
 const fn at(ms: u64) -> MonoTime {
     MonoTime::from_millis(10_000 + ms)
