--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod engines;
 mod events;
 mod freeze;
+mod handlers;
 mod homes;
 mod join;
 mod listeners;
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -2,14 +2,12 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use futures::FutureExt;
 use http::{Request, Response};
 use hyper::body::Incoming;
 use miette::Diagnostic;
-use tc_fleet::{FleetError, Mesh, MeshHandlers, MeshSettings};
+use tc_fleet::{FleetError, Mesh, MeshSettings};
 use tc_membership::{MembershipConfig, SourceTiming, store_watchers};
 use tc_platform::{Store, StoreSettings};
-use tc_protocol::{ServiceName, routing::ResultHandle};
 use tc_upstream::{ClientSettings, UpstreamClient};
 use thiserror::Error;
 use tokio::{net::TcpListener, time::sleep};
@@ -21,7 +19,8 @@
     edges::Edges,
     engines::{EngineHomes, NewsSender},
     freeze::FreezeWatch,
-    homes::{BatchHomes, Freer, GivenUp, HomeContext, ask_other_homes},
+    handlers::{free_results, mesh_handlers},
+    homes::{BatchHomes, Freer, HomeContext, ask_other_homes},
     join::{Finder, Settled, keep_members_same},
     listeners::{Listeners, on_traffic},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes},
@@ -29,7 +28,7 @@
     settings::GatewaySettings,
     stop::{Asked, Signals, StopState, stop},
     world::{
-        StoreRole, WatchContext, WorldCell, WorldPart, follow_source, tell_world, watch_config,
+        StoreRole, WatchContext, WorldCell, WorldPart, follow_source, watch_config,
         watch_evacuations, watch_upstreams,
     },
 };
@@ -212,7 +211,9 @@
     };
     let cold = Arc::new(ColdSends::new(settings.cold));
     let engines = Arc::new(EngineHomes::new(Arc::clone(&world), Arc::clone(&cold)));
-    let mesh = Mesh::start(mesh_settings, handlers(settings, &homes, &engines, &world)).await?;
+    let beat = SourceTiming::within(news_bound(settings)).beat;
+    let handlers = mesh_handlers(beat, &homes, &engines, &world);
+    let mesh = Mesh::start(mesh_settings, handlers).await?;
     let (run_news, told) = NewsSender::new();
     traffic.spawn(told.pass_on(mesh.clone(), Arc::clone(&engines)));
     traffic.spawn(ask_other_homes(mesh.clone(), Arc::clone(&homes)));
@@ -236,32 +237,6 @@
     }))
 }
 
-fn handlers(
-    settings: &GatewaySettings,
-    homes: &Arc<BatchHomes>,
-    engines: &Arc<EngineHomes>,
-    world: &Arc<WorldCell>,
-) -> Arc<MeshHandlers> {
-    let choosers = Arc::clone(engines);
-    let told = Arc::clone(engines);
-    let makers = Arc::clone(homes);
-    let freers = Arc::clone(homes);
-    let standing = Arc::clone(homes);
-    let beat = SourceTiming::within(news_bound(settings)).beat;
-    let world = Arc::clone(world);
-    Arc::new(MeshHandlers {
-        make_pieces: Box::new(move |ask| {
-            let homes = Arc::clone(&makers);
-            async move { homes.make_pieces(ask).await }.boxed()
-        }),
-        outlook: Box::new(move |service| standing.outlook(service)),
-        free_results: Box::new(move |results| freers.free_results(&results)),
-        choose_engine: Box::new(move |ask| choosers.choose(ask)),
-        tell_runs: Box::new(move |service, news| told.note(service, news)),
-        world: Box::new(move |have| tell_world(&world, have, beat)),
-    })
-}
-
 /// Bound within which whatever the store says must count on every instance.
 fn news_bound(settings: &GatewaySettings) -> Duration {
     let evacuate_time = settings.evacuate_time.unwrap_or(settings.leave_time);
@@ -279,26 +254,6 @@
     })
 }
 
-/// Results go back through the home of their service; without it, straight to their makers.
-async fn free_results(given_up: GivenUp, mesh: Mesh, homes: Arc<BatchHomes>) {
-    let free = move |service: ServiceName, results: Vec<ResultHandle>| {
-        let (mesh, homes) = (mesh.clone(), Arc::clone(&homes));
-        async move {
-            let home = mesh.home(service.as_str(), &[]);
-            let other = home.filter(|home| home.id != mesh.me().id);
-            let Some(home) = other else {
-                homes.free_results(&results);
-                return;
-            };
-            if let Err(error) = mesh.free_results(&home, &results).await {
-                log::debug!(error = error.to_string().as_str(); "the home of results cannot be told");
-                homes.free_results(&results);
-            }
-        }
-    };
-    given_up.gather(free).await;
-}
-
 impl Gateway {
     fn serve(
         &self,
--- a/crates/tc-policy/tests/chain/main.rs
+++ b/crates/tc-policy/tests/chain/main.rs
@@ -4,7 +4,9 @@
 //! full, and have a third of their aim to spare. For five seconds that kind comes several times as often, more than the narrowest
 //! service can make.
 
+mod homes;
 mod load;
+mod requests;
 mod world;
 
 use std::time::Duration;
