Let the soak evacuate failure domains beside its other faults

Evacuations come from a stream of chance of their own, so the plans of kept seeds stay as they were. What is judged: no request reaches an upstream of an evacuated domain once the time to count everywhere is over, until it is taken back or an instance or the store is harmed. One short seed runs with the tests.

--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -25,7 +25,7 @@
 
 pub(super) const COMMAND: Command = Command {
     name: "soak",
-    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N]",
+    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations]",
     about: "Faults by chance on gateway processes, with their promises checked; a seed gives the plan.",
     run,
 };
@@ -36,6 +36,7 @@
     let minutes: Option<u64> = option(&mut args, "--minutes")?;
     let seconds: u64 = option(&mut args, "--seconds")?.unwrap_or(USUAL_SECONDS);
     let instances: usize = option(&mut args, "--instances")?.unwrap_or(USUAL_INSTANCES);
+    let evacuations = args.contains("--evacuations");
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
         let problem = "--seeds and --instances must be above 0, --seconds 3 or more";
@@ -46,6 +47,7 @@
         upstreams: UPSTREAMS,
         callers: CALLERS * instances,
         length: Duration::from_secs(seconds),
+        evacuations,
     };
     let limit = minutes.map(|minutes| Instant::now() + Duration::from_secs(minutes * 60));
     let binary = SystemBinary::find()?;
--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -19,7 +19,7 @@
 use super::{
     callers::{KINDS, Tellings, Told, call, call_until},
     faults::End,
-    judge::{CleanStop, Evidence, Left, judge},
+    judge::{CleanStop, Evacuated, Evidence, Left, judge},
     plan::{CALM_END, Plan, UpstreamMode},
     process::{GRACE, SoakInstance},
     upstreams::{ENGINES, STAGE, Seen, SoakUpstream, WEB},
@@ -66,6 +66,7 @@
     pub(super) to_start: Vec<bool>,
     pub(super) stops: Vec<CleanStop>,
     pub(super) left: Vec<Left>,
+    pub(super) evacuated: Vec<Evacuated>,
     pub(super) leaving: Vec<(Instant, String)>,
     pub(super) config_due: Option<(Instant, u64)>,
     pub(super) timeline: Vec<String>,
@@ -129,6 +130,7 @@
             store_fault_until: now,
             stops: Vec::new(),
             left: Vec::new(),
+            evacuated: Vec::new(),
             leaving: Vec::new(),
             config_due: None,
             timeline: Vec::new(),
@@ -252,6 +254,7 @@
             told,
             runs: self.seen.runs(),
             left: self.left,
+            evacuated: self.evacuated,
             stops: self.stops,
             wrong,
         });
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use nix::sys::signal::Signal;
+use serde_json::json;
 use tc_platform_adapter::outside::{
-    CONFIG_KIND, CONFIG_NAME, OutsideRoute, UPSTREAMS_KIND, config,
+    CONFIG_KIND, CONFIG_NAME, EVACUATIONS_KIND, OutsideRoute, UPSTREAMS_KIND, config,
 };
 use tc_protocol::routing::RepeatRule;
 use tc_stand_ins::StoreMode;
@@ -13,10 +14,10 @@
 use super::{
     callers::{KEY, KINDS, call},
     drive::Soak,
-    judge::{CleanStop, Left},
+    judge::{CleanStop, Evacuated, Left},
     plan::{Fault, UpstreamMode},
     process::GRACE,
-    upstreams::{ENGINES, STAGE, SoakUpstream, WEB},
+    upstreams::{ENGINES, STAGE, SoakUpstream, WEB, domain},
 };
 use crate::error::BenchError;
 
@@ -32,6 +33,7 @@
     Continue(usize),
     StoreWell,
     UpstreamWell(usize),
+    TakeBack(usize),
 }
 
 impl Soak {
@@ -96,6 +98,7 @@
                 self.store_fault_until = self.store_fault_until.max(until);
                 self.left
                     .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
+                self.judge_evacuations_until(now);
                 self.config_due = None;
                 self.store.set_mode(mode);
                 Some(End::StoreWell)
@@ -110,6 +113,10 @@
                 self.leave(upstream).await;
                 None
             }
+            Fault::Evacuate(number) => {
+                self.evacuate(number, now);
+                Some(End::TakeBack(number))
+            }
             Fault::Config => {
                 self.write_config();
                 if now < self.store_fault_until {
@@ -129,12 +136,43 @@
         // An instance that is away learns of leaving upstreams when it is back.
         self.left
             .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
+        self.judge_evacuations_until(now);
+    }
+
+    fn evacuate(&mut self, number: usize, now: Instant) {
+        let domain = domain(number);
+        let is_calm =
+            now >= self.store_fault_until && self.harmed_until.iter().all(|until| *until < now);
+        self.store.put(EVACUATIONS_KIND, &domain, json!({}));
+        if is_calm {
+            self.evacuated.push(Evacuated {
+                domain,
+                from: now,
+                until: None,
+            });
+        }
+    }
+
+    /// From now on an instance or the store is away: who comes back learns anew what is evacuated.
+    fn judge_evacuations_until(&mut self, now: Instant) {
+        for evacuated in &mut self.evacuated {
+            evacuated.until.get_or_insert(now);
+        }
     }
 
     pub(super) fn end(&mut self, end: End) {
         match end {
             End::Restart(instance) => self.to_start[instance] = true,
             End::Continue(instance) => self.instances[instance].signal(Signal::SIGCONT),
+            End::TakeBack(number) => {
+                let domain = domain(number);
+                let now = Instant::now();
+                let back = self.evacuated.iter_mut().filter(|e| e.domain == domain);
+                for evacuated in back {
+                    evacuated.until.get_or_insert(now);
+                }
+                self.store.remove(EVACUATIONS_KIND, &domain);
+            }
             End::StoreWell => self.store.set_mode(StoreMode::Well),
             End::UpstreamWell(upstream) => {
                 for service in [WEB, ENGINES] {
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -7,7 +7,8 @@
 
 use super::{
     callers::{DEADLINE, Told},
-    upstreams::{EVENTS, Run, event_data, plain_body},
+    process::EVACUATE_TIME,
+    upstreams::{EVENTS, Run, domain_of, event_data, plain_body},
 };
 
 /// Statuses that promise that the request has not run and never will.
@@ -27,6 +28,15 @@
     pub(super) at: Instant,
 }
 
+/// A failure domain was evacuated, with a store and instances that were well until the end of what is judged.
+#[derive(Clone, Debug)]
+pub(super) struct Evacuated {
+    pub(super) domain: String,
+    pub(super) from: Instant,
+    /// When it was taken back or something was in the way; `None` while neither was.
+    pub(super) until: Option<Instant>,
+}
+
 /// A planned stop of an instance that nothing else happened to.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CleanStop {
@@ -40,6 +50,7 @@
     pub(super) told: Vec<Told>,
     pub(super) runs: Vec<Run>,
     pub(super) left: Vec<Left>,
+    pub(super) evacuated: Vec<Evacuated>,
     pub(super) stops: Vec<CleanStop>,
     /// What the upstreams themselves found wrong.
     pub(super) wrong: Vec<String>,
@@ -59,6 +70,7 @@
         broken.extend(stop_promises(evidence, told, own));
     }
     broken.extend(leaving_promises(evidence));
+    broken.extend(evacuation_promises(evidence));
     broken
 }
 
@@ -190,3 +202,26 @@
     }
     broken
 }
+
+/// Nothing new reaches an evacuated failure domain once its time to count everywhere is over.
+fn evacuation_promises(evidence: &Evidence) -> Vec<String> {
+    let mut broken = Vec::new();
+    for evacuated in &evidence.evacuated {
+        let counts_from = evacuated.from + EVACUATE_TIME;
+        let is_late = |run: &&Run| {
+            domain_of(&run.upstream) == evacuated.domain
+                && run.at > counts_from
+                && evacuated.until.is_none_or(|until| run.at < until)
+        };
+        if let Some(late) = evidence.runs.iter().find(is_late) {
+            let after = late.at.duration_since(evacuated.from);
+            broken.push(format!(
+                "evacuated: {} reached {} {} ms after its failure domain was evacuated",
+                late.request,
+                late.upstream,
+                after.as_millis()
+            ));
+        }
+    }
+    broken
+}
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -32,6 +32,8 @@
     pub callers: usize,
     /// From the start to the end of the last fault.
     pub length: Duration,
+    /// Whether failure domains are evacuated besides the other faults, which stay the same.
+    pub evacuations: bool,
 }
 
 /// Runs one seed. The logs of its processes stay in the outcome's folder when a promise was broken.
@@ -41,7 +43,10 @@
     shape: SoakShape,
 ) -> Result<Outcome, BenchError> {
     let folder = folder(seed)?;
-    let plan = Plan::new(seed, shape.instances, shape.upstreams, shape.length);
+    let mut plan = Plan::new(seed, shape.instances, shape.upstreams, shape.length);
+    if shape.evacuations {
+        plan.add_evacuations();
+    }
     let outcome = drive::play(binary, &folder, plan, shape.callers).await?;
     if outcome.broken.is_empty() {
         // What is left behind only takes room.
--- a/crates/tc-bench/src/soak/plan.rs
+++ b/crates/tc-bench/src/soak/plan.rs
@@ -13,6 +13,11 @@
 const LONGEST_MS: u64 = 2_500;
 /// Mean pause between two faults; faults last up to twice as long, so that they overlap.
 const PAUSE_MS: u64 = 450;
+/// Told apart from the seed itself, so that evacuations come on top of the faults that the seed has without them.
+const EVACUATIONS: u64 = 0xe7ac;
+/// Shortest and longest evacuation, and the longest pause between two: the shortest end before they count everywhere.
+const EVACUATED_MS: std::ops::Range<u64> = 1_000..5_000;
+const LONGEST_STAY_MS: u64 = 1_500;
 
 /// How an upstream treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -48,8 +53,13 @@
     Leave(usize),
     /// The operators write a new configuration.
     Config,
+    /// A failure domain's upstreams are to get nothing new.
+    Evacuate(usize),
 }
 
+/// Failure domains that upstreams are spread over.
+pub(super) const DOMAINS: usize = 2;
+
 /// A fault, when it begins and how long it lasts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Planned {
@@ -92,6 +102,23 @@
             faults,
         }
     }
+
+    /// Adds evacuations of one failure domain after the other; the same seed adds the same ones.
+    pub(super) fn add_evacuations(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ EVACUATIONS);
+        let mut at = CALM_START;
+        loop {
+            at += Duration::from_millis(rng.random_range(1..LONGEST_STAY_MS));
+            let lasts = Duration::from_millis(rng.random_range(EVACUATED_MS));
+            if at + lasts >= self.length {
+                break;
+            }
+            let fault = Fault::Evacuate(rng.random_range(0..DOMAINS));
+            self.faults.push(Planned { at, lasts, fault });
+            at += lasts;
+        }
+        self.faults.sort_by_key(|planned| planned.at);
+    }
 }
 
 fn fault(rng: &mut SmallRng, instances: usize, upstreams: usize) -> Fault {
--- a/crates/tc-bench/src/soak/process.rs
+++ b/crates/tc-bench/src/soak/process.rs
@@ -27,6 +27,9 @@
 /// Time from SIGTERM to the end of a process.
 pub(super) const GRACE: Duration = Duration::from_secs(3);
 
+/// How long an evacuation may take to count on every instance.
+pub(super) const EVACUATE_TIME: Duration = Duration::from_secs(2);
+
 /// An instance; dropping it kills its process.
 pub(super) struct SoakInstance {
     pub(super) callers: SocketAddr,
@@ -56,6 +59,7 @@
             fleet_port: fleet.port(),
             store,
             grace: GRACE,
+            evacuate_time: EVACUATE_TIME,
         });
         let settings = folder.join(format!("{name}.settings"));
         fs::write(&settings, text).map_err(|e| file(&settings, &e))?;
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -16,7 +16,7 @@
 };
 use tokio::time::Instant;
 
-use super::plan::UpstreamMode;
+use super::plan::{DOMAINS, UpstreamMode};
 
 /// Plain requests.
 pub(super) const WEB: &str = "web";
@@ -135,7 +135,8 @@
 
     /// Writes its entry.
     pub(super) fn register(&self, store: &ObjectStore, leaving: bool) {
-        let entry = upstream_entry(self.service, self.address, "d", 16, leaving);
+        let domain = domain_of(&self.name);
+        let entry = upstream_entry(self.service, self.address, &domain, 16, leaving);
         store.put(
             tc_platform_adapter::outside::UPSTREAMS_KIND,
             &self.name,
@@ -144,6 +145,18 @@
     }
 }
 
+/// Where an upstream runs: they are spread over the failure domains by their numbers.
+pub(super) fn domain_of(upstream: &str) -> String {
+    let number = upstream.rsplit('-').next();
+    let number: usize = number.and_then(|n| n.parse().ok()).unwrap_or_default();
+    domain(number)
+}
+
+/// Name of a failure domain.
+pub(super) fn domain(number: usize) -> String {
+    format!("d{}", number % DOMAINS)
+}
+
 fn answer(seen: &Seen, own: &str, service: &str, req: &Received) -> Script {
     let sent = sent_on(req);
     let mode = seen.mode(own);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,11 +10,12 @@
     upstreams: 3,
     callers: 12,
     length: Duration::from_secs(6),
+    evacuations: false,
 };
 
-async fn keeps_its_promises(seed: u64) {
+async fn keeps_its_promises(seed: u64, shape: SoakShape) {
     let binary = SystemBinary::at(Path::new(env!("CARGO_BIN_EXE_tanagercroft")));
-    let outcome = soak(&binary, seed, SHAPE).await.expect("it can be played");
+    let outcome = soak(&binary, seed, shape).await.expect("it can be played");
     assert!(
         outcome.broken.is_empty(),
         "{}\n{}\n{:#?}\nlogs: {}",
@@ -34,12 +35,23 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_soak_breaks_no_promise() {
-    keeps_its_promises(2).await;
+    keeps_its_promises(2, SHAPE).await;
 }
 
 /// Its plan stops one instance while the only engines left are silent: what they still work on at the end of the grace is
 /// cut, and nothing else is.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_beside_silent_upstreams_cuts_nothing_in_its_time() {
-    keeps_its_promises(1).await;
+    keeps_its_promises(1, SHAPE).await;
+}
+
+/// Its plan evacuates a failure domain while instances are killed and the store misbehaves: what is new goes elsewhere in time.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_domain_is_left_alone_beside_other_faults() {
+    let shape = SoakShape {
+        length: Duration::from_secs(10),
+        evacuations: true,
+        ..SHAPE
+    };
+    keeps_its_promises(3, shape).await;
 }
