--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -19,7 +19,7 @@
 use super::{
     callers::{KINDS, Tellings, Told, call, call_until},
     faults::End,
-    judge::{CleanStop, Evacuated, Evidence, Left, judge},
+    judge::{CleanStop, Evacuated, Evidence, Harm, Left, judge},
     plan::{CALM_END, Plan, UpstreamMode},
     process::{GRACE, SoakInstance},
     upstreams::{ENGINES, STAGE, Seen, SoakUpstream, WEB},
@@ -67,6 +67,7 @@
     pub(super) stops: Vec<CleanStop>,
     pub(super) left: Vec<Left>,
     pub(super) evacuated: Vec<Evacuated>,
+    pub(super) harms: Vec<Harm>,
     pub(super) leaving: Vec<(Instant, String)>,
     pub(super) config_due: Option<(Instant, u64)>,
     pub(super) timeline: Vec<String>,
@@ -131,6 +132,7 @@
             stops: Vec::new(),
             left: Vec::new(),
             evacuated: Vec::new(),
+            harms: Vec::new(),
             leaving: Vec::new(),
             config_due: None,
             timeline: Vec::new(),
@@ -255,6 +257,7 @@
             runs: self.seen.runs(),
             left: self.left,
             evacuated: self.evacuated,
+            harms: self.harms,
             stops: self.stops,
             wrong,
         });
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -14,7 +14,7 @@
 use super::{
     callers::{KEY, KINDS, call},
     drive::Soak,
-    judge::{CleanStop, Evacuated, Left},
+    judge::{CleanStop, Evacuated, Harm, Harmed, Left},
     plan::{Fault, UpstreamMode},
     process::GRACE,
     upstreams::{ENGINES, STAGE, SoakUpstream, WEB, domain},
@@ -66,6 +66,10 @@
 
     pub(super) async fn begin(&mut self, fault: Fault, until: Instant) -> Option<End> {
         let now = Instant::now();
+        if let Some(whom) = harmed(fault) {
+            let (from, until) = (now, until);
+            self.harms.push(Harm { whom, from, until });
+        }
         match fault {
             Fault::Kill(instance) => {
                 self.harm(instance, until);
@@ -98,7 +102,6 @@
                 self.store_fault_until = self.store_fault_until.max(until);
                 self.left
                     .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
-                self.judge_evacuations_until(now);
                 self.config_due = None;
                 self.store.set_mode(mode);
                 Some(End::StoreWell)
@@ -136,28 +139,16 @@
         // An instance that is away learns of leaving upstreams when it is back.
         self.left
             .retain(|left| now.duration_since(left.at) > LEAVES_AFTER);
-        self.judge_evacuations_until(now);
     }
 
     fn evacuate(&mut self, number: usize, now: Instant) {
         let domain = domain(number);
-        let is_calm =
-            now >= self.store_fault_until && self.harmed_until.iter().all(|until| *until < now);
         self.store.put(EVACUATIONS_KIND, &domain, json!({}));
-        if is_calm {
-            self.evacuated.push(Evacuated {
-                domain,
-                from: now,
-                until: None,
-            });
-        }
-    }
-
-    /// From now on an instance or the store is away: who comes back learns anew what is evacuated.
-    fn judge_evacuations_until(&mut self, now: Instant) {
-        for evacuated in &mut self.evacuated {
-            evacuated.until.get_or_insert(now);
-        }
+        self.evacuated.push(Evacuated {
+            domain,
+            from: now,
+            until: None,
+        });
     }
 
     pub(super) fn end(&mut self, end: End) {
@@ -269,6 +260,21 @@
     }
 }
 
+/// Who is away for the time of a fault, and comes back knowing less.
+fn harmed(fault: Fault) -> Option<Harmed> {
+    match fault {
+        Fault::Kill(instance) | Fault::Stop(instance) | Fault::Pause(instance) => {
+            Some(Harmed::Instance(instance))
+        }
+        Fault::Store(_) => Some(Harmed::Store),
+        Fault::Reload(_)
+        | Fault::Upstream(..)
+        | Fault::Leave(_)
+        | Fault::Config
+        | Fault::Evacuate(_) => None,
+    }
+}
+
 fn added_route(version: u64) -> String {
     format!("added-{version}")
 }
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -18,6 +18,9 @@
 /// How long an upstream that leaves may still get requests, beyond what it allows, while the store is away.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
 
+/// Time after a fault within which whoever was away knows what is evacuated: a start, then the time for all to hear.
+const BACK_WITHIN: Duration = EVACUATE_TIME.saturating_add(Duration::from_secs(1));
+
 /// Part of the grace at whose end requests that upstreams still work on may be cut.
 const LAST_PART: f64 = 1.0 / 6.0;
 
@@ -28,12 +31,27 @@
     pub(super) at: Instant,
 }
 
-/// A failure domain was evacuated, with a store and instances that were well until the end of what is judged.
+/// Whom a fault keeps from hearing of changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Harmed {
+    Instance(usize),
+    Store,
+}
+
+/// A fault that kept somebody from hearing of changes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Harm {
+    pub(super) whom: Harmed,
+    pub(super) from: Instant,
+    pub(super) until: Instant,
+}
+
+/// A failure domain was evacuated.
 #[derive(Clone, Debug)]
 pub(super) struct Evacuated {
     pub(super) domain: String,
     pub(super) from: Instant,
-    /// When it was taken back or something was in the way; `None` while neither was.
+    /// When it was taken back; `None` while it was not.
     pub(super) until: Option<Instant>,
 }
 
@@ -51,6 +69,7 @@
     pub(super) runs: Vec<Run>,
     pub(super) left: Vec<Left>,
     pub(super) evacuated: Vec<Evacuated>,
+    pub(super) harms: Vec<Harm>,
     pub(super) stops: Vec<CleanStop>,
     /// What the upstreams themselves found wrong.
     pub(super) wrong: Vec<String>,
@@ -203,8 +222,14 @@
     broken
 }
 
-/// Nothing new reaches an evacuated failure domain once its time to count everywhere is over.
+/// Nothing new reaches an evacuated failure domain once its time to count everywhere is over, from an instance that neither
+/// a fault of its own nor one of the store kept from hearing of it.
 fn evacuation_promises(evidence: &Evidence) -> Vec<String> {
+    let entry: HashMap<&str, usize> = evidence
+        .told
+        .iter()
+        .map(|told| (told.request.as_str(), told.instance))
+        .collect();
     let mut broken = Vec::new();
     for evacuated in &evidence.evacuated {
         let counts_from = evacuated.from + EVACUATE_TIME;
@@ -212,6 +237,7 @@
             domain_of(&run.upstream) == evacuated.domain
                 && run.at > counts_from
                 && evacuated.until.is_none_or(|until| run.at < until)
+                && !is_excused(evidence, run, entry.get(run.request.as_str()))
         };
         if let Some(late) = evidence.runs.iter().find(is_late) {
             let after = late.at.duration_since(evacuated.from);
@@ -225,3 +251,15 @@
     }
     broken
 }
+
+/// Whether the instance that sent a request, or the store, was harmed so shortly before that it need not have heard.
+fn is_excused(evidence: &Evidence, run: &Run, instance: Option<&usize>) -> bool {
+    let mut harms = evidence.harms.iter();
+    harms.any(|harm| {
+        let is_theirs = match harm.whom {
+            Harmed::Store => true,
+            Harmed::Instance(harmed) => instance.is_none_or(|instance| *instance == harmed),
+        };
+        is_theirs && harm.from <= run.at && run.at < harm.until + BACK_WITHIN
+    })
+}
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -53,5 +53,5 @@
         evacuations: true,
         ..SHAPE
     };
-    keeps_its_promises(3, shape).await;
+    keeps_its_promises(8, shape).await;
 }
