--- a/crates/tc-gateway/src/cold.rs
+++ b/crates/tc-gateway/src/cold.rs
@@ -51,7 +51,7 @@
         };
         let is_cold = upstream.cold_until > MonoTime::now();
         if service.engine.is_some() {
-            return !is_cold && self.has_share(mesh, &upstream.id, limit.loners());
+            return !is_cold && self.has_share(mesh, &upstream.id, limit.lone_senders());
         }
         !is_cold || self.has_share(mesh, &upstream.id, limit.all())
     }
--- a/crates/tc-gateway/src/engines/homes.rs
+++ b/crates/tc-gateway/src/engines/homes.rs
@@ -51,7 +51,7 @@
         let service = config.service(ask.service.as_str())?;
         let limit = self.cold.limit(service);
         let may = |id: &UpstreamId| {
-            limit.is_none_or(|limit| self.cold.has_share(mesh, id, limit.loners()))
+            limit.is_none_or(|limit| self.cold.has_share(mesh, id, limit.lone_senders()))
         };
         let choice = self.choose_by(ask, |planner| {
             planner.choose_alone(MonoTime::now(), ask, may)
--- a/crates/tc-policy/src/cold.rs
+++ b/crates/tc-policy/src/cold.rs
@@ -24,7 +24,7 @@
 /// ```
 /// use tc_policy::ColdLimit;
 /// let limit = ColdLimit::new(15.0, 1.5, 5.0);
-/// assert_eq!((limit.all(), limit.of_home(), limit.loners()), (27, 9, 9));
+/// assert_eq!((limit.all(), limit.of_home(), limit.lone_senders()), (27, 9, 9));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ColdLimit {
@@ -56,12 +56,12 @@
     /// What a home sends to an upstream that seems warm while others have had less: it may have turned cold unheard.
     #[must_use]
     pub fn of_home_if_warm(self) -> u32 {
-        self.all - self.loners()
+        self.all - self.lone_senders()
     }
 
     /// Instances that may choose an upstream by themselves, one request a second each, while the home does not answer.
     #[must_use]
-    pub const fn loners(self) -> u32 {
+    pub const fn lone_senders(self) -> u32 {
         self.all / SHARES
     }
 }
--- a/crates/tc-policy/tests/cold.rs
+++ b/crates/tc-policy/tests/cold.rs
@@ -187,7 +187,7 @@
         let may = |id: &UpstreamId| {
             let own = sends.iter().find(|(of, _)| of == id);
             let recent = own.map_or(0, |(_, sends)| sends.count(now));
-            recent == 0 && may_send_alone(&me, members, id, limit().loners())
+            recent == 0 && may_send_alone(&me, members, id, limit().lone_senders())
         };
         let Some(choice) = planner.choose_alone(now, &ask(u64::from(family)), may) else {
             return;
