Answer who waits for pieces under the same lock as the step that ends them

Cause, read from the code: the planner ended jobs under one lock and the answers were taken out under the next; a job that came in between got the place of one that had ended and dropped its answer. Ruled out: failed calls (a maker pauses 250 ms after one, and four are needed) and the budget of repeats (50 in the window).

--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -123,25 +123,34 @@
         let took = MonoTime::now().since(started);
         metrics::histogram!("tc_batch_call_ms", "service" => service)
             .record(took.as_secs_f64() * 1_000.0);
-        let settled = self.lock().planner.end_call(MonoTime::now(), key, end);
-        self.settle(settled);
+        self.step(|planner| planner.end_call(MonoTime::now(), key, end));
         self.drive();
         self.wake.notify_one();
     }
 
-    fn settle(&self, settled: Settled) {
+    /// Lets the planner take a step that may end jobs, and answers who waits for them; returns how many ended.
+    ///
+    /// Both happen under one lock. A job that came in between would take the place of one that has ended, and the answer to that
+    /// one would be lost: seen as a request refused for a stage that failed, while its results are made and nobody frees them.
+    fn step(&self, step: impl FnOnce(&mut BatchPlanner) -> Settled) -> usize {
+        let settled = {
+            let mut inner = self.lock();
+            let mut settled = step(&mut inner.planner);
+            for handle in &settled.unwanted {
+                inner.planner.freed(handle);
+            }
+            for finished in &mut settled.finished {
+                if let Some(reply) = inner.waiting.remove(finished.job) {
+                    let result = std::mem::replace(&mut finished.result, Ok(Vec::new()));
+                    // Fails only when the asker has gone, which frees the results itself.
+                    let _ = reply.send(result);
+                }
+            }
+            settled
+        };
         calls::free_at_makers(&self.cx, &settled.unwanted);
         self.give_up_inputs(&settled.read);
-        let mut inner = self.lock();
-        for handle in &settled.unwanted {
-            inner.planner.freed(handle);
-        }
-        for finished in settled.finished {
-            if let Some(reply) = inner.waiting.remove(finished.job) {
-                // Fails only when the asker has gone, which frees the results itself.
-                let _ = reply.send(finished.result);
-            }
-        }
+        settled.finished.len()
     }
 
     /// Inputs that the stage's pieces have are given up through the homes of the services that made them.
@@ -161,12 +170,10 @@
 
     /// Sends asks whose work was not begun on to the service's new home.
     pub(super) fn hand_over(&self) {
-        let settled = self.lock().planner.hand_over();
-        let asks = settled.finished.len();
+        let asks = self.step(BatchPlanner::hand_over);
         if asks > 0 {
             log::info!(service = self.service.as_str(), asks = asks; "another instance is the home of a batch service now; asks are sent on");
         }
-        self.settle(settled);
     }
 
     fn cancel(&self, job: JobKey) {
@@ -266,8 +273,7 @@
         // Woken early or not, the planner is looked at.
         let _ = timeout(wait, home.wake.notified()).await;
         let now = MonoTime::now();
-        let settled = home.lock().planner.expire(now);
-        home.settle(settled);
+        home.step(|planner| planner.expire(now));
         let read = home.lock().planner.inputs_read(now);
         home.give_up_inputs(&read);
         home.drive();
