Decode and log the rate limits that upstreams announce

On-call could not tell whether an announced limit was read at all, or read and kept by each instance for itself: no log line and no metric named one. No decision uses any of it yet. Values that are no rate are told apart from absent ones, so that a garbled header cannot lift a limit.

Ruled out: one log line per answer, which would be the largest source of lines.

--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -6,7 +6,7 @@
 
 use tc_protocol::{
     UpstreamId, WorkspaceName,
-    routing::{Prompt, ResultHandle},
+    routing::{AnnouncedLimit, Prompt, ResultHandle},
 };
 use thiserror::Error;
 
@@ -72,7 +72,7 @@
 }
 
 /// What an upstream's answer says in its status and headers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// Whether the upstream took the request.
     pub taken: Taken,
@@ -86,6 +86,8 @@
     pub is_stream: bool,
     /// What the upstream says of its load.
     pub load: Option<UpstreamLoad>,
+    /// The rate limit that the upstream announces.
+    pub rate_limit: AnnouncedLimit,
 }
 
 /// An upstream's load as it tells it.
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -18,7 +18,7 @@
 };
 use tc_upstream::UpstreamClient;
 
-use crate::{budgets::RepeatBudgets, edges::Edges, world::WorldCell};
+use crate::{budgets::RepeatBudgets, edges::Edges, limits::UpstreamLimits, world::WorldCell};
 
 use chains::Chains;
 pub(crate) use chains::ask_other_homes;
@@ -35,6 +35,7 @@
     pub(crate) world: Arc<WorldCell>,
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) freer: Freer,
+    pub(crate) limits: Arc<UpstreamLimits>,
 }
 
 /// The homes that were asked for here, by service.
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod handlers;
 mod homes;
 mod join;
+mod limits;
 mod listeners;
 mod routing;
 mod run;
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -292,6 +292,9 @@
         if let Some(load) = head.load {
             cx.book.note_load(id, load);
         }
+        if head.taken != Taken::OtherProcess {
+            cx.limits.observe(id, head.rate_limit);
+        }
         if head.taken != Taken::Yes {
             let status = answered.reply.head.status.as_u16();
             log::info!(request = &*req.head.request, upstream = id.as_str(), status = status, taken = format!("{:?}", head.taken).as_str(); "an upstream did not take a request");
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -32,6 +32,7 @@
     engines::{EngineHomes, NewsSender},
     freeze::{SuspendedTime, TimeAllowed},
     homes::{BatchHomes, Freer},
+    limits::UpstreamLimits,
     upstreams::UpstreamBook,
     world::WorldCell,
 };
@@ -70,6 +71,7 @@
     pub(crate) freer: Freer,
     pub(crate) book: Arc<UpstreamBook>,
     pub(crate) cold: Arc<ColdSends>,
+    pub(crate) limits: Arc<UpstreamLimits>,
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) outlooks: SharedOutlooks,
     pub(crate) prompt_times: SharedPromptTimes,
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -22,6 +22,7 @@
     handlers::{free_results, mesh_handlers},
     homes::{BatchHomes, Freer, HomeContext, ask_other_homes},
     join::{Finder, Settled, keep_members_same},
+    limits::UpstreamLimits,
     listeners::{Listeners, on_traffic},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
@@ -195,12 +196,14 @@
     });
     let budgets = Arc::new(RepeatBudgets::new(settings.repeats));
     let (freer, given_up) = Freer::new();
+    let limits = Arc::<UpstreamLimits>::default();
     let homes = Arc::new(BatchHomes::new(HomeContext {
         edges,
         client: client.clone(),
         world: Arc::clone(&world),
         budgets: Arc::clone(&budgets),
         freer: freer.clone(),
+        limits: Arc::clone(&limits),
     }));
     let mesh_settings = MeshSettings {
         me: settings.me.clone(),
@@ -228,6 +231,7 @@
         freer,
         book: Arc::default(),
         cold,
+        limits,
         budgets,
         outlooks: SharedOutlooks::default(),
         prompt_times: SharedPromptTimes::default(),
@@ -357,5 +361,6 @@
         let world = cx.world.load();
         cx.book.retain(|id| world.upstreams.contains(id));
         cx.cold.retain(|id| world.upstreams.contains(id));
+        cx.limits.retain(|id| world.upstreams.contains(id));
     }
 }
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod piece;
 mod prompt;
+mod rate_limit;
 mod upstream;
 
 pub use config::{
@@ -16,4 +17,5 @@
     ResultHandle,
 };
 pub use prompt::{EngineAsk, EngineChoice, EngineNews, Prompt, PromptPart, RunReport};
+pub use rate_limit::{AnnouncedLimit, RateLimit};
 pub use upstream::RegisteredUpstream;
