Keep the rate limits of engines over all instances together

Callers noticed nothing: engines that had announced a limit of 1.7 and 1.0 requests a second got 16 and 13 in 4 s where 15 and 11 are allowed, and the engines in need answered all of it. The cause: no code used the announcement. Ruled out: limits kept by each instance for itself (nothing read them), sends beside the home (none were seen).

The home now paces its grants for a limited engine by a token bucket of one token. It hears of limits from reports of runs, from gossip, and from each ask, as a home that was killed and is back a second later answers before anything else reaches it. Instances that cannot reach the home share a quarter of the limit among few senders; the pace is never below a request in 4 s, since only an answer can say that the limit is gone. When all engines are limited, requests are refused at once with a Retry-After that follows from the limits.

--- a/crates/tc-fleet/src/convert.rs
+++ b/crates/tc-fleet/src/convert.rs
@@ -130,6 +130,7 @@
         changes: message.changes.iter().map(record_to_wire).collect(),
         summaries: Vec::new(),
         suspects: Vec::new(),
+        limits: Vec::new(),
     }
 }
 
--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -264,6 +264,8 @@
     pub summaries: ::prost::alloc::vec::Vec<Summary>,
     #[prost(fixed64, repeated, tag = "7")]
     pub suspects: ::prost::alloc::vec::Vec<u64>,
+    #[prost(message, repeated, tag = "9")]
+    pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
     #[prost(oneof = "datagram::Kind", tags = "2, 3, 4, 8")]
     pub kind: ::core::option::Option<datagram::Kind>,
 }
@@ -281,6 +283,18 @@
         Announcement(super::Announcement),
     }
 }
+/// Rate limit that an upstream announced in an answer.
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct UpstreamLimit {
+    #[prost(string, tag = "1")]
+    pub upstream: ::prost::alloc::string::String,
+    /// Requests per second; absent after the upstream announced none any more.
+    #[prost(double, optional, tag = "2")]
+    pub per_s: ::core::option::Option<f64>,
+    /// Time since the answer.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct Probe {
     #[prost(uint64, tag = "1")]
@@ -558,7 +572,7 @@
     #[prost(bool, tag = "5")]
     pub is_late_return: bool,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EngineAskMessage {
     #[prost(string, tag = "1")]
     pub service: ::prost::alloc::string::String,
@@ -580,6 +594,9 @@
     pub except: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(uint32, tag = "9")]
     pub remaining_ms: u32,
+    /// Limits known to the sender; a home that has just started or moved may not know them.
+    #[prost(message, repeated, tag = "10")]
+    pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EngineChoiceMessage {
@@ -598,6 +615,9 @@
     pub service: ::prost::alloc::string::String,
     #[prost(message, repeated, tag = "2")]
     pub news: ::prost::alloc::vec::Vec<RunNews>,
+    /// Limits that the sender was told lately.
+    #[prost(message, repeated, tag = "3")]
+    pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RunNews {
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -31,7 +31,7 @@
 pub use key::FleetKeys;
 pub use mesh::{
     ChooseEngine, EvacuatedDomains, Gone, Mesh, MeshError, MeshHandlers, MeshSettings,
-    PiecesAnswer, SuspectRun, TellOutlook, TellRuns, UpstreamNews, WorldHave, WorldNews,
-    WorldObject,
+    PiecesAnswer, SuspectRun, TellOutlook, TellRuns, UpstreamLimits, UpstreamNews, WorldHave,
+    WorldNews, WorldObject,
 };
 pub use settings::{AskPolicy, FleetSettings};
--- a/crates/tc-fleet/src/mesh/actor.rs
+++ b/crates/tc-fleet/src/mesh/actor.rs
@@ -11,12 +11,13 @@
 };
 
 use arc_swap::ArcSwap;
+use prost::Message as _;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tc_membership::{Membership, MembershipConfig, Outgoing, Record};
 use tc_protocol::{InstanceId, Member, MemberState, MonoTime};
 use tokio::sync::{oneshot, watch};
 
-use super::peers::Peers;
+use super::{limits::UpstreamLimits, peers::Peers};
 use crate::{
     convert, generated::Datagram, gossip::GossipSocket, suspects::SUSPECTS_PER_DATAGRAM,
     suspects::SuspectTable,
@@ -25,6 +26,9 @@
 /// Shortest wait between two ticks, so that a timer that is always due cannot keep the thread busy.
 const LEAST_TICK: Duration = Duration::from_millis(10);
 
+/// A datagram up to this many bytes has room for limits beside its news of members.
+const ROOMY_DATAGRAM: usize = 1_000;
+
 /// What another instance says when it compares its list of members with this one's.
 pub(crate) struct Introduced {
     pub(super) other: Record,
@@ -73,6 +77,7 @@
     pub(super) peers: Arc<Peers>,
     pub(super) published: Arc<Published>,
     pub(super) suspects: Arc<SuspectTable>,
+    pub(super) limits: Arc<UpstreamLimits>,
 }
 
 pub(super) struct MeshState {
@@ -176,6 +181,7 @@
             return;
         };
         self.args.suspects.heard(now, &datagram.suspects);
+        self.args.limits.receive(&datagram.limits);
         let outgoing = self.membership.handle(now, &message);
         self.send(outgoing);
     }
@@ -192,6 +198,9 @@
                 .args
                 .suspects
                 .to_gossip(MonoTime::now(), SUSPECTS_PER_DATAGRAM);
+            if datagram.encoded_len() <= ROOMY_DATAGRAM {
+                datagram.limits = self.args.limits.to_gossip();
+            }
             self.args.socket.send(out.to, &datagram);
         }
     }
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -23,6 +23,7 @@
 
 use super::{
     actor::{MeshActor, MeshArgs, MeshMsg, Published, others},
+    limits::UpstreamLimits,
     messages::{
         MeshError, PiecesAnswer, answer_from_wire, ask_to_wire, choice_from_wire,
         engine_ask_to_wire, news_to_wire, outlook_from_wire, texts,
@@ -63,6 +64,8 @@
     pub timing: MembershipConfig,
     /// Runs calls to and from other instances; the traffic threads' runtime.
     pub traffic: tokio::runtime::Handle,
+    /// Rate limits of upstreams, shared with the rest of the process.
+    pub limits: Arc<UpstreamLimits>,
 }
 
 /// The run of a request that may crash upstreams; others of its kind wait until it is dropped.
@@ -82,6 +85,7 @@
     pub(super) published: Arc<Published>,
     pub(super) peers: Arc<Peers>,
     suspects: Arc<SuspectTable>,
+    limits: Arc<UpstreamLimits>,
 }
 
 impl Mesh {
@@ -112,6 +116,7 @@
             peers: Arc::clone(&peers),
             published: Arc::clone(&published),
             suspects: Arc::clone(&suspects),
+            limits: Arc::clone(&settings.limits),
         };
         let (node, _) = Actor::spawn(None, MeshActor, args)
             .await
@@ -129,6 +134,7 @@
         let service = Service {
             node: node.clone(),
             suspects: Arc::clone(&suspects),
+            limits: Arc::clone(&settings.limits),
             handlers,
         };
         serve(&settings.keys, &settings.traffic, listener, service);
@@ -139,6 +145,7 @@
                 published,
                 peers,
                 suspects,
+                limits: settings.limits,
             }),
         })
     }
@@ -260,7 +267,7 @@
         home: &Member,
         ask: &EngineAsk,
     ) -> Result<Option<EngineChoice>, MeshError> {
-        let mut req = Request::new(engine_ask_to_wire(ask));
+        let mut req = Request::new(engine_ask_to_wire(ask, self.inner.limits.to_ask()));
         req.set_timeout(CHOICE_LIMIT);
         let mut client = self.inner.peers.client(home);
         let choice = client
@@ -280,6 +287,7 @@
         let req = timed(RunNewsMessage {
             service: service.to_string(),
             news: news.iter().map(news_to_wire).collect(),
+            limits: self.inner.limits.to_report(),
         });
         let mut client = self.inner.peers.client(home);
         let answer = client.tell_runs(req).await;
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -153,7 +153,10 @@
     following.iter().map(from_wire).collect()
 }
 
-pub(super) fn engine_ask_to_wire(ask: &EngineAsk) -> wire::EngineAskMessage {
+pub(super) fn engine_ask_to_wire(
+    ask: &EngineAsk,
+    limits: Vec<wire::UpstreamLimit>,
+) -> wire::EngineAskMessage {
     let (part_ids, part_tokens) = ask.prompt.parts.iter().map(|p| (p.id, p.tokens)).unzip();
     let inputs = ask.inputs.iter();
     let (input_domains, input_bytes) = inputs.map(|(d, b)| (d.to_string(), *b)).unzip();
@@ -167,6 +170,7 @@
         input_bytes,
         except: ask.except.iter().map(ToString::to_string).collect(),
         remaining_ms: convert::millis(ask.remaining),
+        limits,
     }
 }
 
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 
 mod actor;
 mod handle;
+mod limits;
 mod members;
 mod messages;
 mod peers;
@@ -12,6 +13,7 @@
 mod world_news;
 
 pub use handle::{Mesh, MeshSettings, SuspectRun};
+pub use limits::UpstreamLimits;
 pub use messages::{MeshError, PiecesAnswer};
 pub use service::{ChooseEngine, MeshHandlers, TellOutlook, TellRuns};
 pub use world_news::{EvacuatedDomains, Gone, UpstreamNews, WorldHave, WorldNews, WorldObject};
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -14,6 +14,7 @@
 
 use super::{
     actor::{Introduced, MeshMsg},
+    limits::UpstreamLimits,
     messages::{
         PiecesAnswer, answer_to_wire, ask_from_wire, choice_to_wire, engine_ask_from_wire, handles,
         news_from_wire, outlook_to_wire,
@@ -61,6 +62,7 @@
     pub(super) node: ActorRef<MeshMsg>,
     pub(super) handlers: Arc<MeshHandlers>,
     pub(super) suspects: Arc<SuspectTable>,
+    pub(super) limits: Arc<UpstreamLimits>,
 }
 
 #[tonic::async_trait]
@@ -123,7 +125,9 @@
         &self,
         req: Request<EngineAskMessage>,
     ) -> Result<Response<EngineChoiceMessage>, Status> {
-        let ask = engine_ask_from_wire(&req.into_inner());
+        let message = req.into_inner();
+        self.limits.receive(&message.limits);
+        let ask = engine_ask_from_wire(&message);
         let choice = (self.handlers.choose_engine)(&ask);
         Ok(Response::new(choice_to_wire(choice)))
     }
@@ -133,6 +137,7 @@
         req: Request<RunNewsMessage>,
     ) -> Result<Response<RunNewsAnswer>, Status> {
         let message = req.into_inner();
+        self.limits.receive(&message.limits);
         let news: Vec<RunReport> = message.news.iter().map(news_from_wire).collect();
         (self.handlers.tell_runs)(&message.service.as_str().into(), &news);
         Ok(Response::new(RunNewsAnswer {}))
--- a/crates/tc-gateway/src/engines/ask.rs
+++ b/crates/tc-gateway/src/engines/ask.rs
@@ -49,7 +49,7 @@
         upstream = choice.upstream.as_str(),
         fetch_from = choice.fetch_from.as_ref().map_or("", |source| source.as_str()),
         tokens = ask.prompt.tokens_in,
-        known_limit_per_s = cx.limits.get(&choice.upstream).map(RateLimit::per_s),
+        known_limit_per_s = cx.limits.limits().get(&choice.upstream).map(RateLimit::per_s),
         home = home.as_ref().map_or("here", |home| home.id.as_str());
         "an engine is chosen"
     );
--- a/crates/tc-gateway/src/engines/homes.rs
+++ b/crates/tc-gateway/src/engines/homes.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     cold::ColdSends,
+    limits::LimitedSends,
     world::{World, WorldCell},
 };
 
@@ -21,20 +22,28 @@
     planner: EnginePlanner,
     /// The world that the planner's engines were taken from.
     world: Option<Arc<World>>,
+    /// Count of changes of the limits that the planner has.
+    limit_changes: u64,
 }
 
 /// Chooses engines for the services homed here, and for any other when its home does not answer.
 pub(crate) struct EngineHomes {
     world: Arc<WorldCell>,
     cold: Arc<ColdSends>,
+    limits: Arc<LimitedSends>,
     by_service: Mutex<HashMap<ServiceName, Home>>,
 }
 
 impl EngineHomes {
-    pub(crate) fn new(world: Arc<WorldCell>, cold: Arc<ColdSends>) -> Self {
+    pub(crate) fn new(
+        world: Arc<WorldCell>,
+        cold: Arc<ColdSends>,
+        limits: Arc<LimitedSends>,
+    ) -> Self {
         Self {
             world,
             cold,
+            limits,
             by_service: Mutex::default(),
         }
     }
@@ -52,11 +61,13 @@
         let limit = self.cold.limit(service);
         let may = |id: &UpstreamId| {
             limit.is_none_or(|limit| self.cold.has_share(mesh, id, limit.lone_senders()))
+                && self.limits.may_send_beside_home(mesh, id)
         };
         let choice = self.choose_by(ask, |planner| {
             planner.choose_alone(MonoTime::now(), ask, may)
         })?;
         self.cold.note(service, &choice.upstream);
+        self.limits.record(&choice.upstream);
         Some(choice)
     }
 
@@ -76,9 +87,11 @@
             Home {
                 planner: EnginePlanner::new(spec),
                 world: None,
+                limit_changes: 0,
             }
         });
         home.take_world(&world, &ask.service, spec);
+        home.take_limits(&self.limits);
         home.planner.set_cold_limit(self.cold.limit(service));
         let choice = choose(&mut home.planner);
         let (runs, engines) = home.planner.size();
@@ -132,5 +145,19 @@
             .collect();
         self.planner.set_engines(spec, &engines);
         self.world = Some(Arc::clone(world));
+        // Engines that are new here may be limited already.
+        self.limit_changes = 0;
+    }
+
+    /// Takes up the limits that engines announce, if they may have changed.
+    fn take_limits(&mut self, limits: &LimitedSends) {
+        let limits = limits.limits();
+        let changes = limits.changes();
+        if changes == self.limit_changes {
+            return;
+        }
+        self.limit_changes = changes;
+        self.planner
+            .set_limits(MonoTime::now(), |id| limits.get(id));
     }
 }
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -10,7 +10,7 @@
     sync::{Arc, Mutex, PoisonError},
 };
 
-use tc_fleet::PiecesAnswer;
+use tc_fleet::{PiecesAnswer, UpstreamLimits};
 use tc_policy::HomeOutlook;
 use tc_protocol::{
     ServiceName,
@@ -18,7 +18,7 @@
 };
 use tc_upstream::UpstreamClient;
 
-use crate::{budgets::RepeatBudgets, edges::Edges, limits::UpstreamLimits, world::WorldCell};
+use crate::{budgets::RepeatBudgets, edges::Edges, world::WorldCell};
 
 use chains::Chains;
 pub(crate) use chains::ask_other_homes;
--- a/crates/tc-gateway/src/limits.rs
+++ b/crates/tc-gateway/src/limits.rs
@@ -1,61 +1,88 @@
-//! Rate limits that upstreams announce in their answers.
+//! Sends to upstreams that announce a rate limit, by instances that send without a home's grant.
 
 use std::{
-    collections::HashMap,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
+use tc_fleet::{Mesh, UpstreamLimits};
+use tc_policy::{LoneSends, LoneShare};
 use tc_protocol::{
-    UpstreamId,
-    routing::{AnnouncedLimit, RateLimit},
+    MonoTime, UpstreamId,
+    routing::{RateLimit, RoutedService},
 };
 
-/// The rate limits announced to this instance; shared by all requests.
-#[derive(Debug, Default)]
-pub(crate) struct UpstreamLimits {
-    known: Mutex<HashMap<UpstreamId, RateLimit>>,
+/// Longest wait that callers are told.
+const LONGEST_WAIT: Duration = Duration::from_secs(4);
+
+/// Keeps this instance's share of the rate limits of upstreams.
+#[derive(Debug)]
+pub(crate) struct LimitedSends {
+    limits: Arc<UpstreamLimits>,
+    lone: Mutex<LoneSends>,
 }
 
-impl UpstreamLimits {
-    /// Records what an answer of the upstream announced.
-    pub(crate) fn observe(&self, upstream: &UpstreamId, announced: AnnouncedLimit) {
-        let mut known = self.lock();
-        let before = known.get(upstream).copied();
-        let limit = match announced {
-            AnnouncedLimit::None => None,
-            AnnouncedLimit::PerSecond(limit) => Some(limit),
-            AnnouncedLimit::Unreadable => {
-                log::warn!(upstream = upstream.as_str(); "upstream limit unreadable");
-                return;
-            }
-        };
-        if limit.is_some() {
-            metrics::counter!("tc_upstream_limit_answers_total").increment(1);
+impl LimitedSends {
+    pub(crate) fn new(limits: Arc<UpstreamLimits>) -> Self {
+        Self {
+            limits,
+            lone: Mutex::default(),
         }
-        if before == limit {
-            return;
-        }
-        match limit {
-            Some(limit) => known.insert(upstream.clone(), limit),
-            None => known.remove(upstream),
+    }
+
+    /// Returns the limits known to this instance.
+    pub(crate) const fn limits(&self) -> &Arc<UpstreamLimits> {
+        &self.limits
+    }
+
+    /// Returns true if this instance may send to the upstream of a service without asking its home.
+    ///
+    /// Where there is a home it answered that no engine is left, so a limited engine is not for this instance to take.
+    pub(crate) fn may_send(&self, service: &RoutedService, id: &UpstreamId) -> bool {
+        self.limits.get(id).is_none() || service.engine.is_none()
+    }
+
+    /// Returns true if this instance may send to the engine while its home does not answer.
+    pub(crate) fn may_send_beside_home(&self, mesh: &Mesh, id: &UpstreamId) -> bool {
+        let Some(limit) = self.limits.get(id) else {
+            return true;
         };
-        metrics::gauge!("tc_upstream_limits").set(known.len() as f64);
-        log::info!(upstream = upstream.as_str(), per_s = limit.map(RateLimit::per_s), before_per_s = before.map(RateLimit::per_s); "upstream limit changed");
+        self.has_share(mesh, id, LoneShare::beside_home(limit))
     }
 
-    /// Returns the limit last announced by the upstream.
-    pub(crate) fn get(&self, upstream: &UpstreamId) -> Option<RateLimit> {
-        self.lock().get(upstream).copied()
+    /// Records a request that this instance sends without a grant.
+    pub(crate) fn record(&self, id: &UpstreamId) {
+        self.lock().record(MonoTime::now(), id);
+    }
+
+    /// Returns the time after which one of the limited upstreams takes another request; `None` if none is limited.
+    pub(crate) fn wait_for_any<'a>(
+        &self,
+        upstreams: impl Iterator<Item = &'a UpstreamId>,
+    ) -> Option<Duration> {
+        let limits = upstreams.filter_map(|id| self.limits.get(id));
+        let per_s: Vec<f64> = limits.map(RateLimit::per_s).collect();
+        if per_s.is_empty() {
+            return None;
+        }
+        let per_s: f64 = per_s.iter().sum();
+        let seconds = 1.0 / per_s.max(1.0 / LONGEST_WAIT.as_secs_f64());
+        Some(Duration::from_secs_f64(seconds))
     }
 
     /// Drops upstreams that are no longer registered.
     pub(crate) fn retain(&self, is_registered: impl Fn(&UpstreamId) -> bool) {
-        let mut known = self.lock();
-        known.retain(|id, _| is_registered(id));
-        metrics::gauge!("tc_upstream_limits").set(known.len() as f64);
+        self.limits.retain(&is_registered);
+        self.lock().retain(is_registered);
+    }
+
+    fn has_share(&self, mesh: &Mesh, id: &UpstreamId, share: LoneShare) -> bool {
+        let (now, members) = (MonoTime::now(), mesh.members());
+        self.lock()
+            .may_send(now, &mesh.me().id, &members, id, share)
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<UpstreamId, RateLimit>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, LoneSends> {
+        self.lone.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -56,6 +56,8 @@
     Unknown,
     /// No upstream is left to try.
     NoUpstream,
+    /// Upstreams that are left announce rate limits that are used up; the time until one takes another request.
+    Limited(Duration),
     /// No time is left.
     NoTime,
 }
@@ -119,7 +121,7 @@
         let allowed = match failure {
             SendFailure::NotRun | SendFailure::InputGone => true,
             SendFailure::Unknown => req.route.repeat.may_repeat(),
-            SendFailure::NoUpstream | SendFailure::NoTime => false,
+            SendFailure::NoUpstream | SendFailure::Limited(_) | SendFailure::NoTime => false,
         };
         let is_used_up =
             self.sent >= req.route.max_attempts || self.turned_away >= MOST_TURNED_AWAY;
@@ -140,6 +142,9 @@
         }
         match failure {
             SendFailure::NoUpstream => Refusal::not_run_now("no upstream of the service is known"),
+            SendFailure::Limited(wait) => {
+                Refusal::not_run("upstreams of the service are at their rate limit", wait)
+            }
             SendFailure::NoTime => Refusal::timed_out(),
             SendFailure::InputGone => Refusal::not_run_now("results of a stage were lost"),
             SendFailure::NotRun | SendFailure::Unknown => {
@@ -255,10 +260,14 @@
             .as_ref()
             .and_then(|config| config.service(req.service.as_str()));
         let admits = |upstream: &RegisteredUpstream| {
-            service.is_none_or(|service| cx.cold.may_send(&cx.mesh, service, upstream))
+            service.is_none_or(|service| {
+                cx.cold.may_send(&cx.mesh, service, upstream)
+                    && cx.limits.may_send(service, &upstream.id)
+            })
         };
         let chosen = cx.book.choose(all, &self.tried, admits, &wish);
-        let (upstream, in_flight) = chosen.ok_or(SendFailure::NoUpstream)?;
+        let (upstream, in_flight) = chosen.ok_or_else(|| self.nobody_left(cx, all))?;
+        cx.limits.record(&upstream.id);
         if let Some(service) = service {
             cx.cold.note(service, &upstream.id);
         }
@@ -270,6 +279,15 @@
         })
     }
 
+    /// Returns why no upstream of `all` could be chosen.
+    fn nobody_left(&self, cx: &RunContext, all: &[Arc<RegisteredUpstream>]) -> SendFailure {
+        let left = all
+            .iter()
+            .filter(|upstream| upstream.takes_work() && !self.tried.contains(&upstream.id));
+        let wait = cx.limits.wait_for_any(left.map(|upstream| &upstream.id));
+        wait.map_or(SendFailure::NoUpstream, SendFailure::Limited)
+    }
+
     fn unanswered(&mut self, not_run: bool) -> SendFailure {
         if not_run {
             self.sent -= 1;
@@ -293,7 +311,7 @@
             cx.book.note_load(id, load);
         }
         if head.taken != Taken::OtherProcess {
-            cx.limits.observe(id, head.rate_limit);
+            cx.limits.limits().observe(id, head.rate_limit);
         }
         if head.taken != Taken::Yes {
             let status = answered.reply.head.status.as_u16();
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -32,7 +32,7 @@
     engines::{EngineHomes, NewsSender},
     freeze::{SuspendedTime, TimeAllowed},
     homes::{BatchHomes, Freer},
-    limits::UpstreamLimits,
+    limits::LimitedSends,
     upstreams::UpstreamBook,
     world::WorldCell,
 };
@@ -71,7 +71,7 @@
     pub(crate) freer: Freer,
     pub(crate) book: Arc<UpstreamBook>,
     pub(crate) cold: Arc<ColdSends>,
-    pub(crate) limits: Arc<UpstreamLimits>,
+    pub(crate) limits: Arc<LimitedSends>,
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) outlooks: SharedOutlooks,
     pub(crate) prompt_times: SharedPromptTimes,
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -5,7 +5,7 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use miette::Diagnostic;
-use tc_fleet::{FleetError, Mesh, MeshSettings};
+use tc_fleet::{FleetError, Mesh, MeshSettings, UpstreamLimits};
 use tc_membership::{MembershipConfig, SourceTiming, store_watchers};
 use tc_platform::{Store, StoreSettings};
 use tc_upstream::{ClientSettings, UpstreamClient};
@@ -22,7 +22,7 @@
     handlers::{free_results, mesh_handlers},
     homes::{BatchHomes, Freer, HomeContext, ask_other_homes},
     join::{Finder, Settled, keep_members_same},
-    limits::UpstreamLimits,
+    limits::LimitedSends,
     listeners::{Listeners, on_traffic},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
@@ -211,9 +211,12 @@
         keys: settings.keys.clone(),
         timing: MembershipConfig::default(),
         traffic: traffic.clone(),
+        limits: Arc::clone(&limits),
     };
     let cold = Arc::new(ColdSends::new(settings.cold));
-    let engines = Arc::new(EngineHomes::new(Arc::clone(&world), Arc::clone(&cold)));
+    let limits = Arc::new(LimitedSends::new(limits));
+    let engines = EngineHomes::new(Arc::clone(&world), Arc::clone(&cold), Arc::clone(&limits));
+    let engines = Arc::new(engines);
     let beat = SourceTiming::within(news_bound(settings)).beat;
     let handlers = mesh_handlers(beat, &homes, &engines, &world);
     let mesh = Mesh::start(mesh_settings, handlers).await?;
--- a/crates/tc-policy/src/engines/engine.rs
+++ b/crates/tc-policy/src/engines/engine.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use tc_protocol::{FailureDomain, MonoTime};
+use tc_protocol::{FailureDomain, MonoTime, routing::RateLimit};
 
 use super::kept::KeptParts;
-use crate::{ColdLimit, RecentSends};
+use crate::{ColdLimit, PacedSends, RecentSends};
 
 /// First pause after a run failed; doubles with each failure in a row.
 const FIRST_PAUSE: Duration = Duration::from_millis(300);
@@ -35,6 +35,8 @@
     pub(super) read_all_at: MonoTime,
     /// Time it takes against what is expected; 2 is half as fast.
     pub(super) speed: f64,
+    /// Set while the engine announces a rate limit.
+    limited: Option<PacedSends>,
     failures: u32,
     not_before: MonoTime,
 }
@@ -51,6 +53,7 @@
             runs: 0,
             read_all_at: MonoTime::default(),
             speed: 1.0,
+            limited: None,
             failures: 0,
             not_before: MonoTime::default(),
         }
@@ -79,6 +82,28 @@
         self.recent.count(now) < most
     }
 
+    pub(super) fn set_limit(&mut self, now: MonoTime, limit: Option<RateLimit>) {
+        self.limited = match (self.limited, limit) {
+            (_, None) => None,
+            (None, Some(limit)) => Some(PacedSends::of_home(now, limit)),
+            (Some(mut paced), Some(limit)) => {
+                paced.set_limit(now, limit);
+                Some(paced)
+            }
+        };
+    }
+
+    /// Returns true if another send keeps to the rate limit that the engine announces.
+    pub(super) fn is_within_limit(&self, now: MonoTime) -> bool {
+        self.limited.is_none_or(|paced| paced.may_send(now))
+    }
+
+    pub(super) fn record_send(&mut self, now: MonoTime) {
+        if let Some(paced) = &mut self.limited {
+            paced.record(now);
+        }
+    }
+
     /// A run had its first event; `expected` tells what was expected of it if it had not to wait for others.
     pub(super) fn answered(&mut self, took: Duration, expected: Option<Duration>) {
         self.failures = 0;
--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -5,7 +5,7 @@
 use slotmap::{Key, KeyData, SlotMap};
 use tc_protocol::{
     FailureDomain, MonoTime, UpstreamId,
-    routing::{EngineAsk, EngineChoice, EngineNews, EngineSpec, PromptPart},
+    routing::{EngineAsk, EngineChoice, EngineNews, EngineSpec, PromptPart, RateLimit},
 };
 
 use super::engine::Engine;
@@ -127,11 +127,25 @@
             .retain(|_, engine| engine.ready || engine.runs > 0);
     }
 
+    /// Takes up the rate limits that engines announce.
+    ///
+    /// A limit binds all instances together, and only the home sees what all of them send.
+    pub fn set_limits(
+        &mut self,
+        now: MonoTime,
+        limit_of: impl Fn(&UpstreamId) -> Option<RateLimit>,
+    ) {
+        for (id, engine) in &mut self.engines {
+            engine.set_limit(now, limit_of(id));
+        }
+    }
+
     /// Chooses an engine as the home of the service; `None` when there is none that may get the request.
     pub fn choose(&mut self, now: MonoTime, ask: &EngineAsk) -> Option<EngineChoice> {
         let cold = self.cold;
         self.choose_among(now, ask, |_, engine| {
-            !engine.is_cold(now) || engine.bears_more(now, cold)
+            let is_warm_enough = !engine.is_cold(now) || engine.bears_more(now, cold);
+            is_warm_enough && engine.is_within_limit(now)
         })
     }
 
@@ -176,6 +190,7 @@
         let most_tokens = self.most_kept();
         if let Some(engine) = self.engines.get_mut(&run.upstream) {
             engine.runs += 1;
+            engine.record_send(now);
             if self.cold.is_some() {
                 engine.recent.note(now);
             }
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -19,6 +19,7 @@
 mod stage_graph;
 mod suspect;
 mod throttle;
+mod upstream_limit;
 
 pub use admission::{admit, hedge_after, slack_for};
 pub use batch::{
@@ -41,3 +42,4 @@
 pub use stage_graph::StageGraph;
 pub use suspect::{SuspectPolicy, Suspects, Trial};
 pub use throttle::Throttle;
+pub use upstream_limit::{KnownLimits, LimitChange, LoneSends, LoneShare, PacedSends};
--- a/crates/tc-policy/src/limit/mod.rs
+++ b/crates/tc-policy/src/limit/mod.rs
@@ -11,6 +11,7 @@
 
 pub use bucket::ShareBucket;
 pub use home::LimitHome;
+pub(crate) use token::Tokens;
 
 /// How long a share lasts after it was received.
 pub(crate) const SHARE_LASTS: Duration = Duration::from_secs(2);
--- a/crates/tc-policy/src/limit/token.rs
+++ b/crates/tc-policy/src/limit/token.rs
@@ -14,19 +14,27 @@
 
 /// Tokens that come in at a rate; may go below zero, which later ones pay back.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Tokens {
+pub(crate) struct Tokens {
     level: f64,
     at: Option<MonoTime>,
 }
 
 impl Tokens {
+    /// No tokens yet.
+    pub(crate) const fn empty(now: MonoTime) -> Self {
+        Self {
+            level: 0.0,
+            at: Some(now),
+        }
+    }
+
     /// Most tokens that can be saved up at a rate.
-    pub(super) fn burst(per_s: f64) -> f64 {
+    pub(crate) fn burst(per_s: f64) -> f64 {
         (per_s * BURST_S).max(LEAST_BURST)
     }
 
     /// Adds what came in since the last call.
-    pub(super) fn refill(&mut self, now: MonoTime, per_s: f64) {
+    pub(crate) fn refill(&mut self, now: MonoTime, per_s: f64) {
         self.level = match self.at {
             None => per_s * BURST_S,
             Some(at) => {
@@ -38,7 +46,7 @@
     }
 
     /// How long until `needed` tokens are there; `None` when they are.
-    pub(super) fn wait_for(&self, needed: f64, per_s: f64) -> Option<Duration> {
+    pub(crate) fn wait_for(&self, needed: f64, per_s: f64) -> Option<Duration> {
         // Refills add rounding errors; without the tolerance, a wait of exactly the time told could fall short.
         let missing = needed - self.level - 1e-9;
         if missing <= 0.0 {
@@ -51,7 +59,7 @@
     }
 
     /// Takes `used` tokens, below zero if need be. A negative number gives back.
-    pub(super) fn take(&mut self, used: f64) {
+    pub(crate) fn take(&mut self, used: f64) {
         self.level -= used;
     }
 }
--- /dev/null
+++ b/crates/tc-policy/src/upstream_limit/known.rs
@@ -0,0 +1,178 @@
+//! The limits known to one instance.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use tc_protocol::{
+    MonoTime, UpstreamId,
+    routing::{LimitNews, RateLimit},
+};
+
+/// Answers overtake each other by up to this; within it, a limit wins over its absence.
+const REORDERING: Duration = Duration::from_millis(500);
+/// Time for which other instances are told that a limit is gone.
+const LIFTED_NEWS_LIFE: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Debug)]
+struct Known {
+    limit: Option<RateLimit>,
+    announced_at: MonoTime,
+    gossiped_at: MonoTime,
+}
+
+/// A limit that is another one than before.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitChange {
+    /// The limit before.
+    pub before: Option<RateLimit>,
+    /// The limit now.
+    pub after: Option<RateLimit>,
+}
+
+/// The newest announcement of each upstream that has announced a limit.
+///
+/// ```
+/// use std::time::Duration;
+/// use tc_policy::KnownLimits;
+/// use tc_protocol::{MonoTime, routing::RateLimit};
+/// let mut known = KnownLimits::default();
+/// let now = MonoTime::from_millis(1_000);
+/// let limit = RateLimit::new(2.0);
+/// let change = known.observe(&"engine-1".into(), limit, now).expect("it is new");
+/// assert_eq!((change.before, change.after), (None, limit));
+/// assert_eq!(known.get(&"engine-1".into()), limit);
+/// known.observe(&"engine-1".into(), None, now.after(Duration::from_secs(1)));
+/// assert_eq!(known.get(&"engine-1".into()), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct KnownLimits {
+    by_upstream: BTreeMap<UpstreamId, Known>,
+    changes: u64,
+}
+
+impl KnownLimits {
+    /// Records that an answer given at `at` announced `limit`, or none; returns the change that it makes.
+    pub fn observe(
+        &mut self,
+        upstream: &UpstreamId,
+        limit: Option<RateLimit>,
+        at: MonoTime,
+    ) -> Option<LimitChange> {
+        let Some(known) = self.by_upstream.get_mut(upstream) else {
+            limit?;
+            let known = Known {
+                limit,
+                announced_at: at,
+                gossiped_at: MonoTime::default(),
+            };
+            self.by_upstream.insert(upstream.clone(), known);
+            self.changes += 1;
+            return Some(LimitChange {
+                before: None,
+                after: limit,
+            });
+        };
+        let is_newer = match (known.limit, limit) {
+            (Some(_), None) => at > known.announced_at.after(REORDERING),
+            (None, Some(_)) => at.after(REORDERING) >= known.announced_at,
+            (Some(_), Some(_)) | (None, None) => at >= known.announced_at,
+        };
+        if !is_newer {
+            return None;
+        }
+        known.announced_at = known.announced_at.max(at);
+        let before = std::mem::replace(&mut known.limit, limit);
+        if before == limit {
+            return None;
+        }
+        known.gossiped_at = MonoTime::default();
+        self.changes += 1;
+        Some(LimitChange {
+            before,
+            after: limit,
+        })
+    }
+
+    /// Returns the upstream's limit.
+    #[must_use]
+    pub fn get(&self, upstream: &UpstreamId) -> Option<RateLimit> {
+        self.by_upstream.get(upstream)?.limit
+    }
+
+    /// Returns how many upstreams are limited.
+    #[must_use]
+    pub fn limited(&self) -> usize {
+        let known = self.by_upstream.values();
+        known.filter(|known| known.limit.is_some()).count()
+    }
+
+    /// Returns a number that rises with each change.
+    #[must_use]
+    pub const fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Returns at most `most` announcements of the last `max_age`, newest first.
+    #[must_use]
+    pub fn recent(&self, now: MonoTime, max_age: Duration, most: usize) -> Vec<LimitNews> {
+        self.newest(now, most, |known| now.since(known.announced_at) < max_age)
+    }
+
+    /// Returns at most `most` limits in force, the newest first.
+    #[must_use]
+    pub fn in_force(&self, now: MonoTime, most: usize) -> Vec<LimitNews> {
+        self.newest(now, most, |known| known.limit.is_some())
+    }
+
+    fn newest(
+        &self,
+        now: MonoTime,
+        most: usize,
+        is_wanted: impl Fn(&Known) -> bool,
+    ) -> Vec<LimitNews> {
+        let wanted = self
+            .by_upstream
+            .iter()
+            .filter(|(_, known)| is_wanted(known));
+        let mut wanted: Vec<(&UpstreamId, &Known)> = wanted.collect();
+        wanted.sort_by_key(|(_, known)| std::cmp::Reverse(known.announced_at));
+        wanted.truncate(most);
+        let news = wanted.into_iter();
+        news.map(|(id, known)| known.news(now, id)).collect()
+    }
+
+    /// Returns at most `most` announcements for other instances, those first that were not gossiped for longest.
+    pub fn to_gossip(&mut self, now: MonoTime, most: usize) -> Vec<LimitNews> {
+        let mut due: Vec<(&UpstreamId, &mut Known)> = self
+            .by_upstream
+            .iter_mut()
+            .filter(|(_, known)| known.is_news(now))
+            .collect();
+        due.sort_by_key(|(_, known)| known.gossiped_at);
+        due.truncate(most);
+        let news = due.into_iter();
+        news.map(|(id, known)| {
+            known.gossiped_at = now;
+            known.news(now, id)
+        })
+        .collect()
+    }
+
+    /// Drops upstreams that are no longer registered.
+    pub fn retain(&mut self, is_registered: impl Fn(&UpstreamId) -> bool) {
+        self.by_upstream.retain(|id, _| is_registered(id));
+    }
+}
+
+impl Known {
+    fn is_news(&self, now: MonoTime) -> bool {
+        self.limit.is_some() || now.since(self.announced_at) < LIFTED_NEWS_LIFE
+    }
+
+    fn news(&self, now: MonoTime, upstream: &UpstreamId) -> LimitNews {
+        LimitNews {
+            upstream: upstream.clone(),
+            limit: self.limit,
+            age: now.since(self.announced_at),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tc-policy/src/upstream_limit/pace.rs
@@ -0,0 +1,82 @@
+//! Sends paced at a limit.
+
+use std::time::Duration;
+
+use tc_protocol::{MonoTime, routing::RateLimit};
+
+use crate::limit::Tokens;
+
+/// Least rate of sends to an upstream whose limit is lower still: only an answer can say that the limit is gone.
+const LEAST_PER_S: f64 = 0.25;
+
+/// Sends of one instance to one upstream, paced at a rate.
+///
+/// Begins without tokens: the upstream may just have had what it takes from an instance that paced its sends before.
+///
+/// ```
+/// use tc_policy::PacedSends;
+/// use tc_protocol::MonoTime;
+/// let mut sends = PacedSends::new(MonoTime::from_millis(0), 1.0);
+/// assert!(!sends.may_send(MonoTime::from_millis(500)));
+/// assert!(sends.may_send(MonoTime::from_millis(1_000)));
+/// sends.record(MonoTime::from_millis(1_000));
+/// assert!(!sends.may_send(MonoTime::from_millis(1_500)));
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct PacedSends {
+    per_s: f64,
+    tokens: Tokens,
+}
+
+impl PacedSends {
+    /// Creates a pace of `per_s` sends per second.
+    #[must_use]
+    pub fn new(now: MonoTime, per_s: f64) -> Self {
+        Self {
+            per_s,
+            tokens: Tokens::empty(now),
+        }
+    }
+
+    /// Creates the pace of a home, which has the whole limit.
+    #[must_use]
+    pub fn of_home(now: MonoTime, limit: RateLimit) -> Self {
+        Self::new(now, paced_rate(limit))
+    }
+
+    /// Changes the rate; tokens that are there stay.
+    pub fn set_rate(&mut self, now: MonoTime, per_s: f64) {
+        self.tokens.refill(now, self.per_s);
+        self.per_s = per_s;
+    }
+
+    /// Changes the rate of a home's pace.
+    pub fn set_limit(&mut self, now: MonoTime, limit: RateLimit) {
+        self.set_rate(now, paced_rate(limit));
+    }
+
+    /// Returns true if a send keeps to the pace.
+    #[must_use]
+    pub fn may_send(&self, now: MonoTime) -> bool {
+        self.wait(now).is_zero()
+    }
+
+    /// Returns the time until a send keeps to the pace.
+    #[must_use]
+    pub fn wait(&self, now: MonoTime) -> Duration {
+        let mut tokens = self.tokens;
+        tokens.refill(now, self.per_s);
+        tokens.wait_for(1.0, self.per_s).unwrap_or_default()
+    }
+
+    /// Records a send.
+    pub fn record(&mut self, now: MonoTime) {
+        self.tokens.refill(now, self.per_s);
+        self.tokens.take(1.0);
+    }
+}
+
+/// Returns the sends per second that keep to the limit.
+pub(super) fn paced_rate(limit: RateLimit) -> f64 {
+    limit.per_s().max(LEAST_PER_S)
+}
--- /dev/null
+++ b/crates/tc-policy/tests/upstream_limit/fuzz.rs
@@ -0,0 +1,64 @@
+//! Random faults, limits and times.
+
+use std::time::Duration;
+
+use bolero::{TypeGenerator, generator::produce};
+
+use crate::{
+    judge::{CONTACT, allowed, most_in_window},
+    world::{Fault, Way, World},
+};
+
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Op {
+    MoveHome,
+    KillHome,
+    FreezeHome,
+    SplitViews,
+    RestartHalf,
+    Burst,
+    Wait,
+}
+
+#[derive(Clone, Debug, TypeGenerator)]
+struct Input {
+    seed: u64,
+    instances: u8,
+    limit: u8,
+    ops: [Op; 3],
+}
+
+impl Op {
+    fn fault(self) -> Option<Fault> {
+        match self {
+            Self::MoveHome => Some(Fault::MoveHome),
+            Self::KillHome => Some(Fault::KillHome),
+            Self::FreezeHome => Some(Fault::FreezeHome(Duration::from_secs(2))),
+            Self::SplitViews => Some(Fault::SplitViews(Duration::from_secs(1))),
+            Self::RestartHalf => Some(Fault::RestartHalf),
+            Self::Burst => Some(Fault::Burst(3)),
+            Self::Wait => None,
+        }
+    }
+}
+
+/// Guards against orders of faults that nobody thought of.
+#[test]
+fn limit_holds_through_any_faults() {
+    tc_fuzz::check(400, produce::<Input>(), |input| {
+        let instances = 2 + usize::from(input.instances % 7);
+        let limit = f64::from(1 + input.limit % 40) / 4.0;
+        let mut world = World::new(Way::HomePaced, instances, limit * 4.0 + 20.0, input.seed);
+        world.announce(Some(limit));
+        world.run(Duration::from_secs(4));
+        for op in input.ops {
+            if let Some(fault) = op.fault() {
+                world.strike(fault);
+            }
+            world.run(Duration::from_secs(4));
+        }
+        let first = world.first_announced.expect("it was announced");
+        let most = most_in_window(&world.arrivals, first.after(CONTACT), world.now);
+        assert!(most <= allowed(limit), "{most} of {}", allowed(limit));
+    });
+}
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -17,5 +17,5 @@
     ResultHandle,
 };
 pub use prompt::{EngineAsk, EngineChoice, EngineNews, Prompt, PromptPart, RunReport};
-pub use rate_limit::{AnnouncedLimit, RateLimit};
+pub use rate_limit::{AnnouncedLimit, LimitNews, RateLimit};
 pub use upstream::RegisteredUpstream;
--- a/crates/tc-protocol/src/routing/rate_limit.rs
+++ b/crates/tc-protocol/src/routing/rate_limit.rs
@@ -1,5 +1,9 @@
 //! Request rates that upstreams announce.
 
+use std::time::Duration;
+
+use crate::UpstreamId;
+
 /// Rates above this are no limit in practice; the cap keeps arithmetic on them finite.
 const MAX_PER_S: f64 = 1e6;
 
@@ -40,3 +44,14 @@
     /// The answer announces a limit that cannot be read; earlier announcements stand.
     Unreadable,
 }
+
+/// What one instance tells another about an upstream's rate limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitNews {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Its limit; `None` after it announced none any more.
+    pub limit: Option<RateLimit>,
+    /// Time since the answer that said so.
+    pub age: Duration,
+}
