Lift an upstream's limit with the second answer without it

Seen as engine_limit_holds_over_all_instances failing once beside other tests (36 requests after the limit was lifted, more than 55 asked): callers were served elsewhere, but the engine stayed without work for seconds after it took work again. Two causes, both shown by the model: older news of a limit that won over newer news of its absence took over the newer one's time, so the next answer without a limit fell within the time in which a limit wins; and an instance that had not heard of the limit ignored the answer that lifted it.

News now keep their own time, and the home's choice carries the limit of the engine.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -598,7 +598,7 @@
     #[prost(message, repeated, tag = "10")]
     pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EngineChoiceMessage {
     /// Empty: no engine is known here.
     #[prost(string, tag = "1")]
@@ -608,6 +608,9 @@
     pub fetch_from: ::prost::alloc::string::String,
     #[prost(uint64, tag = "3")]
     pub run: u64,
+    /// Limit of the upstream as known to the home; an asker that does not know it would not notice that it is lifted.
+    #[prost(message, optional, tag = "4")]
+    pub limit: ::core::option::Option<UpstreamLimit>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct RunNewsMessage {
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -274,7 +274,9 @@
             .choose_engine(req)
             .await
             .map_err(|status| no_answer(home, &status))?;
-        Ok(choice_from_wire(&choice.into_inner()))
+        let choice = choice.into_inner();
+        self.inner.limits.receive(&choice.limit);
+        Ok(choice_from_wire(&choice))
     }
 
     /// Tells the home that chose engines for runs what became of them.
--- a/crates/tc-fleet/src/mesh/limits.rs
+++ b/crates/tc-fleet/src/mesh/limits.rs
@@ -68,13 +68,14 @@
     }
 
     /// Takes up what another instance told.
-    pub(super) fn receive(&self, news: &[wire::UpstreamLimit]) {
-        if news.is_empty() {
+    pub(super) fn receive<'a>(&self, news: impl IntoIterator<Item = &'a wire::UpstreamLimit>) {
+        let mut news = news.into_iter().filter_map(limit_from_wire).peekable();
+        if news.peek().is_none() {
             return;
         }
         let now = MonoTime::now();
         let mut known = self.lock();
-        for news in news.iter().filter_map(limit_from_wire) {
+        for news in news {
             let at = now.before(news.age);
             if let Some(change) = known.observe(&news.upstream, news.limit, at) {
                 log_change(&known, &news.upstream, change, "instance");
@@ -101,6 +102,12 @@
         news.iter().map(limit_to_wire).collect()
     }
 
+    /// Returns the limit of an engine that an asker is to use.
+    pub(super) fn to_asker(&self, upstream: &UpstreamId) -> Option<wire::UpstreamLimit> {
+        let news = self.lock().news_of(MonoTime::now(), upstream);
+        news.as_ref().map(limit_to_wire)
+    }
+
     fn lock(&self) -> MutexGuard<'_, KnownLimits> {
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -197,7 +197,10 @@
     }
 }
 
-pub(super) fn choice_to_wire(choice: Option<EngineChoice>) -> wire::EngineChoiceMessage {
+pub(super) fn choice_to_wire(
+    choice: Option<EngineChoice>,
+    limit: Option<wire::UpstreamLimit>,
+) -> wire::EngineChoiceMessage {
     choice.map_or_else(Default::default, |choice| wire::EngineChoiceMessage {
         upstream: choice.upstream.to_string(),
         fetch_from: choice
@@ -205,6 +208,7 @@
             .map(|id| id.to_string())
             .unwrap_or_default(),
         run: choice.run,
+        limit,
     })
 }
 
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -129,7 +129,10 @@
         self.limits.receive(&message.limits);
         let ask = engine_ask_from_wire(&message);
         let choice = (self.handlers.choose_engine)(&ask);
-        Ok(Response::new(choice_to_wire(choice)))
+        let limit = choice
+            .as_ref()
+            .and_then(|choice| self.limits.to_asker(&choice.upstream));
+        Ok(Response::new(choice_to_wire(choice, limit)))
     }
 
     async fn tell_runs(
--- a/crates/tc-policy/src/upstream_limit/known.rs
+++ b/crates/tc-policy/src/upstream_limit/known.rs
@@ -79,7 +79,7 @@
         if !is_newer {
             return None;
         }
-        known.announced_at = known.announced_at.max(at);
+        known.announced_at = at;
         let before = std::mem::replace(&mut known.limit, limit);
         if before == limit {
             return None;
@@ -111,6 +111,13 @@
         self.changes
     }
 
+    /// Returns what other instances are to be told of the upstream.
+    #[must_use]
+    pub fn news_of(&self, now: MonoTime, upstream: &UpstreamId) -> Option<LimitNews> {
+        let known = self.by_upstream.get(upstream)?;
+        Some(known.news(now, upstream))
+    }
+
     /// Returns at most `most` announcements of the last `max_age`, newest first.
     #[must_use]
     pub fn recent(&self, now: MonoTime, max_age: Duration, most: usize) -> Vec<LimitNews> {
--- a/crates/tc-policy/tests/upstream_limit/scenarios.rs
+++ b/crates/tc-policy/tests/upstream_limit/scenarios.rs
@@ -73,6 +73,28 @@
     }
 }
 
+/// Guards against a lifted limit that instances tell each other again and again.
+#[test]
+fn lifted_limit_is_gone_after_two_answers() {
+    for limit in [1.0, 1.4, 5.0, 20.0] {
+        for seed in 0..20 {
+            let mut world = World::new(Way::HomePaced, 8, 60.0, seed);
+            world.announce(Some(limit));
+            world.run(seconds(6));
+            world.announce(None);
+            // Two answers, one of which may fall into the time within which a limit wins; and their way.
+            world.run(Duration::from_secs_f64(2.0 / limit) + seconds(1));
+            let lifted = world.arrivals.len();
+            world.run(seconds(2));
+            let got = (world.arrivals.len() - lifted) as f64 / 2.0;
+            assert!(
+                got >= 50.0,
+                "{got} of 60 per second, limit {limit}, seed {seed}"
+            );
+        }
+    }
+}
+
 /// Guards against grants under the old limit after it was lowered.
 #[test]
 fn lowered_limit_counts_at_once() {
--- a/crates/tc-policy/tests/upstream_limit/world.rs
+++ b/crates/tc-policy/tests/upstream_limit/world.rs
@@ -388,6 +388,9 @@
             node.take_limits(now);
             let choice = node.planner.choose(now, &ask)?;
             let run = choice.run;
+            if let Some(news) = node.known.news_of(now, &choice.upstream) {
+                self.receive(sender, &[news]);
+            }
             return Some(Leave::Granted(Grant { home, run }));
         }
         let members = self.members();
