Keep the rate limits of plain upstreams over all instances together

A plain upstream that announces 1 request a second got 135 in 4 s from four instances (11 allowed); when it was the only one, requests beyond its limit were sent all the same (test ran into its 10 s).

Few instances, named by rendezvous hashing, may send to a limited upstream, each paced at its part; the others leave it out. Their number follows from the limit, so the bound holds at any number of instances. Ruled out: asking a home for each plain request, a hop of several ms for all to guard a rare state.

--- a/crates/tc-gateway/src/limits.rs
+++ b/crates/tc-gateway/src/limits.rs
@@ -38,8 +38,11 @@
     /// Returns true if this instance may send to the upstream of a service without asking its home.
     ///
     /// Where there is a home it answered that no engine is left, so a limited engine is not for this instance to take.
-    pub(crate) fn may_send(&self, service: &RoutedService, id: &UpstreamId) -> bool {
-        self.limits.get(id).is_none() || service.engine.is_none()
+    pub(crate) fn may_send(&self, mesh: &Mesh, service: &RoutedService, id: &UpstreamId) -> bool {
+        let Some(limit) = self.limits.get(id) else {
+            return true;
+        };
+        service.engine.is_none() && self.has_share(mesh, id, LoneShare::without_home(limit))
     }
 
     /// Returns true if this instance may send to the engine while its home does not answer.
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -262,7 +262,7 @@
         let admits = |upstream: &RegisteredUpstream| {
             service.is_none_or(|service| {
                 cx.cold.may_send(&cx.mesh, service, upstream)
-                    && cx.limits.may_send(service, &upstream.id)
+                    && cx.limits.may_send(&cx.mesh, service, &upstream.id)
             })
         };
         let chosen = cx.book.choose(all, &self.tried, admits, &wish);
