Keep the rate limits of batch upstreams at the home of their service

The cause of the incident in a third place: the home of a stage gives each free upstream the next call, whatever the upstream announces. A maker that announces 1 call a second got 87 in 4 s (11 allowed).

The home paces calls by the same bucket as grants of engines. It counts on a limited upstream for no more than the limit when it estimates waits and refuses work, wakes when the limit allows the next call, and leaves a slow upstream idle only for a faster one that may be called.

--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -26,6 +26,8 @@
 struct Inner {
     planner: BatchPlanner,
     waiting: SecondaryMap<JobKey, oneshot::Sender<PiecesReply>>,
+    /// Count of changes of the limits that the planner has.
+    limit_changes: u64,
 }
 
 /// See the module.
@@ -46,6 +48,7 @@
             inner: Mutex::new(Inner {
                 planner: BatchPlanner::new(spec, repeats),
                 waiting: SecondaryMap::new(),
+                limit_changes: 0,
             }),
             wake: Notify::new(),
         });
@@ -106,6 +109,7 @@
     /// Starts every call that the planner wants now.
     fn drive(self: &Arc<Self>) {
         let now = MonoTime::now();
+        self.take_limits(now);
         loop {
             let call = self.lock().planner.next_call(now);
             let Some(call) = call else { return };
@@ -210,6 +214,19 @@
             inner.planner.set_spec(spec);
         }
         inner.planner.set_upstreams(&upstreams);
+        // Upstreams that are new here may be limited already.
+        inner.limit_changes = 0;
+    }
+
+    /// Takes up the limits that upstreams announce, if they may have changed.
+    fn take_limits(&self, now: MonoTime) {
+        let limits = &self.cx.limits;
+        let changes = limits.changes();
+        let mut inner = self.lock();
+        if changes != inner.limit_changes {
+            inner.limit_changes = changes;
+            inner.planner.set_limits(now, |id| limits.get(id));
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
--- a/crates/tc-policy/src/batch/choose.rs
+++ b/crates/tc-policy/src/batch/choose.rs
@@ -93,6 +93,13 @@
             .values()
             .filter(|maker| maker.ready && maker.not_before > now)
             .map(|maker| maker.not_before);
+        let limited = self
+            .makers
+            .values()
+            .filter(|maker| maker.ready && !self.jobs.is_empty())
+            .map(|maker| maker.wait_for_limit(now))
+            .filter(|wait| !wait.is_zero())
+            .map(|wait| now.after(wait));
         let deadlines = self.jobs.values().map(|job| job.new.deadline);
         let stays = self
             .jobs
@@ -102,6 +109,7 @@
         let room = (!self.jobs.is_empty()).then_some(now.after(EXPIRE_EVERY));
         let read = self.next_read();
         paused
+            .chain(limited)
             .chain(deadlines)
             .chain(stays)
             .chain(room)
@@ -130,6 +138,9 @@
         self.note_reading(now, &jobs);
         if let Some(maker) = self.makers.get_mut(id) {
             maker.calls += 1;
+            if let Some(paced) = &mut maker.limited {
+                paced.record(now);
+            }
             maker.reserved += kinds.iter().sum::<u64>();
             maker.busy_until = now.after(expected);
         }
@@ -167,20 +178,24 @@
                 } else {
                     other.busy_until.since(now)
                 };
+                let start = start.max(other.wait_for_limit(now));
                 start + self.spec.call_time.mul_f64(other.speed)
             })
             .min()
         else {
             return false;
         };
-        let speed: f64 = faster.iter().map(|other| 1.0 / other.speed).sum();
+        let speed: f64 = faster
+            .iter()
+            .map(|other| other.throughput(self.typical_call_s))
+            .sum();
         let all = self.expected_wait().as_secs_f64() * self.total_speed() / speed;
         own > soonest + Duration::from_secs_f64(all)
     }
 
     pub(super) fn total_speed(&self) -> f64 {
         let ready = self.makers.values().filter(|m| m.ready && m.failures == 0);
-        ready.map(|m| 1.0 / m.speed).sum()
+        ready.map(|m| m.throughput(self.typical_call_s)).sum()
     }
 
     /// Pieces for a call on this upstream, best first; those of one job together.
--- a/crates/tc-policy/src/batch/maker.rs
+++ b/crates/tc-policy/src/batch/maker.rs
@@ -4,6 +4,8 @@
 
 use tc_protocol::{FailureDomain, MonoTime, UpstreamId};
 
+use crate::PacedSends;
+
 /// Pause after an upstream refused a call because it was full: about half a call, as calls of another home, or of this
 /// one's life before a restart, must end first. Each refused call spends as many repeats as it has pieces, so a shorter
 /// pause uses up the budget before the upstream is free.
@@ -41,6 +43,8 @@
     pub(super) not_before: MonoTime,
     /// When the call in progress is expected to end.
     pub(super) busy_until: MonoTime,
+    /// Set while the upstream announces a rate limit.
+    pub(super) limited: Option<PacedSends>,
 }
 
 impl Maker {
@@ -54,11 +58,27 @@
             failures: 0,
             not_before: MonoTime::default(),
             busy_until: MonoTime::default(),
+            limited: None,
         }
     }
 
     pub(super) fn is_free(&self, now: MonoTime, slots: u32) -> bool {
-        self.ready && self.calls < slots && now >= self.not_before
+        self.ready
+            && self.calls < slots
+            && now >= self.not_before
+            && self.wait_for_limit(now).is_zero()
+    }
+
+    /// Returns the time until a call keeps to the announced rate limit.
+    pub(super) fn wait_for_limit(&self, now: MonoTime) -> Duration {
+        self.limited.map_or(Duration::ZERO, |paced| paced.wait(now))
+    }
+
+    /// Returns the seconds of an ordinary upstream's time that this one gives in a second.
+    pub(super) fn throughput(&self, typical_call_s: f64) -> f64 {
+        let own = 1.0 / self.speed;
+        self.limited
+            .map_or(own, |paced| own.min(paced.per_s() * typical_call_s))
     }
 
     pub(super) fn answered(&mut self, took: Duration, expected: Duration) {
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -5,7 +5,7 @@
 use slotmap::SlotMap;
 use tc_protocol::{
     FailureDomain, MonoTime, UpstreamId,
-    routing::{BatchSpec, PieceOrder, PiecesRefusal, ResultHandle},
+    routing::{BatchSpec, PieceOrder, PiecesRefusal, RateLimit, ResultHandle},
 };
 
 use super::{
@@ -18,7 +18,7 @@
     results::Results,
     waits::NEXT_CALL,
 };
-use crate::RepeatBudget;
+use crate::{PacedSends, RepeatBudget};
 
 slotmap::new_key_type! {
     /// A call to an upstream that has not ended.
@@ -121,6 +121,17 @@
             .retain(|_, maker| maker.ready || maker.calls > 0);
     }
 
+    /// Takes up the rate limits that upstreams announce.
+    pub fn set_limits(
+        &mut self,
+        now: MonoTime,
+        limit_of: impl Fn(&UpstreamId) -> Option<RateLimit>,
+    ) {
+        for (id, maker) in &mut self.makers {
+            PacedSends::take_up(&mut maker.limited, now, limit_of(id));
+        }
+    }
+
     /// Whether any upstream may get work.
     #[must_use]
     pub fn has_upstreams(&self) -> bool {
--- a/crates/tc-policy/src/engines/engine.rs
+++ b/crates/tc-policy/src/engines/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tc_protocol::{FailureDomain, MonoTime, routing::RateLimit};
+use tc_protocol::{FailureDomain, MonoTime};
 
 use super::kept::KeptParts;
 use crate::{ColdLimit, PacedSends, RecentSends};
@@ -36,7 +36,7 @@
     /// Time it takes against what is expected; 2 is half as fast.
     pub(super) speed: f64,
     /// Set while the engine announces a rate limit.
-    limited: Option<PacedSends>,
+    pub(super) limited: Option<PacedSends>,
     failures: u32,
     not_before: MonoTime,
 }
@@ -82,17 +82,6 @@
         self.recent.count(now) < most
     }
 
-    pub(super) fn set_limit(&mut self, now: MonoTime, limit: Option<RateLimit>) {
-        self.limited = match (self.limited, limit) {
-            (_, None) => None,
-            (None, Some(limit)) => Some(PacedSends::of_home(now, limit)),
-            (Some(mut paced), Some(limit)) => {
-                paced.set_limit(now, limit);
-                Some(paced)
-            }
-        };
-    }
-
     /// Returns true if another send keeps to the rate limit that the engine announces.
     pub(super) fn is_within_limit(&self, now: MonoTime) -> bool {
         self.limited.is_none_or(|paced| paced.may_send(now))
--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -9,7 +9,7 @@
 };
 
 use super::engine::Engine;
-use crate::{ColdLimit, PromptTimes, rendezvous::hashed_score};
+use crate::{ColdLimit, PacedSends, PromptTimes, rendezvous::hashed_score};
 
 slotmap::new_key_type! {
     /// A run at an engine that has not ended.
@@ -136,7 +136,7 @@
         limit_of: impl Fn(&UpstreamId) -> Option<RateLimit>,
     ) {
         for (id, engine) in &mut self.engines {
-            engine.set_limit(now, limit_of(id));
+            PacedSends::take_up(&mut engine.limited, now, limit_of(id));
         }
     }
 
--- a/crates/tc-policy/src/upstream_limit/pace.rs
+++ b/crates/tc-policy/src/upstream_limit/pace.rs
@@ -38,10 +38,19 @@
         }
     }
 
-    /// Creates the pace of a home, which has the whole limit.
+    /// Takes up a home's limit for an upstream: a new one begins without tokens, a changed one keeps them.
+    pub(crate) fn take_up(paced: &mut Option<Self>, now: MonoTime, limit: Option<RateLimit>) {
+        match (paced.as_mut(), limit) {
+            (_, None) => *paced = None,
+            (None, Some(limit)) => *paced = Some(Self::new(now, paced_rate(limit))),
+            (Some(paced), Some(limit)) => paced.set_rate(now, paced_rate(limit)),
+        }
+    }
+
+    /// Returns the rate in sends per second.
     #[must_use]
-    pub fn of_home(now: MonoTime, limit: RateLimit) -> Self {
-        Self::new(now, paced_rate(limit))
+    pub const fn per_s(&self) -> f64 {
+        self.per_s
     }
 
     /// Changes the rate; tokens that are there stay.
@@ -50,11 +59,6 @@
         self.per_s = per_s;
     }
 
-    /// Changes the rate of a home's pace.
-    pub fn set_limit(&mut self, now: MonoTime, limit: RateLimit) {
-        self.set_rate(now, paced_rate(limit));
-    }
-
     /// Returns true if a send keeps to the pace.
     #[must_use]
     pub fn may_send(&self, now: MonoTime) -> bool {
--- /dev/null
+++ b/crates/tc-policy/tests/batch/limits.rs
@@ -0,0 +1,81 @@
+//! Rate limits that upstreams of batch services announce.
+
+use std::time::Duration;
+
+use tc_policy::BatchPlanner;
+use tc_protocol::{MonoTime, UpstreamId, routing::RateLimit};
+
+use crate::common::{at, job, made, planner, push};
+
+const STEP_MS: u64 = 20;
+
+/// Plays jobs that never end; returns when which upstream was called.
+fn play(planner: &mut BatchPlanner, ms: u64) -> Vec<(MonoTime, UpstreamId)> {
+    let mut called = Vec::new();
+    let mut running = Vec::new();
+    for step in 0..ms / STEP_MS {
+        let now = at(step * STEP_MS);
+        running.retain(|(ends, call): &(MonoTime, tc_policy::BatchCall)| {
+            if *ends <= now {
+                planner.end_call(now, call.key, made(call));
+            }
+            *ends > now
+        });
+        planner.expire(now);
+        if planner.backlog().1 < 40 {
+            let mut new = job(&format!("r{step}"), 6);
+            new.in_time_until = now.after(Duration::from_secs(3));
+            new.deadline = now.after(Duration::from_secs(4));
+            // Refused when there is too much to do.
+            let _ = planner.push(now, new);
+        }
+        while let Some(call) = planner.next_call(now) {
+            called.push((now, call.upstream.clone()));
+            running.push((now.after(Duration::from_millis(300)), call));
+        }
+    }
+    called
+}
+
+fn limit_first(planner: &mut BatchPlanner, per_s: f64) {
+    let limit = RateLimit::new(per_s);
+    planner.set_limits(at(0), |id| limit.filter(|_| id.as_str() == "u0"));
+}
+
+/// Guards against a home that looks at free upstreams alone.
+#[test]
+fn limited_maker_gets_calls_at_its_rate() {
+    let mut planner = planner(&["a", "a"]);
+    limit_first(&mut planner, 1.0);
+    let called = play(&mut planner, 20_000);
+    let of = |name: &str| called.iter().filter(|(_, id)| id.as_str() == name).count();
+    assert!((18..=21).contains(&of("u0")), "{} calls in 20 s", of("u0"));
+    assert!(of("u1") > 50, "the other maker works on: {}", of("u1"));
+}
+
+/// Guards against jobs that wait in vain for a maker that takes a call in two seconds.
+#[test]
+fn jobs_beyond_the_limit_are_refused_at_once() {
+    let takes_two = |per_s: Option<f64>| {
+        let mut planner = planner(&["a"]);
+        if let Some(per_s) = per_s {
+            limit_first(&mut planner, per_s);
+        }
+        push(&mut planner, at(0), job("r1", 14));
+        planner.push(at(0), job("r2", 14)).is_ok()
+    };
+    assert!(takes_two(None));
+    assert!(!takes_two(Some(0.5)));
+}
+
+/// Guards against a home that sleeps on when the limit allows the next call.
+#[test]
+fn planner_wakes_when_the_limit_allows_a_call() {
+    let mut planner = planner(&["a"]);
+    limit_first(&mut planner, 2.0);
+    push(&mut planner, at(0), job("r", 1));
+    assert!(planner.next_call(at(0)).is_none());
+    let wake = planner.next_wake(at(0)).expect("something waits");
+    assert!(wake <= at(500));
+    assert!(planner.next_call(at(500)).is_some());
+}
--- a/crates/tc-policy/tests/batch/main.rs
+++ b/crates/tc-policy/tests/batch/main.rs
@@ -5,4 +5,5 @@
 mod fuzz;
 mod handing;
 mod inputs;
+mod limits;
 mod order;
