--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -1,22 +1,17 @@
 //! One send of a request to an upstream.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use http::{Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
-use tc_policy::PickWish;
-use tc_protocol::{
-    RunState, UpstreamId,
-    routing::{EngineAsk, Prompt, RegisteredUpstream},
-};
+use tc_protocol::{RunState, UpstreamId, routing::RegisteredUpstream};
 use tc_upstream::{CallError, CallErrorKind, RawCall, RawReply};
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Refusal, RoutedRequest, RunContext, stages::StageResults};
+use super::{Refusal, RoutedRequest, RunContext, stages::StageResults, target::Target};
 use crate::{
     call::{AnswerHead, Taken, UpstreamHead},
-    engines::{EngineRun, ask_for_engine},
+    engines::EngineRun,
     upstreams::{CallHealth, InFlight},
 };
 
@@ -92,14 +87,6 @@
     pub(super) run: Option<EngineRun>,
 }
 
-/// Whom a request is sent to.
-struct Target {
-    upstream: Arc<RegisteredUpstream>,
-    in_flight: InFlight,
-    fetch_from: Option<SocketAddr>,
-    run: Option<EngineRun>,
-}
-
 /// What is sent besides the request.
 #[derive(Clone, Copy, Default)]
 pub(super) struct SendWith<'a> {
@@ -207,87 +194,6 @@
         self.check(cx, req, answered)
     }
 
-    async fn choose(
-        &self,
-        cx: &RunContext,
-        req: &RoutedRequest,
-        results: Option<&StageResults>,
-    ) -> Result<Target, SendFailure> {
-        if let Some(ask) = self.engine_ask(req, results)
-            && let Some(chosen) = ask_for_engine(cx, &req.head.request, &ask).await
-        {
-            let in_flight = cx.book.count(&chosen.upstream.id);
-            return Ok(Target {
-                upstream: chosen.upstream,
-                in_flight,
-                fetch_from: chosen.fetch_from,
-                run: Some(chosen.run),
-            });
-        }
-        self.choose_here(cx, req, results)
-    }
-
-    /// The question for the home of a model service; `None` for requests without a prompt.
-    fn engine_ask(&self, req: &RoutedRequest, results: Option<&StageResults>) -> Option<EngineAsk> {
-        Some(EngineAsk {
-            service: req.service.clone(),
-            prompt: req.head.prompt.clone()?,
-            inputs: results
-                .map(|results| results.lie_in.clone())
-                .unwrap_or_default(),
-            except: self.tried.clone(),
-            remaining: req.time_left(),
-        })
-    }
-
-    /// Chooses by what this instance has seen itself.
-    fn choose_here(
-        &self,
-        cx: &RunContext,
-        req: &RoutedRequest,
-        results: Option<&StageResults>,
-    ) -> Result<Target, SendFailure> {
-        let world = cx.world.load();
-        let all = world.upstreams.of_service(req.service.as_str());
-        let kept = req.head.prompt.as_ref().and_then(Prompt::shared_key);
-        let wish = PickWish {
-            kept,
-            domain: results.and_then(StageResults::largest_domain),
-            chance: xxh3_64(req.head.request.as_bytes()),
-        };
-        let service = world
-            .config
-            .as_ref()
-            .and_then(|config| config.service(req.service.as_str()));
-        let admits = |upstream: &RegisteredUpstream| {
-            service.is_none_or(|service| {
-                cx.cold.may_send(&cx.mesh, service, upstream)
-                    && cx.limits.may_send(&cx.mesh, service, &upstream.id)
-            })
-        };
-        let chosen = cx.book.choose(all, &self.tried, admits, &wish);
-        let (upstream, in_flight) = chosen.ok_or_else(|| self.nobody_left(cx, all))?;
-        cx.limits.record(&upstream.id);
-        if let Some(service) = service {
-            cx.cold.note(service, &upstream.id);
-        }
-        Ok(Target {
-            upstream,
-            in_flight,
-            fetch_from: None,
-            run: None,
-        })
-    }
-
-    /// Returns why no upstream of `all` could be chosen.
-    fn nobody_left(&self, cx: &RunContext, all: &[Arc<RegisteredUpstream>]) -> SendFailure {
-        let left = all
-            .iter()
-            .filter(|upstream| upstream.takes_work() && !self.tried.contains(&upstream.id));
-        let wait = cx.limits.wait_for_any(left.map(|upstream| &upstream.id));
-        wait.map_or(SendFailure::NoUpstream, SendFailure::Limited)
-    }
-
     fn unanswered(&mut self, not_run: bool) -> SendFailure {
         if not_run {
             self.sent -= 1;
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -8,6 +8,7 @@
 mod refusal;
 mod stages;
 mod stream;
+mod target;
 
 use std::{sync::Arc, time::Duration};
 
--- /dev/null
+++ b/crates/tc-gateway/src/run/target.rs
@@ -0,0 +1,111 @@
+//! Choice of the upstream that a request is sent to.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use tc_policy::PickWish;
+use tc_protocol::routing::{EngineAsk, Prompt, RegisteredUpstream};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    RoutedRequest, RunContext,
+    attempt::{Attempts, SendFailure},
+    stages::StageResults,
+};
+use crate::{
+    engines::{EngineRun, ask_for_engine},
+    upstreams::InFlight,
+};
+
+/// The upstream for one send.
+pub(super) struct Target {
+    pub(super) upstream: Arc<RegisteredUpstream>,
+    pub(super) in_flight: InFlight,
+    /// Another engine from which it fetches kept parts of the prompt.
+    pub(super) fetch_from: Option<SocketAddr>,
+    /// The run at an engine that a home chose.
+    pub(super) run: Option<EngineRun>,
+}
+
+impl Attempts {
+    /// Chooses the upstream for the next send: by the service's home if it has one, else by what this instance knows.
+    pub(super) async fn choose(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        results: Option<&StageResults>,
+    ) -> Result<Target, SendFailure> {
+        if let Some(ask) = self.engine_ask(req, results)
+            && let Some(chosen) = ask_for_engine(cx, &req.head.request, &ask).await
+        {
+            let in_flight = cx.book.count(&chosen.upstream.id);
+            return Ok(Target {
+                upstream: chosen.upstream,
+                in_flight,
+                fetch_from: chosen.fetch_from,
+                run: Some(chosen.run),
+            });
+        }
+        self.choose_here(cx, req, results)
+    }
+
+    /// Builds the ask for the home of a model service; `None` for requests without a prompt.
+    fn engine_ask(&self, req: &RoutedRequest, results: Option<&StageResults>) -> Option<EngineAsk> {
+        Some(EngineAsk {
+            service: req.service.clone(),
+            prompt: req.head.prompt.clone()?,
+            inputs: results
+                .map(|results| results.lie_in.clone())
+                .unwrap_or_default(),
+            except: self.tried.clone(),
+            remaining: req.time_left(),
+        })
+    }
+
+    /// Chooses by what this instance knows itself.
+    fn choose_here(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        results: Option<&StageResults>,
+    ) -> Result<Target, SendFailure> {
+        let world = cx.world.load();
+        let all = world.upstreams.of_service(req.service.as_str());
+        let kept = req.head.prompt.as_ref().and_then(Prompt::shared_key);
+        let wish = PickWish {
+            kept,
+            domain: results.and_then(StageResults::largest_domain),
+            chance: xxh3_64(req.head.request.as_bytes()),
+        };
+        let service = world
+            .config
+            .as_ref()
+            .and_then(|config| config.service(req.service.as_str()));
+        let admits = |upstream: &RegisteredUpstream| {
+            service.is_none_or(|service| {
+                cx.cold.may_send(&cx.mesh, service, upstream)
+                    && cx.limits.may_send(&cx.mesh, service, &upstream.id)
+            })
+        };
+        let chosen = cx.book.choose(all, &self.tried, admits, &wish);
+        let (upstream, in_flight) = chosen.ok_or_else(|| self.nobody_left(cx, all))?;
+        cx.limits.record(&upstream.id);
+        if let Some(service) = service {
+            cx.cold.note(service, &upstream.id);
+        }
+        Ok(Target {
+            upstream,
+            in_flight,
+            fetch_from: None,
+            run: None,
+        })
+    }
+
+    /// Returns why no upstream of `all` could be chosen.
+    fn nobody_left(&self, cx: &RunContext, all: &[Arc<RegisteredUpstream>]) -> SendFailure {
+        let left = all
+            .iter()
+            .filter(|upstream| upstream.takes_work() && !self.tried.contains(&upstream.id));
+        let wait = cx.limits.wait_for_any(left.map(|upstream| &upstream.id));
+        wait.map_or(SendFailure::NoUpstream, SendFailure::Limited)
+    }
+}
