Take a limit as lifted by successful answers only, and the newest news as right

What can lift a limit wrongly is another thing: an upstream in need that turns a request away, or fails, without naming its limit in that answer. Only a success without a limit lifts it now.

--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use http::StatusCode;
 use tc_protocol::{
     UpstreamId, WorkspaceName,
     routing::{AnnouncedLimit, Prompt, ResultHandle},
@@ -90,6 +91,28 @@
     pub rate_limit: AnnouncedLimit,
 }
 
+impl AnswerHead {
+    /// Returns what the answer says of the upstream's rate limit; `None` if it says nothing.
+    ///
+    /// Only a success shows that a limit is gone: an upstream in need may turn requests away without naming it again.
+    ///
+    /// ```
+    /// use http::StatusCode;
+    /// use tc_gateway::AnswerHead;
+    /// use tc_protocol::routing::AnnouncedLimit;
+    /// let head = AnswerHead::default();
+    /// assert_eq!(head.limit_news(StatusCode::OK), Some(AnnouncedLimit::None));
+    /// assert_eq!(head.limit_news(StatusCode::SERVICE_UNAVAILABLE), None);
+    /// ```
+    #[must_use]
+    pub fn limit_news(&self, status: StatusCode) -> Option<AnnouncedLimit> {
+        let is_success = self.taken == Taken::Yes && status.is_success();
+        let is_of_upstream = self.taken != Taken::OtherProcess;
+        let says_it = is_success || self.rate_limit != AnnouncedLimit::None;
+        (is_of_upstream && says_it).then_some(self.rate_limit)
+    }
+}
+
 /// An upstream's load as it tells it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamLoad {
--- a/crates/tc-gateway/src/homes/calls.rs
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -40,8 +40,8 @@
         }
     };
     let head = (cx.edges.read_answer)(&reply.head);
-    if head.taken != Taken::OtherProcess {
-        cx.limits.observe(&call.upstream, head.rate_limit);
+    if let Some(announced) = head.limit_news(reply.head.status) {
+        cx.limits.observe(&call.upstream, announced);
     }
     if head.taken != Taken::Yes {
         log::debug!(service = service.as_str(), upstream = call.upstream.as_str(), status = reply.head.status.as_u16(); "a batch call was not taken");
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -216,8 +216,8 @@
         if let Some(load) = head.load {
             cx.book.note_load(id, load);
         }
-        if head.taken != Taken::OtherProcess {
-            cx.limits.limits().observe(id, head.rate_limit);
+        if let Some(announced) = head.limit_news(answered.reply.head.status) {
+            cx.limits.limits().observe(id, announced);
         }
         if head.taken != Taken::Yes {
             let status = answered.reply.head.status.as_u16();
--- a/crates/tc-policy/src/upstream_limit/known.rs
+++ b/crates/tc-policy/src/upstream_limit/known.rs
@@ -7,8 +7,6 @@
     routing::{LimitNews, RateLimit},
 };
 
-/// Answers overtake each other by up to this; within it, a limit wins over its absence.
-const REORDERING: Duration = Duration::from_millis(500);
 /// Time for which other instances are told that a limit is gone.
 const LIFTED_NEWS_LIFE: Duration = Duration::from_secs(30);
 
@@ -71,12 +69,7 @@
                 after: limit,
             });
         };
-        let is_newer = match (known.limit, limit) {
-            (Some(_), None) => at > known.announced_at.after(REORDERING),
-            (None, Some(_)) => at.after(REORDERING) >= known.announced_at,
-            (Some(_), Some(_)) | (None, None) => at >= known.announced_at,
-        };
-        if !is_newer {
+        if at < known.announced_at {
             return None;
         }
         known.announced_at = at;
--- a/crates/tc-policy/tests/upstream_limit/scenarios.rs
+++ b/crates/tc-policy/tests/upstream_limit/scenarios.rs
@@ -82,7 +82,7 @@
             world.announce(Some(limit));
             world.run(seconds(6));
             world.announce(None);
-            // Two answers, one of which may fall into the time within which a limit wins; and their way.
+            // Two answers, as one may be overtaken, and their way.
             world.run(Duration::from_secs_f64(2.0 / limit) + seconds(1));
             let lifted = world.arrivals.len();
             world.run(seconds(2));
