Let upstreams of the soak announce rate limits, and engines of the soak have a home

The soak had no engines in the sense of the configuration: its streams carried no prompt and its engine service was a plain one, so no seed ever asked a home for an engine. Streams now have prompts of 16 families, in all soaks.

--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -25,7 +25,7 @@
 
 pub(super) const COMMAND: Command = Command {
     name: "soak",
-    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations]",
+    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits]",
     about: "Faults by chance on gateway processes, with their promises checked; a seed gives the plan.",
     run,
 };
@@ -37,6 +37,7 @@
     let seconds: u64 = option(&mut args, "--seconds")?.unwrap_or(USUAL_SECONDS);
     let instances: usize = option(&mut args, "--instances")?.unwrap_or(USUAL_INSTANCES);
     let evacuations = args.contains("--evacuations");
+    let limits = args.contains("--limits");
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
         let problem = "--seeds and --instances must be above 0, --seconds 3 or more";
@@ -48,6 +49,7 @@
         callers: CALLERS * instances,
         length: Duration::from_secs(seconds),
         evacuations,
+        limits,
     };
     let limit = minutes.map(|minutes| Instant::now() + Duration::from_secs(minutes * 60));
     let binary = SystemBinary::find()?;
--- a/crates/tc-bench/src/soak/callers.rs
+++ b/crates/tc-bench/src/soak/callers.rs
@@ -29,6 +29,8 @@
 const PAUSE_MS: u64 = 40;
 /// Most headers of an answer.
 const MOST_HEADERS: usize = 64;
+/// Families of prompts that share a part.
+const PROMPT_FAMILIES: u64 = 16;
 /// Pieces of a staged request.
 const PIECES: u32 = 3;
 
@@ -166,6 +168,7 @@
         key: KEY,
         deadline: DEADLINE,
         pieces: kind.staged.then_some(PIECES),
+        prompt_family: kind.repeat.is_stream().then(|| family_of(id)),
     });
     let sent = Instant::now();
     let mut told = Told {
@@ -189,6 +192,12 @@
     Some((told, keep.then_some(stream)))
 }
 
+/// Returns one of a few families of prompts.
+fn family_of(id: &str) -> u64 {
+    let sum: u64 = id.bytes().map(u64::from).sum();
+    sum % PROMPT_FAMILIES
+}
+
 /// Reads an answer to its end; whether the connection can be used again.
 async fn read_answer(stream: &mut TcpStream, told: &mut Told, until: Instant) -> bool {
     let mut bytes = Vec::new();
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -5,7 +5,8 @@
 use nix::sys::signal::Signal;
 use serde_json::json;
 use tc_platform_adapter::outside::{
-    CONFIG_KIND, CONFIG_NAME, EVACUATIONS_KIND, OutsideRoute, UPSTREAMS_KIND, config,
+    CONFIG_KIND, CONFIG_NAME, EVACUATIONS_KIND, OutsideRoute, SpecialServices, UPSTREAMS_KIND,
+    config,
 };
 use tc_protocol::routing::RepeatRule;
 use tc_stand_ins::StoreMode;
@@ -15,6 +16,7 @@
     callers::{KEY, KINDS, call},
     drive::Soak,
     judge::{CleanStop, Evacuated, Harm, Harmed, Left},
+    limits::Limited,
     plan::{Fault, UpstreamMode},
     process::GRACE,
     upstreams::{ENGINES, STAGE, SoakUpstream, WEB, domain},
@@ -34,6 +36,7 @@
     StoreWell,
     UpstreamWell(usize),
     TakeBack(usize),
+    LiftLimit(usize),
 }
 
 impl Soak {
@@ -59,7 +62,11 @@
             repeat: RepeatRule::Idempotent,
             stage: None,
         });
-        let value = config(self.version, &routes, &[STAGE], KEY);
+        let services = SpecialServices {
+            batch: &[STAGE],
+            engines: &[ENGINES],
+        };
+        let value = config(self.version, &routes, services, KEY);
         self.store.put(CONFIG_KIND, CONFIG_NAME, value);
         self.config_due = Some((Instant::now() + IN_FORCE_AFTER, self.version));
     }
@@ -120,6 +127,10 @@
                 self.evacuate(number, now);
                 Some(End::TakeBack(number))
             }
+            Fault::Limit(upstream, tenths) => {
+                self.limit(upstream, f64::from(tenths) / 10.0);
+                Some(End::LiftLimit(upstream))
+            }
             Fault::Config => {
                 self.write_config();
                 if now < self.store_fault_until {
@@ -151,6 +162,30 @@
         });
     }
 
+    fn limit(&mut self, upstream: usize, per_s: f64) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            self.seen.set_limit(&name, Some(per_s));
+            self.limited.push(Limited {
+                upstream: name,
+                per_s,
+                from: Instant::now(),
+                until: None,
+            });
+        }
+    }
+
+    fn lift_limit(&mut self, upstream: usize) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            self.seen.set_limit(&name, None);
+            let lifted = self.limited.iter_mut().filter(|l| l.upstream == name);
+            for limited in lifted {
+                limited.until.get_or_insert_with(Instant::now);
+            }
+        }
+    }
+
     pub(super) fn end(&mut self, end: End) {
         match end {
             End::Restart(instance) => self.to_start[instance] = true,
@@ -164,6 +199,7 @@
                 }
                 self.store.remove(EVACUATIONS_KIND, &domain);
             }
+            End::LiftLimit(upstream) => self.lift_limit(upstream),
             End::StoreWell => self.store.set_mode(StoreMode::Well),
             End::UpstreamWell(upstream) => {
                 for service in [WEB, ENGINES] {
@@ -271,7 +307,8 @@
         | Fault::Upstream(..)
         | Fault::Leave(_)
         | Fault::Config
-        | Fault::Evacuate(_) => None,
+        | Fault::Evacuate(_)
+        | Fault::Limit(..) => None,
     }
 }
 
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -7,6 +7,7 @@
 
 use super::{
     callers::{DEADLINE, Told},
+    limits::{Limited, limit_promises},
     process::EVACUATE_TIME,
     upstreams::{EVENTS, Run, domain_of, event_data, plain_body},
 };
@@ -70,6 +71,7 @@
     pub(super) left: Vec<Left>,
     pub(super) evacuated: Vec<Evacuated>,
     pub(super) harms: Vec<Harm>,
+    pub(super) limited: Vec<Limited>,
     pub(super) stops: Vec<CleanStop>,
     /// What the upstreams themselves found wrong.
     pub(super) wrong: Vec<String>,
@@ -90,6 +92,7 @@
     }
     broken.extend(leaving_promises(evidence));
     broken.extend(evacuation_promises(evidence));
+    broken.extend(limit_promises(evidence));
     broken
 }
 
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -8,6 +8,7 @@
 mod drive;
 mod faults;
 mod judge;
+mod limits;
 mod plan;
 mod process;
 mod upstreams;
@@ -34,6 +35,8 @@
     pub length: Duration,
     /// Whether failure domains are evacuated besides the other faults, which stay the same.
     pub evacuations: bool,
+    /// Whether upstreams announce rate limits besides the other faults, which stay the same.
+    pub limits: bool,
 }
 
 /// Runs one seed. The logs of its processes stay in the outcome's folder when a promise was broken.
@@ -47,6 +50,9 @@
     if shape.evacuations {
         plan.add_evacuations();
     }
+    if shape.limits {
+        plan.add_limits();
+    }
     let outcome = drive::play(binary, &folder, plan, shape.callers).await?;
     if outcome.broken.is_empty() {
         // What is left behind only takes room.
--- a/crates/tc-bench/src/soak/plan.rs
+++ b/crates/tc-bench/src/soak/plan.rs
@@ -55,8 +55,18 @@
     Config,
     /// A failure domain's upstreams are to get nothing new.
     Evacuate(usize),
+    /// An upstream of each service announces a rate limit, in tenths of a request per second.
+    Limit(usize, u32),
 }
 
+/// Keeps limits apart from the seed itself, as evacuations are.
+const LIMITS: u64 = 0x117;
+/// Shortest and longest time for which a limit is announced.
+const LIMITED_MS: std::ops::Range<u64> = 5_000..9_000;
+const LONGEST_UNLIMITED_MS: u64 = 1_000;
+/// Limits in tenths of a request per second.
+const LIMIT_TENTHS: [u32; 4] = [5, 10, 14, 40];
+
 /// Failure domains that upstreams are spread over.
 pub(super) const DOMAINS: usize = 2;
 
@@ -103,6 +113,20 @@
         }
     }
 
+    /// Adds upstreams that announce rate limits, one after the other; the same seed adds the same ones.
+    pub(super) fn add_limits(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ LIMITS);
+        let mut at = CALM_START;
+        while at < self.length {
+            let lasts = Duration::from_millis(rng.random_range(LIMITED_MS));
+            let tenths = LIMIT_TENTHS[rng.random_range(0..LIMIT_TENTHS.len())];
+            let fault = Fault::Limit(rng.random_range(0..self.upstreams), tenths);
+            self.faults.push(Planned { at, lasts, fault });
+            at += lasts + Duration::from_millis(rng.random_range(1..LONGEST_UNLIMITED_MS));
+        }
+        self.faults.sort_by_key(|planned| planned.at);
+    }
+
     /// Adds evacuations of one failure domain after the other; the same seed adds the same ones.
     pub(super) fn add_evacuations(&mut self) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ EVACUATIONS);
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -8,11 +8,12 @@
 };
 
 use tc_platform_adapter::outside::{
-    SentOn, chunk, input_gone, maker_spelling, not_run, sealed, sent_on, stream_end, stream_head,
-    upstream_entry,
+    SentOn, chunk, input_gone, limit_header, maker_spelling, not_run, sealed_headers, sent_on,
+    stream_end, stream_head_with, upstream_entry,
 };
 use tc_stand_ins::{
     MakerConfig, ObjectStore, PieceMaker, Received, ResultShelf, Script, ScriptedServer, Step,
+    whole_answer,
 };
 use tokio::time::Instant;
 
@@ -46,6 +47,7 @@
 pub(super) struct Seen {
     runs: Mutex<Vec<Run>>,
     modes: Mutex<HashMap<String, UpstreamMode>>,
+    limits: Mutex<HashMap<String, f64>>,
     /// Results of stages.
     pub(super) shelf: Arc<ResultShelf>,
     misdirected: Mutex<Vec<String>>,
@@ -65,6 +67,21 @@
         lock(&self.modes).insert(upstream.to_owned(), mode);
     }
 
+    /// Sets the rate limit that an upstream announces, in requests per second.
+    pub(super) fn set_limit(&self, upstream: &str, per_s: Option<f64>) {
+        let mut limits = lock(&self.limits);
+        match per_s {
+            Some(per_s) => limits.insert(upstream.to_owned(), per_s),
+            None => limits.remove(upstream),
+        };
+    }
+
+    /// Returns the headers that an upstream's answers have besides the usual ones.
+    fn extra_headers(&self, upstream: &str) -> String {
+        let limit = lock(&self.limits).get(upstream).copied();
+        limit.map(limit_header).unwrap_or_default()
+    }
+
     fn mode(&self, upstream: &str) -> UpstreamMode {
         lock(&self.modes).get(upstream).copied().unwrap_or_default()
     }
@@ -174,9 +191,10 @@
         UpstreamMode::Slow => SLOW_WORK,
         _ => WORK,
     };
+    let headers = seen.extra_headers(own);
     let mut script = match service {
-        ENGINES => stream(req, &sent, work),
-        _ => plain(req, &sent, work),
+        ENGINES => stream(req, &sent, &headers, work),
+        _ => plain(req, &sent, &headers, work),
     };
     if mode == UpstreamMode::Breaks {
         script.truncate(script.len() / 2);
@@ -185,9 +203,10 @@
     script
 }
 
-fn plain(req: &Received, sent: &SentOn, work: Duration) -> Script {
+fn plain(req: &Received, sent: &SentOn, headers: &str, work: Duration) -> Script {
     let mut script = vec![Step::Pause(work)];
-    script.extend(sealed(req, 200, &plain_body(&sent.id)));
+    let headers = sealed_headers(req) + headers;
+    script.extend(whole_answer(200, &headers, &plain_body(&sent.id)));
     script
 }
 
@@ -201,8 +220,8 @@
     format!("{id}.{event}")
 }
 
-fn stream(req: &Received, sent: &SentOn, work: Duration) -> Script {
-    let mut script = vec![stream_head(req)];
+fn stream(req: &Received, sent: &SentOn, headers: &str, work: Duration) -> Script {
+    let mut script = vec![stream_head_with(req, headers)];
     for event in sent.resume_after + 1..=EVENTS {
         let data = event_data(&sent.id, event);
         script.push(Step::Pause(work));
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -11,6 +11,7 @@
     callers: 12,
     length: Duration::from_secs(6),
     evacuations: false,
+    limits: false,
 };
 
 async fn keeps_its_promises(seed: u64, shape: SoakShape) {
@@ -55,3 +56,14 @@
     };
     keeps_its_promises(8, shape).await;
 }
+
+/// Guards against requests beyond announced rate limits while instances are killed, stopped and paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn limited_upstreams_get_what_they_announce_beside_other_faults() {
+    let shape = SoakShape {
+        length: Duration::from_secs(14),
+        limits: true,
+        ..SHAPE
+    };
+    keeps_its_promises(2, shape).await;
+}
