--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -4,7 +4,7 @@
 
 use std::net::SocketAddr;
 
-use http::StatusCode;
+use http::{HeaderName, StatusCode};
 use tc_protocol::{
     UpstreamId, WorkspaceName,
     routing::{AnnouncedLimit, Prompt, ResultHandle},
@@ -89,6 +89,8 @@
     pub load: Option<UpstreamLoad>,
     /// The rate limit that the upstream announces.
     pub rate_limit: AnnouncedLimit,
+    /// Headers that the outside's spelling does not know.
+    pub unknown: Vec<HeaderName>,
 }
 
 impl AnswerHead {
--- a/crates/tc-gateway/src/homes/calls.rs
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -40,6 +40,7 @@
         }
     };
     let head = (cx.edges.read_answer)(&reply.head);
+    cx.unknown_headers.record(&call.upstream, &head.unknown);
     if let Some(announced) = head.limit_news(reply.head.status) {
         cx.limits.observe(&call.upstream, announced);
     }
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -18,7 +18,9 @@
 };
 use tc_upstream::UpstreamClient;
 
-use crate::{budgets::RepeatBudgets, edges::Edges, world::WorldCell};
+use crate::{
+    budgets::RepeatBudgets, edges::Edges, unknown_headers::UnknownHeaders, world::WorldCell,
+};
 
 use chains::Chains;
 pub(crate) use chains::ask_other_homes;
@@ -36,6 +38,7 @@
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) freer: Freer,
     pub(crate) limits: Arc<UpstreamLimits>,
+    pub(crate) unknown_headers: Arc<UnknownHeaders>,
 }
 
 /// The homes that were asked for here, by service.
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod settings;
 mod start;
 mod stop;
+mod unknown_headers;
 mod upstreams;
 mod world;
 
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -216,6 +216,7 @@
         if let Some(load) = head.load {
             cx.book.note_load(id, load);
         }
+        cx.unknown_headers.record(id, &head.unknown);
         if let Some(announced) = head.limit_news(answered.reply.head.status) {
             cx.limits.limits().observe(id, announced);
         }
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -34,6 +34,7 @@
     freeze::{SuspendedTime, TimeAllowed},
     homes::{BatchHomes, Freer},
     limits::LimitedSends,
+    unknown_headers::UnknownHeaders,
     upstreams::UpstreamBook,
     world::WorldCell,
 };
@@ -73,6 +74,7 @@
     pub(crate) book: Arc<UpstreamBook>,
     pub(crate) cold: Arc<ColdSends>,
     pub(crate) limits: Arc<LimitedSends>,
+    pub(crate) unknown_headers: Arc<UnknownHeaders>,
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) outlooks: SharedOutlooks,
     pub(crate) prompt_times: SharedPromptTimes,
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -28,6 +28,7 @@
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsText, accept},
     settings::GatewaySettings,
     stop::{Asked, Signals, StopState, stop},
+    unknown_headers::UnknownHeaders,
     world::{
         StoreRole, WatchContext, WorldCell, WorldPart, follow_source, watch_config,
         watch_evacuations, watch_upstreams,
@@ -197,6 +198,7 @@
     let budgets = Arc::new(RepeatBudgets::new(settings.repeats));
     let (freer, given_up) = Freer::new();
     let limits = Arc::<UpstreamLimits>::default();
+    let unknown_headers = Arc::<UnknownHeaders>::default();
     let homes = Arc::new(BatchHomes::new(HomeContext {
         edges,
         client: client.clone(),
@@ -204,6 +206,7 @@
         budgets: Arc::clone(&budgets),
         freer: freer.clone(),
         limits: Arc::clone(&limits),
+        unknown_headers: Arc::clone(&unknown_headers),
     }));
     let mesh_settings = MeshSettings {
         me: settings.me.clone(),
@@ -235,6 +238,7 @@
         book: Arc::default(),
         cold,
         limits,
+        unknown_headers,
         budgets,
         outlooks: SharedOutlooks::default(),
         prompt_times: SharedPromptTimes::default(),
