Let the stand-in store come back from an older copy; two tests that fail on it

First part of the work on restores of the store: a table of every place that keeps, compares or sends a revision, with what holds it today (docs/design/store-restore.md), the drill in the stand-in store (copy, restore, revisions out again, 410, the era in all answers), and three tests. The cause of both: newer means a higher revision, and nothing reads the era.

Nothing is mended here; the way to be built and the other places found by reading are in the note.

--- a/crates/tc-stand-ins/src/objects.rs
+++ b/crates/tc-stand-ins/src/objects.rs
@@ -71,6 +71,8 @@
     pub changes: fn(&[ShownObject], u64) -> Value,
     /// Status by which it says that a watch's history is gone.
     pub history_gone: u16,
+    /// Header of all answers by which it says how often it was restored.
+    pub era_header: fn(u64) -> String,
 }
 
 /// How the store treats its callers.
@@ -99,14 +101,22 @@
     Limited,
 }
 
-#[derive(Default)]
-struct Objects {
+/// What a store holds.
+#[derive(Clone, Debug, Default)]
+pub struct StoreCopy {
     revision: u64,
     by_kind: BTreeMap<String, BTreeMap<String, ShownObject>>,
+}
+
+#[derive(Default)]
+struct Objects {
+    held: StoreCopy,
+    /// Rises with each restore from a copy.
+    era: u64,
     mode: StoreMode,
 }
 
-impl Objects {
+impl StoreCopy {
     fn change(&mut self, kind: &str, name: &str, value: Option<Value>) {
         self.revision += 1;
         let object = ShownObject {
@@ -159,7 +169,10 @@
     pub async fn start(spelling: ObjectSpelling) -> Self {
         let shared = Arc::new(Shared {
             objects: Mutex::new(Objects {
-                revision: 1,
+                held: StoreCopy {
+                    revision: 1,
+                    ..StoreCopy::default()
+                },
                 ..Objects::default()
             }),
             changed: Notify::new(),
@@ -192,7 +205,7 @@
     /// The objects of a kind that are there.
     #[must_use]
     pub fn objects(&self, kind: &str) -> Vec<ShownObject> {
-        lock(&self.shared.objects).present(kind)
+        lock(&self.shared.objects).held.present(kind)
     }
 
     /// Changes how callers are treated, and cuts the watches that wait.
@@ -201,6 +214,22 @@
         self.shared.cut.notify_waiters();
     }
 
+    /// Copies all objects and the revision, for [`ObjectStore::restore`].
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        lock(&self.shared.objects).held.clone()
+    }
+
+    /// Comes back from an older copy: what was written since is gone, revisions are given out again, and the era rises.
+    pub fn restore(&self, copy: StoreCopy) {
+        {
+            let mut objects = lock(&self.shared.objects);
+            objects.held = copy;
+            objects.era += 1;
+        }
+        self.shared.cut.notify_waiters();
+    }
+
     /// Calls that came so far.
     #[must_use]
     pub fn calls(&self) -> usize {
@@ -210,7 +239,7 @@
 
 impl Shared {
     fn change(&self, kind: &str, name: &str, value: Option<Value>) {
-        lock(&self.objects).change(kind, name, value);
+        lock(&self.objects).held.change(kind, name, value);
         self.changed.notify_waiters();
     }
 
@@ -237,22 +266,34 @@
         match call {
             ObjectCall::List { kind } => {
                 let objects = lock(&self.objects);
-                let list = (self.spelling.list)(&objects.present(&kind), objects.revision);
-                whole_answer(200, JSON, &list.to_string())
+                let held = &objects.held;
+                let list = (self.spelling.list)(&held.present(&kind), held.revision);
+                let headers = self.headers(objects.era);
+                whole_answer(200, &headers, &list.to_string())
             }
             ObjectCall::Put { kind, name, value } => {
                 self.change(&kind, &name, Some(value));
-                whole_answer(200, JSON, "{}")
+                let era = lock(&self.objects).era;
+                whole_answer(200, &self.headers(era), "{}")
             }
             ObjectCall::Watch { kind, from, wait } => self.watch(&kind, from, wait, mode).await,
         }
     }
 
+    fn headers(&self, era: u64) -> String {
+        JSON.to_owned() + &(self.spelling.era_header)(era)
+    }
+
     async fn watch(&self, kind: &str, from: u64, wait: Duration, mode: StoreMode) -> Script {
         let ends = Instant::now() + wait;
-        let is_old = from < lock(&self.objects).revision;
-        if is_old && mode == StoreMode::HistoryGone {
-            return whole_answer(self.spelling.history_gone, "", "");
+        let (era, revision) = {
+            let objects = lock(&self.objects);
+            (objects.era, objects.held.revision)
+        };
+        let is_old = from < revision;
+        let is_unknown = from > revision;
+        if is_unknown || (is_old && mode == StoreMode::HistoryGone) {
+            return whole_answer(self.spelling.history_gone, &self.headers(era), "");
         }
         let is_deaf = match mode {
             StoreMode::DeafWatches => true,
@@ -265,13 +306,14 @@
         let hangs = is_old && mode == StoreMode::Forgetful;
         loop {
             let (news, cut) = (self.changed.notified(), self.cut.notified());
-            let (events, at) = {
+            let (events, at, era) = {
                 let objects = lock(&self.objects);
-                (objects.changed_since(kind, from), objects.revision)
+                let held = &objects.held;
+                (held.changed_since(kind, from), held.revision, objects.era)
             };
             if (!events.is_empty() && !hangs) || Instant::now() >= ends {
                 let changes = (self.spelling.changes)(&events, at);
-                return whole_answer(200, JSON, &changes.to_string());
+                return whole_answer(200, &self.headers(era), &changes.to_string());
             }
             tokio::select! {
                 () = news => {}
