--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -33,9 +33,9 @@
     pub callers: usize,
     /// From the start to the end of the last fault.
     pub length: Duration,
-    /// Whether failure domains are evacuated besides the other faults, which stay the same.
+    /// Evacuates failure domains besides the other faults, which stay the same.
     pub evacuations: bool,
-    /// Whether upstreams announce rate limits besides the other faults, which stay the same.
+    /// Lets upstreams announce rate limits besides the other faults, which stay the same.
     pub limits: bool,
 }
 
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -13,7 +13,7 @@
 use tc_policy::HomeOutlook;
 use tc_protocol::{
     AskRefusal, Fingerprint, InstanceId, Member, ServiceName, UpstreamId, WorkspaceName,
-    routing::{EngineAsk, EngineChoice, PiecesAsk, ResultHandle, RunReport},
+    routing::{PiecesAsk, ResultHandle},
 };
 use tokio::{
     net::{TcpListener, UdpSocket},
@@ -24,10 +24,7 @@
 use super::{
     actor::{MeshActor, MeshArgs, MeshMsg, Published, others},
     limits::UpstreamLimits,
-    messages::{
-        MeshError, PiecesAnswer, answer_from_wire, ask_to_wire, choice_from_wire,
-        engine_ask_to_wire, news_to_wire, outlook_from_wire, texts,
-    },
+    messages::{MeshError, PiecesAnswer, answer_from_wire, ask_to_wire, outlook_from_wire, texts},
     peers::Peers,
     service::{MeshHandlers, Service},
     suspects::suspect_table,
@@ -35,9 +32,7 @@
 };
 use crate::{
     FleetError, FleetKeys,
-    generated::{
-        self as wire, FreeResultsMessage, OutlookAsk, RunNewsMessage, mesh_server::MeshServer,
-    },
+    generated::{self as wire, FreeResultsMessage, OutlookAsk, mesh_server::MeshServer},
     gossip::GossipSocket,
     peers::timed,
     server::check_token,
@@ -47,10 +42,6 @@
 /// How long an ask for pieces may outlive the request's own time, for the way back.
 const ASK_GRACE: Duration = Duration::from_millis(200);
 
-/// Longest wait for a home's choice of an engine. An answer takes one to five milliseconds; an instance that waits longer
-/// chooses by itself, which costs less than the tenth of an aim.
-const CHOICE_LIMIT: Duration = Duration::from_millis(60);
-
 /// What [`Mesh::start`] needs to know.
 #[derive(Clone, Debug)]
 pub struct MeshSettings {
@@ -85,7 +76,7 @@
     pub(super) published: Arc<Published>,
     pub(super) peers: Arc<Peers>,
     suspects: Arc<SuspectTable>,
-    limits: Arc<UpstreamLimits>,
+    pub(super) limits: Arc<UpstreamLimits>,
 }
 
 impl Mesh {
@@ -261,43 +252,6 @@
         Ok(answer.into_inner().home.as_ref().map(outlook_from_wire))
     }
 
-    /// Asks the home of a model service for an engine; `None` when it knows none.
-    pub async fn choose_engine(
-        &self,
-        home: &Member,
-        ask: &EngineAsk,
-    ) -> Result<Option<EngineChoice>, MeshError> {
-        let mut req = Request::new(engine_ask_to_wire(ask, self.inner.limits.to_ask()));
-        req.set_timeout(CHOICE_LIMIT);
-        let mut client = self.inner.peers.client(home);
-        let choice = client
-            .choose_engine(req)
-            .await
-            .map_err(|status| no_answer(home, &status))?;
-        let choice = choice.into_inner();
-        self.inner.limits.receive(&choice.limit);
-        Ok(choice_from_wire(&choice))
-    }
-
-    /// Tells the home that chose engines for runs what became of them.
-    pub async fn tell_runs(
-        &self,
-        home: &Member,
-        service: &ServiceName,
-        news: &[RunReport],
-    ) -> Result<(), MeshError> {
-        let req = timed(RunNewsMessage {
-            service: service.to_string(),
-            news: news.iter().map(news_to_wire).collect(),
-            limits: self.inner.limits.to_report(),
-        });
-        let mut client = self.inner.peers.client(home);
-        let answer = client.tell_runs(req).await;
-        answer
-            .map(|_| ())
-            .map_err(|status| no_answer(home, &status))
-    }
-
     /// Waits for leave to run a request: at once unless it has crashed upstreams, in which case it runs once at a time
     /// over all instances, and not at all after a few crashes in a row.
     ///
@@ -368,7 +322,7 @@
     }
 }
 
-fn no_answer(member: &Member, status: &tonic::Status) -> MeshError {
+pub(super) fn no_answer(member: &Member, status: &tonic::Status) -> MeshError {
     if matches!(status.code(), Code::DeadlineExceeded | Code::Cancelled) {
         return MeshError::Late {
             instance: member.id.clone(),
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -3,6 +3,7 @@
 //! [`Mesh::start`] runs on the control thread; the handle it gives is used by traffic threads.
 
 mod actor;
+mod engine_calls;
 mod handle;
 mod limits;
 mod members;
--- a/crates/tc-policy/tests/cold.rs
+++ b/crates/tc-policy/tests/cold.rs
@@ -1,14 +1,18 @@
 //! Cold upstreams get no more than they bear, whoever chooses them.
 
+mod support;
+
 use std::{sync::Arc, time::Duration};
 
 use bolero::{TypeGenerator, generator::produce};
 use tc_policy::{ColdLimit, EngineCandidate, EnginePlanner, RecentSends, may_send_alone};
 use tc_protocol::{
-    Incarnation, InstanceId, Member, MemberState, MonoTime, UpstreamId,
+    InstanceId, Member, MonoTime, UpstreamId,
     routing::{EngineAsk, EngineNews, EngineSpec, Prompt, PromptPart},
 };
 
+use support::member;
+
 const SPEC: EngineSpec = EngineSpec {
     slots: 24,
     memory_tokens: 476_000,
@@ -55,16 +59,6 @@
 }
 
 fn members() -> Vec<Member> {
-    let member = |number: usize| Member {
-        id: format!("i{number}").into(),
-        incarnation: Incarnation(1),
-        caller_address: ([127, 0, 0, 1], 1).into(),
-        fleet_address: ([127, 0, 0, 1], 2).into(),
-        failure_domain: "a".into(),
-        region: "r".into(),
-        state: MemberState::Alive,
-        strength: 1,
-    };
     (0..INSTANCES).map(member).collect()
 }
 
--- a/crates/tc-policy/tests/support/mod.rs
+++ b/crates/tc-policy/tests/support/mod.rs
@@ -10,7 +10,10 @@
 use std::time::Duration;
 
 use tc_policy::{AskVerdict, Home, HomeConfig, NewAsk};
-use tc_protocol::{Cost, Fingerprint, MonoTime, Outcome, PermitId, Release, RunState};
+use tc_protocol::{
+    Cost, Fingerprint, Incarnation, Member, MemberState, MonoTime, Outcome, PermitId, Release,
+    RunState,
+};
 
 pub const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -20,6 +23,20 @@
     MonoTime::from_millis(millis)
 }
 
+/// An instance that is well.
+pub fn member(number: usize) -> Member {
+    Member {
+        id: format!("i{number}").into(),
+        incarnation: Incarnation(1),
+        caller_address: ([127, 0, 0, 1], 1).into(),
+        fleet_address: ([127, 0, 0, 1], 2).into(),
+        failure_domain: "a".into(),
+        region: "r".into(),
+        state: MemberState::Alive,
+        strength: 1,
+    }
+}
+
 pub fn home(slots: u32) -> Home {
     Home::new(HomeConfig {
         slots,
--- a/crates/tc-policy/tests/upstream_limit/fuzz.rs
+++ b/crates/tc-policy/tests/upstream_limit/fuzz.rs
@@ -5,8 +5,9 @@
 use bolero::{TypeGenerator, generator::produce};
 
 use crate::{
+    faults::Fault,
     judge::{CONTACT, allowed, most_in_window},
-    world::{Fault, Way, World},
+    world::{Way, World},
 };
 
 #[derive(Clone, Copy, Debug, TypeGenerator)]
--- a/crates/tc-policy/tests/upstream_limit/scenarios.rs
+++ b/crates/tc-policy/tests/upstream_limit/scenarios.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use crate::{
+    faults::Fault,
     judge::{CONTACT, allowed, most_in_window},
-    world::{Fault, Way, World},
+    world::{Way, World},
 };
 
 const LIMITS: [f64; 5] = [0.25, 1.0, 1.4, 5.0, 20.0];
--- a/crates/tc-policy/tests/upstream_limit/world.rs
+++ b/crates/tc-policy/tests/upstream_limit/world.rs
@@ -8,11 +8,12 @@
 };
 use tc_policy::{EngineCandidate, EnginePlanner, KnownLimits, LoneSends, LoneShare};
 use tc_protocol::{
-    Incarnation, Member, MemberState, MonoTime, UpstreamId,
+    Member, MonoTime, UpstreamId,
     routing::{EngineAsk, EngineNews, EngineSpec, LimitNews, Prompt, RateLimit},
 };
 
-use crate::judge::{Arrival, CONTACT, PASSED_ON};
+use crate::judge::{Arrival, PASSED_ON};
+use crate::support::member;
 
 const SPEC: EngineSpec = EngineSpec {
     slots: 1_000,
@@ -23,11 +24,6 @@
 const LIMITS_PER_DATAGRAM: usize = 4;
 const LIMITS_PER_ASK: usize = 32;
 const REPORT_TIME: Duration = Duration::from_millis(10);
-/// Longest time until an instance takes up a change of the home.
-const VIEW_DELAY_MS: u64 = 1_000;
-/// Time after which the others notice that a home does not answer, and name another one.
-const NOTICE: Duration = Duration::from_millis(1_500);
-const RESTART_TIME: Duration = Duration::from_secs(1);
 
 /// How requests are let through to the limited upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,20 +38,6 @@
     WholeEach,
 }
 
-/// What goes wrong.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum Fault {
-    /// Another instance becomes the home, as planned.
-    MoveHome,
-    KillHome,
-    FreezeHome(Duration),
-    /// Half of the instances take another instance for the home.
-    SplitViews(Duration),
-    RestartHalf,
-    /// Requests come at so many times the rate.
-    Burst(u32),
-}
-
 /// A run that a home granted, by its number there.
 #[derive(Clone, Copy, Debug)]
 struct Grant {
@@ -70,17 +52,17 @@
     Alone,
 }
 
-struct Node {
+pub(crate) struct Node {
     member: Member,
     planner: EnginePlanner,
     known: KnownLimits,
     lone: LoneSends,
     /// Count of changes of the limits that the planner has.
     limit_changes: u64,
-    home: usize,
-    next_home: Option<(MonoTime, usize)>,
-    silent_until: MonoTime,
-    excused_until: MonoTime,
+    pub(crate) home: usize,
+    pub(crate) next_home: Option<(MonoTime, usize)>,
+    pub(crate) silent_until: MonoTime,
+    pub(crate) excused_until: MonoTime,
     told_at: Option<MonoTime>,
 }
 
@@ -109,11 +91,11 @@
     way: Way,
     limit: Option<RateLimit>,
     requests_per_s: f64,
-    burst: u32,
+    pub(crate) burst: u32,
     due: f64,
-    nodes: Vec<Node>,
+    pub(crate) nodes: Vec<Node>,
     events: VecDeque<(MonoTime, Event)>,
-    rng: Xoroshiro128PlusPlus,
+    pub(crate) rng: Xoroshiro128PlusPlus,
     upstream: UpstreamId,
 }
 
@@ -140,7 +122,7 @@
         world
     }
 
-    fn start(&self, number: usize, home: usize) -> Node {
+    pub(crate) fn start(&self, number: usize, home: usize) -> Node {
         let mut planner = EnginePlanner::new(SPEC);
         let engine = EngineCandidate {
             id: self.upstream.clone(),
@@ -149,16 +131,7 @@
         };
         planner.set_engines(SPEC, &[engine]);
         Node {
-            member: Member {
-                id: format!("i{number}").into(),
-                incarnation: Incarnation(1),
-                caller_address: ([127, 0, 0, 1], 1).into(),
-                fleet_address: ([127, 0, 0, 1], 2).into(),
-                failure_domain: "a".into(),
-                region: "r".into(),
-                state: MemberState::Alive,
-                strength: 1,
-            },
+            member: member(number),
             planner,
             known: KnownLimits::default(),
             lone: LoneSends::default(),
@@ -186,54 +159,6 @@
         }
     }
 
-    pub(crate) fn strike(&mut self, fault: Fault) {
-        let home = self.nodes[0].home;
-        let next = (home + 1) % self.nodes.len();
-        match fault {
-            Fault::MoveHome => self.change_home(next, Duration::ZERO),
-            Fault::KillHome => {
-                self.restart(home);
-                self.change_home(next, NOTICE);
-            }
-            Fault::FreezeHome(time) => {
-                let until = self.now.after(time);
-                self.nodes[home].silent_until = until;
-                self.nodes[home].excused_until = until.after(CONTACT);
-                if time > NOTICE {
-                    self.change_home(next, NOTICE);
-                }
-            }
-            Fault::SplitViews(time) => {
-                let back = self.now.after(time);
-                for node in self.nodes.iter_mut().skip(1).step_by(2) {
-                    node.home = next;
-                    node.next_home = Some((back, home));
-                }
-            }
-            Fault::RestartHalf => {
-                for number in (0..self.nodes.len()).step_by(2) {
-                    self.restart(number);
-                }
-            }
-            Fault::Burst(times) => self.burst = times,
-        }
-    }
-
-    fn change_home(&mut self, home: usize, after: Duration) {
-        for node in &mut self.nodes {
-            let delay = Duration::from_millis(u64::from(self.rng.next_u32()) % VIEW_DELAY_MS);
-            node.next_home = Some((self.now.after(after + delay), home));
-        }
-    }
-
-    fn restart(&mut self, number: usize) {
-        let mut node = self.start(number, self.nodes[number].home);
-        node.next_home = self.nodes[number].next_home;
-        node.silent_until = self.now.after(RESTART_TIME);
-        node.excused_until = node.silent_until.after(CONTACT);
-        self.nodes[number] = node;
-    }
-
     fn take_up_views(&mut self) {
         let now = self.now;
         for node in &mut self.nodes {
