Give each soak a folder of its own

The second test had only been run alone. The folder's name now has a number of its own; the seeds stay.

--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -13,7 +13,12 @@
 mod process;
 mod upstreams;
 
-use std::{fs, path::PathBuf, time::Duration};
+use std::{
+    fs,
+    path::PathBuf,
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 pub use drive::Outcome;
 
@@ -22,6 +27,8 @@
 
 use crate::error::BenchError;
 
+static NEXT_FOLDER: AtomicU64 = AtomicU64::new(1);
+
 /// How large a soak is.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakShape {
@@ -62,7 +69,9 @@
 }
 
 fn folder(seed: u64) -> Result<PathBuf, BenchError> {
-    let name = format!("tc-soak-{}-{seed}", std::process::id());
+    // Soaks of one seed may run at the same time in one process.
+    let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("tc-soak-{}-{seed}-{number}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     fs::create_dir_all(&folder).map_err(|e| BenchError::File {
         path: folder.display().to_string(),
