Log refused requests with the configuration version in force, and failed checks of the store's watches

An instance answered 404 for a route that the version in force had, and its log did not show it: a request refused before routing wrote no line unless its header was unreadable, and a failed check of the watches was logged at debug level only.

The new line "a request is not admitted" gives the request, status, reason, the configuration version in force when the line is written, and the age of that version on this instance. It covers every refusal after the header has been read and before the request is run. "the store's watches could not be checked" is now logged at info level, with the revision that the watch waits from. The two lines are meant to distinguish a stale source, a check that hangs and a rejected version.

No decision is changed.

--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -15,7 +15,10 @@
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
-use tc_protocol::routing::{Route, RoutedWorkspace};
+use tc_protocol::{
+    MonoTime,
+    routing::{Route, RoutedWorkspace},
+};
 use tokio::time::{Instant, timeout_at};
 
 use super::Connections;
@@ -96,7 +99,11 @@
         let (head, answered) = match (self.cx.edges.read_request)(&parts) {
             Ok(head) => {
                 let request = Arc::clone(&head.request);
-                (request, self.admit(arrived, parts, head, body).await)
+                let admitted = self.admit(arrived, parts, head, body).await;
+                if let Err(refusal) = &admitted {
+                    self.log_refusal(&request, refusal);
+                }
+                (request, admitted)
             }
             Err(error) => {
                 log::info!(error = error.to_string().as_str(), path = parts.uri.path(); "a request's header cannot be used");
@@ -163,6 +170,22 @@
         })
     }
 
+    /// Logs a request that `admit` refused, with the configuration version in force and the time since this instance decoded
+    /// it; both are zero without a configuration.
+    fn log_refusal(&self, request: &str, refusal: &Refusal) {
+        let world = self.cx.world.load();
+        let config = world.config.as_ref();
+        let age = config.map(|config| MonoTime::now().since(config.read_at));
+        log::info!(
+            request = request,
+            status = refusal.status.as_u16(),
+            reason = refusal.reason,
+            version = config.map_or(0, |config| config.routing.version),
+            version_age_ms = age.unwrap_or_default().as_millis() as u64;
+            "a request is not admitted"
+        );
+    }
+
     async fn config(&self) -> Result<Arc<ConfigInForce>, Refusal> {
         if !self.cx.world.load().is_known() {
             crate::world::first_world(&self.cx.world, FIRST_WORLD).await;
--- a/crates/tc-gateway/src/world/config.rs
+++ b/crates/tc-gateway/src/world/config.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use serde_json::Value;
-use tc_protocol::routing::{RoutedService, RoutingConfig};
+use tc_protocol::{
+    MonoTime,
+    routing::{RoutedService, RoutingConfig},
+};
 
 use crate::{edges::Edges, routing::RouteTable};
 
@@ -15,6 +18,8 @@
     pub(crate) raw: Arc<Value>,
     /// The store's revision of its object.
     pub(crate) revision: u64,
+    /// When this instance decoded the configuration.
+    pub(crate) read_at: MonoTime,
 }
 
 impl ConfigInForce {
@@ -27,6 +32,7 @@
             routes,
             raw: Arc::clone(raw),
             revision,
+            read_at: MonoTime::now(),
         })
     }
 
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -102,7 +102,7 @@
         let page = match self.list().await {
             Ok(page) => page,
             Err(error) => {
-                log::debug!(what = self.what, error = error.to_string().as_str(); "the store's watches could not be checked");
+                log::info!(what = self.what, watched_from = from, error = error.to_string().as_str(); "the store's watches could not be checked");
                 return None;
             }
         };
