--- a/crates/tc-stand-ins/src/lib.rs
+++ b/crates/tc-stand-ins/src/lib.rs
@@ -21,7 +21,9 @@
 mod weight_store;
 
 pub use engine::{Engine, EngineConfig};
-pub use objects::{ObjectCall, ObjectSpelling, ObjectStore, ShownObject, StoreCopy, StoreMode};
+pub use objects::{
+    ObjectCall, ObjectSpelling, ObjectStore, ShownObject, StoreCopy, StoreEndpoint, StoreMode,
+};
 pub use output::{
     CRASH_MARKER, StageKind, engine_output, expected_pipeline_output, plain_output, pool_output,
 };
--- a/crates/tc-stand-ins/src/objects.rs
+++ b/crates/tc-stand-ins/src/objects.rs
@@ -113,7 +113,6 @@
     held: StoreCopy,
     /// Rises with each restore from a copy.
     era: u64,
-    mode: StoreMode,
 }
 
 impl StoreCopy {
@@ -151,17 +150,61 @@
 struct Shared {
     objects: Mutex<Objects>,
     changed: Notify,
-    /// Ends watches that wait.
-    cut: Notify,
+    /// Ends the waiting watches of all endpoints.
+    restored: Notify,
     spelling: ObjectSpelling,
 }
 
+/// One address of a store with a mode of its own. Dropping it closes its connections.
+pub struct StoreEndpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<EndpointState>,
+    server: ScriptedServer,
+}
+
+#[derive(Default)]
+struct EndpointState {
+    mode: Mutex<StoreMode>,
+    /// Ends the waiting watches of this endpoint.
+    cut: Notify,
+}
+
 /// The store. Dropping it closes its connections.
 pub struct ObjectStore {
     /// Where it listens.
     pub address: SocketAddr,
     shared: Arc<Shared>,
-    server: ScriptedServer,
+    endpoint: StoreEndpoint,
+}
+
+impl StoreEndpoint {
+    async fn open(shared: &Arc<Shared>) -> Self {
+        let state = Arc::<EndpointState>::default();
+        let answering = (Arc::clone(shared), Arc::clone(&state));
+        let server = ScriptedServer::start(move |req| {
+            let (shared, state) = answering.clone();
+            async move { shared.answer(&state, &req).await }
+        })
+        .await;
+        Self {
+            address: server.address,
+            state,
+            server,
+        }
+    }
+
+    /// Changes how callers are treated, and cuts the watches that wait.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.set_mode_keeping_watches(mode);
+        self.state.cut.notify_waiters();
+    }
+
+    /// Changes how callers are treated without cutting the watches that wait; the new mode applies when they would be
+    /// answered.
+    pub fn set_mode_keeping_watches(&self, mode: StoreMode) {
+        *lock(&self.state.mode) = mode;
+    }
 }
 
 impl ObjectStore {
@@ -176,22 +219,22 @@
                 ..Objects::default()
             }),
             changed: Notify::new(),
-            cut: Notify::new(),
+            restored: Notify::new(),
             spelling,
         });
-        let answering = Arc::clone(&shared);
-        let server = ScriptedServer::start(move |req| {
-            let shared = Arc::clone(&answering);
-            async move { shared.answer(&req).await }
-        })
-        .await;
+        let endpoint = StoreEndpoint::open(&shared).await;
         Self {
-            address: server.address,
+            address: endpoint.address,
             shared,
-            server,
+            endpoint,
         }
     }
 
+    /// Opens another address of the same store with a mode of its own.
+    pub async fn open_endpoint(&self) -> StoreEndpoint {
+        StoreEndpoint::open(&self.shared).await
+    }
+
     /// Creates or replaces an object.
     pub fn put(&self, kind: &str, name: &str, value: Value) {
         self.shared.change(kind, name, Some(value));
@@ -208,10 +251,9 @@
         lock(&self.shared.objects).held.present(kind)
     }
 
-    /// Changes how callers are treated, and cuts the watches that wait.
+    /// Changes how callers of [`ObjectStore::address`] are treated, and cuts the watches that wait there.
     pub fn set_mode(&self, mode: StoreMode) {
-        lock(&self.shared.objects).mode = mode;
-        self.shared.cut.notify_waiters();
+        self.endpoint.set_mode(mode);
     }
 
     /// Copies all objects and the revision, for [`ObjectStore::restore`].
@@ -227,13 +269,13 @@
             objects.held = copy;
             objects.era += 1;
         }
-        self.shared.cut.notify_waiters();
+        self.shared.restored.notify_waiters();
     }
 
-    /// Calls that came so far.
+    /// Calls that came to [`ObjectStore::address`] so far.
     #[must_use]
     pub fn calls(&self) -> usize {
-        self.server.received().len()
+        self.endpoint.server.received().len()
     }
 }
 
@@ -243,8 +285,8 @@
         self.changed.notify_waiters();
     }
 
-    async fn answer(&self, req: &Received) -> Script {
-        let mode = lock(&self.objects).mode;
+    async fn answer(&self, state: &EndpointState, req: &Received) -> Script {
+        let mode = *lock(&state.mode);
         match mode {
             StoreMode::Down => return vec![Step::Reset],
             StoreMode::Silent => return vec![Step::Pause(Duration::MAX)],
@@ -255,14 +297,17 @@
         let Some(call) = (self.spelling.read_call)(req) else {
             return whole_answer(400, "", "");
         };
-        let script = self.carry_out(call, mode).await;
-        if mode == StoreMode::LosesAnswers {
+        let script = self.carry_out(state, call, mode).await;
+        // A watch may have waited since before the mode changed.
+        let is_silent = *lock(&state.mode) == StoreMode::Silent;
+        let is_cut = matches!(script[..], [Step::Reset]);
+        if mode == StoreMode::LosesAnswers || (is_silent && !is_cut) {
             return vec![Step::Pause(Duration::MAX)];
         }
         script
     }
 
-    async fn carry_out(&self, call: ObjectCall, mode: StoreMode) -> Script {
+    async fn carry_out(&self, state: &EndpointState, call: ObjectCall, mode: StoreMode) -> Script {
         match call {
             ObjectCall::List { kind } => {
                 let objects = lock(&self.objects);
@@ -276,7 +321,9 @@
                 let era = lock(&self.objects).era;
                 whole_answer(200, &self.headers(era), "{}")
             }
-            ObjectCall::Watch { kind, from, wait } => self.watch(&kind, from, wait, mode).await,
+            ObjectCall::Watch { kind, from, wait } => {
+                self.watch(state, &kind, from, wait, mode).await
+            }
         }
     }
 
@@ -284,7 +331,14 @@
         JSON.to_owned() + &(self.spelling.era_header)(era)
     }
 
-    async fn watch(&self, kind: &str, from: u64, wait: Duration, mode: StoreMode) -> Script {
+    async fn watch(
+        &self,
+        state: &EndpointState,
+        kind: &str,
+        from: u64,
+        wait: Duration,
+        mode: StoreMode,
+    ) -> Script {
         let ends = Instant::now() + wait;
         let (era, revision) = {
             let objects = lock(&self.objects);
@@ -305,7 +359,8 @@
         }
         let hangs = is_old && mode == StoreMode::Forgetful;
         loop {
-            let (news, cut) = (self.changed.notified(), self.cut.notified());
+            let (news, cut) = (self.changed.notified(), state.cut.notified());
+            let restored = self.restored.notified();
             let (events, at, era) = {
                 let objects = lock(&self.objects);
                 let held = &objects.held;
@@ -318,6 +373,7 @@
             tokio::select! {
                 () = news => {}
                 () = cut => return vec![Step::Reset],
+                () = restored => return vec![Step::Reset],
                 () = sleep_until(ends) => {}
             }
         }
