--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -654,9 +654,6 @@
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct WorldNews {
-    /// Whether the sender itself hears from the store.
-    #[prost(bool, tag = "1")]
-    pub in_touch: bool,
     /// JSON of the configuration when newer than the asker's; empty otherwise.
     #[prost(bytes = "vec", tag = "2")]
     pub config: ::prost::alloc::vec::Vec<u8>,
@@ -668,6 +665,10 @@
     /// All evacuated failure domains, if that is newer than what the asker has.
     #[prost(message, optional, tag = "5")]
     pub evacuated: ::core::option::Option<EvacuatedDomains>,
+    /// Time as of which the sender's state is confirmed by the store, in milliseconds relative to the receipt of WorldHave.
+    /// Absent if nothing is confirmed.
+    #[prost(sint64, optional, tag = "6")]
+    pub confirmed_ms: ::core::option::Option<i64>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EvacuatedDomains {
--- a/crates/tc-fleet/src/mesh/world_news.rs
+++ b/crates/tc-fleet/src/mesh/world_news.rs
@@ -32,8 +32,12 @@
 /// What one instance tells another of the store.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct WorldNews {
-    /// Whether the sender itself hears from the store.
-    pub in_touch: bool,
+    /// Time as of which the sender's state is confirmed, that is, includes every change that the store had accepted by
+    /// then; in milliseconds relative to the receipt of the call that this answers. `None` if nothing is confirmed.
+    ///
+    /// The receiver applies the offset to the time at which it sent the call. That is earlier than the receipt, so the
+    /// result never overstates how recent the state is.
+    pub confirmed_ms: Option<i64>,
     /// The configuration and the store's revision of it, if it is newer.
     pub config: Option<(Arc<Value>, u64)>,
     /// What is new about upstreams.
@@ -81,7 +85,7 @@
 pub(super) fn world_news_to_wire(news: &WorldNews) -> wire::WorldNews {
     let config = news.config.as_ref();
     wire::WorldNews {
-        in_touch: news.in_touch,
+        confirmed_ms: news.confirmed_ms,
         config: config
             .map(|(value, _)| value.to_string().into_bytes())
             .unwrap_or_default(),
@@ -139,7 +143,7 @@
         None => None,
     };
     Some(WorldNews {
-        in_touch: news.in_touch,
+        confirmed_ms: news.confirmed_ms,
         config,
         upstreams,
         evacuated: news.evacuated.as_ref().map(evacuated_from_wire),
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use miette::Diagnostic;
 use tc_fleet::{FleetError, Mesh, MeshSettings, UpstreamLimits};
-use tc_membership::{MembershipConfig, SourceTiming, store_watchers};
+use tc_membership::{MembershipConfig, SourceTiming};
 use tc_platform::{Store, StoreSettings};
 use tc_upstream::{ClientSettings, UpstreamClient};
 use thiserror::Error;
@@ -98,19 +98,19 @@
         let settled = Settled::soon();
         let cx = start_context(&settings, edges, Arc::clone(&world), &traffic, &settled).await?;
         let source_timing = SourceTiming::within(news_bound(&settings));
-        let role = StoreRole::new();
+        let role = StoreRole::new(source_timing);
         let watch = WatchContext {
             store: store.clone(),
             edges,
             cell: Arc::clone(&world),
             leave_time: settings.leave_time,
             watches: role.watches(),
-            checks: checks_watches(cx.mesh.clone()),
+            check_after: role.check_after(),
         };
         tokio::spawn(watch_config(watch.clone()));
         tokio::spawn(watch_upstreams(watch.clone()));
-        if let Some(bound) = settings.evacuate_time {
-            tokio::spawn(watch_evacuations(watch, bound));
+        if settings.evacuate_time.is_some() {
+            tokio::spawn(watch_evacuations(watch));
         } else {
             world.leave_out(WorldPart::Evacuations);
         }
@@ -254,17 +254,6 @@
     settings.leave_time.min(evacuate_time)
 }
 
-/// Whether this instance is the one that checks for all whether the store's watches tell what there is.
-fn checks_watches(mesh: Mesh) -> Arc<dyn Fn() -> bool + Send + Sync> {
-    Arc::new(move || {
-        let members = mesh.members();
-        let watchers = store_watchers(&members);
-        watchers
-            .first()
-            .is_some_and(|first| first.id == mesh.me().id)
-    })
-}
-
 impl Gateway {
     fn serve(
         &self,
--- a/crates/tc-gateway/src/world/evacuated.rs
+++ b/crates/tc-gateway/src/world/evacuated.rs
@@ -4,8 +4,6 @@
 //! entry lies there. Only its name counts: what else is in it is for those who read it. A name that no upstream's domain
 //! bears changes nothing until one registers there.
 
-use std::time::Duration;
-
 use tc_fleet::EvacuatedDomains;
 use tc_platform::Purpose;
 
@@ -15,17 +13,18 @@
     watch::{GatedWatch, WatchContext},
 };
 
-/// Keeps the evacuated failure domains up to date, within `bound`; runs until it is dropped.
+/// Keeps the evacuated failure domains up to date; runs until it is dropped.
 ///
 /// A change counts at once: there are few, and those that come together concern domains, not single upstreams.
-pub(crate) async fn watch_evacuations(cx: WatchContext, bound: Duration) {
+pub(crate) async fn watch_evacuations(cx: WatchContext) {
     let kind = cx.edges.kinds.evacuations;
-    let followed = cx.followed(kind, Purpose::Registry, "evacuated failure domains", bound);
-    let mut watch = GatedWatch::new(&cx, followed, WorldPart::Evacuations);
+    let part = WorldPart::Evacuations;
+    let followed = cx.followed(part, kind, Purpose::Registry, "evacuated failure domains");
+    let mut watch = GatedWatch::new(&cx, followed);
     while let Some(seen) = watch.next(WATCH_WAIT).await {
-        let (revision, absences) = match seen {
-            Seen::All(page, absences) => (page.at, Some(absences)),
-            Seen::Changes(page) => (page.at, None),
+        let (revision, reading, is_list) = match seen {
+            Seen::All(page, reading) => (page.at, reading, true),
+            Seen::Changes(page, reading) => (page.at, reading, false),
             Seen::Failed => continue,
         };
         let names = watch.names().iter();
@@ -33,8 +32,9 @@
             revision,
             domains: names.map(|name| (**name).into()).collect(),
         });
-        if let Some(absences) = absences {
-            cx.cell.note_read(WorldPart::Evacuations, absences);
+        cx.cell.confirm(part, &reading);
+        if is_list {
+            cx.cell.note_read(part, reading.absences);
         }
     }
 }
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -11,18 +11,20 @@
     time::{sleep, timeout},
 };
 
-use super::{WorldCell, WorldPart};
+use super::{Reading, WorldCell, WorldPart};
 
 /// Whether this instance watches the store, as the rest of the process reads it.
 pub(crate) struct StoreRole {
     watches: Sender<bool>,
+    check_after: Sender<Duration>,
 }
 
 impl StoreRole {
     /// A role that is not decided yet.
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(timing: SourceTiming) -> Self {
         Self {
             watches: Sender::new(false),
+            check_after: Sender::new(timing.patience),
         }
     }
 
@@ -30,6 +32,11 @@
     pub(crate) fn watches(&self) -> Receiver<bool> {
         self.watches.subscribe()
     }
+
+    /// See [`StoreSource::check_after`].
+    pub(crate) fn check_after(&self) -> Receiver<Duration> {
+        self.check_after.subscribe()
+    }
 }
 
 type News = BoxStream<'static, Result<WorldNews, MeshError>>;
@@ -38,13 +45,13 @@
 struct Following {
     from: InstanceId,
     news: News,
-    /// Absences of this process before it was begun.
-    absences: u64,
+    reading: Reading,
 }
 
 struct Follower {
     mesh: Mesh,
     cell: Arc<WorldCell>,
+    timing: SourceTiming,
     source: StoreSource,
     role: StoreRole,
     following: Option<Following>,
@@ -67,6 +74,7 @@
         source: StoreSource::new(me, timing, MonoTime::now()),
         mesh,
         cell,
+        timing,
         role,
         following: None,
         is_settled: false,
@@ -74,14 +82,13 @@
     follower.take_members();
     loop {
         follower.look().await;
-        let look_again = follower.source.look_again();
+        let look_again = follower.source.look_again(MonoTime::now());
         let news = next_news(&mut follower.following, look_again);
         tokio::select! {
             heard = news => follower.take(heard),
             _ = members.changed() => follower.take_members(),
             Ok(_) = settled.wait_for(|settled| *settled), if !follower.is_settled => follower.settled(),
-            // What was told before the absence may be old by now: the source tells anew what is lacking.
-            _ = absences.changed() => follower.following = None,
+            _ = absences.changed() => follower.resumed(),
         }
     }
 }
@@ -119,25 +126,43 @@
         self.source.settled();
     }
 
+    /// Drops the stream and all confirmations after an absence, because their age is unknown.
+    fn resumed(&mut self) {
+        self.following = None;
+        self.source.resumed(MonoTime::now());
+        self.cell.reset_confirmations();
+    }
+
     /// Begins to follow whoever is to be followed now, and says whether this instance watches.
     async fn look(&mut self) {
-        let now = MonoTime::now();
-        let source = self.source.source(now);
+        self.update_role();
+        let source = self.source.source(MonoTime::now());
         let followed = self.following.as_ref().map(|f| &f.from);
         if source.as_ref() != followed {
             self.following = None;
             if let Some(source) = source {
                 self.begin(source).await;
+                self.update_role();
             }
         }
-        let watches = self.source.watches(MonoTime::now());
+    }
+
+    /// Publishes whether this instance watches the store and from which age on it lists it.
+    fn update_role(&self) {
+        let now = MonoTime::now();
+        let age = now.since(self.cell.confirmed());
+        metrics::gauge!("tc_store_confirmed_age_ms").set(age.as_secs_f64() * 1_000.0);
+        self.role
+            .check_after
+            .send_replace(self.source.check_after());
+        let watches = self.source.watches(now);
         let changed = self.role.watches.send_if_modified(|known| {
             let changed = *known != watches;
             *known = watches;
             changed
         });
         if changed {
-            log::info!(watches = watches; "whether this instance watches the store has changed");
+            log::info!(watches = watches, confirmed_age_ms = age.as_millis() as u64; "whether this instance watches the store has changed");
             metrics::gauge!("tc_store_watcher").set(f64::from(u8::from(watches)));
         }
     }
@@ -147,9 +172,9 @@
         let Some(member) = members.iter().find(|member| member.id == source) else {
             return;
         };
-        let absences = self.cell.freezes().count();
+        let reading = Reading::start(&self.cell.freezes());
         let have = self.cell.have();
-        let limit = self.source.look_again();
+        let limit = self.timing.beat;
         let begun = timeout(limit, self.mesh.follow_world(member, have)).await;
         match begun {
             Ok(Ok(news)) => {
@@ -157,7 +182,7 @@
                 self.following = Some(Following {
                     from: source,
                     news,
-                    absences,
+                    reading,
                 });
             }
             Ok(Err(error)) => self.broke(&source, &error.to_string()),
@@ -170,25 +195,31 @@
             return;
         };
         let from = following.from.clone();
-        let absences = following.absences;
+        let reading = following.reading;
         match heard {
             Heard::Nothing => {}
-            Heard::News(news) => self.take_news(&from, absences, &news),
+            Heard::News(news) => self.take_news(&from, &reading, &news),
             Heard::Broke(problem) => self.broke(&from, &problem),
         }
     }
 
-    fn take_news(&mut self, from: &InstanceId, absences: u64, news: &WorldNews) {
-        self.source.heard(MonoTime::now(), from, news.in_touch);
+    fn take_news(&mut self, from: &InstanceId, reading: &Reading, news: &WorldNews) {
+        let now = MonoTime::now();
+        let confirmed = news.confirmed_ms.map_or_else(MonoTime::default, |ms| {
+            reading.started_at.offset_by_millis(ms).min(now)
+        });
+        self.source.heard(now, from, confirmed);
         if !self.cell.apply_news(news) {
             log::info!(from = from.as_str(); "news of the store do not fit what is known here; the source is asked anew");
             self.following = None;
             return;
         }
-        if news.in_touch {
-            self.cell.note_read(WorldPart::Config, absences);
-            self.cell.note_read(WorldPart::Upstreams, absences);
-            self.cell.note_read(WorldPart::Evacuations, absences);
+        self.cell.confirm_all(reading, confirmed);
+        if now.since(confirmed) < self.timing.stale {
+            self.cell.note_read(WorldPart::Config, reading.absences);
+            self.cell.note_read(WorldPart::Upstreams, reading.absences);
+            self.cell
+                .note_read(WorldPart::Evacuations, reading.absences);
         }
     }
 
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -12,7 +12,7 @@
 use tc_protocol::MonoTime;
 use tokio::{sync::watch::Receiver, time::sleep, time::timeout};
 
-use crate::freeze::FreezeWatch;
+use super::{Reading, WorldCell, WorldPart};
 
 /// How long a watch waits for a change. Each watch is one priced call; a connection that went silent is noticed by
 /// the kernel's probes, so a long wait costs nothing.
@@ -25,12 +25,15 @@
 /// How long a watch may take to tell what a list shows already.
 const WATCH_LAG: Duration = Duration::from_millis(150);
 
-/// What the store said of a kind's objects.
+/// Pause before a list that checks a watch is retried after a failure.
+const CHECK_RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// What the store said of a kind's objects, and when the call was started.
 pub(super) enum Seen {
-    /// All of them, read after this many absences of this process.
-    All(ListPage, u64),
+    /// All of them.
+    All(ListPage, Reading),
     /// What changed since it last said something; perhaps nothing.
-    Changes(WatchPage),
+    Changes(WatchPage, Reading),
     /// It did not answer.
     Failed,
 }
@@ -43,79 +46,97 @@
     pub(super) purpose: Purpose,
     /// Name of it in logs.
     pub(super) what: &'static str,
-    /// Whether this instance is the one that checks the watches of all.
-    pub(super) checks: Arc<dyn Fn() -> bool + Send + Sync>,
-    /// How often that one lists what all of them watch.
+    pub(super) cell: Arc<WorldCell>,
+    pub(super) part: WorldPart,
+    /// Age of the part's confirmation from which it is listed in addition to being watched.
     ///
-    /// A store may answer no watch any more while its connections live and its other calls are answered. All instances then
-    /// keep what they had until their watches end, half a minute later, and none can tell it from a quiet store. One list by
-    /// one instance shows it, and the others hear of it from that one.
-    pub(super) check_every: Duration,
+    /// A store may stop answering watches while its connections stay open and other calls succeed, or stop answering
+    /// this instance while it answers others. Without a list, neither can be told from a store without changes.
+    pub(super) check_after: Receiver<Duration>,
 }
 
 /// What a watch that was checked meanwhile brought.
 enum Checked {
-    Watched(Watched),
+    Watched(Watched, Reading),
     /// A list shows more than the watch told.
-    Missed(ListPage),
+    Missed(ListPage, Reading),
 }
 
 impl Followed {
-    async fn list(&self) -> Result<ListPage, StoreError> {
-        self.store
+    async fn list(&self) -> Result<(ListPage, Reading), StoreError> {
+        let reading = Reading::start(&self.cell.freezes());
+        let listed = self
+            .store
             .list_kind(self.purpose, &self.dialect, self.kind, Freshness::Current)
-            .await
+            .await;
+        Ok((listed?, reading))
     }
 
-    /// Watches from a revision on, and checks now and then what the watch should have told.
+    /// Watches from a revision on, and lists whenever the part's confirmation reaches `check_after` meanwhile.
     async fn watch(
         &self,
         from: u64,
         wait: Duration,
         names: &BTreeSet<Arc<str>>,
     ) -> Result<Checked, StoreError> {
+        let reading = Reading::start(&self.cell.freezes());
         let watching = self
             .store
             .watch_kind(self.purpose, &self.dialect, self.kind, from, wait);
+        let watched = |watched: Watched| Checked::Watched(watched, reading);
         tokio::pin!(watching);
+        let (page, listing) = tokio::select! {
+            answer = &mut watching => return answer.map(watched),
+            missed = self.missed(from, names) => missed,
+        };
+        if let Ok(answer) = timeout(WATCH_LAG, &mut watching).await {
+            return answer.map(watched);
+        }
+        log::warn!(what = self.what, watched_from = from, listed = page.at; "a watch of the store does not tell what a list shows; it is begun anew");
+        Ok(Checked::Missed(page, listing))
+    }
+
+    /// Lists whenever the part's confirmation reaches `check_after`, and returns the first list that shows a change after
+    /// revision `from`.
+    async fn missed(&self, from: u64, names: &BTreeSet<Arc<str>>) -> (ListPage, Reading) {
         loop {
-            if let Ok(watched) = timeout(self.check_every, &mut watching).await {
-                return watched.map(Checked::Watched);
-            }
-            let Some(page) = self.missed(from, names).await else {
-                continue;
-            };
-            if let Ok(watched) = timeout(WATCH_LAG, &mut watching).await {
-                return watched.map(Checked::Watched);
+            self.wait_until_check_due().await;
+            match self.list().await {
+                Ok((page, reading)) => {
+                    let has_changed = page.items.iter().any(|object| object.revision > from);
+                    let is_gone = names.len() > page.items.len();
+                    if has_changed || is_gone {
+                        return (page, reading);
+                    }
+                    self.cell.confirm(self.part, &reading);
+                }
+                Err(error) => {
+                    log::info!(what = self.what, watched_from = from, error = error.to_string().as_str(); "the store's watches could not be checked");
+                    sleep(CHECK_RETRY_DELAY).await;
+                }
             }
-            log::warn!(what = self.what, watched_from = from, listed = page.at; "a watch of the store does not tell what a list shows; it is begun anew");
-            return Ok(Checked::Missed(page));
         }
     }
 
-    /// A list that shows more than was told up to a revision; `None` if there is nothing more, or it is not for this
-    /// instance to look.
-    async fn missed(&self, from: u64, names: &BTreeSet<Arc<str>>) -> Option<ListPage> {
-        if !(self.checks)() {
-            return None;
-        }
-        let page = match self.list().await {
-            Ok(page) => page,
-            Err(error) => {
-                log::info!(what = self.what, watched_from = from, error = error.to_string().as_str(); "the store's watches could not be checked");
-                return None;
+    /// Waits until the part's confirmation reaches the age `check_after`.
+    async fn wait_until_check_due(&self) {
+        loop {
+            let due = self
+                .cell
+                .part_confirmed(self.part)
+                .after(*self.check_after.borrow());
+            let left = due.since(MonoTime::now());
+            if left.is_zero() {
+                return;
             }
-        };
-        let has_changed = page.items.iter().any(|object| object.revision > from);
-        let is_gone = names.len() > page.items.len();
-        (has_changed || is_gone).then_some(page)
+            sleep(left).await;
+        }
     }
 }
 
 /// See the module.
 pub(super) struct KindWatch {
     followed: Followed,
-    freezes: Arc<FreezeWatch>,
     absences: Receiver<u64>,
     /// Revision from which to watch; none before a list.
     from: Option<u64>,
@@ -126,11 +147,10 @@
 }
 
 impl KindWatch {
-    pub(super) fn new(followed: Followed, freezes: Arc<FreezeWatch>) -> Self {
+    pub(super) fn new(followed: Followed) -> Self {
         Self {
+            absences: followed.cell.freezes().changes(),
             followed,
-            absences: freezes.changes(),
-            freezes,
             from: None,
             names: BTreeSet::new(),
             failures: 0,
@@ -148,6 +168,11 @@
         &self.names
     }
 
+    /// Waits for `time`, or until the part has to be listed.
+    pub(super) async fn pause(&self, time: Duration) {
+        let _ = timeout(time, self.followed.wait_until_check_due()).await;
+    }
+
     /// What the store says next; waits up to `wait` for a change, or pauses after a failure.
     pub(super) async fn next(&mut self, wait: Duration) -> Seen {
         loop {
@@ -172,12 +197,11 @@
 
     async fn list(&mut self) -> Result<Seen, StoreError> {
         self.absences.mark_unchanged();
-        let absences = self.freezes.count();
-        let page = self.followed.list().await?;
-        Ok(self.listed(page, absences))
+        let (page, reading) = self.followed.list().await?;
+        Ok(self.listed(page, reading))
     }
 
-    fn listed(&mut self, page: ListPage, absences: u64) -> Seen {
+    fn listed(&mut self, page: ListPage, reading: Reading) -> Seen {
         self.from = Some(page.at);
         self.names = page
             .items
@@ -185,7 +209,7 @@
             .map(|object| Arc::clone(&object.name))
             .collect();
         self.note_unreadable(&page.unreadable);
-        Seen::All(page, absences)
+        Seen::All(page, reading)
     }
 
     /// `None` when everything must be listed again.
@@ -195,17 +219,14 @@
             _ = self.absences.changed() => return Ok(None),
         };
         match watched {
-            Checked::Watched(Watched::Changes(page)) => {
+            Checked::Watched(Watched::Changes(page), reading) => {
                 self.from = Some(page.at);
                 self.note_unreadable(&page.unreadable);
                 self.note_names(&page.events);
-                Ok(Some(Seen::Changes(page)))
-            }
-            Checked::Watched(Watched::HistoryGone) => Ok(None),
-            Checked::Missed(page) => {
-                let absences = self.freezes.count();
-                Ok(Some(self.listed(page, absences)))
+                Ok(Some(Seen::Changes(page, reading)))
             }
+            Checked::Watched(Watched::HistoryGone, _) => Ok(None),
+            Checked::Missed(page, reading) => Ok(Some(self.listed(page, reading))),
         }
     }
 
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -7,6 +7,7 @@
 mod evacuated;
 mod follow;
 mod kind_watch;
+mod reading;
 mod removals;
 mod tell;
 mod upstreams;
@@ -15,7 +16,7 @@
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -32,6 +33,7 @@
 pub(crate) use config::ConfigInForce;
 pub(crate) use evacuated::watch_evacuations;
 pub(crate) use follow::{StoreRole, follow_source};
+pub(crate) use reading::Reading;
 pub(crate) use tell::tell_world;
 pub use upstreams::{TakenUp, UpstreamTable};
 pub(crate) use watch::{WatchContext, first_world, watch_config, watch_upstreams};
@@ -83,8 +85,11 @@
     freezes: Arc<FreezeWatch>,
     /// Absences of this process before the last whole reading of each part.
     read_after: [AtomicU64; PARTS],
-    /// Whether the store answered last, for each part.
-    in_touch: [AtomicBool; PARTS],
+    /// Time as of which each part is confirmed, that is, includes every change that the store had accepted by then. In
+    /// microseconds of [`MonoTime`]; 0 for a part without a confirmation, `u64::MAX` for one that is left out.
+    confirmed: [AtomicU64; PARTS],
+    /// Sends the time as of which all parts are confirmed, when it changes.
+    confirmations: Sender<MonoTime>,
     /// The last absence after which no reading came in time, so that requests no longer wait for one.
     gave_up_after: AtomicU64,
 }
@@ -98,7 +103,8 @@
             changes: Sender::new(0),
             freezes,
             read_after: Default::default(),
-            in_touch: Default::default(),
+            confirmed: Default::default(),
+            confirmations: Sender::new(MonoTime::default()),
             gave_up_after: AtomicU64::new(0),
         }
     }
@@ -110,7 +116,7 @@
     /// A part that there is none of on this deployment: nothing waits for it.
     pub(crate) fn leave_out(&self, part: WorldPart) {
         self.read_after[part as usize].store(u64::MAX, Ordering::Release);
-        self.note_touch(part, true);
+        self.confirmed[part as usize].store(u64::MAX, Ordering::Release);
     }
 
     /// A part was read whole, after this many absences of this process.
@@ -173,15 +179,58 @@
         }
     }
 
-    /// Whether this instance hears from the store about a part.
-    pub(crate) fn note_touch(&self, part: WorldPart, in_touch: bool) {
-        self.in_touch[part as usize].store(in_touch, Ordering::Release);
+    /// Confirms a part as of the start of a reading whose result has been applied.
+    pub(crate) fn confirm(&self, part: WorldPart, reading: &Reading) {
+        self.confirm_as_of(&[part], reading, reading.started_at);
     }
 
-    /// Whether this instance hears from the store itself, about all of it.
-    pub(crate) fn is_in_touch(&self) -> bool {
-        let mut parts = self.in_touch.iter();
-        parts.all(|part| part.load(Ordering::Acquire)) && self.load().is_known()
+    /// Confirms all parts as of a time reported by another instance.
+    pub(crate) fn confirm_all(&self, reading: &Reading, as_of: MonoTime) {
+        let all = [
+            WorldPart::Config,
+            WorldPart::Upstreams,
+            WorldPart::Evacuations,
+        ];
+        self.confirm_as_of(&all, reading, as_of);
+    }
+
+    fn confirm_as_of(&self, parts: &[WorldPart], reading: &Reading, as_of: MonoTime) {
+        // The clock may not have counted an absence since the start, which would make the confirmation look too recent.
+        if self.freezes.count() != reading.absences {
+            return;
+        }
+        for part in parts {
+            self.confirmed[*part as usize].fetch_max(as_of.0, Ordering::AcqRel);
+        }
+        let confirmed = self.confirmed();
+        self.confirmations
+            .send_if_modified(|known| std::mem::replace(known, confirmed) != confirmed);
+    }
+
+    /// Drops all confirmations, after an absence of this process.
+    pub(crate) fn reset_confirmations(&self) {
+        for part in &self.confirmed {
+            // A part that is left out stays confirmed.
+            let _ = part.fetch_update(Ordering::AcqRel, Ordering::Acquire, |time| {
+                (time != u64::MAX).then_some(0)
+            });
+        }
+    }
+
+    pub(crate) fn part_confirmed(&self, part: WorldPart) -> MonoTime {
+        MonoTime(self.confirmed[part as usize].load(Ordering::Acquire))
+    }
+
+    /// Time as of which all parts are confirmed.
+    pub(crate) fn confirmed(&self) -> MonoTime {
+        let parts = self.confirmed.iter();
+        let oldest = parts.map(|part| part.load(Ordering::Acquire)).min();
+        MonoTime(oldest.unwrap_or_default())
+    }
+
+    /// Receives the time as of which all parts are confirmed, when it changes.
+    pub(crate) fn confirmations(&self) -> Receiver<MonoTime> {
+        self.confirmations.subscribe()
     }
 
     /// Takes up what another instance tells of the store; `false` when it must be asked for what is lacking instead.
--- a/crates/tc-gateway/src/world/tell.rs
+++ b/crates/tc-gateway/src/world/tell.rs
@@ -4,14 +4,18 @@
 
 use futures::{StreamExt, stream, stream::BoxStream};
 use tc_fleet::{EvacuatedDomains, WorldHave, WorldNews};
-use tokio::{sync::watch::Receiver, time::timeout};
+use tc_protocol::MonoTime;
+use tokio::{sync::watch::Receiver, time::sleep};
 
 use super::{World, WorldCell};
 
 /// What one other instance was told so far.
 struct Told {
     cell: Arc<WorldCell>,
+    /// Receipt of the call; confirmations are sent relative to it.
+    received_at: MonoTime,
     changes: Receiver<u64>,
+    confirmations: Receiver<MonoTime>,
     beat: Duration,
     last: Last,
 }
@@ -22,8 +26,8 @@
     World(Arc<World>),
 }
 
-/// Tells at once what the other lacks, then each change; without one, a word every `beat`, so that silence shows that
-/// this instance or the way from it is gone.
+/// Sends at once what the other lacks, then each change and each newer confirmation. Without either, sends a message every
+/// `beat`, so that silence shows that this instance or the connection to it is lost.
 pub(crate) fn tell_world(
     cell: &Arc<WorldCell>,
     have: WorldHave,
@@ -31,7 +35,9 @@
 ) -> BoxStream<'static, WorldNews> {
     let told = Told {
         cell: Arc::clone(cell),
+        received_at: MonoTime::now(),
         changes: cell.changes(),
+        confirmations: cell.confirmations(),
         beat,
         last: Last::Has(have),
     };
@@ -45,17 +51,24 @@
 impl Told {
     async fn next(&mut self) -> WorldNews {
         if matches!(self.last, Last::World(_)) {
-            // Whether by a change or by the time, the worlds are compared.
-            let _ = timeout(self.beat, self.changes.changed()).await;
+            // The worlds are compared whichever of these ends the wait.
+            tokio::select! {
+                _ = self.changes.changed() => {}
+                _ = self.confirmations.changed() => {}
+                () = sleep(self.beat) => {}
+            }
         }
         self.changes.mark_unchanged();
+        self.confirmations.mark_unchanged();
+        // Read before the world, so that the world is at least as new as the confirmation sent with it.
+        let confirmed = self.cell.confirmed();
         let world = self.cell.load();
-        let news = self.news(&world);
+        let news = self.news(&world, confirmed);
         self.last = Last::World(world);
         news
     }
 
-    fn news(&self, world: &Arc<World>) -> WorldNews {
+    fn news(&self, world: &Arc<World>, confirmed: MonoTime) -> WorldNews {
         let (known_version, known_evacuated, upstreams) = match &self.last {
             Last::Has(have) => {
                 let upstreams = &world.upstreams;
@@ -78,7 +91,8 @@
         let config = config.filter(|config| config.routing.version > known_version);
         let is_newer = world.evacuated.revision > known_evacuated;
         WorldNews {
-            in_touch: self.cell.is_in_touch(),
+            confirmed_ms: (confirmed != MonoTime::default() && world.is_known())
+                .then(|| confirmed.millis_from(self.received_at)),
             config: config.map(|config| (Arc::clone(&config.raw), config.revision)),
             upstreams,
             evacuated: is_newer.then(|| EvacuatedDomains::clone(&world.evacuated)),
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -5,10 +5,7 @@
 use tc_fleet::WorldObject;
 use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
 use tc_protocol::MonoTime;
-use tokio::{
-    sync::watch::Receiver,
-    time::{sleep, timeout},
-};
+use tokio::{sync::watch::Receiver, time::timeout};
 
 use super::{
     WorldCell, WorldPart,
@@ -24,10 +21,6 @@
 /// left for a slow store, the way to the upstream and a wait there.
 const GATHER_PART: f64 = 0.25;
 
-/// Part of the same time after which one instance lists what all watch: see [`Followed::check_every`]. Two lists of one
-/// instance in a third of the bound are a tenth of what the watching instances call on an ordinary day.
-const CHECK_PART: f64 = 0.35;
-
 /// What both watches need.
 #[derive(Clone)]
 pub(crate) struct WatchContext {
@@ -38,18 +31,17 @@
     pub(crate) leave_time: Duration,
     /// Whether this instance watches at all; the others hear from those that do.
     pub(crate) watches: Receiver<bool>,
-    /// Whether this instance is the one that checks the watches of all.
-    pub(crate) checks: Arc<dyn Fn() -> bool + Send + Sync>,
+    /// Age of a part's confirmation from which this instance lists it while it watches.
+    pub(crate) check_after: Receiver<Duration>,
 }
 
 impl WatchContext {
-    /// What to follow; a change of it must count within `bound`.
     pub(super) fn followed(
         &self,
+        part: WorldPart,
         kind: &'static str,
         purpose: Purpose,
         what: &'static str,
-        bound: Duration,
     ) -> Followed {
         Followed {
             store: self.store.clone(),
@@ -57,8 +49,9 @@
             kind,
             purpose,
             what,
-            checks: Arc::clone(&self.checks),
-            check_every: bound.mul_f64(CHECK_PART),
+            cell: Arc::clone(&self.cell),
+            part,
+            check_after: self.check_after.clone(),
         }
     }
 }
@@ -67,20 +60,21 @@
 pub(super) struct GatedWatch {
     watch: KindWatch,
     watches: Receiver<bool>,
-    cell: Arc<WorldCell>,
-    part: WorldPart,
 }
 
 impl GatedWatch {
-    pub(super) fn new(cx: &WatchContext, followed: Followed, part: WorldPart) -> Self {
+    pub(super) fn new(cx: &WatchContext, followed: Followed) -> Self {
         Self {
-            watch: KindWatch::new(followed, cx.cell.freezes()),
+            watch: KindWatch::new(followed),
             watches: cx.watches.clone(),
-            cell: Arc::clone(&cx.cell),
-            part,
         }
     }
 
+    /// See [`KindWatch::pause`].
+    pub(super) async fn pause(&self, time: Duration) {
+        self.watch.pause(time).await;
+    }
+
     /// See [`KindWatch::names`].
     pub(super) const fn names(&self) -> &BTreeSet<Arc<str>> {
         self.watch.names()
@@ -90,21 +84,14 @@
     pub(super) async fn next(&mut self, wait: Duration) -> Option<Seen> {
         loop {
             if !*self.watches.borrow_and_update() {
-                self.cell.note_touch(self.part, false);
                 self.watch.begin_anew();
                 self.watches.changed().await.ok()?;
                 continue;
             }
-            let seen = tokio::select! {
-                seen = self.watch.next(wait) => seen,
-                changed = self.watches.changed() => {
-                    changed.ok()?;
-                    continue;
-                }
-            };
-            let answered = !matches!(seen, Seen::Failed);
-            self.cell.note_touch(self.part, answered);
-            return Some(seen);
+            tokio::select! {
+                seen = self.watch.next(wait) => return Some(seen),
+                changed = self.watches.changed() => changed.ok()?,
+            }
         }
     }
 }
@@ -112,13 +99,9 @@
 /// Keeps the configuration up to date; runs until it is dropped.
 pub(crate) async fn watch_config(cx: WatchContext) {
     let kinds = cx.edges.kinds;
-    let followed = cx.followed(
-        kinds.config,
-        Purpose::Config,
-        "configuration",
-        cx.leave_time,
-    );
-    let mut watch = GatedWatch::new(&cx, followed, WorldPart::Config);
+    let part = WorldPart::Config;
+    let followed = cx.followed(part, kinds.config, Purpose::Config, "configuration");
+    let mut watch = GatedWatch::new(&cx, followed);
     let cell = cx.cell;
     let apply = |object: &StoredObject| {
         if *object.name == *kinds.config_name {
@@ -127,16 +110,18 @@
     };
     while let Some(seen) = watch.next(WATCH_WAIT).await {
         match seen {
-            Seen::All(page, absences) => {
+            Seen::All(page, reading) => {
                 page.items.iter().for_each(apply);
-                cell.note_read(WorldPart::Config, absences);
+                cell.confirm(part, &reading);
+                cell.note_read(part, reading.absences);
             }
-            Seen::Changes(page) => {
+            Seen::Changes(page, reading) => {
                 for event in &page.events {
                     if let ObjectEvent::Put(object) = event {
                         apply(object);
                     }
                 }
+                cell.confirm(part, &reading);
             }
             Seen::Failed => {}
         }
@@ -146,45 +131,51 @@
 /// Keeps the list of upstreams up to date; runs until it is dropped.
 pub(crate) async fn watch_upstreams(cx: WatchContext) {
     let kind = cx.edges.kinds.upstreams;
-    let followed = cx.followed(kind, Purpose::Registry, "list of upstreams", cx.leave_time);
-    let mut watch = GatedWatch::new(&cx, followed, WorldPart::Upstreams);
+    let part = WorldPart::Upstreams;
+    let followed = cx.followed(part, kind, Purpose::Registry, "list of upstreams");
+    let mut watch = GatedWatch::new(&cx, followed);
+    let gather = cx.leave_time.mul_f64(GATHER_PART);
     let mut upstreams = UpstreamKeeper {
         cell: cx.cell,
         removals: HeldRemovals::default(),
-        gather: cx.leave_time.mul_f64(GATHER_PART),
     };
     while let Some(seen) = watch.next(upstreams.wait()).await {
-        upstreams.take(seen).await;
+        if upstreams.take(seen) {
+            watch.pause(gather).await;
+        }
+        upstreams.apply_due();
     }
 }
 
 struct UpstreamKeeper {
     cell: Arc<WorldCell>,
     removals: HeldRemovals,
-    /// Pause after a change.
-    gather: Duration,
 }
 
 impl UpstreamKeeper {
-    async fn take(&mut self, seen: Seen) {
+    /// Applies what the store said; returns whether a watch brought changes.
+    fn take(&mut self, seen: Seen) -> bool {
         let now = MonoTime::now();
         match seen {
-            Seen::All(page, absences) => {
+            Seen::All(page, reading) => {
                 self.removals.answered(now);
                 self.take_list(page);
-                self.cell.note_read(WorldPart::Upstreams, absences);
+                self.cell.confirm(WorldPart::Upstreams, &reading);
+                self.cell.note_read(WorldPart::Upstreams, reading.absences);
+                false
             }
-            Seen::Changes(page) => {
+            Seen::Changes(page, reading) => {
                 self.removals.answered(now);
                 let any = !page.events.is_empty();
                 self.take_events(page.events, page.at);
-                if any {
-                    sleep(self.gather).await;
-                }
+                self.cell.confirm(WorldPart::Upstreams, &reading);
+                any
+            }
+            Seen::Failed => {
+                self.removals.failed(now);
+                false
             }
-            Seen::Failed => self.removals.failed(now),
         }
-        self.apply_due();
     }
 
     /// Turns a list into changes, so that removals just after an outage are held as the watch's are.
--- a/crates/tc-membership/src/store_source.rs
+++ b/crates/tc-membership/src/store_source.rs
@@ -54,28 +54,41 @@
     by_turn.into_iter().map(|(.., member)| member).collect()
 }
 
-/// Times that decide when another source is taken.
+/// Times that decide when another source is chosen and when the store is read.
+///
+/// An instance's state of the store is *confirmed* as of a time if it is known to include every change that the store had
+/// accepted by then.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SourceTiming {
     /// Time between two words of a source that has no news.
     pub beat: Duration,
     /// A source that says nothing for so long is given up.
     pub silence: Duration,
-    /// An instance that hears from no source in touch with the store for so long watches it itself.
+    /// Age of a source's confirmation from which another source is chosen.
+    pub stale: Duration,
+    /// Age of the newest confirmation from any source from which an instance reads the store itself.
     pub patience: Duration,
+    /// Age of its own confirmation from which the first watcher lists the store.
+    pub check_after: Duration,
+    /// Added to `check_after` for each hop from the first watcher, so that another instance lists only if the first cannot.
+    pub check_delay_per_hop: Duration,
 }
 
 impl SourceTiming {
     /// Times that fit within the bound by which a change of the store is to count everywhere.
     ///
-    /// A watcher gathers changes for a quarter of the bound. With the times below an instance whose source has died, or
-    /// was cut off, has another or its own list after half of it, so that a quarter is left for slow calls.
+    /// A watcher gathers changes for a quarter of the bound. With the times below an instance whose source has died, was
+    /// cut off or is no longer answered by the store has another or its own list after half of it, so that a quarter is
+    /// left for slow calls.
     #[must_use]
     pub fn within(bound: Duration) -> Self {
         Self {
             beat: bound.mul_f64(0.125),
             silence: bound.mul_f64(0.3),
+            stale: bound.mul_f64(0.44),
             patience: bound.mul_f64(0.5),
+            check_after: bound.mul_f64(0.36),
+            check_delay_per_hop: bound.mul_f64(0.02),
         }
     }
 }
@@ -84,6 +97,8 @@
 struct Source {
     id: InstanceId,
     heard: MonoTime,
+    /// Its last reported confirmation; before its first message, the time at which it was chosen.
+    confirmed: MonoTime,
 }
 
 /// One instance's choice of where it hears of the store from.
@@ -102,16 +117,16 @@
 pub struct StoreSource {
     me: InstanceId,
     timing: SourceTiming,
-    /// Whether this instance is among those that watch.
-    is_watcher: bool,
+    /// This instance's place among those that watch; `None` if it is not one of them.
+    watcher_place: Option<usize>,
     /// Whether it knows the members well enough to say so. A fleet that starts knows few in its first moments, and each would
     /// take itself for one of the best.
     is_settled: bool,
     /// Whom to follow, best first.
     candidates: Vec<InstanceId>,
     current: Option<Source>,
-    /// When a source last said that it is in touch with the store.
-    in_touch: MonoTime,
+    /// Newest confirmation reported by any source.
+    confirmed: MonoTime,
     avoided_until: BTreeMap<InstanceId, MonoTime>,
 }
 
@@ -122,11 +137,11 @@
         Self {
             me,
             timing,
-            is_watcher: false,
+            watcher_place: None,
             is_settled: false,
             candidates: Vec::new(),
             current: None,
-            in_touch: now,
+            confirmed: now,
             avoided_until: BTreeMap::new(),
         }
     }
@@ -135,7 +150,7 @@
     pub fn members_changed(&mut self, members: &[Member]) {
         let watchers = store_watchers(members);
         let my_place = watchers.iter().position(|w| w.id == self.me);
-        self.is_watcher = my_place.is_some();
+        self.watcher_place = my_place;
         let mut candidates: Vec<&Member> = watchers;
         if let Some(place) = my_place {
             // Each watcher follows the next, so that what one of them sees reaches all of them.
@@ -163,11 +178,14 @@
     /// Whom to follow now; the caller follows nobody else.
     pub fn source(&mut self, now: MonoTime) -> Option<InstanceId> {
         if let Some(current) = &self.current {
-            if now.since(current.heard) <= self.timing.silence {
-                return Some(current.id.clone());
+            let id = current.id.clone();
+            if now.since(current.heard) > self.timing.silence {
+                self.broke(now, &id);
+            } else if self.is_stale(now, current.confirmed) {
+                self.avoid(now, &id, self.timing.beat);
+            } else {
+                return Some(id);
             }
-            let silent = current.id.clone();
-            self.broke(now, &silent);
         }
         self.avoided_until.retain(|_, until| *until > now);
         let avoided = &self.avoided_until;
@@ -175,26 +193,38 @@
         self.current = next.map(|id| Source {
             id: id.clone(),
             heard: now,
+            confirmed: now,
         });
         next.cloned()
     }
 
-    /// A source said something, and whether it is itself in touch with the store.
-    pub fn heard(&mut self, now: MonoTime, from: &InstanceId, in_touch: bool) {
+    /// Whether a source with this confirmation is to be replaced. A watcher keeps following the next one, however old its
+    /// confirmation is.
+    fn is_stale(&self, now: MonoTime, confirmed: MonoTime) -> bool {
+        self.watcher_place.is_none() && now.since(confirmed) >= self.timing.stale
+    }
+
+    /// A source sent a message; its state is confirmed as of `confirmed`.
+    pub fn heard(&mut self, now: MonoTime, from: &InstanceId, confirmed: MonoTime) {
         let Some(current) = self.current.as_mut().filter(|c| c.id == *from) else {
             return;
         };
         current.heard = now;
-        if in_touch {
-            self.in_touch = now;
-            return;
-        }
-        // A watcher hears what the next one knows, in touch or not; anyone else looks for a better source.
-        if !self.is_watcher {
+        current.confirmed = confirmed;
+        self.confirmed = self.confirmed.max(confirmed);
+        if self.is_stale(now, confirmed) {
             self.avoid(now, from, self.timing.beat);
         }
     }
 
+    /// The process was absent, and its clock may not show how old the confirmations are. Unless a source reports one
+    /// within a beat, this instance reads the store itself.
+    pub fn resumed(&mut self, now: MonoTime) {
+        self.current = None;
+        let patience_left = self.timing.patience.saturating_sub(self.timing.beat);
+        self.confirmed = self.confirmed.min(now.before(patience_left));
+    }
+
     /// A source cannot be reached, ended, or was silent: another is taken, and this one not for a while.
     pub fn broke(&mut self, now: MonoTime, from: &InstanceId) {
         self.avoid(now, from, self.timing.silence);
@@ -208,13 +238,36 @@
     /// Whether this instance watches the store itself.
     #[must_use]
     pub fn watches(&self, now: MonoTime) -> bool {
-        let is_watcher = self.is_watcher && self.is_settled;
-        is_watcher || now.since(self.in_touch) >= self.timing.patience
+        let is_watcher = self.watcher_place.is_some() && self.is_settled;
+        is_watcher || now.since(self.confirmed) >= self.timing.patience
+    }
+
+    /// Age of its confirmation from which this instance, while it watches, lists the store as well.
+    ///
+    /// A watch that is never answered looks like a store without changes. The list of the first watcher confirms the state
+    /// of all instances; each of the others waits longer by its hops from the first, so that it lists only if that fails.
+    #[must_use]
+    pub fn check_after(&self) -> Duration {
+        let hops = match self.watcher_place {
+            Some(0) => 0,
+            // Each watcher follows the next, and the last one follows the first.
+            Some(place) => WATCHERS - place,
+            None => WATCHERS,
+        };
+        self.timing.check_after + self.timing.check_delay_per_hop * hops as u32
     }
 
     /// How long [`StoreSource::source`] and [`StoreSource::watches`] may go unasked.
     #[must_use]
-    pub fn look_again(&self) -> Duration {
-        self.timing.beat
+    pub fn look_again(&self, now: MonoTime) -> Duration {
+        let patience_ends = self.confirmed.after(self.timing.patience);
+        let source = self.current.as_ref();
+        let stale_from = source.map(|source| source.confirmed.after(self.timing.stale));
+        let due = [Some(patience_ends), stale_from].into_iter().flatten();
+        let upcoming = due.map(|at| at.since(now)).filter(|left| !left.is_zero());
+        upcoming
+            .min()
+            .unwrap_or(self.timing.beat)
+            .min(self.timing.beat)
     }
 }
--- /dev/null
+++ b/crates/tc-membership/tests/store_source/freshness.rs
@@ -0,0 +1,104 @@
+//! Bound on the age of an instance's state while the store answers that instance, whatever happens to the others.
+
+use std::time::Duration;
+
+use crate::fleet::{BOUND, Fleet, STEP, State};
+
+/// Four watchers and two followers.
+const COUNT: usize = 6;
+const STATES: [State; 4] = [
+    State::Well,
+    State::Silent,
+    State::TurnedAway,
+    State::WatchHangs,
+];
+/// Half of the bound, after which an instance lists the store itself, and two steps. The other half of the bound is left for
+/// gathering changes and for the list.
+const MAX_AGE: Duration = Duration::from_millis(2_000 + 2 * 20);
+
+/// All states of the four watchers.
+fn all_states() -> impl Iterator<Item = [State; 4]> {
+    let count = STATES.len();
+    (0..count.pow(4)).map(move |n| [0, 1, 2, 3].map(|place| STATES[n / count.pow(place) % count]))
+}
+
+/// Lets time pass and checks in every step the age of the instances that the store answers.
+fn run_checked(fleet: &mut Fleet, time: Duration, what: &str) {
+    let steps = time.as_millis() / STEP.as_millis();
+    for _ in 0..steps {
+        fleet.run(STEP);
+        for index in 0..COUNT {
+            assert!(
+                fleet.confirmed[index] <= fleet.current[index],
+                "{what}: {index} confirms changes that it does not have"
+            );
+            if fleet.states[index] == State::Well {
+                let age = fleet.now.since(fleet.current[index]);
+                assert!(age <= MAX_AGE, "{what}: {index} is {age:?} behind");
+            }
+        }
+    }
+}
+
+/// Guards against followers that rely on a source without current knowledge of the store. Covers all states of the four
+/// watchers at four phases of their checks, each followed by a change of one watcher.
+#[test]
+fn no_instance_that_the_store_answers_is_older_than_the_bound() {
+    let mut healthy = Fleet::new(COUNT);
+    healthy.run(BOUND);
+    let watchers = healthy.watchers();
+    assert_eq!(watchers.len(), 4);
+    for phase in 0..4 {
+        let mut started = healthy.clone();
+        started.run(BOUND.mul_f64(0.08) * phase);
+        for states in all_states() {
+            let mut fleet = started.clone();
+            for (watcher, state) in watchers.iter().zip(states) {
+                fleet.states[*watcher] = state;
+            }
+            run_checked(&mut fleet, BOUND / 3, &format!("{states:?} at {phase}"));
+            for (place, then) in [(0, 1), (1, 2), (2, 3), (3, 0), (0, 2), (1, 3)] {
+                let mut fleet = fleet.clone();
+                // Only failures are simulated; an instance that recovers needs time for its first reading.
+                if fleet.states[watchers[place]] != State::Well {
+                    continue;
+                }
+                fleet.states[watchers[place]] = STATES[then];
+                let what = format!("{states:?} at {phase}, then {place} is {:?}", STATES[then]);
+                run_checked(&mut fleet, BOUND, &what);
+            }
+        }
+    }
+}
+
+/// Guards against checks by more than one instance while nothing fails.
+#[test]
+fn one_instance_lists_for_all_while_nothing_fails() {
+    for count in [8, 80, 300] {
+        let mut fleet = Fleet::new(count);
+        fleet.run(BOUND * 5);
+        let max_lists = 5.0 / 0.36;
+        assert!(
+            fleet.lists as f64 <= max_lists + 1.0,
+            "{} lists",
+            fleet.lists
+        );
+    }
+}
+
+/// Guards against followers that all read the store because a watcher is lost.
+#[test]
+fn losing_a_watcher_makes_no_other_instance_read_the_store() {
+    for lost in 0..4 {
+        for phase in 0..5 {
+            let mut fleet = Fleet::new(60);
+            fleet.run(BOUND + BOUND.mul_f64(0.06) * phase);
+            let watchers = fleet.watchers();
+            fleet.states[watchers[lost]] = State::Silent;
+            for _ in 0..100 {
+                fleet.run(STEP);
+                assert_eq!(fleet.watchers().len(), 3, "{lost} lost at {phase}");
+            }
+        }
+    }
+}
--- a/crates/tc-membership/tests/store_source.rs
+++ b/crates/tc-membership/tests/store_source/roles.rs
@@ -1,137 +1,14 @@
-//! Few instances watch the store and tell the others: who they are, and what holds when they are lost.
+//! Which instances watch the store, and how the others find a source when watchers are lost.
 
 use std::{collections::BTreeSet, time::Duration};
 
 use tc_membership::{SourceTiming, StoreSource, store_watchers};
-use tc_protocol::{Incarnation, InstanceId, Member, MemberState, MonoTime};
+use tc_protocol::{Member, MonoTime};
+
+use crate::fleet::{BOUND, Fleet, STEP, State, id, members};
 
-/// Bound by which a change of the store is to count everywhere, on deployments of hundreds of instances.
-const BOUND: Duration = Duration::from_secs(4);
 /// Time until all instances know of a loss, among hundreds.
 const LOSS_KNOWN: Duration = Duration::from_millis(1_400);
-const STEP: Duration = Duration::from_millis(20);
-const DOMAINS: usize = 6;
-
-fn id(index: usize) -> InstanceId {
-    format!("i{index:03}").into()
-}
-
-/// One instance in seventeen has four times the processor and ten times the link of the others.
-fn member(index: usize) -> Member {
-    let strong = index.is_multiple_of(17);
-    Member {
-        id: id(index),
-        incarnation: Incarnation(1),
-        caller_address: ([127, 0, 0, 1], 8_000).into(),
-        fleet_address: ([127, 0, 0, 1], 10_000 + index as u16).into(),
-        failure_domain: format!("kl-{}", index % DOMAINS).into(),
-        region: "kl".into(),
-        state: MemberState::Alive,
-        strength: if strong { 2_000 } else { 5 },
-    }
-}
-
-fn members(count: usize) -> Vec<Member> {
-    (0..count).map(member).collect()
-}
-
-/// What an instance can do at a moment.
-#[derive(Clone, Copy, PartialEq)]
-enum State {
-    Well,
-    /// It lost power, or a cut separates it from all others: it says nothing more.
-    Silent,
-    /// The store turns it away; others reach it.
-    TurnedAway,
-}
-
-struct Fleet {
-    now: MonoTime,
-    states: Vec<State>,
-    sources: Vec<StoreSource>,
-    /// When each heard last that what it knows is current.
-    current: Vec<MonoTime>,
-}
-
-impl Fleet {
-    fn new(count: usize) -> Self {
-        let now = MonoTime::from_millis(1_000);
-        let members = members(count);
-        let sources = (0..count).map(|index| {
-            let mut source = StoreSource::new(id(index), SourceTiming::within(BOUND), now);
-            source.members_changed(&members);
-            source.settled();
-            source
-        });
-        Self {
-            now,
-            states: vec![State::Well; count],
-            sources: sources.collect(),
-            current: vec![now; count],
-        }
-    }
-
-    fn watchers(&self) -> Vec<usize> {
-        let all = 0..self.sources.len();
-        all.filter(|i| self.states[*i] != State::Silent && self.sources[*i].watches(self.now))
-            .collect()
-    }
-
-    fn is_in_touch(&self, index: usize) -> bool {
-        self.states[index] == State::Well && self.sources[index].watches(self.now)
-    }
-
-    /// Lets time pass; each instance that lives hears a word of its source in every step.
-    fn run(&mut self, time: Duration) {
-        let end = self.now.after(time);
-        while self.now < end {
-            self.now = self.now.after(STEP);
-            for index in 0..self.sources.len() {
-                if self.states[index] != State::Silent {
-                    self.step(index);
-                }
-            }
-        }
-    }
-
-    fn step(&mut self, index: usize) {
-        let now = self.now;
-        if self.is_in_touch(index) {
-            self.current[index] = now;
-        }
-        let Some(from) = self.sources[index].source(now) else {
-            return;
-        };
-        let source = (0..self.sources.len()).find(|i| id(*i) == from);
-        let source = source.expect("only members of the test are sources");
-        if self.states[source] == State::Silent {
-            return;
-        }
-        let in_touch = self.is_in_touch(source);
-        self.sources[index].heard(now, &from, in_touch);
-        if in_touch {
-            self.current[index] = now;
-        }
-    }
-
-    /// All learn which members are left.
-    fn learn_losses(&mut self) {
-        let left: Vec<Member> = (0..self.states.len())
-            .filter(|index| self.states[*index] != State::Silent)
-            .map(member)
-            .collect();
-        for source in &mut self.sources {
-            source.members_changed(&left);
-        }
-    }
-
-    /// The longest time for which a living instance has not known whether what it holds is current.
-    fn oldest(&self) -> Duration {
-        let living = (0..self.states.len()).filter(|i| self.states[*i] != State::Silent);
-        let ages = living.map(|i| self.now.since(self.current[i]));
-        ages.max().unwrap_or_default()
-    }
-}
 
 #[test]
 fn four_strong_instances_in_four_domains_watch_for_hundreds() {
@@ -276,8 +153,12 @@
             source.members_changed(&members);
             source.settled();
             let from = source.source(now).expect("there are others that watch");
-            source.heard(now, &from, false);
-            assert_eq!(source.source(now), Some(from.clone()), "in touch or not");
+            source.heard(now, &from, MonoTime::default());
+            assert_eq!(
+                source.source(now),
+                Some(from.clone()),
+                "a watcher keeps its source, however old the confirmation"
+            );
             if reached.contains(&from) {
                 reached.insert(watcher.id.clone());
             }
--- a/crates/tc-protocol/src/clock.rs
+++ b/crates/tc-protocol/src/clock.rs
@@ -48,6 +48,34 @@
     pub const fn after(self, by: Duration) -> Self {
         Self(self.0.saturating_add(by.as_micros() as u64))
     }
+
+    /// Whole milliseconds from `origin` to this time, rounded down; negative if this time is before `origin`.
+    ///
+    /// ```
+    /// use tc_protocol::MonoTime;
+    /// assert_eq!(MonoTime(4_000).millis_from(MonoTime(5_500)), -2);
+    /// ```
+    #[must_use]
+    pub fn millis_from(self, origin: Self) -> i64 {
+        let micros = i128::from(self.0) - i128::from(origin.0);
+        i64::try_from(micros.div_euclid(1_000)).unwrap_or(i64::MAX)
+    }
+
+    /// This time moved by `millis` milliseconds, into the past if negative.
+    ///
+    /// ```
+    /// use tc_protocol::MonoTime;
+    /// assert_eq!(MonoTime(5_500).offset_by_millis(-2), MonoTime(3_500));
+    /// ```
+    #[must_use]
+    pub const fn offset_by_millis(self, millis: i64) -> Self {
+        let by = Duration::from_millis(millis.unsigned_abs());
+        if millis < 0 {
+            self.before(by)
+        } else {
+            self.after(by)
+        }
+    }
 }
 
 /// The time by which a request must be answered.
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -138,6 +138,7 @@
     count("tc_stage_refusals_total", &[SERVICE], "Stages of requests that their home refused at once."),
     count("tc_stages_remade_total", &[], "Requests whose stages were made again as results were gone."),
     count("tc_stalled_callers_total", &[], "Connections closed because their caller took nothing of its answer."),
+    gauge_millis("tc_store_confirmed_age_ms", &[], "Time since the start of the newest reading of the store, by any instance, whose result this instance is known to hold."),
     gauge("tc_store_watcher", &[], "1 while this instance watches the store itself: four of a fleet, and others whom nobody tells anything."),
     count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
     count("tc_superseded_total", &[], "Times this process found another, later one with its instance's name."),
@@ -169,6 +170,17 @@
     }
 }
 
+const fn gauge_millis(
+    name: &'static str,
+    labels: &'static [Label],
+    meaning: &'static str,
+) -> Metric {
+    Metric {
+        unit: MetricUnit::Milliseconds,
+        ..gauge(name, labels, meaning)
+    }
+}
+
 const fn millis(name: &'static str, labels: &'static [Label], meaning: &'static str) -> Metric {
     Metric {
         kind: MetricKind::Histogram,
