Stop sending new requests to upstreams that announce leaving

Requests were sent to upstreams for seconds after their answers had announced that they were leaving: until the next list from the store, which a store outage delays by the length of the outage.

Cause: the header was in no table and was dropped, so upstreams were chosen by the store's list alone.

Ruled out: a late read of the store's list (the store accepted no writes for 12 s), and a way to an upstream that bypasses the list (all of them stop with this change).

An answer with the announcement now marks the upstream process in the table that every choice of an upstream reads. Plain requests, retries, resumed streams, engines and batch calls exclude it at once, and no choice needs a check of its own. The mark applies to the process, not to its address, and is kept for 10 minutes when the entry expires. A request to a home for an engine lists the upstreams that this instance knows to be leaving, so that the home chooses another one.

--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -89,11 +89,29 @@
     pub load: Option<UpstreamLoad>,
     /// The rate limit that the upstream announces.
     pub rate_limit: AnnouncedLimit,
+    /// The lifecycle state that the upstream announces.
+    pub lifecycle: Lifecycle,
     /// Headers that the outside's spelling does not know.
     pub unknown: Vec<HeaderName>,
 }
 
 impl AnswerHead {
+    /// Returns true if the upstream that was called announces that it is leaving.
+    ///
+    /// An answer of another process at the same address does not count.
+    ///
+    /// ```
+    /// use tc_gateway::{AnswerHead, Lifecycle, Taken};
+    /// let mut head = AnswerHead { lifecycle: Lifecycle::Leaving, ..AnswerHead::default() };
+    /// assert!(head.announces_leaving());
+    /// head.taken = Taken::OtherProcess;
+    /// assert!(!head.announces_leaving());
+    /// ```
+    #[must_use]
+    pub fn announces_leaving(&self) -> bool {
+        self.lifecycle == Lifecycle::Leaving && self.taken != Taken::OtherProcess
+    }
+
     /// Returns what the answer says of the upstream's rate limit; `None` if it says nothing.
     ///
     /// Only a success shows that a limit is gone: an upstream in need may turn requests away without naming it again.
@@ -115,6 +133,16 @@
     }
 }
 
+/// The lifecycle state that an upstream announces in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// The upstream announces nothing.
+    #[default]
+    Running,
+    /// The upstream is about to stop: it finishes requests in progress and must get no new ones.
+    Leaving,
+}
+
 /// An upstream's load as it tells it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamLoad {
--- a/crates/tc-gateway/src/homes/calls.rs
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -41,6 +41,9 @@
     };
     let head = (cx.edges.read_answer)(&reply.head);
     cx.unknown_headers.record(&call.upstream, &head.unknown);
+    if head.announces_leaving() {
+        cx.world.mark_leaving(&call.upstream);
+    }
     if let Some(announced) = head.limit_news(reply.head.status) {
         cx.limits.observe(&call.upstream, announced);
     }
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -26,7 +26,7 @@
 mod upstreams;
 mod world;
 
-pub use call::{AnswerHead, CallHead, HeadError, Taken, UpstreamHead, UpstreamLoad};
+pub use call::{AnswerHead, CallHead, HeadError, Lifecycle, Taken, UpstreamHead, UpstreamLoad};
 pub use edges::{DirectoryQuestion, Edges, StoreKinds};
 pub use events::{Event, EventSplitter};
 pub use freeze::{SuspendedTime, suspended_time};
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -217,6 +217,9 @@
             cx.book.note_load(id, load);
         }
         cx.unknown_headers.record(id, &head.unknown);
+        if head.announces_leaving() {
+            cx.world.mark_leaving(id);
+        }
         if let Some(announced) = head.limit_news(answered.reply.head.status) {
             cx.limits.limits().observe(id, announced);
         }
--- a/crates/tc-gateway/src/run/target.rs
+++ b/crates/tc-gateway/src/run/target.rs
@@ -34,7 +34,7 @@
         req: &RoutedRequest,
         results: Option<&StageResults>,
     ) -> Result<Target, SendFailure> {
-        if let Some(ask) = self.engine_ask(req, results)
+        if let Some(ask) = self.engine_ask(cx, req, results)
             && let Some(chosen) = ask_for_engine(cx, &req.head.request, &ask).await
         {
             let in_flight = cx.book.count(&chosen.upstream.id);
@@ -49,14 +49,23 @@
     }
 
     /// Builds the ask for the home of a model service; `None` for requests without a prompt.
-    fn engine_ask(&self, req: &RoutedRequest, results: Option<&StageResults>) -> Option<EngineAsk> {
+    fn engine_ask(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        results: Option<&StageResults>,
+    ) -> Option<EngineAsk> {
+        let prompt = req.head.prompt.clone()?;
+        let world = cx.world.load();
+        // The home may not have received these announcements yet.
+        let leaving = world.upstreams.announced_leaving(&req.service);
         Some(EngineAsk {
             service: req.service.clone(),
-            prompt: req.head.prompt.clone()?,
+            prompt,
             inputs: results
                 .map(|results| results.lie_in.clone())
                 .unwrap_or_default(),
-            except: self.tried.clone(),
+            except: self.tried.iter().chain(leaving).cloned().collect(),
             remaining: req.time_left(),
         })
     }
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -25,7 +25,7 @@
 use serde_json::Value;
 use tc_fleet::{EvacuatedDomains, WorldHave, WorldNews, WorldObject};
 use tc_platform::ObjectEvent;
-use tc_protocol::{FailureDomain, MonoTime, ServiceName};
+use tc_protocol::{FailureDomain, MonoTime, ServiceName, UpstreamId};
 use tokio::sync::watch::{Receiver, Sender};
 
 use crate::{edges::Edges, freeze::FreezeWatch};
@@ -337,6 +337,26 @@
         self.publish_upstreams(&world, upstreams);
     }
 
+    /// Excludes an upstream that has announced that it is leaving from new requests, whatever state the store shows.
+    pub(crate) fn mark_leaving(&self, id: &UpstreamId) {
+        // Avoids the write lock for repeats: a leaving upstream announces it in every answer.
+        if self.load().upstreams.has_announced_leaving(id) {
+            return;
+        }
+        let _writing = self.write();
+        let world = self.load();
+        if world.upstreams.has_announced_leaving(id) {
+            return;
+        }
+        log::info!(upstream = id.as_str(); "an upstream announces that it is leaving");
+        metrics::counter!("tc_upstreams_leaving_total").increment(1);
+        self.publish(World {
+            config: world.config.clone(),
+            upstreams: Arc::new(world.upstreams.with_leaving(id, MonoTime::now())),
+            evacuated: Arc::clone(&world.evacuated),
+        });
+    }
+
     fn publish_upstreams(&self, world: &World, upstreams: UpstreamTable) {
         let changed = !upstreams.same_upstreams(&world.upstreams);
         if changed {
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -4,6 +4,7 @@
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
+    time::Duration,
 };
 
 use serde_json::Value;
@@ -16,6 +17,9 @@
 
 use crate::edges::Edges;
 
+/// Minimum time for which the announcement of an unregistered upstream is kept.
+const LEAVING_RETENTION: Duration = Duration::from_mins(10);
+
 /// What came of another instance's news.
 #[derive(Clone, Debug)]
 pub enum TakenUp {
@@ -46,8 +50,16 @@
     by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>>,
     by_address: HashMap<SocketAddr, Arc<RegisteredUpstream>>,
     lives: HashSet<UpstreamId>,
+    marks: Arc<UpstreamMarks>,
+}
+
+/// Restrictions on upstreams that come from other sources than their entries.
+#[derive(Clone, Debug, Default)]
+struct UpstreamMarks {
     /// Where nothing new may be sent to any of them.
     evacuated: BTreeSet<FailureDomain>,
+    /// Upstreams that have announced that they are leaving, with the time of the first announcement.
+    leaving: HashMap<UpstreamId, MonoTime>,
 }
 
 impl UpstreamTable {
@@ -77,6 +89,33 @@
         self.lives.contains(id)
     }
 
+    /// Returns true if this upstream process has announced that it is leaving.
+    pub(crate) fn has_announced_leaving(&self, id: &UpstreamId) -> bool {
+        self.marks.leaving.contains_key(id)
+    }
+
+    /// Returns the registered upstreams of a service that have announced that they are leaving.
+    pub(crate) fn announced_leaving(
+        &self,
+        service: &ServiceName,
+    ) -> impl Iterator<Item = &UpstreamId> {
+        let upstreams = self.of_service(service.as_str()).iter();
+        upstreams
+            .map(|upstream| &upstream.id)
+            .filter(|id| self.has_announced_leaving(id))
+    }
+
+    /// Returns this table with an upstream marked as leaving.
+    pub(crate) fn with_leaving(&self, id: &UpstreamId, now: MonoTime) -> Self {
+        let mut marks = UpstreamMarks::clone(&self.marks);
+        // An entry may expire and be registered again during a store outage.
+        marks
+            .leaving
+            .retain(|id, since| self.contains(id) || now.since(*since) < LEAVING_RETENTION);
+        marks.leaving.insert(id.clone(), now);
+        Self::from_entries(self.entries.clone(), self.revision, Arc::new(marks))
+    }
+
     /// Names of all entries.
     pub(crate) fn names(&self) -> impl Iterator<Item = &Arc<str>> {
         self.entries.keys()
@@ -193,7 +232,7 @@
                 }
             }
         }
-        Self::from_entries(entries, self.revision.max(at), self.evacuated.clone())
+        Self::from_entries(entries, self.revision.max(at), Arc::clone(&self.marks))
     }
 
     /// This table with other failure domains evacuated.
@@ -210,12 +249,16 @@
         let upstreams = entries.values_mut().filter_map(|e| e.upstream.as_mut());
         for upstream in upstreams {
             let domain = &upstream.failure_domain;
-            if self.evacuated.contains(domain) && !evacuated.contains(domain) {
+            if self.marks.evacuated.contains(domain) && !evacuated.contains(domain) {
                 let returned = Arc::make_mut(upstream);
                 returned.cold_until = returned.cold_until.max(cold_until(&returned.service));
             }
         }
-        Self::from_entries(entries, self.revision, evacuated.clone())
+        let marks = UpstreamMarks {
+            evacuated: evacuated.clone(),
+            leaving: self.marks.leaving.clone(),
+        };
+        Self::from_entries(entries, self.revision, Arc::new(marks))
     }
 
     /// The table of a whole list.
@@ -231,19 +274,19 @@
                 (Arc::clone(&object.name), entry)
             })
             .collect();
-        Self::from_entries(entries, at, self.evacuated.clone())
+        Self::from_entries(entries, at, Arc::clone(&self.marks))
     }
 
     fn from_entries(
         entries: BTreeMap<Arc<str>, Entry>,
         revision: u64,
-        evacuated: BTreeSet<FailureDomain>,
+        marks: Arc<UpstreamMarks>,
     ) -> Self {
         let mut by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>> = HashMap::new();
         let mut by_address = HashMap::new();
         let mut lives = HashSet::new();
         for registered in entries.values().filter_map(|e| e.upstream.as_ref()) {
-            let upstream = marked(registered, &evacuated);
+            let upstream = marked(registered, &marks);
             lives.insert(upstream.id.clone());
             by_address.insert(upstream.address, Arc::clone(&upstream));
             by_service
@@ -257,20 +300,20 @@
             by_service,
             by_address,
             lives,
-            evacuated,
+            marks,
         }
     }
 }
 
-fn marked(
-    registered: &Arc<RegisteredUpstream>,
-    evacuated: &BTreeSet<FailureDomain>,
-) -> Arc<RegisteredUpstream> {
-    if !evacuated.contains(&registered.failure_domain) {
+fn marked(registered: &Arc<RegisteredUpstream>, marks: &UpstreamMarks) -> Arc<RegisteredUpstream> {
+    let evacuated = marks.evacuated.contains(&registered.failure_domain);
+    let leaving = marks.leaving.contains_key(&registered.id);
+    if !evacuated && !leaving {
         return Arc::clone(registered);
     }
     Arc::new(RegisteredUpstream {
-        evacuated: true,
+        evacuated: registered.evacuated || evacuated,
+        draining: registered.draining || leaving,
         ..RegisteredUpstream::clone(registered)
     })
 }
