Honor Retry-After of upstreams

Instances sent requests to upstreams that had asked for seconds of backoff. Each needless request delayed its caller by 5 to 6 ms and consumed retry budget.

Cause: Retry-After was in the table of known answer headers although nothing read it, so the log line for unknown headers did not report it either. A refusal paused the upstream for only 100 ms. Ruled out: a lack of other upstreams; three others served the retries within 5 ms.

Decode the backoff once per answer and keep it for the upstream process on this instance until it expires. A later answer may extend it; a success does not end it. Every send checks it first: plain requests, retries and resumed streams when they choose an upstream, engine requests also after the home's choice, and batch calls right before the call. Requests that free results wait for it to expire. Requests to the homes of engines exclude engines in backoff. The batch planner assigns no calls to an upstream in backoff and refuses jobs that would wait longer than their deadline allows. While all upstreams are in backoff, requests are refused at once with the time until the first one is available. A value that is not a number is logged and ignored. Instances resume with a jitter of up to a tenth of the backoff, at most 0.5 s.

--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -91,6 +91,8 @@
     pub rate_limit: AnnouncedLimit,
     /// The lifecycle state that the upstream announces.
     pub lifecycle: Lifecycle,
+    /// The backoff that the upstream requests.
+    pub backoff: AnnouncedBackoff,
     /// Headers that the outside's spelling does not know.
     pub unknown: Vec<HeaderName>,
 }
@@ -143,6 +145,18 @@
     Leaving,
 }
 
+/// The backoff that an upstream requests from this instance when it refuses a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum AnnouncedBackoff {
+    /// The answer requests no backoff.
+    #[default]
+    None,
+    /// Send no requests to the upstream for this long.
+    For(Duration),
+    /// The requested backoff cannot be parsed.
+    Unreadable,
+}
+
 /// An upstream's load as it tells it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct UpstreamLoad {
--- a/crates/tc-gateway/src/engines/ask.rs
+++ b/crates/tc-gateway/src/engines/ask.rs
@@ -65,9 +65,11 @@
     let run = EngineRun::new(cx.run_news.clone(), home, ask.service.clone(), choice.run);
     let world = cx.world.load();
     let find = |id: &UpstreamId| find_ready(&world, ask, id);
+    let may_send =
+        |id: &UpstreamId| !ask.except.contains(id) && cx.backoffs.remaining(id).is_none();
     Some(ChosenEngine {
         // The home may know less of who leaves than this instance does.
-        upstream: find(&choice.upstream).filter(|engine| !ask.except.contains(&engine.id))?,
+        upstream: find(&choice.upstream).filter(|engine| may_send(&engine.id))?,
         fetch_from: choice
             .fetch_from
             .as_ref()
--- a/crates/tc-gateway/src/homes/calls.rs
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -5,6 +5,7 @@
 use tc_policy::{BatchCall, CallEnd};
 use tc_protocol::{RunState, ServiceName, routing::ResultHandle};
 use tc_upstream::{CallErrorKind, RawCall};
+use tokio::time::sleep;
 
 use super::{HomeContext, home::address_of};
 use crate::call::Taken;
@@ -21,6 +22,9 @@
     let Some(address) = address_of(cx, service, &call.upstream) else {
         return CallEnd::NotRun;
     };
+    if let Some(remaining) = cx.backoffs.remaining(&call.upstream) {
+        return CallEnd::BackingOff(remaining);
+    }
     let raw = RawCall {
         upstream: call.upstream.clone(),
         address,
@@ -47,9 +51,10 @@
     if let Some(announced) = head.limit_news(reply.head.status) {
         cx.limits.observe(&call.upstream, announced);
     }
+    let backoff = cx.backoffs.observe(&call.upstream, &head);
     if head.taken != Taken::Yes {
         log::debug!(service = service.as_str(), upstream = call.upstream.as_str(), status = reply.head.status.as_u16(); "a batch call was not taken");
-        return CallEnd::NotRun;
+        return backoff.map_or(CallEnd::NotRun, CallEnd::RefusedWithBackoff);
     }
     let body = reply.body.collect().await.ok();
     let results = body.and_then(|body| (cx.edges.read_batch)(&body));
@@ -86,6 +91,16 @@
 }
 
 async fn free_at(cx: Arc<HomeContext>, maker: SocketAddr, handles: Vec<ResultHandle>) {
+    let remaining_backoff = || {
+        let world = cx.world.load();
+        let maker = handles
+            .first()
+            .and_then(|handle| world.upstreams.maker_of(handle));
+        maker.and_then(|maker| cx.backoffs.remaining(&maker.id))
+    };
+    while let Some(remaining) = remaining_backoff() {
+        sleep(remaining).await;
+    }
     let raw = RawCall {
         upstream: maker.to_string().into(),
         address: maker,
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -19,7 +19,8 @@
 use tc_upstream::UpstreamClient;
 
 use crate::{
-    budgets::RepeatBudgets, edges::Edges, unknown_headers::UnknownHeaders, world::WorldCell,
+    backoffs::UpstreamBackoffs, budgets::RepeatBudgets, edges::Edges,
+    unknown_headers::UnknownHeaders, world::WorldCell,
 };
 
 use chains::Chains;
@@ -38,6 +39,7 @@
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) freer: Freer,
     pub(crate) limits: Arc<UpstreamLimits>,
+    pub(crate) backoffs: Arc<UpstreamBackoffs>,
     pub(crate) unknown_headers: Arc<UnknownHeaders>,
 }
 
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! The rules, limits, retries and recovery live here. How headers, configuration and the store spell things is told
 //! by [`Edges`], plain functions that the crate speaking to the outside provides.
 
+mod backoffs;
 mod budgets;
 mod call;
 mod cold;
@@ -26,7 +27,9 @@
 mod upstreams;
 mod world;
 
-pub use call::{AnswerHead, CallHead, HeadError, Lifecycle, Taken, UpstreamHead, UpstreamLoad};
+pub use call::{
+    AnnouncedBackoff, AnswerHead, CallHead, HeadError, Lifecycle, Taken, UpstreamHead, UpstreamLoad,
+};
 pub use edges::{DirectoryQuestion, Edges, StoreKinds};
 pub use events::{Event, EventSplitter};
 pub use freeze::{SuspendedTime, suspended_time};
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -53,6 +53,8 @@
     NoUpstream,
     /// Upstreams that are left announce rate limits that are used up; the time until one takes another request.
     Limited(Duration),
+    /// Upstreams of the service have requested backoffs; the time until the first one expires.
+    BackingOff(Duration),
     /// No time is left.
     NoTime,
 }
@@ -108,7 +110,10 @@
         let allowed = match failure {
             SendFailure::NotRun | SendFailure::InputGone => true,
             SendFailure::Unknown => req.route.repeat.may_repeat(),
-            SendFailure::NoUpstream | SendFailure::Limited(_) | SendFailure::NoTime => false,
+            SendFailure::NoUpstream
+            | SendFailure::Limited(_)
+            | SendFailure::BackingOff(_)
+            | SendFailure::NoTime => false,
         };
         let is_used_up =
             self.sent >= req.route.max_attempts || self.turned_away >= MOST_TURNED_AWAY;
@@ -132,6 +137,9 @@
             SendFailure::Limited(wait) => {
                 Refusal::not_run("upstreams of the service are at their rate limit", wait)
             }
+            SendFailure::BackingOff(wait) => {
+                Refusal::not_run("upstreams of the service have asked for a rest", wait)
+            }
             SendFailure::NoTime => Refusal::timed_out(),
             SendFailure::InputGone => Refusal::not_run_now("results of a stage were lost"),
             SendFailure::NotRun | SendFailure::Unknown => {
@@ -223,6 +231,7 @@
         if let Some(announced) = head.limit_news(answered.reply.head.status) {
             cx.limits.limits().observe(id, announced);
         }
+        cx.backoffs.observe(id, head);
         if head.taken != Taken::Yes {
             let status = answered.reply.head.status.as_u16();
             log::info!(request = &*req.head.request, upstream = id.as_str(), status = status, taken = format!("{:?}", head.taken).as_str(); "an upstream did not take a request");
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -26,6 +26,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::{
+    backoffs::UpstreamBackoffs,
     budgets::RepeatBudgets,
     call::CallHead,
     cold::ColdSends,
@@ -74,6 +75,7 @@
     pub(crate) book: Arc<UpstreamBook>,
     pub(crate) cold: Arc<ColdSends>,
     pub(crate) limits: Arc<LimitedSends>,
+    pub(crate) backoffs: Arc<UpstreamBackoffs>,
     pub(crate) unknown_headers: Arc<UnknownHeaders>,
     pub(crate) budgets: Arc<RepeatBudgets>,
     pub(crate) outlooks: SharedOutlooks,
--- a/crates/tc-gateway/src/run/target.rs
+++ b/crates/tc-gateway/src/run/target.rs
@@ -59,13 +59,20 @@
         let world = cx.world.load();
         // The home may not have received these announcements yet.
         let leaving = world.upstreams.announced_leaving(&req.service);
+        let backing_off = cx.backoffs.active();
         Some(EngineAsk {
             service: req.service.clone(),
             prompt,
             inputs: results
                 .map(|results| results.lie_in.clone())
                 .unwrap_or_default(),
-            except: self.tried.iter().chain(leaving).cloned().collect(),
+            except: self
+                .tried
+                .iter()
+                .chain(leaving)
+                .chain(&backing_off)
+                .cloned()
+                .collect(),
             remaining: req.time_left(),
         })
     }
@@ -90,10 +97,13 @@
             .as_ref()
             .and_then(|config| config.service(req.service.as_str()));
         let admits = |upstream: &RegisteredUpstream| {
-            service.is_none_or(|service| {
-                cx.cold.may_send(&cx.mesh, service, upstream)
-                    && cx.limits.may_send(&cx.mesh, service, &upstream.id)
-            })
+            let within_limits = || {
+                service.is_none_or(|service| {
+                    cx.cold.may_send(&cx.mesh, service, upstream)
+                        && cx.limits.may_send(&cx.mesh, service, &upstream.id)
+                })
+            };
+            cx.backoffs.remaining(&upstream.id).is_none() && within_limits()
         };
         let chosen = cx.book.choose(all, &self.tried, admits, &wish);
         let (upstream, in_flight) = chosen.ok_or_else(|| self.nobody_left(cx, all))?;
@@ -111,10 +121,21 @@
 
     /// Returns why no upstream of `all` could be chosen.
     fn nobody_left(&self, cx: &RunContext, all: &[Arc<RegisteredUpstream>]) -> SendFailure {
-        let left = all
+        let working = all.iter().filter(|upstream| upstream.takes_work());
+        let (backing_off, others): (Vec<_>, Vec<_>) = working
+            .map(|upstream| &upstream.id)
+            .partition(|id| cx.backoffs.remaining(id).is_some());
+        let left = others.into_iter().filter(|id| !self.tried.contains(id));
+        let limited = cx.limits.wait_for_any(left);
+        let backoff = backing_off
             .iter()
-            .filter(|upstream| upstream.takes_work() && !self.tried.contains(&upstream.id));
-        let wait = cx.limits.wait_for_any(left.map(|upstream| &upstream.id));
-        wait.map_or(SendFailure::NoUpstream, SendFailure::Limited)
+            .filter_map(|id| cx.backoffs.remaining(id))
+            .min();
+        match (limited, backoff) {
+            (Some(wait), Some(backoff)) if backoff < wait => SendFailure::BackingOff(backoff),
+            (Some(wait), _) => SendFailure::Limited(wait),
+            (None, Some(backoff)) => SendFailure::BackingOff(backoff),
+            (None, None) => SendFailure::NoUpstream,
+        }
     }
 }
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::{
+    backoffs::UpstreamBackoffs,
     budgets::RepeatBudgets,
     cold::ColdSends,
     edges::Edges,
@@ -199,6 +200,7 @@
     let (freer, given_up) = Freer::new();
     let limits = Arc::<UpstreamLimits>::default();
     let unknown_headers = Arc::<UnknownHeaders>::default();
+    let backoffs = Arc::<UpstreamBackoffs>::default();
     let homes = Arc::new(BatchHomes::new(HomeContext {
         edges,
         client: client.clone(),
@@ -206,6 +208,7 @@
         budgets: Arc::clone(&budgets),
         freer: freer.clone(),
         limits: Arc::clone(&limits),
+        backoffs: Arc::clone(&backoffs),
         unknown_headers: Arc::clone(&unknown_headers),
     }));
     let mesh_settings = MeshSettings {
@@ -238,6 +241,7 @@
         book: Arc::default(),
         cold,
         limits,
+        backoffs,
         unknown_headers,
         budgets,
         outlooks: SharedOutlooks::default(),
@@ -358,5 +362,6 @@
         cx.book.retain(|id| world.upstreams.contains(id));
         cx.cold.retain(|id| world.upstreams.contains(id));
         cx.limits.retain(|id| world.upstreams.contains(id));
+        cx.backoffs.expire();
     }
 }
--- a/crates/tc-policy/src/batch/ends.rs
+++ b/crates/tc-policy/src/batch/ends.rs
@@ -1,5 +1,7 @@
 //! How calls and jobs end: results go to their jobs, failed pieces wait again, makers are judged by what they did.
 
+use std::time::Duration;
+
 use tc_protocol::{
     MonoTime, UpstreamId,
     routing::{PieceFailure, PieceResult, PiecesRefusal, ResultHandle},
@@ -22,6 +24,10 @@
     Answered(Vec<PieceResult>),
     /// The upstream said that it has not taken the call, or it was never sent.
     NotRun,
+    /// The upstream has not taken the call and requested a backoff of this length.
+    RefusedWithBackoff(Duration),
+    /// The call was not sent because a backoff of the upstream has this much time remaining.
+    BackingOff(Duration),
     /// No connection could be made.
     Unreachable,
     /// It broke, was given up, or its answer cannot be read.
@@ -55,7 +61,7 @@
         let Some(call) = self.calls.remove(key) else {
             return settled;
         };
-        self.last_refused = end == CallEnd::NotRun;
+        self.last_refused = matches!(end, CallEnd::NotRun | CallEnd::RefusedWithBackoff(_));
         self.note_maker(now, &call, &end);
         match end {
             CallEnd::Answered(results) => {
@@ -63,8 +69,11 @@
                     self.piece_ended(now, &call.upstream, (*job, *piece), result, &mut settled);
                 }
             }
-            CallEnd::NotRun | CallEnd::Unreachable => {
-                let arrived = end == CallEnd::NotRun;
+            CallEnd::NotRun
+            | CallEnd::RefusedWithBackoff(_)
+            | CallEnd::BackingOff(_)
+            | CallEnd::Unreachable => {
+                let arrived = matches!(end, CallEnd::NotRun | CallEnd::RefusedWithBackoff(_));
                 self.send_again(now, &call, arrived, false, &mut settled);
             }
             CallEnd::Failed => self.send_again(now, &call, true, true, &mut settled),
@@ -91,6 +100,9 @@
                 maker.answered(took, call.expected.div_f64(maker.speed));
             }
             CallEnd::NotRun => maker.refused(now),
+            CallEnd::RefusedWithBackoff(backoff) | CallEnd::BackingOff(backoff) => {
+                maker.back_off(now, *backoff);
+            }
             CallEnd::Unreachable | CallEnd::Failed => {
                 maker.failed(now, took, call.expected.div_f64(maker.speed));
             }
--- a/crates/tc-policy/src/batch/maker.rs
+++ b/crates/tc-policy/src/batch/maker.rs
@@ -41,6 +41,8 @@
     pub(super) speed: f64,
     pub(super) failures: u32,
     pub(super) not_before: MonoTime,
+    /// End of the backoff that the upstream requested; failures do not shorten it.
+    pub(super) backoff_until: MonoTime,
     /// When the call in progress is expected to end.
     pub(super) busy_until: MonoTime,
     /// Set while the upstream announces a rate limit.
@@ -57,6 +59,7 @@
             speed: 1.0,
             failures: 0,
             not_before: MonoTime::default(),
+            backoff_until: MonoTime::default(),
             busy_until: MonoTime::default(),
             limited: None,
         }
@@ -92,11 +95,17 @@
         self.not_before = self.not_before.max(now.after(FULL_PAUSE));
     }
 
+    /// Sends no calls for the duration of a requested backoff.
+    pub(super) fn back_off(&mut self, now: MonoTime, backoff: Duration) {
+        self.backoff_until = self.backoff_until.max(now.after(backoff));
+        self.not_before = self.not_before.max(self.backoff_until);
+    }
+
     /// A call broke or was given up: a pause that grows with each failure in a row, and what its time tells.
     pub(super) fn failed(&mut self, now: MonoTime, took: Duration, expected: Duration) {
         let pause = FIRST_PAUSE * 2u32.pow(self.failures.min(8));
         self.failures += 1;
-        self.not_before = now.after(pause.min(LONGEST_PAUSE));
+        self.not_before = now.after(pause.min(LONGEST_PAUSE)).max(self.backoff_until);
         // A call that was given up took at least this long.
         let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
         if ratio > self.speed {
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -159,7 +159,7 @@
         // Again, as a job that is expected to be late has another place.
         let wait = self.wait_of(now, &job);
         if !self.is_worth_waiting(now, &job, wait, MOST_WAIT) {
-            return Err(self.overloaded());
+            return Err(self.overloaded(now));
         }
         self.repeats.note_request(now);
         if !job.expected_late {
@@ -172,9 +172,9 @@
     }
 
     /// A refusal with the time until what waits now is worked off: then a request that comes has the queue to itself.
-    fn overloaded(&self) -> PiecesRefusal {
+    fn overloaded(&self, now: MonoTime) -> PiecesRefusal {
         PiecesRefusal::Overloaded {
-            retry_after: self.expected_wait(),
+            retry_after: self.expected_wait() + self.shortest_backoff(now),
         }
     }
 
@@ -217,7 +217,7 @@
             }
             let wait = self.time_behind(now, place, before);
             if job.is_untouched() && !self.is_worth_waiting(now, job, wait, MOST_WAIT_QUEUED) {
-                let refusal = self.overloaded();
+                let refusal = self.overloaded(now);
                 self.refuse(key, refusal, &mut settled);
                 continue;
             }
--- a/crates/tc-policy/src/batch/waits.rs
+++ b/crates/tc-policy/src/batch/waits.rs
@@ -63,11 +63,19 @@
 
     /// How long a job in this place waits for so many seconds of work before it.
     pub(super) fn time_behind(&self, now: MonoTime, place: Place, work: f64) -> Duration {
-        if place.is_late {
+        let behind_work = if place.is_late {
             self.time_of_late(now, work)
         } else {
             self.time_of(work)
-        }
+        };
+        behind_work + self.shortest_backoff(now)
+    }
+
+    /// Time until the first backoff of a ready upstream expires; zero if any ready upstream has none.
+    pub(super) fn shortest_backoff(&self, now: MonoTime) -> Duration {
+        let ready = self.makers.values().filter(|maker| maker.ready);
+        let backoffs = ready.map(|maker| maker.backoff_until.since(now));
+        backoffs.min().unwrap_or_default()
     }
 
     /// How long so many seconds of work take that is done only when nothing else is to be done.
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! No clock, no I/O: the time (`now`) and randomness are passed in, so a test can drive every decision.
 
 mod admission;
+mod backoffs;
 mod batch;
 mod budget;
 mod choice;
@@ -22,6 +23,7 @@
 mod upstream_limit;
 
 pub use admission::{admit, hedge_after, slack_for};
+pub use backoffs::Backoffs;
 pub use batch::{
     BatchCall, BatchPlanner, BatchUpstream, Begun, CallEnd, CallKey, ChainJudge, Coming,
     ExpectedStages, Finished, HomeOutlook, JobKey, JudgedRequest, NewJob, PiecesByDue, Settled,
--- a/crates/tc-policy/tests/batch/limits.rs
+++ b/crates/tc-policy/tests/batch/limits.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use tc_policy::BatchPlanner;
-use tc_protocol::{MonoTime, UpstreamId, routing::RateLimit};
+use tc_policy::{BatchPlanner, CallEnd};
+use tc_protocol::{
+    MonoTime, UpstreamId,
+    routing::{PiecesRefusal, RateLimit},
+};
 
 use crate::common::{at, job, made, planner, push};
 
@@ -79,3 +82,38 @@
     assert!(wake <= at(500));
     assert!(planner.next_call(at(500)).is_some());
 }
+
+/// Guards against calls to a maker during the backoff that it requested.
+#[test]
+fn maker_gets_no_call_during_backoff() {
+    let mut planner = planner(&["a"]);
+    push(&mut planner, at(0), job("r", 1));
+    let call = planner.next_call(at(0)).expect("the maker is free");
+    let backoff = CallEnd::RefusedWithBackoff(Duration::from_secs(2));
+    planner.end_call(at(10), call.key, backoff);
+    assert!(planner.next_call(at(1_900)).is_none());
+    let wake = planner.next_wake(at(1_900)).expect("something waits");
+    assert!(wake <= at(2_010));
+    assert!(planner.next_call(at(2_010)).is_some());
+}
+
+/// Guards against queueing jobs that cannot run before their deadline because all makers are in backoff.
+#[test]
+fn jobs_are_refused_when_all_backoffs_exceed_their_deadline() {
+    let mut planner = planner(&["a", "a"]);
+    let mut calls = Vec::new();
+    for name in ["r0", "r1"] {
+        push(&mut planner, at(0), job(name, 14));
+        calls.extend(planner.next_call(at(0)));
+    }
+    assert_eq!(calls.len(), 2);
+    for call in calls {
+        let backoff = CallEnd::RefusedWithBackoff(Duration::from_secs(30));
+        planner.end_call(at(10), call.key, backoff);
+    }
+    let refused = planner.push(at(20), job("r2", 1));
+    let Err(PiecesRefusal::Overloaded { retry_after }) = refused else {
+        panic!("{refused:?}");
+    };
+    assert!(retry_after >= Duration::from_secs(29), "{retry_after:?}");
+}
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -151,6 +151,7 @@
     count("tc_upstream_connects_total", &[], "Connections made to upstreams."),
     count("tc_upstream_limit_answers_total", &[], "Answers of upstreams that announced a rate limit."),
     gauge("tc_upstream_limits", &[], "Upstreams whose last answer here announced a rate limit."),
+    count("tc_upstream_rests_total", &[], "Answers of upstreams that asked this instance for a rest."),
     count("tc_upstreams_leaving_total", &[], "Upstreams that announced in an answer here that they are leaving."),
 ];
 
