Apply configurations within their own bound

The configuration watch, its checks and the choice of a source used the time for which a leaving upstream continues to serve. The bound for configurations in the settings was not read by any code. Where that bound is the shorter one, a configuration could take effect too late although nothing had failed.

--- a/crates/tc-gateway/src/settings.rs
+++ b/crates/tc-gateway/src/settings.rs
@@ -36,6 +36,8 @@
     pub grace: Duration,
     /// How long an upstream serves on after it said that it leaves.
     pub leave_time: Duration,
+    /// Longest time from the store's acknowledgement of a configuration until every instance applies it.
+    pub config_time: Duration,
     /// How long after the store has acknowledged it an evacuation may take to count on every instance; `None` where
     /// failure domains are not evacuated, so that nobody watches for it.
     pub evacuate_time: Option<Duration>,
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -255,7 +255,8 @@
 /// Bound within which whatever the store says must count on every instance.
 fn news_bound(settings: &GatewaySettings) -> Duration {
     let evacuate_time = settings.evacuate_time.unwrap_or(settings.leave_time);
-    settings.leave_time.min(evacuate_time)
+    let times = [settings.leave_time, settings.config_time, evacuate_time];
+    times.into_iter().min().unwrap_or_default()
 }
 
 impl Gateway {
