List store kinds over new connections

Connections can stop responding all at once without a reset. Lists that check a watch took a kept connection from the pool and waited 1.5 s for an answer on it.

Open a new connection for each page of a list. Watches and writes still use pooled connections.

--- a/crates/tc-platform/src/kinds.rs
+++ b/crates/tc-platform/src/kinds.rs
@@ -6,11 +6,12 @@
 
 use bytes::Bytes;
 use http::{Method, Request, header};
+use http_body_util::Full;
 use serde_json::Value;
 
 use crate::{
     Purpose, StoreError,
-    store::{Effect, Store},
+    store::{Connection, Effect, Store},
 };
 
 /// An object with the revision of its last change.
@@ -103,6 +104,9 @@
     /// Lists every object of a kind and tells the revision from which to watch.
     ///
     /// That is the first page's: what changes while later pages are read is seen again by the watch.
+    ///
+    /// Each page is read over a new connection, so that a list still succeeds when pooled connections
+    /// have stopped responding, and returns changes that a watch on such a connection misses.
     pub async fn list_kind(
         &self,
         purpose: Purpose,
@@ -115,7 +119,9 @@
             let after = all.as_ref().and_then(|page| page.items.last());
             let after = after.map(|object| &*object.name);
             let path = (dialect.list_path)(kind, after, freshness);
-            let body = self.read_body(purpose, &path, self.timeout()).await?;
+            let body = self
+                .read_body(Connection::New, purpose, &path, self.timeout())
+                .await?;
             let page = (dialect.read_list)(&body).ok_or(StoreError::Malformed)?;
             let has_more = page.has_more && !page.items.is_empty();
             match &mut all {
@@ -138,7 +144,9 @@
         wait: Duration,
     ) -> Result<Watched, StoreError> {
         let path = (dialect.watch_path)(kind, from, wait);
-        match self.read_body(purpose, &path, wait + self.timeout()).await {
+        let timeout = wait + self.timeout();
+        let body = self.read_body(Connection::Pooled, purpose, &path, timeout);
+        match body.await {
             Ok(body) => (dialect.read_watch)(&body)
                 .map(Watched::Changes)
                 .ok_or(StoreError::Malformed),
@@ -174,13 +182,14 @@
 
     async fn read_body(
         &self,
+        connection: Connection,
         purpose: Purpose,
         path: &str,
         timeout: Duration,
     ) -> Result<Bytes, StoreError> {
-        let req = Request::builder().method(Method::GET);
+        let req = Request::new(Full::default());
         let answer = self
-            .call(purpose, req, path, Bytes::new(), Effect::Read, timeout)
+            .call_over(connection, purpose, req, path, Effect::Read, timeout)
             .await?;
         Ok(answer.body)
     }
--- a/crates/tc-platform/src/store/mod.rs
+++ b/crates/tc-platform/src/store/mod.rs
@@ -25,7 +25,7 @@
 use pace::Pace;
 use tally::Tally;
 use wire::HttpClient;
-pub(crate) use wire::{Answer, Effect};
+pub(crate) use wire::{Answer, Connection, Effect};
 
 pub use sure::{Expect, SureWrite};
 pub use tally::Purpose;
@@ -61,6 +61,8 @@
 struct Inner {
     settings: StoreSettings,
     client: HttpClient,
+    /// Opens a new connection for each call.
+    unpooled_client: HttpClient,
     pace: Pace,
     tally: Tally,
     reads: Coalescer,
@@ -84,7 +86,8 @@
     pub fn new(settings: StoreSettings) -> Self {
         Self {
             inner: Arc::new(Inner {
-                client: wire::http_client(settings.timeout),
+                client: wire::http_client(settings.timeout, wire::MAX_IDLE_CONNECTIONS),
+                unpooled_client: wire::http_client(settings.timeout, 0),
                 pace: Pace::new(settings.calls_per_s),
                 tally: Tally::new(),
                 reads: Coalescer::default(),
@@ -287,17 +290,35 @@
         body: Bytes,
         effect: Effect,
         timeout: Duration,
+    ) -> Result<Answer, StoreError> {
+        let req = req.body(Full::new(body));
+        let req = req.map_err(|_| StoreError::Malformed)?;
+        self.call_over(Connection::Pooled, purpose, req, path, effect, timeout)
+            .await
+    }
+
+    /// Like [`Store::call`], over a pooled or a new connection.
+    pub(crate) async fn call_over(
+        &self,
+        connection: Connection,
+        purpose: Purpose,
+        mut req: Request<Full<Bytes>>,
+        path: &str,
+        effect: Effect,
+        timeout: Duration,
     ) -> Result<Answer, StoreError> {
         let inner = &self.inner;
-        let req = req
-            .uri(format!("http://{}{path}", inner.settings.address))
-            .body(Full::new(body))
-            .map_err(|_| StoreError::Malformed)?;
+        let uri = format!("http://{}{path}", inner.settings.address);
+        *req.uri_mut() = uri.parse().map_err(|_| StoreError::Malformed)?;
         if !self.has_turns {
             self.take_turns(1).await?;
         }
+        let client = match connection {
+            Connection::Pooled => &inner.client,
+            Connection::New => &inner.unpooled_client,
+        };
         let span = tracing::info_span!("platform_call", purpose = purpose.as_str(), path);
-        let result = wire::exchange(&inner.client, req, effect, timeout)
+        let result = wire::exchange(client, req, effect, timeout)
             .instrument(span)
             .await;
         inner.tally.note(purpose, result.as_ref().map(|_| ()));
--- a/crates/tc-platform/src/store/wire.rs
+++ b/crates/tc-platform/src/store/wire.rs
@@ -12,6 +12,8 @@
 
 use crate::StoreError;
 
+/// Does not limit the idle connections of the pool.
+pub(crate) const MAX_IDLE_CONNECTIONS: usize = usize::MAX;
 /// Longest time a connection is kept without use; the platform may close it earlier.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Largest answer that is read: a list of objects may be many times larger than one object.
@@ -43,7 +45,17 @@
     pub(crate) body: Bytes,
 }
 
-pub(crate) fn http_client(connect_timeout: Duration) -> HttpClient {
+/// Which connection a call uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Connection {
+    /// An idle connection from the pool, or a new one if there is none.
+    Pooled,
+    /// Always a new connection, because all pooled ones may have stopped responding at once.
+    New,
+}
+
+/// Creates a client that pools up to `max_idle` idle connections; 0 disables the pool.
+pub(crate) fn http_client(connect_timeout: Duration, max_idle: usize) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(connect_timeout));
@@ -53,6 +65,7 @@
     connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle)
         .pool_timer(TokioTimer::new())
         .build(connector)
 }
