Let soak upstreams announce that they are leaving and refuse with a backoff

The soak could not show either fault: at most, its upstreams announced rate limits. These faults follow one another, besides the other faults of the seed, which stay the same.

The bounds are checked per instance on the requests that reach the upstreams: - An upstream gets no request that a caller sent 2 s or later after the instance had forwarded an answer with the announcement. Only requests that ran once and were answered with 200 show that one was forwarded. - An upstream gets at most two requests from half a second after a refusal to the end of its backoff. Instances that were killed, stopped or paused in between are excused.

--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -25,7 +25,7 @@
 
 pub(super) const COMMAND: Command = Command {
     name: "soak",
-    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits]",
+    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits] [--notices]",
     about: "Faults by chance on gateway processes, with their promises checked; a seed gives the plan.",
     run,
 };
@@ -38,6 +38,7 @@
     let instances: usize = option(&mut args, "--instances")?.unwrap_or(USUAL_INSTANCES);
     let evacuations = args.contains("--evacuations");
     let limits = args.contains("--limits");
+    let notices = args.contains("--notices");
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
         let problem = "--seeds and --instances must be above 0, --seconds 3 or more";
@@ -50,6 +51,7 @@
         length: Duration::from_secs(seconds),
         evacuations,
         limits,
+        notices,
     };
     let limit = minutes.map(|minutes| Instant::now() + Duration::from_secs(minutes * 60));
     let binary = SystemBinary::find()?;
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -17,6 +17,7 @@
     drive::Soak,
     judge::{CleanStop, Evacuated, Harm, Harmed, Left},
     limits::Limited,
+    notices::AnnouncedLeaving,
     plan::{Fault, UpstreamMode},
     process::GRACE,
     upstreams::{ENGINES, STAGE, SoakUpstream, WEB, domain},
@@ -37,6 +38,7 @@
     UpstreamWell(usize),
     TakeBack(usize),
     LiftLimit(usize),
+    LiftBackoff(usize),
 }
 
 impl Soak {
@@ -131,6 +133,14 @@
                 self.limit(upstream, f64::from(tenths) / 10.0);
                 Some(End::LiftLimit(upstream))
             }
+            Fault::AnnounceLeaving(upstream) => {
+                self.announce_leaving(upstream, until).await;
+                None
+            }
+            Fault::Backoff(upstream) => {
+                self.set_backoff(upstream, true);
+                Some(End::LiftBackoff(upstream))
+            }
             Fault::Config => {
                 self.write_config();
                 if now < self.store_fault_until {
@@ -186,6 +196,35 @@
         }
     }
 
+    fn set_backoff(&mut self, upstream: usize, is_active: bool) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            self.seen.set_backoff(&name, is_active);
+        }
+    }
+
+    /// Makes an upstream of each service announce that it is leaving, starts its replacement at once, and schedules its
+    /// removal for `until`.
+    async fn announce_leaving(&mut self, upstream: usize, until: Instant) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            let is_running = self.upstreams.iter().any(|u| u.name == name);
+            if !is_running || self.leaving.iter().any(|(_, other)| *other == name) {
+                continue;
+            }
+            self.seen.announce_leaving(&name);
+            self.announced_leaving.push(AnnouncedLeaving {
+                upstream: name.clone(),
+                from: Instant::now(),
+            });
+            self.leaving.push((until, name));
+            self.next_upstream += 1;
+            let replacement = format!("{service}-{}", self.next_upstream);
+            let started = SoakUpstream::start(replacement, service, &self.seen, &self.store).await;
+            self.upstreams.push(started);
+        }
+    }
+
     pub(super) fn end(&mut self, end: End) {
         match end {
             End::Restart(instance) => self.to_start[instance] = true,
@@ -200,6 +239,7 @@
                 self.store.remove(EVACUATIONS_KIND, &domain);
             }
             End::LiftLimit(upstream) => self.lift_limit(upstream),
+            End::LiftBackoff(upstream) => self.set_backoff(upstream, false),
             End::StoreWell => self.store.set_mode(StoreMode::Well),
             End::UpstreamWell(upstream) => {
                 for service in [WEB, ENGINES] {
@@ -308,7 +348,9 @@
         | Fault::Leave(_)
         | Fault::Config
         | Fault::Evacuate(_)
-        | Fault::Limit(..) => None,
+        | Fault::Limit(..)
+        | Fault::AnnounceLeaving(_)
+        | Fault::Backoff(_) => None,
     }
 }
 
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -8,6 +8,7 @@
 use super::{
     callers::{DEADLINE, Told},
     limits::{Limited, limit_promises},
+    notices::{AnnouncedLeaving, notice_promises},
     process::EVACUATE_TIME,
     upstreams::{EVENTS, Run, domain_of, event_data, plain_body},
 };
@@ -72,6 +73,9 @@
     pub(super) evacuated: Vec<Evacuated>,
     pub(super) harms: Vec<Harm>,
     pub(super) limited: Vec<Limited>,
+    pub(super) announced_leaving: Vec<AnnouncedLeaving>,
+    /// Requests that upstreams refused with a backoff.
+    pub(super) refusals: Vec<Run>,
     pub(super) stops: Vec<CleanStop>,
     /// What the upstreams themselves found wrong.
     pub(super) wrong: Vec<String>,
@@ -93,6 +97,7 @@
     broken.extend(leaving_promises(evidence));
     broken.extend(evacuation_promises(evidence));
     broken.extend(limit_promises(evidence));
+    broken.extend(notice_promises(evidence));
     broken
 }
 
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -9,6 +9,7 @@
 mod faults;
 mod judge;
 mod limits;
+mod notices;
 mod plan;
 mod process;
 mod upstreams;
@@ -44,6 +45,9 @@
     pub evacuations: bool,
     /// Lets upstreams announce rate limits besides the other faults, which stay the same.
     pub limits: bool,
+    /// Lets upstreams announce that they are leaving or refuse requests with a backoff, besides the other faults, which
+    /// stay the same.
+    pub notices: bool,
 }
 
 /// Runs one seed. The logs of its processes stay in the outcome's folder when a promise was broken.
@@ -60,6 +64,9 @@
     if shape.limits {
         plan.add_limits();
     }
+    if shape.notices {
+        plan.add_notices();
+    }
     let outcome = drive::play(binary, &folder, plan, shape.callers).await?;
     if outcome.broken.is_empty() {
         // What is left behind only takes room.
--- a/crates/tc-bench/src/soak/plan.rs
+++ b/crates/tc-bench/src/soak/plan.rs
@@ -57,8 +57,18 @@
     Evacuate(usize),
     /// An upstream of each service announces a rate limit, in tenths of a request per second.
     Limit(usize, u32),
+    /// An upstream of each service announces in its answers that it is leaving, while the store lists it as ready.
+    AnnounceLeaving(usize),
+    /// An upstream of each service refuses requests with a backoff.
+    Backoff(usize),
 }
 
+/// Mixed into the seed, so that adding notices leaves the other faults unchanged.
+const NOTICES: u64 = 0x207;
+/// Range of the duration of a leaving announcement or a backoff.
+const NOTICE_MS: std::ops::Range<u64> = 3_000..6_000;
+const LONGEST_NOTICE_PAUSE_MS: u64 = 1_000;
+
 /// Keeps limits apart from the seed itself, as evacuations are.
 const LIMITS: u64 = 0x117;
 /// Shortest and longest time for which a limit is announced.
@@ -127,6 +137,25 @@
         self.faults.sort_by_key(|planned| planned.at);
     }
 
+    /// Adds upstreams that announce that they are leaving or refuse requests with a backoff, one after the other; the same
+    /// seed adds the same ones.
+    pub(super) fn add_notices(&mut self) {
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ NOTICES);
+        let mut at = CALM_START;
+        while at < self.length {
+            let lasts = Duration::from_millis(rng.random_range(NOTICE_MS));
+            let upstream = rng.random_range(0..self.upstreams);
+            let fault = if rng.random() {
+                Fault::AnnounceLeaving(upstream)
+            } else {
+                Fault::Backoff(upstream)
+            };
+            self.faults.push(Planned { at, lasts, fault });
+            at += lasts + Duration::from_millis(rng.random_range(1..LONGEST_NOTICE_PAUSE_MS));
+        }
+        self.faults.sort_by_key(|planned| planned.at);
+    }
+
     /// Adds evacuations of one failure domain after the other; the same seed adds the same ones.
     pub(super) fn add_evacuations(&mut self) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ EVACUATIONS);
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -1,15 +1,15 @@
 //! The upstreams of a soak, and what they ran.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use tc_platform_adapter::outside::{
-    SentOn, chunk, input_gone, limit_header, maker_spelling, not_run, sealed_headers, sent_on,
-    stream_end, stream_head_with, upstream_entry,
+    SentOn, chunk, input_gone, leaving_header, limit_header, maker_spelling, not_run,
+    not_run_retry_after, sealed_headers, sent_on, stream_end, stream_head_with, upstream_entry,
 };
 use tc_stand_ins::{
     MakerConfig, ObjectStore, PieceMaker, Received, ResultShelf, Script, ScriptedServer, Step,
@@ -17,7 +17,10 @@
 };
 use tokio::time::Instant;
 
-use super::plan::{DOMAINS, UpstreamMode};
+use super::{
+    notices::BACKOFF,
+    plan::{DOMAINS, UpstreamMode},
+};
 
 /// Plain requests.
 pub(super) const WEB: &str = "web";
@@ -42,12 +45,27 @@
     pub(super) resumed: bool,
 }
 
+impl Run {
+    /// Records a request that arrives now.
+    fn now(upstream: &str, sent: &SentOn) -> Self {
+        Self {
+            request: sent.id.clone(),
+            upstream: upstream.to_owned(),
+            at: Instant::now(),
+            resumed: sent.resume_after > 0,
+        }
+    }
+}
+
 /// What all upstreams share.
 #[derive(Default)]
 pub(super) struct Seen {
     runs: Mutex<Vec<Run>>,
     modes: Mutex<HashMap<String, UpstreamMode>>,
     limits: Mutex<HashMap<String, f64>>,
+    leaving: Mutex<HashSet<String>>,
+    refusing: Mutex<HashSet<String>>,
+    refusals: Mutex<Vec<Run>>,
     /// Results of stages.
     pub(super) shelf: Arc<ResultShelf>,
     misdirected: Mutex<Vec<String>>,
@@ -58,6 +76,26 @@
         lock(&self.runs).clone()
     }
 
+    /// Requests that upstreams refused with a backoff.
+    pub(super) fn refusals(&self) -> Vec<Run> {
+        lock(&self.refusals).clone()
+    }
+
+    /// Makes an upstream announce that it is leaving until it is removed.
+    pub(super) fn announce_leaving(&self, upstream: &str) {
+        lock(&self.leaving).insert(upstream.to_owned());
+    }
+
+    /// Makes an upstream refuse requests with a backoff, or accept them again.
+    pub(super) fn set_backoff(&self, upstream: &str, is_active: bool) {
+        let mut refusing = lock(&self.refusing);
+        if is_active {
+            refusing.insert(upstream.to_owned());
+        } else {
+            refusing.remove(upstream);
+        }
+    }
+
     /// Requests that reached a process they were not meant for and were not told apart by it.
     pub(super) fn misdirected(&self) -> Vec<String> {
         lock(&self.misdirected).clone()
@@ -79,24 +117,32 @@
     /// Returns the headers that an upstream's answers have besides the usual ones.
     fn extra_headers(&self, upstream: &str) -> String {
         let limit = lock(&self.limits).get(upstream).copied();
-        limit.map(limit_header).unwrap_or_default()
+        let mut headers = limit.map(limit_header).unwrap_or_default();
+        if lock(&self.leaving).contains(upstream) {
+            headers += &leaving_header();
+        }
+        headers
     }
 
     fn mode(&self, upstream: &str) -> UpstreamMode {
         lock(&self.modes).get(upstream).copied().unwrap_or_default()
     }
 
+    /// Returns true if the upstream refuses the request with a backoff, and records the refusal.
+    fn refuse(&self, own: &str, sent: &SentOn) -> bool {
+        let refuses = lock(&self.refusing).contains(own);
+        if refuses {
+            lock(&self.refusals).push(Run::now(own, sent));
+        }
+        refuses
+    }
+
     fn begin(&self, own: &str, sent: &SentOn) {
         if sent.upstream != own {
             lock(&self.misdirected)
                 .push(format!("{} at {own}, meant for {}", sent.id, sent.upstream));
         }
-        lock(&self.runs).push(Run {
-            request: sent.id.clone(),
-            upstream: own.to_owned(),
-            at: Instant::now(),
-            resumed: sent.resume_after > 0,
-        });
+        lock(&self.runs).push(Run::now(own, sent));
     }
 }
 
@@ -177,6 +223,9 @@
 fn answer(seen: &Seen, own: &str, service: &str, req: &Received) -> Script {
     let sent = sent_on(req);
     let mode = seen.mode(own);
+    if seen.refuse(own, &sent) {
+        return not_run_retry_after(BACKOFF.as_secs_f64());
+    }
     if mode == UpstreamMode::Full {
         return not_run();
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,6 +12,7 @@
     length: Duration::from_secs(6),
     evacuations: false,
     limits: false,
+    notices: false,
 };
 
 async fn keeps_its_promises(seed: u64, shape: SoakShape) {
