--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -64,6 +64,7 @@
     let shape = SoakShape {
         length: Duration::from_secs(14),
         limits: true,
+        notices: true,
         ..SHAPE
     };
     keeps_its_promises(2, shape).await;
