Excuse restarts in the check of notices by the moment of the restart

Trace: the upstream refused at 58.498, instance 0 had received SIGTERM at 56.751 and ended within its grace at 59.102, its successor started at 59.110 and sent requests that the upstream, well again, ran. The rule excuses a restart of the instance; the check knew the time of the signal only (0.204 s), not the restart, which comes up to the grace later. Only the check of notices looks at restarts; the others are as strict as before.

--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -256,6 +256,7 @@
             if self.to_start[number] && !self.instances[number].is_running() {
                 self.to_start[number] = false;
                 self.instances[number].run()?;
+                self.restarts.push((number, Instant::now()));
             }
         }
         Ok(())
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -72,6 +72,8 @@
     pub(super) left: Vec<Left>,
     pub(super) evacuated: Vec<Evacuated>,
     pub(super) harms: Vec<Harm>,
+    /// Instances whose processes were started again, and when.
+    pub(super) restarts: Vec<(usize, Instant)>,
     pub(super) limited: Vec<Limited>,
     pub(super) announced_leaving: Vec<AnnouncedLeaving>,
     /// Requests that upstreams refused with a backoff.
