Bound the bytes held for slow callers and upstreams

Callers and upstreams may read and send slowly, and what a process holds for them counts toward its memory. Each body and answer had a limit of its own (the configuration's for bodies, 16 MB for answers), but their sum had none: two dozen slow answers of 5 MB exceed the 112 MB of the smallest instance, and the process is killed with everything it holds.

The bytes of bodies, answers and incomplete events now count against a quarter of the process's memory. A body beyond it is refused with 503 before anything was sent, so "not run" is true; an answer beyond it ends with 502, since the request has run. An answer counts until its caller has read it: it is passed to the connection in pieces of 16 KB.

--- a/crates/tc-gateway/src/events.rs
+++ b/crates/tc-gateway/src/events.rs
@@ -42,6 +42,11 @@
         self.buffer.len() <= MAX_EVENT_BYTES
     }
 
+    /// Returns the number of bytes that were received and not yet returned in an event.
+    pub(crate) fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the next complete event.
     pub fn take_event(&mut self) -> Option<Event> {
         let Some(end) = end_of_event(&self.buffer, self.search_from) else {
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 // Named `freeze` because a module path is the `target` of its log lines, which log filters match.
 mod freeze;
 mod handlers;
+mod held_bytes;
 mod homes;
 mod join;
 mod limits;
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -282,6 +282,13 @@
         }
     }
 
+    /// Records an answer that this instance has no room for. The upstream is not at fault.
+    pub(super) fn record_dropped_answer(&mut self, id: &UpstreamId) -> SendFailure {
+        self.tried.push(id.clone());
+        self.may_have_run = true;
+        SendFailure::MayHaveRun
+    }
+
     /// Records an answer that cannot be used; the upstream may have run the request.
     pub(super) fn record_faulty_answer(
         &mut self,
--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -2,16 +2,20 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Response, StatusCode, response::Parts};
+use http_body_util::BodyExt;
+use tc_upstream::{CallError, RawBody};
 
 use super::{
     AnswerBody, Refusal, RoutedRequest, RunContext,
     attempt::{AnswerFault, Answered, Attempts, SendFailure, SendOptions},
-    full_body,
     stages::{self, StageResults},
 };
-use crate::upstream_stats::CallOutcome;
+use crate::{
+    held_bytes::{HeldBody, HeldGuard},
+    upstream_stats::CallOutcome,
+};
 
 /// Fraction of the remaining time that the first attempt may take when a second one is allowed: after an upstream
 /// that hangs, enough time is left for another.
@@ -115,7 +119,8 @@
         ..
     } = answered;
     let first_byte = sent_at.elapsed();
-    let body = reply.body.collect().await;
+    let mut held = cx.held_bytes.guard();
+    let body = collect_answer(&mut reply.body, &mut held).await;
     drop(in_flight);
     match body {
         Ok(body) => {
@@ -123,17 +128,40 @@
                 .record(&upstream.id, CallOutcome::Answered(first_byte));
             req.record_answer(&upstream.id, reply.head.status, attempts.sent);
             cx.mesh.report_completed(req.fingerprint());
-            Ok(answer(cx, &reply.head, body))
+            Ok(answer(cx, &reply.head, HeldBody::new(body, held)))
         }
-        Err(error) => {
+        Err(AnswerError::Failed(error)) => {
             log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = error.to_string().as_str(); "answer ended before it was complete");
             Err(attempts.record_faulty_answer(cx, req, &upstream.id, AnswerFault::from(&error)))
         }
+        Err(AnswerError::NoRoom) => {
+            log::warn!(request = &*req.head.request, upstream = upstream.id.as_str(); "answer dropped: this instance holds too many bytes");
+            Err(attempts.record_dropped_answer(&upstream.id))
+        }
+    }
+}
+
+/// Why an answer was not read to its end.
+enum AnswerError {
+    Failed(CallError),
+    /// This process holds too many bytes already.
+    NoRoom,
+}
+
+async fn collect_answer(body: &mut RawBody, held: &mut HeldGuard) -> Result<Bytes, AnswerError> {
+    let mut collected = BytesMut::new();
+    while let Some(chunk) = body.chunk().await {
+        let chunk = chunk.map_err(AnswerError::Failed)?;
+        if !held.try_add(chunk.len()) {
+            return Err(AnswerError::NoRoom);
+        }
+        collected.extend_from_slice(&chunk);
     }
+    Ok(collected.freeze())
 }
 
-fn answer(cx: &RunContext, head: &Parts, body: Bytes) -> Response<AnswerBody> {
-    let mut answer = Response::new(full_body(body));
+fn answer(cx: &RunContext, head: &Parts, body: HeldBody) -> Response<AnswerBody> {
+    let mut answer = Response::new(body.boxed_unsync());
     *answer.status_mut() = head.status;
     *answer.headers_mut() = (cx.codec.caller_headers)(&head.headers);
     answer
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -32,6 +32,7 @@
     cold::ColdSends,
     engines::{EngineHomes, RunReportSender},
     freeze::{SuspendedTime, TimeAllowed},
+    held_bytes::{HeldBytes, HeldGuard},
     homes::{BatchHomes, ResultReleaser},
     limits::LimitedSends,
     retry_budgets::RetryBudgets,
@@ -82,6 +83,7 @@
     pub(crate) outlooks: SharedOutlooks,
     pub(crate) prompt_times: SharedPromptTimes,
     pub(crate) client: UpstreamClient,
+    pub(crate) held_bytes: Arc<HeldBytes>,
     pub(crate) suspended: SuspendedTime,
     /// Whether the member list of this instance agrees with that of another one; also true once it has waited long
     /// enough for that.
@@ -115,6 +117,8 @@
     pub(crate) head: RequestHead,
     pub(crate) parts: Parts,
     pub(crate) body: Bytes,
+    /// Counts the body as held.
+    pub(crate) _held: HeldGuard,
     pub(crate) route: Arc<Route>,
     pub(crate) service: ServiceName,
     pub(crate) workspace: Option<Arc<RoutedWorkspace>>,
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -18,6 +18,7 @@
 };
 use crate::{
     events::{Event, EventSplitter},
+    held_bytes::HeldGuard,
     upstream_stats::CallOutcome,
 };
 
@@ -65,9 +66,29 @@
 struct OpenStream {
     answered: Answered,
     events: EventSplitter,
+    /// Counts the bytes of incomplete events as held.
+    held: HeldGuard,
     first: Option<Event>,
 }
 
+impl OpenStream {
+    /// Appends received bytes. Returns an error if an event is too large or this process holds too
+    /// many bytes.
+    fn push(&mut self, bytes: &[u8]) -> Result<(), StreamFault> {
+        push(&mut self.events, &mut self.held, bytes)
+    }
+}
+
+fn push(events: &mut EventSplitter, held: &mut HeldGuard, bytes: &[u8]) -> Result<(), StreamFault> {
+    if !events.push(bytes) {
+        return Err(StreamFault::invalid("an event is too large"));
+    }
+    if !held.try_set(events.buffered_bytes()) {
+        return Err(StreamFault::invalid("this instance holds too many bytes"));
+    }
+    Ok(())
+}
+
 async fn open(
     cx: &RunContext,
     req: &RoutedRequest,
@@ -117,6 +138,7 @@
     mut answered: Answered,
 ) -> Result<Opened, SendFailure> {
     let mut events = EventSplitter::default();
+    let mut held = cx.held_bytes.guard();
     loop {
         if let Some(first) = events.take_event() {
             let first_byte = answered.sent_at.elapsed();
@@ -134,27 +156,29 @@
             return Ok(Opened::Stream(Box::new(OpenStream {
                 answered,
                 events,
+                held,
                 first: Some(first),
             })));
         }
-        match answered.reply.body.chunk().await {
-            Some(Ok(bytes)) if events.push(&bytes) => {}
+        let received = match answered.reply.body.chunk().await {
+            Some(Ok(bytes)) => push(&mut events, &mut held, &bytes),
             None if !events.has_partial_event() => {
                 return Ok(Opened::Stream(Box::new(OpenStream {
                     answered,
                     events,
+                    held,
                     first: None,
                 })));
             }
-            other => {
-                let fault = StreamFault::from_end(other.and_then(Result::err));
-                if let Some(run) = &mut answered.run {
-                    run.failed();
-                }
-                let upstream = &answered.upstream.id;
-                log::info!(request = &*req.head.request, upstream = upstream.as_str(), error = fault.problem.as_str(); "stream broke before its first event");
-                return Err(attempts.record_faulty_answer(cx, req, upstream, fault.kind));
+            end => Err(StreamFault::from_end(end.and_then(Result::err))),
+        };
+        if let Err(fault) = received {
+            if let Some(run) = &mut answered.run {
+                run.failed();
             }
+            let upstream = &answered.upstream.id;
+            log::info!(request = &*req.head.request, upstream = upstream.as_str(), error = fault.problem.as_str(); "stream broke before its first event");
+            return Err(attempts.record_faulty_answer(cx, req, upstream, fault.kind));
         }
     }
 }
@@ -276,8 +300,7 @@
             None => next.await,
         };
         match next {
-            Some(Ok(bytes)) if self.open.events.push(&bytes) => Ok(()),
-            Some(Ok(_)) => Err(StreamFault::invalid("an event is too large")),
+            Some(Ok(bytes)) => self.open.push(&bytes),
             Some(Err(error)) => Err(StreamFault::from_end(Some(error))),
             None if self.open.events.has_partial_event() => Err(StreamFault::from_end(None)),
             None => {
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -25,6 +25,7 @@
 use crate::{
     call::RequestHead,
     freeze::TimeAllowed,
+    held_bytes::HeldGuard,
     routing::target_service,
     run::{AnswerBody, IncompleteBody, Refusal, RoutedRequest, RunContext, refusal_answer, run},
     stop::StopState,
@@ -157,11 +158,14 @@
         let time_limit = head.remaining.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + time_limit;
         let allowed = TimeAllowed::until(deadline, suspended);
-        let body = read_body(body, config.routing.limits.body_bytes, deadline).await?;
+        let mut held = self.cx.held_bytes.guard();
+        let max_bytes = config.routing.limits.body_bytes;
+        let body = read_body(body, max_bytes, deadline, &mut held).await?;
         Ok(RoutedRequest {
             head,
             parts,
             body,
+            _held: held,
             route,
             service,
             workspace,
@@ -229,23 +233,70 @@
     Ok(known.cloned())
 }
 
-async fn read_body(body: Incoming, max_bytes: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    match timeout_at(deadline, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let reason = "the body is larger than the configuration allows";
-            Err(Refusal::without_retry(
+/// Why the body of a request cannot be used.
+enum BodyError {
+    TooLarge,
+    /// This process holds too many bytes already.
+    NoRoom,
+    /// The body broke off or is malformed.
+    Broken,
+}
+
+impl From<BodyError> for Refusal {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::without_retry(
                 StatusCode::PAYLOAD_TOO_LARGE,
-                reason,
-            ))
-        }
-        Ok(Err(_)) => {
-            let reason = "the body broke off or is malformed";
-            Err(Refusal::without_retry(StatusCode::BAD_REQUEST, reason))
+                "the body is larger than the configuration allows",
+            ),
+            BodyError::NoRoom => {
+                Self::not_run_transient("this instance holds too many bytes of other requests")
+            }
+            BodyError::Broken => Self::without_retry(
+                StatusCode::BAD_REQUEST,
+                "the body broke off or is malformed",
+            ),
         }
+    }
+}
+
+async fn read_body(
+    body: Incoming,
+    max_bytes: usize,
+    deadline: Instant,
+    held: &mut HeldGuard,
+) -> Result<Bytes, Refusal> {
+    match timeout_at(deadline, collect_body(body, max_bytes, held)).await {
+        Ok(body) => body.map_err(Refusal::from),
         Err(_) => {
             let reason = "the body did not come in time";
             Err(Refusal::without_retry(StatusCode::REQUEST_TIMEOUT, reason))
         }
     }
 }
+
+async fn collect_body(
+    body: Incoming,
+    max_bytes: usize,
+    held: &mut HeldGuard,
+) -> Result<Bytes, BodyError> {
+    let mut body = Limited::new(body, max_bytes);
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                BodyError::TooLarge
+            } else {
+                BodyError::Broken
+            }
+        })?;
+        let Ok(chunk) = frame.into_data() else {
+            continue;
+        };
+        if !held.try_add(chunk.len()) {
+            return Err(BodyError::NoRoom);
+        }
+        collected.extend_from_slice(&chunk);
+    }
+    Ok(collected.freeze())
+}
--- a/crates/tc-gateway/src/settings.rs
+++ b/crates/tc-gateway/src/settings.rs
@@ -45,6 +45,8 @@
     pub evacuation_limit: Option<Duration>,
     /// How far the load of cold upstreams may exceed their limit.
     pub cold: ColdAllowance,
+    /// Maximum number of bytes of requests and answers that this process holds at a time.
+    pub max_held_bytes: usize,
     /// Maximum time for which callers cache a list of addresses.
     pub address_max_age: Duration,
     /// Returns the time for which the machine was suspended; [`crate::suspended_time`] except in
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -20,6 +20,7 @@
     engines::{EngineHomes, RunReportSender},
     freeze::PauseMonitor,
     handlers::{free_results, mesh_handlers},
+    held_bytes::HeldBytes,
     homes::{BatchHomes, HomeContext, ResultReleaser, poll_outlooks},
     join::{Discovery, Settled, sync_members},
     limits::LimitedSends,
@@ -253,6 +254,7 @@
         outlooks: SharedOutlooks::default(),
         prompt_times: SharedPromptTimes::default(),
         client,
+        held_bytes: HeldBytes::new(settings.max_held_bytes),
         suspended: settings.suspended,
         members_settled: settled.subscribe(),
     }))
