Relay upstreams decoded, and change their table by what changes

Every instance kept each entry of the registry as the store's parsed JSON beside its decoded form, and relayed the JSON: a list of 10,000 upstreams was one message of some 2.7 MB, and at 15,000 it would be larger than the 4 MB that a receiver accepts. Each change rebuilt all indexes of the table on every instance and compared all entries, and each follower's difference was a pass over all. A list was compared with the known names by one search for each name.

Entries are relayed decoded, in messages of at most 2,000 that a follower applies at once. The table uses persistent maps: a change costs what changes, and the difference of two tables what differs. The call has a new name, so that instances of the two versions do not misread each other; they watch the store themselves meanwhile.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -669,6 +669,9 @@
     /// Absent if nothing is confirmed.
     #[prost(sint64, optional, tag = "6")]
     pub confirmed_ms: ::core::option::Option<i64>,
+    /// More entries of the same list follow in the next message. All messages of a list are applied at once.
+    #[prost(bool, tag = "7")]
+    pub more_follows: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EvacuatedDomains {
@@ -683,9 +686,7 @@
     /// Revision of the store that the receiver's list then has.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
-    #[prost(message, repeated, tag = "2")]
-    pub changed: ::prost::alloc::vec::Vec<RegistryEntry>,
-    /// Names of entries that are gone; or, if `is_whole`, names of all that there are.
+    /// Names of removed entries or, if `is_whole`, of the entries that exist unchanged.
     #[prost(string, repeated, tag = "3")]
     pub names: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(bool, tag = "4")]
@@ -693,6 +694,13 @@
     /// Revision of the list that these are the differences from, unless `is_whole`.
     #[prost(uint64, tag = "5")]
     pub since: u64,
+    #[prost(message, repeated, tag = "6")]
+    pub changed: ::prost::alloc::vec::Vec<RegistryEntry>,
+    /// Names that the entries refer to by index.
+    #[prost(string, repeated, tag = "7")]
+    pub services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(string, repeated, tag = "8")]
+    pub failure_domains: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RegistryEntry {
@@ -700,9 +708,30 @@
     pub name: ::prost::alloc::string::String,
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// JSON as it lies in the store.
-    #[prost(bytes = "vec", tag = "3")]
-    pub value: ::prost::alloc::vec::Vec<u8>,
+    /// Absent if the entry cannot be decoded.
+    #[prost(message, optional, tag = "3")]
+    pub upstream: ::core::option::Option<UpstreamRecord>,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct UpstreamRecord {
+    #[prost(string, tag = "1")]
+    pub id: ::prost::alloc::string::String,
+    #[prost(uint32, tag = "2")]
+    pub service: u32,
+    #[prost(uint32, tag = "3")]
+    pub failure_domain: u32,
+    /// 4 or 16 bytes.
+    #[prost(bytes = "vec", tag = "4")]
+    pub ip: ::prost::alloc::vec::Vec<u8>,
+    #[prost(uint32, tag = "5")]
+    pub port: u32,
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    #[prost(bool, tag = "7")]
+    pub draining: bool,
+    /// Time until the end of the cold phase.
+    #[prost(uint32, tag = "8")]
+    pub cold_left_ms: u32,
 }
 /// Generated client implementations.
 pub mod fleet_client {
@@ -1648,8 +1677,8 @@
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "Suspects"));
             self.inner.unary(req, path, codec).await
         }
-        /// What the store says, for instances that do not watch it: at once what the asker lacks, then each change.
-        pub async fn follow_world(
+        /// The state of the store for instances that do not watch it: what the caller lacks, then each change.
+        pub async fn follow_store(
             &mut self,
             request: impl tonic::IntoRequest<super::WorldHave>,
         ) -> std::result::Result<
@@ -1661,10 +1690,10 @@
             })?;
             let codec = tonic_prost::ProstCodec::default();
             let path =
-                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/FollowWorld");
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/FollowStore");
             let mut req = request.into_request();
             req.extensions_mut()
-                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FollowWorld"));
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FollowStore"));
             self.inner.server_streaming(req, path, codec).await
         }
     }
@@ -1718,16 +1747,16 @@
             &self,
             request: tonic::Request<super::SuspectReport>,
         ) -> std::result::Result<tonic::Response<super::SuspectAnswer>, tonic::Status>;
-        /// Server streaming response type for the FollowWorld method.
-        type FollowWorldStream: tonic::codegen::tokio_stream::Stream<
+        /// Server streaming response type for the FollowStore method.
+        type FollowStoreStream: tonic::codegen::tokio_stream::Stream<
                 Item = std::result::Result<super::WorldNews, tonic::Status>,
             > + std::marker::Send
             + 'static;
-        /// What the store says, for instances that do not watch it: at once what the asker lacks, then each change.
-        async fn follow_world(
+        /// The state of the store for instances that do not watch it: what the caller lacks, then each change.
+        async fn follow_store(
             &self,
             request: tonic::Request<super::WorldHave>,
-        ) -> std::result::Result<tonic::Response<Self::FollowWorldStream>, tonic::Status>;
+        ) -> std::result::Result<tonic::Response<Self::FollowStoreStream>, tonic::Status>;
     }
     /// What instances say to each other about routed requests.
     #[derive(Debug)]
@@ -2066,12 +2095,12 @@
                     };
                     Box::pin(fut)
                 }
-                "/tanagercroft.fleet.v1.Mesh/FollowWorld" => {
+                "/tanagercroft.fleet.v1.Mesh/FollowStore" => {
                     #[allow(non_camel_case_types)]
-                    struct FollowWorldSvc<T: Mesh>(pub Arc<T>);
-                    impl<T: Mesh> tonic::server::ServerStreamingService<super::WorldHave> for FollowWorldSvc<T> {
+                    struct FollowStoreSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::ServerStreamingService<super::WorldHave> for FollowStoreSvc<T> {
                         type Response = super::WorldNews;
-                        type ResponseStream = T::FollowWorldStream;
+                        type ResponseStream = T::FollowStoreStream;
                         type Future =
                             BoxFuture<tonic::Response<Self::ResponseStream>, tonic::Status>;
                         fn call(
@@ -2080,7 +2109,7 @@
                         ) -> Self::Future {
                             let inner = Arc::clone(&self.0);
                             let fut =
-                                async move { <T as Mesh>::follow_world(&inner, request).await };
+                                async move { <T as Mesh>::follow_store(&inner, request).await };
                             Box::pin(fut)
                         }
                     }
@@ -2090,7 +2119,7 @@
                     let max_encoding_message_size = self.max_encoding_message_size;
                     let inner = self.inner.clone();
                     let fut = async move {
-                        let method = FollowWorldSvc(inner);
+                        let method = FollowStoreSvc(inner);
                         let codec = tonic_prost::ProstCodec::default();
                         let mut grpc = tonic::server::Grpc::new(codec)
                             .apply_compression_config(
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -322,7 +322,7 @@
         };
         let mut client = self.inner.peers.client(from);
         let updates = client
-            .follow_world(have)
+            .follow_store(have)
             .await
             .map_err(|status| call_error(from, &status))?;
         let from = from.clone();
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use futures::{StreamExt, future::BoxFuture, stream::BoxStream};
+use futures::{
+    StreamExt,
+    future::BoxFuture,
+    stream::{self, BoxStream},
+};
 use ractor::ActorRef;
 use tc_policy::HomeOutlook;
 use tc_protocol::{
@@ -156,19 +160,19 @@
         Ok(Response::new(answer))
     }
 
-    type FollowWorldStream = BoxStream<'static, Result<WireUpdate, Status>>;
+    type FollowStoreStream = BoxStream<'static, Result<WireUpdate, Status>>;
 
-    async fn follow_world(
+    async fn follow_store(
         &self,
         req: Request<WireHave>,
-    ) -> Result<Response<Self::FollowWorldStream>, Status> {
+    ) -> Result<Response<Self::FollowStoreStream>, Status> {
         let have = req.into_inner();
         let updates = (self.handlers.follow_world)(WorldHave {
             config_version: have.config_version,
             upstreams_revision: have.upstreams_revision,
             evacuated_revision: have.evacuated_revision,
         });
-        let updates = updates.map(|update| Ok(store_update_to_wire(&update)));
-        Ok(Response::new(updates.boxed()))
+        let messages = updates.flat_map(|update| stream::iter(store_update_to_wire(&update)));
+        Ok(Response::new(messages.map(Ok).boxed()))
     }
 }
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -1,12 +1,21 @@
 //! Store updates exchanged between instances, and their conversion to and from wire types.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use serde_json::Value;
-use tc_protocol::FailureDomain;
+use tc_protocol::{FailureDomain, MonoTime, ServiceName, routing::RegisteredUpstream};
 
 use crate::generated as wire;
 
+/// Maximum number of entries in one message: some 150 KB, which a slow link transfers well within the time after which
+/// a silent source is abandoned. The size of a message must not depend on the number of upstreams.
+const MAX_ENTRIES_PER_MESSAGE: usize = 2_000;
+
 /// Revisions of the store's state that an instance has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct WorldHave {
@@ -25,8 +34,8 @@
     pub name: Arc<str>,
     /// Revision of its last change.
     pub revision: u64,
-    /// Value of the entry.
-    pub value: Arc<Value>,
+    /// The decoded entry, or `None` if it cannot be decoded.
+    pub upstream: Option<Arc<RegisteredUpstream>>,
 }
 
 /// A store update that one instance sends to another.
@@ -44,6 +53,8 @@
     pub upstreams: Option<UpstreamUpdate>,
     /// All evacuated failure domains, if newer than the receiver's.
     pub evacuated: Option<EvacuatedDomains>,
+    /// Whether more entries of the same list follow in the next update, with which they are to be applied.
+    pub more_follows: bool,
 }
 
 /// The failure domains whose upstreams get no new work, as of a store revision.
@@ -79,21 +90,41 @@
         /// Names of the removed entries.
         names: Vec<Arc<str>>,
     },
-    /// All entries except the named ones were removed.
+    /// All entries were removed except the changed ones and the named ones, which are unchanged.
     AllExcept(Vec<Arc<str>>),
 }
 
-pub(super) fn store_update_to_wire(update: &StoreUpdate) -> wire::WorldNews {
+/// Converts an update to one or more messages.
+pub(super) fn store_update_to_wire(update: &StoreUpdate) -> Vec<wire::WorldNews> {
+    let mut messages = Vec::new();
+    let mut rest = update.upstreams.clone();
+    if let Some(list) = &mut rest {
+        while list.changed.len() > MAX_ENTRIES_PER_MESSAGE {
+            let later = list.changed.split_off(MAX_ENTRIES_PER_MESSAGE);
+            let part = UpstreamUpdate {
+                revision: list.revision,
+                changed: std::mem::replace(&mut list.changed, later),
+                removed: Removed::AllExcept(Vec::new()),
+            };
+            messages.push(wire::WorldNews {
+                upstreams: Some(upstream_update_to_wire(&part)),
+                more_follows: true,
+                ..wire::WorldNews::default()
+            });
+        }
+    }
     let config = update.config.as_ref();
-    wire::WorldNews {
+    messages.push(wire::WorldNews {
         confirmed_ms: update.confirmed_ms,
         config: config
             .map(|(value, _)| value.to_string().into_bytes())
             .unwrap_or_default(),
         config_revision: config.map_or(0, |(_, revision)| *revision),
-        upstreams: update.upstreams.as_ref().map(upstream_update_to_wire),
+        upstreams: rest.as_ref().map(upstream_update_to_wire),
         evacuated: update.evacuated.as_ref().map(evacuated_to_wire),
-    }
+        more_follows: update.more_follows,
+    });
+    messages
 }
 
 fn evacuated_to_wire(evacuated: &EvacuatedDomains) -> wire::EvacuatedDomains {
@@ -117,17 +148,54 @@
         Removed::Named { since, names } => (names, false, *since),
         Removed::AllExcept(names) => (names, true, 0),
     };
-    let entry_to_wire = |entry: &RegistryEntry| wire::RegistryEntry {
+    let now = MonoTime::now();
+    let mut services = NameTable::default();
+    let mut failure_domains = NameTable::default();
+    let mut to_record = |upstream: &RegisteredUpstream| wire::UpstreamRecord {
+        id: upstream.id.to_string(),
+        service: services.index(upstream.service.as_str()),
+        failure_domain: failure_domains.index(upstream.failure_domain.as_str()),
+        ip: match upstream.address.ip() {
+            IpAddr::V4(ip) => ip.octets().to_vec(),
+            IpAddr::V6(ip) => ip.octets().to_vec(),
+        },
+        port: u32::from(upstream.address.port()),
+        slots: upstream.slots,
+        draining: upstream.draining,
+        cold_left_ms: upstream.cold_until.since(now).as_millis() as u32,
+    };
+    let changed = update.changed.iter().map(|entry| wire::RegistryEntry {
         name: entry.name.to_string(),
         revision: entry.revision,
-        value: entry.value.to_string().into_bytes(),
-    };
+        upstream: entry.upstream.as_deref().map(&mut to_record),
+    });
     wire::UpstreamNews {
         revision: update.revision,
-        changed: update.changed.iter().map(entry_to_wire).collect(),
+        changed: changed.collect(),
         names: names.iter().map(ToString::to_string).collect(),
         is_whole,
         since,
+        services: services.names,
+        failure_domains: failure_domains.names,
+    }
+}
+
+/// Distinct names in the order in which they were first used.
+#[derive(Default)]
+struct NameTable {
+    names: Vec<String>,
+    indices: HashMap<String, u32>,
+}
+
+impl NameTable {
+    fn index(&mut self, name: &str) -> u32 {
+        if let Some(index) = self.indices.get(name) {
+            return *index;
+        }
+        let index = self.names.len() as u32;
+        self.names.push(name.to_owned());
+        self.indices.insert(name.to_owned(), index);
+        index
     }
 }
 
@@ -148,15 +216,37 @@
         config,
         upstreams,
         evacuated: update.evacuated.as_ref().map(evacuated_from_wire),
+        more_follows: update.more_follows,
     })
 }
 
 fn upstream_update_from_wire(update: &wire::UpstreamNews) -> Option<UpstreamUpdate> {
+    let now = MonoTime::now();
+    // Shared by all entries, so that each name is stored once.
+    let services: Vec<ServiceName> = update.services.iter().map(|n| n.as_str().into()).collect();
+    let domains = update.failure_domains.iter();
+    let domains: Vec<FailureDomain> = domains.map(|name| name.as_str().into()).collect();
+    let from_record = |record: &wire::UpstreamRecord| {
+        Some(RegisteredUpstream {
+            id: record.id.as_str().into(),
+            service: services.get(record.service as usize)?.clone(),
+            address: SocketAddr::new(ip_from_wire(&record.ip)?, u16::try_from(record.port).ok()?),
+            failure_domain: domains.get(record.failure_domain as usize)?.clone(),
+            slots: record.slots,
+            draining: record.draining,
+            evacuated: false,
+            cold_until: now.after(Duration::from_millis(record.cold_left_ms.into())),
+        })
+    };
     let entry_from_wire = |entry: &wire::RegistryEntry| {
+        let upstream = match &entry.upstream {
+            Some(record) => Some(Arc::new(from_record(record)?)),
+            None => None,
+        };
         Some(RegistryEntry {
             name: entry.name.as_str().into(),
             revision: entry.revision,
-            value: Arc::new(serde_json::from_slice(&entry.value).ok()?),
+            upstream,
         })
     };
     let changed: Option<Vec<RegistryEntry>> = update.changed.iter().map(entry_from_wire).collect();
@@ -178,3 +268,115 @@
         },
     })
 }
+
+fn ip_from_wire(ip: &[u8]) -> Option<IpAddr> {
+    if let Ok(ip) = <[u8; 4]>::try_from(ip) {
+        return Some(IpAddr::from(ip));
+    }
+    <[u8; 16]>::try_from(ip).ok().map(IpAddr::from)
+}
+
+#[cfg(test)]
+mod tests {
+    use prost::Message as _;
+
+    use super::*;
+
+    /// Largest message that gRPC receivers accept by default.
+    const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+    fn list(upstreams: u32) -> StoreUpdate {
+        let entry = |index: u32| RegistryEntry {
+            name: format!("draft-llm-kl-a-{index}").into(),
+            revision: u64::from(index) + 1,
+            upstream: Some(Arc::new(RegisteredUpstream {
+                id: format!("draft-llm-kl-a-{index}~1733000000123")
+                    .as_str()
+                    .into(),
+                service: "draft-llm".into(),
+                address: SocketAddr::new(IpAddr::from(index.to_be_bytes()), 8_080),
+                failure_domain: format!("kl-{}", index % 6).into(),
+                slots: 16,
+                draining: index % 7 == 0,
+                evacuated: false,
+                cold_until: MonoTime::default(),
+            })),
+        };
+        StoreUpdate {
+            confirmed_ms: Some(-3),
+            upstreams: Some(UpstreamUpdate {
+                revision: u64::from(upstreams),
+                changed: (0..upstreams).map(entry).collect(),
+                removed: Removed::AllExcept(Vec::new()),
+            }),
+            ..StoreUpdate::default()
+        }
+    }
+
+    /// Guards against a list of upstreams that no follower can receive, because one message with all of them is larger than
+    /// receivers accept, and against lists that occupy a weak link for seconds.
+    #[test]
+    fn messages_of_a_list_do_not_grow_with_the_number_of_upstreams() {
+        for upstreams in [100, 10_000, 20_000] {
+            let messages = store_update_to_wire(&list(upstreams));
+            let sizes: Vec<usize> = messages.iter().map(wire::WorldNews::encoded_len).collect();
+            let largest = sizes.iter().max().copied().unwrap_or_default();
+            assert!(
+                largest < MAX_MESSAGE_BYTES / 8,
+                "{upstreams}: {largest} bytes"
+            );
+            let per_upstream = sizes.iter().sum::<usize>() / upstreams as usize;
+            assert!(per_upstream < 128, "{upstreams}: {per_upstream} bytes each");
+        }
+    }
+
+    #[test]
+    fn a_list_in_several_messages_is_received_as_sent() {
+        let sent = list(4_500);
+        let messages = store_update_to_wire(&sent);
+        let received: Vec<StoreUpdate> = messages
+            .iter()
+            .map(|message| store_update_from_wire(message).expect("a valid message"))
+            .collect();
+        let more_follows: Vec<bool> = received.iter().map(|update| update.more_follows).collect();
+        assert_eq!(more_follows, [true, true, false]);
+        let entries = |update: &StoreUpdate| update.upstreams.clone().map(|list| list.changed);
+        let all: Vec<RegistryEntry> = received.iter().filter_map(entries).flatten().collect();
+        let expected = entries(&sent).expect("a list");
+        assert_eq!(all.len(), expected.len());
+        for (entry, expected) in all.iter().zip(&expected) {
+            assert_eq!(
+                (&entry.name, entry.revision),
+                (&expected.name, expected.revision)
+            );
+            let (Some(upstream), Some(expected)) = (&entry.upstream, &expected.upstream) else {
+                panic!("every entry has an upstream");
+            };
+            // The time at which the cold phase ends is relative to the receipt.
+            let received = RegisteredUpstream {
+                cold_until: expected.cold_until,
+                ..RegisteredUpstream::clone(upstream)
+            };
+            assert_eq!(received, **expected);
+        }
+        let last = received.last().expect("a message");
+        assert_eq!(last.confirmed_ms, sent.confirmed_ms);
+    }
+
+    /// Guards against an entry that refers to a name that is not in the message.
+    #[test]
+    fn malformed_entries_invalidate_the_message() {
+        let valid = store_update_to_wire(&list(1)).remove(0);
+        let change = |change: fn(&mut wire::UpstreamRecord)| {
+            let mut message = valid.clone();
+            let list = message.upstreams.as_mut().expect("a list");
+            change(list.changed[0].upstream.as_mut().expect("an upstream"));
+            store_update_from_wire(&message)
+        };
+        assert!(change(|_| {}).is_some());
+        assert!(change(|record| record.service = 7).is_none());
+        assert!(change(|record| record.failure_domain = 7).is_none());
+        assert!(change(|record| record.ip = vec![1, 2, 3]).is_none());
+        assert!(change(|record| record.port = 70_000).is_none());
+    }
+}
--- a/crates/tc-gateway/src/engines/request.rs
+++ b/crates/tc-gateway/src/engines/request.rs
@@ -34,7 +34,9 @@
             Err(error) => {
                 log::info!(service = engine_request.service.as_str(), home = home.id.as_str(), error = error.to_string().as_str(); "home of a model service does not answer; choosing an engine locally");
                 match error {
-                    MeshError::TimedOut { instance } => cx.mesh.report_timeout(&instance),
+                    MeshError::TimedOut { instance } => {
+                        cx.mesh.report_timeout(&instance)
+                    }
                     MeshError::NoAnswer { .. } | MeshError::Malformed { .. } => {
                         cx.mesh.report_failed_call(&home.id);
                     }
@@ -93,7 +95,9 @@
     engine_request: &EngineRequest,
     id: &UpstreamId,
 ) -> Option<Arc<RegisteredUpstream>> {
-    let engines = world.upstreams.of_service(engine_request.service.as_str());
-    let found = engines.iter().find(|engine| engine.id == *id);
-    found.filter(|engine| engine.takes_work()).cloned()
+    let found = world.upstreams.upstream(id);
+    let is_ready = |engine: &RegisteredUpstream| {
+        engine.service == engine_request.service && engine.takes_work()
+    };
+    found.filter(|engine| is_ready(engine)).cloned()
 }
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -308,9 +308,6 @@
     id: &UpstreamId,
 ) -> Option<std::net::SocketAddr> {
     let world = cx.world.load();
-    let upstreams = world.upstreams.of_service(service.as_str());
-    upstreams
-        .iter()
-        .find(|upstream| upstream.id == *id && upstream.takes_work())
-        .map(|upstream| upstream.address)
+    let upstream = world.upstreams.upstream(id)?;
+    (upstream.service == *service && upstream.takes_work()).then_some(upstream.address)
 }
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures::{StreamExt, stream::BoxStream};
-use tc_fleet::{Mesh, MeshError, StoreUpdate};
+use tc_fleet::{Mesh, MeshError, RegistryEntry, StoreUpdate};
 use tc_membership::{SourceTiming, StoreSource};
 use tc_protocol::{InstanceId, MonoTime};
 use tokio::{
@@ -46,10 +46,25 @@
     /// The instance that is followed.
     id: InstanceId,
     updates: UpdateStream,
+    /// Entries of a list of which more messages follow.
+    pending: Vec<RegistryEntry>,
     /// Start of the call; the times of confirmations are relative to it.
     store_read: StoreRead,
 }
 
+impl SourceStream {
+    /// Adds the entries of earlier messages to an update, or returns `None` if more follow.
+    fn complete(&mut self, mut update: StoreUpdate) -> Option<StoreUpdate> {
+        if let Some(list) = &mut update.upstreams {
+            self.pending.append(&mut list.changed);
+            if !update.more_follows {
+                list.changed = std::mem::take(&mut self.pending);
+            }
+        }
+        (!update.more_follows).then_some(update)
+    }
+}
+
 struct Follower {
     mesh: Mesh,
     cell: Arc<WorldCell>,
@@ -183,6 +198,7 @@
                 self.stream = Some(SourceStream {
                     id: source,
                     updates,
+                    pending: Vec::new(),
                     store_read,
                 });
             }
@@ -192,14 +208,17 @@
     }
 
     fn handle(&mut self, event: SourceEvent) {
-        let Some(stream) = &self.stream else {
+        let Some(stream) = &mut self.stream else {
             return;
         };
         let from = stream.id.clone();
         let store_read = stream.store_read;
         match event {
             SourceEvent::Timeout => {}
-            SourceEvent::Update(update) => self.apply_update(&from, &store_read, &update),
+            SourceEvent::Update(update) => match stream.complete(update) {
+                Some(update) => self.apply_update(&from, &store_read, &update),
+                None => self.source.record_partial_update(MonoTime::now(), &from),
+            },
             SourceEvent::Ended(problem) => self.source_failed(&from, &problem),
         }
     }
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -25,8 +25,8 @@
 
 use arc_swap::ArcSwap;
 use serde_json::Value;
-use tc_fleet::{EvacuatedDomains, RegistryEntry, StoreUpdate, WorldHave};
-use tc_platform::ObjectEvent;
+use tc_fleet::{EvacuatedDomains, StoreUpdate, WorldHave};
+use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{FailureDomain, MonoTime, ServiceName, UpstreamId};
 use tokio::sync::watch::{Receiver, Sender};
 
@@ -255,7 +255,7 @@
         };
         let _guard = self.lock_writes();
         let world = self.load();
-        match world.upstreams.with_update(&self.codec, upstreams) {
+        match world.upstreams.with_update(upstreams) {
             ApplyOutcome::Updated(next) => self.publish_upstreams(&world, next),
             ApplyOutcome::Outdated => {}
             ApplyOutcome::BaseMismatch => return false,
@@ -337,7 +337,7 @@
     }
 
     /// Replaces the list of registered upstreams by the full list as of a revision.
-    pub(crate) fn replace_upstreams(&self, objects: &[RegistryEntry], at: u64) {
+    pub(crate) fn replace_upstreams(&self, objects: &[StoredObject], at: u64) {
         let _guard = self.lock_writes();
         let world = self.load();
         if at < world.upstreams.revision() {
--- a/crates/tc-gateway/src/world/relay.rs
+++ b/crates/tc-gateway/src/world/relay.rs
@@ -99,6 +99,7 @@
             config: config.map(|config| (Arc::clone(&config.raw), config.revision)),
             upstreams,
             evacuated: is_newer.then(|| EvacuatedDomains::clone(&world.evacuated)),
+            more_follows: false,
         }
     }
 }
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -1,13 +1,16 @@
-//! The registered upstreams, indexed by service.
+//! The registered upstreams, indexed by service, address and identifier.
+//!
+//! All indexes are persistent maps that share unchanged parts with earlier tables. A change costs
+//! the changed entries, not all of them, and two tables are compared by what differs.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
-use serde_json::Value;
+use imbl::{OrdMap, ordmap::DiffItem};
 use tc_fleet::{RegistryEntry, Removed, UpstreamUpdate};
 use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{
@@ -35,22 +38,25 @@
     BaseMismatch,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 struct Entry {
     revision: u64,
-    raw: Arc<Value>,
-    /// `None` if the entry cannot be decoded. It is kept so that it is relayed unchanged.
+    /// `None` if the entry cannot be decoded. It is kept so that other instances learn its revision.
     upstream: Option<Arc<RegisteredUpstream>>,
 }
 
+/// The upstreams of one service, ordered by identifier.
+type ServiceUpstreams = Arc<Vec<Arc<RegisteredUpstream>>>;
+
 /// The registered upstreams as of a revision of the store.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
     revision: u64,
-    entries: BTreeMap<Arc<str>, Entry>,
-    by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>>,
-    by_address: HashMap<SocketAddr, Arc<RegisteredUpstream>>,
-    ids: HashSet<UpstreamId>,
+    entries: OrdMap<Arc<str>, Entry>,
+    by_service: HashMap<ServiceName, ServiceUpstreams>,
+    /// An address may be registered by several upstreams while an old entry has yet to be removed.
+    by_address: OrdMap<(SocketAddr, UpstreamId), Arc<RegisteredUpstream>>,
+    by_id: OrdMap<UpstreamId, Arc<RegisteredUpstream>>,
     marks: Arc<UpstreamMarks>,
 }
 
@@ -77,7 +83,14 @@
 
     /// Returns the upstreams of a service, including leaving ones, ordered by identifier.
     pub(crate) fn of_service(&self, service: &str) -> &[Arc<RegisteredUpstream>] {
-        self.by_service.get(service).map_or(&[], Vec::as_slice)
+        self.by_service
+            .get(service)
+            .map_or(&[], |upstreams| upstreams.as_slice())
+    }
+
+    /// Returns a registered upstream.
+    pub(crate) fn upstream(&self, id: &UpstreamId) -> Option<&Arc<RegisteredUpstream>> {
+        self.by_id.get(id)
     }
 
     /// Returns the registered upstream that holds a result.
@@ -86,13 +99,16 @@
         result: &ResultHandle,
     ) -> Option<&Arc<RegisteredUpstream>> {
         let address: SocketAddr = result.upstream_address()?.parse().ok()?;
-        self.by_address.get(&address)
+        let first = (address, UpstreamId::from(""));
+        let at_address = self.by_address.range(first..);
+        let at_address = at_address.take_while(|(key, _)| key.0 == address);
+        at_address.last().map(|(_, upstream)| upstream)
     }
 
     /// Returns true if this upstream process is registered. A restarted process has another
     /// identifier.
     pub(crate) fn contains(&self, id: &UpstreamId) -> bool {
-        self.ids.contains(id)
+        self.by_id.contains_key(id)
     }
 
     /// Returns true if this upstream process has announced that it is leaving.
@@ -105,10 +121,8 @@
         &self,
         service: &ServiceName,
     ) -> impl Iterator<Item = &UpstreamId> {
-        let upstreams = self.of_service(service.as_str()).iter();
-        upstreams
-            .map(|upstream| &upstream.id)
-            .filter(|id| self.has_announced_leaving(id))
+        let announced = self.marks.leaving.keys();
+        announced.filter(|id| self.upstream(id).is_some_and(|u| u.service == *service))
     }
 
     /// Returns this table with an upstream marked as leaving.
@@ -119,7 +133,12 @@
             .leaving
             .retain(|id, since| self.contains(id) || now.since(*since) < LEAVING_RETENTION);
         marks.leaving.insert(id.clone(), now);
-        Self::from_entries(self.entries.clone(), self.revision, Arc::new(marks))
+        let mut next = self.clone();
+        next.marks = Arc::new(marks);
+        if let Some(upstream) = self.upstream(id) {
+            next.index(upstream);
+        }
+        next
     }
 
     /// Returns the names of all entries.
@@ -127,38 +146,53 @@
         self.entries.keys()
     }
 
+    /// Returns true if both tables have the same upstreams.
     pub(crate) fn same_upstreams(&self, other: &Self) -> bool {
-        let upstreams = |table: &Self| -> Vec<Option<Arc<RegisteredUpstream>>> {
-            table.entries.values().map(|e| e.upstream.clone()).collect()
-        };
-        upstreams(self) == upstreams(other)
+        self.entries
+            .diff(&other.entries)
+            .all(|change| match change {
+                DiffItem::Update { old, new } => old.1.upstream == new.1.upstream,
+                DiffItem::Add(_, entry) | DiffItem::Remove(_, entry) => entry.upstream.is_none(),
+            })
     }
 
     /// Returns the update for a table of an earlier revision: the changed entries and the names of
     /// all entries, which show what is gone.
     #[must_use]
     pub fn update_since(&self, revision: u64) -> UpstreamUpdate {
+        let is_changed = |entry: &Entry| entry.revision > revision;
+        let (changed, unchanged): (Vec<_>, Vec<_>) = self
+            .entries
+            .iter()
+            .partition(|(_, entry)| is_changed(entry));
+        let changed = changed.into_iter().map(|(name, e)| to_update(name, e));
+        let unchanged = unchanged.into_iter().map(|(name, _)| Arc::clone(name));
         UpstreamUpdate {
             revision: self.revision,
-            changed: self.objects(|_, entry| entry.revision > revision),
-            removed: Removed::AllExcept(self.entries.keys().cloned().collect()),
+            changed: changed.collect(),
+            removed: Removed::AllExcept(unchanged.collect()),
         }
     }
 
     /// Returns the difference from an earlier table, or `None` if there is none.
     #[must_use]
     pub fn update_after(&self, earlier: &Self) -> Option<UpstreamUpdate> {
-        let is_new = |name: &str, entry: &Entry| {
-            let known = earlier.entries.get(name);
-            known.is_none_or(|known| known.revision != entry.revision)
-        };
-        let gone = earlier.entries.keys();
-        let gone = gone.filter(|name| !self.entries.contains_key(*name));
-        let names: Vec<Arc<str>> = gone.cloned().collect();
+        let mut changed = Vec::new();
+        let mut names = Vec::new();
+        for change in earlier.entries.diff(&self.entries) {
+            match change {
+                DiffItem::Add(name, entry) => changed.push(to_update(name, entry)),
+                DiffItem::Update { old, new } if old.1.revision != new.1.revision => {
+                    changed.push(to_update(new.0, new.1));
+                }
+                DiffItem::Update { .. } => {}
+                DiffItem::Remove(name, _) => names.push(Arc::clone(name)),
+            }
+        }
         let differs = self.revision != earlier.revision || !names.is_empty();
         differs.then(|| UpstreamUpdate {
             revision: self.revision,
-            changed: self.objects(is_new),
+            changed,
             removed: Removed::Named {
                 since: earlier.revision,
                 names,
@@ -166,22 +200,9 @@
         })
     }
 
-    /// Returns the stored entries selected by a predicate, to be relayed unchanged.
-    fn objects(&self, predicate: impl Fn(&str, &Entry) -> bool) -> Vec<RegistryEntry> {
-        let entries = self.entries.iter();
-        let chosen = entries.filter(|(name, entry)| predicate(name, entry));
-        chosen
-            .map(|(name, entry)| RegistryEntry {
-                name: Arc::clone(name),
-                revision: entry.revision,
-                value: Arc::clone(&entry.raw),
-            })
-            .collect()
-    }
-
     /// Applies an update from another instance.
     #[must_use]
-    pub fn with_update(&self, codec: &PlatformCodec, update: &UpstreamUpdate) -> ApplyOutcome {
+    pub fn with_update(&self, update: &UpstreamUpdate) -> ApplyOutcome {
         if update.revision < self.revision {
             return ApplyOutcome::Outdated;
         }
@@ -196,51 +217,35 @@
             }
             Removed::Named { names, .. } => names.clone(),
             Removed::AllExcept(names) => {
-                let remaining: HashSet<&Arc<str>> = names.iter().collect();
-                let gone = self.entries.keys().filter(|name| !remaining.contains(name));
+                let changed = update.changed.iter().map(|entry| &entry.name);
+                let remaining: HashSet<&Arc<str>> = names.iter().chain(changed).collect();
+                let gone = self.names().filter(|name| !remaining.contains(name));
                 gone.cloned().collect()
             }
         };
-        let removed = gone.into_iter().map(|name| ObjectEvent::Removed {
-            name,
-            revision: update.revision,
-        });
-        let put = update.changed.iter().map(|object| {
-            ObjectEvent::Put(StoredObject {
-                name: Arc::clone(&object.name),
-                revision: object.revision,
-                value: Arc::clone(&object.value),
-            })
-        });
-        let events: Vec<ObjectEvent> = put.chain(removed).collect();
-        ApplyOutcome::Updated(self.with_events(codec, &events, update.revision))
+        let mut next = self.clone();
+        for entry in &update.changed {
+            next.put(&entry.name, entry.revision, || entry.upstream.clone());
+        }
+        for name in &gone {
+            next.remove(name, update.revision);
+        }
+        next.revision = self.revision.max(update.revision);
+        ApplyOutcome::Updated(next)
     }
 
     /// Returns this table with changes applied.
     #[must_use]
     pub fn with_events(&self, codec: &PlatformCodec, events: &[ObjectEvent], at: u64) -> Self {
-        let mut entries = self.entries.clone();
+        let mut next = self.clone();
         for event in events {
             match event {
-                ObjectEvent::Put(object) => {
-                    // Decoded only once, because an upstream's cold time counts from its first
-                    // decoding.
-                    let known = entries.get(&object.name).map(|e| e.revision);
-                    if known.is_none_or(|known| object.revision > known) {
-                        let entry = decode(codec, &object.name, object.revision, &object.value);
-                        entries.insert(Arc::clone(&object.name), entry);
-                    }
-                }
-                ObjectEvent::Removed { name, revision } => {
-                    let known = entries.get(name).map_or(0, |e| e.revision);
-                    // A repeated removal must not remove an entry that was registered again.
-                    if *revision == 0 || *revision >= known {
-                        entries.remove(name);
-                    }
-                }
+                ObjectEvent::Put(object) => next.put_object(codec, object),
+                ObjectEvent::Removed { name, revision } => next.remove(name, *revision),
             }
         }
-        Self::from_entries(entries, self.revision.max(at), Arc::clone(&self.marks))
+        next.revision = self.revision.max(at);
+        next
     }
 
     /// Returns this table with another set of evacuated failure domains.
@@ -254,69 +259,131 @@
         evacuated: &BTreeSet<FailureDomain>,
         cold_until: impl Fn(&ServiceName) -> MonoTime,
     ) -> Self {
-        let mut entries = self.entries.clone();
-        let upstreams = entries.values_mut().filter_map(|e| e.upstream.as_mut());
-        for upstream in upstreams {
-            let domain = &upstream.failure_domain;
-            if self.marks.evacuated.contains(domain) && !evacuated.contains(domain) {
-                let returned = Arc::make_mut(upstream);
-                returned.cold_until = returned.cold_until.max(cold_until(&returned.service));
-            }
-        }
         let marks = UpstreamMarks {
             evacuated: evacuated.clone(),
             leaving: self.marks.leaving.clone(),
         };
-        Self::from_entries(entries, self.revision, Arc::new(marks))
+        let mut next = Self {
+            revision: self.revision,
+            marks: Arc::new(marks),
+            ..Self::default()
+        };
+        for (name, entry) in &self.entries {
+            let mut entry = entry.clone();
+            if let Some(upstream) = &mut entry.upstream {
+                let domain = &upstream.failure_domain;
+                if self.marks.evacuated.contains(domain) && !evacuated.contains(domain) {
+                    let returned = Arc::make_mut(upstream);
+                    returned.cold_until = returned.cold_until.max(cold_until(&returned.service));
+                }
+            }
+            next.put(name, entry.revision, || entry.upstream);
+        }
+        next
     }
 
     /// Returns the table of a full list, reusing decoded entries with the same revision.
     pub(crate) fn with_list(
         &self,
         codec: &PlatformCodec,
-        objects: &[RegistryEntry],
+        objects: &[StoredObject],
         at: u64,
     ) -> Self {
-        let entries = objects
-            .iter()
-            .map(|object| {
-                let known = self.entries.get(&object.name);
-                let entry = known
-                    .filter(|entry| entry.revision == object.revision)
-                    .cloned()
-                    .unwrap_or_else(|| decode(codec, &object.name, object.revision, &object.value));
-                (Arc::clone(&object.name), entry)
-            })
-            .collect();
-        Self::from_entries(entries, at, Arc::clone(&self.marks))
+        let mut next = Self {
+            revision: at,
+            marks: Arc::clone(&self.marks),
+            ..Self::default()
+        };
+        for object in objects {
+            match self.entries.get(&object.name) {
+                Some(known) if known.revision == object.revision => {
+                    next.put(&object.name, known.revision, || known.upstream.clone());
+                }
+                _ => next.put_object(codec, object),
+            }
+        }
+        next
+    }
+
+    fn put_object(&mut self, codec: &PlatformCodec, object: &StoredObject) {
+        self.put(&object.name, object.revision, || decode(codec, object));
     }
 
-    fn from_entries(
-        entries: BTreeMap<Arc<str>, Entry>,
+    /// Stores an entry unless the known one is as new.
+    ///
+    /// An entry is decoded only once, because an upstream's cold time counts from its first decoding.
+    fn put(
+        &mut self,
+        name: &Arc<str>,
         revision: u64,
-        marks: Arc<UpstreamMarks>,
-    ) -> Self {
-        let mut by_service: HashMap<ServiceName, Vec<Arc<RegisteredUpstream>>> = HashMap::new();
-        let mut by_address = HashMap::new();
-        let mut ids = HashSet::new();
-        for registered in entries.values().filter_map(|e| e.upstream.as_ref()) {
-            let upstream = with_marks(registered, &marks);
-            ids.insert(upstream.id.clone());
-            by_address.insert(upstream.address, Arc::clone(&upstream));
-            by_service
-                .entry(upstream.service.clone())
-                .or_default()
-                .push(upstream);
+        upstream: impl FnOnce() -> Option<Arc<RegisteredUpstream>>,
+    ) {
+        let known = self.entries.get(name);
+        if known.is_some_and(|known| revision <= known.revision) {
+            return;
+        }
+        let upstream = upstream();
+        let previous = self.entries.insert(
+            Arc::clone(name),
+            Entry {
+                revision,
+                upstream: upstream.clone(),
+            },
+        );
+        // A restarted process has another identifier, so its earlier start must be removed.
+        if let Some(previous) = previous.and_then(|entry| entry.upstream) {
+            self.unindex(&previous);
         }
-        Self {
-            revision,
-            entries,
-            by_service,
-            by_address,
-            ids,
-            marks,
+        if let Some(upstream) = upstream {
+            self.index(&upstream);
         }
     }
+
+    /// Removes an entry. A repeated removal does not remove one that was registered again.
+    fn remove(&mut self, name: &Arc<str>, revision: u64) {
+        let known = self.entries.get(name).map_or(0, |entry| entry.revision);
+        if revision != 0 && revision < known {
+            return;
+        }
+        if let Some(upstream) = self.entries.remove(name).and_then(|entry| entry.upstream) {
+            self.unindex(&upstream);
+        }
+    }
+
+    fn index(&mut self, registered: &Arc<RegisteredUpstream>) {
+        let upstream = with_marks(registered, &self.marks);
+        let address = (upstream.address, upstream.id.clone());
+        self.by_address.insert(address, Arc::clone(&upstream));
+        self.by_id
+            .insert(upstream.id.clone(), Arc::clone(&upstream));
+        let of_service = self.by_service.entry(upstream.service.clone()).or_default();
+        let of_service = Arc::make_mut(of_service);
+        match of_service.binary_search_by(|known| known.id.cmp(&upstream.id)) {
+            Ok(at) => of_service[at] = upstream,
+            Err(at) => of_service.insert(at, upstream),
+        }
+    }
+
+    fn unindex(&mut self, registered: &RegisteredUpstream) {
+        let id = &registered.id;
+        self.by_address.remove(&(registered.address, id.clone()));
+        self.by_id.remove(id);
+        let Some(of_service) = self.by_service.get_mut(&registered.service) else {
+            return;
+        };
+        let of_service = Arc::make_mut(of_service);
+        if let Ok(at) = of_service.binary_search_by(|known| known.id.cmp(id)) {
+            of_service.remove(at);
+        }
+    }
+}
+
+fn to_update(name: &Arc<str>, entry: &Entry) -> RegistryEntry {
+    RegistryEntry {
+        name: Arc::clone(name),
+        revision: entry.revision,
+        upstream: entry.upstream.clone(),
+    }
 }
 
 fn with_marks(
@@ -335,18 +402,11 @@
     })
 }
 
-fn decode(codec: &PlatformCodec, name: &str, revision: u64, raw: &Arc<Value>) -> Entry {
-    let upstream = match (codec.read_upstream)(name, raw, MonoTime::now()) {
-        Ok(upstream) => Some(Arc::new(upstream)),
-        Err(problem) => {
-            log::warn!(upstream = name, revision = revision, problem = problem.as_str(); "ignoring a registered upstream that cannot be decoded");
-            metrics::counter!("tc_registry_unreadable_total").increment(1);
-            None
-        }
-    };
-    Entry {
-        revision,
-        raw: Arc::clone(raw),
-        upstream,
-    }
+fn decode(codec: &PlatformCodec, object: &StoredObject) -> Option<Arc<RegisteredUpstream>> {
+    let decoded = (codec.read_upstream)(&object.name, &object.value, MonoTime::now());
+    let decoded = decoded.inspect_err(|problem| {
+        log::warn!(upstream = &*object.name, revision = object.revision, problem = problem.as_str(); "ignoring a registered upstream that cannot be decoded");
+        metrics::counter!("tc_registry_unreadable_total").increment(1);
+    });
+    decoded.ok().map(Arc::new)
 }
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -1,8 +1,11 @@
 //! Watches the store for the configuration and the registered upstreams.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashSet},
+    sync::Arc,
+    time::Duration,
+};
 
-use tc_fleet::RegistryEntry;
 use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
 use tc_protocol::MonoTime;
 use tokio::{sync::watch::Receiver, time::timeout};
@@ -186,23 +189,14 @@
     fn apply_list(&mut self, page: ListPage) {
         let world = self.cell.load();
         if world.upstreams.len() == 0 {
-            let objects: Vec<RegistryEntry> = page
-                .items
-                .into_iter()
-                .map(|object| RegistryEntry {
-                    name: object.name,
-                    revision: object.revision,
-                    value: object.value,
-                })
-                .collect();
-            self.cell.replace_upstreams(&objects, page.revision);
+            self.cell.replace_upstreams(&page.items, page.revision);
             return;
         }
-        let is_listed = |name: &str| page.items.iter().any(|object| *object.name == *name);
+        let listed: HashSet<&str> = page.items.iter().map(|object| &*object.name).collect();
         let gone: Vec<ObjectEvent> = world
             .upstreams
             .names()
-            .filter(|name| !is_listed(name))
+            .filter(|name| !listed.contains(&***name))
             .map(|name| ObjectEvent::Removed {
                 name: Arc::clone(name),
                 revision: 0,
--- a/crates/tc-membership/src/store_source.rs
+++ b/crates/tc-membership/src/store_source.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// Records a message from a source that is part of an update.
+    pub fn record_partial_update(&mut self, now: MonoTime, from: &InstanceId) {
+        if let Some(current) = self.current.as_mut().filter(|c| c.id == *from) {
+            current.last_heard = now;
+        }
+    }
+
     /// Handles a resume after a pause, when the clock may not show how old the confirmations are.
     /// Unless a source reports one within a heartbeat interval, this instance reads the store
     /// itself.
