Relay the store through strong instances in large fleets

Four watchers relayed to all others, 245 each in a fleet of 985, and an instance that starts followed the few that it knew: in one failure domain of 164, 370 streams were opened in the first second.

Above 132 instances relays follow the watchers and the others follow relays: one for 32 instances, among the strong ones, ranked as the watchers are. The number is a power of two, and a former relay keeps its followers, so that a fleet that shrinks does not reconnect. A source refuses followers beyond twice its share. The first listing of a starting instance is spread by the number of members. Two hops up to 4,096 instances (MAX_FOLLOWERS * WATCHER_COUNT relays).

Tests, in simulated time: followers_of_a_source_do_not_grow_with_the_fleet (100, 1,000, 2,000), changes_reach_a_thousand_instances_through_relays, after_the_loss_of_all_relays_the_others_are_current_within_the_bound (500, 1,000; at most eight instances read the store), instances_that_start_together_do_not_all_list_the_store (100, 1,000).

--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -31,8 +31,8 @@
 pub use fleet::{Fleet, ReportHandlers};
 pub use key::FleetKeys;
 pub use mesh::{
-    ChooseEngine, EvacuatedDomains, Mesh, MeshError, MeshHandlers, MeshSettings, PiecesAnswer,
-    RecordRuns, RegistryEntry, Removed, ReportOutlook, StoreUpdate, SuspectTrial, UpstreamLimits,
-    UpstreamUpdate, WorldHave,
+    ChooseEngine, EvacuatedDomains, FollowWorld, Mesh, MeshError, MeshHandlers, MeshSettings,
+    PiecesAnswer, RecordRuns, RegistryEntry, Removed, ReportOutlook, StoreUpdate, SuspectTrial,
+    UpstreamLimits, UpstreamUpdate, WorldHave,
 };
 pub use settings::{FleetSettings, PermitPolicy};
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -342,6 +342,11 @@
             instance: member.id.clone(),
         };
     }
+    if status.code() == Code::ResourceExhausted {
+        return MeshError::Full {
+            instance: member.id.clone(),
+        };
+    }
     MeshError::NoAnswer {
         instance: member.id.clone(),
         problem: format!("{:?}: {}", status.code(), status.message()),
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -31,6 +31,12 @@
         /// The called instance.
         instance: InstanceId,
     },
+    /// The instance is alive but takes no more calls of this kind.
+    #[error("instance {instance} has no room for the call")]
+    Full {
+        /// The called instance.
+        instance: InstanceId,
+    },
     /// The answer violates the protocol: the instance runs another version or is faulty.
     #[error("instance {instance} sent a malformed answer")]
     Malformed {
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -16,7 +16,7 @@
 pub use handle::{Mesh, MeshSettings, SuspectTrial};
 pub use limits::UpstreamLimits;
 pub use messages::{MeshError, PiecesAnswer};
-pub use service::{ChooseEngine, MeshHandlers, RecordRuns, ReportOutlook};
+pub use service::{ChooseEngine, FollowWorld, MeshHandlers, RecordRuns, ReportOutlook};
 pub use store_update::{
     EvacuatedDomains, RegistryEntry, Removed, StoreUpdate, UpstreamUpdate, WorldHave,
 };
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -44,6 +44,9 @@
 /// Returns the load of a service's home, or `None` if the home is not here.
 pub type ReportOutlook = dyn Fn(&ServiceName) -> Option<HomeOutlook> + Send + Sync;
 
+/// Streams the state of the store to a follower.
+pub type FollowWorld = dyn Fn(WorldHave) -> Option<BoxStream<'static, StoreUpdate>> + Send + Sync;
+
 /// Handlers of calls from other instances. Dropping a returned future cancels its operation.
 pub struct MeshHandlers {
     /// Processes the pieces of a stage as the home of its service.
@@ -56,8 +59,9 @@
     pub choose_engine: Box<ChooseEngine>,
     /// Handles progress reports of runs whose engines were chosen here.
     pub record_runs: Box<RecordRuns>,
-    /// Streams the state of the store: first what is newer than the given revisions, then each change.
-    pub follow_world: Box<dyn Fn(WorldHave) -> BoxStream<'static, StoreUpdate> + Send + Sync>,
+    /// Streams the state of the store: first what is newer than the given revisions, then each change. Returns `None`
+    /// if this instance has too many followers.
+    pub follow_world: Box<FollowWorld>,
 }
 
 /// Implementation of the gRPC service, cheap to clone.
@@ -172,6 +176,8 @@
             upstreams_revision: have.upstreams_revision,
             evacuated_revision: have.evacuated_revision,
         });
+        let full = || Status::resource_exhausted("this instance has too many followers");
+        let updates = updates.ok_or_else(full)?;
         let messages = updates.flat_map(|update| stream::iter(store_update_to_wire(&update)));
         Ok(Response::new(messages.map(Ok).boxed()))
     }
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -137,6 +137,7 @@
     fn update_members(&mut self) {
         let members = self.mesh.members();
         self.source.update_members(&members);
+        self.cell.followers().set_limit(self.source.max_followers());
     }
 
     fn mark_settled(&mut self) {
@@ -202,6 +203,10 @@
                     store_read,
                 });
             }
+            // The source is alive, so it need not be probed and its connection is kept.
+            Ok(Err(MeshError::Full { .. })) => {
+                self.source.source_failed(MonoTime::now(), &source);
+            }
             Ok(Err(error)) => self.source_failed(&source, &error.to_string()),
             Err(_) => self.source_failed(&source, "no answer in time"),
         }
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -35,7 +35,7 @@
 pub(crate) use config::ActiveConfig;
 pub(crate) use evacuated::watch_evacuations;
 pub(crate) use follow::{StoreRole, follow_source};
-pub(crate) use relay::relay_world;
+pub(crate) use relay::{Followers, relay_world};
 pub(crate) use store_read::StoreRead;
 pub use upstreams::{ApplyOutcome, UpstreamTable};
 pub(crate) use watch::{WatchContext, wait_until_known, watch_config, watch_upstreams};
@@ -95,6 +95,7 @@
     confirmed: [AtomicU64; PART_COUNT],
     /// Sends the time as of which all parts are confirmed, when it changes.
     confirmations: Sender<MonoTime>,
+    followers: Arc<Followers>,
     /// Number of the last pause after which no fresh read came in time, so that requests no longer
     /// wait for one.
     gave_up_at: AtomicU64,
@@ -111,10 +112,16 @@
             pauses_at_full_read: Default::default(),
             confirmed: Default::default(),
             confirmations: Sender::new(MonoTime::default()),
+            followers: Arc::default(),
             gave_up_at: AtomicU64::new(0),
         }
     }
 
+    /// Returns the instances that follow this one.
+    pub(crate) const fn followers(&self) -> &Arc<Followers> {
+        &self.followers
+    }
+
     pub(crate) fn pause_monitor(&self) -> Arc<PauseMonitor> {
         Arc::clone(&self.pause_monitor)
     }
--- a/crates/tc-gateway/src/world/relay.rs
+++ b/crates/tc-gateway/src/world/relay.rs
@@ -1,6 +1,12 @@
 //! Relays the state of the store to other instances as it changes.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use futures::{StreamExt, stream, stream::BoxStream};
 use tc_fleet::{EvacuatedDomains, StoreUpdate, WorldHave};
@@ -9,8 +15,44 @@
 
 use super::{World, WorldCell};
 
+/// Counts the instances that follow this one.
+#[derive(Debug, Default)]
+pub(crate) struct Followers {
+    count: AtomicUsize,
+    limit: AtomicUsize,
+}
+
+impl Followers {
+    /// Sets the number of followers beyond which no more are accepted.
+    pub(super) fn set_limit(&self, limit: usize) {
+        self.limit.store(limit, Ordering::Relaxed);
+    }
+
+    /// Accepts a follower until the guard is dropped, unless there are too many.
+    fn accept(self: &Arc<Self>) -> Option<FollowerGuard> {
+        let limit = self.limit.load(Ordering::Relaxed);
+        let add = |count| (count < limit).then_some(count + 1);
+        let added = self
+            .count
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+        let count = added.ok()? + 1;
+        metrics::gauge!("tc_store_followers").set(count as f64);
+        Some(FollowerGuard(Arc::clone(self)))
+    }
+}
+
+struct FollowerGuard(Arc<Followers>);
+
+impl Drop for FollowerGuard {
+    fn drop(&mut self) {
+        let count = self.0.count.fetch_sub(1, Ordering::Relaxed) - 1;
+        metrics::gauge!("tc_store_followers").set(count as f64);
+    }
+}
+
 /// State of the stream to one other instance.
 struct Relay {
+    _follower: FollowerGuard,
     cell: Arc<WorldCell>,
     /// Receipt of the call; confirmations are sent relative to it.
     received_at: MonoTime,
@@ -29,13 +71,14 @@
 
 /// Sends what the follower lacks at once, then each change and each newer confirmation. Without
 /// either, sends a message every `heartbeat_interval`, so that silence shows that this instance or
-/// the connection to it is lost.
+/// the connection to it is lost. Returns `None` if this instance has too many followers.
 pub(crate) fn relay_world(
     cell: &Arc<WorldCell>,
     have: WorldHave,
     heartbeat_interval: Duration,
-) -> BoxStream<'static, StoreUpdate> {
+) -> Option<BoxStream<'static, StoreUpdate>> {
     let relay = Relay {
+        _follower: cell.followers().accept()?,
         cell: Arc::clone(cell),
         received_at: MonoTime::now(),
         changes: cell.changes(),
@@ -43,11 +86,11 @@
         heartbeat_interval,
         baseline: Baseline::Reported(have),
     };
-    stream::unfold(relay, |mut relay| async move {
+    let updates = stream::unfold(relay, |mut relay| async move {
         let update = relay.next().await;
         Some((update, relay))
-    })
-    .boxed()
+    });
+    Some(updates.boxed())
 }
 
 impl Relay {
--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -23,5 +23,5 @@
 pub use placement::{config_watchers, home_of};
 pub use plan::{EngineState, ModelLoad, ModelRequirements, Plan, plan};
 pub use shuffle_shard::shuffle_shard;
-pub use store_source::{SourceTiming, StoreSource, store_watchers};
+pub use store_source::{SourceTiming, StoreSource, StoreSources, store_watchers};
 pub use view_sync::{ComparisonOutcome, ViewSync};
--- a/crates/tc-membership/src/store_source.rs
+++ b/crates/tc-membership/src/store_source.rs
@@ -21,8 +21,17 @@
 /// Number of instances that watch the store. With four, at least one remains to relay changes in 99
 /// of 100 cases where a third of the fleet is partitioned or restarting.
 const WATCHER_COUNT: usize = 4;
+/// Number of instances that a source relays the store to, as far as there are enough strong
+/// instances. A list of 10,000 upstreams then takes a source of 1 Gbit/s a quarter of a second.
+const MAX_FOLLOWERS: usize = 32;
+/// Number of relays that an instance tries before it tries a watcher.
+const RELAYS_BEFORE_WATCHER: usize = 2;
+/// Time by which the first own listing of a starting instance is spread, per member. When hundreds
+/// start at once and no source confirms them in time, they must not all list the store.
+const START_SPREAD_PER_MEMBER: Duration = Duration::from_millis(10);
 const WATCHER_ROLE: &str = "watcher of the store";
 const SOURCE_ROLE: &str = "source";
+const START_ROLE: &str = "start";
 
 /// Returns the instances that watch the store, best first: strong ones, spread over as many failure
 /// domains as possible. Weak ones are used only if there are too few others, because sending a list
@@ -34,26 +43,100 @@
 /// ```
 #[must_use]
 pub fn store_watchers(members: &[Member]) -> Vec<&Member> {
-    let mut ranked: Vec<(f64, &Member)> = usable(members)
+    StoreSources::new(members).watchers
+}
+
+/// The instances that others follow for the state of the store.
+///
+/// The watchers read the store. If they would have more than [`MAX_FOLLOWERS`] followers each,
+/// relays follow the watchers, and the other instances follow the relays. A change then reaches all
+/// instances in two hops, and what each source sends does not grow with the fleet while the number
+/// of relays is at most [`WATCHER_COUNT`] × [`MAX_FOLLOWERS`], which serves 4,096 instances.
+///
+/// ```
+/// use tc_membership::StoreSources;
+/// assert!(StoreSources::new(&[]).relays.is_empty());
+/// ```
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreSources<'a> {
+    /// Instances that watch the store, best first.
+    pub watchers: Vec<&'a Member>,
+    /// Instances that follow the watchers and are followed by the rest, best first. Empty in a
+    /// fleet that the watchers can serve alone.
+    pub relays: Vec<&'a Member>,
+    /// Relays in a fleet of twice the size. They keep the followers they have, so that a fleet that
+    /// shrinks does not reconnect.
+    former_relays: Vec<&'a Member>,
+}
+
+impl<'a> StoreSources<'a> {
+    /// Selects the sources among the members.
+    #[must_use]
+    pub fn new(members: &'a [Member]) -> Self {
+        let usable = usable(members);
+        let count = relay_count(usable.len());
+        let min_strength = min_strength(&usable);
+        let (strong, weak): (Vec<&Member>, Vec<&Member>) = usable
+            .into_iter()
+            .partition(|member| member.strength >= min_strength);
+        let mut watchers = ranked(strong);
+        let mut relays = watchers.split_off(WATCHER_COUNT.min(watchers.len()));
+        if watchers.len() < WATCHER_COUNT {
+            watchers.extend(ranked(weak));
+            watchers.truncate(WATCHER_COUNT);
+        }
+        let mut former_relays = relays.split_off(count.min(relays.len()));
+        former_relays.truncate(count);
+        Self {
+            watchers,
+            relays,
+            former_relays,
+        }
+    }
+
+    /// Returns the number of followers that a source accepts: twice its share, so that followers of
+    /// lost sources are accepted, while an instance that many take for a source as they start is
+    /// not held up by sending the whole list to all of them.
+    #[must_use]
+    pub fn max_followers(&self, members: usize) -> usize {
+        let sources = if self.relays.is_empty() {
+            self.watchers.len()
+        } else {
+            self.relays.len()
+        };
+        2 * members.div_ceil(sources.max(1)).max(MAX_FOLLOWERS)
+    }
+}
+
+/// Returns the number of relays in a fleet of this many instances. It is a power of two, so that it
+/// does not follow each change of the fleet.
+fn relay_count(members: usize) -> usize {
+    if members <= WATCHER_COUNT * (MAX_FOLLOWERS + 1) {
+        return 0;
+    }
+    members.div_ceil(MAX_FOLLOWERS).next_power_of_two()
+}
+
+/// Orders members by their score, taking the best of each failure domain first, then the second
+/// best of each.
+fn ranked(members: Vec<&Member>) -> Vec<&Member> {
+    let mut scored: Vec<(f64, &Member)> = members
         .into_iter()
         .map(|member| (weighted_score(WATCHER_ROLE, member), member))
         .collect();
-    ranked.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
-    let min_strength = min_strength(&usable(members));
+    scored.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
     let mut taken_by_domain: HashMap<&FailureDomain, usize> = HashMap::new();
-    let mut by_position: Vec<(bool, usize, &Member)> = ranked
+    let mut by_position: Vec<(usize, &Member)> = scored
         .into_iter()
         .map(|(_, member)| {
             let position = taken_by_domain.entry(&member.failure_domain).or_default();
             *position += 1;
-            (member.strength < min_strength, *position, member)
+            (*position, member)
         })
         .collect();
-    // The sort is stable: the best of each domain first, then the second best of each, with weak
-    // members last.
-    by_position.sort_by_key(|(is_weak, position, _)| (*is_weak, *position));
-    by_position.truncate(WATCHER_COUNT);
-    by_position.into_iter().map(|(.., member)| member).collect()
+    // The sort is stable.
+    by_position.sort_by_key(|(position, _)| *position);
+    by_position.into_iter().map(|(_, member)| member).collect()
 }
 
 /// Durations that control when another source is chosen and when the store is read directly.
@@ -128,11 +211,15 @@
     /// Whether this instance knows enough members to determine the watchers. While a fleet starts,
     /// each instance knows few others and would consider itself one of the best.
     is_settled: bool,
+    max_followers: usize,
     /// Possible sources, best first.
     candidates: Vec<InstanceId>,
     current: Option<CurrentSource>,
     /// Newest confirmation reported by any source.
     newest_confirmation: MonoTime,
+    /// Time until the first own listing if no source has confirmed anything since the start.
+    start_limit: Duration,
+    is_confirmed: bool,
     avoided_until: BTreeMap<InstanceId, MonoTime>,
 }
 
@@ -145,36 +232,79 @@
             timing,
             watcher_index: None,
             is_settled: false,
+            max_followers: 0,
             candidates: Vec::new(),
             current: None,
             newest_confirmation: now,
+            start_limit: timing.watch_after,
+            is_confirmed: false,
             avoided_until: BTreeMap::new(),
         }
     }
 
+    /// Returns [`StoreSources::max_followers`] for the current members.
+    #[must_use]
+    pub fn max_followers(&self) -> usize {
+        self.max_followers
+    }
+
     /// Updates the watchers and candidate sources from the member list.
     pub fn update_members(&mut self, members: &[Member]) {
-        let watchers = store_watchers(members);
-        let own_index = watchers.iter().position(|w| w.id == self.me);
-        self.watcher_index = own_index;
-        let mut candidates: Vec<&Member> = watchers;
-        if let Some(index) = own_index {
+        let sources = StoreSources::new(members);
+        self.max_followers = sources.max_followers(members.len());
+        self.watcher_index = sources.watchers.iter().position(|w| w.id == self.me);
+        self.start_limit = self.timing.watch_after + self.start_spread(members.len());
+        let is_relay = sources.relays.iter().any(|relay| relay.id == self.me);
+        let mut retained: Vec<&Member> = Vec::new();
+        let candidates = if let Some(index) = self.watcher_index {
+            let mut others = sources.watchers;
             // Each watcher follows the next one, so that a change seen by one of them reaches all
             // of them.
-            candidates.rotate_left(index);
-            candidates.remove(0);
+            others.rotate_left(index);
+            others.remove(0);
+            others
         } else {
             let own_domain = members.iter().find(|m| m.id == self.me);
             let own_domain = own_domain.map(|me| &me.failure_domain);
-            candidates.sort_by_key(|member| {
-                let in_other_domain = Some(&member.failure_domain) != own_domain;
-                let score = rendezvous_score(SOURCE_ROLE, self.me.as_str(), member.id.as_str());
-                (in_other_domain, Reverse(score))
-            });
-        }
+            let mut watchers = self.by_preference(sources.watchers, own_domain);
+            if is_relay || sources.relays.is_empty() {
+                watchers
+            } else {
+                let mut relays = self.by_preference(sources.relays, own_domain);
+                retained = sources.former_relays;
+                let later = relays.split_off(RELAYS_BEFORE_WATCHER.min(relays.len()));
+                let later_watchers = watchers.split_off(1.min(watchers.len()));
+                [relays, watchers, later, later_watchers].concat()
+            }
+        };
+        let is_source = |id: &InstanceId| {
+            let mut allowed = candidates.iter().chain(&retained);
+            allowed.any(|member| member.id == *id)
+        };
+        self.current.take_if(|current| !is_source(&current.id));
         self.candidates = candidates.into_iter().map(|m| m.id.clone()).collect();
-        let candidates = &self.candidates;
-        self.current.take_if(|c| !candidates.contains(&c.id));
+    }
+
+    /// Orders sources: those of the own failure domain first, then by a hash that differs between
+    /// followers.
+    fn by_preference<'a>(
+        &self,
+        mut sources: Vec<&'a Member>,
+        own_domain: Option<&FailureDomain>,
+    ) -> Vec<&'a Member> {
+        sources.sort_by_key(|member| {
+            let in_other_domain = Some(&member.failure_domain) != own_domain;
+            let score = rendezvous_score(SOURCE_ROLE, self.me.as_str(), member.id.as_str());
+            (in_other_domain, Reverse(score))
+        });
+        sources
+    }
+
+    /// Returns this instance's part of the time over which instances that start together spread
+    /// their first listing.
+    fn start_spread(&self, members: usize) -> Duration {
+        let score = rendezvous_score(START_ROLE, self.me.as_str(), "") as f64 / u64::MAX as f64;
+        START_SPREAD_PER_MEMBER.mul_f64(members as f64 * score)
     }
 
     /// Marks the member list as complete enough to determine the watchers.
@@ -218,6 +348,7 @@
         };
         current.last_heard = now;
         current.confirmed = confirmed;
+        self.is_confirmed |= confirmed > MonoTime::default();
         self.newest_confirmation = self.newest_confirmation.max(confirmed);
         if self.is_stale(now, confirmed) {
             self.avoid(now, from, self.timing.heartbeat_interval);
@@ -237,8 +368,7 @@
     pub fn resumed(&mut self, now: MonoTime) {
         self.current = None;
         let confirmation_age = self
-            .timing
-            .watch_after
+            .watch_after()
             .saturating_sub(self.timing.heartbeat_interval);
         self.newest_confirmation = self.newest_confirmation.min(now.before(confirmation_age));
     }
@@ -259,7 +389,15 @@
     #[must_use]
     pub fn should_watch(&self, now: MonoTime) -> bool {
         let is_watcher = self.watcher_index.is_some() && self.is_settled;
-        is_watcher || now.since(self.newest_confirmation) >= self.timing.watch_after
+        is_watcher || now.since(self.newest_confirmation) >= self.watch_after()
+    }
+
+    fn watch_after(&self) -> Duration {
+        if self.is_confirmed {
+            self.timing.watch_after
+        } else {
+            self.start_limit
+        }
     }
 
     /// Returns the age of its confirmation at which this instance, while it watches, also lists the
@@ -283,7 +421,7 @@
     /// checked again.
     #[must_use]
     pub fn next_check_in(&self, now: MonoTime) -> Duration {
-        let watch_from = self.newest_confirmation.after(self.timing.watch_after);
+        let watch_from = self.newest_confirmation.after(self.watch_after());
         let source = self.current.as_ref();
         let stale_from = source.map(|source| source.confirmed.after(self.timing.stale_after));
         let due = [Some(watch_from), stale_from].into_iter().flatten();
--- a/crates/tc-membership/tests/store_source/main.rs
+++ b/crates/tc-membership/tests/store_source/main.rs
@@ -3,4 +3,5 @@
 
 mod fleet;
 mod freshness;
+mod growth;
 mod roles;
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -84,7 +84,7 @@
 const STATUS: Label = fixed_set("status", 8);
 /// Response statuses of the gateway itself. [`REASON`] gives their cause.
 const REFUSAL_STATUS: Label = fixed_set("status", 10);
-const REASON: Label = fixed_set("reason", 24);
+const REASON: Label = fixed_set("reason", 25);
 const VERDICT: Label = fixed_set("verdict", 6);
 const WAY: Label = fixed_set("way", 2);
 const WORKSPACE: Label = Label {
@@ -121,6 +121,7 @@
     count("tc_gossip_refused_total", &[], "Gossip messages dropped because they were not authentic or not understood."),
     count("tc_gossip_send_failures_total", &[], "Gossip messages the kernel refused to send."),
     count("tc_hedges_total", &[SERVICE], "Second calls made beside a slow one."),
+    count("tc_held_bytes_refusals_total", &[], "Requests and answers for which this process had no room, because it holds too many bytes for slow callers and upstreams."),
     count("tc_late_results_total", &[], "Results dropped because another attempt had won or nobody waited."),
     count("tc_log_lines_dropped_total", &[], "Log lines dropped because nobody read the output."),
     count("tc_log_lines_suppressed_total", &[], "Log lines left out by the rate gate."),
@@ -141,6 +142,7 @@
     count("tc_stages_remade_total", &[], "Requests whose stages were made again as results were gone."),
     count("tc_stalled_callers_total", &[], "Connections closed because their caller took nothing of its answer."),
     gauge_millis("tc_store_confirmed_age_ms", &[], "Time since the start of the newest reading of the store, by any instance, whose result this instance is known to hold."),
+    gauge("tc_store_followers", &[], "Instances that follow this one for changes of the store."),
     gauge("tc_store_watcher", &[], "1 while this instance watches the store itself: four of a fleet, and others whom nobody tells anything."),
     count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
     count("tc_superseded_total", &[], "Times this process found another, later one with its instance's name."),
