Check by one call whether the store has changed

A list of 10,000 upstreams is 51 calls one after another, some 0.45 s: with each upstream that registered it took longer, until it ended after the age at which followers give up their source. From 5,000 upstreams on 180 to 200 changes of role a second were logged in one failure domain of 164, and every instance listed the store (whole fleet, code untouched).

The page after the last known name tells the store's revision at any size. If it is the one of the watch, nothing has changed and the part is confirmed; otherwise the list is read as before. It is due earlier by the time that the last list took. The stand-in of the store now lists in pages of 200.

--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -5,7 +5,14 @@
 //! old configuration for seconds. A new list shows what was missed. The same applies after a pause
 //! of this process, during which the watch may have been cut off unnoticed.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use tc_platform::{
     Freshness, KindDialect, ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage,
@@ -56,6 +63,23 @@
     /// or stop answering this instance while it answers others. Without a list, neither can be told
     /// from a store without changes.
     pub(super) list_after: Receiver<Duration>,
+    /// Duration of the last list. It grows with the number of objects, and a list must be complete
+    /// when the confirmation reaches the age.
+    pub(super) list_time: ListTime,
+}
+
+/// Duration of the last list of a kind.
+#[derive(Debug, Default)]
+pub(super) struct ListTime(AtomicU64);
+
+impl ListTime {
+    fn set(&self, took: Duration) {
+        self.0.store(took.as_micros() as u64, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Duration {
+        Duration::from_micros(self.0.load(Ordering::Relaxed))
+    }
 }
 
 /// Result of a watch that was checked by lists.
@@ -71,8 +95,25 @@
         let listed = self
             .store
             .list_kind(self.purpose, &self.dialect, self.kind, Freshness::Current)
-            .await;
-        Ok((listed?, store_read))
+            .await?;
+        self.list_time
+            .set(MonoTime::now().since(store_read.started_at));
+        Ok((listed, store_read))
+    }
+
+    /// Returns true, and confirms the part, if the store has accepted no change of any kind since a
+    /// revision.
+    async fn confirm_unchanged(&self, since: u64, last: &str) -> Result<bool, StoreError> {
+        let store_read = StoreRead::start(&self.cell.pause_monitor());
+        let revision = self
+            .store
+            .revision(self.purpose, &self.dialect, self.kind, last)
+            .await?;
+        let is_unchanged = revision == since;
+        if is_unchanged {
+            self.cell.confirm(self.part, &store_read);
+        }
+        Ok(is_unchanged)
     }
 
     /// Watches for changes after revision `from`, and lists whenever the part's confirmation
@@ -81,7 +122,7 @@
         &self,
         from: u64,
         wait: Duration,
-        names: &BTreeSet<Arc<str>>,
+        known: &KnownObjects,
     ) -> Result<WatchOutcome, StoreError> {
         let store_read = StoreRead::start(&self.cell.pause_monitor());
         let watching = self
@@ -91,7 +132,7 @@
         tokio::pin!(watching);
         let (page, list_read) = tokio::select! {
             answer = &mut watching => return answer.map(answered),
-            missed = self.list_until_changed(from, names) => missed,
+            missed = self.list_until_changed(from, known) => missed,
         };
         if let Ok(answer) = timeout(MAX_WATCH_LAG, &mut watching).await {
             return answer.map(answered);
@@ -100,39 +141,54 @@
         Ok(WatchOutcome::Missed(page, list_read))
     }
 
-    /// Lists whenever the part's confirmation reaches the age `list_after`, and returns the first
-    /// list that shows a change after revision `from`.
-    async fn list_until_changed(
-        &self,
-        from: u64,
-        names: &BTreeSet<Arc<str>>,
-    ) -> (ListPage, StoreRead) {
+    /// Checks whenever the part's confirmation reaches the age `list_after` whether anything has
+    /// changed, and returns the first list that shows a change after revision `from`.
+    ///
+    /// A list of several pages is read only if the store's revision shows that something has
+    /// changed, possibly of another kind.
+    async fn list_until_changed(&self, from: u64, known: &KnownObjects) -> (ListPage, StoreRead) {
+        let mut unchanged_at = from;
         loop {
             self.wait_until_list_due().await;
+            if let Some(last) = known.names.last().filter(|_| known.is_paged) {
+                match self.confirm_unchanged(unchanged_at, last).await {
+                    Ok(true) => continue,
+                    Ok(false) => {}
+                    Err(error) => {
+                        self.list_failed(from, &error).await;
+                        continue;
+                    }
+                }
+            }
             match self.list().await {
                 Ok((page, store_read)) => {
                     let has_changed = page.items.iter().any(|object| object.revision > from);
-                    let is_gone = names.len() > page.items.len();
+                    let is_gone = known.names.len() > page.items.len();
                     if has_changed || is_gone {
                         return (page, store_read);
                     }
+                    unchanged_at = page.revision;
                     self.cell.confirm(self.part, &store_read);
                 }
-                Err(error) => {
-                    log::info!(what = self.description, watched_from = from, error = error.to_string().as_str(); "listing the store to check a watch failed");
-                    sleep(LIST_RETRY_DELAY).await;
-                }
+                Err(error) => self.list_failed(from, &error).await,
             }
         }
     }
 
+    async fn list_failed(&self, from: u64, error: &StoreError) {
+        log::info!(what = self.description, watched_from = from, error = error.to_string().as_str(); "listing the store to check a watch failed");
+        sleep(LIST_RETRY_DELAY).await;
+    }
+
     /// Waits until the part's confirmation reaches the age `list_after`.
     async fn wait_until_list_due(&self) {
         loop {
+            let list_after = *self.list_after.borrow();
+            let list_time = self.list_time.get().min(list_after / 2);
             let due = self
                 .cell
                 .part_confirmed(self.part)
-                .after(*self.list_after.borrow());
+                .after(list_after - list_time);
             let left = due.since(MonoTime::now());
             if left.is_zero() {
                 return;
@@ -142,14 +198,21 @@
     }
 }
 
+/// The existing objects of a kind, as last reported by the store.
+#[derive(Default)]
+struct KnownObjects {
+    names: BTreeSet<Arc<str>>,
+    /// Whether a list takes more than one call.
+    is_paged: bool,
+}
+
 /// Lists and watches one kind of objects, as described in the module documentation.
 pub(super) struct KindWatch {
     target: WatchTarget,
     pauses: Receiver<u64>,
     /// Revision from which to watch, or `None` if a list is needed first.
     from: Option<u64>,
-    /// Names of the existing objects, as last reported by the store.
-    names: BTreeSet<Arc<str>>,
+    known: KnownObjects,
     failures: u32,
     failing_since: Option<MonoTime>,
 }
@@ -160,7 +223,7 @@
             pauses: target.cell.pause_monitor().changes(),
             target,
             from: None,
-            names: BTreeSet::new(),
+            known: KnownObjects::default(),
             failures: 0,
             failing_since: None,
         }
@@ -173,7 +236,7 @@
 
     /// Returns the names of the existing objects, as last reported by the store.
     pub(super) const fn names(&self) -> &BTreeSet<Arc<str>> {
-        &self.names
+        &self.known.names
     }
 
     /// Waits for `time`, or until the part has to be listed.
@@ -212,11 +275,11 @@
 
     fn apply_list(&mut self, page: ListPage, store_read: StoreRead) -> KindUpdate {
         self.from = Some(page.revision);
-        self.names = page
-            .items
-            .iter()
-            .map(|object| Arc::clone(&object.name))
-            .collect();
+        let names = page.items.iter().map(|object| Arc::clone(&object.name));
+        self.known = KnownObjects {
+            names: names.collect(),
+            is_paged: page.has_more,
+        };
         self.report_unreadable(&page.unreadable);
         KindUpdate::List(page, store_read)
     }
@@ -224,7 +287,7 @@
     /// Watches once, and returns `None` if a new list is needed.
     async fn watch(&mut self, from: u64, wait: Duration) -> Result<Option<KindUpdate>, StoreError> {
         let watched = tokio::select! {
-            watched = self.target.watch(from, wait, &self.names) => watched?,
+            watched = self.target.watch(from, wait, &self.known) => watched?,
             _ = self.pauses.changed() => return Ok(None),
         };
         match watched {
@@ -242,8 +305,8 @@
     fn record_names(&mut self, events: &[ObjectEvent]) {
         for event in events {
             match event {
-                ObjectEvent::Put(object) => self.names.insert(Arc::clone(&object.name)),
-                ObjectEvent::Removed { name, .. } => self.names.remove(name),
+                ObjectEvent::Put(object) => self.known.names.insert(Arc::clone(&object.name)),
+                ObjectEvent::Removed { name, .. } => self.known.names.remove(name),
             };
         }
     }
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -12,7 +12,7 @@
 
 use super::{
     WorldCell, WorldPart,
-    kind_watch::{KindUpdate, KindWatch, WATCH_WAIT, WatchTarget},
+    kind_watch::{KindUpdate, KindWatch, ListTime, WATCH_WAIT, WatchTarget},
     removals::HeldRemovals,
 };
 use crate::codec::PlatformCodec;
@@ -57,6 +57,7 @@
             cell: Arc::clone(&self.cell),
             part,
             list_after: self.list_after.clone(),
+            list_time: ListTime::default(),
         }
     }
 }
--- a/crates/tc-platform/src/kinds.rs
+++ b/crates/tc-platform/src/kinds.rs
@@ -30,7 +30,7 @@
 pub struct ListPage {
     /// Objects on this page.
     pub items: Vec<StoredObject>,
-    /// Whether more objects follow.
+    /// Whether more objects follow. In a list of all objects, whether it took more than one page.
     pub has_more: bool,
     /// Store revision at which the page was read.
     pub revision: u64,
@@ -138,6 +138,23 @@
         }
     }
 
+    /// Returns the revision of the store with a single call, whatever the number of objects, by
+    /// listing only what follows `last`, the last known name of a kind.
+    pub async fn revision(
+        &self,
+        purpose: Purpose,
+        dialect: &KindDialect,
+        kind: &str,
+        last: &str,
+    ) -> Result<u64, StoreError> {
+        let path = (dialect.list_path)(kind, Some(last), Freshness::Current);
+        let body = self
+            .read_body(Connection::New, purpose, &path, self.timeout())
+            .await?;
+        let page = (dialect.read_list)(&body).ok_or(StoreError::Malformed)?;
+        Ok(page.revision)
+    }
+
     /// Waits up to `wait` for changes of a kind's objects since revision `from`.
     pub async fn watch_kind(
         &self,
--- a/crates/tc-stand-ins/src/objects.rs
+++ b/crates/tc-stand-ins/src/objects.rs
@@ -18,16 +18,21 @@
     sync::lock,
 };
 
+/// Maximum number of objects on a page of a list.
+const PAGE_OBJECTS: usize = 200;
+
 /// Content type of every answer.
 const JSON: &str = "content-type: application/json\r\n";
 
 /// A call to the store, decoded.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ObjectCall {
-    /// All objects of a kind.
+    /// A page of the objects of a kind.
     List {
         /// The kind.
         kind: String,
+        /// Name after which the page starts.
+        after: Option<String>,
     },
     /// Changes of a kind since a revision.
     Watch {
@@ -65,8 +70,8 @@
 pub struct ObjectSpelling {
     /// Decodes a call; `None` when it is none.
     pub read_call: fn(&Received) -> Option<ObjectCall>,
-    /// Encodes a list as of a revision.
-    pub list: fn(&[ShownObject], u64) -> Value,
+    /// Encodes a page of a list, with whether more objects follow, as of a revision.
+    pub list: fn(&[ShownObject], bool, u64) -> Value,
     /// Encodes changes up to a revision.
     pub changes: fn(&[ShownObject], u64) -> Value,
     /// Status by which it says that a watch's history is gone.
@@ -309,10 +314,14 @@
 
     async fn carry_out(&self, state: &EndpointState, call: ObjectCall, mode: StoreMode) -> Script {
         match call {
-            ObjectCall::List { kind } => {
+            ObjectCall::List { kind, after } => {
                 let objects = lock(&self.objects);
                 let held = &objects.held;
-                let list = (self.spelling.list)(&held.present(&kind), held.revision);
+                let mut page = held.present(&kind);
+                page.retain(|object| after.as_ref().is_none_or(|after| object.name > *after));
+                let has_more = page.len() > PAGE_OBJECTS;
+                page.truncate(PAGE_OBJECTS);
+                let list = (self.spelling.list)(&page, has_more, held.revision);
                 let headers = self.headers(objects.era);
                 whole_answer(200, &headers, &list.to_string())
             }
