Choose an engine without a look at the cached parts of each

Engines that other instances exclude were searched in a list for each.

An index names the engines that hold the first part of a prompt; only these are looked up. For all others every term of the cost but queue, speed and failure domain is the same, and ties are broken only between equals. The choice is the one that was made before.

The form stays linear; see docs/design/whole-fleet.md for the size at which it binds.

--- a/crates/tc-policy/src/engines/mod.rs
+++ b/crates/tc-policy/src/engines/mod.rs
@@ -8,6 +8,7 @@
 //! [`EnginePlanner`] only decides; its caller sends the requests and reports their progress.
 
 mod engine;
+mod holders;
 mod planner;
 mod prefix_cache;
 
--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -1,6 +1,9 @@
 //! State machine of a model service's home.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashSet},
+    time::Duration,
+};
 
 use slotmap::{Key, KeyData, SlotMap};
 use tc_protocol::{
@@ -8,7 +11,7 @@
     routing::{EngineChoice, EngineRequest, EngineSpec, PromptPart, RateLimit, RunProgress},
 };
 
-use super::engine::Engine;
+use super::{engine::Engine, holders::Holders};
 use crate::{ColdLimit, PromptTimes, SendPacer, rendezvous::hashed_score};
 
 slotmap::new_key_type! {
@@ -78,6 +81,39 @@
     tie_score: u64,
 }
 
+/// How an engine gets the parts of a prompt that it need not read.
+struct CacheUse<'a> {
+    prefill_tokens: u32,
+    source: Option<&'a UpstreamId>,
+    cost: Duration,
+}
+
+/// Returns what an engine with `cached_here` leading tokens of the prompt has to read and fetch. `source` is the engine
+/// that it fetches from, with the number of tokens.
+fn cache_use<'a>(
+    request: &EngineRequest,
+    cached_here: u32,
+    source: Option<&(u32, &'a UpstreamId)>,
+) -> CacheUse<'a> {
+    let tokens = request.prompt.tokens_in;
+    let available = source.map_or(cached_here, |(fetchable, _)| (*fetchable).min(tokens));
+    let fetched = available - cached_here.min(available);
+    CacheUse {
+        prefill_tokens: tokens - available,
+        source: source.map(|(_, source)| *source),
+        cost: FETCH_COST_PER_TOKEN * fetched,
+    }
+}
+
+fn cross_domain_cost(bytes: u64) -> Duration {
+    CROSS_DOMAIN_COST_PER_MB.mul_f64(bytes as f64 / BYTES_PER_MB)
+}
+
+/// Differences below a millisecond are noise. Among equals, prompts with the same shared part go to the same engine.
+fn whole_millis(cost: Duration) -> Duration {
+    Duration::from_millis(cost.as_millis() as u64)
+}
+
 /// Selects engines for the prompts of one service; see the module documentation.
 #[derive(Debug)]
 pub struct EnginePlanner {
@@ -85,6 +121,7 @@
     /// Limit for cold engines, for services whose engines are overload-sensitive while cold.
     cold_limit: Option<ColdLimit>,
     engines: BTreeMap<UpstreamId, Engine>,
+    holders: Holders,
     runs: SlotMap<RunKey, Run>,
     times: PromptTimes,
 }
@@ -97,6 +134,7 @@
             spec,
             cold_limit: None,
             engines: BTreeMap::new(),
+            holders: Holders::default(),
             runs: SlotMap::with_key(),
             times: PromptTimes::default(),
         }
@@ -125,6 +163,8 @@
         }
         self.engines
             .retain(|_, engine| engine.ready || engine.runs > 0);
+        let engines = &self.engines;
+        self.holders.retain(|id| engines.contains_key(id));
     }
 
     /// Sets the rate limits that engines announce.
@@ -196,9 +236,11 @@
                 engine.recent_sends.record(now);
             }
             engine.prefill_done_at = engine.prefill_done_at.max(now).after(run.expected);
-            engine
+            let evicted = engine
                 .prefix_cache
                 .insert(&run.parts, false, capacity_tokens);
+            self.holders.add(&run.parts, &run.upstream);
+            self.holders.remove(&evicted, &run.upstream);
         }
         self.runs.insert(run).data().as_ffi()
     }
@@ -231,27 +273,86 @@
         request: &EngineRequest,
         may: impl Fn(&UpstreamId, &Engine) -> bool,
     ) -> Option<EngineCost<'a>> {
+        let excluded: HashSet<&UpstreamId> = request.excluded.iter().collect();
+        let availability = |id: &UpstreamId, engine: &Engine| {
+            let may_get = engine.ready && !excluded.contains(id) && may(id, engine);
+            may_get.then(|| self.availability(now, engine))
+        };
         let candidates: Vec<(Availability, &UpstreamId, &Engine)> = self
             .engines
             .iter()
-            .filter(|(id, engine)| {
-                engine.ready && !request.excluded.contains(id) && may(id, engine)
-            })
-            .map(|(id, engine)| (self.availability(now, engine), id, engine))
+            .filter_map(|(id, engine)| Some((availability(id, engine)?, id, engine)))
             .collect();
-        let best_availability = candidates
-            .iter()
-            .map(|(availability, ..)| *availability)
-            .min()?;
+        let best_availability = candidates.iter().map(|(class, ..)| *class).min()?;
         let sources = self.sources(now, &request.prompt.parts);
-        candidates
-            .into_iter()
-            .filter(|(availability, ..)| *availability == best_availability)
-            .map(|(_, id, engine)| (id, engine))
+        let is_best =
+            |id: &UpstreamId, engine: &Engine| availability(id, engine) == Some(best_availability);
+        let holders = self.holders.of(&request.prompt.parts);
+        let holder = holders
+            .filter_map(|id| self.engines.get_key_value(id))
+            .filter(|(id, engine)| is_best(id, engine))
             .map(|(id, engine)| self.evaluate(now, request, id, engine, &sources))
+            .min_by_key(|option| (option.cost, option.tie_score));
+        let others = candidates
+            .into_iter()
+            .filter(|(class, ..)| *class == best_availability)
+            .map(|(_, id, engine)| (id, engine));
+        let other = self.best_without_cache(now, request, others, &sources);
+        [holder, other]
+            .into_iter()
+            .flatten()
             .min_by_key(|option| (option.cost, option.tie_score))
     }
 
+    /// Returns the best of these engines if none of them had any part of the prompt cached.
+    ///
+    /// All terms of the cost but the engine's queue, speed and failure domain are then the same for all engines. An
+    /// engine with cached parts costs less than this shows, and is evaluated by itself.
+    fn best_without_cache<'a>(
+        &self,
+        now: MonoTime,
+        request: &EngineRequest,
+        engines: impl Iterator<Item = (&'a UpstreamId, &'a Engine)>,
+        sources: &[(u32, &'a UpstreamId)],
+    ) -> Option<EngineCost<'a>> {
+        let cache = cache_use(request, 0, sources.first());
+        let own_time = self.times.estimate(cache.prefill_tokens);
+        let total: u64 = request.inputs.iter().map(|(_, bytes)| bytes).sum();
+        let key = request.prompt.shared_prefix_id().unwrap_or_default();
+        let mut best: Option<EngineCost<'a>> = None;
+        for (id, engine) in engines {
+            let own_time = own_time.mul_f64(engine.slowdown);
+            let here = request.inputs.iter();
+            let here = here.filter(|(domain, _)| *domain == engine.domain);
+            let here: u64 = here.map(|(_, bytes)| bytes).sum();
+            let cost = whole_millis(
+                engine.prefill_done_at.since(now)
+                    + own_time
+                    + cache.cost
+                    + cross_domain_cost(total - here),
+            );
+            if best.as_ref().is_some_and(|best| cost > best.cost) {
+                continue;
+            }
+            let tie_score = hashed_score(key, id.as_str());
+            let is_better = best
+                .as_ref()
+                .is_none_or(|best| (cost, tie_score) < (best.cost, best.tie_score));
+            if is_better {
+                best = Some(EngineCost {
+                    id,
+                    prefill_tokens: cache.prefill_tokens,
+                    own_time,
+                    source: cache.source,
+                    is_queued: engine.prefill_done_at > now,
+                    cost,
+                    tie_score,
+                });
+            }
+        }
+        best
+    }
+
     fn availability(&self, now: MonoTime, engine: &Engine) -> Availability {
         if !engine.is_healthy(now) || !engine.has_free_slot() {
             Availability::Unavailable
@@ -265,8 +366,9 @@
     /// Returns the two engines that most of a prompt can be fetched from, best first.
     fn sources(&self, now: MonoTime, parts: &[PromptPart]) -> Vec<(u32, &UpstreamId)> {
         let mut sources: Vec<(u32, &UpstreamId)> = self
-            .engines
-            .iter()
+            .holders
+            .of(parts)
+            .filter_map(|id| self.engines.get_key_value(id))
             .filter(|(_, engine)| engine.ready && engine.is_healthy(now))
             .map(|(id, engine)| (engine.prefix_cache.fetchable_tokens(parts), id))
             .filter(|(tokens, _)| *tokens >= MIN_FETCH_TOKENS)
@@ -292,9 +394,12 @@
         let source = sources.iter().find(|(fetchable, source)| {
             *source != id && *fetchable >= cached_here.saturating_add(MIN_FETCH_TOKENS)
         });
-        let available = source.map_or(cached_here, |(fetchable, _)| (*fetchable).min(tokens));
-        let prefill_tokens = tokens - available;
-        let own_time = self.times.estimate(prefill_tokens).mul_f64(engine.slowdown);
+        let cache = cache_use(request, cached_here, source);
+        let own_time = self
+            .times
+            .estimate(cache.prefill_tokens)
+            .mul_f64(engine.slowdown);
+        let available = tokens - cache.prefill_tokens;
         let best_available = sources
             .first()
             .map_or(0, |(fetchable, _)| (*fetchable).min(tokens));
@@ -311,18 +416,16 @@
         let cost = engine.prefill_done_at.since(now)
             + own_time
             + reread_time.mul_f64(REREAD_WEIGHT)
-            + FETCH_COST_PER_TOKEN * (available - cached_here.min(available))
-            + CROSS_DOMAIN_COST_PER_MB.mul_f64(cross_domain_bytes as f64 / BYTES_PER_MB);
+            + cache.cost
+            + cross_domain_cost(cross_domain_bytes);
         let key = request.prompt.shared_prefix_id().unwrap_or_default();
         EngineCost {
             id,
-            prefill_tokens,
+            prefill_tokens: cache.prefill_tokens,
             own_time,
-            source: source.map(|(_, source)| *source),
+            source: cache.source,
             is_queued: engine.prefill_done_at > now,
-            // Differences below a millisecond are noise. Among equals, prompts with the same shared part go to the same
-            // engine.
-            cost: Duration::from_millis(cost.as_millis() as u64),
+            cost: whole_millis(cost),
             tie_score: hashed_score(key, id.as_str()),
         }
     }
@@ -341,7 +444,9 @@
         let expected = (!run.was_queued).then_some(run.expected);
         let (upstream, parts) = (run.upstream.clone(), run.parts.clone());
         if let Some(engine) = self.engines.get_mut(&upstream) {
-            engine.prefix_cache.insert(&parts, true, capacity_tokens);
+            let evicted = engine.prefix_cache.insert(&parts, true, capacity_tokens);
+            self.holders.add(&parts, &upstream);
+            self.holders.remove(&evicted, &upstream);
             engine.record_first_event(took, expected);
         }
         self.update_prefill_done(now, &upstream);
@@ -354,10 +459,12 @@
         if let Some(engine) = self.engines.get_mut(&run.upstream) {
             engine.runs = engine.runs.saturating_sub(1);
             if !run.is_prefilled {
-                engine.prefix_cache.remove_incomplete(&run.parts);
+                let removed = engine.prefix_cache.remove_incomplete(&run.parts);
+                self.holders.remove(&removed, &run.upstream);
             }
             if !engine.ready && engine.runs == 0 {
                 self.engines.remove(&run.upstream);
+                self.holders.retain(|id| *id != run.upstream);
             }
         }
         if !run.is_prefilled {
--- a/crates/tc-policy/src/engines/prefix_cache.rs
+++ b/crates/tc-policy/src/engines/prefix_cache.rs
@@ -40,8 +40,14 @@
         cached.map(|part| part.tokens).fold(0, u32::saturating_add)
     }
 
-    /// Inserts the parts of a prompt that is about to be read here, or was read completely.
-    pub(super) fn insert(&mut self, parts: &[PromptPart], is_complete: bool, capacity_tokens: u64) {
+    /// Inserts the parts of a prompt that is about to be read here, or was read completely. Returns
+    /// the parts evicted for them.
+    pub(super) fn insert(
+        &mut self,
+        parts: &[PromptPart],
+        is_complete: bool,
+        capacity_tokens: u64,
+    ) -> Vec<u64> {
         for part in parts {
             let known = self.take(part.id);
             self.add(
@@ -53,24 +59,27 @@
                 },
             );
         }
+        let mut evicted = Vec::new();
         while self.tokens > capacity_tokens
             && let Some(&(_, oldest)) = self.by_use.first()
         {
             self.take(oldest);
+            evicted.push(oldest);
         }
+        evicted
     }
 
-    /// Removes the parts that only an aborted prompt would have cached.
-    pub(super) fn remove_incomplete(&mut self, parts: &[PromptPart]) {
-        for part in parts {
-            if self
-                .parts
-                .get(&part.id)
-                .is_some_and(|cached| !cached.is_complete)
-            {
-                self.take(part.id);
-            }
+    /// Removes and returns the parts that only an aborted prompt would have cached.
+    pub(super) fn remove_incomplete(&mut self, parts: &[PromptPart]) -> Vec<u64> {
+        let is_incomplete = |part: &&PromptPart| {
+            let cached = self.parts.get(&part.id);
+            cached.is_some_and(|cached| !cached.is_complete)
+        };
+        let incomplete: Vec<u64> = parts.iter().filter(is_incomplete).map(|p| p.id).collect();
+        for id in &incomplete {
+            self.take(*id);
         }
+        incomplete
     }
 
     fn add(&mut self, id: u64, part: CachedPart) {
