Do not collect free upstreams while no piece waits

A home looks for its next call after each request and each call, mostly with nothing waiting. What waits is now looked at first, and names are copied only of upstreams with room for it. The order of calls is as before (tests of tc-policy/tests/batch unchanged).

--- a/crates/tc-policy/src/batch/dispatch.rs
+++ b/crates/tc-policy/src/batch/dispatch.rs
@@ -29,6 +29,11 @@
 }
 
 impl SmallestResults<'_> {
+    /// Returns true if nothing waits.
+    fn is_empty(&self) -> bool {
+        self.anywhere.is_none() && self.by_domain.is_empty()
+    }
+
     fn in_domain(&self, domain: &FailureDomain) -> Option<u64> {
         let local = self.by_domain.get(domain).copied().flatten();
         let candidates = [local, self.anywhere].into_iter().flatten();
@@ -41,26 +46,23 @@
     /// `None`.
     pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
         self.expire_results(now);
-        let mut free: Vec<(UpstreamId, f64)> = self
+        let smallest = self.smallest_results(now);
+        if smallest.is_empty() {
+            return None;
+        }
+        let mut free: Vec<(&UpstreamId, f64)> = self
             .upstreams
             .iter()
             .filter(|(_, upstream)| upstream.is_free(now, self.spec.slots))
-            .map(|(id, upstream)| (id.clone(), upstream.slowdown))
+            .filter(|(id, upstream)| {
+                let smallest = smallest.in_domain(&upstream.domain);
+                smallest.is_some_and(|bytes| bytes <= self.free_result_bytes(id))
+            })
+            .map(|(id, upstream)| (id, upstream.slowdown))
             .collect();
-        if free.is_empty() {
-            return None;
-        }
-        let smallest = self.smallest_results(now);
-        free.retain(|(id, _)| {
-            let smallest = self
-                .upstreams
-                .get(id)
-                .and_then(|m| smallest.in_domain(&m.domain));
-            smallest.is_some_and(|bytes| bytes <= self.free_result_bytes(id))
-        });
         free.sort_by(|a, b| a.1.total_cmp(&b.1));
-        free.into_iter()
-            .find_map(|(id, _)| self.build_call(now, &id))
+        let free: Vec<UpstreamId> = free.into_iter().map(|(id, _)| id.clone()).collect();
+        free.iter().find_map(|id| self.build_call(now, id))
     }
 
     /// Finds the smallest result of all waiting jobs, by domain.
