List the refusals of routed requests with what each says and its tests

The page of proofs now has a row for each refusal of a routed request, and tests/proofs.rs checks that the tests named there exist.

--- a/tests/proofs.rs
+++ b/tests/proofs.rs
@@ -9,6 +9,12 @@
 /// Number of guarantees and failures listed in the users' brief, one row each.
 const EXPECTED_ROWS: usize = 17;
 
+/// Heading of the section on refusals of routed requests.
+const REFUSALS: &str = "## Refusals of routed requests";
+
+/// Number of rows in that section.
+const EXPECTED_REFUSALS: usize = 13;
+
 struct Row {
     subject: String,
     tests: Vec<String>,
@@ -66,10 +72,42 @@
     fs::read_to_string(path).unwrap_or_else(|e| panic!("{}: {e}", path.display()))
 }
 
+/// Returns the page up to the section on refusals, and that section with the rest.
+fn page() -> (String, String) {
+    let page = read(&workspace_root().join("docs/PROOFS.md"));
+    let sections = page.split_once(REFUSALS);
+    let (promises, refusals) = sections.expect("the page has a section on refusals");
+    (promises.to_owned(), refusals.to_owned())
+}
+
+// Guards against a refusal that appears covered by a test that no longer runs.
+#[test]
+fn every_refusal_names_existing_tests() {
+    let (_, refusals) = page();
+    let rows = refusals.lines().filter(|line| line.starts_with("| "));
+    let rows: Vec<&str> = rows.filter(|line| !line.ends_with("| tests |")).collect();
+    assert_eq!(rows.len(), EXPECTED_REFUSALS);
+    for row in rows {
+        let cells: Vec<&str> = row.trim_matches('|').split('|').map(str::trim).collect();
+        let [_, _, _, tests] = cells[..] else {
+            panic!("table row does not have four cells: {row}");
+        };
+        let tests = backticked_names(tests);
+        assert!(!tests.is_empty(), "row names no test: {row}");
+        for test in tests {
+            let path = format!("../platform/tests/gateway/{test}");
+            assert!(
+                is_active_test(&path),
+                "test {test} does not exist or is ignored"
+            );
+        }
+    }
+}
+
 /// Parses the rows of the page's tables, without the header rows.
 fn parse_rows() -> Vec<Row> {
-    let page = read(&workspace_root().join("docs/PROOFS.md"));
-    let lines = page.lines().filter(|line| line.starts_with("| "));
+    let (promises, _) = page();
+    let lines = promises.lines().filter(|line| line.starts_with("| "));
     lines
         .filter(|line| !line.ends_with("| not proved |"))
         .map(|line| {
