--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -297,7 +297,7 @@
                 address: SocketAddr::new(IpAddr::from(index.to_be_bytes()), 8_080),
                 failure_domain: format!("kl-{}", index % 6).into(),
                 slots: 16,
-                draining: index % 7 == 0,
+                draining: index.is_multiple_of(7),
                 evacuated: false,
                 cold_until: MonoTime::default(),
             })),
--- a/crates/tc-gateway/src/engines/request.rs
+++ b/crates/tc-gateway/src/engines/request.rs
@@ -35,7 +35,7 @@
                 log::info!(service = engine_request.service.as_str(), home = home.id.as_str(), error = error.to_string().as_str(); "home of a model service does not answer; choosing an engine locally");
                 match error {
                     MeshError::TimedOut { instance } | MeshError::Full { instance } => {
-                        cx.mesh.report_timeout(&instance)
+                        cx.mesh.report_timeout(&instance);
                     }
                     MeshError::NoAnswer { .. } | MeshError::Malformed { .. } => {
                         cx.mesh.report_failed_call(&home.id);
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -158,14 +158,14 @@
         let time_limit = head.remaining.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + time_limit;
         let allowed = TimeAllowed::until(deadline, suspended);
-        let mut held = self.cx.held_bytes.guard();
+        let mut body_guard = self.cx.held_bytes.guard();
         let max_bytes = config.routing.limits.body_bytes;
-        let body = read_body(body, max_bytes, deadline, &mut held).await?;
+        let body = read_body(body, max_bytes, deadline, &mut body_guard).await?;
         Ok(RoutedRequest {
             head,
             parts,
             body,
-            _held: held,
+            _held: body_guard,
             route,
             service,
             workspace,
@@ -266,13 +266,12 @@
     deadline: Instant,
     held: &mut HeldGuard,
 ) -> Result<Bytes, Refusal> {
-    match timeout_at(deadline, collect_body(body, max_bytes, held)).await {
-        Ok(body) => body.map_err(Refusal::from),
-        Err(_) => {
-            let reason = "the body did not come in time";
-            Err(Refusal::without_retry(StatusCode::REQUEST_TIMEOUT, reason))
-        }
-    }
+    let collected = timeout_at(deadline, collect_body(body, max_bytes, held)).await;
+    let late = |_| {
+        let reason = "the body did not come in time";
+        Refusal::without_retry(StatusCode::REQUEST_TIMEOUT, reason)
+    };
+    collected.map_err(late)?.map_err(Refusal::from)
 }
 
 async fn collect_body(
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -188,7 +188,7 @@
             let due = self
                 .cell
                 .part_confirmed(self.part)
-                .after(list_after - list_time);
+                .after(list_after.saturating_sub(list_time));
             let left = due.since(MonoTime::now());
             if left.is_zero() {
                 return;
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -190,7 +190,7 @@
             }
         }
         let differs = self.revision != earlier.revision || !names.is_empty();
-        differs.then(|| UpstreamUpdate {
+        differs.then_some(UpstreamUpdate {
             revision: self.revision,
             changed,
             removed: Removed::Named {
