--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -322,7 +322,7 @@
         };
         let mut client = self.inner.peers.client(from);
         let updates = client
-            .follow_world(have)
+            .follow_store(have)
             .await
             .map_err(|status| call_error(from, &status))?;
         let from = from.clone();
@@ -342,6 +342,11 @@
             instance: member.id.clone(),
         };
     }
+    if status.code() == Code::ResourceExhausted {
+        return MeshError::Full {
+            instance: member.id.clone(),
+        };
+    }
     MeshError::NoAnswer {
         instance: member.id.clone(),
         problem: format!("{:?}: {}", status.code(), status.message()),
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -2,7 +2,11 @@
 
 use std::sync::Arc;
 
-use futures::{StreamExt, future::BoxFuture, stream::BoxStream};
+use futures::{
+    StreamExt,
+    future::BoxFuture,
+    stream::{self, BoxStream},
+};
 use ractor::ActorRef;
 use tc_policy::HomeOutlook;
 use tc_protocol::{
@@ -40,6 +44,9 @@
 /// Returns the load of a service's home, or `None` if the home is not here.
 pub type ReportOutlook = dyn Fn(&ServiceName) -> Option<HomeOutlook> + Send + Sync;
 
+/// Streams the state of the store to a follower.
+pub type FollowWorld = dyn Fn(WorldHave) -> Option<BoxStream<'static, StoreUpdate>> + Send + Sync;
+
 /// Handlers of calls from other instances. Dropping a returned future cancels its operation.
 pub struct MeshHandlers {
     /// Processes the pieces of a stage as the home of its service.
@@ -52,8 +59,9 @@
     pub choose_engine: Box<ChooseEngine>,
     /// Handles progress reports of runs whose engines were chosen here.
     pub record_runs: Box<RecordRuns>,
-    /// Streams the state of the store: first what is newer than the given revisions, then each change.
-    pub follow_world: Box<dyn Fn(WorldHave) -> BoxStream<'static, StoreUpdate> + Send + Sync>,
+    /// Streams the state of the store: first what is newer than the given revisions, then each change. Returns `None`
+    /// if this instance has too many followers.
+    pub follow_world: Box<FollowWorld>,
 }
 
 /// Implementation of the gRPC service, cheap to clone.
@@ -156,19 +164,21 @@
         Ok(Response::new(answer))
     }
 
-    type FollowWorldStream = BoxStream<'static, Result<WireUpdate, Status>>;
+    type FollowStoreStream = BoxStream<'static, Result<WireUpdate, Status>>;
 
-    async fn follow_world(
+    async fn follow_store(
         &self,
         req: Request<WireHave>,
-    ) -> Result<Response<Self::FollowWorldStream>, Status> {
+    ) -> Result<Response<Self::FollowStoreStream>, Status> {
         let have = req.into_inner();
         let updates = (self.handlers.follow_world)(WorldHave {
             config_version: have.config_version,
             upstreams_revision: have.upstreams_revision,
             evacuated_revision: have.evacuated_revision,
         });
-        let updates = updates.map(|update| Ok(store_update_to_wire(&update)));
-        Ok(Response::new(updates.boxed()))
+        let full = || Status::resource_exhausted("this instance has too many followers");
+        let updates = updates.ok_or_else(full)?;
+        let messages = updates.flat_map(|update| stream::iter(store_update_to_wire(&update)));
+        Ok(Response::new(messages.map(Ok).boxed()))
     }
 }
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use futures::{StreamExt, stream::BoxStream};
-use tc_fleet::{Mesh, MeshError, StoreUpdate};
+use tc_fleet::{Mesh, MeshError, RegistryEntry, StoreUpdate};
 use tc_membership::{SourceTiming, StoreSource};
 use tc_protocol::{InstanceId, MonoTime};
 use tokio::{
@@ -46,10 +46,25 @@
     /// The instance that is followed.
     id: InstanceId,
     updates: UpdateStream,
+    /// Entries of a list of which more messages follow.
+    pending: Vec<RegistryEntry>,
     /// Start of the call; the times of confirmations are relative to it.
     store_read: StoreRead,
 }
 
+impl SourceStream {
+    /// Adds the entries of earlier messages to an update, or returns `None` if more follow.
+    fn complete(&mut self, mut update: StoreUpdate) -> Option<StoreUpdate> {
+        if let Some(list) = &mut update.upstreams {
+            self.pending.append(&mut list.changed);
+            if !update.more_follows {
+                list.changed = std::mem::take(&mut self.pending);
+            }
+        }
+        (!update.more_follows).then_some(update)
+    }
+}
+
 struct Follower {
     mesh: Mesh,
     cell: Arc<WorldCell>,
@@ -122,6 +137,7 @@
     fn update_members(&mut self) {
         let members = self.mesh.members();
         self.source.update_members(&members);
+        self.cell.followers().set_limit(self.source.max_followers());
     }
 
     fn mark_settled(&mut self) {
@@ -183,23 +199,31 @@
                 self.stream = Some(SourceStream {
                     id: source,
                     updates,
+                    pending: Vec::new(),
                     store_read,
                 });
             }
+            // The source is alive, so it need not be probed and its connection is kept.
+            Ok(Err(MeshError::Full { .. })) => {
+                self.source.source_failed(MonoTime::now(), &source);
+            }
             Ok(Err(error)) => self.source_failed(&source, &error.to_string()),
             Err(_) => self.source_failed(&source, "no answer in time"),
         }
     }
 
     fn handle(&mut self, event: SourceEvent) {
-        let Some(stream) = &self.stream else {
+        let Some(stream) = &mut self.stream else {
             return;
         };
         let from = stream.id.clone();
         let store_read = stream.store_read;
         match event {
             SourceEvent::Timeout => {}
-            SourceEvent::Update(update) => self.apply_update(&from, &store_read, &update),
+            SourceEvent::Update(update) => match stream.complete(update) {
+                Some(update) => self.apply_update(&from, &store_read, &update),
+                None => self.source.record_partial_update(MonoTime::now(), &from),
+            },
             SourceEvent::Ended(problem) => self.source_failed(&from, &problem),
         }
     }
