--- a/crates/tc-stand-ins/examples/call_rate.rs
+++ b/crates/tc-stand-ins/examples/call_rate.rs
@@ -1,4 +1,4 @@
-//! How many calls a second the stand-ins of one process sustain.
+//! Measures the calls per second that the stand-ins of one process sustain.
 //!
 //! `cargo run --release -p tc-stand-ins --example call_rate` calls each kind over 32 connections for two seconds and
 //! prints one JSON line a kind. Client and stand-ins share the process, so the figures are a lower bound.
--- a/crates/tc-stand-ins/src/engine/config.rs
+++ b/crates/tc-stand-ins/src/engine/config.rs
@@ -1,10 +1,10 @@
-//! How an engine behaves.
+//! Configuration of an engine.
 
 use std::{net::SocketAddr, time::Duration};
 
 use tc_protocol::{ServiceName, UpstreamId};
 
-/// How an engine behaves.
+/// Behavior of an engine.
 #[derive(Clone, Debug)]
 pub struct EngineConfig {
     /// Its identifier.
@@ -23,11 +23,11 @@
     pub batch_slowdown: f64,
     /// Prompt prefixes cached; the least recently used goes first.
     pub prefix_cache_entries: usize,
-    /// How old the load report is.
+    /// Age of the load report.
     pub load_lag: Duration,
     /// Whether orders with an old fencing number are refused.
     pub checks_orders: bool,
-    /// How long a stream goes on after its connection closed, waiting to be resumed.
+    /// Time for which a stream continues after its connection has closed, so that it can be resumed.
     pub resume_window: Duration,
     /// Models loaded at the start, as `name` or `name@version`; with none, any model is run.
     pub models: Vec<String>,
--- a/crates/tc-stand-ins/src/engine/orders.rs
+++ b/crates/tc-stand-ins/src/engine/orders.rs
@@ -17,7 +17,7 @@
     weight_store,
 };
 
-/// What orders changed.
+/// State that orders have changed.
 pub(super) struct Orders {
     state: Mutex<Ordered>,
 }
--- a/crates/tc-stand-ins/src/engine/stream.rs
+++ b/crates/tc-stand-ins/src/engine/stream.rs
@@ -37,7 +37,7 @@
     resumes: AtomicU32,
 }
 
-/// How far the job is.
+/// Progress of the job.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Progress {
     /// Events that may be read.
@@ -67,7 +67,7 @@
         let _ = self.usage.set(usage);
     }
 
-    /// How often it was resumed.
+    /// Number of times it was resumed.
     pub(super) fn resumes(&self) -> u32 {
         self.resumes.load(Ordering::Acquire)
     }
--- a/crates/tc-stand-ins/src/main.rs
+++ b/crates/tc-stand-ins/src/main.rs
@@ -15,7 +15,7 @@
 /// Exit code for a wrong command line.
 const USAGE: u8 = 2;
 
-/// What to start.
+/// Stand-ins to start.
 struct Settings {
     platform: SocketAddr,
     upstreams: SocketAddr,
@@ -24,7 +24,7 @@
     plains: usize,
 }
 
-/// What was started; dropping it stops all of it.
+/// The started stand-ins; all stop when this is dropped.
 struct Started {
     _platform: Platform,
     _engines: Vec<Engine>,
--- a/crates/tc-stand-ins/src/objects.rs
+++ b/crates/tc-stand-ins/src/objects.rs
@@ -24,7 +24,7 @@
 /// Content type of every answer.
 const JSON: &str = "content-type: application/json\r\n";
 
-/// A call to the store, decoded.
+/// A decoded call to the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ObjectCall {
     /// A page of the objects of a kind.
@@ -38,9 +38,9 @@
     Watch {
         /// The kind.
         kind: String,
-        /// The last revision that is known.
+        /// Last known revision.
         from: u64,
-        /// Longest wait for a change.
+        /// Maximum wait for a change.
         wait: Duration,
     },
     /// Creates or replaces an object.
@@ -65,22 +65,22 @@
     pub value: Option<Value>,
 }
 
-/// How a store spells calls and answers.
+/// Wire format of a store's calls and answers.
 #[derive(Clone, Copy)]
 pub struct ObjectSpelling {
-    /// Decodes a call; `None` when it is none.
+    /// Decodes a call; `None` if the request is not a call.
     pub read_call: fn(&Received) -> Option<ObjectCall>,
     /// Encodes a page of a list, with whether more objects follow, as of a revision.
     pub list: fn(&[ShownObject], bool, u64) -> Value,
     /// Encodes changes up to a revision.
     pub changes: fn(&[ShownObject], u64) -> Value,
-    /// Status by which it says that a watch's history is gone.
+    /// Status of an answer to a watch whose history is gone.
     pub history_gone: u16,
-    /// Header of all answers by which it says how often it was restored.
+    /// Header of all answers with the number of times the store was restored.
     pub era_header: fn(u64) -> String,
 }
 
-/// How the store treats its callers.
+/// Behavior of the store towards its callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreMode {
     /// It answers.
@@ -106,7 +106,7 @@
     Limited,
 }
 
-/// What a store holds.
+/// Contents of a store.
 #[derive(Clone, Debug, Default)]
 pub struct StoreCopy {
     revision: u64,
--- a/crates/tc-stand-ins/src/output.rs
+++ b/crates/tc-stand-ins/src/output.rs
@@ -15,7 +15,7 @@
 const WORD_LETTERS: usize = 5;
 const LETTERS: u64 = 26;
 
-/// How a stage turns its input into its output.
+/// Transformation of a stage's input into its output.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StageKind {
     /// See [`pool_output`].
@@ -93,7 +93,7 @@
         })
 }
 
-/// What every token of a prompt's completion is derived from.
+/// Seed from which every token of a prompt's completion is derived.
 pub(crate) fn prompt_seed(prompt: &str) -> u64 {
     xxh3_64(prompt.as_bytes())
 }
--- a/crates/tc-stand-ins/src/pieces.rs
+++ b/crates/tc-stand-ins/src/pieces.rs
@@ -50,7 +50,7 @@
     NoRoom,
 }
 
-/// How makers spell calls and answers.
+/// Wire format of the calls and answers of makers.
 #[derive(Clone, Copy)]
 pub struct MakerSpelling {
     /// Decodes a call; `None` when it is none.
@@ -63,7 +63,7 @@
     pub not_run_headers: &'static str,
 }
 
-/// How a maker works.
+/// Behavior of a maker.
 #[derive(Clone, Copy, Debug)]
 pub struct MakerConfig {
     /// Time of a call, whatever is in it.
@@ -74,7 +74,7 @@
     pub max_pieces: usize,
     /// Results that it keeps at most.
     pub room: usize,
-    /// How long it keeps a result that nobody gives up.
+    /// Time for which it keeps a result that is not freed.
     pub result_life: Duration,
 }
 
@@ -105,7 +105,7 @@
 }
 
 impl ResultShelf {
-    /// What a caller did that mixes requests up; empty when all is well.
+    /// Violations by callers that mix up requests; empty if there are none.
     #[must_use]
     pub fn wrong(&self) -> Vec<String> {
         lock(&self.wrong).clone()
@@ -210,7 +210,7 @@
 pub struct PieceMaker {
     /// Where it listens.
     pub address: SocketAddr,
-    /// What it received.
+    /// Received calls.
     pub server: ScriptedServer,
 }
 
--- a/crates/tc-stand-ins/src/plain.rs
+++ b/crates/tc-stand-ins/src/plain.rs
@@ -12,7 +12,7 @@
     upstream::{Call, Identity, Slots, Upstream, UpstreamHandle, echoed, priority},
 };
 
-/// How a plain service behaves.
+/// Behavior of a plain service.
 #[derive(Clone, Debug)]
 pub struct PlainConfig {
     /// Its identifier.
@@ -23,7 +23,7 @@
     pub work: Duration,
     /// Calls run at once; more wait by priority, then arrival.
     pub slots: u32,
-    /// How old the load report is.
+    /// Age of the load report.
     pub load_lag: Duration,
 }
 
--- a/crates/tc-stand-ins/src/platform/http.rs
+++ b/crates/tc-stand-ins/src/platform/http.rs
@@ -21,7 +21,7 @@
 /// Time a watch waits that names none.
 const DEFAULT_WATCH: Duration = Duration::from_secs(30);
 
-/// What a request asks for.
+/// Resource that a request names.
 enum Operation {
     Instances,
     List {
--- a/crates/tc-stand-ins/src/platform/store.rs
+++ b/crates/tc-stand-ins/src/platform/store.rs
@@ -24,7 +24,7 @@
     pub(super) value: Bytes,
 }
 
-/// What a write asks of the object as it is.
+/// Precondition of a write on the current object.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Precondition {
     /// It must not exist.
--- a/crates/tc-stand-ins/src/pool.rs
+++ b/crates/tc-stand-ins/src/pool.rs
@@ -18,7 +18,7 @@
 
 const BYTES_PER_KB: f64 = 1024.0;
 
-/// How a pool behaves.
+/// Behavior of a pool.
 #[derive(Clone, Debug)]
 pub struct PoolConfig {
     /// Its identifier.
@@ -31,7 +31,7 @@
     pub per_kb: Duration,
     /// Calls run at once; more wait by priority, then arrival.
     pub slots: u32,
-    /// How old the load report is.
+    /// Age of the load report.
     pub load_lag: Duration,
 }
 
--- a/crates/tc-stand-ins/src/recorder/guard.rs
+++ b/crates/tc-stand-ins/src/recorder/guard.rs
@@ -46,7 +46,7 @@
             .change(self.at, |call| call.started_at = Some(now));
     }
 
-    /// How often the call's stream was resumed.
+    /// Number of times the call's stream was resumed.
     pub(crate) fn set_resumes(&self, resumes: u32) {
         self.recorder.change(self.at, |call| call.resumes = resumes);
     }
--- a/crates/tc-stand-ins/src/recorder/record.rs
+++ b/crates/tc-stand-ins/src/recorder/record.rs
@@ -1,4 +1,4 @@
-//! What is kept of calls and orders.
+//! Records of calls and orders.
 
 use std::{
     sync::Arc,
@@ -10,7 +10,7 @@
     wire::{Order, Usage},
 };
 
-/// How a call ended at the upstream.
+/// Outcome of a call at the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Ending {
     /// A whole answer was handed over for sending.
@@ -34,7 +34,7 @@
     pub request: Option<RequestId>,
     /// The stage, if the call named one.
     pub stage: Option<StageName>,
-    /// Which try.
+    /// Number of the attempt.
     pub attempt: Attempt,
     /// The caller's idempotency key, if the call carried one.
     pub idempotency_key: Option<Arc<str>>,
@@ -46,13 +46,13 @@
     pub started_at: Option<Instant>,
     /// When it ended; `None` while it runs.
     pub ended_at: Option<Instant>,
-    /// How it ended; `None` while it runs.
+    /// Its outcome; `None` while it runs.
     pub ending: Option<Ending>,
     /// Time it held a slot; zero while it runs.
     pub busy: Duration,
     /// Tokens, for engines; zero while it runs.
     pub usage: Usage,
-    /// How often its stream was resumed.
+    /// Number of times its stream was resumed.
     pub resumes: u32,
 }
 
--- a/crates/tc-stand-ins/src/scripted/script.rs
+++ b/crates/tc-stand-ins/src/scripted/script.rs
@@ -1,4 +1,4 @@
-//! What a scripted server writes, step by step.
+//! Scripts: the steps in which a scripted server writes its answer.
 
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 /// An answer: bytes and pauses as they come on the wire.
 pub type Script = Vec<Step>;
 
-/// How a script ended.
+/// Outcome of a script.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Played {
     /// The connection may take another request.
--- a/crates/tc-stand-ins/src/server.rs
+++ b/crates/tc-stand-ins/src/server.rs
@@ -27,7 +27,7 @@
     sync::lock,
 };
 
-/// How often a restart tries to bind its address again.
+/// Number of attempts of a restart to bind its address.
 const REBIND_TRIES: u32 = 100;
 /// Pause between these tries.
 const REBIND_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/tc-stand-ins/src/upstream/answer_fault.rs
+++ b/crates/tc-stand-ins/src/upstream/answer_fault.rs
@@ -11,7 +11,7 @@
 
 use crate::answer::{Body, broken, full};
 
-/// What is wrong with an answer.
+/// Fault of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFault {
     /// The body is not what its content type says.
--- a/crates/tc-stand-ins/src/upstream/faults.rs
+++ b/crates/tc-stand-ins/src/upstream/faults.rs
@@ -19,7 +19,7 @@
     sync::lock,
 };
 
-/// How often a held call looks whether it may go on.
+/// Interval at which a held call checks whether it may continue.
 const HOLD_CHECK: Duration = Duration::from_millis(5);
 /// Media type of a stream of events.
 pub(crate) const EVENT_STREAM: &str = "text/event-stream";
--- a/crates/tc-stand-ins/src/upstream/identity.rs
+++ b/crates/tc-stand-ins/src/upstream/identity.rs
@@ -1,4 +1,4 @@
-//! Who a call is for, from its headers.
+//! Identity of a call's request, read from its headers.
 
 use std::{sync::Arc, time::Instant};
 
--- a/crates/tc-stand-ins/src/upstream/mod.rs
+++ b/crates/tc-stand-ins/src/upstream/mod.rs
@@ -1,4 +1,4 @@
-//! What engines, pools and plain services have in common: process, identity, slots, faults and load report.
+//! Common parts of engines, pools and plain services: process, identity, slots, faults and load report.
 
 mod answer_fault;
 mod faults;
--- a/crates/tc-stand-ins/tests/platform_faults.rs
+++ b/crates/tc-stand-ins/tests/platform_faults.rs
@@ -10,7 +10,7 @@
 
 const PATH: &str = "/objects/lease/generate";
 
-/// What the caller of a call learns, or `None` when its connection broke.
+/// Answer that the caller of a call receives, or `None` if its connection broke.
 type Seen = Option<u16>;
 
 /// Symptom: a store call fails, or its answer never comes.
--- a/crates/tc-stand-ins/tests/upstream_faults.rs
+++ b/crates/tc-stand-ins/tests/upstream_faults.rs
@@ -20,7 +20,7 @@
     Call::pool(request, "encode", INPUT)
 }
 
-/// What the caller of a call sees.
+/// Outcome of a call as its caller sees it.
 #[derive(Debug, PartialEq)]
 enum Seen {
     Right,
