Reword tc-operator in plain technical English

Doc comments that began as fragments name the thing or say what a function returns. Comments only; help texts, messages and names are as they were.

--- a/crates/tc-operator/src/admin/ports.rs
+++ b/crates/tc-operator/src/admin/ports.rs
@@ -1,4 +1,4 @@
-//! What the admin interface needs from the rest of the instance.
+//! Functions of the rest of the instance that the admin interface uses.
 
 use futures::future::BoxFuture;
 use tc_protocol::{Explanation, InstanceId, RequestId, UpstreamId};
@@ -15,9 +15,9 @@
     pub status: Port<(), StatusReport>,
     /// State of all upstreams.
     pub upstreams: Port<(), Vec<UpstreamReport>>,
-    /// What the workspaces got.
+    /// Returns the statistics of the workspaces.
     pub workspaces: Port<(), Vec<WorkspaceReport>>,
-    /// What happened to a request and why; asks its entry instance when that is another one.
+    /// Explains the outcome of a request, through its entry instance if that is another one.
     pub explain: Port<RequestId, Option<Explanation>>,
     /// Begins (`true`) or ends (`false`) the draining of a target.
     pub drain: Port<(DrainTarget, bool), Result<(), DrainError>>,
@@ -25,7 +25,7 @@
     pub metrics: Box<dyn Fn() -> String + Send + Sync>,
 }
 
-/// What can be drained.
+/// Object that can be drained.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DrainTarget {
     /// An upstream: its home grants no more permits for it.
--- a/crates/tc-operator/src/admin/report.rs
+++ b/crates/tc-operator/src/admin/report.rs
@@ -1,4 +1,4 @@
-//! What the admin interface answers, as JSON.
+//! JSON answers of the admin interface.
 
 use std::net::SocketAddr;
 
@@ -24,7 +24,7 @@
 pub struct InstanceReport {
     /// Its identifier.
     pub id: InstanceId,
-    /// What the fleet thinks of it.
+    /// Its state as the fleet sees it.
     pub state: MemberState,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
@@ -41,7 +41,7 @@
     /// Time since its last successful call to the platform's store, in milliseconds.
     #[serde(default)]
     pub store_age_ms: Option<u64>,
-    /// How long its process has run, in seconds.
+    /// Time since its process started, in seconds.
     #[serde(default)]
     pub uptime_s: Option<u64>,
     /// Upstreams it is the home of.
@@ -82,7 +82,7 @@
     pub summary: Option<UpstreamSummary>,
 }
 
-/// What one workspace asked for and got.
+/// Requests of one workspace and their outcomes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkspaceReport {
     /// Its name.
@@ -99,11 +99,11 @@
     pub p50_ms: f64,
     /// 99th percentile of the time of an answer, in milliseconds.
     pub p99_ms: f64,
-    /// What its requests cost.
+    /// Cost of its requests.
     pub cost_by_stage: Vec<StageCost>,
 }
 
-/// What one workspace's requests cost in one stage.
+/// Cost of one workspace's requests in one stage.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StageCost {
     /// The pipeline; absent for calls to a plain service.
@@ -124,6 +124,6 @@
 /// Body of every answer that is not 200.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct ErrorReport {
-    /// What is wrong.
+    /// Description of the problem.
     pub(crate) error: String,
 }
--- a/crates/tc-operator/src/admin/routes.rs
+++ b/crates/tc-operator/src/admin/routes.rs
@@ -15,7 +15,7 @@
 
 type Answer = Response<Full<Bytes>>;
 
-/// What a path leads to.
+/// Target of a path.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Route {
     Status,
--- a/crates/tc-operator/src/admin_client.rs
+++ b/crates/tc-operator/src/admin_client.rs
@@ -25,13 +25,13 @@
 /// Far above what a fleet of hundreds of instances answers.
 const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
 
-/// What to do when something else answers than an admin interface.
+/// Help text for an answer that is not from an admin interface.
 const NOT_ADMIN_HELP: &str = "--admin takes the address an instance was given as --admin-listen";
-/// What to do when an instance breaks off.
+/// Help text for a connection that breaks.
 const LOST_HELP: &str =
     "try again, ask another instance, or check that this is an address given as --admin-listen";
 
-/// How far a call came that has no answer.
+/// Progress of a call that got no answer.
 enum Lost {
     /// No byte of it was sent.
     Request(String),
--- a/crates/tc-operator/src/apply/attempt.rs
+++ b/crates/tc-operator/src/apply/attempt.rs
@@ -21,22 +21,22 @@
 const FIRST_DELAY: Duration = Duration::from_millis(5);
 const LONGEST_DELAY: Duration = Duration::from_millis(200);
 
-/// What shall be brought into force.
+/// Configuration to bring into force.
 pub(crate) struct Apply<'a> {
     pub(crate) ours: &'a Files,
     pub(crate) base: &'a Base,
-    /// Who applies it.
+    /// Operator that applies it.
     pub(crate) operator: &'a str,
 }
 
 /// An apply that is in force.
 #[derive(Clone, Debug)]
 pub(crate) struct Accepted {
-    /// What is in force.
+    /// Configuration in force.
     pub(crate) current: Current,
-    /// What was put together; `ours` is empty when nothing had to be changed.
+    /// Result of the merge; `ours` is empty if nothing had to be changed.
     pub(crate) reconciled: Reconciled,
-    /// What the merge had to say.
+    /// Messages of the merge.
     pub(crate) merged: Merged,
     /// Times another operator was first.
     pub(crate) overtaken: u32,
@@ -49,7 +49,7 @@
     }
 }
 
-/// What one round ended in.
+/// Outcome of one round.
 enum Round {
     Accepted(Box<Accepted>),
     /// Another operator was first.
@@ -117,9 +117,9 @@
     Ok(Round::Accepted(Box::new(accepted)))
 }
 
-/// What reading back made of a write whose answer was lost.
+/// Result of reading back a write whose answer was lost.
 enum ReadBack {
-    /// What it changed is in force, in an object of this version.
+    /// Its change is in force, in an object of this version.
     InForce(u64),
     /// It never took effect.
     NotInForce,
--- a/crates/tc-operator/src/apply/base.rs
+++ b/crates/tc-operator/src/apply/base.rs
@@ -26,7 +26,7 @@
     help: "take the folder as made from revision REV, which must be in force",
 };
 
-/// What a folder was made from.
+/// Configuration that a folder was created from.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Base {
     /// The revision in force after the last apply or pull; 0 when there was none.
@@ -48,7 +48,7 @@
         }
     }
 
-    /// What `folder` was made from: as its note says, or as `forced` does.
+    /// Returns the configuration that `folder` was created from: as in its note, or as given by `forced`.
     pub(crate) fn find(
         folder: &Path,
         forced: Option<u64>,
--- a/crates/tc-operator/src/apply/reconcile.rs
+++ b/crates/tc-operator/src/apply/reconcile.rs
@@ -4,7 +4,7 @@
 
 use super::{Files, hash};
 
-/// What comes out when both sides' changes are put together.
+/// Result of merging the changes of both sides.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Reconciled {
     /// All files as they shall be in force.
--- a/crates/tc-operator/src/apply/settle.rs
+++ b/crates/tc-operator/src/apply/settle.rs
@@ -4,7 +4,7 @@
 
 use super::Files;
 
-/// What is known of a write.
+/// State of knowledge about a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Verdict {
     InForce,
--- a/crates/tc-operator/src/command/context.rs
+++ b/crates/tc-operator/src/command/context.rs
@@ -1,4 +1,4 @@
-//! What a running command has at hand.
+//! Context of a running command.
 
 use std::{
     future::Future,
--- a/crates/tc-operator/src/command/mod.rs
+++ b/crates/tc-operator/src/command/mod.rs
@@ -1,4 +1,4 @@
-//! What a command is: its words, signature, help, examples and the function that runs it.
+//! Definition of a command: its words, signature, help, examples and the function that runs it.
 
 mod arguments;
 mod context;
@@ -42,9 +42,9 @@
 pub(crate) struct Example {
     /// The command line without the binary's name.
     pub(crate) line: &'static str,
-    /// What it is for.
+    /// Description.
     pub(crate) description: &'static str,
-    /// How it ends when what it names exists.
+    /// Outcome if the named object exists.
     pub(crate) exit: Exit,
 }
 
--- a/crates/tc-operator/src/command/signature.rs
+++ b/crates/tc-operator/src/command/signature.rs
@@ -1,4 +1,4 @@
-//! Which arguments a command takes.
+//! Arguments of a command.
 
 use super::BINARY;
 
@@ -14,7 +14,7 @@
 pub(crate) struct Flag {
     /// With its dashes.
     pub(crate) name: &'static str,
-    /// What its value is called in the help; `None` for a switch.
+    /// Name of its value in the help; `None` for a switch.
     pub(crate) value: Option<&'static str>,
     /// The environment variable that gives the value when the flag is absent.
     pub(crate) variable: Option<&'static str>,
@@ -47,7 +47,7 @@
         }
     }
 
-    /// How to give it, for error messages.
+    /// Usage, for error messages.
     pub(crate) fn how(&self) -> String {
         let value = self.value.unwrap_or_default();
         match self.variable {
--- a/crates/tc-operator/src/commands/config/apply.rs
+++ b/crates/tc-operator/src/commands/config/apply.rs
@@ -71,7 +71,7 @@
     let limit = whole_number(cx, &WAIT_LIMIT)?.unwrap_or(DEFAULT_WAIT_LIMIT_S);
     let limit = Duration::from_secs(limit);
     let operator = operator(cx);
-    // What is missing for the wait is told before anything is changed.
+    // Missing prerequisites of the wait are reported before anything is changed.
     let admin = if cx.arguments.has(&WAIT) {
         Some(AdminClient::from_context(cx)?)
     } else {
--- a/crates/tc-operator/src/commands/config/mod.rs
+++ b/crates/tc-operator/src/commands/config/mod.rs
@@ -8,7 +8,7 @@
 
 use crate::command::Flag;
 
-/// Who gives the command.
+/// Operator that runs the command.
 pub(crate) const OPERATOR_NAME: Flag = Flag::value(
     "--as",
     "NAME",
--- a/crates/tc-operator/src/commands/explain.rs
+++ b/crates/tc-operator/src/commands/explain.rs
@@ -111,7 +111,7 @@
     };
     fields.remove(TIME);
     let kind = fields.remove(KIND).map(|kind| plain(&kind));
-    // What a process logged has its own words for it.
+    // The log of the process describes it in its own words.
     let logged = fields.remove(MESSAGE).map(|message| plain(&message));
     let kind = logged.or(kind);
     let mut details = Vec::new();
--- a/crates/tc-operator/src/commands/mod.rs
+++ b/crates/tc-operator/src/commands/mod.rs
@@ -48,7 +48,7 @@
 pub struct ShownExample {
     /// The whole command line.
     pub line: String,
-    /// How it ends when what it names exists.
+    /// Outcome if the named object exists.
     pub exit: Exit,
 }
 
--- a/crates/tc-operator/src/error.rs
+++ b/crates/tc-operator/src/error.rs
@@ -30,19 +30,19 @@
     #[error("{problem}")]
     #[diagnostic(code(tc::command::outcome_unknown))]
     OutcomeUnknown {
-        /// What may have happened.
+        /// Possible outcomes.
         problem: String,
-        /// How to find out.
+        /// Instructions to find the outcome.
         #[help]
         help: String,
     },
-    /// What the command is about does not exist, or does not allow it.
+    /// The object of the command does not exist, or does not allow it.
     #[error("{problem}")]
     #[diagnostic(code(tc::command::failed))]
     Failed {
-        /// What is wrong.
+        /// Description of the problem.
         problem: String,
-        /// What to do.
+        /// Help text.
         #[help]
         help: String,
     },
--- a/crates/tc-operator/src/exit.rs
+++ b/crates/tc-operator/src/exit.rs
@@ -1,6 +1,6 @@
 //! Exit codes, the same for every command.
 
-/// How a command ended.
+/// Outcome of a command.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Exit {
     /// It did what it was asked.
--- a/crates/tc-operator/src/gateway.rs
+++ b/crates/tc-operator/src/gateway.rs
@@ -16,7 +16,7 @@
 /// Levels that are logged.
 const LOG_LEVEL: &str = "info";
 
-/// What the command line gives.
+/// Settings from the command line.
 pub(crate) struct Start {
     /// The settings file.
     pub(crate) settings: PathBuf,
@@ -46,7 +46,7 @@
         Arc::new(move || metrics.render()),
         || check_settings(start),
     ));
-    // What is left on either runtime serves nobody any more.
+    // No task left on either runtime serves a request.
     traffic.shutdown_background();
     control.shutdown_background();
     ended.map_err(internal)
--- a/crates/tc-operator/src/log_lines.rs
+++ b/crates/tc-operator/src/log_lines.rs
@@ -1,4 +1,4 @@
-//! What log lines tell of one request.
+//! History of one request, read from log lines.
 
 use std::collections::BTreeMap;
 
--- a/crates/tc-operator/src/output.rs
+++ b/crates/tc-operator/src/output.rs
@@ -1,4 +1,4 @@
-//! What a command writes: lines, tables and JSON.
+//! Output of a command: lines, tables and JSON.
 
 use std::io::Write;
 
--- a/crates/tc-operator/src/serve/missing.rs
+++ b/crates/tc-operator/src/serve/missing.rs
@@ -4,9 +4,9 @@
 
 use super::control::Running;
 
-/// How soon after its start an instance should have a configuration.
+/// Time after its start within which an instance should have a configuration.
 const FIRST_LOOK: Duration = Duration::from_secs(2);
-/// How often what is missing is said again.
+/// Interval at which missing prerequisites are logged again.
 const REPEAT: Duration = Duration::from_secs(30);
 
 /// Warns as long as no configuration is in force, or none of the seeds has been found.
--- a/crates/tc-operator/src/serve/mod.rs
+++ b/crates/tc-operator/src/serve/mod.rs
@@ -38,7 +38,7 @@
     };
     let ended = control.block_on(control::run(settings, traffic.handle().clone(), metrics));
     drop(traces);
-    // What is left on either runtime serves nobody any more.
+    // No task left on either runtime serves a request.
     traffic.shutdown_background();
     control.shutdown_background();
     ended
--- a/crates/tc-operator/src/serve/report.rs
+++ b/crates/tc-operator/src/serve/report.rs
@@ -1,4 +1,4 @@
-//! What an instance tells of itself, and the sums over all instances.
+//! Report of an instance, and the sums over all instances.
 
 use std::{
     collections::BTreeMap,
@@ -24,7 +24,7 @@
     pub(super) workspaces: Vec<WorkspacePart>,
 }
 
-/// What one workspace's requests came to at one instance.
+/// Outcomes of one workspace's requests at one instance.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(super) struct WorkspacePart {
     pub(super) workspace: WorkspaceName,
--- a/crates/tc-operator/src/settings/mod.rs
+++ b/crates/tc-operator/src/settings/mod.rs
@@ -29,11 +29,11 @@
     pub listen: SocketAddr,
     /// Where other instances connect, by TCP and UDP; calls to them leave from its IP number.
     pub fleet_listen: SocketAddr,
-    /// What other instances are told to connect to.
+    /// Address that is announced to other instances.
     pub fleet_advertise: SocketAddr,
     /// Where operators connect.
     pub admin_listen: SocketAddr,
-    /// What this instance fails together with.
+    /// Failure domain of this instance.
     pub failure_domain: FailureDomain,
     /// Region of the failure domain.
     pub region: Region,
@@ -57,7 +57,7 @@
     pub baseline: bool,
     /// Keys between instances: the first signs, all verify.
     pub fleet_keys: Vec<Secret>,
-    /// What operators authenticate with.
+    /// Token with which operators authenticate.
     pub operator_token: Secret,
 }
 
--- a/crates/tc-operator/src/settings/read.rs
+++ b/crates/tc-operator/src/settings/read.rs
@@ -22,7 +22,7 @@
     error::CommandError,
 };
 
-/// What to do about an address that cannot be used.
+/// Help text for an address that cannot be used.
 pub(crate) const ADDRESS_HELP: &str =
     "write an IP number and a port, such as 10.0.0.1:8080; names are not looked up";
 
@@ -35,7 +35,7 @@
 const MAX_DRAIN_LIMIT_MS: u64 = 86_400_000;
 const DEFAULT_STORE_CALLS: f64 = 50.0;
 const MIN_STORE_CALLS: f64 = 1.0;
-/// What the platform takes from the whole fleet.
+/// Rate limits of the platform for the whole fleet.
 const MAX_STORE_CALLS: f64 = 2_000.0;
 const DEFAULT_MAX_BODY: u64 = 1024 * 1024;
 /// Bodies are held in memory while a request runs.
--- a/crates/tc-operator/tests/operator/race.rs
+++ b/crates/tc-operator/tests/operator/race.rs
@@ -17,7 +17,7 @@
 const OPERATORS: [&str; 2] = ["nadia", "omar"];
 const SHARED: &str = "90-shared.toml";
 
-/// What one operator was told about one apply.
+/// Outcome of one apply as reported to its operator.
 #[derive(Clone, Debug)]
 struct Told {
     own: String,
--- a/crates/tc-operator/tests/operator/world.rs
+++ b/crates/tc-operator/tests/operator/world.rs
@@ -1,4 +1,4 @@
-//! What commands meet in a test: a platform, an instance's admin interface and a folder.
+//! Environment of commands in a test: a platform, an instance's admin interface and a folder.
 
 use std::{
     collections::BTreeMap,
@@ -56,7 +56,7 @@
 token_sha256 = "000000000000000000000000000000000000000000000000000000000000000a"
 "#;
 
-/// How a command ended and what it wrote.
+/// Outcome and output of a command.
 #[derive(Debug)]
 pub(crate) struct Finished {
     pub(crate) exit: Exit,
@@ -336,7 +336,7 @@
     })
 }
 
-/// What the home decided on an ask.
+/// Decision of the home on a request.
 fn granted(attempt: u32, upstream: &str, why: &str, waited_ms: f64) -> Decision {
     Decision::Granted {
         stage: "encode".into(),
