Follow the number of objects when a list is due

The time of the last list was subtracted from the due time of the next.

The estimate now follows the number of objects.

Test: time_of_a_list_follows_the_number_of_objects.

--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -7,10 +7,7 @@
 
 use std::{
     collections::BTreeSet,
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -37,6 +34,9 @@
 /// Delay after a failed list that was to check a watch.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// Number of objects that fit on a page of any store.
+const MIN_PAGE_OBJECTS: usize = 100;
+
 /// An answer of the store about the objects of one kind, with the start of the call.
 pub(super) enum KindUpdate {
     /// All objects.
@@ -63,22 +63,32 @@
     /// or stop answering this instance while it answers others. Without a list, neither can be told
     /// from a store without changes.
     pub(super) list_after: Receiver<Duration>,
-    /// Duration of the last list. It grows with the number of objects, and a list must be complete
-    /// when the confirmation reaches the age.
+    /// A list must be complete when the confirmation reaches the age, and it takes longer the more
+    /// objects there are.
     pub(super) list_time: ListTime,
 }
 
-/// Duration of the last list of a kind.
+/// Estimates how long a list of a kind takes, from the last one.
 #[derive(Debug, Default)]
-pub(super) struct ListTime(AtomicU64);
+pub(super) struct ListTime(Mutex<LastList>);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LastList {
+    took: Duration,
+    objects: usize,
+}
 
 impl ListTime {
-    fn set(&self, took: Duration) {
-        self.0.store(took.as_micros() as u64, Ordering::Relaxed);
+    fn record(&self, took: Duration, objects: usize) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = LastList { took, objects };
     }
 
-    fn get(&self) -> Duration {
-        Duration::from_micros(self.0.load(Ordering::Relaxed))
+    /// Returns the expected time of a list of this many objects. A list of less than a page takes as
+    /// long as one of a page.
+    fn estimate(&self, objects: usize) -> Duration {
+        let last = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let pages = |objects: usize| objects.max(MIN_PAGE_OBJECTS) as f64;
+        last.took.mul_f64(pages(objects) / pages(last.objects))
     }
 }
 
@@ -96,8 +106,8 @@
             .store
             .list_kind(self.purpose, &self.dialect, self.kind, Freshness::Current)
             .await?;
-        self.list_time
-            .set(MonoTime::now().since(store_read.started_at));
+        let took = MonoTime::now().since(store_read.started_at);
+        self.list_time.record(took, listed.items.len());
         Ok((listed, store_read))
     }
 
@@ -149,7 +159,7 @@
     async fn list_until_changed(&self, from: u64, known: &KnownObjects) -> (ListPage, StoreRead) {
         let mut unchanged_at = from;
         loop {
-            self.wait_until_list_due().await;
+            self.wait_until_list_due(known.names.len()).await;
             if let Some(last) = known.names.last().filter(|_| known.is_paged) {
                 match self.confirm_unchanged(unchanged_at, last).await {
                     Ok(true) => continue,
@@ -181,10 +191,10 @@
     }
 
     /// Waits until the part's confirmation reaches the age `list_after`.
-    async fn wait_until_list_due(&self) {
+    async fn wait_until_list_due(&self, objects: usize) {
         loop {
             let list_after = *self.list_after.borrow();
-            let list_time = self.list_time.get().min(list_after / 2);
+            let list_time = self.list_time.estimate(objects).min(list_after / 2);
             let due = self
                 .cell
                 .part_confirmed(self.part)
@@ -241,7 +251,8 @@
 
     /// Waits for `time`, or until the part has to be listed.
     pub(super) async fn pause(&self, time: Duration) {
-        let _ = timeout(time, self.target.wait_until_list_due()).await;
+        let objects = self.known.names.len();
+        let _ = timeout(time, self.target.wait_until_list_due(objects)).await;
     }
 
     /// Returns the next answer of the store. Waits up to `wait` for a change, and delays its return
@@ -341,3 +352,21 @@
         sleep(wait.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a first long list that ends after followers have given up their source: the last
+    /// list was read while a tenth of the upstreams had registered.
+    #[test]
+    fn time_of_a_list_follows_the_number_of_objects() {
+        let list_time = ListTime::default();
+        assert_eq!(list_time.estimate(10_000), Duration::ZERO);
+        list_time.record(Duration::from_millis(50), 1_000);
+        assert_eq!(list_time.estimate(10_000), Duration::from_millis(500));
+        list_time.record(Duration::from_millis(5), 1);
+        assert_eq!(list_time.estimate(1), Duration::from_millis(5));
+        assert_eq!(list_time.estimate(1_000), Duration::from_millis(50));
+    }
+}
