Send no list to a follower that has it

A follower that changes its source sent the revision of its list, and the source answered with the names of all entries: 140 KB with 10,000 upstreams, for each of 30 followers of a lost relay, on links of 20 Mbit/s. The revision alone does not show that two lists are the same, as removals are held back after an outage of the store.

The follower sends a digest of names and revisions with it, which the table keeps up to date with each change. A source with the same list sends none.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -651,6 +651,9 @@
     /// Revision of the evacuated failure domains that the asker has; 0 for none.
     #[prost(uint64, tag = "3")]
     pub evacuated_revision: u64,
+    /// Digest of the names and revisions of all upstream entries that the asker has.
+    #[prost(fixed64, tag = "4")]
+    pub upstreams_digest: u64,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct WorldNews {
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -318,6 +318,7 @@
         let have = wire::WorldHave {
             config_version: have.config_version,
             upstreams_revision: have.upstreams_revision,
+            upstreams_digest: have.upstreams_digest,
             evacuated_revision: have.evacuated_revision,
         };
         let mut client = self.inner.peers.client(from);
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -174,6 +174,7 @@
         let updates = (self.handlers.follow_world)(WorldHave {
             config_version: have.config_version,
             upstreams_revision: have.upstreams_revision,
+            upstreams_digest: have.upstreams_digest,
             evacuated_revision: have.evacuated_revision,
         });
         let full = || Status::resource_exhausted("this instance has too many followers");
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -23,6 +23,8 @@
     pub config_version: u64,
     /// Revision of the upstream list, or 0 if there is none.
     pub upstreams_revision: u64,
+    /// Digest of the upstream list, with which a source that has the same list sends none.
+    pub upstreams_digest: u64,
     /// Revision of the evacuated failure domains, or 0 if there is none.
     pub evacuated_revision: u64,
 }
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -189,6 +189,7 @@
         WorldHave {
             config_version: world.config_version(),
             upstreams_revision: world.upstreams.revision(),
+            upstreams_digest: world.upstreams.digest(),
             evacuated_revision: world.evacuated.revision,
         }
     }
--- a/crates/tc-gateway/src/world/relay.rs
+++ b/crates/tc-gateway/src/world/relay.rs
@@ -118,8 +118,10 @@
         let (known_version, known_evacuated, upstreams) = match &self.baseline {
             Baseline::Reported(have) => {
                 let upstreams = &world.upstreams;
-                let is_known = upstreams.revision() > 0;
-                let update = is_known.then(|| upstreams.update_since(have.upstreams_revision));
+                let is_same = upstreams.revision() == have.upstreams_revision
+                    && upstreams.digest() == have.upstreams_digest;
+                let is_needed = upstreams.revision() > 0 && !is_same;
+                let update = is_needed.then(|| upstreams.update_since(have.upstreams_revision));
                 (have.config_version, have.evacuated_revision, update)
             }
             Baseline::Sent(last) => {
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -17,6 +17,7 @@
     FailureDomain, MonoTime, ServiceName, UpstreamId,
     routing::{RegisteredUpstream, ResultHandle},
 };
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::codec::PlatformCodec;
 
@@ -57,6 +58,8 @@
     /// An address may be registered by several upstreams while an old entry has yet to be removed.
     by_address: OrdMap<(SocketAddr, UpstreamId), Arc<RegisteredUpstream>>,
     by_id: OrdMap<UpstreamId, Arc<RegisteredUpstream>>,
+    /// Digest of the names and revisions of all entries.
+    digest: u64,
     marks: Arc<UpstreamMarks>,
 }
 
@@ -77,6 +80,12 @@
         self.revision
     }
 
+    /// Returns a digest of all entries. Tables with the same digest have the same entries.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.entries.len()
     }
@@ -330,9 +339,13 @@
                 upstream: upstream.clone(),
             },
         );
-        // A restarted process has another identifier, so its earlier start must be removed.
-        if let Some(previous) = previous.and_then(|entry| entry.upstream) {
-            self.unindex(&previous);
+        self.digest ^= entry_hash(name, revision);
+        if let Some(previous) = previous {
+            self.digest ^= entry_hash(name, previous.revision);
+            // A restarted process has another identifier, so its earlier start must be removed.
+            if let Some(upstream) = previous.upstream {
+                self.unindex(&upstream);
+            }
         }
         if let Some(upstream) = upstream {
             self.index(&upstream);
@@ -345,7 +358,11 @@
         if revision != 0 && revision < known {
             return;
         }
-        if let Some(upstream) = self.entries.remove(name).and_then(|entry| entry.upstream) {
+        let Some(entry) = self.entries.remove(name) else {
+            return;
+        };
+        self.digest ^= entry_hash(name, entry.revision);
+        if let Some(upstream) = entry.upstream {
             self.unindex(&upstream);
         }
     }
@@ -378,6 +395,10 @@
     }
 }
 
+fn entry_hash(name: &str, revision: u64) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), revision)
+}
+
 fn to_update(name: &Arc<str>, entry: &Entry) -> RegistryEntry {
     RegistryEntry {
         name: Arc::clone(name),
