--- a/crates/tc-bench/src/commands/demo.rs
+++ b/crates/tc-bench/src/commands/demo.rs
@@ -14,7 +14,7 @@
     world::{PolicyChoice, Run, World, example_spec},
 };
 
-/// How long requests are sent unless the command line says otherwise, in seconds.
+/// Default duration of the load, in seconds.
 const USUAL_SECONDS: f64 = 6.0;
 /// Part of the example load that is sent.
 const SCALE: f64 = 0.5;
--- a/crates/tc-bench/src/error.rs
+++ b/crates/tc-bench/src/error.rs
@@ -1,4 +1,4 @@
-//! What ends a command of this tool.
+//! Errors that end a command of this tool.
 
 use std::path::Path;
 
@@ -28,7 +28,7 @@
     File {
         /// The file.
         path: String,
-        /// What the system said.
+        /// Message of the operating system.
         problem: String,
     },
     /// A JSON file is not a run's.
--- a/crates/tc-bench/src/judge/mod.rs
+++ b/crates/tc-bench/src/judge/mod.rs
@@ -11,7 +11,7 @@
 /// Findings kept in words, so that a failed run can be looked into.
 const MAX_NOTES: usize = 20;
 
-/// What upstreams saw in a run, and what was done to the fleet meanwhile.
+/// Records of the upstreams in a run, and the faults injected meanwhile.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     /// Every call that reached an upstream.
@@ -71,7 +71,7 @@
     verdict
 }
 
-/// Which requests and keys reached an upstream.
+/// Requests and keys that reached an upstream.
 struct Seen<'a> {
     requests: BTreeSet<&'a str>,
     keys: BTreeSet<&'a str>,
--- a/crates/tc-bench/src/judge/record.rs
+++ b/crates/tc-bench/src/judge/record.rs
@@ -1,8 +1,8 @@
-//! What callers were told and what upstreams saw, as plain data.
+//! Records of callers and upstreams, as plain data.
 
 use tc_protocol::{InstanceId, RunState, WorkspaceName};
 
-/// How a request ended for its caller.
+/// Outcome of a request for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Told {
     /// A whole answer came.
@@ -30,9 +30,9 @@
 /// One request as its caller saw it.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
-    /// Whose request it was.
+    /// Workspace of the request.
     pub workspace: WorkspaceName,
-    /// What was asked for: `pipeline/P`, `stream/P` or `service/S`.
+    /// Target: `pipeline/P`, `stream/P` or `service/S`.
     pub target: String,
     /// The idempotency key it carried.
     pub key: Option<String>,
@@ -50,7 +50,7 @@
     pub took_ms: f64,
     /// Its deadline, in milliseconds after it was due.
     pub deadline_ms: f64,
-    /// How it ended.
+    /// Its outcome.
     pub told: Told,
     /// Identifiers of its stream's events in order of arrival.
     pub event_ids: Vec<u64>,
@@ -68,7 +68,7 @@
     }
 }
 
-/// How a call ended at an upstream.
+/// Outcome of a call at an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
     /// Its answer was written whole.
@@ -98,7 +98,7 @@
     pub arrived_ms: f64,
     /// When it ended, in milliseconds since the load started; infinite while it runs.
     pub ended_ms: f64,
-    /// How it ended.
+    /// Its outcome.
     pub ended: Ended,
     /// Time the upstream was busy with it, in milliseconds.
     pub busy_ms: f64,
--- a/crates/tc-bench/src/load/addresses.rs
+++ b/crates/tc-bench/src/load/addresses.rs
@@ -13,7 +13,7 @@
 /// Longest wait for an address answer from one instance.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Which instances one caller may use, asked for again after the answer's max-age.
+/// Instances that one caller may use, looked up again after the answer's max-age.
 pub(super) struct Addresses {
     workspace: String,
     token: String,
--- a/crates/tc-bench/src/load/caller.rs
+++ b/crates/tc-bench/src/load/caller.rs
@@ -42,7 +42,7 @@
     pub(crate) stream: bool,
     /// Idempotency key.
     pub(crate) key: Option<String>,
-    /// What is echoed beside the key.
+    /// Value that is echoed along with the key.
     pub(crate) binding: Binding,
     /// Priority asked for.
     pub(crate) priority: Option<u8>,
@@ -63,7 +63,7 @@
     First(String),
 }
 
-/// What a right answer holds.
+/// Contents of a correct answer.
 #[derive(Clone, Debug)]
 pub(crate) enum Expected {
     /// The member `output` of a pipeline's JSON answer, or a stream's whole text.
@@ -72,7 +72,7 @@
     Json(serde_json::Value),
 }
 
-/// What a request came to.
+/// Result of a request.
 pub(crate) struct Reply {
     pub(crate) told: Told,
     pub(crate) ended_at: Instant,
--- a/crates/tc-bench/src/load/content.rs
+++ b/crates/tc-bench/src/load/content.rs
@@ -1,4 +1,4 @@
-//! What requests hold and the only right answers to them.
+//! Contents of requests and the only correct answers to them.
 
 use bytes::Bytes;
 use http::Method;
--- a/crates/tc-bench/src/load/flow.rs
+++ b/crates/tc-bench/src/load/flow.rs
@@ -1,4 +1,4 @@
-//! What one workspace sends of one kind, and how much of it over time.
+//! Flows: requests of one kind from one workspace, and their rate over time.
 
 use std::time::Duration;
 
@@ -7,7 +7,7 @@
 /// Input size of a request unless a scenario says otherwise, in bytes.
 const INPUT_BYTES: usize = 400;
 
-/// What a request asks for.
+/// Target of a request.
 #[derive(Clone, Debug)]
 pub(crate) enum What {
     /// A pipeline, answered as JSON.
@@ -20,7 +20,7 @@
     Once(ServiceName, Resend),
 }
 
-/// How a caller treats a non-idempotent request.
+/// Treatment of a non-idempotent request by its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Resend {
     /// Echoes the instance's binding beside the key.
@@ -66,11 +66,11 @@
 /// Requests of one kind by one workspace.
 #[derive(Clone, Debug)]
 pub(crate) struct Flow {
-    /// Who sends.
+    /// Sending workspace.
     pub(crate) workspace: WorkspaceName,
-    /// What is sent.
+    /// Kind of the requests.
     pub(crate) what: What,
-    /// How much and when.
+    /// Rate over time.
     pub(crate) rates: Vec<RateSpan>,
     /// Time the caller gives.
     pub(crate) timeout: Duration,
@@ -111,7 +111,7 @@
         }
     }
 
-    /// What is asked for, in one word for records.
+    /// Returns the target in one word, for records.
     pub(crate) fn target(&self) -> String {
         match &self.what {
             What::Pipeline(name) => format!("pipeline/{name}"),
--- a/crates/tc-bench/src/load/runner.rs
+++ b/crates/tc-bench/src/load/runner.rs
@@ -20,7 +20,7 @@
 
 /// Callers each workspace has, each with its own connections and address answer.
 const CALLERS_PER_WORKSPACE: usize = 4;
-/// How often progress is said.
+/// Interval of progress messages.
 const PROGRESS_EVERY: Duration = Duration::from_millis(500);
 /// Wait before a resend.
 const RESEND_PAUSE: Duration = Duration::from_millis(100);
@@ -29,13 +29,13 @@
 
 /// A load that is ready to be sent.
 pub(crate) struct Load {
-    /// What is sent.
+    /// Requests to send.
     pub(crate) flows: Vec<Flow>,
     /// Seed of arrival times and inputs.
     pub(crate) seed: u64,
-    /// Told apart from other loads of the same world in inputs and keys.
+    /// Distinguishes inputs and keys from those of other loads of the same world.
     pub(crate) label: String,
-    /// What the pipelines are made of.
+    /// Stages of the pipelines.
     pub(crate) config: Arc<FleetConfig>,
     /// Caller addresses known from settings.
     pub(crate) entries: Vec<SocketAddr>,
--- a/crates/tc-bench/src/load/stream.rs
+++ b/crates/tc-bench/src/load/stream.rs
@@ -10,7 +10,7 @@
 use serde::Deserialize;
 use tc_protocol::Problem;
 
-/// What came of a stream.
+/// Result of a stream.
 #[derive(Default)]
 pub(super) struct StreamRead {
     /// All text in order of arrival.
@@ -21,11 +21,11 @@
     pub(super) first_ms: Option<f64>,
     /// Between events, in milliseconds.
     pub(super) between_ms: Vec<f64>,
-    /// How it ended.
+    /// Its outcome.
     pub(super) end: StreamEnd,
 }
 
-/// How a stream ended.
+/// Outcome of a stream.
 #[derive(Default)]
 pub(super) enum StreamEnd {
     /// With the event `done`.
--- a/crates/tc-bench/src/measure/control.rs
+++ b/crates/tc-bench/src/measure/control.rs
@@ -21,7 +21,7 @@
 const PLATFORM_CALLS: &str = "tc_platform_calls_total";
 const MAYBE_APPLIED: &str = "result=\"maybe_applied\"";
 
-/// What one instance spends, a second.
+/// Resources that one instance spends per second.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ControlCost {
@@ -39,7 +39,7 @@
     pub platform_calls_per_s: BTreeMap<String, f64>,
 }
 
-/// What one request costs the whole fleet beyond what the fleet spends without requests.
+/// Cost of one request for the whole fleet beyond what the fleet spends without requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct RequestCost {
@@ -142,7 +142,7 @@
         })
     }
 
-    /// What was spent from `self` to `later`.
+    /// Returns the resources spent from `self` to `later`.
     pub(crate) fn cost_until(&self, later: &Self) -> ControlCost {
         let seconds = later.at.duration_since(self.at).as_secs_f64();
         ControlCost {
--- a/crates/tc-bench/src/measure/run_report.rs
+++ b/crates/tc-bench/src/measure/run_report.rs
@@ -21,7 +21,7 @@
 /// One thing a scenario has to show, with its figure.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Claim {
-    /// What has to hold, in words.
+    /// Description of the expectation.
     pub text: String,
     /// The measured figure, in words.
     pub measured: String,
@@ -75,7 +75,7 @@
     pub control_by_instances: BTreeMap<usize, ControlCost>,
     /// Control cost per instance without requests, by number of instances; scenario `control-cost` only.
     pub idle_by_instances: BTreeMap<usize, ControlCost>,
-    /// What a request adds to the whole fleet's cost, by number of instances; scenario `control-cost` only.
+    /// Cost that a request adds for the whole fleet, by number of instances; scenario `control-cost` only.
     pub per_request_by_instances: BTreeMap<usize, RequestCost>,
     /// Further figures of one scenario, by name with unit.
     pub figures: BTreeMap<String, f64>,
@@ -85,9 +85,9 @@
     pub timeline: BTreeMap<String, Vec<(f64, f64)>>,
     /// Latency curve of whole answers: (quantile, milliseconds).
     pub latency_curve: Vec<(f64, f64)>,
-    /// How many requests ended which way, in words.
+    /// Number of requests by outcome, in words.
     pub endings: BTreeMap<String, u64>,
-    /// What the scenario had to show.
+    /// Expectations of the scenario.
     pub claims: Vec<Claim>,
     /// The judge's first findings in words.
     pub notes: Vec<String>,
--- a/crates/tc-bench/src/scenario/domain_cut.rs
+++ b/crates/tc-bench/src/scenario/domain_cut.rs
@@ -35,7 +35,7 @@
 /// The workspace whose limit each side enforces on its own during the cut; it offers more than that.
 const LIMITED: &str = "large-a";
 const LIMIT_PER_S: f64 = 60.0;
-/// What it offers beside the standard load, so that each side alone is offered more than the limit.
+/// Rate added to the standard load, so that each side alone is offered more than the limit.
 const EXTRA_PER_S: f64 = 120.0;
 const EDIT_FILE: &str = "60-cut.toml";
 const EDIT: &str = "[policy]\nqueue_per_workspace = 200\n";
@@ -46,9 +46,9 @@
     run: |settings| Box::pin(run(settings)),
 };
 
-/// What was seen while the domains were cut from each other and after.
+/// Observations while the domains were cut off from each other and afterwards.
 struct Seen {
-    /// How many instances were seen alive by each, once the change was in force or late.
+    /// Number of instances that each saw alive, once the change was in force or late.
     alive_during: Vec<usize>,
     /// Time from the apply until its revision was in force at each instance.
     in_force: Option<Duration>,
--- a/crates/tc-bench/src/scenario/mixed.rs
+++ b/crates/tc-bench/src/scenario/mixed.rs
@@ -40,7 +40,7 @@
     Ok(report)
 }
 
-/// What callers of both users send, times `scale`.
+/// Returns the load of the callers of both users, multiplied by `scale`.
 pub(crate) fn flows(length: Duration, scale: f64) -> Vec<Flow> {
     let pipeline = |name: &str| What::Pipeline(name.into());
     let stream = |name: &str| What::Stream(name.into());
--- a/crates/tc-bench/src/scenario/mod.rs
+++ b/crates/tc-bench/src/scenario/mod.rs
@@ -36,7 +36,7 @@
 pub(crate) struct Scenario {
     /// Its name on the command line.
     pub(crate) name: &'static str,
-    /// What happens in it.
+    /// Description.
     pub(crate) about: &'static str,
     run: fn(Settings) -> LocalBoxFuture<'static, Result<RunReport, BenchError>>,
 }
--- a/crates/tc-bench/src/scenario/paused_leaseholder.rs
+++ b/crates/tc-bench/src/scenario/paused_leaseholder.rs
@@ -29,7 +29,7 @@
 const PAUSE: Duration = Duration::from_secs(7);
 /// Longest until every engine is ordered to the last version: the lease of whoever took over has to end first.
 const LAST_LIMIT: Duration = Duration::from_secs(9);
-/// How often the orders are looked at.
+/// Interval at which the orders are checked.
 const CHECK_EVERY: Duration = Duration::from_millis(100);
 /// Models a second that the weight store serves, so that orders are due for some seconds after each new version.
 const WEIGHTS_PER_S: f64 = 1.0;
@@ -50,7 +50,7 @@
     run: |settings| Box::pin(run(settings)),
 };
 
-/// What was done to the holder.
+/// Fault injected into the holder.
 struct Paused {
     /// The instance paused; `None` when no lease named one.
     holder: Option<usize>,
@@ -82,7 +82,7 @@
         .fault
         .as_ref()
         .map_err(|e| BenchError::World(e.to_string()))?;
-    // Who is paused is known only now, so the judge's view is taken again with that instance disturbed.
+    // The paused instance is known only now, so the judge's view is created again with that instance impaired.
     let disturbed = paused.holder.map(|at| world.instances[at].id.clone());
     let evidence = Evidence {
         calls: run.calls.clone(),
--- a/crates/tc-bench/src/scenario/settings.rs
+++ b/crates/tc-bench/src/scenario/settings.rs
@@ -1,4 +1,4 @@
-//! What the command line may change of a scenario, and figures that scenarios have in common.
+//! Settings of a scenario from the command line, and figures that scenarios have in common.
 
 use std::time::{Duration, Instant};
 
@@ -10,21 +10,21 @@
     world::{PolicyChoice, Shape},
 };
 
-/// What the command line may change of a scenario.
+/// Settings of a scenario from the command line.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Settings {
     /// Seed of the load.
     pub(crate) seed: u64,
     /// Policy the instances follow.
     pub(crate) policy: PolicyChoice,
-    /// How long the load lasts, in seconds; `None` for the scenario's own.
+    /// Duration of the load, in seconds; `None` for the scenario's own.
     pub(crate) seconds: Option<f64>,
-    /// How many instances run; `None` for the scenario's own.
+    /// Number of instances; `None` for the scenario's own.
     pub(crate) instances: Option<usize>,
 }
 
 impl Settings {
-    /// How long the load lasts.
+    /// Returns the duration of the load.
     pub(super) fn length(&self, usual_s: f64) -> Duration {
         Duration::from_secs_f64(self.seconds.unwrap_or(usual_s))
     }
--- a/crates/tc-bench/src/soak/callers.rs
+++ b/crates/tc-bench/src/soak/callers.rs
@@ -19,9 +19,9 @@
 
 /// The workspace's key.
 pub(super) const KEY: &str = "key-of-the-soak";
-/// How long a caller waits for its answer.
+/// Time for which a caller waits for its answer.
 pub(super) const DEADLINE: Duration = Duration::from_secs(2);
-/// How much longer it listens: an answer that comes then is late, not lost.
+/// Additional time for which it listens: an answer that arrives then is late, not lost.
 const LISTENS_ON: Duration = Duration::from_millis(800);
 /// Longest time for a new connection.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
@@ -72,7 +72,7 @@
     },
 ];
 
-/// What a caller was told.
+/// Answer that a caller received.
 #[derive(Clone, Debug)]
 pub(super) struct Told {
     pub(super) request: String,
@@ -83,7 +83,7 @@
     pub(super) ended: Instant,
     /// 0 when no head of an answer came.
     pub(super) status: u16,
-    /// Whose request the answer names.
+    /// Request that the answer names.
     pub(super) names: Option<String>,
     /// Whether an upstream made it.
     pub(super) sealed: bool,
--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -30,12 +30,12 @@
 
 /// Longest wait for the processes at the start.
 const START_LIMIT: Duration = Duration::from_secs(20);
-/// How often the play is looked at.
+/// Interval at which the run is checked.
 const STEP: Duration = Duration::from_millis(10);
 /// Requests of each kind that every instance must serve at the end.
 const LAST_REQUESTS: usize = 3;
 
-/// What a seed brought.
+/// Outcome of a seed.
 #[derive(Clone, Debug)]
 pub struct Outcome {
     /// The plan, in words.
@@ -46,7 +46,7 @@
     pub served: usize,
     /// Broken promises, in words.
     pub broken: Vec<String>,
-    /// What happened, for whoever looks into a failure.
+    /// Timeline of the run, to investigate a failure.
     pub timeline: Vec<String>,
     /// Logs of the processes.
     pub folder: PathBuf,
@@ -62,7 +62,7 @@
     pub(super) version: u64,
     pub(super) next_upstream: usize,
     pub(super) store_fault_until: Instant,
-    /// Until when something other than a planned stop harms an instance.
+    /// End of the time in which something other than a planned stop impairs an instance.
     pub(super) harmed_until: Vec<Instant>,
     /// Instances whose processes are to be started once they have ended.
     pub(super) to_start: Vec<bool>,
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -337,7 +337,7 @@
     }
 }
 
-/// Who is away for the time of a fault, and comes back knowing less.
+/// Process that is down during a fault and returns with less state.
 fn harmed(fault: Fault) -> Option<Harmed> {
     match fault {
         Fault::Kill(instance) | Fault::Stop(instance) | Fault::Pause(instance) => {
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -1,4 +1,4 @@
-//! Which promises were broken, from what callers were told and what upstreams ran.
+//! Finds broken promises by comparing the answers of callers with the runs of upstreams.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -17,7 +17,7 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Refusals that no request of a soak deserves: routes and the key are in every configuration.
 const UNDESERVED: [u16; 5] = [400, 401, 403, 404, 413];
-/// How long an upstream that leaves may still get requests, beyond what it allows, while the store is away.
+/// Time beyond its own allowance for which a leaving upstream may still get requests while the store is unavailable.
 const LEAVES_WITHIN: Duration = Duration::from_secs(2);
 
 /// Time after a fault within which whoever was away knows what is evacuated: a start, then the time for all to hear.
@@ -33,7 +33,7 @@
     pub(super) at: Instant,
 }
 
-/// Whom a fault keeps from hearing of changes.
+/// Instances that cannot receive updates during the fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Harmed {
     Instance(usize),
@@ -79,7 +79,7 @@
     /// Requests that upstreams refused with a backoff.
     pub(super) refusals: Vec<Run>,
     pub(super) stops: Vec<CleanStop>,
-    /// What the upstreams themselves found wrong.
+    /// Violations that the upstreams themselves detected.
     pub(super) wrong: Vec<String>,
 }
 
@@ -197,7 +197,7 @@
         stop.instance == told.instance && stop.from <= told.sent && told.sent < stop.until
     })?;
     let in_time = told.ended.duration_since(told.sent) < DEADLINE;
-    // What an upstream still works on when the grace ends is cut with it.
+    // A request that an upstream still runs at the end of the grace period is cut off with it.
     let grace = stop.until.duration_since(stop.from);
     let grace_over = told.ended.duration_since(stop.from) > grace.mul_f64(1.0 - LAST_PART);
     let lost = told.status == 0 && !runs.is_empty() && in_time && !grace_over;
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -30,7 +30,7 @@
 
 static NEXT_FOLDER: AtomicU64 = AtomicU64::new(1);
 
-/// How large a soak is.
+/// Size of a soak.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakShape {
     /// Gateway processes.
@@ -69,7 +69,7 @@
     }
     let outcome = drive::play(binary, &folder, plan, shape.callers).await?;
     if outcome.broken.is_empty() {
-        // What is left behind only takes room.
+        // Files that remain only take up space.
         let _ = fs::remove_dir_all(&folder);
     }
     Ok(outcome)
--- a/crates/tc-bench/src/soak/plan.rs
+++ b/crates/tc-bench/src/soak/plan.rs
@@ -1,4 +1,4 @@
-//! What a seed does to the fleet, and when.
+//! Plan of the faults that a seed injects, with their times.
 
 use std::{fmt, time::Duration};
 
@@ -13,13 +13,13 @@
 const LONGEST_MS: u64 = 2_500;
 /// Mean pause between two faults; faults last up to twice as long, so that they overlap.
 const PAUSE_MS: u64 = 450;
-/// Told apart from the seed itself, so that evacuations come on top of the faults that the seed has without them.
+/// Differs from the seed itself, so that evacuations are added to the faults that the seed has without them.
 const EVACUATIONS: u64 = 0xe7ac;
 /// Shortest and longest evacuation, and the longest pause between two: the shortest end before they count everywhere.
 const EVACUATED_MS: std::ops::Range<u64> = 1_000..5_000;
 const LONGEST_STAY_MS: u64 = 1_500;
 
-/// How an upstream treats requests.
+/// Behavior of an upstream towards requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) enum UpstreamMode {
     #[default]
--- a/crates/tc-bench/src/soak/process.rs
+++ b/crates/tc-bench/src/soak/process.rs
@@ -27,7 +27,7 @@
 /// Time from SIGTERM to the end of a process.
 pub(super) const GRACE: Duration = Duration::from_secs(3);
 
-/// How long an evacuation may take to count on every instance.
+/// Maximum time until an evacuation is in force on every instance.
 pub(super) const EVACUATE_TIME: Duration = Duration::from_secs(2);
 
 /// An instance; dropping it kills its process.
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// What all upstreams share.
+/// State shared by all upstreams.
 #[derive(Default)]
 pub(super) struct Seen {
     runs: Mutex<Vec<Run>>,
--- a/crates/tc-bench/src/world/config_folder.rs
+++ b/crates/tc-bench/src/world/config_folder.rs
@@ -17,7 +17,7 @@
 /// Documented exit code of `config apply`: another operator changed the same file first.
 const EXIT_CONFLICT: i32 = 4;
 
-/// How an apply ended.
+/// Outcome of an apply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Applied {
     /// Accepted.
--- a/crates/tc-bench/src/world/instance.rs
+++ b/crates/tc-bench/src/world/instance.rs
@@ -28,7 +28,7 @@
 
 /// Threads that carry traffic in one instance.
 const TRAFFIC_THREADS: &str = "2";
-/// How often an ending process is looked at.
+/// Interval at which an ending process is checked.
 const EXIT_CHECK: Duration = Duration::from_millis(20);
 /// Lines of a process's log shown when it does not come up.
 const LOG_LINES: usize = 8;
@@ -194,7 +194,7 @@
         None
     }
 
-    /// How its process ended, if it has.
+    /// Returns the exit status of its process, if it has ended.
     pub(crate) fn exited(&mut self) -> Option<ExitStatus> {
         let status = self.child.as_mut()?.try_wait().ok()??;
         self.child = None;
--- a/crates/tc-bench/src/world/ready.rs
+++ b/crates/tc-bench/src/world/ready.rs
@@ -9,7 +9,7 @@
 
 /// Longest time a world may take to come up.
 const START_LIMIT: Duration = Duration::from_secs(30);
-/// How often it is looked at.
+/// Interval between checks.
 const CHECK_EVERY: Duration = Duration::from_millis(50);
 /// Longest wait for one answer of the admin interface.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -56,7 +56,7 @@
         )))
     }
 
-    /// What is not ready yet, or `None`.
+    /// Returns a description of what is not ready yet, or `None`.
     async fn lagging(&self, count: usize, revision: u64) -> Option<String> {
         for instance in self.instances.iter().filter(|i| i.pid().is_some()) {
             let Some(status) = self.status(instance.admin).await else {
@@ -81,7 +81,7 @@
         None
     }
 
-    /// How many live instances each running instance sees; 0 for one that does not answer.
+    /// Returns the number of live instances that each running instance sees; 0 for one that does not answer.
     pub(crate) async fn alive_counts(&self) -> Vec<usize> {
         let running = self.instances.iter().filter(|i| i.pid().is_some());
         let counts = running.map(async |instance| {
--- a/crates/tc-bench/src/world/relay.rs
+++ b/crates/tc-bench/src/world/relay.rs
@@ -24,7 +24,7 @@
 /// Largest datagram that can arrive.
 const MAX_DATAGRAM: usize = 65_535;
 
-/// Which failure domains cannot reach each other now; clones share it.
+/// Failure domains that cannot currently reach each other; clones share the state.
 #[derive(Clone)]
 pub(crate) struct DomainCuts(Arc<watch::Sender<BTreeSet<(IpAddr, IpAddr)>>>);
 
@@ -58,7 +58,7 @@
 
 /// Stands before one instance until it is dropped.
 pub(super) struct Relay {
-    /// What the instance advertises.
+    /// Address that the instance advertises.
     pub(super) address: SocketAddr,
     tasks: [JoinHandle<()>; 2],
 }
--- a/crates/tc-bench/src/world/run.rs
+++ b/crates/tc-bench/src/world/run.rs
@@ -20,21 +20,21 @@
 /// Time after the last answer in which upstreams may still see something.
 const SETTLE: Duration = Duration::from_millis(300);
 
-/// What came of a load.
+/// Results of a load.
 pub(crate) struct Run<T> {
     /// When the load started.
     pub(crate) start: Instant,
-    /// What callers were told.
+    /// Records of the callers.
     pub(crate) records: Vec<CallRecord>,
-    /// What upstreams saw.
+    /// Records of the upstreams.
     pub(crate) calls: Vec<SeenCall>,
-    /// What the judge found.
+    /// Verdict of the judge.
     pub(crate) verdict: Verdict,
-    /// What instances spent on being part of the fleet, and on the load.
+    /// Resources that instances spent on membership and on the load.
     pub(crate) control: ControlCost,
     /// Time between the two readings that `control` is from.
     pub(crate) measured_for: Duration,
-    /// What the fault's part returned.
+    /// Value returned by the fault's future.
     pub(crate) fault: T,
 }
 
@@ -97,7 +97,7 @@
         self.run(label, seed, flows, &[], async |_, _| ()).await
     }
 
-    /// What instances spend while nothing is done to them for `length`.
+    /// Measures the resources that instances spend in `length` without faults.
     pub(crate) async fn idle_cost(&self, length: Duration) -> ControlCost {
         let before = self.probes().await;
         tokio::time::sleep(length).await;
--- a/crates/tc-bench/src/world/spec.rs
+++ b/crates/tc-bench/src/world/spec.rs
@@ -1,4 +1,4 @@
-//! What a world is made of.
+//! Specification of a world.
 
 use std::{
     collections::BTreeMap,
@@ -12,7 +12,7 @@
 
 use crate::error::BenchError;
 
-/// Which policy the instances follow.
+/// Policy of the instances.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum PolicyChoice {
     /// The system's own.
@@ -39,7 +39,7 @@
     pub(crate) region: Region,
 }
 
-/// How fast the upstreams of a service are.
+/// Speed of the upstreams of a service.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Timing {
     /// Time of a call to a pool or plain service, or to an engine's first token.
@@ -60,7 +60,7 @@
         }
     }
 
-    /// What a service is like when a scenario does not say.
+    /// Returns the defaults of a service.
     pub(crate) const fn usual(kind: ServiceKind) -> Self {
         match kind {
             ServiceKind::Engine => Self::micros(20_000, 1_000),
@@ -69,7 +69,7 @@
     }
 }
 
-/// What a world is made of.
+/// Specification of a world.
 #[derive(Clone)]
 pub(crate) struct WorldSpec {
     /// Configuration files; upstream addresses in them are replaced by those of the stand-ins.
@@ -78,7 +78,7 @@
     pub(crate) timings: BTreeMap<ServiceName, Timing>,
     /// Where the instances run; one instance each.
     pub(crate) places: Vec<Place>,
-    /// Which policy they follow.
+    /// Their policy.
     pub(crate) policy: PolicyChoice,
     /// Models a second that the weight store serves; without it engines load at once.
     pub(crate) weights_per_s: Option<f64>,
--- a/crates/tc-bench/src/world/standard.rs
+++ b/crates/tc-bench/src/world/standard.rs
@@ -21,7 +21,7 @@
 /// Model of the engines.
 const MODEL: &str = "drafting";
 
-/// What a scenario may change of the standard world.
+/// Changes of a scenario to the standard world.
 #[derive(Clone, Debug)]
 pub(crate) struct Shape {
     /// Instances of the system.
@@ -42,7 +42,7 @@
     pub(crate) large_weight: u32,
     /// Limits of the workspace `large-a`.
     pub(crate) limits: Limits,
-    /// Which policy the instances follow.
+    /// Policy of the instances.
     pub(crate) policy: PolicyChoice,
     /// Models a second that the weight store serves; without it engines load at once.
     pub(crate) weights_per_s: Option<f64>,
--- a/crates/tc-bench/src/world/start.rs
+++ b/crates/tc-bench/src/world/start.rs
@@ -32,7 +32,7 @@
     pub(crate) upstreams: Vec<UpstreamHandle>,
     /// The platform stand-in.
     pub(crate) platform: Platform,
-    /// What upstreams saw.
+    /// Records of the upstreams.
     pub(crate) recorder: Recorder,
     /// The configuration as first applied.
     pub(crate) config: Arc<FleetConfig>,
