--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -81,7 +81,7 @@
     tie_score: u64,
 }
 
-/// How an engine gets the parts of a prompt that it need not read.
+/// Tokens of a prompt that an engine has to read, and the source and cost of those that it fetches.
 struct CacheUse<'a> {
     prefill_tokens: u32,
     source: Option<&'a UpstreamId>,
