--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -12,6 +12,7 @@
 mod relay;
 mod removals;
 mod store_read;
+mod upstream_updates;
 mod upstreams;
 mod watch;
 
@@ -37,7 +38,8 @@
 pub(crate) use follow::{StoreRole, follow_source};
 pub(crate) use relay::{Followers, relay_world};
 pub(crate) use store_read::StoreRead;
-pub use upstreams::{ApplyOutcome, UpstreamTable};
+pub use upstream_updates::ApplyOutcome;
+pub use upstreams::UpstreamTable;
 pub(crate) use watch::{WatchContext, wait_until_known, watch_config, watch_upstreams};
 
 /// An immutable snapshot of the store, read by requests.
--- /dev/null
+++ b/crates/tc-gateway/src/world/upstream_updates.rs
@@ -0,0 +1,111 @@
+//! Updates of the list of upstreams between instances: what differs from an earlier list.
+
+use std::{collections::HashSet, sync::Arc};
+
+use imbl::ordmap::DiffItem;
+use tc_fleet::{RegistryEntry, Removed, UpstreamUpdate};
+
+use super::upstreams::{Entry, UpstreamTable};
+
+/// Result of applying an update from another instance.
+#[derive(Clone, Debug)]
+pub enum ApplyOutcome {
+    /// The table with the update applied.
+    Updated(UpstreamTable),
+    /// The update is older than this table.
+    Outdated,
+    /// The update is relative to another table than this one: the missing part must be requested.
+    ///
+    /// Otherwise, an instance that continues with a source that is behind it would keep forever the
+    /// entries that were both written and removed between the source's table and its own, and send
+    /// calls to upstreams that are long gone.
+    BaseMismatch,
+}
+
+impl UpstreamTable {
+    /// Returns the update for a table of an earlier revision: the changed entries and the names of
+    /// all entries, which show what is gone.
+    #[must_use]
+    pub fn update_since(&self, revision: u64) -> UpstreamUpdate {
+        let is_changed = |entry: &Entry| entry.revision > revision;
+        let (changed, unchanged): (Vec<_>, Vec<_>) = self
+            .entries
+            .iter()
+            .partition(|(_, entry)| is_changed(entry));
+        let changed = changed.into_iter().map(|(name, e)| to_update(name, e));
+        let unchanged = unchanged.into_iter().map(|(name, _)| Arc::clone(name));
+        UpstreamUpdate {
+            revision: self.revision,
+            changed: changed.collect(),
+            removed: Removed::AllExcept(unchanged.collect()),
+        }
+    }
+
+    /// Returns the difference from an earlier table, or `None` if there is none.
+    #[must_use]
+    pub fn update_after(&self, earlier: &Self) -> Option<UpstreamUpdate> {
+        let mut changed = Vec::new();
+        let mut names = Vec::new();
+        for change in earlier.entries.diff(&self.entries) {
+            match change {
+                DiffItem::Add(name, entry) => changed.push(to_update(name, entry)),
+                DiffItem::Update { old, new } if old.1.revision != new.1.revision => {
+                    changed.push(to_update(new.0, new.1));
+                }
+                DiffItem::Update { .. } => {}
+                DiffItem::Remove(name, _) => names.push(Arc::clone(name)),
+            }
+        }
+        let differs = self.revision != earlier.revision || !names.is_empty();
+        differs.then_some(UpstreamUpdate {
+            revision: self.revision,
+            changed,
+            removed: Removed::Named {
+                since: earlier.revision,
+                names,
+            },
+        })
+    }
+
+    /// Applies an update from another instance.
+    #[must_use]
+    pub fn with_update(&self, update: &UpstreamUpdate) -> ApplyOutcome {
+        if update.revision < self.revision {
+            return ApplyOutcome::Outdated;
+        }
+        let gone: Vec<Arc<str>> = match &update.removed {
+            Removed::Named { since, .. } if *since != self.revision => {
+                let is_newer = update.revision > self.revision;
+                return if is_newer {
+                    ApplyOutcome::BaseMismatch
+                } else {
+                    ApplyOutcome::Outdated
+                };
+            }
+            Removed::Named { names, .. } => names.clone(),
+            Removed::AllExcept(names) => {
+                let changed = update.changed.iter().map(|entry| &entry.name);
+                let remaining: HashSet<&Arc<str>> = names.iter().chain(changed).collect();
+                let gone = self.names().filter(|name| !remaining.contains(name));
+                gone.cloned().collect()
+            }
+        };
+        let mut next = self.clone();
+        for entry in &update.changed {
+            next.put(&entry.name, entry.revision, || entry.upstream.clone());
+        }
+        for name in &gone {
+            next.remove(name, update.revision);
+        }
+        next.revision = self.revision.max(update.revision);
+        ApplyOutcome::Updated(next)
+    }
+}
+
+fn to_update(name: &Arc<str>, entry: &Entry) -> RegistryEntry {
+    RegistryEntry {
+        name: Arc::clone(name),
+        revision: entry.revision,
+        upstream: entry.upstream.clone(),
+    }
+}
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -4,14 +4,13 @@
 //! the changed entries, not all of them, and two tables are compared by what differs.
 
 use std::{
-    collections::{BTreeSet, HashMap, HashSet},
+    collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
 
 use imbl::{OrdMap, ordmap::DiffItem};
-use tc_fleet::{RegistryEntry, Removed, UpstreamUpdate};
 use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{
     FailureDomain, MonoTime, ServiceName, UpstreamId,
@@ -24,26 +23,11 @@
 /// Minimum time for which the announcement of an unregistered upstream is kept.
 const LEAVING_RETENTION: Duration = Duration::from_mins(10);
 
-/// Result of applying an update from another instance.
-#[derive(Clone, Debug)]
-pub enum ApplyOutcome {
-    /// The table with the update applied.
-    Updated(UpstreamTable),
-    /// The update is older than this table.
-    Outdated,
-    /// The update is relative to another table than this one: the missing part must be requested.
-    ///
-    /// Otherwise, an instance that continues with a source that is behind it would keep forever the
-    /// entries that were both written and removed between the source's table and its own, and send
-    /// calls to upstreams that are long gone.
-    BaseMismatch,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Entry {
-    revision: u64,
+pub(super) struct Entry {
+    pub(super) revision: u64,
     /// `None` if the entry cannot be decoded. It is kept so that other instances learn its revision.
-    upstream: Option<Arc<RegisteredUpstream>>,
+    pub(super) upstream: Option<Arc<RegisteredUpstream>>,
 }
 
 /// The upstreams of one service, ordered by identifier.
@@ -52,8 +36,8 @@
 /// The registered upstreams as of a revision of the store.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
-    revision: u64,
-    entries: OrdMap<Arc<str>, Entry>,
+    pub(super) revision: u64,
+    pub(super) entries: OrdMap<Arc<str>, Entry>,
     by_service: HashMap<ServiceName, ServiceUpstreams>,
     /// An address may be registered by several upstreams while an old entry has yet to be removed.
     by_address: OrdMap<(SocketAddr, UpstreamId), Arc<RegisteredUpstream>>,
@@ -165,84 +149,6 @@
             })
     }
 
-    /// Returns the update for a table of an earlier revision: the changed entries and the names of
-    /// all entries, which show what is gone.
-    #[must_use]
-    pub fn update_since(&self, revision: u64) -> UpstreamUpdate {
-        let is_changed = |entry: &Entry| entry.revision > revision;
-        let (changed, unchanged): (Vec<_>, Vec<_>) = self
-            .entries
-            .iter()
-            .partition(|(_, entry)| is_changed(entry));
-        let changed = changed.into_iter().map(|(name, e)| to_update(name, e));
-        let unchanged = unchanged.into_iter().map(|(name, _)| Arc::clone(name));
-        UpstreamUpdate {
-            revision: self.revision,
-            changed: changed.collect(),
-            removed: Removed::AllExcept(unchanged.collect()),
-        }
-    }
-
-    /// Returns the difference from an earlier table, or `None` if there is none.
-    #[must_use]
-    pub fn update_after(&self, earlier: &Self) -> Option<UpstreamUpdate> {
-        let mut changed = Vec::new();
-        let mut names = Vec::new();
-        for change in earlier.entries.diff(&self.entries) {
-            match change {
-                DiffItem::Add(name, entry) => changed.push(to_update(name, entry)),
-                DiffItem::Update { old, new } if old.1.revision != new.1.revision => {
-                    changed.push(to_update(new.0, new.1));
-                }
-                DiffItem::Update { .. } => {}
-                DiffItem::Remove(name, _) => names.push(Arc::clone(name)),
-            }
-        }
-        let differs = self.revision != earlier.revision || !names.is_empty();
-        differs.then_some(UpstreamUpdate {
-            revision: self.revision,
-            changed,
-            removed: Removed::Named {
-                since: earlier.revision,
-                names,
-            },
-        })
-    }
-
-    /// Applies an update from another instance.
-    #[must_use]
-    pub fn with_update(&self, update: &UpstreamUpdate) -> ApplyOutcome {
-        if update.revision < self.revision {
-            return ApplyOutcome::Outdated;
-        }
-        let gone: Vec<Arc<str>> = match &update.removed {
-            Removed::Named { since, .. } if *since != self.revision => {
-                let is_newer = update.revision > self.revision;
-                return if is_newer {
-                    ApplyOutcome::BaseMismatch
-                } else {
-                    ApplyOutcome::Outdated
-                };
-            }
-            Removed::Named { names, .. } => names.clone(),
-            Removed::AllExcept(names) => {
-                let changed = update.changed.iter().map(|entry| &entry.name);
-                let remaining: HashSet<&Arc<str>> = names.iter().chain(changed).collect();
-                let gone = self.names().filter(|name| !remaining.contains(name));
-                gone.cloned().collect()
-            }
-        };
-        let mut next = self.clone();
-        for entry in &update.changed {
-            next.put(&entry.name, entry.revision, || entry.upstream.clone());
-        }
-        for name in &gone {
-            next.remove(name, update.revision);
-        }
-        next.revision = self.revision.max(update.revision);
-        ApplyOutcome::Updated(next)
-    }
-
     /// Returns this table with changes applied.
     #[must_use]
     pub fn with_events(&self, codec: &PlatformCodec, events: &[ObjectEvent], at: u64) -> Self {
@@ -321,7 +227,7 @@
     /// Stores an entry unless the known one is as new.
     ///
     /// An entry is decoded only once, because an upstream's cold time counts from its first decoding.
-    fn put(
+    pub(super) fn put(
         &mut self,
         name: &Arc<str>,
         revision: u64,
@@ -353,7 +259,7 @@
     }
 
     /// Removes an entry. A repeated removal does not remove one that was registered again.
-    fn remove(&mut self, name: &Arc<str>, revision: u64) {
+    pub(super) fn remove(&mut self, name: &Arc<str>, revision: u64) {
         let known = self.entries.get(name).map_or(0, |entry| entry.revision);
         if revision != 0 && revision < known {
             return;
@@ -399,14 +305,6 @@
     xxh3_64_with_seed(name.as_bytes(), revision)
 }
 
-fn to_update(name: &Arc<str>, entry: &Entry) -> RegistryEntry {
-    RegistryEntry {
-        name: Arc::clone(name),
-        revision: entry.revision,
-        upstream: entry.upstream.clone(),
-    }
-}
-
 fn with_marks(
     registered: &Arc<RegisteredUpstream>,
     marks: &UpstreamMarks,
--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -14,6 +14,7 @@
 mod rendezvous;
 mod shuffle_shard;
 mod store_source;
+mod store_sources;
 mod view_sync;
 
 pub use config_puller::{ConfigPuller, Pull};
@@ -23,5 +24,6 @@
 pub use placement::{config_watchers, home_of};
 pub use plan::{EngineState, ModelLoad, ModelRequirements, Plan, plan};
 pub use shuffle_shard::shuffle_shard;
-pub use store_source::{SourceTiming, StoreSource, StoreSources, store_watchers};
+pub use store_source::{SourceTiming, StoreSource};
+pub use store_sources::{StoreSources, store_watchers};
 pub use view_sync::{ComparisonOutcome, ViewSync};
--- a/crates/tc-policy/src/engines/mod.rs
+++ b/crates/tc-policy/src/engines/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! [`EnginePlanner`] only decides; its caller sends the requests and reports their progress.
 
+mod cost;
 mod engine;
 mod holders;
 mod planner;
--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -1,9 +1,6 @@
 //! State machine of a model service's home.
 
-use std::{
-    collections::{BTreeMap, HashSet},
-    time::Duration,
-};
+use std::{collections::BTreeMap, time::Duration};
 
 use slotmap::{Key, KeyData, SlotMap};
 use tc_protocol::{
@@ -12,7 +9,7 @@
 };
 
 use super::{engine::Engine, holders::Holders};
-use crate::{ColdLimit, PromptTimes, SendPacer, rendezvous::hashed_score};
+use crate::{ColdLimit, PromptTimes, SendPacer};
 
 slotmap::new_key_type! {
     /// An unfinished run at an engine.
@@ -21,19 +18,8 @@
 
 /// Fraction of an engine's memory assumed to hold cached parts; running requests need the rest.
 const CACHE_FRACTION: f64 = 0.8;
-/// Weight of reading a token again that another engine has cached, as a multiple of its reading time: the time is lost
-/// to every request queued behind it.
-const REREAD_WEIGHT: f64 = 3.0;
-/// Cost of fetching a token from another engine: a tenth of reading it.
-const FETCH_COST_PER_TOKEN: Duration = Duration::from_micros(2);
-/// Cost of moving a megabyte of results between failure domains. Such traffic is expensive: a request with two
-/// megabytes rather waits as long as a tenth of a long prompt takes to read.
-const CROSS_DOMAIN_COST_PER_MB: Duration = Duration::from_millis(30);
-/// Minimum number of tokens worth a fetch: a block of memory is read as fast as it is requested.
-const MIN_FETCH_TOKENS: u32 = 64;
 /// Time after a request's deadline at which a run without news is dropped, as its entry is gone.
 const LOST_RUN_GRACE: Duration = Duration::from_secs(1);
-const BYTES_PER_MB: f64 = 1_000_000.0;
 
 /// A registered engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,72 +44,16 @@
     expires_at: MonoTime,
 }
 
-/// Availability classes of engines, in order of preference.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Availability {
-    /// The engine has a free slot and no recent failure.
-    Available,
-    /// The engine is at the limit that applies in case it has turned cold without having reported it.
-    AtColdLimit,
-    /// The engine failed recently or has no free slot.
-    Unavailable,
-}
-
-/// Evaluation of one engine for a prompt.
-struct EngineCost<'a> {
-    id: &'a UpstreamId,
-    prefill_tokens: u32,
-    own_time: Duration,
-    source: Option<&'a UpstreamId>,
-    /// Whether other prompts are queued before it.
-    is_queued: bool,
-    cost: Duration,
-    tie_score: u64,
-}
-
-/// Tokens of a prompt that an engine has to read, and the source and cost of those that it fetches.
-struct CacheUse<'a> {
-    prefill_tokens: u32,
-    source: Option<&'a UpstreamId>,
-    cost: Duration,
-}
-
-/// Returns what an engine with `cached_here` leading tokens of the prompt has to read and fetch. `source` is the engine
-/// that it fetches from, with the number of tokens.
-fn cache_use<'a>(
-    request: &EngineRequest,
-    cached_here: u32,
-    source: Option<&(u32, &'a UpstreamId)>,
-) -> CacheUse<'a> {
-    let tokens = request.prompt.tokens_in;
-    let available = source.map_or(cached_here, |(fetchable, _)| (*fetchable).min(tokens));
-    let fetched = available - cached_here.min(available);
-    CacheUse {
-        prefill_tokens: tokens - available,
-        source: source.map(|(_, source)| *source),
-        cost: FETCH_COST_PER_TOKEN * fetched,
-    }
-}
-
-fn cross_domain_cost(bytes: u64) -> Duration {
-    CROSS_DOMAIN_COST_PER_MB.mul_f64(bytes as f64 / BYTES_PER_MB)
-}
-
-/// Differences below a millisecond are noise. Among equals, prompts with the same shared part go to the same engine.
-fn whole_millis(cost: Duration) -> Duration {
-    Duration::from_millis(cost.as_millis() as u64)
-}
-
 /// Selects engines for the prompts of one service; see the module documentation.
 #[derive(Debug)]
 pub struct EnginePlanner {
     spec: EngineSpec,
     /// Limit for cold engines, for services whose engines are overload-sensitive while cold.
-    cold_limit: Option<ColdLimit>,
-    engines: BTreeMap<UpstreamId, Engine>,
-    holders: Holders,
+    pub(super) cold_limit: Option<ColdLimit>,
+    pub(super) engines: BTreeMap<UpstreamId, Engine>,
+    pub(super) holders: Holders,
     runs: SlotMap<RunKey, Run>,
-    times: PromptTimes,
+    pub(super) times: PromptTimes,
 }
 
 impl EnginePlanner {
@@ -267,169 +197,6 @@
         (self.runs.len(), self.engines.len())
     }
 
-    fn best_engine<'a>(
-        &'a self,
-        now: MonoTime,
-        request: &EngineRequest,
-        may: impl Fn(&UpstreamId, &Engine) -> bool,
-    ) -> Option<EngineCost<'a>> {
-        let excluded: HashSet<&UpstreamId> = request.excluded.iter().collect();
-        let availability = |id: &UpstreamId, engine: &Engine| {
-            let may_get = engine.ready && !excluded.contains(id) && may(id, engine);
-            may_get.then(|| self.availability(now, engine))
-        };
-        let candidates: Vec<(Availability, &UpstreamId, &Engine)> = self
-            .engines
-            .iter()
-            .filter_map(|(id, engine)| Some((availability(id, engine)?, id, engine)))
-            .collect();
-        let best_availability = candidates.iter().map(|(class, ..)| *class).min()?;
-        let sources = self.sources(now, &request.prompt.parts);
-        let is_best =
-            |id: &UpstreamId, engine: &Engine| availability(id, engine) == Some(best_availability);
-        let holders = self.holders.of(&request.prompt.parts);
-        let holder = holders
-            .filter_map(|id| self.engines.get_key_value(id))
-            .filter(|(id, engine)| is_best(id, engine))
-            .map(|(id, engine)| self.evaluate(now, request, id, engine, &sources))
-            .min_by_key(|option| (option.cost, option.tie_score));
-        let others = candidates
-            .into_iter()
-            .filter(|(class, ..)| *class == best_availability)
-            .map(|(_, id, engine)| (id, engine));
-        let other = self.best_without_cache(now, request, others, &sources);
-        [holder, other]
-            .into_iter()
-            .flatten()
-            .min_by_key(|option| (option.cost, option.tie_score))
-    }
-
-    /// Returns the best of these engines if none of them had any part of the prompt cached.
-    ///
-    /// All terms of the cost but the engine's queue, speed and failure domain are then the same for all engines. An
-    /// engine with cached parts costs less than this shows, and is evaluated by itself.
-    fn best_without_cache<'a>(
-        &self,
-        now: MonoTime,
-        request: &EngineRequest,
-        engines: impl Iterator<Item = (&'a UpstreamId, &'a Engine)>,
-        sources: &[(u32, &'a UpstreamId)],
-    ) -> Option<EngineCost<'a>> {
-        let cache = cache_use(request, 0, sources.first());
-        let own_time = self.times.estimate(cache.prefill_tokens);
-        let total: u64 = request.inputs.iter().map(|(_, bytes)| bytes).sum();
-        let key = request.prompt.shared_prefix_id().unwrap_or_default();
-        let mut best: Option<EngineCost<'a>> = None;
-        for (id, engine) in engines {
-            let own_time = own_time.mul_f64(engine.slowdown);
-            let here = request.inputs.iter();
-            let here = here.filter(|(domain, _)| *domain == engine.domain);
-            let here: u64 = here.map(|(_, bytes)| bytes).sum();
-            let cost = whole_millis(
-                engine.prefill_done_at.since(now)
-                    + own_time
-                    + cache.cost
-                    + cross_domain_cost(total - here),
-            );
-            if best.as_ref().is_some_and(|best| cost > best.cost) {
-                continue;
-            }
-            let tie_score = hashed_score(key, id.as_str());
-            let is_better = best
-                .as_ref()
-                .is_none_or(|best| (cost, tie_score) < (best.cost, best.tie_score));
-            if is_better {
-                best = Some(EngineCost {
-                    id,
-                    prefill_tokens: cache.prefill_tokens,
-                    own_time,
-                    source: cache.source,
-                    is_queued: engine.prefill_done_at > now,
-                    cost,
-                    tie_score,
-                });
-            }
-        }
-        best
-    }
-
-    fn availability(&self, now: MonoTime, engine: &Engine) -> Availability {
-        if !engine.is_healthy(now) || !engine.has_free_slot() {
-            Availability::Unavailable
-        } else if engine.is_within_cold_limit(now, self.cold_limit) {
-            Availability::Available
-        } else {
-            Availability::AtColdLimit
-        }
-    }
-
-    /// Returns the two engines that most of a prompt can be fetched from, best first.
-    fn sources(&self, now: MonoTime, parts: &[PromptPart]) -> Vec<(u32, &UpstreamId)> {
-        let mut sources: Vec<(u32, &UpstreamId)> = self
-            .holders
-            .of(parts)
-            .filter_map(|id| self.engines.get_key_value(id))
-            .filter(|(_, engine)| engine.ready && engine.is_healthy(now))
-            .map(|(id, engine)| (engine.prefix_cache.fetchable_tokens(parts), id))
-            .filter(|(tokens, _)| *tokens >= MIN_FETCH_TOKENS)
-            .collect();
-        sources.sort_by(|a, b| b.cmp(a));
-        sources.truncate(2);
-        sources
-    }
-
-    fn evaluate<'a>(
-        &self,
-        now: MonoTime,
-        request: &EngineRequest,
-        id: &'a UpstreamId,
-        engine: &Engine,
-        sources: &[(u32, &'a UpstreamId)],
-    ) -> EngineCost<'a> {
-        let tokens = request.prompt.tokens_in;
-        let cached_here = engine
-            .prefix_cache
-            .cached_tokens(&request.prompt.parts)
-            .min(tokens);
-        let source = sources.iter().find(|(fetchable, source)| {
-            *source != id && *fetchable >= cached_here.saturating_add(MIN_FETCH_TOKENS)
-        });
-        let cache = cache_use(request, cached_here, source);
-        let own_time = self
-            .times
-            .estimate(cache.prefill_tokens)
-            .mul_f64(engine.slowdown);
-        let available = tokens - cache.prefill_tokens;
-        let best_available = sources
-            .first()
-            .map_or(0, |(fetchable, _)| (*fetchable).min(tokens));
-        let reread_time = self
-            .times
-            .estimate(tokens.saturating_sub(available))
-            .saturating_sub(self.times.estimate(tokens - best_available.max(available)));
-        let cross_domain_bytes: u64 = request
-            .inputs
-            .iter()
-            .filter(|(domain, _)| *domain != engine.domain)
-            .map(|(_, bytes)| bytes)
-            .sum();
-        let cost = engine.prefill_done_at.since(now)
-            + own_time
-            + reread_time.mul_f64(REREAD_WEIGHT)
-            + cache.cost
-            + cross_domain_cost(cross_domain_bytes);
-        let key = request.prompt.shared_prefix_id().unwrap_or_default();
-        EngineCost {
-            id,
-            prefill_tokens: cache.prefill_tokens,
-            own_time,
-            source: cache.source,
-            is_queued: engine.prefill_done_at > now,
-            cost: whole_millis(cost),
-            tie_score: hashed_score(key, id.as_str()),
-        }
-    }
-
     fn record_first_event(&mut self, now: MonoTime, key: RunKey, took: Duration) {
         let capacity_tokens = self.cache_capacity();
         let Some(run) = self.runs.get_mut(key) else {
