--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -734,7 +734,7 @@
     pub draining: bool,
     /// Time until the end of the cold phase.
     #[prost(uint32, tag = "8")]
-    pub cold_left_ms: u32,
+    pub cold_remaining_ms: u32,
 }
 /// Generated client implementations.
 pub mod fleet_client {
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -164,7 +164,7 @@
         port: u32::from(upstream.address.port()),
         slots: upstream.slots,
         draining: upstream.draining,
-        cold_left_ms: upstream.cold_until.since(now).as_millis() as u32,
+        cold_remaining_ms: upstream.cold_until.since(now).as_millis() as u32,
     };
     let changed = update.changed.iter().map(|entry| wire::RegistryEntry {
         name: entry.name.to_string(),
@@ -237,7 +237,7 @@
             slots: record.slots,
             draining: record.draining,
             evacuated: false,
-            cold_until: now.after(Duration::from_millis(record.cold_left_ms.into())),
+            cold_until: now.after(Duration::from_millis(record.cold_remaining_ms.into())),
         })
     };
     let entry_from_wire = |entry: &wire::RegistryEntry| {
--- a/crates/tc-membership/tests/store_source/growth.rs
+++ b/crates/tc-membership/tests/store_source/growth.rs
@@ -1,4 +1,4 @@
-//! How the costs of relaying the store grow with the fleet.
+//! Growth of the costs of relaying the store with the size of the fleet.
 
 use std::{collections::HashMap, time::Duration};
 
