Compare engines only with measured times

Traced: the first runs of a service are compared with the default estimate of 150 ms. An engine that answers in a few ms gets a slowdown below 1, is then cheaper than the others, gets all further runs, and no run of a service with short prompts is long enough (40 ms) to correct it. Which engine that is follows from the first prompt; in a whole run the test passed in half of the cases.

Change: a run updates the slowdown only if its expected time comes from measurements.

--- a/crates/tc-policy/src/engines/engine.rs
+++ b/crates/tc-policy/src/engines/engine.rs
@@ -95,7 +95,8 @@
         }
     }
 
-    /// Records the first event of a run. `expected` is its expected time if it did not wait behind other prompts.
+    /// Records the first event of a run. `expected` is its expected time if that comes from measurements and the run
+    /// did not wait behind other prompts.
     pub(super) fn record_first_event(&mut self, took: Duration, expected: Option<Duration>) {
         self.failures = 0;
         self.retry_at = MonoTime::default();
--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -38,6 +38,8 @@
     parts: std::sync::Arc<[PromptPart]>,
     prefill_tokens: u32,
     expected: Duration,
+    /// Whether the expected time comes from measurements.
+    is_measured: bool,
     /// Whether other prompts were queued before it.
     was_queued: bool,
     is_prefilled: bool,
@@ -145,6 +147,7 @@
             parts: request.prompt.parts.clone(),
             prefill_tokens: best.prefill_tokens,
             expected: best.own_time,
+            is_measured: self.times.is_measured(),
             was_queued: best.is_queued,
             is_prefilled: false,
             expires_at: now.after(request.remaining + LOST_RUN_GRACE),
@@ -208,7 +211,7 @@
         if !run.was_queued {
             self.times.record(run.prefill_tokens, took);
         }
-        let expected = (!run.was_queued).then_some(run.expected);
+        let expected = (run.is_measured && !run.was_queued).then_some(run.expected);
         let (upstream, parts) = (run.upstream.clone(), run.parts.clone());
         if let Some(engine) = self.engines.get_mut(&upstream) {
             let evicted = engine.prefix_cache.insert(&parts, true, capacity_tokens);
--- a/crates/tc-policy/src/prompt_times.rs
+++ b/crates/tc-policy/src/prompt_times.rs
@@ -49,10 +49,16 @@
         self.tokens_by_ms = self.tokens_by_ms.mul_add(DECAY, tokens * ms);
     }
 
+    /// Returns true if enough requests were measured for an estimate.
+    #[must_use]
+    pub fn is_measured(&self) -> bool {
+        self.weight >= MIN_WEIGHT
+    }
+
     /// Returns the estimated time to the first event for a prompt of this many tokens.
     #[must_use]
     pub fn estimate(&self, tokens: u32) -> Duration {
-        if self.weight < MIN_WEIGHT {
+        if !self.is_measured() {
             return DEFAULT_ESTIMATE;
         }
         let (mean_tokens, mean_ms) = (self.tokens / self.weight, self.ms / self.weight);
--- a/crates/tc-policy/tests/engines/load.rs
+++ b/crates/tc-policy/tests/engines/load.rs
@@ -76,7 +76,8 @@
     planner.set_engines(spec(), &candidates(&["a", "a"]));
     let mut counts: HashMap<UpstreamId, u32> = HashMap::new();
     for number in 0..200 {
-        let engine = read(&mut planner, at(number * 100), &request(&[(number, 600)]));
+        let parts = [(number, 500), (1_000 + number, 100)];
+        let engine = read(&mut planner, at(number * 100), &request(&parts));
         *counts.entry(engine).or_default() += 1;
     }
     let fewest = counts.values().min().copied().unwrap_or_default();
