List the store with one watcher, however long a list takes

Cause: each watcher started its list early by the time of a list, 0.45 s with 10,000 upstreams, while the others wait only 0.1 s for each hop from the first. Whenever the store had changed at all, all four watchers began a list of 51 calls before the first was complete. The configuration was listed 0.45 s later than the upstreams, so the age that the others learn was that of the configuration.

Change: the first watcher starts early by the time of two lists, the others by one (ListSchedule); all parts follow the longest list (ListTimes); a list that checks a watch is abandoned when another instance confirms the part.

All states of the watchers stay within the bound with lists of 0 and 0.45 s.

--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -109,7 +109,8 @@
             cell: Arc::clone(&world),
             drain_time: settings.drain_time,
             should_watch: role.should_watch(),
-            list_after: role.list_after(),
+            list_schedule: role.list_schedule(),
+            list_times: Arc::default(),
         };
         tokio::spawn(watch_config(watch.clone()));
         tokio::spawn(watch_upstreams(watch.clone()));
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -4,7 +4,7 @@
 
 use futures::{StreamExt, stream::BoxStream};
 use tc_fleet::{Mesh, MeshError, RegistryEntry, StoreUpdate};
-use tc_membership::{SourceTiming, StoreSource};
+use tc_membership::{ListSchedule, SourceTiming, StoreSource};
 use tc_protocol::{InstanceId, MonoTime};
 use tokio::{
     sync::watch::{Receiver, Sender},
@@ -16,7 +16,7 @@
 /// Publishes to other tasks whether this instance watches the store.
 pub(crate) struct StoreRole {
     should_watch: Sender<bool>,
-    list_after: Sender<Duration>,
+    list_schedule: Sender<ListSchedule>,
 }
 
 impl StoreRole {
@@ -24,7 +24,7 @@
     pub(crate) fn new(timing: SourceTiming) -> Self {
         Self {
             should_watch: Sender::new(false),
-            list_after: Sender::new(timing.watch_after),
+            list_schedule: Sender::new(timing.list_schedule(None)),
         }
     }
 
@@ -33,9 +33,9 @@
         self.should_watch.subscribe()
     }
 
-    /// Returns a receiver of [`StoreSource::list_after`].
-    pub(crate) fn list_after(&self) -> Receiver<Duration> {
-        self.list_after.subscribe()
+    /// Returns a receiver of [`StoreSource::list_schedule`].
+    pub(crate) fn list_schedule(&self) -> Receiver<ListSchedule> {
+        self.list_schedule.subscribe()
     }
 }
 
@@ -166,12 +166,13 @@
         }
     }
 
-    /// Publishes whether this instance watches the store and the age at which it lists it.
+    /// Publishes whether this instance watches the store and when it lists it.
     fn update_role(&self) {
         let now = MonoTime::now();
         let age = now.since(self.cell.confirmed());
         metrics::gauge!("tc_store_confirmed_age_ms").set(age.as_secs_f64() * 1_000.0);
-        self.role.list_after.send_replace(self.source.list_after());
+        let schedule = self.source.list_schedule();
+        self.role.list_schedule.send_replace(schedule);
         let should_watch = self.source.should_watch(now);
         let changed = self.role.should_watch.send_if_modified(|known| {
             let changed = *known != should_watch;
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -5,12 +5,9 @@
 //! old configuration for seconds. A new list shows what was missed. The same applies after a pause
 //! of this process, during which the watch may have been cut off unnoticed.
 
-use std::{
-    collections::BTreeSet,
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use tc_membership::ListSchedule;
 use tc_platform::{
     Freshness, KindDialect, ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage,
     WatchResult,
@@ -18,7 +15,7 @@
 use tc_protocol::MonoTime;
 use tokio::{sync::watch::Receiver, time::sleep, time::timeout};
 
-use super::{StoreRead, WorldCell, WorldPart};
+use super::{StoreRead, WorldCell, WorldPart, list_times::ListTimes};
 
 /// Maximum duration of one watch without a change. Each watch is one charged store call. TCP
 /// keepalive detects dead connections, so a long wait costs nothing.
@@ -34,9 +31,6 @@
 /// Delay after a failed list that was to check a watch.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Number of objects that fit on a page of any store.
-const MIN_PAGE_OBJECTS: usize = 100;
-
 /// An answer of the store about the objects of one kind, with the start of the call.
 pub(super) enum KindUpdate {
     /// All objects.
@@ -57,39 +51,13 @@
     pub(super) description: &'static str,
     pub(super) cell: Arc<WorldCell>,
     pub(super) part: WorldPart,
-    /// Age of the part's confirmation at which it is listed in addition to being watched.
+    /// When the part is listed in addition to being watched.
     ///
     /// A store may stop answering watches while its connections stay open and other calls succeed,
     /// or stop answering this instance while it answers others. Without a list, neither can be told
     /// from a store without changes.
-    pub(super) list_after: Receiver<Duration>,
-    /// A list must be complete when the confirmation reaches the age, and it takes longer the more
-    /// objects there are.
-    pub(super) list_time: ListTime,
-}
-
-/// Estimates how long a list of a kind takes, from the last one.
-#[derive(Debug, Default)]
-pub(super) struct ListTime(Mutex<LastList>);
-
-#[derive(Clone, Copy, Debug, Default)]
-struct LastList {
-    took: Duration,
-    objects: usize,
-}
-
-impl ListTime {
-    fn record(&self, took: Duration, objects: usize) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = LastList { took, objects };
-    }
-
-    /// Returns the expected time of a list of this many objects. A list of less than a page takes as
-    /// long as one of a page.
-    fn estimate(&self, objects: usize) -> Duration {
-        let last = *self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let pages = |objects: usize| objects.max(MIN_PAGE_OBJECTS) as f64;
-        last.took.mul_f64(pages(objects) / pages(last.objects))
-    }
+    pub(super) list_schedule: Receiver<ListSchedule>,
+    pub(super) list_times: Arc<ListTimes>,
 }
 
 /// Result of a watch that was checked by lists.
@@ -107,7 +75,7 @@
             .list_kind(self.purpose, &self.dialect, self.kind, Freshness::Current)
             .await?;
         let took = MonoTime::now().since(store_read.started_at);
-        self.list_time.record(took, listed.items.len());
+        self.list_times.record(self.part, took, listed.items.len());
         Ok((listed, store_read))
     }
 
@@ -126,8 +94,8 @@
         Ok(is_unchanged)
     }
 
-    /// Watches for changes after revision `from`, and lists whenever the part's confirmation
-    /// reaches the age `list_after` meanwhile.
+    /// Watches for changes after revision `from`, and lists whenever the schedule requires it
+    /// meanwhile.
     async fn watch(
         &self,
         from: u64,
@@ -151,11 +119,11 @@
         Ok(WatchOutcome::Missed(page, list_read))
     }
 
-    /// Checks whenever the part's confirmation reaches the age `list_after` whether anything has
-    /// changed, and returns the first list that shows a change after revision `from`.
+    /// Checks whenever a list is due whether anything has changed, and returns the first list that
+    /// shows a change after revision `from`.
     ///
     /// A list of several pages is read only if the store's revision shows that something has
-    /// changed, possibly of another kind.
+    /// changed, possibly of another kind, and is abandoned when another instance confirms the part.
     async fn list_until_changed(&self, from: u64, known: &KnownObjects) -> (ListPage, StoreRead) {
         let mut unchanged_at = from;
         loop {
@@ -170,7 +138,11 @@
                     }
                 }
             }
-            match self.list().await {
+            let listed = tokio::select! {
+                listed = self.list() => listed,
+                () = self.wait_until_list_not_due(known.names.len()) => continue,
+            };
+            match listed {
                 Ok((page, store_read)) => {
                     let has_changed = page.items.iter().any(|object| object.revision > from);
                     let is_gone = known.names.len() > page.items.len();
@@ -190,22 +162,33 @@
         sleep(LIST_RETRY_DELAY).await;
     }
 
-    /// Waits until the part's confirmation reaches the age `list_after`.
+    /// Waits until the part has to be listed.
     async fn wait_until_list_due(&self, objects: usize) {
         loop {
-            let list_after = *self.list_after.borrow();
-            let list_time = self.list_time.estimate(objects).min(list_after / 2);
-            let due = self
-                .cell
-                .part_confirmed(self.part)
-                .after(list_after.saturating_sub(list_time));
-            let left = due.since(MonoTime::now());
+            let left = self.time_until_list(objects);
             if left.is_zero() {
                 return;
             }
             sleep(left).await;
         }
     }
+
+    /// Waits until a confirmation shows that the part does not have to be listed yet.
+    async fn wait_until_list_not_due(&self, objects: usize) {
+        let mut confirmations = self.cell.confirmations();
+        while self.time_until_list(objects).is_zero() {
+            if confirmations.changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
+    }
+
+    fn time_until_list(&self, objects: usize) -> Duration {
+        let list_time = self.list_times.longest(self.part, objects);
+        let start_at = self.list_schedule.borrow().start_at(list_time);
+        let due = self.cell.part_confirmed(self.part).after(start_at);
+        due.since(MonoTime::now())
+    }
 }
 
 /// The existing objects of a kind, as last reported by the store.
@@ -352,21 +335,3 @@
         sleep(wait.min(MAX_RETRY_DELAY).mul_f64(jitter)).await;
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards against a first long list that ends after followers have given up their source: the last
-    /// list was read while a tenth of the upstreams had registered.
-    #[test]
-    fn time_of_a_list_follows_the_number_of_objects() {
-        let list_time = ListTime::default();
-        assert_eq!(list_time.estimate(10_000), Duration::ZERO);
-        list_time.record(Duration::from_millis(50), 1_000);
-        assert_eq!(list_time.estimate(10_000), Duration::from_millis(500));
-        list_time.record(Duration::from_millis(5), 1);
-        assert_eq!(list_time.estimate(1), Duration::from_millis(5));
-        assert_eq!(list_time.estimate(1_000), Duration::from_millis(50));
-    }
-}
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -9,6 +9,7 @@
 mod evacuated;
 mod follow;
 mod kind_watch;
+mod list_times;
 mod relay;
 mod removals;
 mod store_read;
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -6,13 +6,15 @@
     time::Duration,
 };
 
+use tc_membership::ListSchedule;
 use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
 use tc_protocol::MonoTime;
 use tokio::{sync::watch::Receiver, time::timeout};
 
 use super::{
     WorldCell, WorldPart,
-    kind_watch::{KindUpdate, KindWatch, ListTime, WATCH_WAIT, WatchTarget},
+    kind_watch::{KindUpdate, KindWatch, WATCH_WAIT, WatchTarget},
+    list_times::ListTimes,
     removals::HeldRemovals,
 };
 use crate::codec::PlatformCodec;
@@ -35,9 +37,9 @@
     pub(crate) drain_time: Duration,
     /// Whether this instance watches the store. Other instances follow one that does.
     pub(crate) should_watch: Receiver<bool>,
-    /// Age of a part's confirmation at which this instance lists the part in addition to watching
-    /// it.
-    pub(crate) list_after: Receiver<Duration>,
+    /// When this instance lists a part in addition to watching it.
+    pub(crate) list_schedule: Receiver<ListSchedule>,
+    pub(crate) list_times: Arc<ListTimes>,
 }
 
 impl WatchContext {
@@ -56,8 +58,8 @@
             description,
             cell: Arc::clone(&self.cell),
             part,
-            list_after: self.list_after.clone(),
-            list_time: ListTime::default(),
+            list_schedule: self.list_schedule.clone(),
+            list_times: Arc::clone(&self.list_times),
         }
     }
 }
--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -6,6 +6,7 @@
 //! produce the same outputs.
 
 mod config_puller;
+mod list_schedule;
 mod membership;
 mod order;
 mod pause;
@@ -18,6 +19,7 @@
 mod view_sync;
 
 pub use config_puller::{ConfigPuller, Pull};
+pub use list_schedule::ListSchedule;
 pub use membership::{Membership, MembershipConfig, Message, MessageKind, Outgoing, Record};
 pub use order::{OrderGuard, StaleFence};
 pub use pause::PauseDetector;
--- a/crates/tc-membership/src/store_source.rs
+++ b/crates/tc-membership/src/store_source.rs
@@ -6,6 +6,7 @@
 use tc_protocol::{FailureDomain, InstanceId, Member, MonoTime};
 
 use crate::{
+    list_schedule::ListSchedule,
     rendezvous::rendezvous_score,
     store_sources::{StoreSources, WATCHER_COUNT},
 };
@@ -33,7 +34,7 @@
     /// Age of the newest confirmation from any source at which an instance watches the store
     /// itself.
     pub watch_after: Duration,
-    /// Age of its own confirmation at which the first watcher lists the store.
+    /// Age of its own confirmation at which the first watcher has listed the store at the latest.
     pub list_after: Duration,
     /// Added to `list_after` for each hop from the first watcher, so that another instance lists
     /// the store only if the first cannot.
@@ -58,6 +59,22 @@
             list_delay_per_hop: bound.mul_f64(0.02),
         }
     }
+
+    /// Returns when an instance at this position among the watchers lists the store, or one that is
+    /// not among them. Each position waits longer by its number of hops from the first watcher.
+    #[must_use]
+    pub fn list_schedule(&self, watcher_index: Option<usize>) -> ListSchedule {
+        let hops = match watcher_index {
+            Some(0) => 0,
+            // Each watcher follows the next one, and the last one follows the first.
+            Some(index) => WATCHER_COUNT - index,
+            None => WATCHER_COUNT,
+        };
+        ListSchedule {
+            complete_at: self.list_after + self.list_delay_per_hop * hops as u32,
+            is_first: hops == 0,
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -279,21 +296,10 @@
         }
     }
 
-    /// Returns the age of its confirmation at which this instance, while it watches, also lists the
-    /// store.
-    ///
-    /// A watch that is never answered is indistinguishable from a store without changes. The
-    /// listing of the first watcher confirms the state of all instances. Each of the others waits
-    /// longer by its number of hops from the first, so that it lists only if the first one fails.
+    /// Returns when this instance, while it watches, also lists the store.
     #[must_use]
-    pub fn list_after(&self) -> Duration {
-        let hops = match self.watcher_index {
-            Some(0) => 0,
-            // Each watcher follows the next one, and the last one follows the first.
-            Some(index) => WATCHER_COUNT - index,
-            None => WATCHER_COUNT,
-        };
-        self.timing.list_after + self.timing.list_delay_per_hop * hops as u32
+    pub fn list_schedule(&self) -> ListSchedule {
+        self.timing.list_schedule(self.watcher_index)
     }
 
     /// Returns the time until [`StoreSource::source`] and [`StoreSource::should_watch`] must be
--- a/crates/tc-membership/tests/store_source/fleet.rs
+++ b/crates/tc-membership/tests/store_source/fleet.rs
@@ -59,8 +59,12 @@
     pub(crate) current_as_of: Vec<MonoTime>,
     /// Time as of which each instance's state is confirmed.
     pub(crate) confirmed: Vec<MonoTime>,
-    /// Number of list calls made to the store so far.
-    pub(crate) lists: usize,
+    /// Time that a list takes.
+    pub(crate) list_time: Duration,
+    /// Start of the list that each instance is reading.
+    list_started: Vec<Option<MonoTime>>,
+    /// Number of lists that each instance has begun.
+    pub(crate) lists_begun: Vec<usize>,
 }
 
 impl Fleet {
@@ -79,7 +83,9 @@
             sources: sources.collect(),
             current_as_of: vec![now; count],
             confirmed: vec![now; count],
-            lists: 0,
+            list_time: Duration::ZERO,
+            list_started: vec![None; count],
+            lists_begun: vec![0; count],
         }
     }
 
@@ -110,20 +116,31 @@
     }
 
     /// A working watch delivers changes immediately but confirms nothing while it waits. A list
-    /// confirms the state.
+    /// confirms the state as of its start, and is abandoned once it is not due any more.
     fn read_store(&mut self, index: usize) {
         let now = self.now;
         let state = self.states[index];
         if state == State::Rejected || !self.sources[index].should_watch(now) {
+            self.list_started[index] = None;
             return;
         }
         if state == State::Healthy {
             self.current_as_of[index] = now;
         }
-        if now.since(self.confirmed[index]) >= self.sources[index].list_after() {
-            self.current_as_of[index] = now;
-            self.confirmed[index] = now;
-            self.lists += 1;
+        let schedule = self.sources[index].list_schedule();
+        let is_due = now.since(self.confirmed[index]) >= schedule.start_at(self.list_time);
+        if !is_due {
+            self.list_started[index] = None;
+            return;
+        }
+        let started = *self.list_started[index].get_or_insert_with(|| {
+            self.lists_begun[index] += 1;
+            now
+        });
+        if now.since(started) >= self.list_time {
+            self.list_started[index] = None;
+            self.current_as_of[index] = self.current_as_of[index].max(started);
+            self.confirmed[index] = started;
         }
     }
 
--- a/crates/tc-membership/tests/store_source/freshness.rs
+++ b/crates/tc-membership/tests/store_source/freshness.rs
@@ -16,6 +16,8 @@
 /// Half of the bound, after which an instance lists the store itself, plus two steps. The other
 /// half is left for batching changes and for the list call.
 const MAX_AGE: Duration = Duration::from_millis(2_000 + 2 * 20);
+/// Time of a list of 10,000 upstreams: 50 pages, and 9 ms for each.
+const LONG_LIST_TIME: Duration = Duration::from_millis(450);
 
 /// All combinations of states of the four watchers.
 fn all_states() -> impl Iterator<Item = [State; 4]> {
@@ -47,7 +49,19 @@
 /// by a state change of one watcher.
 #[test]
 fn no_instance_that_the_store_answers_is_older_than_the_bound() {
+    check_all_states(Duration::ZERO);
+}
+
+/// Guards against followers that give up their source because a list of 10,000 upstreams takes
+/// longer than the time left for it.
+#[test]
+fn long_lists_keep_all_instances_within_the_bound() {
+    check_all_states(LONG_LIST_TIME);
+}
+
+fn check_all_states(list_time: Duration) {
     let mut healthy = Fleet::new(COUNT);
+    healthy.list_time = list_time;
     healthy.run(BOUND);
     let watchers = healthy.watchers();
     assert_eq!(watchers.len(), 4);
@@ -83,12 +97,9 @@
     for count in [8, 80, 300] {
         let mut fleet = Fleet::new(count);
         fleet.run(BOUND * 5);
+        let lists: usize = fleet.lists_begun.iter().sum();
         let max_lists = 5.0 / 0.36;
-        assert!(
-            fleet.lists as f64 <= max_lists + 1.0,
-            "{} lists",
-            fleet.lists
-        );
+        assert!(lists as f64 <= max_lists + 1.0, "{lists} lists");
     }
 }
 
--- a/crates/tc-membership/tests/store_source/growth.rs
+++ b/crates/tc-membership/tests/store_source/growth.rs
@@ -41,6 +41,33 @@
     assert!(fleet.max_age() <= STEP);
 }
 
+/// Returns how many lists of a duration each instance begins in ten times the bound.
+fn lists_by_instance(list_time: Duration) -> Vec<usize> {
+    let mut fleet = Fleet::new(100);
+    fleet.list_time = list_time;
+    fleet.run(BOUND);
+    let before = fleet.lists_begun.clone();
+    fleet.run(BOUND * 10);
+    let begun = fleet.lists_begun.iter().zip(before);
+    begun.map(|(after, before)| after - before).collect()
+}
+
+/// Guards against four watchers that all list 10,000 upstreams after each change, because the list
+/// of the first is not complete when the others begin theirs.
+#[test]
+fn one_watcher_lists_the_store_however_long_that_takes() {
+    for upstreams in [100, 1_000, 10_000] {
+        // 9 ms for each page of 200.
+        let list_time = Duration::from_millis(9) * u32::div_ceil(upstreams, 200);
+        let lists = lists_by_instance(list_time);
+        let listing = lists.iter().filter(|lists| **lists > 0).count();
+        assert_eq!(listing, 1, "{upstreams} upstreams: {lists:?}");
+        let most = lists.into_iter().max().unwrap_or_default();
+        // At most one in each eighth of the bound.
+        assert!(most <= 80, "{upstreams} upstreams: {most} lists");
+    }
+}
+
 /// Guards against a fleet of which most instances list the store, page by page, after a whole level
 /// of relays has lost power at once.
 #[test]
