Reword tc-protocol in plain technical English

Doc comments that began with a question name what the item is: outcome, reason, time for which, maximum duration. No name, text or code changed.

--- a/crates/tc-protocol/src/config.rs
+++ b/crates/tc-protocol/src/config.rs
@@ -180,7 +180,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Policy {
-    /// How long callers may cache an address response, in seconds.
+    /// Time for which callers may cache an address response, in seconds.
     pub address_max_age_s: u64,
     /// Number of instances that a workspace of weight 1 is spread over.
     pub shard_size: u32,
--- a/crates/tc-protocol/src/decision.rs
+++ b/crates/tc-protocol/src/decision.rs
@@ -41,7 +41,7 @@
         attempt: Attempt,
         /// Selected upstream.
         upstream: UpstreamId,
-        /// Why this upstream was selected, for people to read.
+        /// Reason for the selection of this upstream, as readable text.
         why: String,
         /// Time in the queue of the home, in milliseconds.
         waited_ms: f64,
@@ -83,7 +83,7 @@
         stage: StageName,
         /// Attempt of the stage.
         attempt: Attempt,
-        /// How the call ended.
+        /// Outcome of the call.
         outcome: Outcome,
         /// Whether the call ran.
         run_state: RunState,
--- a/crates/tc-protocol/src/error.rs
+++ b/crates/tc-protocol/src/error.rs
@@ -17,7 +17,7 @@
         name: String,
         /// Description of the problem.
         problem: String,
-        /// How to resolve the problem.
+        /// Instruction for resolving the problem.
         #[help]
         help: String,
     },
@@ -33,7 +33,7 @@
         /// Location of the problem in the file.
         #[label("here")]
         at: Option<SourceSpan>,
-        /// How to resolve the problem.
+        /// Instruction for resolving the problem.
         #[help]
         help: String,
     },
@@ -45,7 +45,7 @@
         folder: String,
         /// Description of the problem.
         problem: String,
-        /// How to resolve the problem.
+        /// Instruction for resolving the problem.
         #[help]
         help: String,
     },
@@ -55,7 +55,7 @@
     Conflict {
         /// The file or object in conflict and who changed it.
         problem: String,
-        /// How to resolve the problem.
+        /// Instruction for resolving the problem.
         #[help]
         help: String,
     },
@@ -67,7 +67,7 @@
         peer: String,
         /// Description of the problem.
         problem: String,
-        /// How to resolve the problem.
+        /// Instruction for resolving the problem.
         #[help]
         help: String,
     },
@@ -77,7 +77,7 @@
     Usage {
         /// Description of the problem.
         problem: String,
-        /// How to resolve the problem.
+        /// Instruction for resolving the problem.
         #[help]
         help: String,
     },
@@ -89,7 +89,7 @@
         address: std::net::SocketAddr,
         /// Error reported by the operating system.
         problem: String,
-        /// How to resolve the problem.
+        /// Instruction for resolving the problem.
         #[help]
         help: String,
     },
--- a/crates/tc-protocol/src/permit.rs
+++ b/crates/tc-protocol/src/permit.rs
@@ -60,7 +60,7 @@
     pub priority: u8,
     /// Maximum queueing time; a call that starts later cannot meet its deadline.
     pub slack: Duration,
-    /// How long the call may run once granted; the permit expires a grace period later.
+    /// Maximum duration of the granted call; the permit expires a grace period later.
     pub run_for: Duration,
     /// Estimated cost, replaced by the actual cost on release.
     pub estimate: Cost,
@@ -87,7 +87,7 @@
     pub waited: Duration,
 }
 
-/// Why a permit request was refused. After a refusal the call has not been sent.
+/// Reason for the refusal of a permit request. The call of a refused request has not been sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalReason {
@@ -114,7 +114,7 @@
     pub retry_after: Duration,
 }
 
-/// How a granted call ended.
+/// Outcome of a granted call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
@@ -139,7 +139,7 @@
 pub struct Release {
     /// Permit to release.
     pub permit: PermitId,
-    /// How the call ended.
+    /// Outcome of the call.
     pub outcome: Outcome,
     /// Whether the call ran, as far as known.
     pub run_state: RunState,
--- a/crates/tc-protocol/src/problem.rs
+++ b/crates/tc-protocol/src/problem.rs
@@ -106,7 +106,7 @@
     pub status: u16,
     /// Readable form of the kind.
     pub title: String,
-    /// What happened and what the caller can do.
+    /// Description of the problem and of what the caller can do about it.
     pub detail: String,
     /// Whether any part of the request may have run.
     pub run_state: RunState,
--- a/crates/tc-protocol/src/routing/config.rs
+++ b/crates/tc-protocol/src/routing/config.rs
@@ -113,7 +113,7 @@
     pub public: bool,
     /// Maximum time between two events of a stream.
     pub max_event_gap: Option<Duration>,
-    /// How long callers wait for the first event of a stream before they disconnect, if less than their deadline.
+    /// Time after which callers that have received no event of a stream disconnect, if it is less than their deadline.
     pub first_event_timeout: Option<Duration>,
 }
 
@@ -146,7 +146,7 @@
 /// Reduced capacity of a cold upstream: one that has just started or has lost its warmed-up state.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdStartSpec {
-    /// How long an upstream stays cold after its start.
+    /// Time for which an upstream stays cold after its start.
     pub duration: Duration,
     /// Requests per second that a cold upstream tolerates; it crashes at rates well above.
     pub max_requests_per_s: f64,
@@ -167,7 +167,7 @@
     pub piece_time: Duration,
     /// Storage for results, in bytes.
     pub result_capacity_bytes: u64,
-    /// How long a result is kept unless it is freed earlier.
+    /// Time for which a result is kept unless it is freed earlier.
     pub result_ttl: Duration,
     /// Bandwidth of the network link, in bytes per second.
     pub link_bytes_per_s: f64,
--- a/crates/tc-protocol/src/routing/piece.rs
+++ b/crates/tc-protocol/src/routing/piece.rs
@@ -96,7 +96,7 @@
     pub input: PieceInput,
 }
 
-/// Why a piece was not processed.
+/// Reason why a piece was not processed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PieceFailure {
     /// Its time had run out when the upstream reached it.
@@ -112,7 +112,7 @@
 /// Result of a piece.
 pub type PieceResult = Result<ResultHandle, PieceFailure>;
 
-/// Why a stage of a request was not completed.
+/// Reason why a stage of a request was not completed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StageRefusal {
     /// The stage would complete too late; the backlog is expected to clear after `retry_after`.
--- a/crates/tc-protocol/src/wire/platform.rs
+++ b/crates/tc-protocol/src/wire/platform.rs
@@ -110,7 +110,7 @@
 pub struct AddressAnswer {
     /// Addresses to use, in order of preference.
     pub instances: Vec<CallerAddress>,
-    /// How long the response may be cached, in seconds.
+    /// Time for which the response may be cached, in seconds.
     pub max_age_s: u64,
 }
 
--- a/crates/tc-protocol/src/wire/upstream.rs
+++ b/crates/tc-protocol/src/wire/upstream.rs
@@ -52,7 +52,7 @@
 pub struct CompletionChoice {
     /// Generated text.
     pub text: String,
-    /// Why generation ended: `length` or `stop`.
+    /// Reason for the end of generation: `length` or `stop`.
     pub finish_reason: String,
 }
 
