Reword tc-policy in plain technical English

Doc comments that began with a question name what the item is: outcome, reason, time for which, maximum duration.

--- a/crates/tc-policy/src/batch/chain_admission.rs
+++ b/crates/tc-policy/src/batch/chain_admission.rs
@@ -17,7 +17,7 @@
 };
 use crate::StageGraph;
 
-/// How an admitted request is scheduled.
+/// Schedule of an admitted request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AdmittedChain {
     /// Time within which the first stage must be done for the request to be on time.
--- a/crates/tc-policy/src/batch/completion.rs
+++ b/crates/tc-policy/src/batch/completion.rs
@@ -17,7 +17,7 @@
 /// Weight of the latest call in the moving average: a dozen calls, half a second of a service, change most of it.
 const CALL_TIME_WEIGHT: f64 = 0.1;
 
-/// How a call ended.
+/// Outcome of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub enum CallEnd {
     /// The upstream answered, with one result for each piece.
--- a/crates/tc-policy/src/batch/refused.rs
+++ b/crates/tc-policy/src/batch/refused.rs
@@ -6,7 +6,7 @@
 
 use tc_protocol::{Fingerprint, MonoTime};
 
-/// How long a refusal is remembered. Callers retry within a third of their time limit, which is a few seconds.
+/// Time for which a refusal is remembered. Callers retry within a third of their time limit, which is a few seconds.
 const RETENTION: Duration = Duration::from_secs(8);
 /// Maximum number of remembered refusals: eight seconds at 2,000 refusals per second, in half a megabyte.
 const MAX_ENTRIES: usize = 16_384;
--- a/crates/tc-policy/src/home/foreign.rs
+++ b/crates/tc-policy/src/home/foreign.rs
@@ -8,7 +8,7 @@
 const STEP: Duration = Duration::from_millis(250);
 /// Steps kept. Reports about an earlier time are ignored.
 const HISTORY_STEPS: usize = 40;
-/// How long a report is used.
+/// Time for which a report is used.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
 
 /// Compares each report with the home's own calls in flight at the time that the report describes.
--- a/crates/tc-policy/src/home/health.rs
+++ b/crates/tc-policy/src/home/health.rs
@@ -17,7 +17,7 @@
 const MAX_SERVICE_TIMES: usize = 32;
 /// Minimum number of service times to evaluate.
 const MIN_SERVICE_TIMES: usize = 6;
-/// How long a service time is kept.
+/// Time for which a service time is kept.
 const SERVICE_TIME_LIFETIME: Duration = Duration::from_secs(30);
 /// Maximum number of outcomes kept.
 const MAX_OUTCOMES: usize = 16;
@@ -36,7 +36,7 @@
 /// Number of consecutive successful probes after which the upstream is readmitted.
 const PROBES_TO_READMIT: u32 = 2;
 
-/// What the home should do after an evaluation.
+/// Action for the home to take after an evaluation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HealthAction {
     /// Change nothing.
--- a/crates/tc-policy/src/home/mod.rs
+++ b/crates/tc-policy/src/home/mod.rs
@@ -43,9 +43,9 @@
     pub weight: u32,
     /// From 0 (most urgent) to 7.
     pub priority: u8,
-    /// How long the request may wait.
+    /// Maximum time for which the request may wait.
     pub slack: Duration,
-    /// How long the call may run.
+    /// Maximum duration of the call.
     pub run_for: Duration,
     /// Estimated cost. `busy_ms` is the typical service time of a call of this size, or 0 if unknown. A call that was
     /// expected to take long does not indicate a slow upstream.
@@ -75,7 +75,7 @@
     },
     /// The request is refused. The home keeps no state for it.
     Refused {
-        /// Why it is refused.
+        /// Reason for the refusal.
         reason: RefusalReason,
         /// When a retry may succeed.
         retry_after: Duration,
@@ -93,14 +93,14 @@
         permit: PermitId,
         /// Time until the permit expires.
         expires_in: Duration,
-        /// How long the request waited.
+        /// Time for which the request waited.
         waited: Duration,
     },
     /// A waiting request is refused.
     Dropped {
         /// The request.
         request: QueuedRequestKey,
-        /// Why it is refused.
+        /// Reason for the refusal.
         reason: RefusalReason,
         /// When a retry may succeed.
         retry_after: Duration,
--- a/crates/tc-policy/src/home/queue.rs
+++ b/crates/tc-policy/src/home/queue.rs
@@ -24,7 +24,7 @@
     pub(super) struct FlowKey;
 }
 
-/// How long a workspace counts as active after its last request or running call.
+/// Time for which a workspace counts as active after its last request or running call.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time over which a workspace's concurrent calls are averaged.
 const CONCURRENCY_WINDOW: Duration = Duration::from_secs(10);
--- a/crates/tc-policy/src/limit/mod.rs
+++ b/crates/tc-policy/src/limit/mod.rs
@@ -13,9 +13,9 @@
 pub use home::LimitHome;
 pub(crate) use token_bucket::TokenBucket;
 
-/// How long a share is valid after the entry receives it.
+/// Time for which a share is valid after the entry receives it.
 pub(crate) const SHARE_LIFETIME: Duration = Duration::from_secs(2);
-/// How long the home counts a share as in use, which includes network delays.
+/// Time for which the home counts a share as in use, which includes network delays.
 pub(crate) const SHARE_RESERVED_FOR: Duration = Duration::from_secs(3);
 /// Time from receiving a share until the entry may raise its rate to the equal share.
 ///
--- a/crates/tc-policy/src/upstream_limit/known.rs
+++ b/crates/tc-policy/src/upstream_limit/known.rs
@@ -7,7 +7,7 @@
     routing::{RateLimit, RateLimitUpdate},
 };
 
-/// How long to gossip that a limit was lifted.
+/// Time for which instances gossip that a limit was lifted.
 const LIFTED_LIMIT_GOSSIP_TIME: Duration = Duration::from_secs(30);
 
 #[derive(Clone, Debug)]
--- a/crates/tc-policy/src/upstream_limit/uncoordinated.rs
+++ b/crates/tc-policy/src/upstream_limit/uncoordinated.rs
@@ -10,7 +10,7 @@
 /// Part of the limit for instances that cannot reach the home. The home may still be granting sends at the full limit.
 const PART_BESIDE_HOME: f64 = 0.25;
 
-/// How instances that send without a grant share one upstream's limit.
+/// Sharing of one upstream's limit between instances that send without a grant.
 ///
 /// Rendezvous hashing selects `senders` instances, and each paces its sends at `per_s_each`. The number of senders
 /// depends on the limit and not on the number of instances, because each sender may have one send saved up.
--- a/crates/tc-policy/tests/upstream_limit/simulation.rs
+++ b/crates/tc-policy/tests/upstream_limit/simulation.rs
@@ -27,7 +27,7 @@
 const LIMITS_PER_REQUEST: usize = 32;
 const REPORT_DELAY: Duration = Duration::from_millis(10);
 
-/// How the fleet limits requests to the upstream.
+/// Ways in which the fleet limits requests to the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Strategy {
     /// The home paces its grants. While it does not answer, a few senders share a part of the limit.
@@ -47,7 +47,7 @@
     run: u64,
 }
 
-/// Why a request may be sent.
+/// Reason why a request may be sent.
 #[derive(Clone, Copy, Debug)]
 enum Permission {
     Granted(Grant),
