--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -6,6 +6,7 @@
 //! up to date.
 
 mod config;
+mod confirmations;
 mod evacuated;
 mod follow;
 mod kind_watch;
@@ -34,7 +35,10 @@
 
 use crate::{codec::PlatformCodec, freeze::PauseMonitor};
 
+use confirmations::{Confirmations, PART_COUNT};
+
 pub(crate) use config::ActiveConfig;
+pub(crate) use confirmations::WorldPart;
 pub(crate) use evacuated::watch_evacuations;
 pub(crate) use follow::{StoreRole, follow_source};
 pub(crate) use relay::{Followers, relay_world};
@@ -71,17 +75,6 @@
 /// this, because each request names the upstream it is meant for.
 const MAX_FRESH_WAIT: Duration = Duration::from_millis(300);
 
-/// The parts of the store that are read independently.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum WorldPart {
-    Config,
-    Upstreams,
-    Evacuations,
-}
-
-/// Number of variants of [`WorldPart`].
-const PART_COUNT: usize = 3;
-
 /// Publishes the newest snapshot, and decides which data is newer.
 pub(crate) struct WorldCell {
     codec: PlatformCodec,
@@ -92,12 +85,7 @@
     pause_monitor: Arc<PauseMonitor>,
     /// For each part, the number of pauses of this process before its last full read.
     pauses_at_full_read: [AtomicU64; PART_COUNT],
-    /// Time as of which each part is confirmed, which means that it includes every change that the
-    /// store had accepted by then. In microseconds of [`MonoTime`]; 0 for a part without a
-    /// confirmation, `u64::MAX` for a disabled part.
-    confirmed: [AtomicU64; PART_COUNT],
-    /// Sends the time as of which all parts are confirmed, when it changes.
-    confirmations: Sender<MonoTime>,
+    confirmations: Confirmations,
     followers: Arc<Followers>,
     /// Number of the last pause after which no fresh read came in time, so that requests no longer
     /// wait for one.
@@ -113,8 +101,7 @@
             changes: Sender::new(0),
             pause_monitor,
             pauses_at_full_read: Default::default(),
-            confirmed: Default::default(),
-            confirmations: Sender::new(MonoTime::default()),
+            confirmations: Confirmations::default(),
             followers: Arc::default(),
             gave_up_at: AtomicU64::new(0),
         }
@@ -132,7 +119,7 @@
     /// Disables a part that this deployment does not use, so that nothing waits for it.
     pub(crate) fn disable_part(&self, part: WorldPart) {
         self.pauses_at_full_read[part as usize].store(u64::MAX, Ordering::Release);
-        self.confirmed[part as usize].store(u64::MAX, Ordering::Release);
+        self.confirmations.disable(part);
     }
 
     /// Records a full read of a part that started after the given number of pauses.
@@ -204,12 +191,7 @@
 
     /// Confirms all parts as of a time reported by another instance.
     pub(crate) fn confirm_all(&self, store_read: &StoreRead, as_of: MonoTime) {
-        let all = [
-            WorldPart::Config,
-            WorldPart::Upstreams,
-            WorldPart::Evacuations,
-        ];
-        self.confirm_as_of(&all, store_read, as_of);
+        self.confirm_as_of(&WorldPart::ALL, store_read, as_of);
     }
 
     fn confirm_as_of(&self, parts: &[WorldPart], store_read: &StoreRead, as_of: MonoTime) {
@@ -218,33 +200,21 @@
         if self.pause_monitor.count() != store_read.pauses {
             return;
         }
-        for part in parts {
-            self.confirmed[*part as usize].fetch_max(as_of.0, Ordering::AcqRel);
-        }
-        let confirmed = self.confirmed();
-        self.confirmations
-            .send_if_modified(|known| std::mem::replace(known, confirmed) != confirmed);
+        self.confirmations.confirm(parts, as_of);
     }
 
     /// Drops all confirmations, after a pause of this process.
     pub(crate) fn reset_confirmations(&self) {
-        for part in &self.confirmed {
-            // A disabled part stays confirmed.
-            let _ = part.fetch_update(Ordering::AcqRel, Ordering::Acquire, |time| {
-                (time != u64::MAX).then_some(0)
-            });
-        }
+        self.confirmations.reset();
     }
 
     pub(crate) fn part_confirmed(&self, part: WorldPart) -> MonoTime {
-        MonoTime(self.confirmed[part as usize].load(Ordering::Acquire))
+        self.confirmations.of(part)
     }
 
     /// Returns the time as of which all parts are confirmed.
     pub(crate) fn confirmed(&self) -> MonoTime {
-        let parts = self.confirmed.iter();
-        let oldest = parts.map(|part| part.load(Ordering::Acquire)).min();
-        MonoTime(oldest.unwrap_or_default())
+        self.confirmations.oldest()
     }
 
     /// Returns a receiver of the time as of which all parts are confirmed.
