Check that relays have followers before they are lost

The test of the loss of all relays passed also with relays switched off. It now requires that nine in ten instances follow one; it fails with relays off and passes with them.

--- a/crates/tc-membership/tests/store_source/growth.rs
+++ b/crates/tc-membership/tests/store_source/growth.rs
@@ -77,8 +77,14 @@
         let relays = StoreSources::new(&all).relays;
         let mut fleet = Fleet::new(instances);
         fleet.run(Duration::from_secs(3));
+        let is_relay = |id: &InstanceId| relays.iter().any(|relay| relay.id == *id);
+        let now = fleet.now;
+        let sources = fleet.sources.iter_mut();
+        let following = sources.filter_map(|source| source.source(now));
+        let following = following.filter(is_relay).count();
+        assert!(following * 10 >= instances * 9, "{following} follow relays");
         for index in 0..instances {
-            if relays.iter().any(|relay| relay.id == id(index)) {
+            if is_relay(&id(index)) {
                 fleet.states[index] = State::Silent;
             }
         }
