--- a/crates/tc-fleet/src/error.rs
+++ b/crates/tc-fleet/src/error.rs
@@ -5,7 +5,7 @@
 use miette::Diagnostic;
 use thiserror::Error;
 
-/// Why the fleet layer could not start or a call between instances failed.
+/// Failure of the fleet layer to start, or of a call between instances.
 #[derive(Debug, Error, Diagnostic)]
 pub enum FleetError {
     /// The listener on the fleet address could not be opened.
--- a/crates/tc-fleet/src/settings.rs
+++ b/crates/tc-fleet/src/settings.rs
@@ -7,7 +7,7 @@
 
 use crate::FleetKeys;
 
-/// How permit requests are decided.
+/// Party that decides on permit requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum PermitPolicy {
     /// By the upstreams' homes.
@@ -29,7 +29,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Keys that authenticate instances to each other.
     pub keys: FleetKeys,
-    /// How permit requests are decided.
+    /// Party that decides on permit requests.
     pub policy: PermitPolicy,
     /// Membership and probe settings.
     pub membership: MembershipConfig,
--- a/crates/tc-fleet/src/store_watch.rs
+++ b/crates/tc-fleet/src/store_watch.rs
@@ -18,7 +18,7 @@
 /// Kind of the objects that mark upstreams as drained. An object's name is the upstream's identifier.
 pub(crate) const DRAIN_KIND: &str = "tanagercroft-drain";
 
-/// How long a watch call waits at the platform. Must be shorter than the pull timeout of `ConfigPuller`.
+/// Time for which a watch call waits at the platform. Must be shorter than the pull timeout of `ConfigPuller`.
 const WATCH_WAIT: Duration = Duration::from_secs(4);
 /// Minimum interval between two reads of the instance list by one instance, before jitter.
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -16,7 +16,7 @@
 pub struct RequestHead {
     /// The id that the caller gave to this attempt.
     pub request: Arc<str>,
-    /// How long the caller waits for the answer.
+    /// Time for which the caller waits for the answer.
     pub remaining: Option<Duration>,
     /// The API key, which identifies the workspace.
     pub key: Option<Arc<str>>,
@@ -30,7 +30,7 @@
     pub resume_after: Option<u64>,
 }
 
-/// Why the headers of a request are invalid.
+/// Reason why the headers of a request are invalid.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum HeadError {
     /// A required header is missing.
@@ -41,10 +41,10 @@
     Malformed(&'static str),
 }
 
-/// What the gateway tells an upstream in addition to the caller's headers.
+/// Headers that the gateway sends to an upstream in addition to the caller's.
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamRequestHead<'a> {
-    /// How long the upstream has to answer.
+    /// Time within which the upstream has to answer.
     pub remaining: Duration,
     /// The upstream process that the request is for; another process at the same address must not run it.
     pub upstream: &'a UpstreamId,
--- a/crates/tc-gateway/src/engines/reports.rs
+++ b/crates/tc-gateway/src/engines/reports.rs
@@ -11,7 +11,7 @@
 
 use super::EngineHomes;
 
-/// How long reports are collected into a batch: an engine takes ten times as long to read a short prompt.
+/// Time for which reports are collected into a batch. An engine takes ten times as long to read a short prompt.
 const BATCH_DELAY: Duration = Duration::from_millis(3);
 /// Maximum number of reports received at once.
 const MAX_BATCH: usize = 1_024;
--- a/crates/tc-gateway/src/homes/chains.rs
+++ b/crates/tc-gateway/src/homes/chains.rs
@@ -26,7 +26,7 @@
 /// call in this time. Polling costs each home of a first stage forty short calls a second; polling half as often
 /// costs a hundredth of the work completed in time.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
-/// How long a home is still polled after the last request with such a stage.
+/// Time for which a home is still polled after the last request with such a stage.
 const POLL_AFTER_LAST_REQUEST: Duration = Duration::from_secs(1);
 
 #[derive(Default)]
@@ -36,7 +36,7 @@
     recent_services: BTreeMap<ServiceName, MonoTime>,
 }
 
-/// What the homes on this instance know of other homes.
+/// State of other homes, as known to the homes on this instance.
 #[derive(Default)]
 pub(super) struct ChainAdmissions {
     known: Mutex<Known>,
--- a/crates/tc-gateway/src/homes/release.rs
+++ b/crates/tc-gateway/src/homes/release.rs
@@ -6,7 +6,7 @@
 use tc_protocol::{ServiceName, routing::ResultHandle};
 use tokio::{sync::mpsc, time::sleep};
 
-/// How long results are collected into a batch. The capacity that a result takes is worth a hundred times this delay,
+/// Time for which results are collected into a batch. The capacity that a result takes is worth a hundred times this delay,
 /// and one call releases the whole batch.
 const BATCH_DELAY: Duration = Duration::from_millis(5);
 /// Maximum number of results received at once.
--- a/crates/tc-gateway/src/routing.rs
+++ b/crates/tc-gateway/src/routing.rs
@@ -15,7 +15,7 @@
     by_host: HashMap<String, Vec<Arc<Route>>>,
 }
 
-/// Why the routes of a configuration are invalid.
+/// Reason why the routes of a configuration are invalid.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum RouteTableError {
     /// Two routes have the same host and path prefix.
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -40,7 +40,7 @@
     current_upstream: Option<UpstreamId>,
 }
 
-/// Why an attempt produced no usable answer.
+/// Reason why an attempt produced no usable answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum SendFailure {
     /// The upstream did not run the request.
@@ -59,7 +59,7 @@
     TimedOut,
 }
 
-/// What is wrong with an answer.
+/// Defect of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AnswerFault {
     /// The connection broke before the answer was complete, as when the upstream crashes.
@@ -89,7 +89,7 @@
     pub(super) run: Option<EngineRun>,
 }
 
-/// What an attempt adds to the request itself.
+/// Parameters that an attempt adds to the request itself.
 #[derive(Clone, Copy, Default)]
 pub(super) struct SendOptions<'a> {
     /// Results of the request's stages; `None` for routes without stages.
--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -141,7 +141,7 @@
     }
 }
 
-/// Why an answer was not read to its end.
+/// Reason why an answer was not read to its end.
 enum AnswerError {
     Failed(CallError),
     /// This process holds too many bytes already.
--- a/crates/tc-gateway/src/run/refusal.rs
+++ b/crates/tc-gateway/src/run/refusal.rs
@@ -12,7 +12,7 @@
 /// Default `Retry-After`: about the time until a failed or full upstream is detected and others have taken over.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// Why a request ends without an answer from an upstream.
+/// Reason why a request ends without an answer from an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
     pub(crate) status: StatusCode,
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -183,7 +183,7 @@
     }
 }
 
-/// Why a stream ended early.
+/// Reason why a stream ended early.
 struct StreamFault {
     kind: AnswerFault,
     problem: String,
--- a/crates/tc-gateway/src/serve/accept.rs
+++ b/crates/tc-gateway/src/serve/accept.rs
@@ -26,7 +26,7 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 /// Number of unanswered probes after which the connection is closed.
 const KEEP_ALIVE_RETRIES: u32 = 3;
-/// How long data sent to a caller may stay unacknowledged (`TCP_USER_TIMEOUT`). Without this limit, a
+/// Time for which data sent to a caller may stay unacknowledged (`TCP_USER_TIMEOUT`). Without this limit, a
 /// caller that was disconnected would keep its request running at the upstream.
 const USER_TIMEOUT: Duration = Duration::from_secs(6);
 
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -233,7 +233,7 @@
     Ok(known.cloned())
 }
 
-/// Why the body of a request cannot be used.
+/// Reason why the body of a request cannot be used.
 enum BodyError {
     TooLarge,
     /// This process holds too many bytes already.
--- a/crates/tc-gateway/src/settings.rs
+++ b/crates/tc-gateway/src/settings.rs
@@ -43,7 +43,7 @@
     /// Maximum time from the store's acknowledgement of an evacuation until every instance applies
     /// it, or `None` if failure domains are not evacuated and need not be watched.
     pub evacuation_limit: Option<Duration>,
-    /// How far the load of cold upstreams may exceed their limit.
+    /// Tolerated excess of the load of cold upstreams over their limit.
     pub cold: ColdAllowance,
     /// Maximum number of bytes of requests and answers that this process holds at a time.
     pub max_held_bytes: usize,
@@ -54,7 +54,7 @@
     pub suspended: SuspendedTime,
 }
 
-/// How far the load of a cold upstream may exceed its limit, across all instances.
+/// Tolerated excess of the load of a cold upstream over its limit, across all instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdAllowance {
     /// Factor applied to the limit in requests per second.
--- a/crates/tc-gateway/src/upstream_stats.rs
+++ b/crates/tc-gateway/src/upstream_stats.rs
@@ -1,4 +1,4 @@
-//! What this instance knows of upstreams from its own calls: calls in progress, failures and response times.
+//! Statistics of upstreams from this instance's own calls: calls in progress, failures and response times.
 
 use std::{
     collections::HashMap,
@@ -22,9 +22,9 @@
 /// Ratio to the median of its service from which on an upstream counts as slow. Times to the first byte vary by a
 /// factor of two with the length of the prompt.
 const SLOW_RATIO: f64 = 2.5;
-/// How long a reported load is valid: about as long as a call takes.
+/// Time for which a reported load is valid, which is about the duration of a call.
 const LOAD_MAX_AGE: Duration = Duration::from_millis(100);
-/// How long a measured time is valid.
+/// Time for which a measured time is valid.
 const TIME_MAX_AGE: Duration = Duration::from_secs(6);
 
 #[derive(Debug, Default)]
