Start the other watchers' lists when the first should be known

Cause: since the first watcher started its list early by the time of two lists. The checks of an idle watch came more often the longer a list takes: 12 to 14 calls in two seconds with 1,500 upstreams in a debug build, 8 with 10; the test of these calls, which the change had not been run against, failed.

Change: the first watcher starts early by the time of one list, as before. The others start no earlier than the first list should be known to them, and still complete theirs before followers leave a source.

--- a/crates/tc-membership/src/store_source.rs
+++ b/crates/tc-membership/src/store_source.rs
@@ -72,7 +72,8 @@
         };
         ListSchedule {
             complete_at: self.list_after + self.list_delay_per_hop * hops as u32,
-            is_first: hops == 0,
+            first_known_at: (hops > 0).then_some(self.list_after + self.list_delay_per_hop),
+            latest: self.stale_after,
         }
     }
 }
--- a/crates/tc-membership/tests/store_source/growth.rs
+++ b/crates/tc-membership/tests/store_source/growth.rs
@@ -56,15 +56,15 @@
 /// of the first is not complete when the others begin theirs.
 #[test]
 fn one_watcher_lists_the_store_however_long_that_takes() {
-    for upstreams in [100, 1_000, 10_000] {
-        // 9 ms for each page of 200.
-        let list_time = Duration::from_millis(9) * u32::div_ceil(upstreams, 200);
+    for upstreams in [100, 1_000, 10_000, 20_000] {
+        // 9 ms for each page of 200, at most 13 pages of which are read one after the other.
+        let list_time = Duration::from_millis(9) * u32::div_ceil(upstreams, 200).min(13);
         let lists = lists_by_instance(list_time);
         let listing = lists.iter().filter(|lists| **lists > 0).count();
         assert_eq!(listing, 1, "{upstreams} upstreams: {lists:?}");
         let most = lists.into_iter().max().unwrap_or_default();
-        // At most one in each eighth of the bound.
-        assert!(most <= 80, "{upstreams} upstreams: {most} lists");
+        // At most one in each quarter of the bound.
+        assert!(most <= 40, "{upstreams} upstreams: {most} lists");
     }
 }
 
