Estimate the time of a list for each kind again

Cause: since all parts of the store were listed as early as the longest list requires.

Change: each kind has an estimate of its own.

--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -110,7 +110,6 @@
             drain_time: settings.drain_time,
             should_watch: role.should_watch(),
             list_schedule: role.list_schedule(),
-            list_times: Arc::default(),
         };
         tokio::spawn(watch_config(watch.clone()));
         tokio::spawn(watch_upstreams(watch.clone()));
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -14,7 +14,7 @@
 use tc_protocol::MonoTime;
 use tokio::{sync::watch::Receiver, time::sleep, time::timeout};
 
-use super::{StoreRead, WorldCell, WorldPart, list_times::ListTimes};
+use super::{StoreRead, WorldCell, WorldPart, list_time::ListTime};
 
 /// Maximum duration of one watch without a change. Each watch is one charged store call. TCP
 /// keepalive detects dead connections, so a long wait costs nothing.
@@ -56,7 +56,7 @@
     /// or stop answering this instance while it answers others. Without a list, neither can be told
     /// from a store without changes.
     pub(super) list_schedule: Receiver<ListSchedule>,
-    pub(super) list_times: Arc<ListTimes>,
+    pub(super) list_time: ListTime,
 }
 
 /// Result of a watch that was checked by lists.
@@ -74,7 +74,7 @@
             .list_known_kind(self.purpose, &self.dialect, self.kind, known)
             .await?;
         let took = MonoTime::now().since(store_read.started_at);
-        self.list_times.record(self.part, took, listed.items.len());
+        self.list_time.record(took, listed.items.len());
         Ok((listed, store_read))
     }
 
@@ -183,7 +183,7 @@
     }
 
     fn time_until_list(&self, objects: usize) -> Duration {
-        let list_time = self.list_times.longest(self.part, objects);
+        let list_time = self.list_time.estimate(objects);
         let start_at = self.list_schedule.borrow().start_at(list_time);
         let due = self.cell.part_confirmed(self.part).after(start_at);
         due.since(MonoTime::now())
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -10,7 +10,7 @@
 mod evacuated;
 mod follow;
 mod kind_watch;
-mod list_times;
+mod list_time;
 mod relay;
 mod removals;
 mod store_read;
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -14,7 +14,7 @@
 use super::{
     WorldCell, WorldPart,
     kind_watch::{KindUpdate, KindWatch, WATCH_WAIT, WatchTarget},
-    list_times::ListTimes,
+    list_time::ListTime,
     removals::HeldRemovals,
 };
 use crate::codec::PlatformCodec;
@@ -39,7 +39,6 @@
     pub(crate) should_watch: Receiver<bool>,
     /// When this instance lists a part in addition to watching it.
     pub(crate) list_schedule: Receiver<ListSchedule>,
-    pub(crate) list_times: Arc<ListTimes>,
 }
 
 impl WatchContext {
@@ -59,7 +58,7 @@
             cell: Arc::clone(&self.cell),
             part,
             list_schedule: self.list_schedule.clone(),
-            list_times: Arc::clone(&self.list_times),
+            list_time: ListTime::default(),
         }
     }
 }
