Use a slow upstream of stages while faster ones are in backoff

An idle upstream waits if a faster one would be done sooner, and the backoff of the faster one was not counted. Once the only other upstream was measured 1.5 times slower, the job waited for the one in backoff until its deadline.

Change: the time until an upstream's backoff ends counts as time until it starts.

Result: a test in simulated time failed before and passes; all tests of the crate pass.

--- a/crates/tc-policy/src/batch/dispatch.rs
+++ b/crates/tc-policy/src/batch/dispatch.rs
@@ -195,6 +195,7 @@
                     other.busy_until.since(now)
                 };
                 let start = start.max(other.rate_limit_wait(now));
+                let start = start.max(other.not_before.since(now));
                 start + self.spec.call_overhead.mul_f64(other.slowdown)
             })
             .min()
--- a/crates/tc-policy/tests/batch/order.rs
+++ b/crates/tc-policy/tests/batch/order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tc_policy::{BatchCall, JobKey, NewJob};
+use tc_policy::{BatchCall, BatchPlanner, CallEnd, JobKey, NewJob};
 use tc_protocol::routing::StageRefusal;
 
 use crate::common::{at, handle, job, piece_names, planner, push, success, upstreams};
@@ -269,31 +269,14 @@
     );
 }
 
-/// Guards against late answers although most upstreams are fast: an upstream that became five times slower is idle when
-/// a job arrives, and must not get it only because it is free.
-#[test]
-fn a_slow_upstream_is_left_idle_while_faster_ones_are_done_sooner() {
+/// Returns a planner, and a time, at which the upstream `u0` has been five times slower than `u1` for seconds.
+fn planner_with_a_slow_upstream() -> (BatchPlanner, u64) {
     let mut planner = planner(&["a", "a"]);
     let mut now = 0;
     for round in 0..12 {
-        push(
-            &mut planner,
-            at(now),
-            NewJob {
-                in_time_until: at(now + 900),
-                deadline: at(now + 9_000),
-                ..job(&format!("r{round}"), 14)
-            },
-        );
-        push(
-            &mut planner,
-            at(now),
-            NewJob {
-                in_time_until: at(now + 900),
-                deadline: at(now + 9_000),
-                ..job(&format!("s{round}"), 14)
-            },
-        );
+        for name in ["r", "s"] {
+            push_at(&mut planner, now, &format!("{name}{round}"), 14);
+        }
         let mut calls = Vec::new();
         while let Some(call) = planner.next_call(at(now)) {
             calls.push(call);
@@ -309,26 +292,27 @@
         }
         now += 2_000;
     }
-    push(
-        &mut planner,
-        at(now),
-        NewJob {
-            in_time_until: at(now + 900),
-            deadline: at(now + 9_000),
-            ..job("x", 2)
-        },
-    );
+    (planner, now)
+}
+
+fn push_at(planner: &mut BatchPlanner, now: u64, name: &str, pieces: u32) {
+    let new = NewJob {
+        in_time_until: at(now + 900),
+        deadline: at(now + 9_000),
+        ..job(name, pieces)
+    };
+    push(planner, at(now), new);
+}
+
+/// Guards against late answers although most upstreams are fast: an upstream that became five times slower is idle when
+/// a job arrives, and must not get it only because it is free.
+#[test]
+fn a_slow_upstream_is_left_idle_while_faster_ones_are_done_sooner() {
+    let (mut planner, now) = planner_with_a_slow_upstream();
+    push_at(&mut planner, now, "x", 2);
     let call = planner.next_call(at(now)).expect("a call");
     assert_eq!(call.upstream.as_str(), "u1");
-    push(
-        &mut planner,
-        at(now),
-        NewJob {
-            in_time_until: at(now + 900),
-            deadline: at(now + 9_000),
-            ..job("y", 2)
-        },
-    );
+    push_at(&mut planner, now, "y", 2);
     assert_eq!(
         planner.next_call(at(now)),
         None,
@@ -336,6 +320,19 @@
     );
 }
 
+/// Guards against jobs that wait until their deadline for a fast upstream that is in backoff, while a slow one is idle.
+#[test]
+fn a_slow_upstream_gets_the_job_while_faster_ones_are_in_backoff() {
+    let (mut planner, now) = planner_with_a_slow_upstream();
+    push_at(&mut planner, now, "x", 2);
+    let call = planner.next_call(at(now)).expect("a call");
+    assert_eq!(call.upstream.as_str(), "u1");
+    let backoff = CallEnd::RefusedWithBackoff(Duration::from_secs(5));
+    planner.end_call(at(now + 1), call.key, backoff);
+    let call = planner.next_call(at(now + 1)).expect("a call");
+    assert_eq!(call.upstream.as_str(), "u0");
+}
+
 /// Guards against avoidable transfers between failure domains, which cost as much as late answers. The ten pieces of a
 /// stage each read all results of the stage before, so a job with slack must not go to just any free upstream.
 #[test]
