Log and count each decision on a retry

Cause: nothing showed how much of a retry budget a process had used, how its share was computed or how long the process had run, so the hypotheses about retries beyond the fleet-wide budget could not be told apart. Change: a log line for each decision with the request's id, and the counter tc_retry_decisions_total. No decision is changed.

--- a/crates/tc-gateway/src/retry_budgets.rs
+++ b/crates/tc-gateway/src/retry_budgets.rs
@@ -20,6 +20,7 @@
 /// over all instances stays within the fleet-wide budget without coordination.
 pub(crate) struct RetryBudgets {
     settings: RetryBudgetSettings,
+    started: MonoTime,
     by_service: Mutex<HashMap<ServiceName, RetryBudget>>,
 }
 
@@ -27,6 +28,7 @@
     pub(crate) fn new(settings: RetryBudgetSettings) -> Self {
         Self {
             settings,
+            started: MonoTime::now(),
             by_service: Mutex::default(),
         }
     }
@@ -53,11 +55,28 @@
         });
     }
 
-    /// Spends one retry if the budget allows it.
-    pub(crate) fn try_spend(&self, service: &ServiceName, instances: usize) -> bool {
-        self.with(service, instances, |budget| {
-            budget.try_spend(MonoTime::now())
-        })
+    /// Spends one retry of the request if the budget allows it. Logs and counts the decision.
+    pub(crate) fn try_spend(&self, request: &str, service: &ServiceName, instances: usize) -> bool {
+        let now = MonoTime::now();
+        let (is_allowed, usage) = self.with(service, instances, |budget| {
+            (budget.try_spend(now), budget.usage(now))
+        });
+        let name = service.as_str();
+        let result = if is_allowed { "allowed" } else { "refused" };
+        metrics::counter!("tc_retry_decisions_total", "service" => name.to_owned(), "result" => result)
+            .increment(1);
+        log::info!(
+            request = request,
+            service = name,
+            result = result,
+            retries = usage.retries,
+            allowed = usage.allowed,
+            requests = usage.requests,
+            instances = instances,
+            process_age_ms = now.since(self.started).as_millis() as u64;
+            "retry decided"
+        );
+        is_allowed
     }
 
     fn with<T>(
--- a/crates/tc-policy/src/retry_budget.rs
+++ b/crates/tc-policy/src/retry_budget.rs
@@ -18,6 +18,17 @@
     pub window: Duration,
 }
 
+/// Use of a retry budget within its window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryUsage {
+    /// Requests counted.
+    pub requests: u64,
+    /// Retries taken.
+    pub retries: u64,
+    /// Retries allowed in total.
+    pub allowed: f64,
+}
+
 /// Counts the requests and retries of one service over a sliding window.
 ///
 /// Without a budget, every failing upstream multiplies the load on the others and the outage spreads.
@@ -66,16 +77,24 @@
 
     /// Takes one retry from the budget; returns false if the budget is exhausted.
     pub fn try_spend(&mut self, now: MonoTime) -> bool {
-        let window = self.limits.window;
-        let requests = self.requests.sum_within(now, window) as f64;
-        let spent = self.retries.sum_within(now, window) as f64;
-        let allowed = self.limits.ratio * requests + self.limits.extra;
-        if spent + 1.0 > allowed {
+        let usage = self.usage(now);
+        if usage.retries as f64 + 1.0 > usage.allowed {
             return false;
         }
         self.retries.add(now);
         true
     }
+
+    /// Returns the use of the budget within the window that ends now.
+    pub fn usage(&mut self, now: MonoTime) -> RetryUsage {
+        let window = self.limits.window;
+        let requests = self.requests.sum_within(now, window);
+        RetryUsage {
+            requests,
+            retries: self.retries.sum_within(now, window),
+            allowed: self.limits.ratio * requests as f64 + self.limits.extra,
+        }
+    }
 }
 
 /// Counts per step of the window, oldest first.
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -133,6 +133,7 @@
     count("tc_registry_unreadable_total", &[], "Registered upstreams that could not be read and were left out."),
     count("tc_requests_total", &[WORKSPACE, REQUEST_RESULT], "Requests that ended."),
     count("tc_retries_total", &[SERVICE], "Calls repeated after a failure."),
+    count("tc_retry_decisions_total", &[RESULT, SERVICE], "Decisions on whether the retry budget of a service allows another send of a routed request: `allowed` or `refused`."),
     count("tc_routed_answers_total", &[SERVICE], "Routed requests that an upstream answered."),
     millis("tc_routed_first_byte_ms", &[SERVICE], "Time from a routed request's arrival to the first byte of its answer."),
     count("tc_routed_refusals_total", &[REFUSAL_STATUS, REASON], "Routed requests that ended without an upstream's answer."),
