Keep the retries of all processes within the budget of the fleet

Class of fault: a limit over the fleet that is counted by a process.

Cause: a process began with an empty window and with its whole part of the fixed allowance, whatever the process before it had used; the part was 1/n of the members not believed dead at that moment, so that it also grew at once for those that were cut off or left. A fifth was kept back, which bounds nothing.

Change: the fixed allowance accrues over time from zero, so that processes that run after each other get no more than one that runs all the time. FleetShare divides it among all instances that may be running: those seen within ten minutes, seeds included, and nothing until an instance has found the fleet. The retries that requests pay for are counted in the same two windows on all instances, so that their sum keeps the ratio too; the margin of a fifth goes. Homes of batch services use the same part as any instance, instead of one half each.

Designs weighed: permits of a home for each retry cost a hop and stop with the home; spent counts in the news between instances lose the last beat before a kill. No fixed allowance at all is the simplest, but a service with few requests would never get a retry.

--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -8,7 +8,6 @@
 use slotmap::SecondaryMap;
 use tc_policy::{
     BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, NewJob, PlannerEffects,
-    RetryBudget,
 };
 use tc_protocol::{
     MonoTime, ServiceName, UpstreamId,
@@ -42,7 +41,7 @@
 
 impl BatchHome {
     pub(super) fn start(cx: Arc<HomeContext>, service: ServiceName, spec: BatchSpec) -> Arc<Self> {
-        let retry_budget = RetryBudget::new(cx.retry_budgets.home_share());
+        let retry_budget = cx.retry_budgets.new_home_budget();
         let home = Arc::new(Self {
             cx,
             service,
@@ -128,7 +127,12 @@
         let took = MonoTime::now().since(started);
         metrics::histogram!("tc_batch_call_ms", "service" => service)
             .record(took.as_secs_f64() * 1_000.0);
-        self.step(|planner| planner.end_call(MonoTime::now(), key, end));
+        let retry_limits = self.cx.retry_budgets.limits();
+        self.step(|planner| {
+            let now = MonoTime::now();
+            planner.set_retry_limits(now, retry_limits);
+            planner.end_call(now, key, end)
+        });
         self.drive();
         self.wake.notify_one();
     }
--- a/crates/tc-gateway/src/retry_budgets.rs
+++ b/crates/tc-gateway/src/retry_budgets.rs
@@ -1,66 +1,85 @@
-//! This instance's share of the fleet-wide retry budget.
+//! This instance's part of the fleet-wide retry budget.
 
 use std::{
     collections::HashMap,
-    sync::{Mutex, PoisonError},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
 };
 
+use tc_fleet::Mesh;
+use tc_membership::FleetShare;
 use tc_policy::{RetryBudget, RetryLimits};
-use tc_protocol::{MonoTime, ServiceName};
+use tc_protocol::{Member, MonoTime, ServiceName};
+use tokio::time::timeout;
 
 use crate::settings::RetryBudgetSettings;
 
-/// Fraction of the budget that is used. The rest covers instances whose member lists differ for a moment, and
-/// requests counted by the instance that received them while their retries are not.
-const USED_FRACTION: f64 = 0.8;
+/// Longest time between two updates of the share. It changes with time alone when an instance has settled.
+const MAX_UPDATE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Retry budgets by service.
 ///
-/// Each instance may retry a fraction of its own requests, plus an equal part of the fixed extra allowance. The sum
-/// over all instances stays within the fleet-wide budget without coordination.
+/// Each instance may retry a fraction of its own requests, plus an equal part of the fixed allowance. The sum over all
+/// instances stays within the fleet-wide budget without coordination.
 pub(crate) struct RetryBudgets {
     settings: RetryBudgetSettings,
     started: MonoTime,
-    by_service: Mutex<HashMap<ServiceName, RetryBudget>>,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    share: FleetShare,
+    limits: RetryLimits,
+    /// When the fixed allowance of this instance last changed.
+    limits_since: MonoTime,
+    by_service: HashMap<ServiceName, RetryBudget>,
 }
 
 impl RetryBudgets {
-    pub(crate) fn new(settings: RetryBudgetSettings) -> Self {
+    /// Creates the budgets of the instance at `me`, which has been told of others at `seeds`.
+    pub(crate) fn new(settings: RetryBudgetSettings, me: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        let now = MonoTime::now();
+        let share = FleetShare::new(now, me, seeds);
+        let inner = Inner {
+            limits: limits(&settings, share.part(now)),
+            limits_since: now,
+            share,
+            by_service: HashMap::new(),
+        };
         Self {
             settings,
-            started: MonoTime::now(),
-            by_service: Mutex::default(),
+            started: now,
+            inner: Mutex::new(inner),
         }
     }
 
-    /// Returns the limits of one out of `instances` instances.
-    pub(crate) fn share(&self, instances: usize) -> RetryLimits {
-        RetryLimits {
-            ratio: self.settings.ratio * USED_FRACTION,
-            extra: self.settings.extra * USED_FRACTION / instances.max(1) as f64,
-            window: self.settings.window,
-        }
+    /// Creates the budget of a home that calls the upstreams of a service for all instances.
+    ///
+    /// Each instance may become a home, so a home has no larger part than any other instance.
+    pub(crate) fn new_home_budget(&self) -> RetryBudget {
+        let inner = self.lock();
+        RetryBudget::new(inner.limits, inner.limits_since)
     }
 
-    /// Returns the limits of the one instance that calls the upstreams of a service for all.
-    ///
-    /// While the home moves there may be two such instances, so each takes half.
-    pub(crate) fn home_share(&self) -> RetryLimits {
-        self.share(2)
+    /// Returns the current limits of this instance.
+    pub(crate) fn limits(&self) -> RetryLimits {
+        self.lock().limits
     }
 
-    pub(crate) fn record_request(&self, service: &ServiceName, instances: usize) {
-        self.with(service, instances, |budget| {
-            budget.record_request(MonoTime::now());
-        });
+    pub(crate) fn record_request(&self, service: &ServiceName) {
+        self.lock().budget(service).record_request(MonoTime::now());
     }
 
     /// Spends one retry of the request if the budget allows it. Logs and counts the decision.
-    pub(crate) fn try_spend(&self, request: &str, service: &ServiceName, instances: usize) -> bool {
+    pub(crate) fn try_spend(&self, request: &str, service: &ServiceName) -> bool {
         let now = MonoTime::now();
-        let (is_allowed, usage) = self.with(service, instances, |budget| {
-            (budget.try_spend(now), budget.usage(now))
-        });
+        let (is_allowed, usage, instances) = {
+            let mut inner = self.lock();
+            let instances = inner.share.instances();
+            let budget = inner.budget(service);
+            (budget.try_spend(now), budget.usage(now), instances)
+        };
         let name = service.as_str();
         let result = if is_allowed { "allowed" } else { "refused" };
         metrics::counter!("tc_retry_decisions_total", "service" => name.to_owned(), "result" => result)
@@ -69,9 +88,9 @@
             request = request,
             service = name,
             result = result,
-            retries = usage.retries,
-            allowed = usage.allowed,
             requests = usage.requests,
+            earned = usage.earned,
+            saved = usage.saved,
             instances = instances,
             process_age_ms = now.since(self.started).as_millis() as u64;
             "retry decided"
@@ -79,21 +98,50 @@
         is_allowed
     }
 
-    fn with<T>(
-        &self,
-        service: &ServiceName,
-        instances: usize,
-        action: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
-        let limits = self.share(instances);
-        let mut budgets = self
-            .by_service
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let budget = budgets
+    /// Updates the limits of all budgets for the current members.
+    fn update(&self, now: MonoTime, members: &[Member]) {
+        let mut inner = self.lock();
+        inner.share.observe(now, members);
+        let limits = limits(&self.settings, inner.share.part(now));
+        if limits == inner.limits {
+            return;
+        }
+        inner.limits = limits;
+        inner.limits_since = now;
+        for budget in inner.by_service.values_mut() {
+            budget.set_limits(now, limits);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn budget(&mut self, service: &ServiceName) -> &mut RetryBudget {
+        let (limits, since) = (self.limits, self.limits_since);
+        self.by_service
             .entry(service.clone())
-            .or_insert_with(|| RetryBudget::new(limits));
-        budget.set_limits(limits);
-        action(budget)
+            .or_insert_with(|| RetryBudget::new(limits, since))
+    }
+}
+
+fn limits(settings: &RetryBudgetSettings, part: f64) -> RetryLimits {
+    RetryLimits {
+        ratio: settings.ratio,
+        extra: settings.extra * part,
+        window: settings.window,
+    }
+}
+
+/// Keeps the limits up to date with the members. Runs until the mesh ends.
+pub(crate) async fn follow_members(mesh: Mesh, budgets: Arc<RetryBudgets>) {
+    let mut changes = mesh.changes();
+    loop {
+        budgets.update(MonoTime::now(), &mesh.members());
+        if let Ok(Err(_)) = timeout(MAX_UPDATE_INTERVAL, changes.changed()).await {
+            return;
+        }
     }
 }
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -119,10 +119,7 @@
         if !allowed || is_used_up || req.time_left() < MIN_TIME_LEFT {
             return false;
         }
-        !self.reached_upstream
-            || cx
-                .retry_budgets
-                .try_spend(&req.head.request, &req.service, cx.instances())
+        !self.reached_upstream || cx.retry_budgets.try_spend(&req.head.request, &req.service)
     }
 
     /// Returns the refusal for the caller when no further attempt is made.
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -102,7 +102,7 @@
         let _ = settled.wait_for(|settled| *settled).await;
     }
 
-    /// Returns the number of instances that share the retry budgets: all that may be sending requests.
+    /// Returns the number of instances that are not known to be dead.
     pub(crate) fn instances(&self) -> usize {
         let members = self.mesh.members();
         members
@@ -192,8 +192,7 @@
 
 /// Runs a request until its answer is complete or, for a stream, until its first event.
 pub(crate) async fn run(cx: Arc<RunContext>, mut req: RoutedRequest) -> Response<AnswerBody> {
-    cx.retry_budgets
-        .record_request(&req.service, cx.instances());
+    cx.retry_budgets.record_request(&req.service);
     if let Err(refusal) = acquire_suspect_run(&cx, &mut req).await {
         refusal.log(&req);
         return refusal_answer(&cx.codec, &req.head.request, &refusal);
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -25,7 +25,7 @@
     join::{Discovery, Settled, sync_members},
     limits::LimitedSends,
     listeners::{Listeners, into_runtime},
-    retry_budgets::RetryBudgets,
+    retry_budgets::{RetryBudgets, follow_members},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsRenderer, accept},
     settings::GatewaySettings,
@@ -137,6 +137,10 @@
         tokio::spawn(discovery.join());
         tokio::spawn(sync_members(cx.mesh.clone(), settled));
         tokio::spawn(hand_over_homes(cx.mesh.clone(), Arc::clone(&cx.homes)));
+        tokio::spawn(follow_members(
+            cx.mesh.clone(),
+            Arc::clone(&cx.retry_budgets),
+        ));
         tokio::spawn(remove_unregistered(Arc::clone(&cx)));
         tokio::spawn(watch_pauses(pause_monitor, cx.mesh.clone()));
         let gateway = Self {
@@ -199,7 +203,9 @@
         max_response_bytes: MAX_RESPONSE_BYTES,
         ..ClientSettings::default()
     });
-    let retry_budgets = Arc::new(RetryBudgets::new(settings.retry_budget));
+    let fleet_address = settings.me.fleet_address;
+    let retry_budgets = RetryBudgets::new(settings.retry_budget, fleet_address, &settings.seeds);
+    let retry_budgets = Arc::new(retry_budgets);
     let (releaser, release_queue) = ResultReleaser::new();
     let limits = Arc::<UpstreamLimits>::default();
     let unknown_headers = Arc::<UnknownHeaders>::default();
--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -6,6 +6,7 @@
 //! produce the same outputs.
 
 mod config_puller;
+mod fleet_share;
 mod list_schedule;
 mod membership;
 mod order;
@@ -19,6 +20,7 @@
 mod view_sync;
 
 pub use config_puller::{ConfigPuller, Pull};
+pub use fleet_share::FleetShare;
 pub use list_schedule::ListSchedule;
 pub use membership::{Membership, MembershipConfig, Message, MessageKind, Outgoing, Record};
 pub use order::{OrderGuard, StaleFence};
--- a/crates/tc-policy/benches/batch_home.rs
+++ b/crates/tc-policy/benches/batch_home.rs
@@ -57,11 +57,12 @@
 
 /// Creates a planner whose upstreams all have one full call in progress, or whose result memory is full.
 fn planner(upstreams: usize, jobs: usize, busy: bool) -> BatchPlanner {
-    let retry_budget = RetryBudget::new(RetryLimits {
+    let limits = RetryLimits {
         ratio: 0.2,
         extra: 20.0,
         window: Duration::from_secs(10),
-    });
+    };
+    let retry_budget = RetryBudget::new(limits, MonoTime::default());
     let mut planner = BatchPlanner::new(spec(), retry_budget);
     let upstream = |i: usize| BatchUpstream {
         id: format!("u{i}").into(),
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -18,7 +18,7 @@
     result_memory::ResultMemory,
     upstream::{BatchUpstream, UpstreamState},
 };
-use crate::{RetryBudget, SendPacer};
+use crate::{RetryBudget, RetryLimits, SendPacer};
 
 slotmap::new_key_type! {
     /// Identifies a call in progress.
@@ -103,6 +103,11 @@
         self.spec = spec;
     }
 
+    /// Changes the limits of the retry budget and keeps its counts.
+    pub fn set_retry_limits(&mut self, now: MonoTime, limits: RetryLimits) {
+        self.retry_budget.set_limits(now, limits);
+    }
+
     /// Replaces the list of upstreams that may get new work.
     ///
     /// Upstreams that are no longer listed get no further calls; calls in progress continue.
--- a/crates/tc-policy/tests/batch/common.rs
+++ b/crates/tc-policy/tests/batch/common.rs
@@ -25,12 +25,16 @@
     }
 }
 
-pub(crate) fn retry_budget(extra: f64) -> RetryBudget {
-    RetryBudget::new(RetryLimits {
+/// Returns a budget that has saved up `saved` retries at the time `at(0)`.
+pub(crate) fn retry_budget(saved: f64) -> RetryBudget {
+    let limits = RetryLimits {
         ratio: 0.2,
-        extra,
+        extra: saved * 2.0,
         window: Duration::from_secs(10),
-    })
+    };
+    let budget = RetryBudget::new(limits, MonoTime::default());
+    assert!((budget.clone().usage(at(0)).saved - saved).abs() < f64::EPSILON);
+    budget
 }
 
 pub(crate) fn planner(domains: &[&str]) -> BatchPlanner {
@@ -50,7 +54,7 @@
 }
 
 pub(crate) fn at(ms: u64) -> MonoTime {
-    MonoTime::from_millis(1_000 + ms)
+    MonoTime::from_millis(100_000 + ms)
 }
 
 pub(crate) fn job(name: &str, pieces: u32) -> NewJob {
--- a/crates/tc-policy/tests/chain/simulation.rs
+++ b/crates/tc-policy/tests/chain/simulation.rs
@@ -118,7 +118,8 @@
             window: Duration::from_secs(10),
         };
         let home = |service: usize| {
-            let mut home = BatchPlanner::new(spec(service), RetryBudget::new(limits));
+            let mut home =
+                BatchPlanner::new(spec(service), RetryBudget::new(limits, MonoTime::default()));
             let upstreams: Vec<BatchUpstream> = (0..UPSTREAMS[service])
                 .map(|number| BatchUpstream {
                     id: format!("{service}-{number}").into(),
--- a/crates/tc-policy/tests/stage_graph.rs
+++ b/crates/tc-policy/tests/stage_graph.rs
@@ -77,11 +77,12 @@
             result_ttl: Duration::from_secs(4),
             link_bytes_per_s: 1.25e9,
         };
-        let retry_budget = RetryBudget::new(RetryLimits {
+        let limits = RetryLimits {
             ratio: 0.2,
             extra: 50.0,
             window: Duration::from_secs(10),
-        });
+        };
+        let retry_budget = RetryBudget::new(limits, MonoTime::default());
         let mut planner = BatchPlanner::new(spec, retry_budget);
         let all: Vec<BatchUpstream> = (0..upstreams)
             .map(|number| BatchUpstream {
