Order revisions of the store by its era first

What callers saw: after the store came back from an older copy, an upstream that left went on getting requests (8 to 14 of 20, 2 s later) and an evacuation had no effect (20 of 20). The store had acknowledged both.

Cause: a restored store assigns numbers again, and the gateway kept whatever had the higher number: entries of upstreams, the set of evacuated domains, news between instances. Class of fault: a number is compared outside the range in which it is an order.

Change: StoreRevision, an era and a number, ordered by the era first, in place of bare numbers from the adapter to the messages between instances; the adapter reads the era from the store's header. A watch that is answered in another era starts over, a list that spans a restore fails. Instances register themselves again. A log line and tc_store_restores_total tell of a restore.

Why it holds: every comparison now orders by the era, so that all of a new era is newer; two eras cannot share a revision.

--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -317,9 +317,9 @@
     ) -> Result<BoxStream<'static, Result<StoreUpdate, MeshError>>, MeshError> {
         let have = wire::WorldHave {
             config_version: have.config_version,
-            upstreams_revision: have.upstreams_revision,
+            upstreams_revision: have.upstreams_revision.to_bits(),
             upstreams_digest: have.upstreams_digest,
-            evacuated_revision: have.evacuated_revision,
+            evacuated_revision: have.evacuated_revision.to_bits(),
         };
         let mut client = self.inner.peers.client(from);
         let updates = client
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -10,7 +10,7 @@
 use ractor::ActorRef;
 use tc_policy::HomeOutlook;
 use tc_protocol::{
-    MonoTime, ServiceName,
+    MonoTime, ServiceName, StoreRevision,
     routing::{EngineChoice, EngineRequest, ResultHandle, RunReport, StageRequest},
 };
 use tokio::sync::oneshot;
@@ -173,9 +173,9 @@
         let have = req.into_inner();
         let updates = (self.handlers.follow_world)(WorldHave {
             config_version: have.config_version,
-            upstreams_revision: have.upstreams_revision,
+            upstreams_revision: StoreRevision::from_bits(have.upstreams_revision),
             upstreams_digest: have.upstreams_digest,
-            evacuated_revision: have.evacuated_revision,
+            evacuated_revision: StoreRevision::from_bits(have.evacuated_revision),
         });
         let full = || Status::resource_exhausted("this instance has too many followers");
         let updates = updates.ok_or_else(full)?;
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -8,7 +8,9 @@
 };
 
 use serde_json::Value;
-use tc_protocol::{FailureDomain, MonoTime, ServiceName, routing::RegisteredUpstream};
+use tc_protocol::{
+    FailureDomain, MonoTime, ServiceName, StoreRevision, routing::RegisteredUpstream,
+};
 
 use crate::generated as wire;
 
@@ -21,12 +23,12 @@
 pub struct WorldHave {
     /// Version of the configuration, or 0 if there is none.
     pub config_version: u64,
-    /// Revision of the upstream list, or 0 if there is none.
-    pub upstreams_revision: u64,
+    /// Revision of the upstream list, if there is one.
+    pub upstreams_revision: StoreRevision,
     /// Digest of the upstream list, with which a source that has the same list sends none.
     pub upstreams_digest: u64,
-    /// Revision of the evacuated failure domains, or 0 if there is none.
-    pub evacuated_revision: u64,
+    /// Revision of the evacuated failure domains, if it is known.
+    pub evacuated_revision: StoreRevision,
 }
 
 /// An entry of the store's upstream registry.
@@ -35,7 +37,7 @@
     /// Name of the entry.
     pub name: Arc<str>,
     /// Revision of its last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// The decoded entry, or `None` if it cannot be decoded.
     pub upstream: Option<Arc<RegisteredUpstream>>,
 }
@@ -50,7 +52,7 @@
     /// result never overstates how recent the state is.
     pub confirmed_ms: Option<i64>,
     /// Configuration and its store revision, if newer than the receiver's.
-    pub config: Option<(Arc<Value>, u64)>,
+    pub config: Option<(Arc<Value>, StoreRevision)>,
     /// Changes of the upstream list, if any.
     pub upstreams: Option<UpstreamUpdate>,
     /// All evacuated failure domains, if newer than the receiver's.
@@ -64,8 +66,8 @@
 /// The set is never larger than the number of failure domains, so it is always sent in full.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EvacuatedDomains {
-    /// Store revision of the set; 0 if none is known yet.
-    pub revision: u64,
+    /// Store revision of the set, if one is known.
+    pub revision: StoreRevision,
     /// Evacuated failure domains.
     pub domains: BTreeSet<FailureDomain>,
 }
@@ -74,7 +76,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct UpstreamUpdate {
     /// Revision of the new list.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Added or changed entries.
     pub changed: Vec<RegistryEntry>,
     /// Removed entries.
@@ -88,7 +90,7 @@
     Named {
         /// Revision of the earlier list. Applied to a list of another revision, the difference would keep entries that
         /// have been removed.
-        since: u64,
+        since: StoreRevision,
         /// Names of the removed entries.
         names: Vec<Arc<str>>,
     },
@@ -121,7 +123,7 @@
         config: config
             .map(|(value, _)| value.to_string().into_bytes())
             .unwrap_or_default(),
-        config_revision: config.map_or(0, |(_, revision)| *revision),
+        config_revision: config.map_or(0, |(_, revision)| revision.to_bits()),
         upstreams: rest.as_ref().map(upstream_update_to_wire),
         evacuated: update.evacuated.as_ref().map(evacuated_to_wire),
         more_follows: update.more_follows,
@@ -132,7 +134,7 @@
 fn evacuated_to_wire(evacuated: &EvacuatedDomains) -> wire::EvacuatedDomains {
     let domains = evacuated.domains.iter();
     wire::EvacuatedDomains {
-        revision: evacuated.revision,
+        revision: evacuated.revision.to_bits(),
         names: domains.map(|domain| domain.as_str().to_owned()).collect(),
     }
 }
@@ -140,14 +142,14 @@
 fn evacuated_from_wire(evacuated: &wire::EvacuatedDomains) -> EvacuatedDomains {
     let names = evacuated.names.iter();
     EvacuatedDomains {
-        revision: evacuated.revision,
+        revision: StoreRevision::from_bits(evacuated.revision),
         domains: names.map(|name| name.as_str().into()).collect(),
     }
 }
 
 fn upstream_update_to_wire(update: &UpstreamUpdate) -> wire::UpstreamNews {
     let (names, is_whole, since) = match &update.removed {
-        Removed::Named { since, names } => (names, false, *since),
+        Removed::Named { since, names } => (names, false, since.to_bits()),
         Removed::AllExcept(names) => (names, true, 0),
     };
     let now = MonoTime::now();
@@ -168,11 +170,11 @@
     };
     let changed = update.changed.iter().map(|entry| wire::RegistryEntry {
         name: entry.name.to_string(),
-        revision: entry.revision,
+        revision: entry.revision.to_bits(),
         upstream: entry.upstream.as_deref().map(&mut to_record),
     });
     wire::UpstreamNews {
-        revision: update.revision,
+        revision: update.revision.to_bits(),
         changed: changed.collect(),
         names: names.iter().map(ToString::to_string).collect(),
         is_whole,
@@ -207,7 +209,10 @@
         None
     } else {
         let value = serde_json::from_slice(&update.config).ok()?;
-        Some((Arc::new(value), update.config_revision))
+        Some((
+            Arc::new(value),
+            StoreRevision::from_bits(update.config_revision),
+        ))
     };
     let upstreams = match &update.upstreams {
         Some(upstreams) => Some(upstream_update_from_wire(upstreams)?),
@@ -247,7 +252,7 @@
         };
         Some(RegistryEntry {
             name: entry.name.as_str().into(),
-            revision: entry.revision,
+            revision: StoreRevision::from_bits(entry.revision),
             upstream,
         })
     };
@@ -258,13 +263,13 @@
         .map(|name| name.as_str().into())
         .collect();
     Some(UpstreamUpdate {
-        revision: update.revision,
+        revision: StoreRevision::from_bits(update.revision),
         changed: changed?,
         removed: if update.is_whole {
             Removed::AllExcept(names)
         } else {
             Removed::Named {
-                since: update.since,
+                since: StoreRevision::from_bits(update.since),
                 names,
             }
         },
@@ -290,7 +295,10 @@
     fn list(upstreams: u32) -> StoreUpdate {
         let entry = |index: u32| RegistryEntry {
             name: format!("draft-llm-kl-a-{index}").into(),
-            revision: u64::from(index) + 1,
+            revision: StoreRevision {
+                era: 0,
+                number: u64::from(index) + 1,
+            },
             upstream: Some(Arc::new(RegisteredUpstream {
                 id: format!("draft-llm-kl-a-{index}~1733000000123")
                     .as_str()
@@ -307,7 +315,10 @@
         StoreUpdate {
             confirmed_ms: Some(-3),
             upstreams: Some(UpstreamUpdate {
-                revision: u64::from(upstreams),
+                revision: StoreRevision {
+                    era: 0,
+                    number: u64::from(upstreams),
+                },
                 changed: (0..upstreams).map(entry).collect(),
                 removed: Removed::AllExcept(Vec::new()),
             }),
--- a/crates/tc-gateway/src/join.rs
+++ b/crates/tc-gateway/src/join.rs
@@ -161,14 +161,18 @@
         let mut settled = self.settled.subscribe();
         // Fails only when the process ends.
         let _ = settled.wait_for(|settled| *settled).await;
-        let mut registered = false;
+        // Era of the store in which this instance last found itself registered, or registered itself.
+        let mut registered_in: Option<u16> = None;
         loop {
-            if self.is_watcher() {
-                if !registered {
-                    registered = self.register().await;
+            if self.is_watcher()
+                && let Some(listed) = self.listed_members(Freshness::SecondsOld).await
+            {
+                // A store that was restored from an older copy may have lost the entry.
+                if registered_in.is_none_or(|era| era < listed.era) && self.register().await {
+                    registered_in = Some(listed.era);
                 }
-                let unknown = self.unknown_members(Freshness::SecondsOld).await;
-                self.introduce_to_any(unknown.unwrap_or_default()).await;
+                let unknown = self.unknown_of(listed);
+                self.introduce_to_any(unknown).await;
             }
             sleep(UNKNOWN_MEMBERS_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
         }
@@ -183,16 +187,21 @@
     /// Returns a random selection of addresses that the store lists but this instance does not
     /// know, or `None` if the store cannot be read.
     async fn unknown_members(&self, freshness: Freshness) -> Option<Vec<SocketAddr>> {
-        let mut listed = self.listed_addresses(freshness).await?;
+        let listed = self.listed_members(freshness).await?;
+        Some(self.unknown_of(listed))
+    }
+
+    fn unknown_of(&self, listed: ListedMembers) -> Vec<SocketAddr> {
+        let mut unknown = listed.addresses;
         let members = self.mesh.members();
         let known: HashSet<SocketAddr> = members.iter().map(|m| m.fleet_address).collect();
-        listed.retain(|address| !known.contains(address));
-        listed.shuffle(&mut rand::rng());
-        listed.truncate(MAX_ADDRESSES_PER_ROUND);
-        Some(listed)
+        unknown.retain(|address| !known.contains(address));
+        unknown.shuffle(&mut rand::rng());
+        unknown.truncate(MAX_ADDRESSES_PER_ROUND);
+        unknown
     }
 
-    async fn listed_addresses(&self, freshness: Freshness) -> Option<Vec<SocketAddr>> {
+    async fn listed_members(&self, freshness: Freshness) -> Option<ListedMembers> {
         let kind = self.codec.kinds.members;
         let dialect = &self.codec.store;
         let listed = self
@@ -201,9 +210,12 @@
         let page = listed.await.inspect_err(|error| {
             log::warn!(error = error.to_string().as_str(); "listing other instances in the store failed");
         });
-        let items = page.ok()?.items;
+        let page = page.ok()?;
         let address = |object: &StoredObject| object.value.get("fleet")?.as_str()?.parse().ok();
-        Some(items.iter().filter_map(address).collect())
+        Some(ListedMembers {
+            addresses: page.items.iter().filter_map(address).collect(),
+            era: page.revision.era,
+        })
     }
 
     async fn register(&self) -> bool {
@@ -222,6 +234,13 @@
     }
 }
 
+/// The instances that the store lists.
+struct ListedMembers {
+    addresses: Vec<SocketAddr>,
+    /// Number of restores of the store.
+    era: u16,
+}
+
 async fn answers_in_time(call: impl Future<Output = Result<(), MeshError>>) -> bool {
     match timeout(INTRODUCTION_TIMEOUT, call).await {
         Ok(Ok(())) => true,
--- a/crates/tc-gateway/src/world/config.rs
+++ b/crates/tc-gateway/src/world/config.rs
@@ -4,7 +4,7 @@
 
 use serde_json::Value;
 use tc_protocol::{
-    MonoTime,
+    MonoTime, StoreRevision,
     routing::{RoutedService, RoutingConfig},
 };
 
@@ -17,7 +17,7 @@
     /// The stored value, relayed unchanged to other instances.
     pub(crate) raw: Arc<Value>,
     /// Revision of the configuration object in the store.
-    pub(crate) revision: u64,
+    pub(crate) revision: StoreRevision,
     /// Time at which this instance decoded the configuration.
     pub(crate) decoded_at: MonoTime,
 }
@@ -27,7 +27,7 @@
     pub(crate) fn decode(
         codec: &PlatformCodec,
         raw: &Arc<Value>,
-        revision: u64,
+        revision: StoreRevision,
     ) -> Result<Self, String> {
         let routing = (codec.read_config)(raw)?;
         let routes = RouteTable::new(&routing).map_err(|error| error.to_string())?;
--- a/crates/tc-gateway/src/world/follow.rs
+++ b/crates/tc-gateway/src/world/follow.rs
@@ -196,7 +196,7 @@
         let opened = timeout(limit, self.mesh.follow_world(member, have)).await;
         match opened {
             Ok(Ok(updates)) => {
-                log::info!(from = source.as_str(), config = have.config_version, upstreams = have.upstreams_revision; "following another instance for store changes");
+                log::info!(from = source.as_str(), config = have.config_version, upstreams = have.upstreams_revision.to_string().as_str(); "following another instance for store changes");
                 self.stream = Some(SourceStream {
                     id: source,
                     updates,
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -11,7 +11,7 @@
 use tc_platform::{
     KindDialect, ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage, WatchResult,
 };
-use tc_protocol::MonoTime;
+use tc_protocol::{MonoTime, StoreRevision};
 use tokio::{sync::watch::Receiver, time::sleep, time::timeout};
 
 use super::{StoreRead, WorldCell, WorldPart, list_time::ListTime};
@@ -80,7 +80,11 @@
 
     /// Returns true, and confirms the part, if the store has accepted no change of any kind since a
     /// revision.
-    async fn confirm_unchanged(&self, since: u64, last: &str) -> Result<bool, StoreError> {
+    async fn confirm_unchanged(
+        &self,
+        since: StoreRevision,
+        last: &str,
+    ) -> Result<bool, StoreError> {
         let store_read = StoreRead::start(&self.cell.pause_monitor());
         let revision = self
             .store
@@ -97,7 +101,7 @@
     /// meanwhile.
     async fn watch(
         &self,
-        from: u64,
+        from: StoreRevision,
         wait: Duration,
         known: &KnownObjects,
     ) -> Result<WatchOutcome, StoreError> {
@@ -114,7 +118,7 @@
         if let Ok(answer) = timeout(MAX_WATCH_LAG, &mut watching).await {
             return answer.map(answered);
         }
-        log::warn!(what = self.description, watched_from = from, listed = page.revision; "a watch does not report a change that a list shows; restarting it");
+        log::warn!(what = self.description, watched_from = from.to_string().as_str(), listed = page.revision.to_string().as_str(); "a watch does not report a change that a list shows; restarting it");
         Ok(WatchOutcome::Missed(page, list_read))
     }
 
@@ -123,7 +127,11 @@
     ///
     /// A list of several pages is read only if the store's revision shows that something has
     /// changed, possibly of another kind, and is abandoned when another instance confirms the part.
-    async fn list_until_changed(&self, from: u64, known: &KnownObjects) -> (ListPage, StoreRead) {
+    async fn list_until_changed(
+        &self,
+        from: StoreRevision,
+        known: &KnownObjects,
+    ) -> (ListPage, StoreRead) {
         let mut unchanged_at = from;
         loop {
             self.wait_until_list_due(known.names.len()).await;
@@ -156,8 +164,8 @@
         }
     }
 
-    async fn list_failed(&self, from: u64, error: &StoreError) {
-        log::info!(what = self.description, watched_from = from, error = error.to_string().as_str(); "listing the store to check a watch failed");
+    async fn list_failed(&self, from: StoreRevision, error: &StoreError) {
+        log::info!(what = self.description, watched_from = from.to_string().as_str(), error = error.to_string().as_str(); "listing the store to check a watch failed");
         sleep(LIST_RETRY_DELAY).await;
     }
 
@@ -203,7 +211,7 @@
     target: WatchTarget,
     pauses: Receiver<u64>,
     /// Revision from which to watch, or `None` if a list is needed first.
-    from: Option<u64>,
+    from: Option<StoreRevision>,
     known: KnownObjects,
     failures: u32,
     failing_since: Option<MonoTime>,
@@ -278,7 +286,11 @@
     }
 
     /// Watches once, and returns `None` if a new list is needed.
-    async fn watch(&mut self, from: u64, wait: Duration) -> Result<Option<KindUpdate>, StoreError> {
+    async fn watch(
+        &mut self,
+        from: StoreRevision,
+        wait: Duration,
+    ) -> Result<Option<KindUpdate>, StoreError> {
         let watched = tokio::select! {
             watched = self.target.watch(from, wait, &self.known) => watched?,
             _ = self.pauses.changed() => return Ok(None),
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -30,7 +30,7 @@
 use serde_json::Value;
 use tc_fleet::{EvacuatedDomains, StoreUpdate, WorldHave};
 use tc_platform::{ObjectEvent, StoredObject};
-use tc_protocol::{FailureDomain, MonoTime, ServiceName, UpstreamId};
+use tc_protocol::{FailureDomain, MonoTime, ServiceName, StoreRevision, UpstreamId};
 use tokio::sync::watch::{Receiver, Sender};
 
 use crate::{codec::PlatformCodec, freeze::PauseMonitor};
@@ -66,7 +66,7 @@
     /// Returns true if both the configuration and a list of upstreams are known. Before that, every
     /// request would be refused.
     pub(crate) fn is_known(&self) -> bool {
-        self.config.is_some() && self.upstreams.revision() > 0
+        self.config.is_some() && self.upstreams.revision().is_known()
     }
 }
 
@@ -248,13 +248,13 @@
     ///
     /// The version never decreases within the life of a process, because a read may be stale and a
     /// peer may lag behind.
-    pub(crate) fn apply_config(&self, raw: &Arc<Value>, revision: u64) {
+    pub(crate) fn apply_config(&self, raw: &Arc<Value>, revision: StoreRevision) {
         let _guard = self.lock_writes();
         let world = self.load();
         let config = match ActiveConfig::decode(&self.codec, raw, revision) {
             Ok(config) => config,
             Err(problem) => {
-                log::error!(revision = revision, problem = problem.as_str(); "configuration rejected; the last valid one stays in force");
+                log::error!(revision = revision.to_string().as_str(), problem = problem.as_str(); "configuration rejected; the last valid one stays in force");
                 metrics::counter!("tc_config_rejected_total").increment(1);
                 return;
             }
@@ -263,7 +263,7 @@
         if config.routing.version <= before {
             return;
         }
-        log::info!(version = config.routing.version, before = before, revision = revision, routes = config.routing.routes.len(); "configuration in force");
+        log::info!(version = config.routing.version, before = before, revision = revision.to_string().as_str(), routes = config.routing.routes.len(); "configuration in force");
         metrics::gauge!("tc_config_revision").set(config.routing.version as f64);
         self.publish(World {
             config: Some(Arc::new(config)),
@@ -304,13 +304,13 @@
             self.published.store(Arc::new(next));
             return;
         }
-        log::info!(domains = domain_names(evacuated).as_str(), before = domain_names(known).as_str(), revision = evacuated.revision; "evacuated failure domains changed");
+        log::info!(domains = domain_names(evacuated).as_str(), before = domain_names(known).as_str(), revision = evacuated.revision.to_string().as_str(); "evacuated failure domains changed");
         metrics::gauge!("tc_evacuated_domains").set(evacuated.domains.len() as f64);
         self.publish(next);
     }
 
     /// Applies changes of registered upstreams.
-    pub(crate) fn apply_upstream_events(&self, events: &[ObjectEvent], at: u64) {
+    pub(crate) fn apply_upstream_events(&self, events: &[ObjectEvent], at: StoreRevision) {
         let _guard = self.lock_writes();
         let world = self.load();
         let upstreams = world.upstreams.with_events(&self.codec, events, at);
@@ -318,7 +318,7 @@
     }
 
     /// Replaces the list of registered upstreams by the full list as of a revision.
-    pub(crate) fn replace_upstreams(&self, objects: &[StoredObject], at: u64) {
+    pub(crate) fn replace_upstreams(&self, objects: &[StoredObject], at: StoreRevision) {
         let _guard = self.lock_writes();
         let world = self.load();
         if at < world.upstreams.revision() {
@@ -353,7 +353,7 @@
     fn publish_upstreams(&self, world: &World, upstreams: UpstreamTable) {
         let changed = !upstreams.same_upstreams(&world.upstreams);
         if changed {
-            log::info!(upstreams = upstreams.len(), before = world.upstreams.len(), revision = upstreams.revision(); "list of upstreams changed");
+            log::info!(upstreams = upstreams.len(), before = world.upstreams.len(), revision = upstreams.revision().to_string().as_str(); "list of upstreams changed");
         }
         let next = World {
             config: world.config.clone(),
--- a/crates/tc-gateway/src/world/relay.rs
+++ b/crates/tc-gateway/src/world/relay.rs
@@ -120,7 +120,7 @@
                 let upstreams = &world.upstreams;
                 let is_same = upstreams.revision() == have.upstreams_revision
                     && upstreams.digest() == have.upstreams_digest;
-                let is_needed = upstreams.revision() > 0 && !is_same;
+                let is_needed = upstreams.revision().is_known() && !is_same;
                 let update = is_needed.then(|| upstreams.update_since(have.upstreams_revision));
                 (have.config_version, have.evacuated_revision, update)
             }
--- a/crates/tc-gateway/src/world/removals.rs
+++ b/crates/tc-gateway/src/world/removals.rs
@@ -1,16 +1,17 @@
-//! Delays removals of upstreams after an outage of the store.
+//! Delays removals of upstreams after an outage of the store, or after its restore from an older copy.
 //!
 //! Entries of upstreams that could not renew them during an outage expire, and are registered again
 //! shortly after it. If every removal took effect at once, services would lose their upstreams just
-//! when the store returns, and refuse many requests although all upstreams are healthy.
+//! when the store returns, and refuse many requests although all upstreams are healthy. Likewise, an
+//! upstream that registered after the copy was made writes its entry again.
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use tc_platform::ObjectEvent;
-use tc_protocol::MonoTime;
+use tc_protocol::{MonoTime, StoreRevision};
 
 /// Time after the store's return within which an expired entry may be registered again.
-const REREGISTRATION_TIME: Duration = Duration::from_millis(2_200);
+pub(super) const REREGISTRATION_TIME: Duration = Duration::from_millis(2_200);
 /// Minimum duration of an outage in which entries can expire. It is shorter than three heartbeats
 /// of any upstream.
 const MIN_OUTAGE: Duration = Duration::from_secs(1);
@@ -20,7 +21,7 @@
 pub(super) struct HeldRemovals {
     failing_since: Option<MonoTime>,
     held_until: MonoTime,
-    held: BTreeMap<Arc<str>, u64>,
+    held: BTreeMap<Arc<str>, StoreRevision>,
 }
 
 impl HeldRemovals {
@@ -39,6 +40,11 @@
         }
     }
 
+    /// Records that the store was restored from an older copy.
+    pub(super) fn record_restore(&mut self, now: MonoTime) {
+        self.held_until = now.after(REREGISTRATION_TIME);
+    }
+
     /// Returns the changes to apply now, and holds back removals shortly after an outage.
     pub(super) fn filter(&mut self, now: MonoTime, events: Vec<ObjectEvent>) -> Vec<ObjectEvent> {
         let is_holding = now < self.held_until;
--- a/crates/tc-gateway/src/world/upstream_updates.rs
+++ b/crates/tc-gateway/src/world/upstream_updates.rs
@@ -4,6 +4,7 @@
 
 use imbl::ordmap::DiffItem;
 use tc_fleet::{RegistryEntry, Removed, UpstreamUpdate};
+use tc_protocol::StoreRevision;
 
 use super::upstreams::{Entry, UpstreamTable};
 
@@ -26,7 +27,7 @@
     /// Returns the update for a table of an earlier revision: the changed entries and the names of
     /// all entries, which show what is gone.
     #[must_use]
-    pub fn update_since(&self, revision: u64) -> UpstreamUpdate {
+    pub fn update_since(&self, revision: StoreRevision) -> UpstreamUpdate {
         let is_changed = |entry: &Entry| entry.revision > revision;
         let (changed, unchanged): (Vec<_>, Vec<_>) = self
             .entries
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -13,7 +13,7 @@
 use imbl::{OrdMap, ordmap::DiffItem};
 use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{
-    FailureDomain, MonoTime, ServiceName, UpstreamId,
+    FailureDomain, MonoTime, ServiceName, StoreRevision, UpstreamId,
     routing::{RegisteredUpstream, ResultHandle},
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -25,7 +25,7 @@
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Entry {
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
     /// `None` if the entry cannot be decoded. It is kept so that other instances learn its revision.
     pub(super) upstream: Option<Arc<RegisteredUpstream>>,
 }
@@ -36,7 +36,7 @@
 /// The registered upstreams as of a revision of the store.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamTable {
-    pub(super) revision: u64,
+    pub(super) revision: StoreRevision,
     pub(super) entries: OrdMap<Arc<str>, Entry>,
     by_service: HashMap<ServiceName, ServiceUpstreams>,
     /// An address may be registered by several upstreams while an old entry has yet to be removed.
@@ -60,7 +60,7 @@
 impl UpstreamTable {
     /// Returns the revision of the store that this table reflects.
     #[must_use]
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> StoreRevision {
         self.revision
     }
 
@@ -151,7 +151,12 @@
 
     /// Returns this table with changes applied.
     #[must_use]
-    pub fn with_events(&self, codec: &PlatformCodec, events: &[ObjectEvent], at: u64) -> Self {
+    pub fn with_events(
+        &self,
+        codec: &PlatformCodec,
+        events: &[ObjectEvent],
+        at: StoreRevision,
+    ) -> Self {
         let mut next = self.clone();
         for event in events {
             match event {
@@ -202,7 +207,7 @@
         &self,
         codec: &PlatformCodec,
         objects: &[StoredObject],
-        at: u64,
+        at: StoreRevision,
     ) -> Self {
         let mut next = Self {
             revision: at,
@@ -230,7 +235,7 @@
     pub(super) fn put(
         &mut self,
         name: &Arc<str>,
-        revision: u64,
+        revision: StoreRevision,
         upstream: impl FnOnce() -> Option<Arc<RegisteredUpstream>>,
     ) {
         let known = self.entries.get(name);
@@ -238,6 +243,11 @@
             return;
         }
         let upstream = upstream();
+        if let Some(leaving) = leaving_before_restore(known, revision, upstream.as_deref()) {
+            let mut marks = UpstreamMarks::clone(&self.marks);
+            marks.leaving.insert(leaving, MonoTime::now());
+            self.marks = Arc::new(marks);
+        }
         let previous = self.entries.insert(
             Arc::clone(name),
             Entry {
@@ -259,9 +269,9 @@
     }
 
     /// Removes an entry. A repeated removal does not remove one that was registered again.
-    pub(super) fn remove(&mut self, name: &Arc<str>, revision: u64) {
-        let known = self.entries.get(name).map_or(0, |entry| entry.revision);
-        if revision != 0 && revision < known {
+    pub(super) fn remove(&mut self, name: &Arc<str>, revision: StoreRevision) {
+        let known = self.entries.get(name).map(|entry| entry.revision);
+        if revision.is_known() && Some(revision) < known {
             return;
         }
         let Some(entry) = self.entries.remove(name) else {
@@ -301,8 +311,22 @@
     }
 }
 
-fn entry_hash(name: &str, revision: u64) -> u64 {
-    xxh3_64_with_seed(name.as_bytes(), revision)
+fn entry_hash(name: &str, revision: StoreRevision) -> u64 {
+    xxh3_64_with_seed(name.as_bytes(), revision.to_bits())
+}
+
+/// Returns the identifier of an upstream that was leaving before the store was restored from an older copy, and whose
+/// restored entry does not show it. A process that has begun to leave does not come back.
+fn leaving_before_restore(
+    known: Option<&Entry>,
+    revision: StoreRevision,
+    upstream: Option<&RegisteredUpstream>,
+) -> Option<UpstreamId> {
+    let (known, upstream) = (known?, upstream?);
+    let was_leaving = known.upstream.as_ref().filter(|known| known.draining)?;
+    let is_restored = revision.era > known.revision.era;
+    let is_same_process = was_leaving.id == upstream.id;
+    (is_restored && is_same_process && !upstream.draining).then(|| upstream.id.clone())
 }
 
 fn with_marks(
@@ -324,7 +348,7 @@
 fn decode(codec: &PlatformCodec, object: &StoredObject) -> Option<Arc<RegisteredUpstream>> {
     let decoded = (codec.read_upstream)(&object.name, &object.value, MonoTime::now());
     let decoded = decoded.inspect_err(|problem| {
-        log::warn!(upstream = &*object.name, revision = object.revision, problem = problem.as_str(); "ignoring a registered upstream that cannot be decoded");
+        log::warn!(upstream = &*object.name, revision = object.revision.to_string().as_str(), problem = problem.as_str(); "ignoring a registered upstream that cannot be decoded");
         metrics::counter!("tc_registry_unreadable_total").increment(1);
     });
     decoded.ok().map(Arc::new)
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -8,7 +8,7 @@
 
 use tc_membership::ListSchedule;
 use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
-use tc_protocol::MonoTime;
+use tc_protocol::{MonoTime, StoreRevision};
 use tokio::{sync::watch::Receiver, time::timeout};
 
 use super::{
@@ -190,6 +190,16 @@
     /// those of a watch.
     fn apply_list(&mut self, page: ListPage) {
         let world = self.cell.load();
+        let known = world.upstreams.revision();
+        if page.revision.era < known.era {
+            log::info!(what = "list of upstreams", known = known.to_string().as_str(), listed = page.revision.to_string().as_str(); "ignoring a list from before a restore of the store");
+            return;
+        }
+        if page.revision.era > known.era && known.is_known() {
+            log::warn!(what = "list of upstreams", known = known.to_string().as_str(), listed = page.revision.to_string().as_str(); "the store was restored from an older copy");
+            metrics::counter!("tc_store_restores_total").increment(1);
+            self.removals.record_restore(MonoTime::now());
+        }
         if world.upstreams.len() == 0 {
             self.cell.replace_upstreams(&page.items, page.revision);
             return;
@@ -201,7 +211,7 @@
             .filter(|name| !listed.contains(&***name))
             .map(|name| ObjectEvent::Removed {
                 name: Arc::clone(name),
-                revision: 0,
+                revision: StoreRevision::default(),
             })
             .collect();
         let present = page.items.into_iter().map(ObjectEvent::Put);
@@ -217,7 +227,7 @@
         })
     }
 
-    fn apply_events(&mut self, events: Vec<ObjectEvent>, at: u64) {
+    fn apply_events(&mut self, events: Vec<ObjectEvent>, at: StoreRevision) {
         let events = self.removals.filter(MonoTime::now(), events);
         if !events.is_empty() {
             self.cell.apply_upstream_events(&events, at);
--- a/crates/tc-platform/src/error.rs
+++ b/crates/tc-platform/src/error.rs
@@ -38,6 +38,10 @@
         help("status 429 means that the platform's rate limit was reached")
     )]
     Refused(u16),
+    /// The store was restored from an older copy while a list was read.
+    #[error("the store was restored from an older copy while it was read")]
+    #[diagnostic(code(tc::store::restored), help("read the list again"))]
+    Restored,
     /// The value exceeds the store's size limit; nothing was written.
     #[error("the value exceeds the store's size limit")]
     #[diagnostic(
@@ -74,6 +78,7 @@
             Self::Unreachable => "unreachable",
             Self::RateLimited => "paced",
             Self::Refused(_) => "refused",
+            Self::Restored => "restored",
             Self::TooLarge => "too_large",
             Self::MaybeApplied => "maybe_applied",
             Self::Malformed => "malformed",
--- a/crates/tc-platform/src/kinds.rs
+++ b/crates/tc-platform/src/kinds.rs
@@ -4,14 +4,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http::{Method, Request, header};
+use http::{HeaderMap, Method, Request, header};
 use http_body_util::Full;
 use serde_json::Value;
+use tc_protocol::StoreRevision;
 
 use crate::{
     Purpose, StoreError,
-    store::{Connection, Effect, Store},
+    store::{Connection, Effect, Response, Store},
 };
 
 /// An object and the revision of its last change.
@@ -20,7 +20,7 @@
     /// Name, unique within the kind.
     pub name: Arc<str>,
     /// Store revision of the last change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Value. Shared, because it is forwarded between instances.
     pub value: Arc<Value>,
 }
@@ -33,7 +33,7 @@
     /// Whether more objects follow. In a list of all objects, whether it took more than one page.
     pub has_more: bool,
     /// Store revision at which the page was read.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// One message for each object that was skipped because it cannot be decoded.
     pub unreadable: Vec<String>,
 }
@@ -48,7 +48,7 @@
         /// Name of the object.
         name: Arc<str>,
         /// Store revision of the removal, if the store reports it.
-        revision: u64,
+        revision: StoreRevision,
     },
 }
 
@@ -58,7 +58,7 @@
     /// Changes, oldest first.
     pub events: Vec<ObjectEvent>,
     /// Revision from which to continue the watch.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// One message for each change that was skipped because it cannot be decoded.
     pub unreadable: Vec<String>,
 }
@@ -78,12 +78,14 @@
 pub struct KindDialect {
     /// Returns the path that lists the objects of a kind, starting after the given name.
     pub list_path: fn(&str, Option<&str>, Freshness) -> String,
-    /// Decodes a list response.
-    pub read_list: fn(&[u8]) -> Option<ListPage>,
+    /// Decodes the era from the headers of a response; 0 if it is missing or unreadable.
+    pub read_era: fn(&HeaderMap) -> u16,
+    /// Decodes a list response of the given era.
+    pub read_list: fn(u16, &[u8]) -> Option<ListPage>,
     /// Returns the path that watches a kind from a revision, with the maximum time to wait.
     pub watch_path: fn(&str, u64, Duration) -> String,
-    /// Decodes a watch response.
-    pub read_watch: fn(&[u8]) -> Option<WatchPage>,
+    /// Decodes a watch response of the given era.
+    pub read_watch: fn(u16, &[u8]) -> Option<WatchPage>,
     /// Returns method, path and body of the request that creates an object.
     pub create: fn(&str, &str, &Value) -> (Method, String, Value),
     /// Returns method, path and body of the request that replaces an object, whatever its current
@@ -111,12 +113,13 @@
         dialect: &KindDialect,
         kind: &str,
         last: &str,
-    ) -> Result<u64, StoreError> {
+    ) -> Result<StoreRevision, StoreError> {
         let path = (dialect.list_path)(kind, Some(last), Freshness::Current);
-        let body = self
-            .read_body(Connection::New, purpose, &path, self.timeout())
+        let response = self
+            .read_over(Connection::New, purpose, &path, self.timeout())
             .await?;
-        let page = (dialect.read_list)(&body).ok_or(StoreError::Malformed)?;
+        let era = (dialect.read_era)(&response.headers);
+        let page = (dialect.read_list)(era, &response.body).ok_or(StoreError::Malformed)?;
         Ok(page.revision)
     }
 
@@ -126,16 +129,23 @@
         purpose: Purpose,
         dialect: &KindDialect,
         kind: &str,
-        from: u64,
+        from: StoreRevision,
         wait: Duration,
     ) -> Result<WatchResult, StoreError> {
-        let path = (dialect.watch_path)(kind, from, wait);
+        let path = (dialect.watch_path)(kind, from.number, wait);
         let timeout = wait + self.timeout();
-        let body = self.read_body(Connection::Pooled, purpose, &path, timeout);
-        match body.await {
-            Ok(body) => (dialect.read_watch)(&body)
-                .map(WatchResult::Changes)
-                .ok_or(StoreError::Malformed),
+        let response = self.read_over(Connection::Pooled, purpose, &path, timeout);
+        match response.await {
+            Ok(response) => {
+                let era = (dialect.read_era)(&response.headers);
+                if era != from.era {
+                    // The same number means another state in another era.
+                    return Ok(WatchResult::HistoryGone);
+                }
+                (dialect.read_watch)(era, &response.body)
+                    .map(WatchResult::Changes)
+                    .ok_or(StoreError::Malformed)
+            }
             Err(StoreError::Refused(status)) if status == dialect.history_gone => {
                 Ok(WatchResult::HistoryGone)
             }
@@ -167,18 +177,16 @@
         }
     }
 
-    pub(crate) async fn read_body(
+    pub(crate) async fn read_over(
         &self,
         connection: Connection,
         purpose: Purpose,
         path: &str,
         timeout: Duration,
-    ) -> Result<Bytes, StoreError> {
+    ) -> Result<Response, StoreError> {
         let req = Request::new(Full::default());
-        let response = self
-            .call_over(connection, purpose, req, path, Effect::Read, timeout)
-            .await?;
-        Ok(response.body)
+        self.call_over(connection, purpose, req, path, Effect::Read, timeout)
+            .await
     }
 
     async fn write(
--- a/crates/tc-platform/src/list.rs
+++ b/crates/tc-platform/src/list.rs
@@ -69,6 +69,7 @@
         let mut parts = parts.into_iter();
         let mut all = parts.next().ok_or(StoreError::Malformed)?;
         for part in parts {
+            check_same_era(&all, &part)?;
             all.revision = all.revision.min(part.revision);
             all.items.extend(part.items);
             all.unreadable.extend(part.unreadable);
@@ -92,6 +93,7 @@
                 break;
             }
             let page = self.list_page(call, Some(&last.name)).await?;
+            check_same_era(&part, &page)?;
             has_more = page.has_more && !page.items.is_empty();
             part.items.extend(page.items);
             part.unreadable.extend(page.unreadable);
@@ -109,10 +111,20 @@
         after: Option<&str>,
     ) -> Result<ListPage, StoreError> {
         let path = (call.dialect.list_path)(call.kind, after, call.freshness);
-        let body = self
-            .read_body(Connection::New, call.purpose, &path, self.timeout())
+        let response = self
+            .read_over(Connection::New, call.purpose, &path, self.timeout())
             .await?;
-        (call.dialect.read_list)(&body).ok_or(StoreError::Malformed)
+        let era = (call.dialect.read_era)(&response.headers);
+        (call.dialect.read_list)(era, &response.body).ok_or(StoreError::Malformed)
+    }
+}
+
+/// Returns an error if the store was restored between two pages, which together show no state that it ever had.
+fn check_same_era(first: &ListPage, next: &ListPage) -> Result<(), StoreError> {
+    if first.revision.era == next.revision.era {
+        Ok(())
+    } else {
+        Err(StoreError::Restored)
     }
 }
 
--- a/crates/tc-platform/src/store/wire.rs
+++ b/crates/tc-platform/src/store/wire.rs
@@ -41,6 +41,7 @@
 /// A response whose status means that the call was executed.
 pub(crate) struct Response {
     pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) version: Option<u64>,
     pub(crate) body: Bytes,
 }
@@ -97,9 +98,8 @@
     let status = response.status();
     let version = version_of(response.headers());
     check_status(status, version, effect)?;
-    let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES)
-        .collect()
-        .await;
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = match (body, effect) {
         (Ok(body), _) => body.to_bytes(),
         // The headers of a write's response are sufficient. Its body is read only to keep the
@@ -109,6 +109,7 @@
     };
     Ok(Response {
         status,
+        headers: head.headers,
         version,
         body,
     })
--- a/crates/tc-platform/tests/kinds.rs
+++ b/crates/tc-platform/tests/kinds.rs
@@ -4,7 +4,10 @@
 
 use http::Method;
 use serde_json::{Value, json};
-use tc_platform::{Freshness, KindDialect, ListPage, Purpose, Store, StoreSettings, WatchPage};
+use tc_platform::{
+    Freshness, KindDialect, ListPage, Purpose, Store, StoreSettings, WatchPage, WatchResult,
+};
+use tc_protocol::StoreRevision;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -13,21 +16,26 @@
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+const fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 const DIALECT: KindDialect = KindDialect {
     list_path: |kind, _, _| format!("/{kind}"),
-    read_list: |_| {
+    read_era: |_| 0,
+    read_list: |_, _| {
         Some(ListPage {
             items: Vec::new(),
             has_more: false,
-            revision: 1,
+            revision: at(1),
             unreadable: Vec::new(),
         })
     },
     watch_path: |kind, _, _| format!("/{kind}"),
-    read_watch: |_| {
+    read_watch: |_, _| {
         Some(WatchPage {
             events: Vec::new(),
-            revision: 1,
+            revision: at(1),
             unreadable: Vec::new(),
         })
     },
@@ -64,7 +72,7 @@
         calls_per_s: 1_000.0,
         timeout: TIMEOUT,
     });
-    let watch = store.watch_kind(Purpose::Config, &DIALECT, "kind", 1, Duration::ZERO);
+    let watch = store.watch_kind(Purpose::Config, &DIALECT, "kind", at(1), Duration::ZERO);
     watch.await.expect("the first call is answered");
     for _ in 0..3 {
         let asked = Instant::now();
@@ -73,3 +81,17 @@
         assert!(asked.elapsed() < TIMEOUT / 4, "{:?}", asked.elapsed());
     }
 }
+
+/// Guards against a watch that goes on from a number of an earlier era, and misses changes under numbers that were
+/// assigned again.
+#[tokio::test]
+async fn watch_from_an_earlier_era_is_answered_with_history_gone() {
+    let store = Store::new(StoreSettings {
+        address: start_server_answering_once_per_connection().await,
+        calls_per_s: 1_000.0,
+        timeout: TIMEOUT,
+    });
+    let earlier = StoreRevision { era: 1, number: 1 };
+    let watch = store.watch_kind(Purpose::Config, &DIALECT, "kind", earlier, Duration::ZERO);
+    assert_eq!(watch.await, Ok(WatchResult::HistoryGone));
+}
--- a/crates/tc-platform/tests/list.rs
+++ b/crates/tc-platform/tests/list.rs
@@ -13,8 +13,10 @@
 use http::Method;
 use serde_json::{Value, json};
 use tc_platform::{
-    Freshness, KindDialect, ListPage, Purpose, Store, StoreSettings, StoredObject, WatchPage,
+    Freshness, KindDialect, ListPage, Purpose, Store, StoreError, StoreSettings, StoredObject,
+    WatchPage,
 };
+use tc_protocol::StoreRevision;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -27,29 +29,34 @@
 const QUIET_TIME: Duration = Duration::from_millis(20);
 
 /// Objects are named by numbers; a page's body is its names, and a last line that tells whether more follow.
+const fn at(number: u64) -> StoreRevision {
+    StoreRevision { era: 0, number }
+}
+
 const DIALECT: KindDialect = KindDialect {
     list_path: |kind, after, _| format!("/{kind}/{}", after.unwrap_or("0")),
-    read_list: |body| {
+    read_era: |headers| u16::from(headers.contains_key("restored")),
+    read_list: |era, body| {
         let text = std::str::from_utf8(body).ok()?;
         let (names, more) = text.rsplit_once('\n')?;
         let names = names.lines().filter(|name| !name.is_empty());
         let items = names.map(|name| StoredObject {
             name: name.into(),
-            revision: 1,
+            revision: at(1),
             value: Arc::default(),
         });
         Some(ListPage {
             items: items.collect(),
             has_more: more == "more",
-            revision: 7,
+            revision: StoreRevision { era, number: 7 },
             unreadable: Vec::new(),
         })
     },
     watch_path: |kind, _, _| format!("/{kind}"),
-    read_watch: |_| {
+    read_watch: |_, _| {
         Some(WatchPage {
             events: Vec::new(),
-            revision: 1,
+            revision: at(1),
             unreadable: Vec::new(),
         })
     },
@@ -76,6 +83,11 @@
 impl RoundStore {
     /// Starts a store with the objects 1 to `objects`.
     async fn start(objects: usize) -> Self {
+        Self::start_restored(objects, usize::MAX).await
+    }
+
+    /// Starts a store that is restored before it answers pages that begin after the object `restored_after`.
+    async fn start_restored(objects: usize, restored_after: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let calls = Arc::<AtomicUsize>::default();
@@ -84,7 +96,8 @@
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 counted.fetch_add(1, Ordering::Relaxed);
-                tokio::spawn(answer(stream, objects, answered.clone()));
+                let answered = answered.clone();
+                tokio::spawn(answer(stream, objects, restored_after, answered));
             }
         });
         let counted = Arc::clone(&calls);
@@ -116,7 +129,12 @@
 }
 
 /// Answers one request on a connection with the next round.
-async fn answer(mut stream: TcpStream, objects: usize, mut rounds: watch::Receiver<usize>) {
+async fn answer(
+    mut stream: TcpStream,
+    objects: usize,
+    restored_after: usize,
+    mut rounds: watch::Receiver<usize>,
+) {
     rounds.mark_unchanged();
     let mut buf = [0; 4_096];
     let count = stream.read(&mut buf).await.unwrap();
@@ -128,7 +146,13 @@
     let names = (after + 1..=end).map(|n| format!("{n:06}\n"));
     let mut body: String = ["\n".to_owned()].into_iter().chain(names).collect();
     body.push_str(if end < objects { "more" } else { "end" });
-    let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+    let era = if after >= restored_after {
+        "restored: 1\r\n"
+    } else {
+        ""
+    };
+    let length = body.len();
+    let head = format!("HTTP/1.1 200 OK\r\n{era}content-length: {length}\r\n\r\n");
     stream.write_all(head.as_bytes()).await.unwrap();
     stream.write_all(body.as_bytes()).await.unwrap();
 }
@@ -174,10 +198,22 @@
         let list = list.await.unwrap();
         let listed = list.items.iter().map(|object| &object.name);
         assert!(listed.eq(&all), "{} known names", known.len());
-        assert_eq!(list.revision, 7);
+        assert_eq!(list.revision, at(7));
     }
     let server = RoundStore::start(6_000).await;
     let store = server.client();
     let list = store.list_kind(Purpose::Registry, &DIALECT, "kind", Freshness::Current);
     assert_eq!(list.await.unwrap().items.len(), all.len());
 }
+
+/// Guards against a list whose pages are from before and after a restore of the store, which shows a state that never
+/// was.
+#[tokio::test]
+async fn list_that_spans_a_restore_fails() {
+    for known in [BTreeSet::new(), names(1..=6_000)] {
+        let server = RoundStore::start_restored(6_000, 4_000).await;
+        let store = server.client();
+        let list = store.list_known_kind(Purpose::Registry, &DIALECT, "kind", &known);
+        assert_eq!(list.await.err(), Some(StoreError::Restored));
+    }
+}
--- a/crates/tc-protocol/src/lib.rs
+++ b/crates/tc-protocol/src/lib.rs
@@ -13,6 +13,7 @@
 mod problem;
 pub mod routing;
 mod run_state;
+mod store_revision;
 mod view;
 pub mod wire;
 
@@ -31,4 +32,5 @@
 pub use permit::{Cost, Grant, Outcome, PermitRefusal, PermitRequest, RefusalReason, Release};
 pub use problem::{Problem, ProblemKind};
 pub use run_state::RunState;
+pub use store_revision::StoreRevision;
 pub use view::{FleetView, Member, MemberState, StoreHealth, UpstreamState, UpstreamSummary};
