Judge repeats by service and window in the soak; postmortem of the retries

Cause: the soak compared runs, not arrivals, so that repeats that upstreams refuse were not judged at all.

--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -271,6 +271,7 @@
             limited: self.limited,
             announced_leaving: self.announced_leaving,
             refusals: self.seen.refusals(),
+            arrivals: self.seen.arrivals(),
             stops: self.stops,
             wrong,
         });
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -10,6 +10,7 @@
     limits::{Limited, limit_promises},
     notices::{AnnouncedLeaving, notice_promises},
     process::EVACUATE_TIME,
+    retries::{Arrival, retry_promises},
     upstreams::{EVENTS, Run, domain_of, event_data, plain_body},
 };
 
@@ -78,6 +79,8 @@
     pub(super) announced_leaving: Vec<AnnouncedLeaving>,
     /// Requests that upstreams refused with a backoff.
     pub(super) refusals: Vec<Run>,
+    /// Requests that reached upstreams, whether they ran or not.
+    pub(super) arrivals: Vec<Arrival>,
     pub(super) stops: Vec<CleanStop>,
     /// Violations that the upstreams themselves detected.
     pub(super) wrong: Vec<String>,
@@ -100,6 +103,7 @@
     broken.extend(evacuation_promises(evidence));
     broken.extend(limit_promises(evidence));
     broken.extend(notice_promises(evidence));
+    broken.extend(retry_promises(evidence));
     broken
 }
 
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -12,6 +12,7 @@
 mod notices;
 mod plan;
 mod process;
+mod retries;
 mod upstreams;
 
 use std::{
--- a/crates/tc-bench/src/soak/process.rs
+++ b/crates/tc-bench/src/soak/process.rs
@@ -17,6 +17,7 @@
     outside::{ProcessSettings, settings_text},
 };
 
+use super::retries;
 use crate::{
     error::BenchError,
     world::{SystemBinary, free_address},
@@ -60,6 +61,9 @@
             store,
             grace: GRACE,
             evacuate_time: EVACUATE_TIME,
+            retry_ratio: retries::RATIO,
+            retry_extra: retries::EXTRA,
+            retry_window: retries::WINDOW,
         });
         let settings = folder.join(format!("{name}.settings"));
         fs::write(&settings, text).map_err(|e| file(&settings, &e))?;
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -21,6 +21,7 @@
 use super::{
     notices::BACKOFF,
     plan::{DOMAINS, UpstreamMode},
+    retries::Arrival,
 };
 
 /// Plain requests.
@@ -67,6 +68,7 @@
     leaving: Mutex<HashSet<String>>,
     refusing: Mutex<HashSet<String>>,
     refusals: Mutex<Vec<Run>>,
+    arrivals: Mutex<Vec<Arrival>>,
     /// Results of stages.
     pub(super) shelf: Arc<ResultShelf>,
     misdirected: Mutex<Vec<String>>,
@@ -82,6 +84,19 @@
         lock(&self.refusals).clone()
     }
 
+    /// Requests that reached upstreams, whether they ran or not.
+    pub(super) fn arrivals(&self) -> Vec<Arrival> {
+        lock(&self.arrivals).clone()
+    }
+
+    fn arrive(&self, service: &'static str, sent: &ForwardedRequest) {
+        lock(&self.arrivals).push(Arrival {
+            request: sent.id.clone(),
+            service,
+            at: Instant::now(),
+        });
+    }
+
     /// Makes an upstream announce that it is leaving until it is removed.
     pub(super) fn announce_leaving(&self, upstream: &str) {
         lock(&self.leaving).insert(upstream.to_owned());
@@ -221,8 +236,9 @@
     format!("d{}", number % DOMAINS)
 }
 
-fn answer(seen: &Seen, own: &str, service: &str, req: &Received) -> Script {
+fn answer(seen: &Seen, own: &str, service: &'static str, req: &Received) -> Script {
     let sent = read_forwarded_request(req);
+    seen.arrive(service, &sent);
     let mode = seen.mode(own);
     if seen.refuse(own, &sent) {
         return not_run_retry_after(BACKOFF.as_secs_f64());
