--- a/crates/tc-gateway/tests/retry_budget_fleet.rs
+++ b/crates/tc-gateway/tests/retry_budget_fleet.rs
@@ -46,7 +46,7 @@
     step_ms: u64,
     extra: f64,
     places: Vec<Place>,
-    /// Until when views may still change.
+    /// Time until which views may still change.
     views_change_until: u64,
     heals_at: u64,
     /// When each request was sent by its caller.
--- a/crates/tc-membership/src/fleet_share.rs
+++ b/crates/tc-membership/src/fleet_share.rs
@@ -6,7 +6,7 @@
 
 /// Time after which an instance that has found the fleet is known to all others that it can reach.
 const SETTLING_TIME: Duration = Duration::from_millis(2_500);
-/// How long an instance that is no longer seen counts as one that may be running. It may be on the other side of a
+/// Time for which an instance that is no longer seen counts as one that may be running. It may be on the other side of a
 /// partition, or suspended, and use its part.
 const MAX_UNSEEN: Duration = Duration::from_mins(10);
 
