--- a/crates/tc-stand-ins/src/objects.rs
+++ b/crates/tc-stand-ins/src/objects.rs
@@ -282,6 +282,14 @@
     pub fn calls(&self) -> usize {
         self.endpoint.server.received().len()
     }
+
+    /// Decoded calls that came to [`ObjectStore::address`] so far.
+    #[must_use]
+    pub fn decoded_calls(&self) -> Vec<ObjectCall> {
+        let received = self.endpoint.server.received();
+        let decoded = received.iter().map(self.shared.spelling.read_call);
+        decoded.flatten().collect()
+    }
 }
 
 impl Shared {
