Charge a retry again that is sent long after it was allowed

Upstreams that are short of capacity could get more repeats in a window than the fleet-wide budget allows.

Cause: a retry was counted when it was decided on. Before it is sent, its stages may be made again, for lost results or for a resumed stream, which takes seconds; it then arrives in another window than the one in which it was counted. The budget allows for one second in flight. Class of fault: a limit over a window that is checked at another time than the one that the window is about.

Evidence, before the change: retries_that_are_sent_late_stay_within_the_budget failed with "63 retries in the window from 34300 ms, 56 allowed for 0 requests".

Change: try_spend returns a RetryPermit that is valid for half a second. An attempt whose permit has expired takes another retry from the budget right before it chooses its upstream, and is not made if there is none. Choosing and connecting fit into the rest of the time in flight.

Why it holds: each retry that arrives was counted at most one second before, as the model of the fleet assumes. The expired one stays counted, which is on the safe side.

--- a/crates/tc-gateway/src/retry_budgets.rs
+++ b/crates/tc-gateway/src/retry_budgets.rs
@@ -9,7 +9,7 @@
 
 use tc_fleet::Mesh;
 use tc_membership::FleetShare;
-use tc_policy::{RetryBudget, RetryLimits};
+use tc_policy::{RetryBudget, RetryLimits, RetryPermit};
 use tc_protocol::{Member, MonoTime, ServiceName};
 use tokio::time::timeout;
 
@@ -72,16 +72,19 @@
     }
 
     /// Spends one retry of the request if the budget allows it. Logs and counts the decision.
-    pub(crate) fn try_spend(&self, request: &str, service: &ServiceName) -> bool {
+    pub(crate) fn try_spend(&self, request: &str, service: &ServiceName) -> Option<RetryPermit> {
         let now = MonoTime::now();
-        let (is_allowed, usage, instances) = {
+        let (permit, usage, instances) = {
             let mut inner = self.lock();
             let instances = inner.share.instances();
             let budget = inner.budget(service);
             (budget.try_spend(now), budget.usage(now), instances)
         };
         let name = service.as_str();
-        let result = if is_allowed { "allowed" } else { "refused" };
+        let result = match permit {
+            Some(_) => "allowed",
+            None => "refused",
+        };
         metrics::counter!("tc_retry_decisions_total", "service" => name.to_owned(), "result" => result)
             .increment(1);
         log::info!(
@@ -95,7 +98,7 @@
             process_age_ms = now.since(self.started).as_millis() as u64;
             "retry decided"
         );
-        is_allowed
+        permit
     }
 
     /// Updates the limits of all budgets for the current members.
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -4,7 +4,8 @@
 
 use http::{Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
-use tc_protocol::{RunState, UpstreamId, routing::RegisteredUpstream};
+use tc_policy::RetryPermit;
+use tc_protocol::{MonoTime, RunState, UpstreamId, routing::RegisteredUpstream};
 use tc_upstream::{CallError, CallErrorKind, RawCall, RawResponse};
 use tokio::time::Instant;
 
@@ -36,6 +37,8 @@
     pub(super) tried: Vec<UpstreamId>,
     /// Whether an earlier attempt reached an upstream, so that the next one uses retry budget.
     reached_upstream: bool,
+    /// Permission for the next attempt if it uses retry budget.
+    retry_permit: Option<RetryPermit>,
     /// The upstream of the attempt in progress.
     current_upstream: Option<UpstreamId>,
 }
@@ -55,6 +58,8 @@
     RateLimited(Duration),
     /// Upstreams of the service have requested backoffs; the time until the first one expires.
     BackingOff(Duration),
+    /// The retry budget does not allow the attempt any more.
+    BudgetExhausted,
     /// The time of the request is used up.
     TimedOut,
 }
@@ -113,13 +118,27 @@
             SendFailure::NoUpstream
             | SendFailure::RateLimited(_)
             | SendFailure::BackingOff(_)
+            | SendFailure::BudgetExhausted
             | SendFailure::TimedOut => false,
         };
         let is_used_up = self.sent >= req.route.max_attempts || self.refused >= MAX_REFUSED_SENDS;
         if !allowed || is_used_up || req.time_left() < MIN_TIME_LEFT {
             return false;
         }
-        !self.reached_upstream || cx.retry_budgets.try_spend(&req.head.request, &req.service)
+        if !self.reached_upstream {
+            return true;
+        }
+        self.retry_permit = cx.retry_budgets.try_spend(&req.head.request, &req.service);
+        self.retry_permit.is_some()
+    }
+
+    /// Returns true if the next attempt may still be sent. Its permit may have expired while stages were made again.
+    fn may_still_send(&mut self, cx: &RunContext, req: &RoutedRequest) -> bool {
+        let Some(permit) = self.retry_permit.take() else {
+            return true;
+        };
+        let spend = || cx.retry_budgets.try_spend(&req.head.request, &req.service);
+        permit.is_valid(MonoTime::now()) || spend().is_some()
     }
 
     /// Returns the refusal for the caller when no further attempt is made.
@@ -143,7 +162,7 @@
             }
             SendFailure::TimedOut => Refusal::timed_out(),
             SendFailure::InputGone => Refusal::not_run_transient("results of a stage were lost"),
-            SendFailure::NotRun | SendFailure::MayHaveRun => {
+            SendFailure::NotRun | SendFailure::MayHaveRun | SendFailure::BudgetExhausted => {
                 Refusal::not_run_transient("no upstream took the request")
             }
         }
@@ -161,6 +180,9 @@
             return Err(SendFailure::TimedOut);
         }
         cx.world.wait_until_fresh().await;
+        if !self.may_still_send(cx, req) {
+            return Err(SendFailure::BudgetExhausted);
+        }
         let mut target = self.choose(cx, req, options.results).await?;
         let upstream = Arc::clone(&target.upstream);
         let remaining = options
--- a/crates/tc-gateway/tests/retry_budget_fleet.rs
+++ b/crates/tc-gateway/tests/retry_budget_fleet.rs
@@ -7,7 +7,7 @@
 
 use rand::{Rng as _, RngExt as _, SeedableRng as _, rngs::SmallRng};
 use tc_membership::FleetShare;
-use tc_policy::{RetryBudget, RetryLimits};
+use tc_policy::{RetryBudget, RetryLimits, RetryPermit};
 use tc_protocol::{Incarnation, Member, MemberState, MonoTime};
 
 const RATIO: f64 = 0.2;
@@ -229,7 +229,7 @@
                 0
             };
             for _ in 0..most {
-                if !process.budget.try_spend(at(self.now)) {
+                if process.budget.try_spend(at(self.now)).is_none() {
                     break;
                 }
                 let arrives = self.now + self.rng.random_range(0..MAX_SEND_MS);
@@ -341,3 +341,28 @@
     }
     fleet.check();
 }
+
+/// Guards against retries that are decided one after another and arrive together, as when all wait for the same stage.
+#[test]
+fn retries_that_are_sent_late_stay_within_the_budget() {
+    let mut fleet = Fleet::new(0, 1, 56.0);
+    while fleet.now < 30_000 {
+        fleet.step(0.0, false);
+    }
+    let mut waiting: Vec<RetryPermit> = Vec::new();
+    while fleet.now < 50_000 {
+        fleet.now += fleet.step_ms;
+        let now = fleet.now;
+        let budget = &mut fleet.places[0].process.as_mut().expect("it runs").budget;
+        if now.is_multiple_of(4_900) {
+            for permit in waiting.drain(..) {
+                if permit.is_valid(at(now)) || budget.try_spend(at(now)).is_some() {
+                    fleet.retries.push(now);
+                }
+            }
+        }
+        waiting.extend(std::iter::from_fn(|| budget.try_spend(at(now))));
+    }
+    fleet.check();
+    assert!(!fleet.retries.is_empty(), "late retries are possible");
+}
--- a/crates/tc-policy/src/batch/completion.rs
+++ b/crates/tc-policy/src/batch/completion.rs
@@ -201,7 +201,7 @@
             return;
         };
         job.failures += u32::from(failed);
-        if job.failures > MAX_FAILURES || !self.retry_budget.try_spend(now) {
+        if job.failures > MAX_FAILURES || self.retry_budget.try_spend(now).is_none() {
             self.refuse(key, StageRefusal::Failed, effects);
             return;
         }
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -44,7 +44,7 @@
 pub use prompt_times::PromptTimes;
 pub use rendezvous::{rendezvous, rendezvous_score};
 pub use retry::retry_delay;
-pub use retry_budget::{RetryBudget, RetryLimits, RetryUsage};
+pub use retry_budget::{RetryBudget, RetryLimits, RetryPermit, RetryUsage};
 pub use stage_graph::StageGraph;
 pub use suspect::{SuspectPolicy, Suspects, Trial};
 pub use throttle::Throttle;
--- a/crates/tc-policy/src/retry_budget.rs
+++ b/crates/tc-policy/src/retry_budget.rs
@@ -8,6 +8,8 @@
 const STEPS_PER_WINDOW: u64 = 20;
 /// Steps that a retry, or a request before it is counted, may be in flight.
 const IN_FLIGHT_STEPS: u64 = 2;
+/// Steps for which a permit is valid. The other steps in flight are for connecting and sending.
+const PERMIT_STEPS: u32 = 1;
 /// Fraction of the fixed allowance that may be saved up. The rest accrues within a window.
 const SAVED_FRACTION: f64 = 0.5;
 /// Tolerance of sums of fractions of a retry.
@@ -35,6 +37,24 @@
     pub saved: f64,
 }
 
+/// Permission for one retry.
+///
+/// It expires, as a retry that waits arrives in another window than the one in which it was counted. A retry whose
+/// permit has expired needs another one.
+#[derive(Debug)]
+#[must_use]
+pub struct RetryPermit {
+    valid_until: MonoTime,
+}
+
+impl RetryPermit {
+    /// Returns true if the retry may be sent now.
+    #[must_use]
+    pub fn is_valid(&self, now: MonoTime) -> bool {
+        now <= self.valid_until
+    }
+}
+
 /// Decides on the retries that one instance makes for the requests of one service.
 ///
 /// Without a budget, every failing upstream multiplies the load on the others and the outage spreads.
@@ -55,13 +75,16 @@
 /// let limits = RetryLimits { ratio: 0.5, extra: 4.0, window: Duration::from_secs(10) };
 /// let start = MonoTime::from_millis(1);
 /// let mut budget = RetryBudget::new(limits, start);
-/// assert!(!budget.try_spend(start));
+/// assert!(budget.try_spend(start).is_none());
 /// for _ in 0..4 {
 ///     budget.record_request(start);
 /// }
-/// assert!(budget.try_spend(start));
-/// assert!(!budget.try_spend(start));
-/// assert!(budget.try_spend(start.after(Duration::from_secs(6))));
+/// let permit = budget.try_spend(start).unwrap();
+/// assert!(permit.is_valid(start.after(Duration::from_millis(100))));
+/// assert!(budget.try_spend(start).is_none());
+/// let later = start.after(Duration::from_secs(6));
+/// assert!(!permit.is_valid(later));
+/// assert!(budget.try_spend(later).is_some());
 /// ```
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -109,17 +132,19 @@
         self.current_step(now).requests += 1;
     }
 
-    /// Takes one retry from the budget; returns false if the budget is exhausted.
-    pub fn try_spend(&mut self, now: MonoTime) -> bool {
+    /// Takes one retry from the budget; returns `None` if the budget is exhausted.
+    pub fn try_spend(&mut self, now: MonoTime) -> Option<RetryPermit> {
         self.accrue(now);
         let paid = self.earned(now).clamp(0.0, 1.0);
         let missing = 1.0 - paid;
         if missing > self.saved + ROUNDING {
-            return false;
+            return None;
         }
         self.saved = (self.saved - missing).max(0.0);
         self.current_step(now).paid_retries += paid;
-        true
+        Some(RetryPermit {
+            valid_until: now.after(self.step_time() * PERMIT_STEPS),
+        })
     }
 
     /// Returns the state of the budget.
--- a/crates/tc-policy/tests/retry_budget.rs
+++ b/crates/tc-policy/tests/retry_budget.rs
@@ -33,7 +33,7 @@
                 requests.push(now);
                 continue;
             }
-            if budget.try_spend(at(now)) {
+            if budget.try_spend(at(now)).is_some() {
                 retries.push(now);
             }
         }
@@ -62,7 +62,9 @@
     for n in 0..40 {
         budget.record_request(at(100_000 + n * 100));
     }
-    let allowed = (0..20).filter(|_| budget.try_spend(at(104_000))).count();
+    let allowed = (0..20)
+        .filter(|_| budget.try_spend(at(104_000)).is_some())
+        .count();
     assert_eq!(allowed, 3, "half of the ratio of the last 35 requests");
 }
 
@@ -78,7 +80,7 @@
     for n in 0..4_000 {
         let now = at(100_000 + n * 25);
         budget.record_request(now);
-        allowed += usize::from(budget.try_spend(now));
+        allowed += usize::from(budget.try_spend(now).is_some());
     }
     assert!(allowed > 600, "{allowed} of 800");
 }
@@ -87,9 +89,9 @@
 #[test]
 fn fixed_allowance_accrues_without_requests() {
     let mut budget = RetryBudget::new(LIMITS, at(1_000));
-    assert!(!budget.try_spend(at(1_000)));
-    assert!(budget.try_spend(at(1_000 + WINDOW_MS)));
-    assert!(!budget.try_spend(at(1_000 + WINDOW_MS)));
+    assert!(budget.try_spend(at(1_000)).is_none());
+    assert!(budget.try_spend(at(1_000 + WINDOW_MS)).is_some());
+    assert!(budget.try_spend(at(1_000 + WINDOW_MS)).is_none());
 }
 
 /// Guards against an allowance that a quiet hour accumulates, or that stays after the limit has been reduced.
