Record the processes that a soak starts as it ends

Cause: Soak::heal started ended processes without recording it, unlike the starts during the faults; the judge excuses only what is recorded.

Change: both starts go through Soak::restart, which records them. The judge and its bounds are unchanged.

--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -221,11 +221,20 @@
                 }
                 sleep(STEP).await;
             }
-            self.instances[number].run()?;
+            self.restart(number)?;
         }
         self.until_ready().await
     }
 
+    /// Starts and records a new process of an instance unless one runs.
+    pub(super) fn restart(&mut self, number: usize) -> Result<(), BenchError> {
+        if !self.instances[number].is_running() {
+            self.instances[number].run()?;
+            self.restarts.push((number, Instant::now()));
+        }
+        Ok(())
+    }
+
     /// Every instance serves every kind of request once all has been well for a while.
     async fn last_requests(&mut self) {
         self.expect_last_config().await;
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -255,8 +255,7 @@
         for number in 0..self.instances.len() {
             if self.to_start[number] && !self.instances[number].is_running() {
                 self.to_start[number] = false;
-                self.instances[number].run()?;
-                self.restarts.push((number, Instant::now()));
+                self.restart(number)?;
             }
         }
         Ok(())
