Exchange the number of instances that may be running

What callers saw: nothing yet; the model of the fleet shows it. In a long partition, upstreams that refuse requests could get more repeats than the fleet-wide budget allows.

Cause: each instance divides the fixed allowance among those that it has seen within ten minutes, but one that starts knows only the members that others have at that moment. Dead members are dropped from their lists after a minute, so that an instance that starts after a minute of a partition counts its own side only, beside older ones that count both. Class of fault: a limit over the fleet that is computed from the members of a moment.

Evidence, before the change: restarts_during_a_long_cut_do_not_enlarge_the_fixed_allowance (a partition of 8 instances, after 70 s six of them start again, three on each side) failed with "72 retries in the window from 120207 ms, 56 allowed for 0 requests".

Change: introductions and comparisons of member lists carry the largest number that the sender knows, with the time for which it is still to be assumed; the larger number wins. A number expires although instances repeat it to each other. SharedFleetShare is what the mesh and the budgets use together.

Why it holds: an instance has no part in its first 2.5 s, in which it is introduced and compares its members several times; each answer brings the number of an instance that was there before. What remains: all instances of one side start again at the same time behind a partition of a minute or more, and nobody is left to tell them.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -243,6 +243,17 @@
     /// The sender only makes itself known and wants no list.
     #[prost(bool, tag = "4")]
     pub only_announces: bool,
+    #[prost(message, optional, tag = "5")]
+    pub size: ::core::option::Option<FleetSize>,
+}
+/// Number of instances that may be running, as the sender knows it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct FleetSize {
+    #[prost(uint32, tag = "1")]
+    pub instances: u32,
+    /// Time for which the number is still to be assumed.
+    #[prost(uint32, tag = "2")]
+    pub valid_for_ms: u32,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct MemberList {
@@ -252,6 +263,8 @@
     /// The answering instance's view has the digest that was asked with.
     #[prost(bool, tag = "2")]
     pub same_view: bool,
+    #[prost(message, optional, tag = "3")]
+    pub size: ::core::option::Option<FleetSize>,
 }
 /// One datagram. Its bytes are followed by an HMAC-SHA-256 tag under the fleet key.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -644,6 +657,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct WorldHave {
     /// Version of the configuration and revision of the list of upstreams that the asker has; 0 for none.
+    /// Revisions of the store carry its era in the upper 16 bits, here and below.
     #[prost(uint64, tag = "1")]
     pub config_version: u64,
     #[prost(uint64, tag = "2")]
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -23,6 +23,7 @@
 
 use super::{
     actor::{MeshActor, MeshArgs, MeshMsg, Published, other_addresses},
+    fleet_share::SharedFleetShare,
     limits::UpstreamLimits,
     messages::{
         MeshError, PiecesAnswer, outlook_from_wire, pieces_answer_from_wire, results_to_wire,
@@ -60,6 +61,8 @@
     pub traffic: tokio::runtime::Handle,
     /// Rate limits of upstreams, shared with the rest of the process.
     pub limits: Arc<UpstreamLimits>,
+    /// This instance's share of what all instances may use together. The mesh exchanges the number of instances.
+    pub share: Arc<SharedFleetShare>,
 }
 
 /// A trial run of a request suspected of crashing upstreams. Other runs of the same request wait until it is dropped.
@@ -80,6 +83,7 @@
     pub(super) peers: Arc<Peers>,
     suspects: Arc<SuspectTable>,
     pub(super) limits: Arc<UpstreamLimits>,
+    pub(super) share: Arc<SharedFleetShare>,
 }
 
 impl Mesh {
@@ -130,6 +134,7 @@
             actor: actor.clone(),
             suspects: Arc::clone(&suspects),
             limits: Arc::clone(&settings.limits),
+            share: Arc::clone(&settings.share),
             handlers,
         };
         serve(&settings.keys, &settings.traffic, listener, service);
@@ -141,6 +146,7 @@
                 peers,
                 suspects,
                 limits: settings.limits,
+                share: settings.share,
             }),
         })
     }
--- a/crates/tc-fleet/src/mesh/members.rs
+++ b/crates/tc-fleet/src/mesh/members.rs
@@ -67,11 +67,13 @@
             me: Some(self.own_record()),
             view: self.inner.published.view_digest.load(Ordering::Acquire),
             known: known.await.map_err(stopping)?,
+            size: Some(self.inner.share.report()),
             only_announces: false,
         });
         let list = client.introduce(introduction).await;
         let list = list.map_err(|status| no_answer(status.message().to_owned()))?;
         let list = list.into_inner();
+        self.inner.share.record_report(list.size);
         if list.same_view {
             return Ok(ComparisonOutcome::Same);
         }
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -4,6 +4,7 @@
 
 mod actor;
 mod engine_calls;
+mod fleet_share;
 mod handle;
 mod limits;
 mod members;
@@ -13,6 +14,7 @@
 mod store_update;
 mod suspects;
 
+pub use fleet_share::SharedFleetShare;
 pub use handle::{Mesh, MeshSettings, SuspectTrial};
 pub use limits::UpstreamLimits;
 pub use messages::{MeshError, PiecesAnswer};
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -18,6 +18,7 @@
 
 use super::{
     actor::{Introduced, MeshMsg},
+    fleet_share::SharedFleetShare,
     limits::UpstreamLimits,
     messages::{
         PiecesAnswer, choice_to_wire, engine_request_from_wire, outlook_to_wire,
@@ -71,6 +72,7 @@
     pub(super) handlers: Arc<MeshHandlers>,
     pub(super) suspects: Arc<SuspectTable>,
     pub(super) limits: Arc<UpstreamLimits>,
+    pub(super) share: Arc<SharedFleetShare>,
 }
 
 #[tonic::async_trait]
@@ -82,6 +84,7 @@
             .as_ref()
             .and_then(convert::record_from_wire)
             .ok_or_else(|| Status::invalid_argument("the introduction has no member"))?;
+        self.share.record_report(introduction.size);
         let introduced = Introduced {
             other,
             view_digest: introduction.view,
@@ -98,7 +101,11 @@
         let same_view = missing.is_none();
         let missing = missing.unwrap_or_default();
         let members = missing.iter().map(convert::record_to_wire).collect();
-        Ok(Response::new(MemberList { members, same_view }))
+        Ok(Response::new(MemberList {
+            members,
+            same_view,
+            size: Some(self.share.report()),
+        }))
     }
 
     async fn make_pieces(
--- a/crates/tc-fleet/src/server.rs
+++ b/crates/tc-fleet/src/server.rs
@@ -108,7 +108,7 @@
         let members = records.iter().map(convert::record_to_wire).collect();
         Ok(Response::new(MemberList {
             members,
-            same_view: false,
+            ..MemberList::default()
         }))
     }
 
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -154,9 +154,7 @@
             let mut client = parts.peers.client_at(*seed);
             let introduction = timed(Introduction {
                 me: Some(me.clone()),
-                view: 0,
-                known: Vec::new(),
-                only_announces: false,
+                ..Introduction::default()
             });
             let Ok(list) = client.introduce(introduction).await else {
                 continue;
--- a/crates/tc-gateway/src/retry_budgets.rs
+++ b/crates/tc-gateway/src/retry_budgets.rs
@@ -2,13 +2,11 @@
 
 use std::{
     collections::HashMap,
-    net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use tc_fleet::Mesh;
-use tc_membership::FleetShare;
+use tc_fleet::{Mesh, SharedFleetShare};
 use tc_policy::{RetryBudget, RetryLimits, RetryPermit};
 use tc_protocol::{Member, MonoTime, ServiceName};
 use tokio::time::timeout;
@@ -25,11 +23,11 @@
 pub(crate) struct RetryBudgets {
     settings: RetryBudgetSettings,
     started: MonoTime,
+    share: Arc<SharedFleetShare>,
     inner: Mutex<Inner>,
 }
 
 struct Inner {
-    share: FleetShare,
     limits: RetryLimits,
     /// When the fixed allowance of this instance last changed.
     limits_since: MonoTime,
@@ -37,19 +35,18 @@
 }
 
 impl RetryBudgets {
-    /// Creates the budgets of the instance at `me`, which has been told of others at `seeds`.
-    pub(crate) fn new(settings: RetryBudgetSettings, me: SocketAddr, seeds: &[SocketAddr]) -> Self {
+    /// Creates the budgets of an instance that has no part of the fixed allowance yet.
+    pub(crate) fn new(settings: RetryBudgetSettings, share: Arc<SharedFleetShare>) -> Self {
         let now = MonoTime::now();
-        let share = FleetShare::new(now, me, seeds);
         let inner = Inner {
-            limits: limits(&settings, share.part(now)),
+            limits: limits(&settings, 0.0),
             limits_since: now,
-            share,
             by_service: HashMap::new(),
         };
         Self {
             settings,
             started: now,
+            share,
             inner: Mutex::new(inner),
         }
     }
@@ -62,6 +59,11 @@
         RetryBudget::new(inner.limits, inner.limits_since)
     }
 
+    /// Returns the number of instances among which the fixed allowance is divided.
+    pub(crate) fn assumed_instances(&self) -> usize {
+        self.share.instances()
+    }
+
     /// Returns the current limits of this instance.
     pub(crate) fn limits(&self) -> RetryLimits {
         self.lock().limits
@@ -74,11 +76,10 @@
     /// Spends one retry of the request if the budget allows it. Logs and counts the decision.
     pub(crate) fn try_spend(&self, request: &str, service: &ServiceName) -> Option<RetryPermit> {
         let now = MonoTime::now();
-        let (permit, usage, instances) = {
+        let (permit, usage) = {
             let mut inner = self.lock();
-            let instances = inner.share.instances();
             let budget = inner.budget(service);
-            (budget.try_spend(now), budget.usage(now), instances)
+            (budget.try_spend(now), budget.usage(now))
         };
         let name = service.as_str();
         let result = match permit {
@@ -94,7 +95,7 @@
             requests = usage.requests,
             earned = usage.earned,
             saved = usage.saved,
-            instances = instances,
+            instances = self.assumed_instances(),
             process_age_ms = now.since(self.started).as_millis() as u64;
             "retry decided"
         );
@@ -103,9 +104,9 @@
 
     /// Updates the limits of all budgets for the current members.
     fn update(&self, now: MonoTime, members: &[Member]) {
+        let part = self.share.observe(now, members);
+        let limits = limits(&self.settings, part);
         let mut inner = self.lock();
-        inner.share.observe(now, members);
-        let limits = limits(&self.settings, inner.share.part(now));
         if limits == inner.limits {
             return;
         }
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -5,9 +5,10 @@
 use http::{Request, Response};
 use hyper::body::Incoming;
 use miette::Diagnostic;
-use tc_fleet::{FleetError, Mesh, MeshSettings, UpstreamLimits};
-use tc_membership::{MembershipConfig, SourceTiming};
+use tc_fleet::{FleetError, Mesh, MeshSettings, SharedFleetShare, UpstreamLimits};
+use tc_membership::{FleetShare, MembershipConfig, SourceTiming};
 use tc_platform::{Store, StoreSettings};
+use tc_protocol::MonoTime;
 use tc_upstream::{ClientSettings, UpstreamClient};
 use thiserror::Error;
 use tokio::{net::TcpListener, time::sleep};
@@ -160,6 +161,12 @@
         self.cx.instances()
     }
 
+    /// Returns the number of instances among which this one divides fleet-wide allowances.
+    #[must_use]
+    pub fn assumed_instances(&self) -> usize {
+        self.cx.retry_budgets.assumed_instances()
+    }
+
     /// Stops gracefully. Returns when the process may exit.
     pub async fn stop(&self) {
         stop(
@@ -204,7 +211,9 @@
         ..ClientSettings::default()
     });
     let fleet_address = settings.me.fleet_address;
-    let retry_budgets = RetryBudgets::new(settings.retry_budget, fleet_address, &settings.seeds);
+    let share = FleetShare::new(MonoTime::now(), fleet_address, &settings.seeds);
+    let share = Arc::new(SharedFleetShare::new(share));
+    let retry_budgets = RetryBudgets::new(settings.retry_budget, Arc::clone(&share));
     let retry_budgets = Arc::new(retry_budgets);
     let (releaser, release_queue) = ResultReleaser::new();
     let limits = Arc::<UpstreamLimits>::default();
@@ -227,6 +236,7 @@
         timing: MembershipConfig::default(),
         traffic: traffic.clone(),
         limits: Arc::clone(&limits),
+        share,
     };
     let cold = Arc::new(ColdSends::new(settings.cold));
     let limits = Arc::new(LimitedSends::new(limits));
--- a/crates/tc-gateway/tests/retry_budget_fleet.rs
+++ b/crates/tc-gateway/tests/retry_budget_fleet.rs
@@ -5,8 +5,8 @@
 
 use std::{ops::Range, time::Duration};
 
-use rand::{Rng as _, RngExt as _, SeedableRng as _, rngs::SmallRng};
-use tc_membership::FleetShare;
+use rand::{Rng as _, RngExt as _, SeedableRng as _, rngs::SmallRng, seq::IndexedRandom as _};
+use tc_membership::{FleetShare, FleetSize};
 use tc_policy::{RetryBudget, RetryLimits, RetryPermit};
 use tc_protocol::{Incarnation, Member, MemberState, MonoTime};
 
@@ -187,6 +187,9 @@
             let visible = |p: &&Place| p.side == side && p.process.is_some() && p.known <= now;
             let members = self.places.iter().filter(visible);
             let members: Vec<Member> = members.map(|p| p.member.clone()).collect();
+            let reports = self.places.iter().filter(visible);
+            let reports = reports.filter_map(|p| p.process.as_ref().map(|p| p.share.size(at(now))));
+            let reports: Vec<FleetSize> = reports.collect();
             for place in self.places.iter_mut().filter(|p| p.side == side) {
                 if let Some(process) = &mut place.process
                     && process.frozen_until <= now
@@ -196,6 +199,9 @@
                     let found = 2 + members.len() * age as usize / MAX_DISCOVERY_MS as usize;
                     let found = found.min(members.len());
                     process.share.observe(at(now), &members[..found]);
+                    if let Some(reported) = reports.choose(&mut self.rng) {
+                        process.share.record_report(at(now), *reported);
+                    }
                 }
             }
         }
@@ -326,6 +332,32 @@
     assert!(most_used > 0.8, "the budget is used: {most_used}");
 }
 
+/// Guards against a process that starts during a long partition, when the members on the other side are forgotten, and
+/// takes a larger part than those that have seen them.
+#[test]
+fn restarts_during_a_long_cut_do_not_enlarge_the_fixed_allowance() {
+    let mut fleet = Fleet::new(0, 8, 56.0);
+    while fleet.now < 30_000 {
+        fleet.step(0.0, false);
+    }
+    for place in fleet.places.iter_mut().skip(4) {
+        place.side = 1;
+    }
+    (fleet.heals_at, fleet.views_change_until) = (300_000, 300_000);
+    while fleet.now < 100_000 {
+        fleet.step(0.0, false);
+    }
+    // One process on each side goes on.
+    for place in [1, 2, 3, 5, 6, 7] {
+        fleet.schedule_start(place, 200..2_000);
+    }
+    while fleet.now < 140_000 {
+        fleet.step(0.0, fleet.now > 120_000);
+    }
+    let most_used = fleet.check();
+    assert!(most_used > 0.5, "the budget is used: {most_used}");
+}
+
 /// Guards against processes that start together and use the parts of those that they have not found yet.
 #[test]
 fn start_of_a_whole_fleet_stays_within_the_fixed_allowance() {
--- a/crates/tc-membership/src/fleet_share.rs
+++ b/crates/tc-membership/src/fleet_share.rs
@@ -10,12 +10,24 @@
 /// partition, or suspended, and use its part.
 const MAX_UNSEEN: Duration = Duration::from_mins(10);
 
+/// Number of instances that may be running, as one of them reports it to the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Number of instances.
+    pub instances: usize,
+    /// Time for which the number is still to be assumed.
+    pub valid_for: Duration,
+}
+
 /// Counts the instances that may be running, and divides an allowance among them.
 ///
 /// The parts of all instances add up to at most one although nobody coordinates them. An instance without a part is
 /// one that has started less than the settling time ago, so that the others have reduced their parts before it gets
 /// one, or that has found none of the instances it was told of.
 ///
+/// Instances report the largest number that they know to each other. One that starts during a partition would
+/// otherwise count its own side only, as the members on the other side are forgotten after a minute.
+///
 /// ```
 /// use std::time::Duration;
 /// use tc_membership::FleetShare;
@@ -47,6 +59,8 @@
     last_seen: HashMap<SocketAddr, MonoTime>,
     /// When the first other instance was found, or this one started if it was told of none.
     found_fleet: Option<MonoTime>,
+    /// The largest number of instances known, and until when it is assumed.
+    largest: (usize, MonoTime),
 }
 
 impl FleetShare {
@@ -57,6 +71,7 @@
         let knows_of_others = last_seen.len() > 1;
         Self {
             me,
+            largest: (last_seen.len(), now.after(MAX_UNSEEN)),
             last_seen,
             found_fleet: (!knows_of_others).then_some(now),
         }
@@ -77,12 +92,35 @@
         self.last_seen.insert(self.me, now);
         self.last_seen
             .retain(|_, seen| now.since(*seen) < MAX_UNSEEN);
+        let (instances, valid_until) = self.largest;
+        if self.last_seen.len() >= instances || now >= valid_until {
+            self.largest = (self.last_seen.len(), now.after(MAX_UNSEEN));
+        }
+    }
+
+    /// Records the number that another instance reports.
+    pub fn record_report(&mut self, now: MonoTime, reported: FleetSize) {
+        let reported = (
+            reported.instances,
+            now.after(reported.valid_for.min(MAX_UNSEEN)),
+        );
+        self.largest = self.largest.max(reported);
+    }
+
+    /// Returns the number to report to other instances.
+    #[must_use]
+    pub fn size(&self, now: MonoTime) -> FleetSize {
+        let (instances, valid_until) = self.largest;
+        FleetSize {
+            instances,
+            valid_for: valid_until.since(now),
+        }
     }
 
     /// Returns the number of instances that may be running, including this one.
     #[must_use]
-    pub fn instances(&self) -> usize {
-        self.last_seen.len()
+    pub const fn instances(&self) -> usize {
+        self.largest.0
     }
 
     /// Returns the part of this instance, from 0 to 1.
--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -20,7 +20,7 @@
 mod view_sync;
 
 pub use config_puller::{ConfigPuller, Pull};
-pub use fleet_share::FleetShare;
+pub use fleet_share::{FleetShare, FleetSize};
 pub use list_schedule::ListSchedule;
 pub use membership::{Membership, MembershipConfig, Message, MessageKind, Outgoing, Record};
 pub use order::{OrderGuard, StaleFence};
