Keep a removed upstream away after a restore of the store brings its entry back

What callers saw: after the store came back from an older copy, an upstream that had left and whose entry was removed got requests again, 9 of 20 right after the restore. The store had acknowledged leave and removal.

Cause: what is known of a leaving upstream went with its entry, so that the restored entry, in which it does not leave yet, counted as a new one. Class of fault: an acknowledged state that is kept only as long as the record that showed it.

Evidence: removed_upstream_gets_no_requests_after_its_entry_is_restored failed before with 9 requests, asked 0.

Change: entries that are removed while their upstream leaves are kept for ten minutes, beside the table. An entry of a later era is compared with the kept one as it is with a present one: the same process that was leaving stays leaving, another process at the name is served. Instances that follow another one apply the same removals and do the same.

Result: the test passes; cost_of_a_change_does_not_grow_with_the_number_of_upstreams passes.

--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -7,6 +7,7 @@
 
 mod config;
 mod confirmations;
+mod departed;
 mod evacuated;
 mod follow;
 mod kind_watch;
--- a/crates/tc-gateway/src/world/upstream_updates.rs
+++ b/crates/tc-gateway/src/world/upstream_updates.rs
@@ -4,7 +4,7 @@
 
 use imbl::ordmap::DiffItem;
 use tc_fleet::{RegistryEntry, Removed, UpstreamUpdate};
-use tc_protocol::StoreRevision;
+use tc_protocol::{MonoTime, StoreRevision};
 
 use super::upstreams::{Entry, UpstreamTable};
 
@@ -92,6 +92,7 @@
             }
         };
         let mut next = self.clone();
+        next.forget_departed(MonoTime::now());
         for entry in &update.changed {
             next.put(&entry.name, entry.revision, || entry.upstream.clone());
         }
--- a/crates/tc-gateway/src/world/upstreams.rs
+++ b/crates/tc-gateway/src/world/upstreams.rs
@@ -18,6 +18,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::departed::DepartedUpstreams;
 use crate::codec::PlatformCodec;
 
 /// Minimum time for which the announcement of an unregistered upstream is kept.
@@ -45,6 +46,7 @@
     /// Digest of the names and revisions of all entries.
     digest: u64,
     marks: Arc<UpstreamMarks>,
+    departed: DepartedUpstreams,
 }
 
 /// Restrictions on upstreams that come from other sources than their entries.
@@ -158,6 +160,7 @@
         at: StoreRevision,
     ) -> Self {
         let mut next = self.clone();
+        next.forget_departed(MonoTime::now());
         for event in events {
             match event {
                 ObjectEvent::Put(object) => next.put_object(codec, object),
@@ -186,6 +189,7 @@
         let mut next = Self {
             revision: self.revision,
             marks: Arc::new(marks),
+            departed: self.departed.clone(),
             ..Self::default()
         };
         for (name, entry) in &self.entries {
@@ -212,6 +216,7 @@
         let mut next = Self {
             revision: at,
             marks: Arc::clone(&self.marks),
+            departed: self.departed.clone(),
             ..Self::default()
         };
         for object in objects {
@@ -225,6 +230,11 @@
         next
     }
 
+    /// Drops what is known of upstreams that were removed long ago.
+    pub(super) fn forget_departed(&mut self, now: MonoTime) {
+        self.departed.remove_expired(now);
+    }
+
     fn put_object(&mut self, codec: &PlatformCodec, object: &StoredObject) {
         self.put(&object.name, object.revision, || decode(codec, object));
     }
@@ -242,6 +252,7 @@
         if known.is_some_and(|known| revision <= known.revision) {
             return;
         }
+        let known = known.or_else(|| self.departed.get(name));
         let upstream = upstream();
         if let Some(leaving) = leaving_before_restore(known, revision, upstream.as_deref()) {
             let mut marks = UpstreamMarks::clone(&self.marks);
@@ -278,6 +289,7 @@
             return;
         };
         self.digest ^= entry_hash(name, entry.revision);
+        self.departed.record(MonoTime::now(), name, &entry);
         if let Some(upstream) = entry.upstream {
             self.unindex(&upstream);
         }
