Tell the homes of their upstreams before the view names them

Callers of the product's own interface would see such a refusal in the first moment after a start or a move of a home.

Cause: the node published a view with its upstreams and sent the same upstreams to the actor of the homes afterwards. A permit that was requested in between, by a thread that had read the view, reached the actor first, which refuses upstreams that it does not know; the 100 ms are its answer.

Change: the upstreams are sent before the view is published. A request that follows from a view is behind them in the actor's queue.

--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -189,11 +189,12 @@
             upstreams: Arc::new(table),
             store: self.parts.store.health(),
         });
+        // Permits are requested according to the view, so the homes must know its upstreams first.
+        let _ = self.parts.homes.cast(HomesMsg::SetUpstreams(known));
         self.parts.view.store(Arc::clone(&view));
         self.parts.limits.update(&view);
         let crashes = self.config.policy.crashes_to_quarantine;
         self.parts.suspects.set_crashes_to_quarantine(now, crashes);
-        let _ = self.parts.homes.cast(HomesMsg::SetUpstreams(known));
         self.announce_moved_permits(now, &view);
     }
 
