--- a/crates/tc-membership/src/fleet_share.rs
+++ b/crates/tc-membership/src/fleet_share.rs
@@ -59,8 +59,14 @@
     last_seen: HashMap<SocketAddr, MonoTime>,
     /// When the first other instance was found, or this one started if it was told of none.
     found_fleet: Option<MonoTime>,
-    /// The largest number of instances known, and until when it is assumed.
-    largest: (usize, MonoTime),
+    assumed: AssumedSize,
+}
+
+/// A number of instances and the time until which it is assumed. A larger number is greater, whenever it expires.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct AssumedSize {
+    instances: usize,
+    valid_until: MonoTime,
 }
 
 impl FleetShare {
@@ -71,7 +77,10 @@
         let knows_of_others = last_seen.len() > 1;
         Self {
             me,
-            largest: (last_seen.len(), now.after(MAX_UNSEEN)),
+            assumed: AssumedSize {
+                instances: last_seen.len(),
+                valid_until: now.after(MAX_UNSEEN),
+            },
             last_seen,
             found_fleet: (!knows_of_others).then_some(now),
         }
@@ -92,35 +101,38 @@
         self.last_seen.insert(self.me, now);
         self.last_seen
             .retain(|_, seen| now.since(*seen) < MAX_UNSEEN);
-        let (instances, valid_until) = self.largest;
-        if self.last_seen.len() >= instances || now >= valid_until {
-            self.largest = (self.last_seen.len(), now.after(MAX_UNSEEN));
+        let seen = AssumedSize {
+            instances: self.last_seen.len(),
+            valid_until: now.after(MAX_UNSEEN),
+        };
+        if now >= self.assumed.valid_until {
+            self.assumed = seen;
         }
+        self.assumed = self.assumed.max(seen);
     }
 
     /// Records the number that another instance reports.
     pub fn record_report(&mut self, now: MonoTime, reported: FleetSize) {
-        let reported = (
-            reported.instances,
-            now.after(reported.valid_for.min(MAX_UNSEEN)),
-        );
-        self.largest = self.largest.max(reported);
+        let reported = AssumedSize {
+            instances: reported.instances,
+            valid_until: now.after(reported.valid_for.min(MAX_UNSEEN)),
+        };
+        self.assumed = self.assumed.max(reported);
     }
 
     /// Returns the number to report to other instances.
     #[must_use]
     pub fn size(&self, now: MonoTime) -> FleetSize {
-        let (instances, valid_until) = self.largest;
         FleetSize {
-            instances,
-            valid_for: valid_until.since(now),
+            instances: self.assumed.instances,
+            valid_for: self.assumed.valid_until.since(now),
         }
     }
 
     /// Returns the number of instances that may be running, including this one.
     #[must_use]
     pub const fn instances(&self) -> usize {
-        self.largest.0
+        self.assumed.instances
     }
 
     /// Returns the part of this instance, from 0 to 1.
