--- a/crates/tc-gateway/tests/retry_budget_fleet.rs
+++ b/crates/tc-gateway/tests/retry_budget_fleet.rs
@@ -164,6 +164,22 @@
         self.send(demand, wants_retries);
     }
 
+    /// Plays until a time without requests.
+    fn run_until(&mut self, end: u64, wants_retries: bool) {
+        while self.now < end {
+            self.step(0.0, wants_retries);
+        }
+    }
+
+    /// Cuts the first half of the places off from the others.
+    fn cut_in_halves_until(&mut self, end: u64) {
+        let half = self.places.len() / 2;
+        for place in self.places.iter_mut().skip(half) {
+            place.side = 1;
+        }
+        (self.heals_at, self.views_change_until) = (end, end);
+    }
+
     fn start_processes(&mut self) {
         let seeds = self.places.iter().take(3);
         let seeds: Vec<_> = seeds.map(|p| p.member.fleet_address).collect();
@@ -318,16 +334,10 @@
 #[test]
 fn both_sides_of_a_cut_share_the_fixed_allowance() {
     let mut fleet = Fleet::new(0, 8, 56.0);
-    while fleet.now < 30_000 {
-        fleet.step(0.0, false);
-    }
-    for place in fleet.places.iter_mut().skip(4) {
-        place.side = 1;
-    }
-    (fleet.heals_at, fleet.views_change_until) = (90_000, 90_000);
-    while fleet.now < 80_000 {
-        fleet.step(0.0, fleet.now > 70_000);
-    }
+    fleet.run_until(30_000, false);
+    fleet.cut_in_halves_until(90_000);
+    fleet.run_until(70_000, false);
+    fleet.run_until(80_000, true);
     let most_used = fleet.check();
     assert!(most_used > 0.8, "the budget is used: {most_used}");
 }
@@ -337,23 +347,15 @@
 #[test]
 fn restarts_during_a_long_cut_do_not_enlarge_the_fixed_allowance() {
     let mut fleet = Fleet::new(0, 8, 56.0);
-    while fleet.now < 30_000 {
-        fleet.step(0.0, false);
-    }
-    for place in fleet.places.iter_mut().skip(4) {
-        place.side = 1;
-    }
-    (fleet.heals_at, fleet.views_change_until) = (300_000, 300_000);
-    while fleet.now < 100_000 {
-        fleet.step(0.0, false);
-    }
+    fleet.run_until(30_000, false);
+    fleet.cut_in_halves_until(300_000);
+    fleet.run_until(100_000, false);
     // One process on each side goes on.
     for place in [1, 2, 3, 5, 6, 7] {
         fleet.schedule_start(place, 200..2_000);
     }
-    while fleet.now < 140_000 {
-        fleet.step(0.0, fleet.now > 120_000);
-    }
+    fleet.run_until(120_000, false);
+    fleet.run_until(140_000, true);
     let most_used = fleet.check();
     assert!(most_used > 0.5, "the budget is used: {most_used}");
 }
@@ -363,10 +365,7 @@
 fn start_of_a_whole_fleet_stays_within_the_fixed_allowance() {
     let mut fleet = Fleet::new(0, 100, 1_000.0);
     for _ in 0..5 {
-        let next_kill = fleet.now + 2_000;
-        while fleet.now < next_kill {
-            fleet.step(0.0, true);
-        }
+        fleet.run_until(fleet.now + 2_000, true);
         for place in 0..fleet.places.len() {
             fleet.schedule_start(place, 200..500);
         }
@@ -378,9 +377,7 @@
 #[test]
 fn retries_that_are_sent_late_stay_within_the_budget() {
     let mut fleet = Fleet::new(0, 1, 56.0);
-    while fleet.now < 30_000 {
-        fleet.step(0.0, false);
-    }
+    fleet.run_until(30_000, false);
     let mut waiting: Vec<RetryPermit> = Vec::new();
     while fleet.now < 50_000 {
         fleet.now += fleet.step_ms;
