Decode the software version of upstreams and log it

A stream that breaks is resumed on any engine of its service, and no log line told with which version it began and went on, so that the two causes of the incident could not be told apart. The version was decoded and dropped at the border.

It is now part of a registered upstream, also in what instances pass on to each other (absent from an instance of an earlier build), and of the lines "engine chosen", "an upstream answers" and "stream resumed on another engine"; the last one has the version that began the stream as well. A request that resumes a stream of an earlier attempt is logged with that attempt. No choice has changed.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -721,6 +721,8 @@
     pub services: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
     #[prost(string, repeated, tag = "8")]
     pub failure_domains: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
+    #[prost(string, repeated, tag = "9")]
+    pub versions: ::prost::alloc::vec::Vec<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct RegistryEntry {
@@ -752,6 +754,9 @@
     /// Time until the end of the cold phase.
     #[prost(uint32, tag = "8")]
     pub cold_remaining_ms: u32,
+    /// Version of the upstream's software; absent if the sender does not know it.
+    #[prost(uint32, optional, tag = "9")]
+    pub version: ::core::option::Option<u32>,
 }
 /// Generated client implementations.
 pub mod fleet_client {
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -9,7 +9,8 @@
 
 use serde_json::Value;
 use tc_protocol::{
-    FailureDomain, MonoTime, ServiceName, StoreRevision, routing::RegisteredUpstream,
+    FailureDomain, MonoTime, ServiceName, StoreRevision, UpstreamVersion,
+    routing::RegisteredUpstream,
 };
 
 use crate::generated as wire;
@@ -155,6 +156,7 @@
     let now = MonoTime::now();
     let mut services = NameTable::default();
     let mut failure_domains = NameTable::default();
+    let mut versions = NameTable::default();
     let mut to_record = |upstream: &RegisteredUpstream| wire::UpstreamRecord {
         id: upstream.id.to_string(),
         service: services.index(upstream.service.as_str()),
@@ -167,6 +169,10 @@
         slots: upstream.slots,
         draining: upstream.draining,
         cold_remaining_ms: upstream.cold_until.since(now).as_millis() as u32,
+        version: upstream
+            .version
+            .as_ref()
+            .map(|version| versions.index(version.as_str())),
     };
     let changed = update.changed.iter().map(|entry| wire::RegistryEntry {
         name: entry.name.to_string(),
@@ -181,6 +187,7 @@
         since,
         services: services.names,
         failure_domains: failure_domains.names,
+        versions: versions.names,
     }
 }
 
@@ -233,10 +240,17 @@
     let services: Vec<ServiceName> = update.services.iter().map(|n| n.as_str().into()).collect();
     let domains = update.failure_domains.iter();
     let domains: Vec<FailureDomain> = domains.map(|name| name.as_str().into()).collect();
+    let versions = update.versions.iter();
+    let versions: Vec<UpstreamVersion> = versions.map(|name| name.as_str().into()).collect();
+    let version_at = |index: u32| versions.get(index as usize).cloned();
     let from_record = |record: &wire::UpstreamRecord| {
         Some(RegisteredUpstream {
             id: record.id.as_str().into(),
             service: services.get(record.service as usize)?.clone(),
+            version: match record.version {
+                Some(index) => Some(version_at(index)?),
+                None => None,
+            },
             address: SocketAddr::new(ip_from_wire(&record.ip)?, u16::try_from(record.port).ok()?),
             failure_domain: domains.get(record.failure_domain as usize)?.clone(),
             slots: record.slots,
@@ -304,6 +318,7 @@
                     .as_str()
                     .into(),
                 service: "draft-llm".into(),
+                version: (index % 5 != 0).then(|| format!("v1.{}", index % 3).into()),
                 address: SocketAddr::new(IpAddr::from(index.to_be_bytes()), 8_080),
                 failure_domain: format!("kl-{}", index % 6).into(),
                 slots: 16,
@@ -389,6 +404,8 @@
         assert!(change(|_| {}).is_some());
         assert!(change(|record| record.service = 7).is_none());
         assert!(change(|record| record.failure_domain = 7).is_none());
+        assert!(change(|record| record.version = Some(7)).is_none());
+        assert!(change(|record| record.version = None).is_some());
         assert!(change(|record| record.ip = vec![1, 2, 3]).is_none());
         assert!(change(|record| record.port = 70_000).is_none());
     }
--- a/crates/tc-gateway/src/call.rs
+++ b/crates/tc-gateway/src/call.rs
@@ -28,6 +28,8 @@
     pub piece_key: Option<Arc<str>>,
     /// The last event that the caller has, if it resumes a stream.
     pub resume_after: Option<u64>,
+    /// The id of the caller's earlier attempt that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<Arc<str>>,
     /// Whether another instance sent the request because it reaches no upstream.
     pub is_from_peer: bool,
 }
--- a/crates/tc-gateway/src/engines/request.rs
+++ b/crates/tc-gateway/src/engines/request.rs
@@ -9,7 +9,10 @@
 };
 
 use super::EngineRun;
-use crate::{run::RunContext, world::World};
+use crate::{
+    run::{RunContext, version_label},
+    world::World,
+};
 
 /// An engine that a home chose.
 pub(crate) struct ChosenEngine {
@@ -49,9 +52,13 @@
         },
         None => (cx.engines.choose(engine_request)?, None),
     };
+    let world = cx.world.load();
+    let version = world.upstreams.upstream(&choice.upstream);
+    let version = version.and_then(|upstream| upstream.version.as_ref());
     log::info!(
         request = request,
         upstream = choice.upstream.as_str(),
+        version = version_label(version),
         fetch_from = choice.fetch_from.as_ref().map_or("", |source| source.as_str()),
         tokens = engine_request.prompt.tokens_in,
         known_limit_per_s = cx.limits.limits().get(&choice.upstream).map(RateLimit::per_s),
--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -126,7 +126,7 @@
         Ok(body) => {
             cx.upstream_stats
                 .record(&upstream.id, CallOutcome::Answered(first_byte));
-            req.record_answer(&upstream.id, reply.head.status, attempts.sent);
+            req.record_answer(&upstream, reply.head.status, attempts.sent);
             cx.mesh.report_completed(req.fingerprint());
             Ok(answer(cx, &reply.head, HeldBody::new(body, held)))
         }
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -17,8 +17,9 @@
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
 use tc_fleet::{Mesh, SuspectTrial};
 use tc_protocol::{
-    Fingerprint, MemberState, PermitRefusal, RefusalReason, ServiceName, UpstreamId, WorkspaceName,
-    routing::{Route, RoutedWorkspace},
+    Fingerprint, MemberState, PermitRefusal, RefusalReason, ServiceName, UpstreamVersion,
+    WorkspaceName,
+    routing::{RegisteredUpstream, Route, RoutedWorkspace},
 };
 use tc_upstream::UpstreamClient;
 use thiserror::Error;
@@ -116,6 +117,11 @@
     }
 }
 
+/// Returns the text that stands for a version in log lines; empty if it is not known.
+pub(crate) fn version_label(version: Option<&UpstreamVersion>) -> &str {
+    version.map_or("", UpstreamVersion::as_str)
+}
+
 /// A request for which a route was found and which may run.
 pub(crate) struct RoutedRequest {
     pub(crate) head: RequestHead,
@@ -147,7 +153,7 @@
     }
 
     /// Logs and counts the first byte of an upstream's answer.
-    fn record_answer(&self, upstream: &UpstreamId, status: StatusCode, sends: u32) {
+    fn record_answer(&self, upstream: &RegisteredUpstream, status: StatusCode, sends: u32) {
         let after = self.arrived.elapsed();
         let service = self.service.as_str().to_owned();
         metrics::counter!("tc_routed_answers_total", "service" => service.clone()).increment(1);
@@ -156,7 +162,8 @@
         log::info!(
             request = &*self.head.request,
             route = &*self.route.name,
-            upstream = upstream.as_str(),
+            upstream = upstream.id.as_str(),
+            version = version_label(upstream.version.as_ref()),
             status = status.as_u16(),
             sends = sends,
             after_ms = after.as_millis() as u64;
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -7,6 +7,7 @@
 use http::Response;
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
+use tc_protocol::UpstreamVersion;
 use tc_upstream::CallError;
 use tokio::time::timeout;
 
@@ -15,6 +16,7 @@
     attempt::{AnswerFault, Answered, Attempts, SendFailure, SendOptions},
     buffered::{make_stages, make_stages_again, read, stage_results},
     stages::StageResults,
+    version_label,
 };
 use crate::{
     events::{Event, EventSplitter},
@@ -35,6 +37,9 @@
     req: Arc<RoutedRequest>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut attempts = Attempts::default();
+    if let Some(after_event) = req.head.resume_after {
+        log::info!(request = &*req.head.request, resumes = req.head.resumes.as_deref().unwrap_or_default(), after_event = after_event; "a caller resumes a stream");
+    }
     let mut results = make_stages(&cx, &req).await?;
     loop {
         let failure = match open(&cx, &req, &mut attempts, &results, None).await {
@@ -148,11 +153,8 @@
             }
             cx.upstream_stats
                 .record(&answered.upstream.id, CallOutcome::Answered(first_byte));
-            req.record_answer(
-                &answered.upstream.id,
-                answered.reply.head.status,
-                attempts.sent,
-            );
+            let status = answered.reply.head.status;
+            req.record_answer(&answered.upstream, status, attempts.sent);
             return Ok(Opened::Stream(Box::new(OpenStream {
                 answered,
                 events,
@@ -218,6 +220,8 @@
     open: OpenStream,
     /// The last event that was forwarded.
     last_id: Option<u64>,
+    /// Version of the engine that began the stream.
+    version: Option<UpstreamVersion>,
     ended: bool,
 }
 
@@ -231,6 +235,7 @@
     let (status, headers) = (head.status, (cx.codec.caller_headers)(&head.headers));
     let relay = Relay {
         last_id: req.head.resume_after,
+        version: open.answered.upstream.version.clone(),
         cx,
         req,
         attempts,
@@ -347,7 +352,15 @@
         let opened = open(cx, req, &mut self.attempts, &results, self.last_id).await?;
         match opened {
             Opened::Stream(open) => {
-                log::info!(request = &*req.head.request, upstream = open.answered.upstream.id.as_str(), after_event = self.last_id.unwrap_or(0); "stream resumed on another engine");
+                let upstream = &open.answered.upstream;
+                log::info!(
+                    request = &*req.head.request,
+                    upstream = upstream.id.as_str(),
+                    version = version_label(upstream.version.as_ref()),
+                    began_with = version_label(self.version.as_ref()),
+                    after_event = self.last_id.unwrap_or(0);
+                    "stream resumed on another engine"
+                );
                 self.open = *open;
                 Ok(())
             }
--- a/crates/tc-protocol/src/lib.rs
+++ b/crates/tc-protocol/src/lib.rs
@@ -27,7 +27,7 @@
 pub use guard::{Permit, WorkspaceLimitGuard};
 pub use name::{
     Attempt, FailureDomain, Fingerprint, Incarnation, InstanceId, PermitId, PipelineName, Region,
-    RequestId, ServiceName, StageName, UpstreamId, WorkspaceName,
+    RequestId, ServiceName, StageName, UpstreamId, UpstreamVersion, WorkspaceName,
 };
 pub use permit::{Cost, Grant, Outcome, PermitRefusal, PermitRequest, RefusalReason, Release};
 pub use problem::{Problem, ProblemKind};
--- a/crates/tc-protocol/src/name.rs
+++ b/crates/tc-protocol/src/name.rs
@@ -77,6 +77,10 @@
     /// A backend that runs calls.
     UpstreamId
 );
+string_newtype!(
+    /// Version of an upstream's software. Versions are compared for equality only; none is newer than another.
+    UpstreamVersion
+);
 string_newtype!(
     /// A group of interchangeable upstreams.
     ServiceName
--- a/crates/tc-protocol/src/routing/upstream.rs
+++ b/crates/tc-protocol/src/routing/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{FailureDomain, MonoTime, ServiceName, UpstreamId};
+use crate::{FailureDomain, MonoTime, ServiceName, UpstreamId, UpstreamVersion};
 
 /// A registered upstream process. A restarted process registers under a new identifier.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,6 +11,8 @@
     pub id: UpstreamId,
     /// Service the upstream belongs to.
     pub service: ServiceName,
+    /// Version of its software; `None` if the instance that passed the entry on does not send versions.
+    pub version: Option<UpstreamVersion>,
     /// Address it listens on; another process may get the address later.
     pub address: SocketAddr,
     /// Failure domain of the upstream.
@@ -34,6 +36,7 @@
     /// let mut upstream = RegisteredUpstream {
     ///     id: "engine-1".into(),
     ///     service: "engines".into(),
+    ///     version: Some("v1".into()),
     ///     address: ([10, 0, 0, 1], 80).into(),
     ///     failure_domain: "kl-a".into(),
     ///     slots: 4,
