Resume a broken stream only at the version that began it

Callers got one answer with events of two software versions (ORDER): the engine that began the stream broke off, and the instance opened the rest at any engine of the service.

Cause: the choice of an engine takes all upstreams of a service for interchangeable. That holds for whole requests, not for the rest of one.

The version of the engine that brought the first event is now part of the request for each later engine. It travels to the home, which chooses among engines of that version only; the instance checks the choice against the entry that it knows itself, and chooses likewise when no home answers. A version that is not known equals none. Without another engine of the version the answer ends at once, before stages are made again and retry budget is spent, and a silent engine is waited for, as nothing else could go on.

Ruled out: a stale entry, as each start has its own id and engines check it.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -613,6 +613,9 @@
     /// Limits known to the sender; a home that has just started or moved may not know them.
     #[prost(message, repeated, tag = "10")]
     pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
+    /// Version that the engine must have; absent if any will do.
+    #[prost(string, optional, tag = "11")]
+    pub version: ::core::option::Option<::prost::alloc::string::String>,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct EngineChoiceMessage {
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -186,6 +186,7 @@
         except: request.excluded.iter().map(ToString::to_string).collect(),
         remaining_ms: convert::millis(request.remaining),
         limits,
+        version: request.version.as_ref().map(ToString::to_string),
     }
 }
 
@@ -207,6 +208,7 @@
         inputs: inputs
             .map(|(domain, bytes)| (domain.as_str().into(), *bytes))
             .collect(),
+        version: message.version.as_deref().map(Into::into),
         excluded: message.except.iter().map(|id| id.as_str().into()).collect(),
         remaining: convert::from_millis(message.remaining_ms),
     }
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -318,7 +318,7 @@
                     .as_str()
                     .into(),
                 service: "draft-llm".into(),
-                version: (index % 5 != 0).then(|| format!("v1.{}", index % 3).into()),
+                version: (!index.is_multiple_of(5)).then(|| format!("v1.{}", index % 3).into()),
                 address: SocketAddr::new(IpAddr::from(index.to_be_bytes()), 8_080),
                 failure_domain: format!("kl-{}", index % 6).into(),
                 slots: 16,
--- a/crates/tc-gateway/src/engines/homes.rs
+++ b/crates/tc-gateway/src/engines/homes.rs
@@ -147,6 +147,7 @@
             .map(|engine| EngineCandidate {
                 id: engine.id.clone(),
                 domain: engine.failure_domain.clone(),
+                version: engine.version.clone(),
                 cold_until: engine.cold_until,
             })
             .collect();
--- a/crates/tc-gateway/src/engines/request.rs
+++ b/crates/tc-gateway/src/engines/request.rs
@@ -82,12 +82,15 @@
     );
     let world = cx.world.load();
     let find = |id: &UpstreamId| find_ready(&world, engine_request, id);
-    let may_send = |id: &UpstreamId| {
-        !engine_request.excluded.contains(id) && cx.backoffs.remaining(id).is_none()
+    let may_send = |engine: &RegisteredUpstream| {
+        engine.has_version(engine_request.version.as_ref())
+            && !engine_request.excluded.contains(&engine.id)
+            && cx.backoffs.remaining(&engine.id).is_none()
     };
     Some(ChosenEngine {
-        // This instance may know of leaving upstreams that the home has not heard of.
-        upstream: find(&choice.upstream).filter(|engine| may_send(&engine.id))?,
+        // This instance may know of leaving upstreams that the home has not heard of. A home of an earlier build
+        // ignores the required version.
+        upstream: find(&choice.upstream).filter(|engine| may_send(engine))?,
         fetch_from: choice
             .fetch_from
             .as_ref()
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -5,7 +5,7 @@
 use http::{Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
 use tc_policy::{RetryPermit, Senders};
-use tc_protocol::{MonoTime, RunState, UpstreamId, routing::RegisteredUpstream};
+use tc_protocol::{MonoTime, RunState, UpstreamId, UpstreamVersion, routing::RegisteredUpstream};
 use tc_upstream::{CallError, CallErrorKind, RawCall, RawResponse};
 use tokio::time::Instant;
 
@@ -100,6 +100,8 @@
     /// Results of the request's stages; `None` for routes without stages.
     pub(super) results: Option<&'a StageResults>,
     pub(super) resume_after: Option<u64>,
+    /// Version that the upstream must have; `None` if any will do.
+    pub(super) version: Option<&'a UpstreamVersion>,
     /// Limits the attempt to less than the request's remaining time.
     pub(super) timeout: Option<Duration>,
 }
@@ -183,7 +185,7 @@
         if !self.may_still_send(cx, req) {
             return Err(SendFailure::BudgetExhausted);
         }
-        let mut target = self.choose(cx, req, options.results).await?;
+        let mut target = self.choose(cx, req, &options).await?;
         let upstream = Arc::clone(&target.upstream);
         let remaining = options
             .timeout
--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -33,6 +33,7 @@
         let options = SendOptions {
             results: stage_results(req, &results),
             resume_after: None,
+            version: None,
             timeout: first_send_timeout(req, &attempts),
         };
         let failure = match attempts.send(cx, req, options).await {
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -31,6 +31,13 @@
 /// Fraction of the remaining time that a resumable stream waits for its first event before another engine is tried.
 const FIRST_EVENT_FRACTION: f64 = 0.45;
 
+/// Where a stream goes on: after the last event that its caller has, at the version that began it.
+#[derive(Clone, Copy)]
+struct ResumePoint<'a> {
+    after: Option<u64>,
+    version: &'a UpstreamVersion,
+}
+
 /// Runs a request until its first event; the remaining events follow in the answer's body.
 pub(super) async fn run(
     cx: Arc<RunContext>,
@@ -99,14 +106,17 @@
     req: &RoutedRequest,
     attempts: &mut Attempts,
     results: &StageResults,
-    resume_after: Option<u64>,
+    resume: Option<ResumePoint<'_>>,
 ) -> Result<Opened, SendFailure> {
+    let version = resume.map(|point| point.version);
     let options = SendOptions {
         results: stage_results(req, results),
-        resume_after,
+        resume_after: resume.and_then(|point| point.after),
+        version,
         timeout: None,
     };
-    let limit = first_event_timeout(req, attempts);
+    let has_other = attempts.candidates(cx, req, version, None) > 1;
+    let limit = first_event_timeout(req, attempts, has_other);
     let opened = async {
         let answered = attempts.send(cx, req, options).await?;
         if !answered.head.is_stream || !answered.reply.head.status.is_success() {
@@ -124,9 +134,9 @@
     Err(SendFailure::MayHaveRun)
 }
 
-fn first_event_timeout(req: &RoutedRequest, attempts: &Attempts) -> Duration {
+fn first_event_timeout(req: &RoutedRequest, attempts: &Attempts, has_other: bool) -> Duration {
     let may_retry = req.route.kind.allows_retry() && attempts.sent + 1 < req.route.max_attempts;
-    if may_retry {
+    if may_retry && has_other {
         req.time_left()
             .mul_f64(FIRST_EVENT_FRACTION)
             .max(req.route.latency_target)
@@ -318,13 +328,25 @@
 
     /// Returns how long the stream may be silent before it is resumed elsewhere; `None` if it cannot be resumed.
     fn stall_timeout(&self) -> Option<Duration> {
-        let may_retry =
-            self.req.route.kind.allows_retry() && self.attempts.sent < self.req.route.max_attempts;
+        let may_retry = self.req.route.kind.allows_retry()
+            && self.attempts.sent < self.req.route.max_attempts
+            && self.may_resume();
         let pause = self.req.route.max_event_gap.unwrap_or(MIN_STALL_TIMEOUT);
         may_retry.then(|| (pause * STALL_GAPS).max(MIN_STALL_TIMEOUT))
     }
 
-    /// Resumes a broken stream on another engine, if its route and the retry budget allow it.
+    /// Returns true if another engine has the version that began the stream.
+    fn may_resume(&self) -> bool {
+        let version = self.version.as_ref();
+        let in_use = Some(&self.open.answered.upstream.id);
+        let candidates = || {
+            self.attempts
+                .candidates(&self.cx, &self.req, version, in_use)
+        };
+        version.is_some() && candidates() > 0
+    }
+
+    /// Resumes a broken stream on another engine of its version, if its route and the retry budget allow it.
     async fn resume_elsewhere(&mut self, fault: &StreamFault) -> Result<(), IncompleteBody> {
         let upstream = self.open.answered.upstream.id.clone();
         log::info!(request = &*self.req.head.request, upstream = upstream.as_str(), last_event = self.last_id.unwrap_or(0), problem = fault.problem.as_str(), after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
@@ -334,7 +356,7 @@
         let mut failure = self
             .attempts
             .record_faulty_answer(&self.cx, &self.req, &upstream, fault.kind);
-        while self.attempts.may_send_again(&self.cx, &self.req, failure) {
+        while self.may_resume() && self.attempts.may_send_again(&self.cx, &self.req, failure) {
             failure = match self.resume().await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
@@ -346,10 +368,15 @@
 
     async fn resume(&mut self) -> Result<(), SendFailure> {
         let (cx, req) = (&self.cx, &self.req);
+        let version = self.version.as_ref().ok_or(SendFailure::NoUpstream)?;
         let results = make_stages(cx, req)
             .await
             .map_err(|_| SendFailure::NoUpstream)?;
-        let opened = open(cx, req, &mut self.attempts, &results, self.last_id).await?;
+        let point = ResumePoint {
+            after: self.last_id,
+            version,
+        };
+        let opened = open(cx, req, &mut self.attempts, &results, Some(point)).await?;
         match opened {
             Opened::Stream(open) => {
                 let upstream = &open.answered.upstream;
--- a/crates/tc-gateway/src/run/target.rs
+++ b/crates/tc-gateway/src/run/target.rs
@@ -3,12 +3,15 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use tc_policy::PickPreference;
-use tc_protocol::routing::{EngineRequest, Prompt, RegisteredUpstream};
+use tc_protocol::{
+    UpstreamId, UpstreamVersion,
+    routing::{EngineRequest, Prompt, RegisteredUpstream},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
     RoutedRequest, RunContext,
-    attempt::{Attempts, SendFailure},
+    attempt::{Attempts, SendFailure, SendOptions},
     stages::StageResults,
 };
 use crate::{
@@ -33,9 +36,9 @@
         &self,
         cx: &RunContext,
         req: &RoutedRequest,
-        results: Option<&StageResults>,
+        options: &SendOptions<'_>,
     ) -> Result<Target, SendFailure> {
-        if let Some(engine_request) = self.engine_request(cx, req, results)
+        if let Some(engine_request) = self.engine_request(cx, req, options)
             && let Some(chosen) = request_engine(cx, &req.head.request, &engine_request).await
         {
             let in_flight = cx.upstream_stats.begin_call(&chosen.upstream.id);
@@ -46,7 +49,27 @@
                 run: Some(chosen.run),
             });
         }
-        self.choose_locally(cx, req, results)
+        self.choose_locally(cx, req, options)
+    }
+
+    /// Returns the number of upstreams that may get the next attempt, of the given version if there is one, besides
+    /// the one `in_use`.
+    pub(super) fn candidates(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        version: Option<&UpstreamVersion>,
+        in_use: Option<&UpstreamId>,
+    ) -> usize {
+        let world = cx.world.load();
+        let all = world.upstreams.of_service(req.service.as_str());
+        let left = all.iter().filter(|upstream| {
+            upstream.takes_work()
+                && upstream.has_version(version)
+                && in_use != Some(&upstream.id)
+                && !self.tried.contains(&upstream.id)
+        });
+        left.count()
     }
 
     /// Builds the engine request for the home of a model service; `None` for requests without a prompt.
@@ -54,7 +77,7 @@
         &self,
         cx: &RunContext,
         req: &RoutedRequest,
-        results: Option<&StageResults>,
+        options: &SendOptions<'_>,
     ) -> Option<EngineRequest> {
         let prompt = req.head.prompt.clone()?;
         let world = cx.world.load();
@@ -64,9 +87,11 @@
         Some(EngineRequest {
             service: req.service.clone(),
             prompt,
-            inputs: results
+            inputs: options
+                .results
                 .map(|results| results.bytes_by_domain.clone())
                 .unwrap_or_default(),
+            version: options.version.cloned(),
             excluded: self
                 .tried
                 .iter()
@@ -83,14 +108,14 @@
         &self,
         cx: &RunContext,
         req: &RoutedRequest,
-        results: Option<&StageResults>,
+        options: &SendOptions<'_>,
     ) -> Result<Target, SendFailure> {
         let world = cx.world.load();
         let all = world.upstreams.of_service(req.service.as_str());
         let affinity_key = req.head.prompt.as_ref().and_then(Prompt::shared_prefix_id);
         let preference = PickPreference {
             affinity_key,
-            domain: results.and_then(StageResults::largest_domain),
+            domain: options.results.and_then(StageResults::largest_domain),
             tie_breaker: xxh3_64(req.head.request.as_bytes()),
         };
         let service = world
@@ -104,14 +129,16 @@
                         && cx.limits.may_send(&cx.mesh, service, &upstream.id)
                 })
             };
-            cx.backoffs.remaining(&upstream.id).is_none()
+            upstream.has_version(options.version)
+                && cx.backoffs.remaining(&upstream.id).is_none()
                 && cx.backoffs.may_send(&upstream.id, in_progress)
                 && within_limits()
         };
         let chosen = cx
             .upstream_stats
             .choose(all, &self.tried, admits, &preference);
-        let (upstream, in_flight) = chosen.ok_or_else(|| self.no_upstream_reason(cx, all))?;
+        let (upstream, in_flight) =
+            chosen.ok_or_else(|| self.no_upstream_reason(cx, all, options.version))?;
         cx.limits.record(&upstream.id);
         if let Some(service) = service {
             cx.cold.record(service, &upstream.id);
@@ -124,9 +151,16 @@
         })
     }
 
-    /// Returns why no upstream of `all` could be chosen.
-    fn no_upstream_reason(&self, cx: &RunContext, all: &[Arc<RegisteredUpstream>]) -> SendFailure {
-        let working = all.iter().filter(|upstream| upstream.takes_work());
+    /// Returns why no upstream of `all` with the required version could be chosen.
+    fn no_upstream_reason(
+        &self,
+        cx: &RunContext,
+        all: &[Arc<RegisteredUpstream>],
+        version: Option<&UpstreamVersion>,
+    ) -> SendFailure {
+        let working = all
+            .iter()
+            .filter(|upstream| upstream.takes_work() && upstream.has_version(version));
         let (backing_off, others): (Vec<_>, Vec<_>) = working
             .map(|upstream| &upstream.id)
             .partition(|id| cx.backoffs.remaining(id).is_some());
--- a/crates/tc-policy/benches/engine_home.rs
+++ b/crates/tc-policy/benches/engine_home.rs
@@ -37,6 +37,7 @@
             .into(),
         },
         inputs: vec![(format!("d{}", number % 6).as_str().into(), 3_000_000)],
+        version: None,
         excluded: Vec::new(),
         remaining: Duration::from_secs(5),
     }
@@ -51,6 +52,7 @@
         .map(|index| EngineCandidate {
             id: format!("engine-{index}~1733000000123").as_str().into(),
             domain: format!("d{}", index % 6).as_str().into(),
+            version: Some("v1".into()),
             cold_until: MonoTime::default(),
         })
         .collect();
--- a/crates/tc-policy/src/engines/cost.rs
+++ b/crates/tc-policy/src/engines/cost.rs
@@ -4,7 +4,7 @@
 
 use tc_protocol::{
     MonoTime, UpstreamId,
-    routing::{EngineRequest, PromptPart},
+    routing::{EngineRequest, PromptPart, meets_version},
 };
 
 use super::{engine::Engine, planner::EnginePlanner};
@@ -88,7 +88,10 @@
     ) -> Option<EngineCost<'a>> {
         let excluded: HashSet<&UpstreamId> = request.excluded.iter().collect();
         let availability = |id: &UpstreamId, engine: &Engine| {
-            let may_get = engine.ready && !excluded.contains(id) && may(id, engine);
+            let may_get = engine.ready
+                && meets_version(engine.version.as_ref(), request.version.as_ref())
+                && !excluded.contains(id)
+                && may(id, engine);
             may_get.then(|| self.availability(now, engine))
         };
         let candidates: Vec<(Availability, &UpstreamId, &Engine)> = self
@@ -310,6 +313,7 @@
                 DOMAINS[usize::from(op.input_domain % 4)].into(),
                 u64::from(op.input_kb) * 16,
             )],
+            version: None,
             excluded: vec![format!("e{}", op.excluded % 8).into()],
             remaining: Duration::from_secs(10),
         }
@@ -327,6 +331,7 @@
                 .map(|(i, domain)| EngineCandidate {
                     id: format!("e{i}").into(),
                     domain: (*domain).into(),
+                    version: Some("v1".into()),
                     cold_until: MonoTime::default(),
                 });
             planner.set_engines(SPEC, &engines.collect::<Vec<_>>());
--- a/crates/tc-policy/src/engines/engine.rs
+++ b/crates/tc-policy/src/engines/engine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tc_protocol::{FailureDomain, MonoTime};
+use tc_protocol::{FailureDomain, MonoTime, UpstreamVersion};
 
 use super::prefix_cache::PrefixCache;
 use crate::{ColdLimit, RecentSends, SendPacer};
@@ -22,6 +22,8 @@
 #[derive(Debug)]
 pub(super) struct Engine {
     pub(super) domain: FailureDomain,
+    /// Version of its software, if it is known.
+    pub(super) version: Option<UpstreamVersion>,
     pub(super) slots: u32,
     /// Whether the engine is registered and not leaving.
     pub(super) ready: bool,
@@ -46,6 +48,7 @@
     pub(super) fn new(domain: FailureDomain, slots: u32) -> Self {
         Self {
             domain,
+            version: None,
             slots,
             ready: true,
             cold_until: MonoTime::default(),
--- a/crates/tc-policy/src/engines/planner.rs
+++ b/crates/tc-policy/src/engines/planner.rs
@@ -4,7 +4,7 @@
 
 use slotmap::{Key, KeyData, SlotMap};
 use tc_protocol::{
-    FailureDomain, MonoTime, UpstreamId,
+    FailureDomain, MonoTime, UpstreamId, UpstreamVersion,
     routing::{EngineChoice, EngineRequest, EngineSpec, PromptPart, RateLimit, RunProgress},
 };
 
@@ -28,6 +28,8 @@
     pub id: UpstreamId,
     /// Failure domain of the engine.
     pub domain: FailureDomain,
+    /// Version of its software, if it is known.
+    pub version: Option<UpstreamVersion>,
     /// End of its cold phase, as far as known.
     pub cold_until: MonoTime,
 }
@@ -91,6 +93,7 @@
                 .entry(candidate.id.clone())
                 .or_insert_with(|| Engine::new(candidate.domain.clone(), spec.slots));
             engine.ready = true;
+            engine.version.clone_from(&candidate.version);
             engine.cold_until = candidate.cold_until;
         }
         self.engines
--- a/crates/tc-policy/tests/cold.rs
+++ b/crates/tc-policy/tests/cold.rs
@@ -38,6 +38,7 @@
                 .collect::<Arc<[_]>>(),
         },
         inputs: Vec::new(),
+        version: None,
         excluded: Vec::new(),
         remaining: Duration::from_secs(5),
     }
@@ -47,6 +48,7 @@
     EngineCandidate {
         id: format!("e{number}").into(),
         domain: "a".into(),
+        version: Some("v1".into()),
         cold_until,
     }
 }
--- a/crates/tc-policy/tests/engines/choice.rs
+++ b/crates/tc-policy/tests/engines/choice.rs
@@ -122,3 +122,25 @@
     planner.record(at(12_100), 77, RunProgress::Failed);
     assert_eq!(planner.size(), (0, 1));
 }
+
+/// Guards against a stream that goes on at an engine of another version because that one is idle or has its prompt cached.
+#[test]
+fn required_version_excludes_all_other_engines() {
+    let mut planner = planner(&["a", "a", "a"]);
+    let mut engines = candidates(&["a", "a", "a"]);
+    engines[1].version = Some("v2".into());
+    engines[2].version = None;
+    planner.set_engines(spec(), &engines);
+    let mut rest = request(&[(1, 5_000), (2, 500)]);
+    for now in [100, 200, 300] {
+        rest.version = Some("v2".into());
+        assert_eq!(choose(&mut planner, at(now), &rest).upstream, id(1));
+        rest.version = Some("v1".into());
+        assert_eq!(choose(&mut planner, at(now), &rest).upstream, id(0));
+    }
+    rest.version = Some("v3".into());
+    assert_eq!(planner.choose(at(400), &rest), None);
+    rest.version = Some("v2".into());
+    rest.excluded = vec![id(1)];
+    assert_eq!(planner.choose(at(400), &rest), None);
+}
--- a/crates/tc-policy/tests/engines/common.rs
+++ b/crates/tc-policy/tests/engines/common.rs
@@ -32,6 +32,7 @@
         .map(|(i, domain)| EngineCandidate {
             id: id(i),
             domain: (*domain).into(),
+            version: Some("v1".into()),
             cold_until: MonoTime::default(),
         })
         .collect()
@@ -74,6 +75,7 @@
                 .collect(),
         },
         inputs: Vec::new(),
+        version: None,
         excluded: Vec::new(),
         remaining: ms(10_000),
     }
--- a/crates/tc-policy/tests/upstream_limit/simulation.rs
+++ b/crates/tc-policy/tests/upstream_limit/simulation.rs
@@ -134,6 +134,7 @@
         let engine = EngineCandidate {
             id: self.upstream.clone(),
             domain: "a".into(),
+            version: Some("v1".into()),
             cold_until: MonoTime::default(),
         };
         planner.set_engines(SPEC, &[engine]);
@@ -396,6 +397,7 @@
             parts: Arc::default(),
         },
         inputs: Vec::new(),
+        version: None,
         excluded: Vec::new(),
         remaining: Duration::from_secs(5),
     }
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -18,4 +18,4 @@
 };
 pub use prompt::{EngineChoice, EngineRequest, Prompt, PromptPart, RunProgress, RunReport};
 pub use rate_limit::{AnnouncedLimit, RateLimit, RateLimitUpdate};
-pub use upstream::RegisteredUpstream;
+pub use upstream::{RegisteredUpstream, meets_version};
--- a/crates/tc-protocol/src/routing/prompt.rs
+++ b/crates/tc-protocol/src/routing/prompt.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::{FailureDomain, ServiceName, UpstreamId};
+use crate::{FailureDomain, ServiceName, UpstreamId, UpstreamVersion};
 
 /// Prompt of a model request, as a sequence of parts; requests can share a prefix of parts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -52,6 +52,8 @@
     pub prompt: Prompt,
     /// Bytes of results that the engine will fetch, by the failure domain that stores them.
     pub inputs: Vec<(FailureDomain, u64)>,
+    /// Version that the engine must have; `None` if any will do.
+    pub version: Option<UpstreamVersion>,
     /// Engines that must not be selected again.
     pub excluded: Vec<UpstreamId>,
     /// Time until the request ends in any case.
--- a/crates/tc-protocol/src/routing/upstream.rs
+++ b/crates/tc-protocol/src/routing/upstream.rs
@@ -52,4 +52,26 @@
     pub const fn takes_work(&self) -> bool {
         !self.draining && !self.evacuated
     }
+
+    /// Returns true if the upstream has the required version; see [`meets_version`].
+    #[must_use]
+    pub fn has_version(&self, required: Option<&UpstreamVersion>) -> bool {
+        meets_version(self.version.as_ref(), required)
+    }
+}
+
+/// Returns true if a version is the required one, or none is required. An unknown version is never the required one.
+///
+/// ```
+/// use tc_protocol::{UpstreamVersion, routing::meets_version};
+/// let (a, b) = (UpstreamVersion::from("a"), UpstreamVersion::from("b"));
+/// assert!(meets_version(Some(&a), Some(&a)) && meets_version(None, None));
+/// assert!(!meets_version(Some(&b), Some(&a)) && !meets_version(None, Some(&a)));
+/// ```
+#[must_use]
+pub fn meets_version(
+    version: Option<&UpstreamVersion>,
+    required: Option<&UpstreamVersion>,
+) -> bool {
+    required.is_none() || version == required
 }
