Add placement, table and model of the origins of streams

A caller takes a stream up at any instance, and the one that began it may be gone, so that nothing says with which software version the stream began (ORDER over a caller's attempts).

The origin (service and version) is soft state that never changes: a copy is right or missing, and copies need no agreement. Three instances in different failure domains keep each origin, chosen by rendezvous hashing for one of eight groups of streams, so that the instances that all others connect to stay few. Six are asked, as members may have joined. Records that contradict each other bind nobody. Nothing uses this yet.

The model plays begins, kills, starts, releases, partitions and views of any age. It detects the present choice (any version) and the one that trusts a single version known here. Other ways weighed: asking every instance costs a message for each, 984 in the largest fleet; a version derived from the id and the known versions changes with that set; passing the request to the instance that began it fails when that one is gone.

--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -17,6 +17,7 @@
 mod shuffle_shard;
 mod store_source;
 mod store_sources;
+mod stream_origins;
 mod view_sync;
 
 pub use config_puller::{ConfigPuller, Pull};
@@ -30,4 +31,5 @@
 pub use shuffle_shard::shuffle_shard;
 pub use store_source::{SourceTiming, StoreSource};
 pub use store_sources::{StoreSources, store_watchers};
+pub use stream_origins::{OriginGroup, OriginTable, origin_candidates, origin_holders};
 pub use view_sync::{ComparisonOutcome, ViewSync};
--- /dev/null
+++ b/crates/tc-membership/tests/stream_origins/simulation.rs
@@ -0,0 +1,264 @@
+//! Instances with views of their own, engines of several versions, and callers that take streams up.
+
+use std::time::Duration;
+
+use tc_membership::{OriginGroup, OriginTable, origin_candidates, origin_holders};
+use tc_protocol::{
+    Incarnation, Member, MemberState, MonoTime, UpstreamVersion,
+    routing::{OriginRecord, StreamKey, StreamOrigin},
+};
+
+pub(crate) const DOMAINS: usize = 4;
+/// Time for which callers take a stream up.
+pub(crate) const RETENTION: Duration = Duration::from_secs(10);
+const SERVICE: &str = "engines";
+
+/// How an instance finds the version of a stream that it did not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Lookup {
+    /// By the origins that instances keep.
+    Origins,
+    /// It takes any version that it knows: the behavior that mixed versions.
+    AnyVersion,
+    /// It takes the version of all engines that it knows, if they have one.
+    OnlyKnownVersion,
+}
+
+struct Instance {
+    member: Member,
+    table: OriginTable,
+    view: Vec<Member>,
+    /// Versions of the engines that this instance knows.
+    versions: Vec<UpstreamVersion>,
+    is_running: bool,
+    /// Instances on different sides of a partition do not reach each other.
+    side: u8,
+}
+
+/// A stream that an instance began.
+#[derive(Clone, Debug)]
+pub(crate) struct Stream {
+    pub(crate) key: StreamKey,
+    pub(crate) version: UpstreamVersion,
+    pub(crate) began_by: usize,
+}
+
+/// What became of a stream that a caller took up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum TakenUp {
+    WentOn(UpstreamVersion),
+    Refused,
+}
+
+pub(crate) struct Fleet {
+    lookup: Lookup,
+    now: MonoTime,
+    instances: Vec<Instance>,
+    /// Versions of the engines that serve.
+    versions: Vec<UpstreamVersion>,
+    begun: u64,
+    pub(crate) messages: u64,
+}
+
+fn member(number: usize, incarnation: u64) -> Member {
+    Member {
+        id: format!("i{number}.{incarnation}").into(),
+        incarnation: Incarnation(incarnation),
+        caller_address: ([127, 0, 0, 1], 1).into(),
+        fleet_address: ([127, 0, 0, 1], 2).into(),
+        failure_domain: format!("d{}", number % DOMAINS).into(),
+        region: "r".into(),
+        state: MemberState::Alive,
+        strength: 250,
+    }
+}
+
+impl Fleet {
+    pub(crate) fn new(lookup: Lookup, instances: usize) -> Self {
+        let new_instance = |number| Instance {
+            member: member(number, 1),
+            table: OriginTable::default(),
+            view: Vec::new(),
+            versions: Vec::new(),
+            is_running: true,
+            side: 0,
+        };
+        let mut fleet = Self {
+            lookup,
+            now: MonoTime::from_millis(1_000),
+            instances: (0..instances).map(new_instance).collect(),
+            versions: vec!["v1".into()],
+            begun: 0,
+            messages: 0,
+        };
+        for number in 0..instances {
+            fleet.refresh(number);
+        }
+        fleet
+    }
+
+    pub(crate) fn wait(&mut self, time: Duration) {
+        self.now = self.now.after(time);
+    }
+
+    /// Replaces the versions that serve. Instances notice when they are refreshed.
+    pub(crate) fn release(&mut self, versions: &[&str]) {
+        self.versions = versions.iter().map(|&version| version.into()).collect();
+    }
+
+    pub(crate) fn kill(&mut self, number: usize) {
+        self.instances[number].is_running = false;
+    }
+
+    /// Starts a killed instance again: with another identifier and without anything that it knew.
+    pub(crate) fn restart(&mut self, number: usize) {
+        let instance = &mut self.instances[number];
+        if instance.is_running {
+            return;
+        }
+        instance.member = member(number, instance.member.incarnation.0 + 1);
+        instance.table = OriginTable::default();
+        instance.view = vec![instance.member.clone()];
+        instance.versions = Vec::new();
+        instance.is_running = true;
+    }
+
+    pub(crate) fn partition(&mut self, number: usize, side: u8) {
+        self.instances[number].side = side;
+    }
+
+    /// Has an instance learn the members and engines that it reaches, and hand over copies as the members changed.
+    pub(crate) fn refresh(&mut self, number: usize) {
+        if !self.instances[number].is_running {
+            return;
+        }
+        let reached = |other: &&Instance| other.side == self.instances[number].side;
+        let running = self.instances.iter().filter(|other| other.is_running);
+        let view: Vec<Member> = running.filter(reached).map(|i| i.member.clone()).collect();
+        let instance = &mut self.instances[number];
+        let before = std::mem::replace(&mut instance.view, view);
+        instance.versions.clone_from(&self.versions);
+        if instance.table.is_empty() {
+            return;
+        }
+        for group in OriginGroup::all() {
+            self.hand_over(number, group, &before);
+        }
+    }
+
+    /// Sends the records of a group to the holders that were none among the members `before`.
+    fn hand_over(&mut self, number: usize, group: OriginGroup, before: &[Member]) {
+        let instance = &self.instances[number];
+        let holders_before = origin_holders(before, group);
+        let holders = origin_holders(&instance.view, group);
+        let is_new = |m: &&Member| !holders_before.iter().any(|known| known.id == m.id);
+        let added: Vec<Member> = holders.into_iter().filter(is_new).cloned().collect();
+        let records = instance.table.iter(self.now);
+        let records: Vec<OriginRecord> = records
+            .filter(|record| OriginGroup::of(record.key) == group)
+            .cloned()
+            .collect();
+        for record in records {
+            self.send(number, &record, &added);
+        }
+    }
+
+    fn send(&mut self, from: usize, record: &OriginRecord, to: &[Member]) {
+        let side = self.instances[from].side;
+        for receiver in to {
+            self.messages += 1;
+            let found = self
+                .instances
+                .iter_mut()
+                .find(|i| i.is_running && i.side == side && i.member.id == receiver.id);
+            if let Some(instance) = found {
+                instance.table.record(self.now, record.clone());
+            }
+        }
+    }
+
+    /// Begins a stream at an instance; `None` if the instance is not running or knows no engine.
+    pub(crate) fn begin(&mut self, number: usize, choice: usize) -> Option<Stream> {
+        let instance = &self.instances[number];
+        if !instance.is_running || instance.versions.is_empty() {
+            return None;
+        }
+        let version = instance.versions[choice % instance.versions.len()].clone();
+        if !self.versions.contains(&version) {
+            return None;
+        }
+        self.begun += 1;
+        let key = StreamKey::new(&"w".into(), &self.begun.to_string());
+        self.record(number, key, &version);
+        Some(Stream {
+            key,
+            version,
+            began_by: number,
+        })
+    }
+
+    fn record(&mut self, number: usize, key: StreamKey, version: &UpstreamVersion) {
+        let record = OriginRecord {
+            key,
+            origin: Some(StreamOrigin {
+                service: SERVICE.into(),
+                version: version.clone(),
+            }),
+            began_at: self.now,
+            expires_at: self.now.after(RETENTION),
+        };
+        let holders = origin_holders(&self.instances[number].view, OriginGroup::of(key));
+        let holders: Vec<Member> = holders.into_iter().cloned().collect();
+        self.instances[number]
+            .table
+            .record(self.now, record.clone());
+        self.send(number, &record, &holders);
+    }
+
+    /// Has a caller take a stream up at an instance; `None` if that one is not running.
+    pub(crate) fn take_up(&mut self, number: usize, stream: &Stream) -> Option<TakenUp> {
+        if !self.instances[number].is_running {
+            return None;
+        }
+        let version = self.find_version(number, stream.key);
+        let served = version.filter(|version| {
+            let known = &self.instances[number].versions;
+            known.contains(version) && self.versions.contains(version)
+        });
+        let Some(version) = served else {
+            return Some(TakenUp::Refused);
+        };
+        self.record(number, stream.key, &version);
+        Some(TakenUp::WentOn(version))
+    }
+
+    fn find_version(&mut self, number: usize, key: StreamKey) -> Option<UpstreamVersion> {
+        let instance = &self.instances[number];
+        let known = &instance.versions;
+        match self.lookup {
+            Lookup::AnyVersion => known.first().cloned(),
+            Lookup::OnlyKnownVersion => known.first().filter(|_| known.len() == 1).cloned(),
+            Lookup::Origins => {
+                let own = instance.table.get(self.now, key).cloned();
+                let found = own.or_else(|| self.ask(number, key));
+                found?.origin.map(|origin| origin.version)
+            }
+        }
+    }
+
+    fn ask(&mut self, number: usize, key: StreamKey) -> Option<OriginRecord> {
+        let asking = &self.instances[number];
+        let candidates = origin_candidates(&asking.view, OriginGroup::of(key));
+        self.messages += candidates.len() as u64;
+        candidates.into_iter().find_map(|candidate| {
+            let mut others = self.instances.iter();
+            let other = others
+                .find(|i| i.is_running && i.member.id == candidate.id && i.side == asking.side)?;
+            other.table.get(self.now, key).cloned()
+        })
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.instances.len()
+    }
+}
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod piece;
 mod prompt;
 mod rate_limit;
+mod stream_origin;
 mod upstream;
 
 pub use config::{
@@ -18,4 +19,5 @@
 };
 pub use prompt::{EngineChoice, EngineRequest, Prompt, PromptPart, RunProgress, RunReport};
 pub use rate_limit::{AnnouncedLimit, RateLimit, RateLimitUpdate};
+pub use stream_origin::{OriginRecord, StreamKey, StreamOrigin};
 pub use upstream::{RegisteredUpstream, meets_version};
