Keep a resumed stream at the version that began it over attempts

Cause: a request with Last-Event-Id ran like a new one, and the header that names the attempt that began the stream was not read.

The origin of a stream (service and version) is recorded when its first event has arrived, and sent to three instances beside the event, which does not wait for it. A request that resumes a stream looks for it here and then at six instances at the same time, for 150 ms at most; it then runs at that version only, and renews the record. Instances that become holders, as others are lost or leave, are sent the copies of their group. A request is refused as not run, before anything is sent, if the origin is unknown, contradicted, of a service to which the route does not go, or without an upstream of its version, and if it does not name the attempt. A route that is split by weight was split by the id of each attempt, so a resumed stream could go to another service; it now goes by the first id.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -457,6 +457,43 @@
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct LeaveAnswer {}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct StreamOrigin {
+    /// Halves of the stream's key.
+    #[prost(fixed64, tag = "1")]
+    pub key_high: u64,
+    #[prost(fixed64, tag = "2")]
+    pub key_low: u64,
+    /// Service and version of the upstream that began the stream; both absent if instances have recorded different ones.
+    #[prost(string, optional, tag = "3")]
+    pub service: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(string, optional, tag = "4")]
+    pub version: ::core::option::Option<::prost::alloc::string::String>,
+    #[prost(uint32, tag = "5")]
+    pub age_ms: u32,
+    #[prost(uint32, tag = "6")]
+    pub remaining_ms: u32,
+}
+#[derive(Clone, PartialEq, ::prost::Message)]
+pub struct OriginList {
+    #[prost(message, repeated, tag = "1")]
+    pub origins: ::prost::alloc::vec::Vec<StreamOrigin>,
+}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OriginsRecorded {}
+#[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OriginAsk {
+    #[prost(fixed64, tag = "1")]
+    pub key_high: u64,
+    #[prost(fixed64, tag = "2")]
+    pub key_low: u64,
+}
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct OriginAnswer {
+    /// Absent: the origin is not kept here.
+    #[prost(message, optional, tag = "1")]
+    pub origin: ::core::option::Option<StreamOrigin>,
+}
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct PiecesAskMessage {
     #[prost(string, tag = "1")]
@@ -1724,6 +1761,40 @@
                 .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FollowStore"));
             self.inner.server_streaming(req, path, codec).await
         }
+        /// Origins of streams that the receiver is to keep.
+        pub async fn record_origins(
+            &mut self,
+            request: impl tonic::IntoRequest<super::OriginList>,
+        ) -> std::result::Result<tonic::Response<super::OriginsRecorded>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/RecordOrigins");
+            let mut req = request.into_request();
+            req.extensions_mut().insert(GrpcMethod::new(
+                "tanagercroft.fleet.v1.Mesh",
+                "RecordOrigins",
+            ));
+            self.inner.unary(req, path, codec).await
+        }
+        /// The origin of a stream, if the receiver keeps it.
+        pub async fn find_origin(
+            &mut self,
+            request: impl tonic::IntoRequest<super::OriginAsk>,
+        ) -> std::result::Result<tonic::Response<super::OriginAnswer>, tonic::Status> {
+            self.inner.ready().await.map_err(|e| {
+                tonic::Status::unknown(format!("Service was not ready: {}", e.into()))
+            })?;
+            let codec = tonic_prost::ProstCodec::default();
+            let path =
+                http::uri::PathAndQuery::from_static("/tanagercroft.fleet.v1.Mesh/FindOrigin");
+            let mut req = request.into_request();
+            req.extensions_mut()
+                .insert(GrpcMethod::new("tanagercroft.fleet.v1.Mesh", "FindOrigin"));
+            self.inner.unary(req, path, codec).await
+        }
     }
 }
 /// Generated server implementations.
@@ -1785,6 +1856,16 @@
             &self,
             request: tonic::Request<super::WorldHave>,
         ) -> std::result::Result<tonic::Response<Self::FollowStoreStream>, tonic::Status>;
+        /// Origins of streams that the receiver is to keep.
+        async fn record_origins(
+            &self,
+            request: tonic::Request<super::OriginList>,
+        ) -> std::result::Result<tonic::Response<super::OriginsRecorded>, tonic::Status>;
+        /// The origin of a stream, if the receiver keeps it.
+        async fn find_origin(
+            &self,
+            request: tonic::Request<super::OriginAsk>,
+        ) -> std::result::Result<tonic::Response<super::OriginAnswer>, tonic::Status>;
     }
     /// What instances say to each other about routed requests.
     #[derive(Debug)]
@@ -2163,6 +2244,82 @@
                     };
                     Box::pin(fut)
                 }
+                "/tanagercroft.fleet.v1.Mesh/RecordOrigins" => {
+                    #[allow(non_camel_case_types)]
+                    struct RecordOriginsSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::OriginList> for RecordOriginsSvc<T> {
+                        type Response = super::OriginsRecorded;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::OriginList>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Mesh>::record_origins(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = RecordOriginsSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
+                "/tanagercroft.fleet.v1.Mesh/FindOrigin" => {
+                    #[allow(non_camel_case_types)]
+                    struct FindOriginSvc<T: Mesh>(pub Arc<T>);
+                    impl<T: Mesh> tonic::server::UnaryService<super::OriginAsk> for FindOriginSvc<T> {
+                        type Response = super::OriginAnswer;
+                        type Future = BoxFuture<tonic::Response<Self::Response>, tonic::Status>;
+                        fn call(
+                            &mut self,
+                            request: tonic::Request<super::OriginAsk>,
+                        ) -> Self::Future {
+                            let inner = Arc::clone(&self.0);
+                            let fut =
+                                async move { <T as Mesh>::find_origin(&inner, request).await };
+                            Box::pin(fut)
+                        }
+                    }
+                    let accept_compression_encodings = self.accept_compression_encodings;
+                    let send_compression_encodings = self.send_compression_encodings;
+                    let max_decoding_message_size = self.max_decoding_message_size;
+                    let max_encoding_message_size = self.max_encoding_message_size;
+                    let inner = self.inner.clone();
+                    let fut = async move {
+                        let method = FindOriginSvc(inner);
+                        let codec = tonic_prost::ProstCodec::default();
+                        let mut grpc = tonic::server::Grpc::new(codec)
+                            .apply_compression_config(
+                                accept_compression_encodings,
+                                send_compression_encodings,
+                            )
+                            .apply_max_message_size_config(
+                                max_decoding_message_size,
+                                max_encoding_message_size,
+                            );
+                        let res = grpc.unary(method, req).await;
+                        Ok(res)
+                    };
+                    Box::pin(fut)
+                }
                 _ => Box::pin(async move {
                     let mut response = http::Response::new(tonic::body::Body::default());
                     let headers = response.headers_mut();
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -214,6 +214,18 @@
         let _ = self.inner.actor.cast(MeshMsg::CallFailed(id.clone()));
     }
 
+    /// Reports that a call to an instance failed, as [`Mesh::report_timeout`] or [`Mesh::report_failed_call`].
+    pub fn report_error(&self, error: &MeshError) {
+        match error {
+            MeshError::TimedOut { instance } | MeshError::Full { instance } => {
+                self.report_timeout(instance);
+            }
+            MeshError::NoAnswer { instance, .. } | MeshError::Malformed { instance } => {
+                self.report_failed_call(instance);
+            }
+        }
+    }
+
     /// Returns the fleet addresses of the other instances that are not dead.
     #[must_use]
     pub fn other_addresses(&self) -> Vec<SocketAddr> {
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -10,6 +10,7 @@
 mod limits;
 mod members;
 mod messages;
+mod origins;
 mod peers;
 mod service;
 mod store_update;
--- /dev/null
+++ b/crates/tc-fleet/src/mesh/origins.rs
@@ -0,0 +1,116 @@
+//! RPCs that copy the origins of streams to other instances and find them there.
+
+use std::time::Duration;
+
+use tc_protocol::{
+    Member, MonoTime,
+    routing::{OriginRecord, StreamKey, StreamOrigin},
+};
+use tonic::Request;
+
+use super::{Mesh, MeshError, handle::call_error};
+use crate::{convert, generated as wire, peers::timed};
+
+/// Timeout for finding an origin. An instance that takes longer is busy or gone, and others are asked at the same time.
+const FIND_TIMEOUT: Duration = Duration::from_millis(150);
+
+impl Mesh {
+    /// Sends origins to an instance that is to keep them.
+    pub async fn record_origins(
+        &self,
+        holder: &Member,
+        records: &[OriginRecord],
+    ) -> Result<(), MeshError> {
+        let now = MonoTime::now();
+        let req = timed(wire::OriginList {
+            origins: records.iter().map(|r| record_to_wire(now, r)).collect(),
+        });
+        let mut client = self.inner.peers.client(holder);
+        let answer = client.record_origins(req).await;
+        answer
+            .map(|_| ())
+            .map_err(|status| call_error(holder, &status))
+    }
+
+    /// Asks an instance for the origin of a stream. Returns `None` if it does not keep it.
+    pub async fn find_origin(
+        &self,
+        holder: &Member,
+        key: StreamKey,
+    ) -> Result<Option<OriginRecord>, MeshError> {
+        let (key_high, key_low) = key_to_wire(key);
+        let mut req = Request::new(wire::OriginAsk { key_high, key_low });
+        req.set_timeout(FIND_TIMEOUT);
+        let mut client = self.inner.peers.client(holder);
+        let answer = client
+            .find_origin(req)
+            .await
+            .map_err(|status| call_error(holder, &status))?;
+        let now = MonoTime::now();
+        let found = answer.into_inner().origin;
+        let found = found.map(|origin| record_from_wire(now, &origin));
+        // An answer about another stream must not bind this one.
+        Ok(found.filter(|record| record.key == key))
+    }
+}
+
+fn key_to_wire(key: StreamKey) -> (u64, u64) {
+    ((key.0 >> 64) as u64, key.0 as u64)
+}
+
+pub(super) fn key_from_wire(high: u64, low: u64) -> StreamKey {
+    StreamKey(u128::from(high) << 64 | u128::from(low))
+}
+
+pub(super) fn record_to_wire(now: MonoTime, record: &OriginRecord) -> wire::StreamOrigin {
+    let (key_high, key_low) = key_to_wire(record.key);
+    let origin = record.origin.as_ref();
+    wire::StreamOrigin {
+        key_high,
+        key_low,
+        service: origin.map(|origin| origin.service.to_string()),
+        version: origin.map(|origin| origin.version.to_string()),
+        age_ms: convert::millis(now.since(record.began_at)),
+        remaining_ms: convert::millis(record.expires_at.since(now)),
+    }
+}
+
+pub(super) fn record_from_wire(now: MonoTime, message: &wire::StreamOrigin) -> OriginRecord {
+    let origin = match (&message.service, &message.version) {
+        (Some(service), Some(version)) => Some(StreamOrigin {
+            service: service.as_str().into(),
+            version: version.as_str().into(),
+        }),
+        _ => None,
+    };
+    OriginRecord {
+        key: key_from_wire(message.key_high, message.key_low),
+        origin,
+        began_at: now.before(convert::from_millis(message.age_ms)),
+        expires_at: now.after(convert::from_millis(message.remaining_ms)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn records_are_received_as_sent() {
+        let now = MonoTime::from_millis(50_000);
+        let origin = StreamOrigin {
+            service: "engines".into(),
+            version: "v1.1".into(),
+        };
+        for origin in [Some(origin), None] {
+            let record = OriginRecord {
+                key: StreamKey::new(&"w".into(), "r1"),
+                origin,
+                began_at: MonoTime::from_millis(49_000),
+                expires_at: MonoTime::from_millis(57_000),
+            };
+            let received = record_from_wire(now, &record_to_wire(now, &record));
+            assert_eq!(received, record);
+        }
+    }
+}
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -11,7 +11,9 @@
 use tc_policy::HomeOutlook;
 use tc_protocol::{
     MonoTime, ServiceName, StoreRevision,
-    routing::{EngineChoice, EngineRequest, ResultHandle, RunReport, StageRequest},
+    routing::{
+        EngineChoice, EngineRequest, OriginRecord, ResultHandle, RunReport, StageRequest, StreamKey,
+    },
 };
 use tokio::sync::oneshot;
 use tonic::{Request, Response, Status};
@@ -24,15 +26,17 @@
         PiecesAnswer, choice_to_wire, engine_request_from_wire, outlook_to_wire,
         pieces_answer_to_wire, results_from_wire, run_report_from_wire, stage_request_from_wire,
     },
+    origins::{key_from_wire, record_from_wire, record_to_wire},
     store_update::{StoreUpdate, WorldHave, store_update_to_wire},
 };
 use crate::{
     convert,
     generated::{
         EngineAskMessage, EngineChoiceMessage, FreeResultsAnswer, FreeResultsMessage, Introduction,
-        MemberList, OutlookAnswer, OutlookAsk, PiecesAnswer as WireAnswer, PiecesAskMessage,
-        RunNewsAnswer, RunNewsMessage, SuspectAnswer, SuspectReport, WorldHave as WireHave,
-        WorldNews as WireUpdate, mesh_server::Mesh as MeshService,
+        MemberList, OriginAnswer, OriginAsk, OriginList, OriginsRecorded, OutlookAnswer,
+        OutlookAsk, PiecesAnswer as WireAnswer, PiecesAskMessage, RunNewsAnswer, RunNewsMessage,
+        SuspectAnswer, SuspectReport, WorldHave as WireHave, WorldNews as WireUpdate,
+        mesh_server::Mesh as MeshService,
     },
     suspects::SuspectTable,
 };
@@ -60,6 +64,10 @@
     pub choose_engine: Box<ChooseEngine>,
     /// Handles progress reports of runs whose engines were chosen here.
     pub record_runs: Box<RecordRuns>,
+    /// Keeps the origins of streams for other instances.
+    pub record_origins: Box<dyn Fn(Vec<OriginRecord>) + Send + Sync>,
+    /// Returns the origin of a stream, if this instance keeps it.
+    pub find_origin: Box<dyn Fn(StreamKey) -> Option<OriginRecord> + Send + Sync>,
     /// Streams the state of the store: first what is newer than the given revisions, then each change. Returns `None`
     /// if this instance has too many followers.
     pub follow_world: Box<FollowWorld>,
@@ -171,6 +179,24 @@
         Ok(Response::new(answer))
     }
 
+    async fn record_origins(
+        &self,
+        req: Request<OriginList>,
+    ) -> Result<Response<OriginsRecorded>, Status> {
+        let now = MonoTime::now();
+        let origins = req.into_inner().origins;
+        let records = origins.iter().map(|origin| record_from_wire(now, origin));
+        (self.handlers.record_origins)(records.collect());
+        Ok(Response::new(OriginsRecorded {}))
+    }
+
+    async fn find_origin(&self, req: Request<OriginAsk>) -> Result<Response<OriginAnswer>, Status> {
+        let ask = req.into_inner();
+        let record = (self.handlers.find_origin)(key_from_wire(ask.key_high, ask.key_low));
+        let origin = record.map(|record| record_to_wire(MonoTime::now(), &record));
+        Ok(Response::new(OriginAnswer { origin }))
+    }
+
     type FollowStoreStream = BoxStream<'static, Result<WireUpdate, Status>>;
 
     async fn follow_store(
--- a/crates/tc-gateway/src/engines/request.rs
+++ b/crates/tc-gateway/src/engines/request.rs
@@ -2,7 +2,6 @@
 
 use std::{net::SocketAddr, sync::Arc};
 
-use tc_fleet::MeshError;
 use tc_protocol::{
     Member, UpstreamId,
     routing::{EngineChoice, EngineRequest, RateLimit, RegisteredUpstream},
@@ -36,14 +35,7 @@
             Ok(choice) => (choice?, Some(home)),
             Err(error) => {
                 log::info!(service = engine_request.service.as_str(), home = home.id.as_str(), error = error.to_string().as_str(); "home of a model service does not answer; choosing an engine locally");
-                match error {
-                    MeshError::TimedOut { instance } | MeshError::Full { instance } => {
-                        cx.mesh.report_timeout(&instance);
-                    }
-                    MeshError::NoAnswer { .. } | MeshError::Malformed { .. } => {
-                        cx.mesh.report_failed_call(&home.id);
-                    }
-                }
+                cx.mesh.report_error(&error);
                 (
                     cx.engines.choose_without_home(&cx.mesh, engine_request)?,
                     None,
--- a/crates/tc-gateway/src/handlers.rs
+++ b/crates/tc-gateway/src/handlers.rs
@@ -9,6 +9,7 @@
 use crate::{
     engines::EngineHomes,
     homes::{BatchHomes, ReleaseQueue},
+    origins::StreamOrigins,
     world::{WorldCell, relay_world},
 };
 
@@ -18,6 +19,7 @@
     homes: &Arc<BatchHomes>,
     engines: &Arc<EngineHomes>,
     world: &Arc<WorldCell>,
+    origins: &Arc<StreamOrigins>,
 ) -> Arc<MeshHandlers> {
     let engines_for_choice = Arc::clone(engines);
     let engines_for_reports = Arc::clone(engines);
@@ -25,6 +27,8 @@
     let homes_for_freeing = Arc::clone(homes);
     let homes_for_outlooks = Arc::clone(homes);
     let world = Arc::clone(world);
+    let origins_to_record = Arc::clone(origins);
+    let origins_to_find = Arc::clone(origins);
     Arc::new(MeshHandlers {
         make_pieces: Box::new(move |request| {
             let homes = Arc::clone(&homes_for_pieces);
@@ -34,6 +38,8 @@
         free_results: Box::new(move |results| homes_for_freeing.free_results(&results)),
         choose_engine: Box::new(move |request| engines_for_choice.choose(request)),
         record_runs: Box::new(move |service, reports| engines_for_reports.record(service, reports)),
+        record_origins: Box::new(move |records| origins_to_record.receive(records)),
+        find_origin: Box::new(move |key| origins_to_find.get(key)),
         follow_world: Box::new(move |have| relay_world(&world, have, heartbeat_interval)),
     })
 }
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod join;
 mod limits;
 mod listeners;
+mod origins;
 mod peer_requests;
 mod retry_budgets;
 mod routing;
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -6,6 +6,7 @@
 mod outlooks;
 mod prompt_times;
 mod refusal;
+mod resumption;
 mod stages;
 mod stream;
 mod target;
@@ -19,7 +20,7 @@
 use tc_protocol::{
     Fingerprint, MemberState, PermitRefusal, RefusalReason, ServiceName, UpstreamVersion,
     WorkspaceName,
-    routing::{RegisteredUpstream, Route, RoutedWorkspace},
+    routing::{RegisteredUpstream, Route, RoutedWorkspace, StreamOrigin},
 };
 use tc_upstream::UpstreamClient;
 use thiserror::Error;
@@ -36,6 +37,7 @@
     held_bytes::{HeldBytes, HeldGuard},
     homes::{BatchHomes, ResultReleaser},
     limits::LimitedSends,
+    origins::StreamOrigins,
     peer_requests::PeerRequests,
     retry_budgets::RetryBudgets,
     unknown_headers::UnknownHeaders,
@@ -85,6 +87,7 @@
     pub(crate) backoffs: Arc<UpstreamBackoffs>,
     pub(crate) unknown_headers: Arc<UnknownHeaders>,
     pub(crate) retry_budgets: Arc<RetryBudgets>,
+    pub(crate) origins: Arc<StreamOrigins>,
     pub(crate) outlooks: SharedOutlooks,
     pub(crate) prompt_times: SharedPromptTimes,
     pub(crate) client: UpstreamClient,
@@ -135,6 +138,8 @@
     pub(crate) arrived: Instant,
     /// Time left until the timeout of the caller or the route.
     pub(crate) allowed: TimeAllowed,
+    /// Origin of the stream that the request resumes.
+    pub(crate) origin: Option<StreamOrigin>,
     /// Permission held while the request runs, if the request may crash upstreams.
     pub(crate) suspect: Option<SuspectTrial>,
 }
@@ -203,8 +208,7 @@
 
 /// Runs a request until its answer is complete or, for a stream, until its first event.
 pub(crate) async fn run(cx: Arc<RunContext>, mut req: RoutedRequest) -> Response<AnswerBody> {
-    cx.retry_budgets.record_request(&req.service);
-    if let Err(refusal) = acquire_suspect_run(&cx, &mut req).await {
+    if let Err(refusal) = prepare(&cx, &mut req).await {
         refusal.log(&req);
         return refusal_answer(&cx.codec, &req.head.request, &refusal);
     }
@@ -220,6 +224,14 @@
     })
 }
 
+/// Finds what binds a request and waits until it may run.
+async fn prepare(cx: &RunContext, req: &mut RoutedRequest) -> Result<(), Refusal> {
+    let bound = resumption::bind_to_origin(cx, req).await;
+    cx.retry_budgets.record_request(&req.service);
+    bound?;
+    acquire_suspect_run(cx, req).await
+}
+
 /// Waits for permission to run a request that may crash upstreams; refuses one that has crashed too many.
 async fn acquire_suspect_run(cx: &RunContext, req: &mut RoutedRequest) -> Result<(), Refusal> {
     let (input, workspace) = (req.fingerprint(), req.workspace_name());
--- /dev/null
+++ b/crates/tc-gateway/src/run/resumption.rs
@@ -0,0 +1,151 @@
+//! Streams that a caller resumes in another request than the one that began them.
+
+use std::time::Duration;
+
+use http::StatusCode;
+use tc_protocol::{
+    MonoTime, ServiceName, UpstreamVersion,
+    routing::{OriginRecord, Route, StreamKey, StreamOrigin},
+};
+
+use super::{Refusal, RoutedRequest, RunContext};
+use crate::origins::OriginSource;
+
+/// Time after the end of a caller's request for which the origin of its stream is kept.
+const RETENTION_MARGIN: Duration = Duration::from_secs(2);
+/// Longest time for which the origin of a stream is kept.
+const MAX_RETENTION: Duration = Duration::from_mins(2);
+
+/// Reason why a stream cannot be resumed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unresumable {
+    /// The request does not say which attempt began the stream.
+    NoAttempt,
+    /// No instance that answers has recorded the stream.
+    UnknownOrigin,
+    /// Instances have recorded different origins.
+    Contradicted,
+    /// The route does not go to the service that began the stream.
+    OtherService,
+}
+
+impl Unresumable {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::NoAttempt => "no_attempt",
+            Self::UnknownOrigin => "unknown",
+            Self::Contradicted => "contradicted",
+            Self::OtherService => "other_service",
+        }
+    }
+
+    fn refusal(self) -> Refusal {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        match self {
+            Self::NoAttempt => Refusal::without_retry(
+                status,
+                "the request does not name the attempt that began the stream",
+            ),
+            Self::UnknownOrigin => Refusal::not_run_transient(
+                "the version of the upstream that began the stream is not known",
+            ),
+            Self::Contradicted => Refusal::without_retry(
+                status,
+                "several streams have the identifier of the attempt that began the stream",
+            ),
+            Self::OtherService => Refusal::without_retry(
+                status,
+                "the route does not go to the service that began the stream",
+            ),
+        }
+    }
+}
+
+/// Binds a request that resumes a stream to the service and version that began it. Other requests are left as they are.
+pub(super) async fn bind_to_origin(
+    cx: &RunContext,
+    req: &mut RoutedRequest,
+) -> Result<(), Refusal> {
+    let resumes = req.head.resume_after.is_some() || req.head.resumes.is_some();
+    if !resumes || !req.route.kind.is_stream() {
+        return Ok(());
+    }
+    let origin = find_origin(cx, req).await.map_err(|reason| {
+        count(reason.label());
+        log::info!(request = &*req.head.request, resumes = attempt(req), after_event = req.head.resume_after, reason = reason.label(); "a stream cannot be resumed");
+        reason.refusal()
+    })?;
+    req.service = origin.service.clone();
+    req.origin = Some(origin);
+    Ok(())
+}
+
+async fn find_origin(cx: &RunContext, req: &RoutedRequest) -> Result<StreamOrigin, Unresumable> {
+    if req.head.resumes.is_none() {
+        return Err(Unresumable::NoAttempt);
+    }
+    cx.wait_for_membership().await;
+    let found = cx.origins.find(&cx.mesh, stream_key(req)).await;
+    let (record, source) = found.ok_or(Unresumable::UnknownOrigin)?;
+    let origin = record.origin.ok_or(Unresumable::Contradicted)?;
+    if !goes_to(&req.route, &origin.service) {
+        return Err(Unresumable::OtherService);
+    }
+    count(match source {
+        OriginSource::Here => "found_here",
+        OriginSource::Instance(_) => "found_elsewhere",
+    });
+    log::info!(
+        request = &*req.head.request,
+        resumes = attempt(req),
+        after_event = req.head.resume_after,
+        version = origin.version.as_str(),
+        source = source.label(),
+        age_ms = MonoTime::now().since(record.began_at).as_millis() as u64,
+        after_ms = req.arrived.elapsed().as_millis() as u64;
+        "a caller resumes a stream"
+    );
+    Ok(origin)
+}
+
+/// Records the version with which the stream of a request began, if its caller may resume it.
+pub(super) fn record_origin(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    version: Option<&UpstreamVersion>,
+) {
+    let Some(version) = version.filter(|_| req.route.kind.allows_retry()) else {
+        return;
+    };
+    let now = MonoTime::now();
+    let caller_waits = req.head.remaining.unwrap_or_default();
+    let retention = caller_waits.max(req.route.timeout) + RETENTION_MARGIN;
+    cx.origins.record(OriginRecord {
+        key: stream_key(req),
+        origin: Some(StreamOrigin {
+            service: req.service.clone(),
+            version: version.clone(),
+        }),
+        began_at: now,
+        expires_at: now.after(retention.min(MAX_RETENTION)),
+    });
+}
+
+/// Returns the key of the stream that the request resumes, or else begins.
+fn stream_key(req: &RoutedRequest) -> StreamKey {
+    let began_by = req.head.resumes.as_ref().unwrap_or(&req.head.request);
+    StreamKey::new(&req.workspace_name(), began_by)
+}
+
+fn goes_to(route: &Route, service: &ServiceName) -> bool {
+    let mut targets = route.targets.iter();
+    targets.any(|(target, weight)| target == service && *weight > 0)
+}
+
+fn attempt(req: &RoutedRequest) -> &str {
+    req.head.resumes.as_deref().unwrap_or_default()
+}
+
+fn count(result: &'static str) {
+    metrics::counter!("tc_stream_resumptions_total", "result" => result).increment(1);
+}
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -15,6 +15,7 @@
     AnswerBody, IncompleteBody, Refusal, RoutedRequest, RunContext,
     attempt::{AnswerFault, Answered, Attempts, SendFailure, SendOptions},
     buffered::{make_stages, make_stages_again, read, stage_results},
+    resumption::record_origin,
     stages::StageResults,
     version_label,
 };
@@ -44,17 +45,31 @@
     req: Arc<RoutedRequest>,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut attempts = Attempts::default();
-    if let Some(after_event) = req.head.resume_after {
-        log::info!(request = &*req.head.request, resumes = req.head.resumes.as_deref().unwrap_or_default(), after_event = after_event; "a caller resumes a stream");
+    let resume = req.origin.as_ref().map(|origin| ResumePoint {
+        after: req.head.resume_after,
+        version: &origin.version,
+    });
+    if resume.is_some_and(|point| attempts.candidates(&cx, &req, Some(point.version), None) == 0) {
+        return Err(Refusal::not_run_transient(
+            "no upstream has the version that began the stream",
+        ));
     }
     let mut results = make_stages(&cx, &req).await?;
     loop {
-        let failure = match open(&cx, &req, &mut attempts, &results, None).await {
+        let failure = match open(&cx, &req, &mut attempts, &results, resume).await {
             Ok(Opened::Buffered(answer)) => return Ok(answer),
             Ok(Opened::Stream(open)) => {
                 // The engine has read its inputs by its first event.
                 drop(results);
-                return Ok(stream_answer(cx, req, attempts, *open));
+                if open.first.is_some() {
+                    record_origin(&cx, &req, open.answered.upstream.version.as_ref());
+                }
+                return Ok(stream_answer(
+                    Arc::clone(&cx),
+                    Arc::clone(&req),
+                    attempts,
+                    *open,
+                ));
             }
             Err(failure) => failure,
         };
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -150,7 +150,9 @@
         let config = self.config().await?;
         let route = find_route(&config, &parts)?;
         let workspace = find_workspace(&config, &route, &head)?;
-        let service = target_service(&route, &head.request)
+        // A stream that is resumed goes to the service that began it while the weights stay the same.
+        let resumes = head.resumes.as_ref().filter(|_| route.kind.is_stream());
+        let service = target_service(&route, resumes.unwrap_or(&head.request))
             .cloned()
             .ok_or_else(|| Refusal::not_run_transient("the route names no service"))?;
         if !self.stop.may_start(route.kind.is_stream()) {
@@ -176,6 +178,7 @@
             workspace,
             arrived,
             allowed,
+            origin: None,
             suspect: None,
         })
     }
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -27,6 +27,7 @@
     join::{Discovery, Settled, sync_members},
     limits::LimitedSends,
     listeners::{Listeners, into_runtime},
+    origins::{StreamOrigins, hand_over_origins, send_new_origins},
     peer_requests::PeerRequests,
     retry_budgets::{RetryBudgets, follow_members},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes},
@@ -258,8 +259,11 @@
     let engines = EngineHomes::new(Arc::clone(&world), Arc::clone(&cold), Arc::clone(&limits));
     let engines = Arc::new(engines);
     let heartbeat_interval = SourceTiming::within(propagation_limit(settings)).heartbeat_interval;
-    let handlers = mesh_handlers(heartbeat_interval, &homes, &engines, &world);
+    let (origins, new_origins) = StreamOrigins::new();
+    let handlers = mesh_handlers(heartbeat_interval, &homes, &engines, &world, &origins);
     let mesh = Mesh::start(mesh_settings, handlers).await?;
+    traffic.spawn(send_new_origins(mesh.clone(), new_origins));
+    traffic.spawn(hand_over_origins(mesh.clone(), Arc::clone(&origins)));
     let (run_reports, report_receiver) = RunReportSender::new();
     traffic.spawn(report_receiver.forward(mesh.clone(), Arc::clone(&engines)));
     traffic.spawn(poll_outlooks(mesh.clone(), Arc::clone(&homes)));
@@ -284,6 +288,7 @@
         backoffs,
         unknown_headers,
         retry_budgets,
+        origins,
         outlooks: SharedOutlooks::default(),
         prompt_times: SharedPromptTimes::default(),
         client,
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -84,7 +84,7 @@
 const STATUS: Label = fixed_set("status", 8);
 /// Response statuses of the gateway itself. [`REASON`] gives their cause.
 const REFUSAL_STATUS: Label = fixed_set("status", 10);
-const REASON: Label = fixed_set("reason", 25);
+const REASON: Label = fixed_set("reason", 30);
 const VERDICT: Label = fixed_set("verdict", 6);
 const WAY: Label = fixed_set("way", 2);
 const WORKSPACE: Label = Label {
@@ -150,7 +150,10 @@
     count("tc_store_hedged_calls_total", &[], "Reads of the store that were repeated because an earlier one was not answered soon."),
     count("tc_store_restores_total", &[], "Restores of the store from an older copy that this instance noticed in the list of upstreams."),
     gauge("tc_store_watcher", &[], "1 while this instance watches the store itself: four of a fleet, and others whom nobody tells anything."),
+    count("tc_stream_origin_copies_total", &[RESULT], "Origins of streams that were to be copied to another instance: `sent`, `failed`, or `dropped` because the queue was full."),
+    gauge("tc_stream_origins", &[], "Streams whose origin this instance keeps."),
     count("tc_stream_resumes_total", &[], "Streams resumed at an engine after a broken connection."),
+    count("tc_stream_resumptions_total", &[RESULT], "Requests that resume a stream of an earlier attempt: the origin was `found_here` or `found_elsewhere`, or they were refused: `unknown`, `contradicted`, `no_attempt`, `other_service`."),
     count("tc_superseded_total", &[], "Times this process found another, later one with its instance's name."),
     count("tc_suspects_total", &[], "Inputs that became suspects because an upstream died under them."),
     count("tc_throttled_total", &[], "Requests refused before they ran because too few like them found room."),
