Soak: engines of several versions, and callers that resume streams

Events name the version of their engine. Callers resume a broken stream up to twice, at an instance by chance, and name the request that began it.

--- a/crates/tc-bench/src/soak/callers.rs
+++ b/crates/tc-bench/src/soak/callers.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
-use tc_platform_adapter::outside::{CallerRequest, request_text, response_origin};
+use tc_platform_adapter::outside::{CallerRequest, Resumption, request_text, response_origin};
 use tc_protocol::routing::RouteKind;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -31,6 +31,8 @@
 const MOST_HEADERS: usize = 64;
 /// Families of prompts that share a part.
 const PROMPT_FAMILIES: u64 = 16;
+/// Number of times that a caller resumes a stream in a new request.
+const MAX_RESUMPTIONS: usize = 2;
 /// Pieces of a staged request.
 const PIECES: u32 = 3;
 
@@ -72,12 +74,23 @@
     },
 ];
 
+/// A stream that a caller resumes in a new request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Resumed {
+    /// The request that brought the first event.
+    pub(super) began: String,
+    /// The last event that the caller has.
+    pub(super) after_event: u64,
+}
+
 /// Answer that a caller received.
 #[derive(Clone, Debug)]
 pub(super) struct Told {
     pub(super) request: String,
     pub(super) route: String,
     pub(super) repeat: RouteKind,
+    /// The stream that the request resumes.
+    pub(super) resumed: Option<Resumed>,
     pub(super) instance: usize,
     pub(super) sent: Instant,
     pub(super) ended: Instant,
@@ -129,10 +142,14 @@
         let instance = rng.random_range(0..instances.len());
         let id = format!("s{seed:x}-{number}-{count}");
         let connection = kept[instance].take();
+        let attempt = Attempt {
+            kind,
+            id: &id,
+            resumed: None,
+        };
         let told = call(
             kind.route,
-            kind,
-            &id,
+            attempt,
             instance,
             instances[instance],
             connection,
@@ -140,21 +157,72 @@
         .await;
         if let Some((told, connection)) = told {
             kept[instance] = connection;
-            tellings.add(told);
+            tellings.add(told.clone());
+            resume(told, kind, &instances, &mut rng, &tellings).await;
         }
         sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
     }
 }
 
+/// Resumes a stream that broke, each time at an instance by chance.
+async fn resume(
+    mut told: Told,
+    kind: Kind,
+    instances: &[SocketAddr],
+    rng: &mut SmallRng,
+    tellings: &Tellings,
+) {
+    let began = told.request.clone();
+    let mut after_event = 0;
+    for number in 0..MAX_RESUMPTIONS {
+        after_event = last_event(&told.body).unwrap_or(after_event);
+        let broke = told.status == 200 && !told.whole || number > 0 && told.status != 200;
+        if kind.repeat != RouteKind::ResumableStream || !broke || after_event == 0 {
+            return;
+        }
+        let instance = rng.random_range(0..instances.len());
+        let id = format!("{began}-r{number}");
+        let resumed = Some(Resumed {
+            began: began.clone(),
+            after_event,
+        });
+        let attempt = Attempt {
+            kind,
+            id: &id,
+            resumed,
+        };
+        let Some((next, _)) = call(kind.route, attempt, instance, instances[instance], None).await
+        else {
+            return;
+        };
+        tellings.add(next.clone());
+        told = next;
+    }
+}
+
+/// Returns the last event of a body that came whole.
+fn last_event(body: &str) -> Option<u64> {
+    let (whole, _) = body.rsplit_once("\n\n")?;
+    let mut ids = whole.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.next_back()?.parse().ok()
+}
+
+/// One request of a caller.
+pub(super) struct Attempt<'a> {
+    pub(super) kind: Kind,
+    pub(super) id: &'a str,
+    pub(super) resumed: Option<Resumed>,
+}
+
 /// Makes one request; `None` when no connection could be had. Gives the connection back if it can be used again.
 pub(super) async fn call(
     route: &str,
-    kind: Kind,
-    id: &str,
+    attempt: Attempt<'_>,
     instance: usize,
     address: SocketAddr,
     connection: Option<TcpStream>,
 ) -> Option<(Told, Option<TcpStream>)> {
+    let Attempt { kind, id, resumed } = attempt;
     let mut stream = match connection {
         Some(stream) => stream,
         None => timeout(CONNECT_TIME, TcpStream::connect(address))
@@ -169,12 +237,17 @@
         deadline: DEADLINE,
         pieces: kind.staged.then_some(PIECES),
         shared_prefix: kind.repeat.is_stream().then(|| family_of(id)),
+        resumption: resumed.as_ref().map(|resumed| Resumption {
+            began: &resumed.began,
+            after_event: resumed.after_event,
+        }),
     });
     let sent = Instant::now();
     let mut told = Told {
         request: id.to_owned(),
         route: route.to_owned(),
         repeat: kind.repeat,
+        resumed,
         instance,
         sent,
         ended: sent,
--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{
-    callers::{KINDS, Tellings, Told, call, call_until},
+    callers::{Attempt, KINDS, Tellings, Told, call, call_until},
     faults::End,
     judge::{CleanStop, Evacuated, Evidence, Harm, Left, judge},
     limits::Limited,
@@ -25,6 +25,7 @@
     plan::{CALM_END, Plan, UpstreamMode},
     process::{GRACE, SoakInstance},
     upstreams::{ENGINES, STAGE, Seen, SoakUpstream, WEB},
+    versions::{EngineLife, Impaired},
 };
 use crate::{error::BenchError, world::SystemBinary};
 
@@ -67,6 +68,8 @@
     /// Instances whose processes are to be started once they have ended.
     pub(super) to_start: Vec<bool>,
     pub(super) stops: Vec<CleanStop>,
+    pub(super) engine_lives: Vec<EngineLife>,
+    pub(super) impaired: Vec<Impaired>,
     pub(super) left: Vec<Left>,
     pub(super) evacuated: Vec<Evacuated>,
     pub(super) harms: Vec<Harm>,
@@ -111,10 +114,11 @@
 impl Soak {
     async fn start(binary: &SystemBinary, folder: &Path, plan: &Plan) -> Result<Self, BenchError> {
         let store = ObjectStore::start(store_wire_format()).await;
-        let seen = Arc::new(Seen::default());
+        let seen = Arc::new(Seen::new(plan.versions));
         let mut upstreams = Vec::new();
-        for service in [WEB, ENGINES, STAGE] {
-            for number in 0..plan.upstreams {
+        let counts = [plan.upstreams, plan.engines(), plan.upstreams];
+        for (service, count) in [WEB, ENGINES, STAGE].into_iter().zip(counts) {
+            for number in 0..count {
                 let name = format!("{service}-{number}");
                 upstreams.push(SoakUpstream::start(name, service, &seen, &store).await);
             }
@@ -127,7 +131,9 @@
             started: now,
             store,
             seen,
-            next_upstream: plan.upstreams,
+            next_upstream: plan.engines(),
+            engine_lives: EngineLife::all(&upstreams),
+            impaired: Vec::new(),
             harmed_until: vec![now; plan.instances],
             to_start: vec![false; plan.instances],
             instances: instances?,
@@ -244,7 +250,12 @@
                 let mut last = None;
                 for attempt in 0..LAST_REQUESTS {
                     let id = format!("last-{number}-{}-{attempt}", kind.route);
-                    last = call(kind.route, kind, &id, number, address, None).await;
+                    let attempt = Attempt {
+                        kind,
+                        id: &id,
+                        resumed: None,
+                    };
+                    last = call(kind.route, attempt, number, address, None).await;
                     if last.as_ref().is_some_and(|(told, _)| is_served(told)) {
                         break;
                     }
@@ -282,6 +293,8 @@
             refusals: self.seen.refusals(),
             arrivals: self.seen.arrivals(),
             stops: self.stops,
+            engine_lives: self.engine_lives,
+            impaired: self.impaired,
             wrong,
         });
         broken.extend(self.broken);
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use super::{
-    callers::{KEY, KINDS, call},
+    callers::{Attempt, KEY, KINDS, call},
     drive::Soak,
     judge::{CleanStop, Evacuated, Harm, Harmed, Left},
     limits::Limited,
@@ -21,6 +21,7 @@
     plan::{Fault, UpstreamMode},
     process::GRACE,
     upstreams::{ENGINES, STAGE, SoakUpstream, WEB, domain},
+    versions::{EngineLife, Impaired},
 };
 use crate::error::BenchError;
 
@@ -39,6 +40,7 @@
     TakeBack(usize),
     LiftLimit(usize),
     LiftBackoff(usize),
+    EngineWell(usize),
 }
 
 impl Soak {
@@ -119,12 +121,26 @@
                 for service in [WEB, ENGINES] {
                     self.seen.set_mode(&format!("{service}-{upstream}"), mode);
                 }
+                self.impaired.push(Impaired {
+                    upstream: format!("{ENGINES}-{upstream}"),
+                    from: now,
+                    until,
+                });
                 Some(End::UpstreamWell(upstream))
             }
             Fault::Leave(upstream) => {
                 self.leave(upstream).await;
                 None
             }
+            Fault::ReplaceEngine(engine) => {
+                self.replace_engine(engine).await;
+                None
+            }
+            Fault::BreakEngine(engine) => {
+                let name = format!("{ENGINES}-{engine}");
+                self.seen.set_mode(&name, UpstreamMode::Breaks);
+                Some(End::EngineWell(engine))
+            }
             Fault::Evacuate(number) => {
                 self.evacuate(number, now);
                 Some(End::TakeBack(number))
@@ -238,6 +254,10 @@
                 }
                 self.store.remove(EVACUATIONS_KIND, &domain);
             }
+            End::EngineWell(engine) => {
+                let name = format!("{ENGINES}-{engine}");
+                self.seen.set_mode(&name, UpstreamMode::Well);
+            }
             End::LiftLimit(upstream) => self.lift_limit(upstream),
             End::LiftBackoff(upstream) => self.set_backoff(upstream, false),
             End::StoreWell => self.store.set_mode(StoreMode::Well),
@@ -285,6 +305,30 @@
         self.upstreams.push(started);
     }
 
+    /// Makes an engine leave and starts one in its place, which may have another version.
+    async fn replace_engine(&mut self, engine: usize) {
+        let now = Instant::now();
+        let mut engines = self.upstreams.iter().filter(|u| u.service == ENGINES);
+        let Some(leaving) = engines.nth(engine) else {
+            return;
+        };
+        let name = leaving.name.clone();
+        if self.leaving.iter().any(|(_, other)| *other == name) {
+            return;
+        }
+        leaving.register(&self.store, true);
+        let lives = self.engine_lives.iter_mut();
+        for life in lives.filter(|life| life.upstream == name) {
+            life.until = Some(now);
+        }
+        self.leaving.push((now + LEAVES_AFTER, name));
+        self.next_upstream += 1;
+        let fresh = format!("{ENGINES}-{}", self.next_upstream);
+        let started = SoakUpstream::start(fresh, ENGINES, &self.seen, &self.store).await;
+        self.engine_lives.push(EngineLife::begin(&started));
+        self.upstreams.push(started);
+    }
+
     /// Upstreams whose time is over end.
     pub(super) fn let_go(&mut self, now: Instant) {
         let over: Vec<String> = self
@@ -324,7 +368,12 @@
             let address = self.instances[number].callers;
             let route = added_route(version);
             let id = format!("c{version}-{number}");
-            let asked = call(&route, kind, &id, number, address, None).await;
+            let attempt = Attempt {
+                kind,
+                id: &id,
+                resumed: None,
+            };
+            let asked = call(&route, attempt, number, address, None).await;
             if let Some((told, _)) = asked
                 && told.status == 404
             {
@@ -346,6 +395,8 @@
         Fault::Reload(_)
         | Fault::Upstream(..)
         | Fault::Leave(_)
+        | Fault::ReplaceEngine(_)
+        | Fault::BreakEngine(_)
         | Fault::Config
         | Fault::Evacuate(_)
         | Fault::Limit(..)
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -12,6 +12,7 @@
     process::EVACUATE_TIME,
     retries::{Arrival, retry_promises},
     upstreams::{EVENTS, Run, domain_of, event_data, plain_body},
+    versions::{EngineLife, Impaired, version_promises},
 };
 
 /// Statuses that promise that the request has not run and never will.
@@ -82,6 +83,9 @@
     /// Requests that reached upstreams, whether they ran or not.
     pub(super) arrivals: Vec<Arrival>,
     pub(super) stops: Vec<CleanStop>,
+    pub(super) engine_lives: Vec<EngineLife>,
+    /// Times in which engines were not sound.
+    pub(super) impaired: Vec<Impaired>,
     /// Violations that the upstreams themselves detected.
     pub(super) wrong: Vec<String>,
 }
@@ -104,6 +108,7 @@
     broken.extend(limit_promises(evidence));
     broken.extend(notice_promises(evidence));
     broken.extend(retry_promises(evidence));
+    broken.extend(version_promises(evidence));
     broken
 }
 
@@ -168,30 +173,44 @@
 
 fn is_own_body(told: &Told) -> bool {
     if is_stream(told) {
-        return events(told).is_some_and(|last| last == EVENTS);
+        return last_event(told).is_some_and(|last| last == EVENTS);
     }
     told.body == plain_body(&told.request)
 }
 
 fn is_own_beginning(told: &Told) -> bool {
     if is_stream(told) {
-        return events(told).is_some();
+        return last_event(told).is_some();
     }
     plain_body(&told.request).starts_with(&told.body)
 }
 
-/// The last event if those that came are the request's own, from the first on without a gap; `None` otherwise.
-fn events(told: &Told) -> Option<u64> {
-    let mut expected = 0;
-    let whole = told.body.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
-    for event in whole.split("\n\n").filter(|event| !event.is_empty()) {
-        expected += 1;
-        let data = event_data(&told.request, expected);
-        if event != format!("id: {expected}\ndata: {data}") {
+/// The last event that the caller has if those that came are the request's own, without a gap; `None` otherwise.
+fn last_event(told: &Told) -> Option<u64> {
+    let mut last = told
+        .resumed
+        .as_ref()
+        .map_or(0, |resumed| resumed.after_event);
+    for (id, data) in events(&told.body)? {
+        last += 1;
+        let (_, version) = data.rsplit_once('@')?;
+        if id != last || data != event_data(&told.request, last, version) {
             return None;
         }
     }
-    Some(expected)
+    Some(last)
+}
+
+/// The events of a body that came whole, with their data; `None` if one is malformed.
+pub(super) fn events(body: &str) -> Option<Vec<(u64, &str)>> {
+    let whole = body.rsplit_once("\n\n").map_or("", |(whole, _)| whole);
+    let events = whole.split("\n\n").filter(|event| !event.is_empty());
+    events.map(event).collect()
+}
+
+fn event(text: &str) -> Option<(u64, &str)> {
+    let (id, data) = text.strip_prefix("id: ")?.split_once("\ndata: ")?;
+    Some((id.parse().ok()?, data))
 }
 
 /// A request that an upstream ran, sent to an instance in a planned stop, gets an answer.
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -14,6 +14,7 @@
 mod process;
 mod retries;
 mod upstreams;
+mod versions;
 
 use std::{
     fs,
@@ -49,6 +50,17 @@
     /// Lets upstreams announce that they are leaving or refuse requests with a backoff, besides the other faults, which
     /// stay the same.
     pub notices: bool,
+    /// Versions of the engines. Several are added to the other faults, which stay the same.
+    pub versions: EngineVersions,
+}
+
+/// Software versions of a soak's engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineVersions {
+    /// All have one version.
+    One,
+    /// Engines of several versions serve, break off and are replaced.
+    Several,
 }
 
 /// Runs one seed. The logs of its processes stay in the outcome's folder when a promise was broken.
@@ -68,6 +80,9 @@
     if shape.notices {
         plan.add_notices();
     }
+    if shape.versions == EngineVersions::Several {
+        plan.add_versions();
+    }
     let outcome = drive::play(binary, &folder, plan, shape.callers).await?;
     if outcome.broken.is_empty() {
         // Files that remain only take up space.
--- a/crates/tc-bench/src/soak/plan.rs
+++ b/crates/tc-bench/src/soak/plan.rs
@@ -61,6 +61,10 @@
     AnnounceLeaving(usize),
     /// An upstream of each service refuses requests with a backoff.
     Backoff(usize),
+    /// An engine leaves and another takes its place, perhaps with another version.
+    ReplaceEngine(usize),
+    /// An engine answers half and resets the connection.
+    BreakEngine(usize),
 }
 
 /// Mixed into the seed, so that adding notices leaves the other faults unchanged.
@@ -77,6 +81,12 @@
 /// Limits in tenths of a request per second.
 const LIMIT_TENTHS: [u32; 4] = [5, 10, 14, 40];
 
+/// Keeps replaced engines apart from the seed itself, as evacuations are.
+const VERSIONS: u64 = 0x7e5;
+/// Engines of a soak in which several versions serve, so that two of a version usually do.
+pub(super) const VERSIONED_ENGINES: usize = 6;
+const REPLACED_MS: std::ops::Range<u64> = 300..1_200;
+
 /// Failure domains that upstreams are spread over.
 pub(super) const DOMAINS: usize = 2;
 
@@ -94,6 +104,8 @@
     pub(super) seed: u64,
     pub(super) instances: usize,
     pub(super) upstreams: usize,
+    /// Whether engines of several versions serve.
+    pub(super) versions: bool,
     /// From the start to the end of the last fault.
     pub(super) length: Duration,
     pub(super) faults: Vec<Planned>,
@@ -118,11 +130,40 @@
             seed,
             instances,
             upstreams,
+            versions: false,
             length,
             faults,
         }
     }
 
+    /// Returns the number of engines at the start.
+    pub(super) fn engines(&self) -> usize {
+        if self.versions {
+            VERSIONED_ENGINES
+        } else {
+            self.upstreams
+        }
+    }
+
+    /// Has engines of several versions serve, which break off and are replaced; the same seed adds the same ones.
+    pub(super) fn add_versions(&mut self) {
+        self.versions = true;
+        let mut rng = SmallRng::seed_from_u64(self.seed ^ VERSIONS);
+        let mut at = CALM_START;
+        while at < self.length {
+            let lasts = Duration::from_millis(rng.random_range(REPLACED_MS));
+            let engine = rng.random_range(0..VERSIONED_ENGINES);
+            let fault = if rng.random_range(0..3) == 0 {
+                Fault::ReplaceEngine(engine)
+            } else {
+                Fault::BreakEngine(engine)
+            };
+            self.faults.push(Planned { at, lasts, fault });
+            at += lasts;
+        }
+        self.faults.sort_by_key(|planned| planned.at);
+    }
+
     /// Adds upstreams that announce rate limits, one after the other; the same seed adds the same ones.
     pub(super) fn add_limits(&mut self) {
         let mut rng = SmallRng::seed_from_u64(self.seed ^ LIMITS);
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -9,8 +9,8 @@
 
 use tc_platform_adapter::outside::{
     ForwardedRequest, batch_wire_format, chunk, input_gone, leaving_header, limit_header, not_run,
-    not_run_retry_after, read_forwarded_request, sealed_headers, stream_end, stream_head_with,
-    upstream_entry,
+    not_run_retry_after, read_forwarded_request, sealed_headers, set_version, stream_end,
+    stream_head_with, upstream_entry,
 };
 use tc_stand_ins::{
     MakerConfig, ObjectStore, PieceMaker, Received, ResultShelf, Script, ScriptedServer, Step,
@@ -30,6 +30,8 @@
 pub(super) const ENGINES: &str = "engines";
 /// Pieces of stages.
 pub(super) const STAGE: &str = "stage";
+/// Versions of engines, if several serve.
+const VERSIONS: [&str; 3] = ["v1", "v1.1", "v1.2"];
 /// Events of a whole stream.
 pub(super) const EVENTS: u64 = 8;
 /// Pause between two events, and time of a plain request.
@@ -72,9 +74,19 @@
     /// Results of stages.
     pub(super) shelf: Arc<ResultShelf>,
     misdirected: Mutex<Vec<String>>,
+    /// Whether engines have several versions.
+    versions: bool,
 }
 
 impl Seen {
+    /// Nothing seen yet; `versions` says whether engines have several versions.
+    pub(super) fn new(versions: bool) -> Self {
+        Self {
+            versions,
+            ..Self::default()
+        }
+    }
+
     pub(super) fn runs(&self) -> Vec<Run> {
         lock(&self.runs).clone()
     }
@@ -140,6 +152,16 @@
         headers
     }
 
+    /// Returns the version of an upstream; neighbours by number have the same one.
+    fn version_of(&self, upstream: &str) -> &'static str {
+        let number = if self.versions {
+            number_of(upstream)
+        } else {
+            0
+        };
+        VERSIONS[number / 2 % VERSIONS.len()]
+    }
+
     fn mode(&self, upstream: &str) -> UpstreamMode {
         lock(&self.modes).get(upstream).copied().unwrap_or_default()
     }
@@ -170,6 +192,7 @@
 pub(super) struct SoakUpstream {
     pub(super) name: String,
     pub(super) service: &'static str,
+    pub(super) version: &'static str,
     address: SocketAddr,
     _server: Kind,
 }
@@ -187,6 +210,7 @@
         seen: &Arc<Seen>,
         store: &ObjectStore,
     ) -> Self {
+        let version = seen.version_of(&name);
         let (server, address) = if service == STAGE {
             let shelf = Arc::clone(&seen.shelf);
             let maker = PieceMaker::start(batch_wire_format(), MakerConfig::default(), shelf).await;
@@ -195,7 +219,7 @@
         } else {
             let (seen, own) = (Arc::clone(seen), name.clone());
             let server = ScriptedServer::start(move |req| {
-                let script = answer(&seen, &own, service, &req);
+                let script = answer(&seen, &own, service, version, &req);
                 async move { script }
             })
             .await;
@@ -205,6 +229,7 @@
         let upstream = Self {
             name,
             service,
+            version,
             address,
             _server: server,
         };
@@ -215,7 +240,8 @@
     /// Writes its entry.
     pub(super) fn register(&self, store: &ObjectStore, leaving: bool) {
         let domain = domain_of(&self.name);
-        let entry = upstream_entry(self.service, self.address, &domain, 16, leaving);
+        let mut entry = upstream_entry(self.service, self.address, &domain, 16, leaving);
+        set_version(&mut entry, self.version);
         store.put(
             tc_platform_adapter::outside::UPSTREAMS_KIND,
             &self.name,
@@ -226,9 +252,12 @@
 
 /// Where an upstream runs: they are spread over the failure domains by their numbers.
 pub(super) fn domain_of(upstream: &str) -> String {
+    domain(number_of(upstream))
+}
+
+fn number_of(upstream: &str) -> usize {
     let number = upstream.rsplit('-').next();
-    let number: usize = number.and_then(|n| n.parse().ok()).unwrap_or_default();
-    domain(number)
+    number.and_then(|n| n.parse().ok()).unwrap_or_default()
 }
 
 /// Name of a failure domain.
@@ -236,7 +265,7 @@
     format!("d{}", number % DOMAINS)
 }
 
-fn answer(seen: &Seen, own: &str, service: &'static str, req: &Received) -> Script {
+fn answer(seen: &Seen, own: &str, service: &'static str, version: &str, req: &Received) -> Script {
     let sent = read_forwarded_request(req);
     seen.arrive(service, &sent);
     let mode = seen.mode(own);
@@ -259,7 +288,7 @@
     };
     let headers = seen.extra_headers(own);
     let mut script = match service {
-        ENGINES => stream(req, &sent, &headers, work),
+        ENGINES => stream(req, &sent, version, &headers, work),
         _ => plain(req, &sent, &headers, work),
     };
     if mode == UpstreamMode::Breaks {
@@ -281,15 +310,21 @@
     format!("answer to {id}")
 }
 
-/// Data of an event.
-pub(super) fn event_data(id: &str, event: u64) -> String {
-    format!("{id}.{event}")
+/// Data of an event, which names the version of its engine.
+pub(super) fn event_data(id: &str, event: u64, version: &str) -> String {
+    format!("{id}.{event}@{version}")
 }
 
-fn stream(req: &Received, sent: &ForwardedRequest, headers: &str, work: Duration) -> Script {
+fn stream(
+    req: &Received,
+    sent: &ForwardedRequest,
+    version: &str,
+    headers: &str,
+    work: Duration,
+) -> Script {
     let mut script = vec![stream_head_with(req, headers)];
     for event in sent.resume_after + 1..=EVENTS {
-        let data = event_data(&sent.id, event);
+        let data = event_data(&sent.id, event, version);
         script.push(Step::Pause(work));
         script.push(chunk(&format!("id: {event}\ndata: {data}\n\n")));
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use std::{path::Path, time::Duration};
 
-use tc_bench::{SoakShape, SystemBinary, soak};
+use tc_bench::{EngineVersions, SoakShape, SystemBinary, soak};
 
 /// Long enough for a dozen overlapping faults, short enough to be part of every test run.
 const BASE_SHAPE: SoakShape = SoakShape {
@@ -13,6 +13,7 @@
     evacuations: false,
     limits: false,
     notices: false,
+    versions: EngineVersions::One,
 };
 
 async fn assert_guarantees_hold(seed: u64, shape: SoakShape) {
@@ -72,3 +73,15 @@
     };
     assert_guarantees_hold(2, shape).await;
 }
+
+/// Guards against streams that hold events of two software versions, in one answer or over a caller's requests, while engines
+/// break off and are replaced and instances are killed, stopped and paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_their_version_during_other_faults() {
+    let shape = SoakShape {
+        length: Duration::from_secs(10),
+        versions: EngineVersions::Several,
+        ..BASE_SHAPE
+    };
+    assert_guarantees_hold(4, shape).await;
+}
