Find streams by their content if the caller names no attempt

The origin is also recorded under the content of the request: workspace, path, parts of the prompt and body, which stay the same in every attempt. A request that names no attempt is looked up by that key. Streams of one content that began at different versions contradict each other, and are then refused as before.

--- a/crates/tc-fleet/src/mesh/origins.rs
+++ b/crates/tc-fleet/src/mesh/origins.rs
@@ -104,7 +104,7 @@
         };
         for origin in [Some(origin), None] {
             let record = OriginRecord {
-                key: StreamKey::new(&"w".into(), "r1"),
+                key: StreamKey::of_attempt(&"w".into(), "r1"),
                 origin,
                 began_at: MonoTime::from_millis(49_000),
                 expires_at: MonoTime::from_millis(57_000),
--- a/crates/tc-gateway/src/run/resumption.rs
+++ b/crates/tc-gateway/src/run/resumption.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use http::StatusCode;
+use http::{StatusCode, uri::PathAndQuery};
 use tc_protocol::{
     MonoTime, ServiceName, UpstreamVersion,
     routing::{OriginRecord, Route, StreamKey, StreamOrigin},
@@ -19,7 +19,7 @@
 /// Reason why a stream cannot be resumed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Unresumable {
-    /// The request does not say which attempt began the stream.
+    /// The request does not name the attempt that began the stream, and no stream with its content is recorded.
     NoAttempt,
     /// No instance that answers has recorded the stream.
     UnknownOrigin,
@@ -81,12 +81,13 @@
 }
 
 async fn find_origin(cx: &RunContext, req: &RoutedRequest) -> Result<StreamOrigin, Unresumable> {
-    if req.head.resumes.is_none() {
-        return Err(Unresumable::NoAttempt);
-    }
     cx.wait_for_membership().await;
-    let found = cx.origins.find(&cx.mesh, stream_key(req)).await;
-    let (record, source) = found.ok_or(Unresumable::UnknownOrigin)?;
+    let (key, if_unknown) = match &req.head.resumes {
+        Some(began) => (attempt_key(req, began), Unresumable::UnknownOrigin),
+        None => (content_key(req), Unresumable::NoAttempt),
+    };
+    let found = cx.origins.find(&cx.mesh, key).await;
+    let (record, source) = found.ok_or(if_unknown)?;
     let origin = record.origin.ok_or(Unresumable::Contradicted)?;
     if !goes_to(&req.route, &origin.service) {
         return Err(Unresumable::OtherService);
@@ -120,21 +121,32 @@
     let now = MonoTime::now();
     let caller_waits = req.head.remaining.unwrap_or_default();
     let retention = caller_waits.max(req.route.timeout) + RETENTION_MARGIN;
-    cx.origins.record(OriginRecord {
-        key: stream_key(req),
-        origin: Some(StreamOrigin {
-            service: req.service.clone(),
-            version: version.clone(),
-        }),
-        began_at: now,
-        expires_at: now.after(retention.min(MAX_RETENTION)),
-    });
+    let began_by = req.head.resumes.as_ref().unwrap_or(&req.head.request);
+    for key in [attempt_key(req, began_by), content_key(req)] {
+        cx.origins.record(OriginRecord {
+            key,
+            origin: Some(StreamOrigin {
+                service: req.service.clone(),
+                version: version.clone(),
+            }),
+            began_at: now,
+            expires_at: now.after(retention.min(MAX_RETENTION)),
+        });
+    }
 }
 
-/// Returns the key of the stream that the request resumes, or else begins.
-fn stream_key(req: &RoutedRequest) -> StreamKey {
-    let began_by = req.head.resumes.as_ref().unwrap_or(&req.head.request);
-    StreamKey::new(&req.workspace_name(), began_by)
+fn attempt_key(req: &RoutedRequest, attempt: &str) -> StreamKey {
+    StreamKey::of_attempt(&req.workspace_name(), attempt)
+}
+
+fn content_key(req: &RoutedRequest) -> StreamKey {
+    let path = req
+        .parts
+        .uri
+        .path_and_query()
+        .map_or("/", PathAndQuery::as_str);
+    let prompt = req.head.prompt.as_ref();
+    StreamKey::of_content(&req.workspace_name(), path, prompt, &req.body)
 }
 
 fn goes_to(route: &Route, service: &ServiceName) -> bool {
--- a/crates/tc-membership/tests/stream_origins/simulation.rs
+++ b/crates/tc-membership/tests/stream_origins/simulation.rs
@@ -188,7 +188,7 @@
             return None;
         }
         self.begun += 1;
-        let key = StreamKey::new(&"w".into(), &self.begun.to_string());
+        let key = StreamKey::of_attempt(&"w".into(), &self.begun.to_string());
         self.record(number, key, &version);
         Some(Stream {
             key,
--- a/crates/tc-protocol/src/routing/stream_origin.rs
+++ b/crates/tc-protocol/src/routing/stream_origin.rs
@@ -2,9 +2,10 @@
 
 use xxhash_rust::xxh3::Xxh3;
 
+use super::Prompt;
 use crate::{MonoTime, ServiceName, UpstreamVersion, WorkspaceName};
 
-/// Identifies a stream over all attempts of its caller: a hash of the workspace and of the attempt that began the stream.
+/// Identifies a stream over all attempts of its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StreamKey(pub u128);
 
@@ -13,16 +14,45 @@
     ///
     /// ```
     /// use tc_protocol::routing::StreamKey;
-    /// let key = StreamKey::new(&"lintas".into(), "r1");
-    /// assert_eq!(key, StreamKey::new(&"lintas".into(), "r1"));
-    /// assert_ne!(key, StreamKey::new(&"other".into(), "r1"));
+    /// let key = StreamKey::of_attempt(&"lintas".into(), "r1");
+    /// assert_eq!(key, StreamKey::of_attempt(&"lintas".into(), "r1"));
+    /// assert_ne!(key, StreamKey::of_attempt(&"other".into(), "r1"));
     /// ```
     #[must_use]
-    pub fn new(workspace: &WorkspaceName, request: &str) -> Self {
+    pub fn of_attempt(workspace: &WorkspaceName, request: &str) -> Self {
+        let parts = ["attempt", workspace.as_str(), request];
+        Self::of_parts(parts.map(str::as_bytes))
+    }
+
+    /// Returns the key of all streams with the same content: what stays the same in every attempt. It is for callers that
+    /// do not name the attempt.
+    ///
+    /// ```
+    /// use tc_protocol::routing::StreamKey;
+    /// let key = StreamKey::of_content(&"lintas".into(), "/summary/1", None, b"log");
+    /// assert_ne!(key, StreamKey::of_content(&"lintas".into(), "/summary/2", None, b"log"));
+    /// ```
+    #[must_use]
+    pub fn of_content(
+        workspace: &WorkspaceName,
+        path: &str,
+        prompt: Option<&Prompt>,
+        body: &[u8],
+    ) -> Self {
+        let prompt_parts = prompt.map(|prompt| &*prompt.parts).unwrap_or_default();
+        let ids: Vec<u8> = prompt_parts
+            .iter()
+            .flat_map(|part| part.id.to_le_bytes())
+            .collect();
+        let [kind, workspace, path] = ["content", workspace.as_str(), path].map(str::as_bytes);
+        Self::of_parts([kind, workspace, path, &ids, body])
+    }
+
+    fn of_parts<const N: usize>(parts: [&[u8]; N]) -> Self {
         let mut hasher = Xxh3::new();
-        for part in [workspace.as_str(), request] {
+        for part in parts {
             hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part.as_bytes());
+            hasher.update(part);
         }
         Self(hasher.digest128())
     }
