Fetch cached prompt parts from engines of the same version only

The sources of a prompt are now kept by version. An engine whose version is unknown neither fetches nor is fetched from.

Evidence: cached_parts_are_fetched_from_engines_of_the_same_version_only failed before (fetch_from e2 instead of none). The fuzz test of the choice has engines of two versions and one of an unknown version now, and passes. With one version nothing changes; a release costs the prompts that are read again by the engines of the new version.

--- a/crates/tc-policy/src/engines/cost.rs
+++ b/crates/tc-policy/src/engines/cost.rs
@@ -3,11 +3,15 @@
 use std::{collections::HashSet, time::Duration};
 
 use tc_protocol::{
-    MonoTime, UpstreamId,
+    MonoTime, UpstreamId, UpstreamVersion,
     routing::{EngineRequest, PromptPart, meets_version},
 };
 
-use super::{engine::Engine, planner::EnginePlanner};
+use super::{
+    engine::Engine,
+    planner::EnginePlanner,
+    sources::{Source, Sources},
+};
 use crate::rendezvous::hashed_score;
 
 /// Weight of reading a token again that another engine has cached, as a multiple of its reading time: the time is lost
@@ -122,20 +126,27 @@
 
     /// Returns the best of these engines that have not cached the first part of the prompt.
     ///
-    /// All terms of the cost but the engine's queue, speed and failure domain are the same for these engines.
+    /// All terms of the cost but the engine's queue, speed and failure domain are the same for these engines of a version.
     fn best_without_cache<'a>(
         &self,
         now: MonoTime,
         request: &EngineRequest,
         engines: impl Iterator<Item = (&'a UpstreamId, &'a Engine)>,
-        sources: &[(u32, &'a UpstreamId)],
+        sources: &Sources<'a>,
     ) -> Option<EngineCost<'a>> {
-        let cache = cache_use(request, 0, sources.first());
-        let own_time = self.times.estimate(cache.prefill_tokens);
         let total: u64 = request.inputs.iter().map(|(_, bytes)| bytes).sum();
         let key = request.prompt.shared_prefix_id().unwrap_or_default();
+        let without_source = self.uncached(request, None);
+        let with_source: Vec<(&UpstreamVersion, (CacheUse<'a>, Duration))> = sources
+            .by_version
+            .iter()
+            .map(|(version, sources)| (*version, self.uncached(request, sources.first())))
+            .collect();
         let mut best: Option<EngineCost<'a>> = None;
         for (id, engine) in engines {
+            let version = engine.version.as_ref();
+            let found = with_source.iter().find(|(v, _)| Some(*v) == version);
+            let (cache, own_time) = found.map_or(&without_source, |(_, uncached)| uncached);
             let own_time = own_time.mul_f64(engine.slowdown);
             let here = request.inputs.iter();
             let here = here.filter(|(domain, _)| *domain == engine.domain);
@@ -168,6 +179,17 @@
         best
     }
 
+    /// Returns what an engine has to read and fetch that has cached nothing of the prompt, and its usual time for it.
+    fn uncached<'a>(
+        &self,
+        request: &EngineRequest,
+        source: Option<&Source<'a>>,
+    ) -> (CacheUse<'a>, Duration) {
+        let cache = cache_use(request, 0, source);
+        let own_time = self.times.estimate(cache.prefill_tokens);
+        (cache, own_time)
+    }
+
     fn availability(&self, now: MonoTime, engine: &Engine) -> Availability {
         if !engine.is_healthy(now) || !engine.has_free_slot() {
             Availability::Unavailable
@@ -178,18 +200,24 @@
         }
     }
 
-    /// Returns the two engines that most of a prompt can be fetched from, best first.
-    fn sources(&self, now: MonoTime, parts: &[PromptPart]) -> Vec<(u32, &UpstreamId)> {
-        let mut sources: Vec<(u32, &UpstreamId)> = self
+    /// Returns the engines that most of a prompt can be fetched from.
+    fn sources(&self, now: MonoTime, parts: &[PromptPart]) -> Sources<'_> {
+        let mut found: Vec<(Source<'_>, &UpstreamVersion)> = self
             .holders
             .of(parts)
             .filter_map(|id| self.engines.get_key_value(id))
             .filter(|(_, engine)| engine.ready && engine.is_healthy(now))
-            .map(|(id, engine)| (engine.prefix_cache.fetchable_tokens(parts), id))
-            .filter(|(tokens, _)| *tokens >= MIN_FETCH_TOKENS)
+            .filter_map(|(id, engine)| {
+                let tokens = engine.prefix_cache.fetchable_tokens(parts);
+                Some(((tokens, id), engine.version.as_ref()?))
+            })
+            .filter(|((tokens, _), _)| *tokens >= MIN_FETCH_TOKENS)
             .collect();
-        sources.sort_by(|a, b| b.cmp(a));
-        sources.truncate(2);
+        found.sort_by(|a, b| b.cmp(a));
+        let mut sources = Sources::default();
+        for (source, version) in found {
+            sources.push(version, source);
+        }
         sources
     }
 
@@ -199,8 +227,9 @@
         request: &EngineRequest,
         id: &'a UpstreamId,
         engine: &Engine,
-        sources: &[(u32, &'a UpstreamId)],
+        sources: &Sources<'a>,
     ) -> EngineCost<'a> {
+        let sources = sources.of(engine.version.as_ref());
         let tokens = request.prompt.tokens_in;
         let cached_here = engine
             .prefix_cache
@@ -255,6 +284,7 @@
     use crate::EngineCandidate;
 
     const DOMAINS: [&str; 4] = ["a", "a", "b", "c"];
+    const VERSIONS: [Option<&str>; 4] = [Some("v1"), Some("v2"), Some("v1"), None];
     const SPEC: EngineSpec = EngineSpec {
         slots: 4,
         kv_cache_tokens: 20_000,
@@ -331,7 +361,7 @@
                 .map(|(i, domain)| EngineCandidate {
                     id: format!("e{i}").into(),
                     domain: (*domain).into(),
-                    version: Some("v1".into()),
+                    version: VERSIONS[i].map(Into::into),
                     cold_until: MonoTime::default(),
                 });
             planner.set_engines(SPEC, &engines.collect::<Vec<_>>());
--- a/crates/tc-policy/src/engines/mod.rs
+++ b/crates/tc-policy/src/engines/mod.rs
@@ -12,5 +12,6 @@
 mod holders;
 mod planner;
 mod prefix_cache;
+mod sources;
 
 pub use planner::{EngineCandidate, EnginePlanner};
--- a/crates/tc-policy/tests/engines/choice.rs
+++ b/crates/tc-policy/tests/engines/choice.rs
@@ -144,3 +144,26 @@
     rest.excluded = vec![id(1)];
     assert_eq!(planner.choose(at(400), &rest), None);
 }
+
+/// Guards against an engine that reads the memory of another software version, which may have another layout.
+#[test]
+fn cached_parts_are_fetched_from_engines_of_the_same_version_only() {
+    let mut planner = planner(&["a", "a", "a"]);
+    let first = choose(&mut planner, at(100), &request(&[(1, 5_000), (2, 500)]));
+    planner.record(at(190), first.run, RunProgress::FirstEvent(time_of(5_500)));
+    let mut engines = candidates(&["a", "a", "a"]);
+    let mut others = (0..3).filter(|number| id(*number) != first.upstream);
+    let (same, other) = (others.next().unwrap(), others.next().unwrap());
+    engines[other].version = Some("v2".into());
+    planner.set_engines(spec(), &engines);
+    let mut next = request(&[(1, 5_000), (3, 500)]);
+    next.excluded = vec![first.upstream.clone(), id(same)];
+    let choice = choose(&mut planner, at(200), &next);
+    assert_eq!((choice.upstream, choice.fetch_from), (id(other), None));
+    next.excluded = vec![first.upstream.clone(), id(other)];
+    let choice = choose(&mut planner, at(200), &next);
+    assert_eq!(
+        (choice.upstream, choice.fetch_from),
+        (id(same), Some(first.upstream))
+    );
+}
