Accept instances of an earlier build that keep no origins; split files

During a rolling upgrade an instance of the new build would report each instance of the old one as failing, and reconnect to it, whenever a stream began: the call that copies an origin is not known there. Such an answer now counts as "keeps none". Found by reading, not shown by a test.

No other behavior changes.

--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -5,11 +5,13 @@
 mod actor;
 mod config_version;
 mod engine_calls;
+mod failed_calls;
 mod fleet_share;
 mod handle;
 mod limits;
 mod members;
 mod messages;
+mod name_table;
 mod origins;
 mod peers;
 mod service;
--- a/crates/tc-fleet/src/mesh/origins.rs
+++ b/crates/tc-fleet/src/mesh/origins.rs
@@ -6,7 +6,7 @@
     Member, MonoTime,
     routing::{OriginRecord, StreamKey, StreamOrigin},
 };
-use tonic::Request;
+use tonic::{Code, Request};
 
 use super::{Mesh, MeshError, handle::call_error};
 use crate::{convert, generated as wire, peers::timed};
@@ -15,7 +15,7 @@
 const FIND_TIMEOUT: Duration = Duration::from_millis(150);
 
 impl Mesh {
-    /// Sends origins to an instance that is to keep them.
+    /// Sends origins to an instance that is to keep them. An instance of an earlier build keeps none.
     pub async fn record_origins(
         &self,
         holder: &Member,
@@ -26,10 +26,10 @@
             origins: records.iter().map(|r| record_to_wire(now, r)).collect(),
         });
         let mut client = self.inner.peers.client(holder);
-        let answer = client.record_origins(req).await;
-        answer
-            .map(|_| ())
-            .map_err(|status| call_error(holder, &status))
+        match client.record_origins(req).await {
+            Err(status) if status.code() != Code::Unimplemented => Err(call_error(holder, &status)),
+            _ => Ok(()),
+        }
     }
 
     /// Asks an instance for the origin of a stream. Returns `None` if it does not keep it.
@@ -42,10 +42,10 @@
         let mut req = Request::new(wire::OriginAsk { key_high, key_low });
         req.set_timeout(FIND_TIMEOUT);
         let mut client = self.inner.peers.client(holder);
-        let answer = client
-            .find_origin(req)
-            .await
-            .map_err(|status| call_error(holder, &status))?;
+        let answer = match client.find_origin(req).await {
+            Err(status) if status.code() == Code::Unimplemented => return Ok(None),
+            answer => answer.map_err(|status| call_error(holder, &status))?,
+        };
         let now = MonoTime::now();
         let found = answer.into_inner().origin;
         let found = found.map(|origin| record_from_wire(now, &origin));
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -1,7 +1,7 @@
 //! Store updates exchanged between instances, and their conversion to and from wire types.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::BTreeSet,
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -13,6 +13,7 @@
     routing::RegisteredUpstream,
 };
 
+use super::name_table::NameTable;
 use crate::generated as wire;
 
 /// Maximum number of entries in one message: some 150 KB, which a slow link transfers well within the time after which
@@ -191,25 +192,6 @@
     }
 }
 
-/// Distinct names in the order in which they were first used.
-#[derive(Default)]
-struct NameTable {
-    names: Vec<String>,
-    indices: HashMap<String, u32>,
-}
-
-impl NameTable {
-    fn index(&mut self, name: &str) -> u32 {
-        if let Some(index) = self.indices.get(name) {
-            return *index;
-        }
-        let index = self.names.len() as u32;
-        self.names.push(name.to_owned());
-        self.indices.insert(name.to_owned(), index);
-        index
-    }
-}
-
 /// Returns `None` if any part is malformed: applying the rest would make upstreams appear removed.
 pub(super) fn store_update_from_wire(update: &wire::WorldNews) -> Option<StoreUpdate> {
     let config = if update.config.is_empty() {
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -9,6 +9,7 @@
 mod resumption;
 mod stages;
 mod stream;
+mod stream_fault;
 mod target;
 
 use std::{sync::Arc, time::Duration};
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -8,15 +8,15 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use tc_protocol::UpstreamVersion;
-use tc_upstream::CallError;
 use tokio::time::timeout;
 
 use super::{
     AnswerBody, IncompleteBody, Refusal, RoutedRequest, RunContext,
-    attempt::{AnswerFault, Answered, Attempts, SendFailure, SendOptions},
+    attempt::{Answered, Attempts, SendFailure, SendOptions},
     buffered::{make_stages, make_stages_again, read, stage_results},
     resumption::record_origin,
     stages::StageResults,
+    stream_fault::StreamFault,
     version_label,
 };
 use crate::{
@@ -210,33 +210,6 @@
     }
 }
 
-/// Reason why a stream ended early.
-struct StreamFault {
-    kind: AnswerFault,
-    problem: String,
-}
-
-impl StreamFault {
-    /// The connection failed, or closed in the middle of an event.
-    fn from_end(error: Option<CallError>) -> Self {
-        let kind = error
-            .as_ref()
-            .map_or(AnswerFault::Broken, AnswerFault::from);
-        let problem = error.map_or_else(
-            || "the connection closed in the middle of an event".to_owned(),
-            |error| error.to_string(),
-        );
-        Self { kind, problem }
-    }
-
-    fn invalid(problem: &str) -> Self {
-        Self {
-            kind: AnswerFault::Invalid,
-            problem: problem.to_owned(),
-        }
-    }
-}
-
 /// A stream being forwarded to the caller. Dropping it cancels the run on the engine.
 struct Relay {
     cx: Arc<RunContext>,
