Stop counting upstreams of a version at the first ones that will do

Each read of a resumable stream counted all upstreams of its service that it could go on at: thousands in the largest fleet, for each event. It now stops at the first one. Found by reading the change again; the cost was not measured. Behavior is the same; the tests of streams and versions pass.

--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -49,7 +49,8 @@
         after: req.head.resume_after,
         version: &origin.version,
     });
-    if resume.is_some_and(|point| attempts.candidates(&cx, &req, Some(point.version), None) == 0) {
+    let version = resume.map(|point| point.version);
+    if resume.is_some() && !attempts.has_candidates(1, &cx, &req, version, None) {
         return Err(Refusal::not_run_transient(
             "no upstream has the version that began the stream",
         ));
@@ -130,7 +131,7 @@
         version,
         timeout: None,
     };
-    let has_other = attempts.candidates(cx, req, version, None) > 1;
+    let has_other = attempts.has_candidates(2, cx, req, version, None);
     let limit = first_event_timeout(req, attempts, has_other);
     let opened = async {
         let answered = attempts.send(cx, req, options).await?;
@@ -327,11 +328,10 @@
     fn may_resume(&self) -> bool {
         let version = self.version.as_ref();
         let in_use = Some(&self.open.answered.upstream.id);
-        let candidates = || {
-            self.attempts
-                .candidates(&self.cx, &self.req, version, in_use)
-        };
-        version.is_some() && candidates() > 0
+        version.is_some()
+            && self
+                .attempts
+                .has_candidates(1, &self.cx, &self.req, version, in_use)
     }
 
     /// Resumes a broken stream on another engine of its version, if its route and the retry budget allow it.
--- a/crates/tc-gateway/src/run/target.rs
+++ b/crates/tc-gateway/src/run/target.rs
@@ -52,15 +52,16 @@
         self.choose_locally(cx, req, options)
     }
 
-    /// Returns the number of upstreams that may get the next attempt, of the given version if there is one, besides
-    /// the one `in_use`.
-    pub(super) fn candidates(
+    /// Returns true if at least `count` upstreams may get the next attempt, of the given version if there is one.
+    /// The one `in_use` does not count.
+    pub(super) fn has_candidates(
         &self,
+        count: usize,
         cx: &RunContext,
         req: &RoutedRequest,
         version: Option<&UpstreamVersion>,
         in_use: Option<&UpstreamId>,
-    ) -> usize {
+    ) -> bool {
         let world = cx.world.load();
         let all = world.upstreams.of_service(req.service.as_str());
         let left = all.iter().filter(|upstream| {
@@ -69,7 +70,7 @@
                 && in_use != Some(&upstream.id)
                 && !self.tried.contains(&upstream.id)
         });
-        left.count()
+        left.take(count).count() == count
     }
 
     /// Builds the engine request for the home of a model service; `None` for requests without a prompt.
