--- a/crates/tc-membership/src/stream_origins.rs
+++ b/crates/tc-membership/src/stream_origins.rs
@@ -1,4 +1,4 @@
-//! Which instances keep the origin of a stream, and the table in which they keep it.
+//! Placement of the origins of streams on instances, and the table of those that an instance keeps.
 //!
 //! The origin of a stream is needed at any instance to which its caller turns after the one that began the stream is
 //! gone. It is soft state that never changes while it is kept, so copies need no agreement: a copy is right or missing.
--- a/crates/tc-membership/tests/stream_origins/share.rs
+++ b/crates/tc-membership/tests/stream_origins/share.rs
@@ -1,4 +1,4 @@
-//! How many of the streams that are taken up go on, by number of instances and of those that fail.
+//! Share of the resumed streams that go on, by number of instances and of those that fail.
 
 use std::time::Duration;
 
--- a/crates/tc-membership/tests/stream_origins/simulation.rs
+++ b/crates/tc-membership/tests/stream_origins/simulation.rs
@@ -13,7 +13,7 @@
 pub(crate) const RETENTION: Duration = Duration::from_secs(10);
 const SERVICE: &str = "engines";
 
-/// How an instance finds the version of a stream that it did not begin.
+/// Way in which an instance finds the version of a stream that it did not begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Lookup {
     /// By the origins that instances keep.
@@ -43,7 +43,7 @@
     pub(crate) began_by: usize,
 }
 
-/// What became of a stream that a caller took up.
+/// Outcome of a stream that a caller took up.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum TakenUp {
     WentOn(UpstreamVersion),
--- a/crates/tc-protocol/src/routing/stream_origin.rs
+++ b/crates/tc-protocol/src/routing/stream_origin.rs
@@ -67,12 +67,12 @@
     pub version: UpstreamVersion,
 }
 
-/// What is known of the beginning of a stream.
+/// Recorded beginning of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OriginRecord {
     /// The stream.
     pub key: StreamKey,
-    /// How the stream began; `None` if instances have recorded different origins for the key.
+    /// Origin of the stream; `None` if instances have recorded different origins for the key.
     pub origin: Option<StreamOrigin>,
     /// Time at which the stream began.
     pub began_at: MonoTime,
