Log crash reports, suspects and cleared suspects

Nothing told which instance counts the crashes of a request, how many it counts, or why a count ended, so the hypotheses on a request that crashed 13 upstreams could not be told apart. Each line names the fingerprint; the line at the instance that sent the request ties it to the request's id and to the parts of its prompt. Without a crash nothing is logged.

--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -81,8 +81,9 @@
         if !report.died.is_empty() {
             state.record_crash(now, report);
         }
-        for cleared in &report.cleared {
-            state.suspects.clear(now, Fingerprint(*cleared));
+        for cleared in report.cleared.iter().copied().map(Fingerprint) {
+            log::info!(service = report.service.as_str(), from = report.from.as_str(), input = format!("{:016x}", cleared.0).as_str(), crashes = state.suspects.crash_count(cleared); "suspect cleared");
+            state.suspects.clear(now, cleared);
         }
         if report.trial_ended != 0 {
             state
@@ -138,6 +139,10 @@
             workspace: report.workspace.as_str().into(),
             service: report.service.as_str().into(),
         };
+        for &fingerprint in &in_flight {
+            let is_quarantined = self.suspects.quarantined().any(|f| f == fingerprint);
+            log::info!(service = report.service.as_str(), from = report.from.as_str(), upstream = report.upstream.as_str(), input = format!("{:016x}", fingerprint.0).as_str(), crashes = self.suspects.crash_count(fingerprint), quarantined = is_quarantined; "crash recorded");
+        }
         for fingerprint in in_flight {
             if self.origins.len() < MAX_ORIGINS {
                 self.origins.insert(fingerprint, origin.clone());
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -320,7 +320,10 @@
         match (self.send_to_home)(key, report.clone()).await {
             ReportResult::Local => Some(self.handle_report(MonoTime::now(), report)),
             ReportResult::Answered(answer) => Some(answer),
-            ReportResult::Unreachable => None,
+            ReportResult::Unreachable => {
+                log::warn!(service = report.service.as_str(), crashed = report.died.len(), cleared = report.cleared.len(), trial = report.trial != 0; "home of suspects unreachable");
+                None
+            }
         }
     }
 
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -341,6 +341,7 @@
 /// Reports that an upstream broke the connection while it ran the request, which may have crashed it.
 fn report_crash(cx: &RunContext, req: &RoutedRequest, upstream: &UpstreamId) {
     let (input, workspace) = (req.fingerprint(), req.workspace_name());
+    log::info!(request = &*req.head.request, upstream = upstream.as_str(), input = format!("{:016x}", input.0).as_str(), parts = req.part_labels().as_str(); "connection broke during a run");
     cx.mesh
         .report_crash(input, &req.service, &workspace, upstream.clone());
 }
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -21,7 +21,7 @@
 use tc_protocol::{
     Fingerprint, MemberState, PermitRefusal, RefusalReason, ServiceName, UpstreamVersion,
     WorkspaceName,
-    routing::{RegisteredUpstream, Route, RoutedWorkspace, StreamOrigin},
+    routing::{Prompt, RegisteredUpstream, Route, RoutedWorkspace, StreamOrigin},
 };
 use tc_upstream::UpstreamClient;
 use thiserror::Error;
@@ -189,6 +189,14 @@
         Fingerprint(hasher.digest().max(1))
     }
 
+    /// Returns the parts of the prompt that other requests may share, for log lines.
+    fn part_labels(&self) -> String {
+        let parts = self.head.prompt.as_ref().map(Prompt::shared_parts);
+        let labels = parts.unwrap_or_default().iter();
+        let labels: Vec<String> = labels.map(|part| format!("{:x}", part.id)).collect();
+        labels.join(",")
+    }
+
     fn workspace_name(&self) -> WorkspaceName {
         let workspace = self.workspace.as_ref();
         workspace.map_or_else(|| "".into(), |workspace| workspace.name.clone())
--- a/crates/tc-policy/src/suspect.rs
+++ b/crates/tc-policy/src/suspect.rs
@@ -183,8 +183,14 @@
         self.needs_trial(fp) || self.quarantined.contains_key(&fp)
     }
 
+    /// Returns the number of crashes without a known culprit that the fingerprint was in flight in.
+    #[must_use]
+    pub fn crash_count(&self, fp: Fingerprint) -> usize {
+        self.crashes_of.get(&fp).map_or(0, BTreeSet::len)
+    }
+
     fn needs_trial(&self, fp: Fingerprint) -> bool {
-        let crashes = self.crashes_of.get(&fp).map_or(0, BTreeSet::len);
+        let crashes = self.crash_count(fp);
         crashes > 0 && crashes >= self.policy.crashes_to_trial as usize
     }
 
--- a/crates/tc-protocol/src/routing/prompt.rs
+++ b/crates/tc-protocol/src/routing/prompt.rs
@@ -38,8 +38,20 @@
     /// ```
     #[must_use]
     pub fn shared_prefix_id(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(2)?;
-        Some(self.parts[shared].id)
+        self.shared_parts().last().map(|part| part.id)
+    }
+
+    /// Returns the parts that other requests can share: all but the last one.
+    ///
+    /// ```
+    /// use tc_protocol::routing::{Prompt, PromptPart};
+    /// let part = |id| PromptPart { id, tokens: 10 };
+    /// let prompt = Prompt { tokens_in: 20, tokens_out: 5, parts: vec![part(1), part(8)].into() };
+    /// assert_eq!(prompt.shared_parts(), [part(1)]);
+    /// ```
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
     }
 }
 
