Let only answers that prove a completed run acquit a request

Callers saw: a request that crashes upstreams stayed in use for as long as some of its runs were answered with an error. Cause: each complete answer cleared a suspect, also an upstream's own 500, which may precede the run. An answer that ends with its connection looks complete as well when the upstream crashes.

--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{Response, StatusCode, response::Parts};
+use http::{Response, StatusCode, header, response::Parts};
 use http_body_util::BodyExt;
 use tc_upstream::{CallError, RawBody};
 
@@ -128,7 +128,9 @@
             cx.upstream_stats
                 .record(&upstream.id, CallOutcome::Answered(first_byte));
             req.record_answer(&upstream, reply.head.status, attempts.sent);
-            cx.mesh.report_completed(req.fingerprint());
+            if proves_survival(&reply.head) {
+                cx.mesh.report_completed(req.fingerprint());
+            }
             Ok(answer(cx, &reply.head, HeldBody::new(body, held)))
         }
         Err(AnswerError::Failed(error)) => {
@@ -142,6 +144,16 @@
     }
 }
 
+/// Returns true if a complete answer with this head shows that its upstream survived the request.
+///
+/// An upstream's own error may precede the run, and an answer that ends with its connection looks complete when the
+/// upstream crashes.
+pub(super) fn proves_survival(head: &Parts) -> bool {
+    let has_end = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING);
+    head.status.is_success() && has_end
+}
+
 /// Reason why an answer was not read to its end.
 enum AnswerError {
     Failed(CallError),
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -13,7 +13,7 @@
 use super::{
     AnswerBody, IncompleteBody, Refusal, RoutedRequest, RunContext,
     attempt::{Answered, Attempts, SendFailure, SendOptions},
-    buffered::{make_stages, make_stages_again, read, stage_results},
+    buffered::{make_stages, make_stages_again, proves_survival, read, stage_results},
     resumption::record_origin,
     stages::StageResults,
     stream_fault::StreamFault,
@@ -309,7 +309,9 @@
             None if self.open.events.has_partial_event() => Err(StreamFault::from_end(None)),
             None => {
                 self.ended = true;
-                self.cx.mesh.report_completed(self.req.fingerprint());
+                if proves_survival(&self.open.answered.reply.head) {
+                    self.cx.mesh.report_completed(self.req.fingerprint());
+                }
                 Ok(())
             }
         }
