Share the evidence of crashes between all instances

Callers saw: a request that crashes upstreams crashed three more each time that the home of its service's suspects was lost, and an engine crash in which several such requests were in flight counted against none of them.

Cause: crashes, suspects and quarantines lay in the memory of the home. The other instances had a list of names, of which a datagram carried the same eight, and asked whoever was the home at the moment. A quarantine needed a fingerprint that was alone in most crashes, and then acquitted all others of those crashes, culprits too.

Change: evidence is a set of crashes a fingerprint was in flight in, with the ones that a completed run cleared it of. Such sets merge in any order, crashes have the same identifier on all instances, and culprits follow from the evidence alone. Reports go to the home and to two instances that would be the home next, isolated ones included, and are sent again until they arrive; what was in several crashes goes to all instances at once and then in turn with each datagram. An instance refuses what is quarantined as far as it knows, and tells the home what it knows when it asks for a trial. A fingerprint with as many crashes as a culprit keeps running alone even if a culprit explains them. A report has an identifier, so that it counts once however often it is sent.

Ruled out: keeping quarantines in the store (a write for each and the store's loss beside); a home with a hand-over (a home that is killed hands nothing over).

While versions are mixed, old and new instances do not share suspects by gossip.

--- a/crates/tc-fleet/src/convert.rs
+++ b/crates/tc-fleet/src/convert.rs
@@ -130,7 +130,7 @@
         kind: Some(kind),
         changes: message.changes.iter().map(record_to_wire).collect(),
         summaries: Vec::new(),
-        suspects: Vec::new(),
+        evidence: Vec::new(),
         limits: Vec::new(),
         config_version: 0,
         upstreams_revision: 0,
--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -275,8 +275,6 @@
     pub changes: ::prost::alloc::vec::Vec<MemberRecord>,
     #[prost(message, repeated, tag = "6")]
     pub summaries: ::prost::alloc::vec::Vec<Summary>,
-    #[prost(fixed64, repeated, tag = "7")]
-    pub suspects: ::prost::alloc::vec::Vec<u64>,
     #[prost(message, repeated, tag = "9")]
     pub limits: ::prost::alloc::vec::Vec<UpstreamLimit>,
     /// Version of the configuration that the sender has in force; 0 without one.
@@ -287,6 +285,9 @@
     pub upstreams_revision: u64,
     #[prost(fixed64, tag = "12")]
     pub upstreams_digest: u64,
+    /// Inputs that were in flight on several upstreams that crashed.
+    #[prost(message, repeated, tag = "13")]
+    pub evidence: ::prost::alloc::vec::Vec<CrashEvidence>,
     #[prost(oneof = "datagram::Kind", tags = "2, 3, 4, 8")]
     pub kind: ::core::option::Option<datagram::Kind>,
 }
@@ -304,6 +305,21 @@
         Announcement(super::Announcement),
     }
 }
+/// Crashes that an input was in flight in.
+#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+pub struct CrashEvidence {
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Crashes that count against it.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub crashes: ::prost::alloc::vec::Vec<u64>,
+    /// Crashes that a completed run has cleared it of.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub cleared: ::prost::alloc::vec::Vec<u64>,
+    /// Time since the last of the crashes.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
 /// Rate limit that an upstream announced in an answer.
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct UpstreamLimit {
@@ -406,6 +422,21 @@
     /// The service all of this is about.
     #[prost(string, tag = "9")]
     pub service: ::prost::alloc::string::String,
+    /// Time since the crash.
+    #[prost(uint32, tag = "10")]
+    pub age_ms: u32,
+    /// Whether the receiver sends what has changed to all instances.
+    #[prost(bool, tag = "11")]
+    pub announce: bool,
+    /// What the sender knows of the trial's input.
+    #[prost(message, optional, tag = "12")]
+    pub evidence: ::core::option::Option<CrashEvidence>,
+    /// Identifies a crash report, which may be sent several times; 0 for other reports.
+    #[prost(fixed64, tag = "13")]
+    pub id: u64,
+    /// Whether the input that died ran as a trial, so that no other run of it was in flight.
+    #[prost(bool, tag = "14")]
+    pub was_trial: bool,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SuspectAnswer {
--- a/crates/tc-fleet/src/mesh/actor.rs
+++ b/crates/tc-fleet/src/mesh/actor.rs
@@ -24,10 +24,7 @@
     peers::Peers,
     store_update::WorldHave,
 };
-use crate::{
-    convert, generated::Datagram, gossip::GossipSocket, suspects::MAX_SUSPECTS_PER_DATAGRAM,
-    suspects::SuspectTable,
-};
+use crate::{convert, generated::Datagram, gossip::GossipSocket, suspects::SuspectTable};
 
 /// Minimum interval between two ticks, so that a timer that is always due does not keep the thread busy.
 const MIN_TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -204,7 +201,7 @@
             metrics::counter!("tc_gossip_refused_total").increment(1);
             return;
         };
-        self.args.suspects.record_gossiped(now, &datagram.suspects);
+        self.args.suspects.receive_evidence(now, &datagram.evidence);
         self.args.limits.receive(&datagram.limits);
         let published = &self.args.published;
         let gossiped = world_from_wire(datagram);
@@ -227,10 +224,8 @@
         for out in outgoing {
             let mut datagram = convert::message_to_wire(&out.message);
             add_world(&mut datagram, &self.args.published.world.borrow());
-            datagram.suspects = self
-                .args
-                .suspects
-                .to_gossip(MonoTime::now(), MAX_SUSPECTS_PER_DATAGRAM);
+            let now = MonoTime::now();
+            self.args.suspects.add_evidence(now, &mut datagram);
             if datagram.encoded_len() <= MAX_BYTES_BEFORE_LIMITS {
                 datagram.limits = self.args.limits.to_gossip();
             }
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -302,8 +302,9 @@
     }
 
     /// Reports that a request ran to completion, which clears it of suspicion.
-    pub fn report_completed(&self, fingerprint: Fingerprint) {
-        self.inner.suspects.report_completed(fingerprint);
+    pub fn report_completed(&self, fingerprint: Fingerprint, service: &ServiceName) {
+        let suspects = &self.inner.suspects;
+        suspects.report_completed(fingerprint, Some(service));
     }
 
     /// Subscribes to the store state that another instance knows. The stream first yields what is newer than `have`,
--- a/crates/tc-fleet/src/mesh/suspects.rs
+++ b/crates/tc-fleet/src/mesh/suspects.rs
@@ -2,14 +2,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tc_membership::home_of;
+use tc_membership::home_and_copies;
 use tc_policy::SuspectPolicy;
 use tc_protocol::InstanceId;
 
 use super::{actor::Published, peers::Peers};
 use crate::{
     peers::timed,
-    suspects::{ReportResult, SendReport, SuspectTable},
+    suspects::{SuspectPeers, SuspectTable},
 };
 
 /// Crashes after which a request is quarantined. Upstreams also crash for other reasons, and requests that callers
@@ -22,6 +22,9 @@
 /// Duration of a quarantine. It is limited so that a wrongly quarantined request can run again without an operator.
 const QUARANTINE_DURATION: Duration = Duration::from_mins(10);
 
+/// Instances that keep a copy of the evidence of a service's home.
+const COPIES: usize = 2;
+
 pub(super) fn suspect_table(
     me: &InstanceId,
     published: &Arc<Published>,
@@ -32,34 +35,23 @@
         crashes_to_trial: CRASHES_TO_TRIAL,
         quarantine_duration: Some(QUARANTINE_DURATION),
     };
-    SuspectTable::new(
-        me.clone(),
-        policy,
-        send_report_to_home(me, published, peers),
-        None,
-    )
+    SuspectTable::new(me.clone(), policy, suspect_peers(published, peers), None)
 }
 
-fn send_report_to_home(
-    me: &InstanceId,
-    published: &Arc<Published>,
-    peers: &Arc<Peers>,
-) -> SendReport {
-    let (me, published, peers) = (me.clone(), Arc::clone(published), Arc::clone(peers));
-    Box::new(move |key, report| {
-        let members = published.members.load_full();
-        let (me, peers) = (me.clone(), Arc::clone(&peers));
-        Box::pin(async move {
-            let Some(home) = home_of(&key, &members, None, None) else {
-                return ReportResult::Unreachable;
-            };
-            if home.id == me {
-                return ReportResult::Local;
-            }
-            let answer = peers.client(home).suspects(timed(report)).await;
-            answer.map_or(ReportResult::Unreachable, |answer| {
-                ReportResult::Answered(answer.into_inner())
+fn suspect_peers(published: &Arc<Published>, peers: &Arc<Peers>) -> SuspectPeers {
+    let (published, peers) = (Arc::clone(published), Arc::clone(peers));
+    SuspectPeers {
+        home_and_copies: Box::new(move |key| {
+            let members = published.members.load();
+            let members = home_and_copies(key, &members, COPIES);
+            members.into_iter().cloned().collect()
+        }),
+        send: Box::new(move |member, report| {
+            let peers = Arc::clone(&peers);
+            Box::pin(async move {
+                let answer = peers.client(&member).suspects(timed(report)).await;
+                answer.ok().map(tonic::Response::into_inner)
             })
-        })
-    })
+        }),
+    }
 }
--- a/crates/tc-fleet/src/node/state.rs
+++ b/crates/tc-fleet/src/node/state.rs
@@ -27,7 +27,7 @@
     limits::WorkspaceLimiter,
     peers::{PeerPool, ToHome},
     summary::SummaryTable,
-    suspects::{MAX_SUSPECTS_PER_DATAGRAM, SuspectTable},
+    suspects::SuspectTable,
 };
 
 /// Maximum number of summaries added to a datagram, for upstreams that have their home here.
@@ -120,10 +120,7 @@
                 datagram.summaries.push(summary);
             }
         }
-        datagram.suspects = self
-            .parts
-            .suspects
-            .to_gossip(now, MAX_SUSPECTS_PER_DATAGRAM);
+        self.parts.suspects.add_evidence(now, datagram);
     }
 
     /// Applies the summaries and suspects piggybacked on a datagram.
@@ -134,7 +131,9 @@
             summaries.store(now, &summary.upstream, &load, summary.leaving);
             summaries.record_incarnation(&summary.upstream, Incarnation(summary.incarnation));
         }
-        self.parts.suspects.record_gossiped(now, &datagram.suspects);
+        self.parts
+            .suspects
+            .receive_evidence(now, &datagram.evidence);
     }
 
     /// Activates a configuration if it is valid and newer than the active one. Returns whether it was activated.
--- a/crates/tc-fleet/src/quarantine.rs
+++ b/crates/tc-fleet/src/quarantine.rs
@@ -35,7 +35,8 @@
             stored = listed;
         }
         for (fingerprint, origin) in parts.suspects.quarantined() {
-            if stored.contains(&fingerprint) {
+            // Instances that only received the evidence leave storing it to those that got a report.
+            if stored.contains(&fingerprint) || origin.is_none() {
                 continue;
             }
             // During a store outage this fails and is tried again in the next round; gossip still works.
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -8,7 +8,7 @@
 
 use arc_swap::ArcSwap;
 use ractor::{Actor, ActorRef};
-use tc_membership::{Record, home_of};
+use tc_membership::{Record, home_and_copies};
 use tc_platform::Store;
 use tc_policy::SuspectPolicy;
 use tc_protocol::{FleetView, Policy, StoreHealth};
@@ -27,7 +27,7 @@
     server::{FleetService, ServiceParts, check_token},
     store_watch::read_lists,
     summary::SummaryTable,
-    suspects::{CrashCheck, ReportResult, SendReport, SuspectTable},
+    suspects::{CrashCheck, SuspectPeers, SuspectTable},
 };
 
 /// Interval between attempts to get the member list from seeds while no other member is known.
@@ -57,7 +57,7 @@
     let suspects = Arc::new(SuspectTable::new(
         settings.me.id.clone(),
         suspect_policy(),
-        send_report_to_home(&view, &peers),
+        suspect_peers(&view, &peers),
         Some(CrashCheck::new(upstream.clone())),
     ));
     Ok(NodeParts {
@@ -76,6 +76,9 @@
     })
 }
 
+/// Instances that keep a copy of the evidence of a service's suspect home.
+const SUSPECT_COPIES: usize = 2;
+
 /// Requires trials from the first crash: an upstream has few inputs in flight, and each crash costs seconds.
 fn suspect_policy() -> SuspectPolicy {
     SuspectPolicy {
@@ -85,24 +88,22 @@
     }
 }
 
-fn send_report_to_home(view: &Arc<ArcSwap<FleetView>>, peers: &Arc<PeerPool>) -> SendReport {
+fn suspect_peers(view: &Arc<ArcSwap<FleetView>>, peers: &Arc<PeerPool>) -> SuspectPeers {
     let (view, peers) = (Arc::clone(view), Arc::clone(peers));
-    Box::new(move |key, report| {
-        let view = view.load_full();
-        let peers = Arc::clone(&peers);
-        Box::pin(async move {
-            let Some(home) = home_of(&key, &view.members, None, None) else {
-                return ReportResult::Unreachable;
-            };
-            if home.id == view.me.id {
-                return ReportResult::Local;
-            }
-            let answer = peers.get(home).client().suspects(timed(report)).await;
-            answer.map_or(ReportResult::Unreachable, |answer| {
-                ReportResult::Answered(answer.into_inner())
+    SuspectPeers {
+        home_and_copies: Box::new(move |key| {
+            let view = view.load();
+            let members = home_and_copies(key, &view.members, SUSPECT_COPIES);
+            members.into_iter().cloned().collect()
+        }),
+        send: Box::new(move |member, report| {
+            let peers = Arc::clone(&peers);
+            Box::pin(async move {
+                let answer = peers.get(&member).client().suspects(timed(report)).await;
+                answer.ok().map(tonic::Response::into_inner)
             })
-        })
-    })
+        }),
+    }
 }
 
 fn initial_view(settings: &FleetSettings) -> FleetView {
--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -1,14 +1,19 @@
-//! The suspects of the services whose suspect home is this instance.
+//! The crashes, suspects, trials and quarantines that this instance knows: as their home, as an instance that keeps a
+//! copy, or from other instances.
 
 use std::{
-    collections::{HashMap, HashSet},
-    sync::{Mutex, MutexGuard, PoisonError},
+    collections::{HashMap, HashSet, VecDeque},
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering::Relaxed},
+    },
     time::Duration,
 };
 
-use tc_policy::{SuspectPolicy, Suspects, Trial};
+use tc_policy::{CrashEvidence, SuspectPolicy, Suspects, Trial};
 use tc_protocol::{Fingerprint, Incarnation, MonoTime, ServiceName, UpstreamId, WorkspaceName};
 
+use super::evidence::evidence_from_wire;
 use crate::{
     convert,
     generated::{SuspectAnswer, SuspectReport},
@@ -21,6 +26,13 @@
 /// Period within which reports of an upstream's crash count as the same crash. Entries do not know the upstream's
 /// incarnation, and each reports only its own calls.
 const SAME_CRASH_PERIOD: Duration = Duration::from_secs(1);
+/// Period within which two reports of an input on the same upstream count as the same crash unless it ran as a trial:
+/// the input may have been in flight more than once.
+const SAME_RUN_PERIOD: Duration = Duration::from_millis(100);
+/// Maximum number of reports that are recognized when they are sent again.
+const MAX_REPORTS: usize = 1_024;
+/// Maximum number of upstreams whose last crash is stored.
+const MAX_CRASHES: usize = 1_024;
 /// Maximum number of fingerprints whose origin is stored.
 const MAX_ORIGINS: usize = 4_096;
 
@@ -31,8 +43,10 @@
     pub(crate) service: ServiceName,
 }
 
+/// The last crash of an upstream.
 struct Crash {
     at: MonoTime,
+    /// Distinguishes the crashes of an upstream that keeps its name. All instances count from 1.
     number: u64,
     reported: HashSet<Fingerprint>,
 }
@@ -42,11 +56,14 @@
     policy: SuspectPolicy,
     crashes_by_upstream: HashMap<UpstreamId, Crash>,
     origins: HashMap<Fingerprint, Origin>,
+    /// Identifiers of crash reports, the oldest first.
+    reports: VecDeque<u64>,
 }
 
-/// Suspects, trials and quarantines of the services assigned to this instance.
 pub(super) struct SuspectHome {
     state: Mutex<State>,
+    /// Whether nothing is known, so that requests take no lock.
+    is_empty: AtomicBool,
 }
 
 impl SuspectHome {
@@ -57,55 +74,74 @@
                 policy,
                 crashes_by_upstream: HashMap::new(),
                 origins: HashMap::new(),
+                reports: VecDeque::new(),
             }),
+            is_empty: AtomicBool::new(true),
         }
     }
 
     /// Applies the configured number of crashes. Quarantines are kept, other suspects are dropped.
     pub(super) fn set_crashes_to_quarantine(&self, now: MonoTime, crashes: u32) {
-        let mut state = self.lock();
-        if state.policy.crashes_to_quarantine == crashes {
-            return;
-        }
-        let quarantined: Vec<Fingerprint> = state.suspects.quarantined().collect();
-        state.policy.crashes_to_quarantine = crashes;
-        state.suspects = Suspects::with_policy(state.policy);
-        for fingerprint in quarantined {
-            state.suspects.adopt_quarantine(now, fingerprint);
-        }
+        self.update(|state| {
+            if state.policy.crashes_to_quarantine == crashes {
+                return;
+            }
+            let quarantined: Vec<Fingerprint> = state.suspects.quarantined().collect();
+            state.policy.crashes_to_quarantine = crashes;
+            state.suspects = Suspects::with_policy(state.policy);
+            for fingerprint in quarantined {
+                state.suspects.adopt_quarantine(now, fingerprint);
+            }
+        });
     }
 
     /// Processes an entry's report and returns the answer.
     pub(super) fn handle_report(&self, now: MonoTime, report: &SuspectReport) -> SuspectAnswer {
-        let mut state = self.lock();
-        if !report.died.is_empty() {
-            state.record_crash(now, report);
+        self.update(|state| state.handle_report(now, report))
+    }
+
+    /// Adds evidence that another instance sent.
+    pub(super) fn merge(&self, now: MonoTime, evidence: &CrashEvidence) {
+        self.update(|state| state.merge(now, evidence));
+    }
+
+    /// Returns evidence for other instances, the next one at each call.
+    pub(super) fn evidence_to_send(&self, now: MonoTime, max: usize) -> Vec<CrashEvidence> {
+        if self.is_empty.load(Relaxed) {
+            return Vec::new();
         }
-        for cleared in report.cleared.iter().copied().map(Fingerprint) {
-            log::info!(service = report.service.as_str(), from = report.from.as_str(), input = format!("{:016x}", cleared.0).as_str(), crashes = state.suspects.crash_count(cleared); "suspect cleared");
-            state.suspects.clear(now, cleared);
+        self.lock().suspects.evidence_to_send(now, max)
+    }
+
+    pub(super) fn evidence_of(
+        &self,
+        now: MonoTime,
+        fingerprint: Fingerprint,
+    ) -> Option<CrashEvidence> {
+        self.lock().suspects.evidence_of(now, fingerprint)
+    }
+
+    /// Returns true if any crash counts against the fingerprint.
+    pub(super) fn has_crashes(&self, fingerprint: Fingerprint) -> bool {
+        !self.is_empty.load(Relaxed) && self.lock().suspects.crash_count(fingerprint) > 0
+    }
+
+    /// Returns what is known here of whether a fingerprint may run. [`Trial::Busy`] means that its home has to be asked.
+    pub(super) fn local_verdict(&self, now: MonoTime, fingerprint: Fingerprint) -> Trial {
+        if self.is_empty.load(Relaxed) {
+            return Trial::Run;
         }
-        if report.trial_ended != 0 {
-            state
-                .suspects
-                .end_trial(now, Fingerprint(report.trial_ended));
+        let mut state = self.lock();
+        if state.suspects.is_quarantined(fingerprint) {
+            return state.suspects.try_trial(now, fingerprint);
         }
-        if report.trial == 0 {
-            return SuspectAnswer {
-                trial: MAY_RUN,
-                retry_after_ms: 0,
+        // The home may know of more crashes.
+        if state.suspects.crash_count(fingerprint) > 0 {
+            return Trial::Busy {
+                retry_after: Duration::ZERO,
             };
         }
-        trial_answer(state.suspects.try_trial(now, Fingerprint(report.trial)))
-    }
-
-    /// Returns those of `fingerprints` that are suspects here.
-    pub(super) fn suspects_among(&self, fingerprints: Vec<Fingerprint>) -> Vec<Fingerprint> {
-        let state = self.lock();
-        fingerprints
-            .into_iter()
-            .filter(|f| state.suspects.is_suspect(*f))
-            .collect()
+        Trial::Run
     }
 
     /// Returns the quarantined fingerprints with their origins, where known.
@@ -116,11 +152,18 @@
     }
 
     pub(super) fn adopt_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
-        self.lock().suspects.adopt_quarantine(now, fingerprint);
+        self.update(|state| state.suspects.adopt_quarantine(now, fingerprint));
     }
 
     pub(super) fn lift_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
-        self.lock().suspects.lift(now, fingerprint);
+        self.update(|state| state.suspects.lift(now, fingerprint));
+    }
+
+    fn update<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = self.lock();
+        let result = change(&mut state);
+        self.is_empty.store(state.suspects.is_empty(), Relaxed);
+        result
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -129,61 +172,111 @@
 }
 
 impl State {
+    fn handle_report(&mut self, now: MonoTime, report: &SuspectReport) -> SuspectAnswer {
+        if let Some(evidence) = &report.evidence {
+            self.merge(now, &evidence_from_wire(evidence));
+        }
+        if !report.died.is_empty() && !self.reports.contains(&report.id) {
+            self.reports.push_back(report.id);
+            if self.reports.len() > MAX_REPORTS {
+                self.reports.pop_front();
+            }
+            self.record_crash(now, report);
+        }
+        for cleared in report.cleared.iter().copied().map(Fingerprint) {
+            let crashes = self.suspects.crash_count(cleared);
+            if crashes > 0 {
+                log::info!(service = report.service.as_str(), from = report.from.as_str(), input = label(cleared).as_str(), crashes = crashes; "suspect cleared");
+            }
+            self.suspects.clear(now, cleared);
+        }
+        if report.trial_ended != 0 {
+            let ended = Fingerprint(report.trial_ended);
+            self.suspects.end_trial(now, ended);
+        }
+        if report.trial == 0 {
+            return SuspectAnswer {
+                trial: MAY_RUN,
+                retry_after_ms: 0,
+            };
+        }
+        trial_answer(self.suspects.try_trial(now, Fingerprint(report.trial)))
+    }
+
+    fn merge(&mut self, now: MonoTime, evidence: &CrashEvidence) {
+        let fingerprint = evidence.fingerprint;
+        let was_quarantined = self.suspects.is_quarantined(fingerprint);
+        self.suspects.merge(now, evidence);
+        let is_quarantined = self.suspects.is_quarantined(fingerprint);
+        if was_quarantined != is_quarantined {
+            log::info!(input = label(fingerprint).as_str(), crashes = evidence.crashes.len(), cleared = evidence.cleared.len(), quarantined = is_quarantined; "evidence of crashes received");
+        }
+    }
+
     fn record_crash(&mut self, now: MonoTime, report: &SuspectReport) {
         let in_flight: Vec<Fingerprint> = report.died.iter().copied().map(Fingerprint).collect();
         let upstream = UpstreamId::from(report.upstream.as_str());
-        let number = self.crash_number(now, &upstream, &in_flight);
+        let crashed_at = now.before(convert::from_millis(report.age_ms));
+        let same_run_period = if report.was_trial {
+            Duration::ZERO
+        } else {
+            SAME_RUN_PERIOD
+        };
+        let number = self.crash_number(crashed_at, &upstream, &in_flight, same_run_period);
         self.suspects
             .record_crash(now, &upstream, Incarnation(number), &in_flight);
         let origin = Origin {
             workspace: report.workspace.as_str().into(),
             service: report.service.as_str().into(),
         };
-        for &fingerprint in &in_flight {
-            let is_quarantined = self.suspects.quarantined().any(|f| f == fingerprint);
-            log::info!(service = report.service.as_str(), from = report.from.as_str(), upstream = report.upstream.as_str(), input = format!("{:016x}", fingerprint.0).as_str(), crashes = self.suspects.crash_count(fingerprint), quarantined = is_quarantined; "crash recorded");
-        }
         for fingerprint in in_flight {
+            log::info!(service = report.service.as_str(), from = report.from.as_str(), upstream = report.upstream.as_str(), input = label(fingerprint).as_str(), crashes = self.suspects.crash_count(fingerprint), quarantined = self.suspects.is_quarantined(fingerprint); "crash recorded");
             if self.origins.len() < MAX_ORIGINS {
                 self.origins.insert(fingerprint, origin.clone());
             }
         }
     }
 
-    /// Returns the same number for all reports of one crash.
+    /// Returns the same number for all reports of one crash, on every instance that receives them.
     ///
-    /// A suspect has only one run at a time, so if it is reported again, it crashed a later incarnation of the
-    /// upstream. If that counted as the same crash, a request that crashes an upstream after each restart would never
-    /// be quarantined.
+    /// An input that is reported again after `same_run_period` crashed a later incarnation of the upstream. If that
+    /// counted as the same crash, a request that crashes an upstream after each restart would never be quarantined.
     fn crash_number(
         &mut self,
-        now: MonoTime,
+        at: MonoTime,
         upstream: &UpstreamId,
-        in_flight: &[Fingerprint],
+        fps: &[Fingerprint],
+        same_run_period: Duration,
     ) -> u64 {
-        self.crashes_by_upstream
-            .retain(|_, crash| now.since(crash.at) < SAME_CRASH_PERIOD);
-        let is_repeated = |crash: &Crash| in_flight.iter().any(|f| crash.reported.contains(f));
-        if self
-            .crashes_by_upstream
-            .get(upstream)
-            .is_some_and(is_repeated)
+        let crashes = &mut self.crashes_by_upstream;
+        if crashes.len() >= MAX_CRASHES
+            && let Some(oldest) = crashes.iter().min_by_key(|(_, crash)| crash.at)
         {
-            self.crashes_by_upstream.remove(upstream);
+            let oldest = oldest.0.clone();
+            crashes.remove(&oldest);
         }
-        let crash = self
-            .crashes_by_upstream
-            .entry(upstream.clone())
-            .or_insert_with(|| Crash {
-                at: now,
-                number: rand::random(),
-                reported: HashSet::new(),
-            });
-        crash.reported.extend(in_flight);
+        let crash = crashes.entry(upstream.clone()).or_insert_with(|| Crash {
+            at,
+            number: 1,
+            reported: HashSet::new(),
+        });
+        let age = at.since(crash.at);
+        let is_repeated = fps.iter().any(|f| crash.reported.contains(f)) && age >= same_run_period;
+        if is_repeated || age >= SAME_CRASH_PERIOD {
+            crash.at = at;
+            crash.number += 1;
+            crash.reported.clear();
+        }
+        crash.reported.extend(fps);
         crash.number
     }
 }
 
+/// Returns the text that stands for a fingerprint in log lines.
+fn label(fingerprint: Fingerprint) -> String {
+    format!("{:016x}", fingerprint.0)
+}
+
 fn trial_answer(trial: Trial) -> SuspectAnswer {
     let (trial, retry_after) = match trial {
         Trial::Run => (MAY_RUN, Duration::ZERO),
--- a/crates/tc-fleet/src/suspects/mod.rs
+++ b/crates/tc-fleet/src/suspects/mod.rs
@@ -1,13 +1,13 @@
-//! Requests that may crash upstreams: those reported to this instance, and those of the services whose suspect home it
-//! is.
+//! Requests that may crash upstreams: evidence of crashes, which all instances share, and trials, which the home of a
+//! service decides on.
 
 mod crash_check;
+mod evidence;
 mod home;
-mod reported;
 mod table;
 mod trial;
 
 pub(crate) use crash_check::{CalledUpstream, CrashCheck};
 pub(crate) use home::Origin;
-pub(crate) use table::{MAX_SUSPECTS_PER_DATAGRAM, ReportResult, SendReport, SuspectTable};
+pub(crate) use table::{SuspectPeers, SuspectTable};
 pub(crate) use trial::TrialGuard;
--- a/crates/tc-fleet/tests/mesh_suspects.rs
+++ b/crates/tc-fleet/tests/mesh_suspects.rs
@@ -61,7 +61,7 @@
     let mesh = start_mesh().await;
     let (service, workspace) = ("draft".into(), "one".into());
     mesh.report_crash(INPUT, &service, &workspace, "engine-1".into());
-    mesh.report_completed(INPUT);
+    mesh.report_completed(INPUT, &service);
     sleep(REPORT_TIME).await;
     assert!(!is_suspect(&mesh).await);
     mesh.report_crash(INPUT, &service, &workspace, "engine-2".into());
--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -129,7 +129,7 @@
                 .record(&upstream.id, CallOutcome::Answered(first_byte));
             req.record_answer(&upstream, reply.head.status, attempts.sent);
             if proves_survival(&reply.head) {
-                cx.mesh.report_completed(req.fingerprint());
+                cx.mesh.report_completed(req.fingerprint(), &req.service);
             }
             Ok(answer(cx, &reply.head, HeldBody::new(body, held)))
         }
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -310,7 +310,8 @@
             None => {
                 self.ended = true;
                 if proves_survival(&self.open.answered.reply.head) {
-                    self.cx.mesh.report_completed(self.req.fingerprint());
+                    let (mesh, req) = (&self.cx.mesh, &self.req);
+                    mesh.report_completed(req.fingerprint(), &req.service);
                 }
                 Ok(())
             }
--- a/crates/tc-membership/src/lib.rs
+++ b/crates/tc-membership/src/lib.rs
@@ -28,7 +28,7 @@
 pub use membership::{Membership, MembershipConfig, Message, MessageKind, Outgoing, Record};
 pub use order::{OrderGuard, StaleFence};
 pub use pause::PauseDetector;
-pub use placement::{config_watchers, home_of};
+pub use placement::{config_watchers, home_and_copies, home_of};
 pub use plan::{EngineState, ModelLoad, ModelRequirements, Plan, plan};
 pub use shuffle_shard::shuffle_shard;
 pub use store_source::{SourceTiming, StoreSource};
--- a/crates/tc-membership/src/placement.rs
+++ b/crates/tc-membership/src/placement.rs
@@ -1,9 +1,12 @@
 //! Placement of roles on instances by rendezvous hashing. No election is needed, and losing an
 //! instance moves only the roles it held.
 
-use tc_protocol::{FailureDomain, Member, Region};
+use tc_protocol::{FailureDomain, Member, MemberState, Region};
 
-use crate::rendezvous::{rendezvous_score, usable};
+use crate::{
+    rendezvous::{rendezvous_score, usable},
+    stream_origins::spread_over_domains,
+};
 
 /// Members with less than `1 / WEAK_DIVISOR` of the greatest strength are weak: a home that moved
 /// there would take four times as long for each call.
@@ -40,6 +43,33 @@
         .or_else(|| highest_scored(key, usable.iter().copied(), |_| true))
 }
 
+/// Returns the home of `key` and the instances that keep a copy of what it knows: those that would be the home next,
+/// `copies` at most, in as many failure domains as possible.
+///
+/// Isolated members keep copies, so that what a home knows stays reachable while isolation moves the home.
+///
+/// ```
+/// use tc_membership::home_and_copies;
+/// assert!(home_and_copies("suspects/generate", &[], 2).is_empty());
+/// ```
+#[must_use]
+pub fn home_and_copies<'a>(key: &str, members: &'a [Member], copies: usize) -> Vec<&'a Member> {
+    let home = home_of(key, members, None, None);
+    let states = [MemberState::Alive, MemberState::Isolated];
+    let mut ranked: Vec<&Member> = members
+        .iter()
+        .filter(|m| states.contains(&m.state) && home.is_none_or(|home| home.id != m.id))
+        .collect();
+    let min_strength = min_strength(&ranked);
+    ranked.retain(|member| member.strength >= min_strength);
+    ranked.sort_by(|a, b| {
+        let (score_a, score_b) = (weighted_score(key, a), weighted_score(key, b));
+        score_b.total_cmp(&score_a).then_with(|| b.id.cmp(&a.id))
+    });
+    let copies = spread_over_domains(ranked, copies);
+    home.into_iter().chain(copies).collect()
+}
+
 fn highest_scored<'a>(
     key: &str,
     members: impl Iterator<Item = &'a Member>,
--- a/crates/tc-membership/src/stream_origins.rs
+++ b/crates/tc-membership/src/stream_origins.rs
@@ -96,7 +96,7 @@
 }
 
 /// Takes one member of each failure domain in turn, in the order of `ranked`.
-fn spread_over_domains(mut ranked: Vec<&Member>, count: usize) -> Vec<&Member> {
+pub(crate) fn spread_over_domains(mut ranked: Vec<&Member>, count: usize) -> Vec<&Member> {
     let mut chosen = Vec::new();
     while !ranked.is_empty() && chosen.len() < count {
         let mut domains: BTreeSet<&FailureDomain> = BTreeSet::new();
--- /dev/null
+++ b/crates/tc-policy/src/suspect/evidence.rs
@@ -0,0 +1,187 @@
+//! Crashes that fingerprints were in flight in, as sets that instances can merge in any order.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use tc_protocol::{Fingerprint, Incarnation, MonoTime, UpstreamId};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Time after which a crash no longer counts.
+const CRASH_TTL: Duration = Duration::from_mins(10);
+/// Maximum number of crashes kept per fingerprint.
+const MAX_CRASHES_PER_FINGERPRINT: usize = 8;
+/// Maximum number of crashes of all fingerprints together.
+const MAX_CRASHES: usize = 2_048;
+
+/// Identifies a crash: an incarnation of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CrashId(pub u64);
+
+impl CrashId {
+    /// Returns the same identifier on every instance.
+    ///
+    /// ```
+    /// use tc_policy::CrashId;
+    /// use tc_protocol::Incarnation;
+    /// let first = CrashId::of(&"gen-1".into(), Incarnation(1));
+    /// assert_ne!(first, CrashId::of(&"gen-1".into(), Incarnation(2)));
+    /// ```
+    #[must_use]
+    pub fn of(upstream: &UpstreamId, incarnation: Incarnation) -> Self {
+        let mut hasher = Xxh3::new();
+        hasher.update(&incarnation.0.to_le_bytes());
+        hasher.update(upstream.as_str().as_bytes());
+        Self(hasher.digest())
+    }
+}
+
+/// What an instance knows of a fingerprint, to send to others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashEvidence {
+    /// The fingerprint.
+    pub fingerprint: Fingerprint,
+    /// Crashes that it was in flight in.
+    pub crashes: Vec<CrashId>,
+    /// Those that a completed run has cleared it of.
+    pub cleared: Vec<CrashId>,
+    /// Time since the last of the crashes.
+    pub age: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    at: MonoTime,
+    is_cleared: bool,
+}
+
+type Marks = BTreeMap<CrashId, Mark>;
+
+/// The crashes of all fingerprints.
+#[derive(Clone, Debug, Default)]
+pub(super) struct EvidenceTable {
+    records: HashMap<Fingerprint, Marks>,
+    count: usize,
+}
+
+impl EvidenceTable {
+    /// Records a crash that a fingerprint was in flight in. Returns true if it was not known.
+    pub(super) fn add(&mut self, now: MonoTime, fp: Fingerprint, crash: CrashId) -> bool {
+        self.mark(fp, crash, now, false)
+    }
+
+    /// Adds what another instance knows. Returns true if anything was new.
+    pub(super) fn merge(&mut self, now: MonoTime, evidence: &CrashEvidence) -> bool {
+        if evidence.age >= CRASH_TTL {
+            return false;
+        }
+        let at = now.before(evidence.age);
+        let fp = evidence.fingerprint;
+        let mut is_changed = false;
+        for (crashes, is_cleared) in [(&evidence.cleared, true), (&evidence.crashes, false)] {
+            for &crash in crashes {
+                is_changed |= self.mark(fp, crash, at, is_cleared);
+            }
+        }
+        is_changed
+    }
+
+    /// Clears a fingerprint of all crashes known here. Returns true if there were any.
+    pub(super) fn clear(&mut self, fp: Fingerprint) -> bool {
+        let marks = self.records.get_mut(&fp).into_iter().flatten();
+        let mut is_changed = false;
+        for (_, mark) in marks {
+            is_changed |= !std::mem::replace(&mut mark.is_cleared, true);
+        }
+        is_changed
+    }
+
+    /// Returns the crashes that count against a fingerprint.
+    pub(super) fn crashes(&self, fp: Fingerprint) -> impl Iterator<Item = CrashId> + '_ {
+        let marks = self.records.get(&fp).into_iter().flatten();
+        marks
+            .filter(|(_, mark)| !mark.is_cleared)
+            .map(|(crash, _)| *crash)
+    }
+
+    /// Returns the number of crashes known of a fingerprint, whether or not it was cleared of them.
+    pub(super) fn known_crashes(&self, fp: Fingerprint) -> usize {
+        self.records.get(&fp).map_or(0, BTreeMap::len)
+    }
+
+    pub(super) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        self.records.keys().copied()
+    }
+
+    pub(super) fn get(&self, now: MonoTime, fp: Fingerprint) -> Option<CrashEvidence> {
+        let marks = self.records.get(&fp)?;
+        let last = marks.values().map(|mark| mark.at).max()?;
+        let of_kind = |is_cleared| {
+            let marks = marks.iter();
+            let marks = marks.filter(move |(_, mark)| mark.is_cleared == is_cleared);
+            marks.map(|(crash, _)| *crash).collect()
+        };
+        Some(CrashEvidence {
+            fingerprint: fp,
+            crashes: of_kind(false),
+            cleared: of_kind(true),
+            age: now.since(last),
+        })
+    }
+
+    /// Returns the number of crashes of all fingerprints.
+    pub(super) fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Drops crashes that no longer count. Returns true if there were any.
+    pub(super) fn remove_expired(&mut self, now: MonoTime) -> bool {
+        let before = self.count;
+        self.records.retain(|_, marks| {
+            marks.retain(|_, mark| now.since(mark.at) < CRASH_TTL);
+            !marks.is_empty()
+        });
+        self.count = self.records.values().map(BTreeMap::len).sum();
+        self.count != before
+    }
+
+    fn mark(&mut self, fp: Fingerprint, crash: CrashId, at: MonoTime, is_cleared: bool) -> bool {
+        let marks = self.records.entry(fp).or_default();
+        if let Some(mark) = marks.get_mut(&crash) {
+            let is_new = is_cleared && !mark.is_cleared;
+            mark.is_cleared |= is_cleared;
+            return is_new;
+        }
+        if marks.len() >= MAX_CRASHES_PER_FINGERPRINT {
+            // Crashes that count are kept: more of them would change nothing.
+            let mut cleared = marks.iter().filter(|(_, mark)| mark.is_cleared);
+            let Some(oldest) = cleared.by_ref().min_by_key(|(_, mark)| mark.at) else {
+                return false;
+            };
+            let oldest = *oldest.0;
+            marks.remove(&oldest);
+            self.count -= 1;
+        }
+        marks.insert(crash, Mark { at, is_cleared });
+        self.count += 1;
+        if self.count > MAX_CRASHES {
+            self.remove_weakest();
+        }
+        true
+    }
+
+    /// Drops the fingerprint with the fewest crashes that count; among those, the one whose last crash is the oldest.
+    fn remove_weakest(&mut self) {
+        let strength = |marks: &Marks| {
+            let counted = marks.values().filter(|mark| !mark.is_cleared).count();
+            (counted, marks.values().map(|mark| mark.at).max())
+        };
+        let weakest = self.records.iter().min_by_key(|(_, m)| strength(m));
+        if let Some(fp) = weakest.map(|(fp, _)| *fp)
+            && let Some(marks) = self.records.remove(&fp)
+        {
+            self.count -= marks.len();
+        }
+    }
+}
