Ask before each send whether a request may run

Callers saw: one request crashed upstreams one after the other within milliseconds, as many as its route allows attempts. Cause: permission was asked once for all sends of a request, and the report of a crash was sent in the background. A request that this instance knows to be quarantined is refused before its stages are made.

--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -283,6 +283,14 @@
         Ok(guard.map(|guard| SuspectTrial { _guard: guard }))
     }
 
+    /// Refuses a request that is quarantined as far as this instance knows.
+    ///
+    /// # Errors
+    /// Returns the refusal if the request may not run.
+    pub fn refuse_quarantined(&self, fingerprint: Fingerprint) -> Result<(), PermitRefusal> {
+        self.inner.suspects.refuse_quarantined(fingerprint)
+    }
+
     /// Reports that an upstream's connection broke while it ran a request. The report is sent to the home of the
     /// request's fingerprint in the background.
     pub fn report_crash(
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -4,12 +4,17 @@
 
 use http::{Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
+use tc_fleet::SuspectTrial;
 use tc_policy::{RetryPermit, Senders};
-use tc_protocol::{MonoTime, RunState, UpstreamId, UpstreamVersion, routing::RegisteredUpstream};
+use tc_protocol::{
+    MonoTime, PermitRefusal, RunState, UpstreamId, UpstreamVersion, routing::RegisteredUpstream,
+};
 use tc_upstream::{CallError, CallErrorKind, RawCall, RawResponse};
 use tokio::time::Instant;
 
-use super::{Refusal, RoutedRequest, RunContext, stages::StageResults, target::Target};
+use super::{
+    Refusal, RoutedRequest, RunContext, stages::StageResults, suspect_refusal, target::Target,
+};
 use crate::{
     call::{Acceptance, AnswerHead, UpstreamRequestHead},
     engines::EngineRun,
@@ -25,7 +30,7 @@
 const MAX_REFUSED_SENDS: u32 = 3;
 
 /// State of the attempts of one request so far.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub(super) struct Attempts {
     /// Attempts that were sent and may have run.
     pub(super) sent: u32,
@@ -41,6 +46,8 @@
     retry_permit: Option<RetryPermit>,
     /// The upstream of the attempt in progress.
     current_upstream: Option<UpstreamId>,
+    /// Permission held during an attempt of a request that may crash upstreams.
+    trial: Option<SuspectTrial>,
 }
 
 /// Reason why an attempt produced no usable answer.
@@ -60,6 +67,8 @@
     BackingOff(Duration),
     /// The retry budget does not allow the attempt any more.
     BudgetExhausted,
+    /// The request has crashed upstreams and may not run now.
+    Suspect(PermitRefusal),
     /// The time of the request is used up.
     TimedOut,
 }
@@ -121,6 +130,7 @@
             | SendFailure::RateLimited(_)
             | SendFailure::BackingOff(_)
             | SendFailure::BudgetExhausted
+            | SendFailure::Suspect(_)
             | SendFailure::TimedOut => false,
         };
         let is_used_up = self.sent >= req.route.max_attempts || self.refused >= MAX_REFUSED_SENDS;
@@ -134,6 +144,21 @@
         self.retry_permit.is_some()
     }
 
+    /// Waits for permission to run a request that may crash upstreams. It is held until the next attempt or the end.
+    async fn acquire_run(
+        &mut self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+    ) -> Result<(), SendFailure> {
+        // A permission of the attempt before would keep this one from getting its own.
+        self.trial = None;
+        let (input, workspace) = (req.fingerprint(), req.workspace_name());
+        let slack = req.time_to_first_event();
+        let trial = cx.mesh.try_trial(input, &req.service, &workspace, slack);
+        self.trial = trial.await.map_err(SendFailure::Suspect)?;
+        Ok(())
+    }
+
     /// Returns true if the next attempt may still be sent. Its permit may have expired while stages were made again.
     fn may_still_send(&mut self, cx: &RunContext, req: &RoutedRequest) -> bool {
         let Some(permit) = self.retry_permit.take() else {
@@ -162,6 +187,7 @@
             SendFailure::BackingOff(wait) => {
                 Refusal::not_run("upstreams of the service have asked for a rest", wait)
             }
+            SendFailure::Suspect(refused) => suspect_refusal(&refused),
             SendFailure::TimedOut => Refusal::timed_out(),
             SendFailure::InputGone => Refusal::not_run_transient("results of a stage were lost"),
             SendFailure::NotRun | SendFailure::MayHaveRun | SendFailure::BudgetExhausted => {
@@ -177,11 +203,12 @@
         req: &RoutedRequest,
         options: SendOptions<'_>,
     ) -> Result<Answered, SendFailure> {
-        let time_left = req.time_left();
-        if time_left < MIN_TIME_LEFT {
+        if req.time_left() < MIN_TIME_LEFT {
             return Err(SendFailure::TimedOut);
         }
         cx.world.wait_until_fresh().await;
+        self.acquire_run(cx, req).await?;
+        let time_left = req.time_left();
         if !self.may_still_send(cx, req) {
             return Err(SendFailure::BudgetExhausted);
         }
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use http::{Response, StatusCode, request::Parts};
 use http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody};
-use tc_fleet::{Mesh, SuspectTrial};
+use tc_fleet::Mesh;
 use tc_protocol::{
     Fingerprint, MemberState, PermitRefusal, RefusalReason, ServiceName, UpstreamVersion,
     WorkspaceName,
@@ -141,8 +141,6 @@
     pub(crate) allowed: TimeAllowed,
     /// Origin of the stream that the request resumes.
     pub(crate) origin: Option<StreamOrigin>,
-    /// Permission held while the request runs, if the request may crash upstreams.
-    pub(crate) suspect: Option<SuspectTrial>,
 }
 
 impl RoutedRequest {
@@ -233,21 +231,14 @@
     })
 }
 
-/// Finds what binds a request and waits until it may run.
+/// Finds what binds a request, and refuses one that is known to crash upstreams before any work is done for it.
 async fn prepare(cx: &RunContext, req: &mut RoutedRequest) -> Result<(), Refusal> {
     let bound = resumption::bind_to_origin(cx, req).await;
     cx.retry_budgets.record_request(&req.service);
     bound?;
-    acquire_suspect_run(cx, req).await
-}
-
-/// Waits for permission to run a request that may crash upstreams; refuses one that has crashed too many.
-async fn acquire_suspect_run(cx: &RunContext, req: &mut RoutedRequest) -> Result<(), Refusal> {
-    let (input, workspace) = (req.fingerprint(), req.workspace_name());
-    let slack = req.time_to_first_event();
-    let held = cx.mesh.try_trial(input, &req.service, &workspace, slack);
-    req.suspect = held.await.map_err(|refused| suspect_refusal(&refused))?;
-    Ok(())
+    let input = req.fingerprint();
+    let refused = cx.mesh.refuse_quarantined(input);
+    refused.map_err(|refused| suspect_refusal(&refused))
 }
 
 fn suspect_refusal(refused: &PermitRefusal) -> Refusal {
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -179,7 +179,6 @@
             arrived,
             allowed,
             origin: None,
-            suspect: None,
         })
     }
 
--- a/crates/tc-policy/src/suspect/evidence.rs
+++ b/crates/tc-policy/src/suspect/evidence.rs
@@ -171,17 +171,21 @@
         true
     }
 
-    /// Drops the fingerprint with the fewest crashes that count; among those, the one whose last crash is the oldest.
+    /// Drops an eighth of the crashes: those of the fingerprints with the fewest crashes that count, and among these of
+    /// the ones whose last crash is the oldest.
     fn remove_weakest(&mut self) {
         let strength = |marks: &Marks| {
             let counted = marks.values().filter(|mark| !mark.is_cleared).count();
             (counted, marks.values().map(|mark| mark.at).max())
         };
-        let weakest = self.records.iter().min_by_key(|(_, m)| strength(m));
-        if let Some(fp) = weakest.map(|(fp, _)| *fp)
-            && let Some(marks) = self.records.remove(&fp)
-        {
-            self.count -= marks.len();
+        let records = self.records.iter();
+        let mut ranked: Vec<_> = records.map(|(fp, marks)| (strength(marks), *fp)).collect();
+        ranked.sort_unstable();
+        for (_, fp) in ranked {
+            if self.count <= MAX_CRASHES - MAX_CRASHES / 8 {
+                return;
+            }
+            self.count -= self.records.remove(&fp).map_or(0, |marks| marks.len());
         }
     }
 }
--- a/crates/tc-policy/src/suspect/mod.rs
+++ b/crates/tc-policy/src/suspect/mod.rs
@@ -152,7 +152,7 @@
             self.trials.remove(&fp);
             is_changed |= self.evidence.add(now, fp, crash);
         }
-        if is_changed {
+        if is_changed && self.may_change_attribution(fps) {
             self.attribute(now);
         }
     }
@@ -172,7 +172,7 @@
     /// ```
     pub fn merge(&mut self, now: MonoTime, evidence: &CrashEvidence) -> bool {
         let is_changed = self.evidence.merge(now, evidence);
-        if is_changed {
+        if is_changed && self.may_change_attribution(&[evidence.fingerprint]) {
             self.attribute(now);
         }
         is_changed
@@ -270,7 +270,7 @@
         self.trials.remove(&fp);
         let is_changed = self.evidence.clear(fp);
         self.remove_expired(now);
-        if is_changed {
+        if is_changed && self.may_change_attribution(&[]) {
             self.attribute(now);
         }
     }
@@ -286,7 +286,9 @@
     pub fn adopt_quarantine(&mut self, now: MonoTime, fp: Fingerprint) {
         self.remove_expired(now);
         self.adopt(now, fp);
-        self.attribute(now);
+        if self.may_change_attribution(&[fp]) {
+            self.attribute(now);
+        }
     }
 
     /// Lifts a quarantine on an operator's request. The fingerprint is treated as any other and is quarantined again
@@ -296,7 +298,9 @@
             self.adopted_order.retain(|other| *other != fp);
         }
         self.clear(now, fp);
-        self.attribute(now);
+        if self.may_change_attribution(&[]) {
+            self.attribute(now);
+        }
     }
 
     /// Returns the number of crashes by fingerprint, trials and quarantines, which is bounded.
@@ -323,6 +327,16 @@
         self.trials.remove(&fp);
     }
 
+    /// Returns true if crashes may be attributed otherwise after a change of the evidence of `fps`.
+    fn may_change_attribution(&self, fps: &[Fingerprint]) -> bool {
+        let threshold = self.policy.crashes_to_quarantine.max(1) as usize;
+        !self.attribution.explained.is_empty()
+            || fps.iter().any(|fp| {
+                let count = self.crash_count(*fp);
+                count >= threshold || (count > 0 && self.adopted.contains_key(fp))
+            })
+    }
+
     /// Decides anew which fingerprints caused the crashes.
     fn attribute(&mut self, now: MonoTime) {
         let threshold = self.policy.crashes_to_quarantine as usize;
@@ -350,7 +364,7 @@
             self.expired_at = now;
             is_changed |= self.evidence.remove_expired(now);
         }
-        if is_changed {
+        if is_changed && self.may_change_attribution(&[]) {
             self.attribute(now);
         }
     }
