--- a/crates/tc-fleet/src/fleet.rs
+++ b/crates/tc-fleet/src/fleet.rs
@@ -128,7 +128,10 @@
 
     /// Reports that an input ran to a complete result.
     pub fn report_completed(&self, input: Fingerprint) {
-        self.inner.parts.suspects.report_completed(input, None);
+        self.inner
+            .parts
+            .suspects
+            .report_completed(input, &[input], None);
     }
 
     /// Returns the addresses that a workspace's callers should use.
--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -319,6 +319,9 @@
     /// Time since the last of the crashes.
     #[prost(uint32, tag = "4")]
     pub age_ms: u32,
+    /// Whether it is a part of prompts instead of a request.
+    #[prost(bool, tag = "5")]
+    pub is_part: bool,
 }
 /// Rate limit that an upstream announced in an answer.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -398,7 +401,7 @@
     #[prost(uint32, tag = "5")]
     pub expires_in_ms: u32,
 }
-#[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
+#[derive(Clone, PartialEq, ::prost::Message)]
 pub struct SuspectReport {
     #[prost(string, tag = "1")]
     pub from: ::prost::alloc::string::String,
@@ -407,7 +410,7 @@
     pub died: ::prost::alloc::vec::Vec<u64>,
     #[prost(string, tag = "3")]
     pub upstream: ::prost::alloc::string::String,
-    /// A fingerprint that ran to its end.
+    /// Fingerprints of requests and parts that ran to their end.
     #[prost(fixed64, repeated, tag = "5")]
     pub cleared: ::prost::alloc::vec::Vec<u64>,
     /// Asks to run this suspect; 0 for none.
@@ -428,15 +431,18 @@
     /// Whether the receiver sends what has changed to all instances.
     #[prost(bool, tag = "11")]
     pub announce: bool,
-    /// What the sender knows of the trial's input.
-    #[prost(message, optional, tag = "12")]
-    pub evidence: ::core::option::Option<CrashEvidence>,
+    /// What the sender knows of the inputs that the report is about.
+    #[prost(message, repeated, tag = "12")]
+    pub evidence: ::prost::alloc::vec::Vec<CrashEvidence>,
     /// Identifies a crash report, which may be sent several times; 0 for other reports.
     #[prost(fixed64, tag = "13")]
     pub id: u64,
     /// Whether the input that died ran as a trial, so that no other run of it was in flight.
     #[prost(bool, tag = "14")]
     pub was_trial: bool,
+    /// Parts of the prompts of requests in flight on an upstream that died, which had not begun to answer.
+    #[prost(fixed64, repeated, tag = "15")]
+    pub died_parts: ::prost::alloc::vec::Vec<u64>,
 }
 #[derive(Clone, Copy, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct SuspectAnswer {
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -31,8 +31,8 @@
 pub use fleet::{Fleet, ReportHandlers};
 pub use key::FleetKeys;
 pub use mesh::{
-    ChooseEngine, EvacuatedDomains, FollowWorld, Mesh, MeshError, MeshHandlers, MeshSettings,
-    NewerWorld, PiecesAnswer, RecordRuns, RegistryEntry, Removed, ReportOutlook, SharedFleetShare,
-    StoreUpdate, SuspectTrial, UpstreamLimits, UpstreamUpdate, WorldHave,
+    BrokenRun, ChooseEngine, EvacuatedDomains, FollowWorld, Mesh, MeshError, MeshHandlers,
+    MeshSettings, NewerWorld, PiecesAnswer, RecordRuns, RegistryEntry, Removed, ReportOutlook,
+    SharedFleetShare, StoreUpdate, SuspectTrial, UpstreamLimits, UpstreamUpdate, WorldHave,
 };
 pub use settings::{FleetSettings, PermitPolicy};
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -7,7 +7,7 @@
 };
 
 use arc_swap::ArcSwap;
-use futures::{StreamExt, stream::BoxStream};
+use futures::{StreamExt, future::BoxFuture, stream::BoxStream};
 use ractor::{Actor, ActorRef};
 use tc_membership::{MembershipConfig, home_of};
 use tc_policy::HomeOutlook;
@@ -40,7 +40,7 @@
     gossip::GossipSocket,
     peers::timed,
     server::check_token,
-    suspects::{Origin, SuspectTable, TrialGuard},
+    suspects::{BlamedParts, Origin, SuspectTable, TrialGuard},
 };
 
 /// Time added to the remaining time of a stage request, so that the response can still arrive.
@@ -70,6 +70,23 @@
     _guard: TrialGuard,
 }
 
+/// A run of a request during which its upstream's connection broke.
+pub struct BrokenRun {
+    /// Fingerprint of the request.
+    pub input: Fingerprint,
+    /// Service of the upstream.
+    pub service: ServiceName,
+    /// Workspace of the request.
+    pub workspace: WorkspaceName,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Fingerprints of the parts of its prompt that may have crashed the upstream.
+    pub parts: Vec<Fingerprint>,
+    /// Finds out whether the upstream crashed. Parts count only then: a reset of many connections would otherwise count
+    /// against every part in use.
+    pub has_crashed: BoxFuture<'static, bool>,
+}
+
 /// Handle to the mesh, cheap to clone.
 #[derive(Clone)]
 pub struct Mesh {
@@ -291,28 +308,40 @@
         self.inner.suspects.refuse_quarantined(fingerprint)
     }
 
+    /// Refuses a request if parts of its prompt are quarantined as far as this instance knows.
+    ///
+    /// # Errors
+    /// Returns the refusal if the request may not run.
+    pub fn refuse_quarantined_parts(&self, parts: &[Fingerprint]) -> Result<(), PermitRefusal> {
+        self.inner.suspects.refuse_quarantined_parts(parts)
+    }
+
     /// Reports that an upstream's connection broke while it ran a request. The report is sent to the home of the
-    /// request's fingerprint in the background.
-    pub fn report_crash(
-        &self,
-        fingerprint: Fingerprint,
-        service: &ServiceName,
-        workspace: &WorkspaceName,
-        upstream: UpstreamId,
-    ) {
+    /// service's suspects in the background.
+    pub fn report_crash(&self, run: BrokenRun) {
         let suspects = &self.inner.suspects;
         let origin = Origin {
-            workspace: workspace.clone(),
-            service: service.clone(),
+            workspace: run.workspace,
+            service: run.service.clone(),
         };
-        suspects.record_origin(fingerprint, origin);
-        suspects.spawn_crash_report(fingerprint, upstream);
+        suspects.record_origin(run.input, origin);
+        let parts = BlamedParts {
+            service: run.service,
+            parts: run.parts,
+            has_crashed: run.has_crashed,
+        };
+        suspects.spawn_crash_report(run.input, run.upstream, parts);
     }
 
-    /// Reports that a request ran to completion, which clears it of suspicion.
-    pub fn report_completed(&self, fingerprint: Fingerprint, service: &ServiceName) {
+    /// Reports that a request ran to completion, which clears what `cleared` has of it and of its prompt's parts.
+    pub fn report_completed(
+        &self,
+        input: Fingerprint,
+        cleared: &[Fingerprint],
+        service: &ServiceName,
+    ) {
         let suspects = &self.inner.suspects;
-        suspects.report_completed(fingerprint, Some(service));
+        suspects.report_completed(input, cleared, Some(service));
     }
 
     /// Subscribes to the store state that another instance knows. The stream first yields what is newer than `have`,
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -20,7 +20,7 @@
 
 pub use actor::NewerWorld;
 pub use fleet_share::SharedFleetShare;
-pub use handle::{Mesh, MeshSettings, SuspectTrial};
+pub use handle::{BrokenRun, Mesh, MeshSettings, SuspectTrial};
 pub use limits::UpstreamLimits;
 pub use messages::{MeshError, PiecesAnswer};
 pub use service::{ChooseEngine, FollowWorld, MeshHandlers, RecordRuns, ReportOutlook};
--- a/crates/tc-fleet/src/mesh/suspects.rs
+++ b/crates/tc-fleet/src/mesh/suspects.rs
@@ -16,6 +16,9 @@
 /// retry are in flight during several such crashes: with a threshold of 2, one request in a few hundred would be
 /// refused wrongly.
 const CRASHES_TO_QUARANTINE: u32 = 3;
+/// Crashes after which a prompt part is quarantined. Sound requests share parts, so a part is in flight in unrelated
+/// crashes more often than a request, and its quarantine refuses more.
+const CRASHES_TO_QUARANTINE_PART: u32 = 4;
 /// Crashes from which a request runs only as a trial, one at a time. With a threshold of 1, all requests interrupted by
 /// a single crash would wait for each other's trials.
 const CRASHES_TO_TRIAL: u32 = 2;
@@ -32,6 +35,7 @@
 ) -> SuspectTable {
     let policy = SuspectPolicy {
         crashes_to_quarantine: CRASHES_TO_QUARANTINE,
+        crashes_to_quarantine_part: CRASHES_TO_QUARANTINE_PART,
         crashes_to_trial: CRASHES_TO_TRIAL,
         quarantine_duration: Some(QUARANTINE_DURATION),
     };
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -83,6 +83,7 @@
 fn suspect_policy() -> SuspectPolicy {
     SuspectPolicy {
         crashes_to_quarantine: Policy::default().crashes_to_quarantine,
+        crashes_to_quarantine_part: Policy::default().crashes_to_quarantine,
         crashes_to_trial: 1,
         quarantine_duration: None,
     }
--- a/crates/tc-fleet/src/suspects/evidence.rs
+++ b/crates/tc-fleet/src/suspects/evidence.rs
@@ -1,6 +1,6 @@
 //! Evidence of crashes as it is sent between instances.
 
-use tc_policy::{CrashEvidence, CrashId};
+use tc_policy::{CrashEvidence, CrashId, SuspectKind};
 use tc_protocol::Fingerprint;
 
 use crate::{convert, generated};
@@ -12,6 +12,7 @@
         crashes: ids(&evidence.crashes),
         cleared: ids(&evidence.cleared),
         age_ms: convert::millis(evidence.age),
+        is_part: evidence.kind == SuspectKind::PromptPart,
     }
 }
 
@@ -19,6 +20,11 @@
     let crashes = |ids: &[u64]| ids.iter().copied().map(CrashId).collect();
     CrashEvidence {
         fingerprint: Fingerprint(evidence.fingerprint),
+        kind: if evidence.is_part {
+            SuspectKind::PromptPart
+        } else {
+            SuspectKind::Request
+        },
         crashes: crashes(&evidence.crashes),
         cleared: crashes(&evidence.cleared),
         age: convert::from_millis(evidence.age_ms),
--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -2,7 +2,7 @@
 //! copy, or from other instances.
 
 use std::{
-    collections::{HashMap, HashSet, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
     sync::{
         Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering::Relaxed},
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use tc_policy::{CrashEvidence, SuspectPolicy, Suspects, Trial};
+use tc_policy::{CrashEvidence, SuspectKind, SuspectPolicy, Suspects, Trial};
 use tc_protocol::{Fingerprint, Incarnation, MonoTime, ServiceName, UpstreamId, WorkspaceName};
 
 use super::evidence::evidence_from_wire;
@@ -126,6 +126,11 @@
         !self.is_empty.load(Relaxed) && self.lock().suspects.crash_count(fingerprint) > 0
     }
 
+    /// Returns true if a request whose prompt has these parts may not run, as far as is known here.
+    pub(super) fn has_quarantined_part(&self, parts: &[Fingerprint]) -> bool {
+        !self.is_empty.load(Relaxed) && self.lock().suspects.has_quarantined_part(parts)
+    }
+
     /// Returns what is known here of whether a fingerprint may run. [`Trial::Busy`] means that its home has to be asked.
     pub(super) fn local_verdict(&self, now: MonoTime, fingerprint: Fingerprint) -> Trial {
         if self.is_empty.load(Relaxed) {
@@ -173,22 +178,24 @@
 
 impl State {
     fn handle_report(&mut self, now: MonoTime, report: &SuspectReport) -> SuspectAnswer {
-        if let Some(evidence) = &report.evidence {
+        for evidence in &report.evidence {
             self.merge(now, &evidence_from_wire(evidence));
         }
-        if !report.died.is_empty() && !self.reports.contains(&report.id) {
+        let is_crash = !report.died.is_empty() || !report.died_parts.is_empty();
+        if is_crash && !self.reports.contains(&report.id) {
             self.reports.push_back(report.id);
             if self.reports.len() > MAX_REPORTS {
                 self.reports.pop_front();
             }
             self.record_crash(now, report);
+            self.record_crash_with_parts(now, report);
         }
         for cleared in report.cleared.iter().copied().map(Fingerprint) {
             let crashes = self.suspects.crash_count(cleared);
             if crashes > 0 {
                 log::info!(service = report.service.as_str(), from = report.from.as_str(), input = label(cleared).as_str(), crashes = crashes; "suspect cleared");
             }
-            self.suspects.clear(now, cleared);
+            self.update_parts(|suspects| suspects.clear(now, cleared));
         }
         if report.trial_ended != 0 {
             let ended = Fingerprint(report.trial_ended);
@@ -205,6 +212,10 @@
 
     fn merge(&mut self, now: MonoTime, evidence: &CrashEvidence) {
         let fingerprint = evidence.fingerprint;
+        if evidence.kind == SuspectKind::PromptPart {
+            self.update_parts(|suspects| suspects.merge(now, evidence));
+            return;
+        }
         let was_quarantined = self.suspects.is_quarantined(fingerprint);
         self.suspects.merge(now, evidence);
         let is_quarantined = self.suspects.is_quarantined(fingerprint);
@@ -213,7 +224,41 @@
         }
     }
 
+    /// Changes the evidence and logs what it changes of the quarantined parts.
+    fn update_parts<T>(&mut self, change: impl FnOnce(&mut Suspects) -> T) -> T {
+        let before: BTreeSet<_> = self.suspects.quarantined_parts().cloned().collect();
+        let result = change(&mut self.suspects);
+        let after: BTreeSet<_> = self.suspects.quarantined_parts().cloned().collect();
+        for (sets, is_quarantined) in [(&after - &before, true), (&before - &after, false)] {
+            for set in sets {
+                let crashes = set.first().map_or(0, |fp| self.suspects.crash_count(*fp));
+                let parts: Vec<String> = set.into_iter().map(label).collect();
+                log::info!(parts = parts.join(",").as_str(), crashes = crashes, quarantined = is_quarantined; "quarantine of prompt parts changed");
+            }
+        }
+        result
+    }
+
+    fn record_crash_with_parts(&mut self, now: MonoTime, report: &SuspectReport) {
+        if report.died_parts.is_empty() {
+            return;
+        }
+        let parts: Vec<Fingerprint> = report.died_parts.iter().copied().map(Fingerprint).collect();
+        let upstream = UpstreamId::from(report.upstream.as_str());
+        let crashed_at = now.before(convert::from_millis(report.age_ms));
+        let number = self.crash_number(crashed_at, &upstream, &parts, SAME_CRASH_PERIOD);
+        self.update_parts(|suspects| {
+            suspects.record_crash_with_parts(now, &upstream, Incarnation(number), &parts);
+        });
+        for part in parts {
+            log::info!(service = report.service.as_str(), from = report.from.as_str(), upstream = report.upstream.as_str(), part = label(part).as_str(), crashes = self.suspects.crash_count(part); "crash recorded with a prompt part");
+        }
+    }
+
     fn record_crash(&mut self, now: MonoTime, report: &SuspectReport) {
+        if report.died.is_empty() {
+            return;
+        }
         let in_flight: Vec<Fingerprint> = report.died.iter().copied().map(Fingerprint).collect();
         let upstream = UpstreamId::from(report.upstream.as_str());
         let crashed_at = now.before(convert::from_millis(report.age_ms));
--- a/crates/tc-fleet/src/suspects/mod.rs
+++ b/crates/tc-fleet/src/suspects/mod.rs
@@ -9,5 +9,5 @@
 
 pub(crate) use crash_check::{CalledUpstream, CrashCheck};
 pub(crate) use home::Origin;
-pub(crate) use table::{SuspectPeers, SuspectTable};
+pub(crate) use table::{BlamedParts, SuspectPeers, SuspectTable};
 pub(crate) use trial::TrialGuard;
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -14,7 +14,7 @@
     future::{BoxFuture, Shared, join_all},
 };
 use prost::Message as _;
-use tc_policy::{SuspectPolicy, Trial};
+use tc_policy::{QUARANTINE_RETRY_AFTER, SuspectPolicy, Trial};
 use tc_protocol::{
     Fingerprint, InstanceId, Member, MonoTime, PermitRefusal, RefusalReason, ServiceName,
     UpstreamId,
@@ -71,6 +71,14 @@
     pub(crate) send: SendReport,
 }
 
+/// Parts of the prompt of a request that was running when its upstream's connection broke.
+pub(crate) struct BlamedParts {
+    pub(crate) service: ServiceName,
+    pub(crate) parts: Vec<Fingerprint>,
+    /// Finds out whether the upstream crashed; otherwise nothing is reported.
+    pub(crate) has_crashed: BoxFuture<'static, bool>,
+}
+
 /// A run during which its upstream crashed.
 struct CrashedRun {
     fingerprint: Fingerprint,
@@ -183,6 +191,20 @@
         }
     }
 
+    /// Refuses a request if parts of its prompt are quarantined as far as this instance knows.
+    pub(crate) fn refuse_quarantined_parts(
+        &self,
+        parts: &[Fingerprint],
+    ) -> Result<(), PermitRefusal> {
+        if self.home.has_quarantined_part(parts) {
+            return Err(PermitRefusal {
+                reason: RefusalReason::Quarantined,
+                retry_after: QUARANTINE_RETRY_AFTER,
+            });
+        }
+        Ok(())
+    }
+
     /// Asks the home of a service whether an input may run, or the next instance that keeps a copy of its evidence.
     async fn ask_for_trial(
         self: &Arc<Self>,
@@ -191,7 +213,7 @@
     ) -> Option<SuspectAnswer> {
         let report = SuspectReport {
             trial: fingerprint.0,
-            evidence: self.wire_evidence(fingerprint),
+            evidence: self.wire_evidence(&[fingerprint]),
             ..self.empty_report(service)
         };
         for member in self.home_and_copies(service) {
@@ -249,10 +271,23 @@
         self: &Arc<Self>,
         fingerprint: Fingerprint,
         upstream: UpstreamId,
+        parts: BlamedParts,
     ) {
         let (table, run) = (Arc::clone(self), self.end_run(fingerprint, upstream));
+        let (service, upstream) = (parts.service.clone(), run.upstream.clone());
+        let crashed_at = run.crashed_at;
         let sent = tokio::spawn(async move {
             table.send_crash(run).await;
+            if parts.parts.is_empty() || !parts.has_crashed.await {
+                return;
+            }
+            let report = SuspectReport {
+                died_parts: parts.parts.iter().map(|part| part.0).collect(),
+                upstream: upstream.to_string(),
+                id: rand::random(),
+                ..table.empty_report(&service)
+            };
+            table.send_to_all_copies(&service, report, crashed_at).await;
         });
         // The task fails only if the process is shutting down.
         let sent = sent.map(|_| ()).boxed().shared();
@@ -298,31 +333,33 @@
         true
     }
 
-    /// Reports that an input of a service ran to a complete result, which clears a suspect. Without a service, it is the
-    /// one that the input was last reported for.
+    /// Reports that a request ran to a complete result, which clears it and the parts of its prompt, as far as `cleared`
+    /// has them. Without a service, it is the one that the request was last reported for.
     pub(crate) fn report_completed(
         self: &Arc<Self>,
-        fingerprint: Fingerprint,
+        input: Fingerprint,
+        cleared: &[Fingerprint],
         service: Option<&ServiceName>,
     ) {
-        let sending = lock(&self.sending).remove(&fingerprint).unwrap_or_default();
-        if sending.is_empty() && !self.home.has_crashes(fingerprint) {
+        let sending = lock(&self.sending).remove(&input).unwrap_or_default();
+        if sending.is_empty() && self.with_crashes(cleared).is_empty() {
             return;
         }
         // Without an origin, it became a suspect during this run because of a crash elsewhere. Its next trial clears it.
-        let known = lock(&self.origins).get(&fingerprint).cloned();
+        let known = lock(&self.origins).get(&input).cloned();
         let Some(service) = service.cloned().or(known.map(|origin| origin.service)) else {
             return;
         };
-        let table = Arc::clone(self);
+        let (table, cleared) = (Arc::clone(self), cleared.to_vec());
         spawn(async move {
             join_all(sending).await;
-            if !table.home.has_crashes(fingerprint) {
+            let cleared = table.with_crashes(&cleared);
+            if cleared.is_empty() {
                 return;
             }
             let report = SuspectReport {
-                cleared: vec![fingerprint.0],
-                evidence: table.wire_evidence(fingerprint),
+                cleared: cleared.iter().map(|fp| fp.0).collect(),
+                evidence: table.wire_evidence(&cleared),
                 ..table.empty_report(&service)
             };
             table
@@ -331,6 +368,11 @@
         });
     }
 
+    fn with_crashes(&self, fps: &[Fingerprint]) -> Vec<Fingerprint> {
+        let fps = fps.iter().copied();
+        fps.filter(|fp| self.home.has_crashes(*fp)).collect()
+    }
+
     pub(super) fn report_trial_end(
         self: &Arc<Self>,
         service: &ServiceName,
@@ -478,9 +520,12 @@
         });
     }
 
-    fn wire_evidence(&self, fingerprint: Fingerprint) -> Option<CrashEvidence> {
-        let evidence = self.home.evidence_of(MonoTime::now(), fingerprint);
-        evidence.as_ref().map(evidence_to_wire)
+    fn wire_evidence(&self, fps: &[Fingerprint]) -> Vec<CrashEvidence> {
+        let now = MonoTime::now();
+        let evidence = fps.iter().filter_map(|fp| self.home.evidence_of(now, *fp));
+        evidence
+            .map(|evidence| evidence_to_wire(&evidence))
+            .collect()
     }
 
     fn empty_report(&self, service: &ServiceName) -> SuspectReport {
--- a/crates/tc-fleet/tests/crash_evidence_model.rs
+++ b/crates/tc-fleet/tests/crash_evidence_model.rs
@@ -90,6 +90,7 @@
 fn policy() -> SuspectPolicy {
     SuspectPolicy {
         crashes_to_quarantine: 3,
+        crashes_to_quarantine_part: 4,
         crashes_to_trial: 2,
         quarantine_duration: Some(std::time::Duration::from_mins(10)),
     }
--- a/crates/tc-fleet/tests/mesh_suspects.rs
+++ b/crates/tc-fleet/tests/mesh_suspects.rs
@@ -3,7 +3,7 @@
 use std::{net::Ipv4Addr, sync::Arc, time::Duration};
 
 use futures::FutureExt;
-use tc_fleet::{FleetKeys, Mesh, MeshHandlers, MeshSettings, SharedFleetShare};
+use tc_fleet::{BrokenRun, FleetKeys, Mesh, MeshHandlers, MeshSettings, SharedFleetShare};
 use tc_membership::{FleetShare, MembershipConfig};
 use tc_protocol::{Fingerprint, Incarnation, Member, MemberState, MonoTime};
 use tokio::time::sleep;
@@ -54,17 +54,27 @@
     !matches!(trial.await, Ok(None))
 }
 
+fn report_crash(mesh: &Mesh, upstream: &str) {
+    mesh.report_crash(BrokenRun {
+        input: INPUT,
+        service: "draft".into(),
+        workspace: "one".into(),
+        upstream: upstream.into(),
+        parts: Vec::new(),
+        has_crashed: std::future::ready(true).boxed(),
+    });
+}
+
 /// Guards against a request that is suspected, and refused for minutes after the next broken connection, although it was
 /// completed: its completion was reported before its crash.
 #[tokio::test]
 async fn completed_request_is_not_suspected_of_a_crash_before() {
     let mesh = start_mesh().await;
-    let (service, workspace) = ("draft".into(), "one".into());
-    mesh.report_crash(INPUT, &service, &workspace, "engine-1".into());
-    mesh.report_completed(INPUT, &service);
+    report_crash(&mesh, "engine-1");
+    mesh.report_completed(INPUT, &[INPUT], &"draft".into());
     sleep(REPORT_TIME).await;
     assert!(!is_suspect(&mesh).await);
-    mesh.report_crash(INPUT, &service, &workspace, "engine-2".into());
+    report_crash(&mesh, "engine-2");
     sleep(REPORT_TIME).await;
     assert!(
         is_suspect(&mesh).await,
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -2,9 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
+use futures::FutureExt;
 use http::{Request, Uri, uri::PathAndQuery};
 use http_body_util::Full;
-use tc_fleet::SuspectTrial;
+use tc_fleet::{BrokenRun, SuspectTrial};
 use tc_policy::{RetryPermit, Senders};
 use tc_protocol::{
     MonoTime, PermitRefusal, RunState, UpstreamId, UpstreamVersion, routing::RegisteredUpstream,
@@ -13,7 +14,8 @@
 use tokio::time::Instant;
 
 use super::{
-    Refusal, RoutedRequest, RunContext, stages::StageResults, suspect_refusal, target::Target,
+    Refusal, RoutedRequest, RunContext, part_refusal, stages::StageResults, suspect_refusal,
+    target::Target,
 };
 use crate::{
     call::{Acceptance, AnswerHead, UpstreamRequestHead},
@@ -69,10 +71,20 @@
     BudgetExhausted,
     /// The request has crashed upstreams and may not run now.
     Suspect(PermitRefusal),
+    /// A part of its prompt has crashed upstreams.
+    SuspectPart(PermitRefusal),
     /// The time of the request is used up.
     TimedOut,
 }
 
+/// How far an answer had come when its connection broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum AnswerProgress {
+    NotBegun,
+    /// At least one event has arrived.
+    Begun,
+}
+
 /// Defect of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AnswerFault {
@@ -131,6 +143,7 @@
             | SendFailure::BackingOff(_)
             | SendFailure::BudgetExhausted
             | SendFailure::Suspect(_)
+            | SendFailure::SuspectPart(_)
             | SendFailure::TimedOut => false,
         };
         let is_used_up = self.sent >= req.route.max_attempts || self.refused >= MAX_REFUSED_SENDS;
@@ -156,7 +169,8 @@
         let slack = req.time_to_first_event();
         let trial = cx.mesh.try_trial(input, &req.service, &workspace, slack);
         self.trial = trial.await.map_err(SendFailure::Suspect)?;
-        Ok(())
+        let refused = cx.mesh.refuse_quarantined_parts(&req.part_fingerprints());
+        refused.map_err(SendFailure::SuspectPart)
     }
 
     /// Returns true if the next attempt may still be sent. Its permit may have expired while stages were made again.
@@ -188,6 +202,7 @@
                 Refusal::not_run("upstreams of the service have asked for a rest", wait)
             }
             SendFailure::Suspect(refused) => suspect_refusal(&refused),
+            SendFailure::SuspectPart(refused) => part_refusal(&refused),
             SendFailure::TimedOut => Refusal::timed_out(),
             SendFailure::InputGone => Refusal::not_run_transient("results of a stage were lost"),
             SendFailure::NotRun | SendFailure::MayHaveRun | SendFailure::BudgetExhausted => {
@@ -235,7 +250,7 @@
                 let not_run = error.run_state == RunState::NotRun;
                 log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), not_run = not_run, error = error.to_string().as_str(), after_ms = sent_at.elapsed().as_millis() as u64; "no answer from upstream");
                 if error.kind == CallErrorKind::Broken {
-                    report_crash(cx, req, &upstream.id);
+                    report_crash(cx, req, &upstream, AnswerProgress::NotBegun);
                 }
                 if error.kind != CallErrorKind::Withdrawn {
                     cx.upstream_stats.record(&upstream.id, CallOutcome::Failed);
@@ -320,7 +335,15 @@
         let is_success = answered.reply.head.status.is_success();
         if !is_ours || (is_success && !is_genuine) {
             log::warn!(request = &*req.head.request, upstream = id.as_str(), ours = is_ours, sealed = head.sealed, encoded = head.encoded; "answer rejected: it belongs to another request or is not genuine");
-            return Err(self.record_faulty_answer(cx, req, id, AnswerFault::Invalid));
+            let upstream = Arc::clone(&answered.upstream);
+            let progress = AnswerProgress::NotBegun;
+            return Err(self.record_faulty_answer(
+                cx,
+                req,
+                &upstream,
+                AnswerFault::Invalid,
+                progress,
+            ));
         }
         Ok(answered)
     }
@@ -352,25 +375,45 @@
         &mut self,
         cx: &RunContext,
         req: &RoutedRequest,
-        id: &UpstreamId,
+        upstream: &RegisteredUpstream,
         fault: AnswerFault,
+        progress: AnswerProgress,
     ) -> SendFailure {
         if fault == AnswerFault::Broken {
-            report_crash(cx, req, id);
+            report_crash(cx, req, upstream, progress);
         }
-        cx.upstream_stats.record(id, CallOutcome::Failed);
-        self.tried.push(id.clone());
+        cx.upstream_stats.record(&upstream.id, CallOutcome::Failed);
+        self.tried.push(upstream.id.clone());
         self.may_have_run = true;
         SendFailure::MayHaveRun
     }
 }
 
 /// Reports that an upstream broke the connection while it ran the request, which may have crashed it.
-fn report_crash(cx: &RunContext, req: &RoutedRequest, upstream: &UpstreamId) {
+///
+/// The parts of a prompt can have done so only before the answer has begun.
+fn report_crash(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    upstream: &RegisteredUpstream,
+    progress: AnswerProgress,
+) {
     let (input, workspace) = (req.fingerprint(), req.workspace_name());
-    log::info!(request = &*req.head.request, upstream = upstream.as_str(), input = format!("{:016x}", input.0).as_str(), parts = req.part_labels().as_str(); "connection broke during a run");
-    cx.mesh
-        .report_crash(input, &req.service, &workspace, upstream.clone());
+    log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), input = format!("{:016x}", input.0).as_str(), parts = req.part_labels().as_str(), begun = progress == AnswerProgress::Begun; "connection broke during a run");
+    let parts = match progress {
+        // An upstream that leaves refuses connections without a crash.
+        AnswerProgress::NotBegun if cx.world.takes_work(&upstream.id) => req.part_fingerprints(),
+        AnswerProgress::NotBegun | AnswerProgress::Begun => Vec::new(),
+    };
+    let (client, address) = (cx.client.clone(), upstream.address);
+    cx.mesh.report_crash(BrokenRun {
+        input,
+        service: req.service.clone(),
+        workspace,
+        upstream: upstream.id.clone(),
+        parts,
+        has_crashed: async move { client.is_refused(address).await }.boxed(),
+    });
 }
 
 fn request_to(
--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -9,7 +9,7 @@
 
 use super::{
     AnswerBody, Refusal, RoutedRequest, RunContext,
-    attempt::{AnswerFault, Answered, Attempts, SendFailure, SendOptions},
+    attempt::{AnswerFault, AnswerProgress, Answered, Attempts, SendFailure, SendOptions},
     stages::{self, StageResults},
 };
 use crate::{
@@ -129,13 +129,14 @@
                 .record(&upstream.id, CallOutcome::Answered(first_byte));
             req.record_answer(&upstream, reply.head.status, attempts.sent);
             if proves_survival(&reply.head) {
-                cx.mesh.report_completed(req.fingerprint(), &req.service);
+                req.report_completed(cx, true);
             }
             Ok(answer(cx, &reply.head, HeldBody::new(body, held)))
         }
         Err(AnswerError::Failed(error)) => {
             log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = error.to_string().as_str(); "answer ended before it was complete");
-            Err(attempts.record_faulty_answer(cx, req, &upstream.id, AnswerFault::from(&error)))
+            let fault = AnswerFault::from(&error);
+            Err(attempts.record_faulty_answer(cx, req, &upstream, fault, AnswerProgress::NotBegun))
         }
         Err(AnswerError::NoRoom) => {
             log::warn!(request = &*req.head.request, upstream = upstream.id.as_str(); "answer dropped: this instance holds too many bytes");
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -21,7 +21,7 @@
 use tc_protocol::{
     Fingerprint, MemberState, PermitRefusal, RefusalReason, ServiceName, UpstreamVersion,
     WorkspaceName,
-    routing::{Prompt, RegisteredUpstream, Route, RoutedWorkspace, StreamOrigin},
+    routing::{Prompt, PromptPart, RegisteredUpstream, Route, RoutedWorkspace, StreamOrigin},
 };
 use tc_upstream::UpstreamClient;
 use thiserror::Error;
@@ -187,6 +187,30 @@
         Fingerprint(hasher.digest().max(1))
     }
 
+    /// Reports that an upstream has begun and completed an answer, so that the parts of the prompt do not crash upstreams.
+    /// Only a whole answer proves that for the request itself, which may crash an upstream at its end.
+    fn report_completed(&self, cx: &RunContext, is_whole: bool) {
+        let input = self.fingerprint();
+        let mut cleared = self.part_fingerprints();
+        if is_whole {
+            cleared.push(input);
+        }
+        cx.mesh.report_completed(input, &cleared, &self.service);
+    }
+
+    /// Returns hashes of the parts of the prompt that other requests may share.
+    fn part_fingerprints(&self) -> Vec<Fingerprint> {
+        let parts = self.head.prompt.as_ref().map(Prompt::shared_parts);
+        let fingerprint = |part: &PromptPart| {
+            let mut hasher = Xxh3::new();
+            hasher.update(self.service.as_str().as_bytes());
+            hasher.update(&[0]);
+            hasher.update(&part.id.to_le_bytes());
+            Fingerprint(hasher.digest().max(1))
+        };
+        parts.unwrap_or_default().iter().map(fingerprint).collect()
+    }
+
     /// Returns the parts of the prompt that other requests may share, for log lines.
     fn part_labels(&self) -> String {
         let parts = self.head.prompt.as_ref().map(Prompt::shared_parts);
@@ -236,9 +260,15 @@
     let bound = resumption::bind_to_origin(cx, req).await;
     cx.retry_budgets.record_request(&req.service);
     bound?;
-    let input = req.fingerprint();
-    let refused = cx.mesh.refuse_quarantined(input);
-    refused.map_err(|refused| suspect_refusal(&refused))
+    let refused = cx.mesh.refuse_quarantined(req.fingerprint());
+    refused.map_err(|refused| suspect_refusal(&refused))?;
+    let refused = cx.mesh.refuse_quarantined_parts(&req.part_fingerprints());
+    refused.map_err(|refused| part_refusal(&refused))
+}
+
+fn part_refusal(refused: &PermitRefusal) -> Refusal {
+    let reason = "a part of the prompt has crashed upstreams that ran it";
+    Refusal::not_run(reason, refused.retry_after)
 }
 
 fn suspect_refusal(refused: &PermitRefusal) -> Refusal {
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -12,7 +12,7 @@
 
 use super::{
     AnswerBody, IncompleteBody, Refusal, RoutedRequest, RunContext,
-    attempt::{Answered, Attempts, SendFailure, SendOptions},
+    attempt::{AnswerProgress, Answered, Attempts, SendFailure, SendOptions},
     buffered::{make_stages, make_stages_again, proves_survival, read, stage_results},
     resumption::record_origin,
     stages::StageResults,
@@ -204,9 +204,10 @@
             if let Some(run) = &mut answered.run {
                 run.failed();
             }
-            let upstream = &answered.upstream.id;
-            log::info!(request = &*req.head.request, upstream = upstream.as_str(), error = fault.problem.as_str(); "stream broke before its first event");
-            return Err(attempts.record_faulty_answer(cx, req, upstream, fault.kind));
+            let upstream = &answered.upstream;
+            log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = fault.problem.as_str(); "stream broke before its first event");
+            let progress = AnswerProgress::NotBegun;
+            return Err(attempts.record_faulty_answer(cx, req, upstream, fault.kind, progress));
         }
     }
 }
@@ -219,6 +220,8 @@
     open: OpenStream,
     /// The last event that was forwarded.
     last_id: Option<u64>,
+    /// Events received from the engine that the stream comes from at present.
+    events: u64,
     /// Version of the engine that began the stream.
     version: Option<UpstreamVersion>,
     ended: bool,
@@ -239,6 +242,7 @@
         req,
         attempts,
         open,
+        events: 0,
         ended: false,
     };
     let frames = stream::unfold(relay, |mut relay| async move {
@@ -282,6 +286,7 @@
             .take()
             .or_else(|| self.open.events.take_event())
         {
+            self.events += 1;
             // A resumed stream may repeat events that the caller already has.
             if event.id.is_some() && event.id <= self.last_id {
                 continue;
@@ -309,9 +314,9 @@
             None if self.open.events.has_partial_event() => Err(StreamFault::from_end(None)),
             None => {
                 self.ended = true;
-                if proves_survival(&self.open.answered.reply.head) {
-                    let (mesh, req) = (&self.cx.mesh, &self.req);
-                    mesh.report_completed(req.fingerprint(), &req.service);
+                let is_whole = proves_survival(&self.open.answered.reply.head);
+                if is_whole || self.events > 1 {
+                    self.req.report_completed(&self.cx, is_whole);
                 }
                 Ok(())
             }
@@ -339,14 +344,18 @@
 
     /// Resumes a broken stream on another engine of its version, if its route and the retry budget allow it.
     async fn resume_elsewhere(&mut self, fault: &StreamFault) -> Result<(), IncompleteBody> {
-        let upstream = self.open.answered.upstream.id.clone();
-        log::info!(request = &*self.req.head.request, upstream = upstream.as_str(), last_event = self.last_id.unwrap_or(0), problem = fault.problem.as_str(), after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
+        let upstream = Arc::clone(&self.open.answered.upstream);
+        log::info!(request = &*self.req.head.request, upstream = upstream.id.as_str(), last_event = self.last_id.unwrap_or(0), problem = fault.problem.as_str(), after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
         if let Some(run) = &mut self.open.answered.run {
             run.failed();
         }
-        let mut failure = self
-            .attempts
-            .record_faulty_answer(&self.cx, &self.req, &upstream, fault.kind);
+        let mut failure = self.attempts.record_faulty_answer(
+            &self.cx,
+            &self.req,
+            &upstream,
+            fault.kind,
+            AnswerProgress::Begun,
+        );
         while self.may_resume() && self.attempts.may_send_again(&self.cx, &self.req, failure) {
             failure = match self.resume().await {
                 Ok(()) => return Ok(()),
@@ -380,6 +389,7 @@
                     "stream resumed on another engine"
                 );
                 self.open = *open;
+                self.events = 0;
                 Ok(())
             }
             Opened::Buffered(_) => Err(SendFailure::MayHaveRun),
--- a/crates/tc-gateway/src/world/leaving.rs
+++ b/crates/tc-gateway/src/world/leaving.rs
@@ -35,10 +35,13 @@
         id: UpstreamId,
     ) -> Box<dyn Fn() -> bool + Send + Sync> {
         let cell = Arc::clone(self);
-        Box::new(move || {
-            let world = cell.load();
-            let upstream = world.upstreams.upstream(&id);
-            upstream.is_some_and(|upstream| upstream.takes_work())
-        })
+        Box::new(move || cell.takes_work(&id))
+    }
+
+    /// Returns true if an upstream is registered and takes work.
+    pub(crate) fn takes_work(&self, id: &UpstreamId) -> bool {
+        let world = self.load();
+        let upstream = world.upstreams.upstream(id);
+        upstream.is_some_and(|upstream| upstream.takes_work())
     }
 }
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -50,7 +50,9 @@
 pub use retry::retry_delay;
 pub use retry_budget::{RetryBudget, RetryLimits, RetryPermit, RetryUsage};
 pub use stage_graph::StageGraph;
-pub use suspect::{CrashEvidence, CrashId, SuspectPolicy, Suspects, Trial};
+pub use suspect::{
+    CrashEvidence, CrashId, QUARANTINE_RETRY_AFTER, SuspectKind, SuspectPolicy, Suspects, Trial,
+};
 pub use throttle::Throttle;
 pub use upstream_limit::{
     KnownLimits, LimitChange, SendPacer, UncoordinatedSends, UncoordinatedShare,
--- a/crates/tc-policy/src/suspect/evidence.rs
+++ b/crates/tc-policy/src/suspect/evidence.rs
@@ -15,6 +15,16 @@
 /// Maximum number of crashes of all fingerprints together.
 const MAX_CRASHES: usize = 2_048;
 
+/// What a fingerprint stands for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum SuspectKind {
+    /// A whole request.
+    #[default]
+    Request,
+    /// A part of prompts that requests share.
+    PromptPart,
+}
+
 /// Identifies a crash: an incarnation of an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CrashId(pub u64);
@@ -42,6 +52,8 @@
 pub struct CrashEvidence {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
+    /// What it stands for.
+    pub kind: SuspectKind,
     /// Crashes that it was in flight in.
     pub crashes: Vec<CrashId>,
     /// Those that a completed run has cleared it of.
@@ -58,17 +70,33 @@
 
 type Marks = BTreeMap<CrashId, Mark>;
 
+#[derive(Clone, Debug)]
+struct Record {
+    kind: SuspectKind,
+    marks: Marks,
+}
+
 /// The crashes of all fingerprints.
 #[derive(Clone, Debug, Default)]
 pub(super) struct EvidenceTable {
-    records: HashMap<Fingerprint, Marks>,
+    records: HashMap<Fingerprint, Record>,
     count: usize,
 }
 
 impl EvidenceTable {
     /// Records a crash that a fingerprint was in flight in. Returns true if it was not known.
-    pub(super) fn add(&mut self, now: MonoTime, fp: Fingerprint, crash: CrashId) -> bool {
-        self.mark(fp, crash, now, false)
+    pub(super) fn add(
+        &mut self,
+        now: MonoTime,
+        fp: Fingerprint,
+        kind: SuspectKind,
+        crash: CrashId,
+    ) -> bool {
+        let mark = Mark {
+            at: now,
+            is_cleared: false,
+        };
+        self.mark(fp, kind, crash, mark)
     }
 
     /// Adds what another instance knows. Returns true if anything was new.
@@ -77,11 +105,11 @@
             return false;
         }
         let at = now.before(evidence.age);
-        let fp = evidence.fingerprint;
+        let (fp, kind) = (evidence.fingerprint, evidence.kind);
         let mut is_changed = false;
         for (crashes, is_cleared) in [(&evidence.cleared, true), (&evidence.crashes, false)] {
             for &crash in crashes {
-                is_changed |= self.mark(fp, crash, at, is_cleared);
+                is_changed |= self.mark(fp, kind, crash, Mark { at, is_cleared });
             }
         }
         is_changed
@@ -89,43 +117,55 @@
 
     /// Clears a fingerprint of all crashes known here. Returns true if there were any.
     pub(super) fn clear(&mut self, fp: Fingerprint) -> bool {
-        let marks = self.records.get_mut(&fp).into_iter().flatten();
         let mut is_changed = false;
-        for (_, mark) in marks {
-            is_changed |= !std::mem::replace(&mut mark.is_cleared, true);
+        if let Some(record) = self.records.get_mut(&fp) {
+            for mark in record.marks.values_mut() {
+                is_changed |= !std::mem::replace(&mut mark.is_cleared, true);
+            }
         }
         is_changed
     }
 
     /// Returns the crashes that count against a fingerprint.
     pub(super) fn crashes(&self, fp: Fingerprint) -> impl Iterator<Item = CrashId> + '_ {
-        let marks = self.records.get(&fp).into_iter().flatten();
-        marks
+        let record = self.records.get(&fp).into_iter();
+        record
+            .flat_map(|record| &record.marks)
             .filter(|(_, mark)| !mark.is_cleared)
             .map(|(crash, _)| *crash)
     }
 
     /// Returns the number of crashes known of a fingerprint, whether or not it was cleared of them.
     pub(super) fn known_crashes(&self, fp: Fingerprint) -> usize {
-        self.records.get(&fp).map_or(0, BTreeMap::len)
+        let record = self.records.get(&fp);
+        record.map_or(0, |record| record.marks.len())
     }
 
     pub(super) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         self.records.keys().copied()
     }
 
+    pub(super) fn of_kind(&self, kind: SuspectKind) -> impl Iterator<Item = Fingerprint> + '_ {
+        let records = self.records.iter();
+        records
+            .filter(move |(_, record)| record.kind == kind)
+            .map(|(fp, _)| *fp)
+    }
+
     pub(super) fn get(&self, now: MonoTime, fp: Fingerprint) -> Option<CrashEvidence> {
-        let marks = self.records.get(&fp)?;
+        let record = self.records.get(&fp)?;
+        let marks = &record.marks;
         let last = marks.values().map(|mark| mark.at).max()?;
-        let of_kind = |is_cleared| {
+        let with_mark = |is_cleared| {
             let marks = marks.iter();
             let marks = marks.filter(move |(_, mark)| mark.is_cleared == is_cleared);
             marks.map(|(crash, _)| *crash).collect()
         };
         Some(CrashEvidence {
             fingerprint: fp,
-            crashes: of_kind(false),
-            cleared: of_kind(true),
+            kind: record.kind,
+            crashes: with_mark(false),
+            cleared: with_mark(true),
             age: now.since(last),
         })
     }
@@ -138,19 +178,24 @@
     /// Drops crashes that no longer count. Returns true if there were any.
     pub(super) fn remove_expired(&mut self, now: MonoTime) -> bool {
         let before = self.count;
-        self.records.retain(|_, marks| {
+        self.records.retain(|_, record| {
+            let marks = &mut record.marks;
             marks.retain(|_, mark| now.since(mark.at) < CRASH_TTL);
             !marks.is_empty()
         });
-        self.count = self.records.values().map(BTreeMap::len).sum();
+        self.count = self.records.values().map(|record| record.marks.len()).sum();
         self.count != before
     }
 
-    fn mark(&mut self, fp: Fingerprint, crash: CrashId, at: MonoTime, is_cleared: bool) -> bool {
-        let marks = self.records.entry(fp).or_default();
+    fn mark(&mut self, fp: Fingerprint, kind: SuspectKind, crash: CrashId, new: Mark) -> bool {
+        let record = self.records.entry(fp).or_insert_with(|| Record {
+            kind,
+            marks: Marks::new(),
+        });
+        let marks = &mut record.marks;
         if let Some(mark) = marks.get_mut(&crash) {
-            let is_new = is_cleared && !mark.is_cleared;
-            mark.is_cleared |= is_cleared;
+            let is_new = new.is_cleared && !mark.is_cleared;
+            mark.is_cleared |= new.is_cleared;
             return is_new;
         }
         if marks.len() >= MAX_CRASHES_PER_FINGERPRINT {
@@ -163,7 +208,7 @@
             marks.remove(&oldest);
             self.count -= 1;
         }
-        marks.insert(crash, Mark { at, is_cleared });
+        marks.insert(crash, new);
         self.count += 1;
         if self.count > MAX_CRASHES {
             self.remove_weakest();
@@ -179,13 +224,14 @@
             (counted, marks.values().map(|mark| mark.at).max())
         };
         let records = self.records.iter();
-        let mut ranked: Vec<_> = records.map(|(fp, marks)| (strength(marks), *fp)).collect();
+        let mut ranked: Vec<_> = records.map(|(fp, r)| (strength(&r.marks), *fp)).collect();
         ranked.sort_unstable();
         for (_, fp) in ranked {
             if self.count <= MAX_CRASHES - MAX_CRASHES / 8 {
                 return;
             }
-            self.count -= self.records.remove(&fp).map_or(0, |marks| marks.len());
+            let removed = self.records.remove(&fp);
+            self.count -= removed.map_or(0, |record| record.marks.len());
         }
     }
 }
--- a/crates/tc-policy/src/suspect/mod.rs
+++ b/crates/tc-policy/src/suspect/mod.rs
@@ -3,12 +3,15 @@
 //! Every call in flight on an upstream that crashed may have caused the crash, so a crash makes all of them suspects. A
 //! successful run clears a suspect. A fingerprint that enough crashes single out is quarantined, and the crashes that it
 //! was in do not count against the others. The evidence of several instances can be merged, in any order.
+//!
+//! A part that several prompts share is counted like a request, so that requests with a part that crashes upstreams are
+//! recognized although no two of them are equal.
 
 mod attribution;
 mod evidence;
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     time::Duration,
 };
 
@@ -16,7 +19,7 @@
 
 use attribution::Attribution;
 use evidence::EvidenceTable;
-pub use evidence::{CrashEvidence, CrashId};
+pub use evidence::{CrashEvidence, CrashId, SuspectKind};
 
 /// Maximum number of fingerprints that other instances or operators quarantined; the oldest is dropped first.
 const MAX_ADOPTED: usize = 4_096;
@@ -29,7 +32,7 @@
 /// Retry hint while another trial runs.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry hint for a quarantined fingerprint.
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_mins(10);
+pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_mins(10);
 /// Crashes from which a fingerprint is sent to all instances.
 const MIN_GOSSIPED_CRASHES: usize = 2;
 
@@ -53,8 +56,10 @@
 /// Thresholds for trials and quarantine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SuspectPolicy {
-    /// Crashes after which a fingerprint is quarantined (at least 1).
+    /// Crashes after which a request is quarantined (at least 1).
     pub crashes_to_quarantine: u32,
+    /// Crashes after which a prompt part is quarantined (at least 1).
+    pub crashes_to_quarantine_part: u32,
     /// Crashes from which a fingerprint runs only as a trial, one at a time (at least 1).
     ///
     /// With 1, the innocent requests in a first crash wait for each other's trials. With more they do not, but the
@@ -99,6 +104,7 @@
     pub fn new(crashes_to_quarantine: u32) -> Self {
         Self::with_policy(SuspectPolicy {
             crashes_to_quarantine,
+            crashes_to_quarantine_part: crashes_to_quarantine,
             crashes_to_trial: 1,
             quarantine_duration: None,
         })
@@ -112,6 +118,7 @@
     /// use tc_protocol::{Fingerprint, Incarnation, MonoTime};
     /// let mut suspects = Suspects::with_policy(SuspectPolicy {
     ///     crashes_to_quarantine: 3,
+    ///     crashes_to_quarantine_part: 4,
     ///     crashes_to_trial: 2,
     ///     quarantine_duration: Some(Duration::from_secs(600)),
     /// });
@@ -134,7 +141,7 @@
         }
     }
 
-    /// Records that an upstream crashed with `fps` in flight. A crash that several entries report counts once.
+    /// Records that an upstream crashed with the requests `fps` in flight. A crash that several entries report counts once.
     ///
     /// Report all fingerprints in flight: an instance that knows only some of them cannot tell the culprit from the
     /// others.
@@ -145,12 +152,40 @@
         incarnation: Incarnation,
         fps: &[Fingerprint],
     ) {
-        self.remove_expired(now);
         let crash = CrashId::of(upstream, incarnation);
+        self.add_crash(now, crash, SuspectKind::Request, fps);
+    }
+
+    /// Records that an upstream crashed with requests in flight whose prompts had `parts`.
+    ///
+    /// ```
+    /// use tc_policy::Suspects;
+    /// use tc_protocol::{Fingerprint, Incarnation, MonoTime};
+    /// let (mut suspects, culprit) = (Suspects::new(2), Fingerprint(7));
+    /// for (upstream, other) in [("gen-1", 1), ("gen-2", 2)] {
+    ///     let parts = [culprit, Fingerprint(other)];
+    ///     suspects.record_crash_with_parts(MonoTime(1), &upstream.into(), Incarnation(1), &parts);
+    /// }
+    /// assert!(suspects.has_quarantined_part(&[Fingerprint(3), culprit]));
+    /// assert!(!suspects.has_quarantined_part(&[Fingerprint(1), Fingerprint(2)]));
+    /// ```
+    pub fn record_crash_with_parts(
+        &mut self,
+        now: MonoTime,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+        parts: &[Fingerprint],
+    ) {
+        let crash = CrashId::of(upstream, incarnation);
+        self.add_crash(now, crash, SuspectKind::PromptPart, parts);
+    }
+
+    fn add_crash(&mut self, now: MonoTime, crash: CrashId, kind: SuspectKind, fps: &[Fingerprint]) {
+        self.remove_expired(now);
         let mut is_changed = false;
         for &fp in fps {
             self.trials.remove(&fp);
-            is_changed |= self.evidence.add(now, fp, crash);
+            is_changed |= self.evidence.add(now, fp, kind, crash);
         }
         if is_changed && self.may_change_attribution(fps) {
             self.attribute(now);
@@ -207,10 +242,25 @@
         self.needs_trial(fp) || self.is_quarantined(fp)
     }
 
-    /// Returns true if the fingerprint may not run.
+    /// Returns true if the request may not run.
     #[must_use]
     pub fn is_quarantined(&self, fp: Fingerprint) -> bool {
-        self.adopted.contains_key(&fp) || self.attribution.culprits.contains(&fp)
+        self.adopted.contains_key(&fp) || self.attribution.requests.contains(&fp)
+    }
+
+    /// Returns true if a request whose prompt has these parts may not run.
+    ///
+    /// Parts that were always in flight together are refused together only, so that requests with one of them show
+    /// which one crashes upstreams.
+    #[must_use]
+    pub fn has_quarantined_part(&self, parts: &[Fingerprint]) -> bool {
+        let mut sets = self.attribution.parts.iter();
+        sets.any(|set| set.iter().all(|part| parts.contains(part)))
+    }
+
+    /// Returns the prompt parts that are quarantined; those in one set are refused together only.
+    pub fn quarantined_parts(&self) -> impl Iterator<Item = &BTreeSet<Fingerprint>> + '_ {
+        self.attribution.parts.iter()
     }
 
     /// Returns the number of crashes that count against a fingerprint.
@@ -275,9 +325,9 @@
         }
     }
 
-    /// Returns the quarantined fingerprints.
+    /// Returns the quarantined requests.
     pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        let culprits = self.attribution.culprits.iter();
+        let culprits = self.attribution.requests.iter();
         let only_culprits = culprits.filter(|fp| !self.adopted.contains_key(fp));
         self.adopted.keys().chain(only_culprits).copied()
     }
@@ -329,7 +379,11 @@
 
     /// Returns true if crashes may be attributed otherwise after a change of the evidence of `fps`.
     fn may_change_attribution(&self, fps: &[Fingerprint]) -> bool {
-        let threshold = self.policy.crashes_to_quarantine.max(1) as usize;
+        let policy = &self.policy;
+        let threshold = policy
+            .crashes_to_quarantine
+            .min(policy.crashes_to_quarantine_part);
+        let threshold = threshold.max(1) as usize;
         !self.attribution.explained.is_empty()
             || fps.iter().any(|fp| {
                 let count = self.crash_count(*fp);
@@ -339,9 +393,9 @@
 
     /// Decides anew which fingerprints caused the crashes.
     fn attribute(&mut self, now: MonoTime) {
-        let threshold = self.policy.crashes_to_quarantine as usize;
-        self.attribution = Attribution::of(&self.evidence, self.adopted.keys().copied(), threshold);
-        let culprits: Vec<Fingerprint> = self.attribution.culprits.iter().copied().collect();
+        let adopted = self.adopted.keys().copied();
+        self.attribution = Attribution::of(&self.evidence, adopted, &self.policy);
+        let culprits: Vec<Fingerprint> = self.attribution.requests.iter().copied().collect();
         for fp in culprits {
             self.trials.remove(&fp);
             if self.policy.quarantine_duration.is_none() {
--- a/crates/tc-policy/tests/suspects.rs
+++ b/crates/tc-policy/tests/suspects.rs
@@ -159,6 +159,7 @@
 fn with_trials_from_the_second_crash_neighbours_of_one_crash_run_at_once() {
     let mut suspects = Suspects::with_policy(SuspectPolicy {
         crashes_to_quarantine: 3,
+        crashes_to_quarantine_part: 4,
         crashes_to_trial: 2,
         quarantine_duration: Some(Duration::from_mins(10)),
     });
--- a/crates/tc-upstream/src/client.rs
+++ b/crates/tc-upstream/src/client.rs
@@ -1,6 +1,6 @@
 //! The client for all calls to upstreams.
 
-use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, io::ErrorKind, net::SocketAddr, sync::Arc, time::Duration};
 
 use tc_protocol::{
     Outcome, ServiceKind,
@@ -118,6 +118,26 @@
         dial_observed(&self.shared, address, limit).await.is_ok()
     }
 
+    /// Opens a connection and closes it again. Returns true if it was refused, so that no process listens there.
+    ///
+    /// ```
+    /// # let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    /// # runtime.block_on(async {
+    /// use tc_upstream::{ClientSettings, UpstreamClient};
+    /// let client = UpstreamClient::new(ClientSettings::default());
+    /// let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    /// let address = listener.local_addr().unwrap();
+    /// assert!(!client.is_refused(address).await);
+    /// drop(listener);
+    /// assert!(client.is_refused(address).await);
+    /// # });
+    /// ```
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        let limit = self.shared.settings.connect_timeout;
+        let dialed = dial_observed(&self.shared, address, limit).await;
+        dialed.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Calls a pool, or an engine without streaming. Returns the response only if it is complete and names this call.
     pub async fn run_stage(&self, call: StageCall) -> Result<StageResponse, CallError> {
         let span = stage_span(&call);
