Announce evidence only when others need it, the latest first

Each report made the home send datagrams to all instances, also of a single crash that is never gossiped and of the end of a trial: a reset of a thousand connections would have caused up to 200 rounds a second. Now only reports about inputs that were in several crashes do, the end of a trial goes to the home alone, and half of a datagram's evidence is what changed last, so that an announcement carries what it is for. Found by reading; the tests of crashes pass as before.

--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -105,6 +105,17 @@
         self.update(|state| state.merge(now, evidence));
     }
 
+    /// Returns true if a report is about inputs that other instances need to know of.
+    pub(super) fn is_shared(&self, report: &SuspectReport) -> bool {
+        let state = self.lock();
+        let mut inputs = report
+            .died
+            .iter()
+            .chain(&report.died_parts)
+            .chain(&report.cleared);
+        inputs.any(|input| state.suspects.is_shared(Fingerprint(*input)))
+    }
+
     /// Returns evidence for other instances, the next one at each call.
     pub(super) fn evidence_to_send(&self, now: MonoTime, max: usize) -> Vec<CrashEvidence> {
         if self.is_empty.load(Relaxed) {
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -385,9 +385,12 @@
         };
         let (table, service) = (Arc::clone(self), service.clone());
         spawn(async move {
-            table
-                .send_to_all_copies(&service, report, MonoTime::now())
-                .await;
+            // If no instance answers, the trial expires.
+            for member in table.home_and_copies(&service) {
+                if table.send_to(&member, &report).await.is_some() {
+                    return;
+                }
+            }
         });
     }
 
@@ -398,7 +401,7 @@
         report: &SuspectReport,
     ) -> SuspectAnswer {
         let answer = self.home.handle_report(now, report);
-        if report.announce {
+        if report.announce && self.home.is_shared(report) {
             self.announce_soon();
         }
         answer
--- a/crates/tc-policy/src/suspect/evidence.rs
+++ b/crates/tc-policy/src/suspect/evidence.rs
@@ -74,6 +74,8 @@
 struct Record {
     kind: SuspectKind,
     marks: Marks,
+    /// When this instance last learned anything new.
+    changed_at: MonoTime,
 }
 
 /// The crashes of all fingerprints.
@@ -96,7 +98,7 @@
             at: now,
             is_cleared: false,
         };
-        self.mark(fp, kind, crash, mark)
+        self.mark(now, fp, kind, (crash, mark))
     }
 
     /// Adds what another instance knows. Returns true if anything was new.
@@ -109,19 +111,23 @@
         let mut is_changed = false;
         for (crashes, is_cleared) in [(&evidence.cleared, true), (&evidence.crashes, false)] {
             for &crash in crashes {
-                is_changed |= self.mark(fp, kind, crash, Mark { at, is_cleared });
+                let mark = Mark { at, is_cleared };
+                is_changed |= self.mark(now, fp, kind, (crash, mark));
             }
         }
         is_changed
     }
 
     /// Clears a fingerprint of all crashes known here. Returns true if there were any.
-    pub(super) fn clear(&mut self, fp: Fingerprint) -> bool {
+    pub(super) fn clear(&mut self, now: MonoTime, fp: Fingerprint) -> bool {
         let mut is_changed = false;
         if let Some(record) = self.records.get_mut(&fp) {
             for mark in record.marks.values_mut() {
                 is_changed |= !std::mem::replace(&mut mark.is_cleared, true);
             }
+            if is_changed {
+                record.changed_at = now;
+            }
         }
         is_changed
     }
@@ -141,6 +147,11 @@
         record.map_or(0, |record| record.marks.len())
     }
 
+    /// Returns when this instance last learned anything new of a fingerprint.
+    pub(super) fn changed_at(&self, fp: Fingerprint) -> Option<MonoTime> {
+        self.records.get(&fp).map(|record| record.changed_at)
+    }
+
     pub(super) fn fingerprints(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         self.records.keys().copied()
     }
@@ -187,15 +198,25 @@
         self.count != before
     }
 
-    fn mark(&mut self, fp: Fingerprint, kind: SuspectKind, crash: CrashId, new: Mark) -> bool {
+    fn mark(
+        &mut self,
+        now: MonoTime,
+        fp: Fingerprint,
+        kind: SuspectKind,
+        (crash, new): (CrashId, Mark),
+    ) -> bool {
         let record = self.records.entry(fp).or_insert_with(|| Record {
             kind,
             marks: Marks::new(),
+            changed_at: now,
         });
         let marks = &mut record.marks;
         if let Some(mark) = marks.get_mut(&crash) {
             let is_new = new.is_cleared && !mark.is_cleared;
             mark.is_cleared |= new.is_cleared;
+            if is_new {
+                record.changed_at = now;
+            }
             return is_new;
         }
         if marks.len() >= MAX_CRASHES_PER_FINGERPRINT {
@@ -209,6 +230,7 @@
             self.count -= 1;
         }
         marks.insert(crash, new);
+        record.changed_at = now;
         self.count += 1;
         if self.count > MAX_CRASHES {
             self.remove_weakest();
--- a/crates/tc-policy/src/suspect/mod.rs
+++ b/crates/tc-policy/src/suspect/mod.rs
@@ -219,16 +219,30 @@
         self.evidence.get(now, fp)
     }
 
-    /// Returns evidence for other instances: of at most `max` fingerprints that were in several crashes, the next ones
-    /// at each call.
+    /// Returns true if other instances need to know of a fingerprint.
+    #[must_use]
+    pub fn is_shared(&self, fp: Fingerprint) -> bool {
+        self.evidence.known_crashes(fp) >= MIN_GOSSIPED_CRASHES
+    }
+
+    /// Returns evidence for other instances, of at most `max` fingerprints that were in several crashes: half of them with
+    /// the latest changes, the others in turn at each call.
     pub fn evidence_to_send(&mut self, now: MonoTime, max: usize) -> Vec<CrashEvidence> {
-        let fps = self.evidence.fingerprints();
-        let mut fps: Vec<Fingerprint> = fps
-            .filter(|&fp| self.evidence.known_crashes(fp) >= MIN_GOSSIPED_CRASHES)
-            .collect();
+        let mut fps: Vec<Fingerprint> = self.evidence.fingerprints().collect();
+        fps.retain(|fp| self.is_shared(*fp));
         fps.sort_unstable();
         let start = fps.partition_point(|&fp| fp < self.next_gossiped);
         fps.rotate_left(start);
+        let latest = max.min(fps.len()) / 2;
+        if latest > 0 && fps.len() > max {
+            let by_change = |fp: &Fingerprint| std::cmp::Reverse(self.evidence.changed_at(*fp));
+            let mut ranked = fps.clone();
+            ranked.select_nth_unstable_by_key(latest - 1, by_change);
+            ranked.truncate(latest);
+            fps.retain(|fp| !ranked.contains(fp));
+            ranked.append(&mut fps);
+            fps = ranked;
+        }
         self.next_gossiped = fps.get(max).copied().unwrap_or(Fingerprint(0));
         fps.truncate(max);
         fps.into_iter()
@@ -318,7 +332,7 @@
     /// Clears a fingerprint that ran to a complete result: the crashes known here no longer count against it.
     pub fn clear(&mut self, now: MonoTime, fp: Fingerprint) {
         self.trials.remove(&fp);
-        let is_changed = self.evidence.clear(fp);
+        let is_changed = self.evidence.clear(now, fp);
         self.remove_expired(now);
         if is_changed && self.may_change_attribution(&[]) {
             self.attribute(now);
