Soak: requests and prompt parts that crash upstreams

The judge counts runs as the users do: those an instance in touch starts later than 3 s after the third crash, or the fifth for a part, three allowed; faults of the store excuse nothing, and the count begins again only after a time in which no instance had been well for 3 s.

Traced in the logs: the instances' lists, collected for up to a second, did not have the successors of crashed engines yet. A successor counts as an engine that instances must know from 3 s on, in this new kind of plan only.

--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -7,7 +7,9 @@
 use super::{Command, block_on, finish, run::option};
 use crate::{
     error::BenchError,
-    soak::{EngineVersions, LeavingUpstreams, Outcome, SoakShape, SystemBinary, soak},
+    soak::{
+        CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SoakShape, SystemBinary, soak,
+    },
 };
 
 /// Seeds unless the command line says otherwise.
@@ -25,7 +27,7 @@
 
 pub(super) const COMMAND: Command = Command {
     name: "soak",
-    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits] [--notices] [--departures] [--versions]",
+    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits] [--notices] [--departures] [--versions] [--crashes]",
     about: "Faults by chance on gateway processes, with their promises checked; a seed gives the plan.",
     run,
 };
@@ -49,6 +51,11 @@
     } else {
         EngineVersions::One
     };
+    let crashing = if args.contains("--crashes") {
+        CrashingRequests::Sent
+    } else {
+        CrashingRequests::None
+    };
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
         let problem = "--seeds and --instances must be above 0, --seconds 3 or more";
@@ -64,6 +71,7 @@
         notices,
         leaving,
         versions,
+        crashing,
     };
     let limit = minutes.map(|minutes| Instant::now() + Duration::from_secs(minutes * 60));
     let binary = SystemBinary::find()?;
--- a/crates/tc-bench/src/lib.rs
+++ b/crates/tc-bench/src/lib.rs
@@ -21,4 +21,6 @@
     WorkspaceResult, attainment, by_workspace, costs, recovery_ms, slope, timeline,
 };
 pub use report::page;
-pub use soak::{EngineVersions, LeavingUpstreams, Outcome, SoakShape, SystemBinary, soak};
+pub use soak::{
+    CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SoakShape, SystemBinary, soak,
+};
--- a/crates/tc-bench/src/soak/callers.rs
+++ b/crates/tc-bench/src/soak/callers.rs
@@ -11,12 +11,15 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tc_platform_adapter::outside::{CallerRequest, Resumption, request_text, response_origin};
 use tc_protocol::routing::RouteKind;
+
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     time::{Instant, sleep, timeout, timeout_at},
 };
 
+use super::crashes::{CULPRIT_PART, CULPRIT_PATH, Culprit};
+
 /// The workspace's key.
 pub(super) const KEY: &str = "key-of-the-soak";
 /// Time for which a caller waits for its answer.
@@ -110,7 +113,7 @@
 pub(super) struct Tellings(Arc<Mutex<Vec<Told>>>);
 
 impl Tellings {
-    fn add(&self, told: Told) {
+    pub(super) fn add(&self, told: Told) {
         self.0
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -146,6 +149,7 @@
             kind,
             id: &id,
             resumed: None,
+            culprit: None,
         };
         let told = call(
             kind.route,
@@ -190,6 +194,7 @@
             kind,
             id: &id,
             resumed,
+            culprit: None,
         };
         let Some((next, _)) = call(kind.route, attempt, instance, instances[instance], None).await
         else {
@@ -212,6 +217,8 @@
     pub(super) kind: Kind,
     pub(super) id: &'a str,
     pub(super) resumed: Option<Resumed>,
+    /// Crashes the upstream that runs the request.
+    pub(super) culprit: Option<Culprit>,
 }
 
 /// Makes one request; `None` when no connection could be had. Gives the connection back if it can be used again.
@@ -222,7 +229,12 @@
     address: SocketAddr,
     connection: Option<TcpStream>,
 ) -> Option<(Told, Option<TcpStream>)> {
-    let Attempt { kind, id, resumed } = attempt;
+    let Attempt {
+        kind,
+        id,
+        resumed,
+        culprit,
+    } = attempt;
     let mut stream = match connection {
         Some(stream) => stream,
         None => timeout(CONNECT_TIME, TcpStream::connect(address))
@@ -230,13 +242,25 @@
             .ok()?
             .ok()?,
     };
+    let mut shared_parts = Vec::new();
+    if kind.repeat.is_stream() {
+        shared_parts.push(family_of(id));
+    }
+    if culprit == Some(Culprit::Part) {
+        shared_parts.push(CULPRIT_PART);
+    }
     let text = request_text(&CallerRequest {
         route,
         id,
         key: KEY,
         deadline: DEADLINE,
         pieces: kind.staged.then_some(PIECES),
-        shared_prefix: kind.repeat.is_stream().then(|| family_of(id)),
+        path: if culprit == Some(Culprit::Request) {
+            CULPRIT_PATH
+        } else {
+            id
+        },
+        shared_parts: &shared_parts,
         resumption: resumed.as_ref().map(|resumed| Resumption {
             began: &resumed.began,
             after_event: resumed.after_event,
--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -17,7 +17,9 @@
 };
 
 use super::{
+    CrashingRequests, SoakShape,
     callers::{Attempt, KINDS, Tellings, Told, call, call_until},
+    crashes::crash_until,
     faults::End,
     judge::{CleanStop, Evacuated, Evidence, Harm, Left, judge},
     limits::Limited,
@@ -62,6 +64,10 @@
     pub(super) instances: Vec<SoakInstance>,
     pub(super) upstreams: Vec<SoakUpstream>,
     pub(super) tellings: Tellings,
+    /// What callers of requests that crash upstreams were told.
+    culprit_tellings: Tellings,
+    /// Upstreams that crashed, with their services and when their successors start.
+    pub(super) crashed: Vec<(Instant, &'static str, String)>,
     pub(super) version: u64,
     pub(super) next_upstream: usize,
     pub(super) store_fault_until: Instant,
@@ -94,13 +100,17 @@
     binary: &SystemBinary,
     folder: &Path,
     plan: Plan,
-    callers: usize,
+    shape: SoakShape,
 ) -> Result<Outcome, BenchError> {
     let mut soak = Soak::start(binary, folder, &plan).await?;
     let end = soak.started + plan.length;
     let addresses: Vec<_> = soak.instances.iter().map(|i| i.callers).collect();
     let mut calling = JoinSet::new();
-    for number in 0..callers as u64 {
+    if shape.crashing == CrashingRequests::Sent {
+        let (addresses, tellings) = (addresses.clone(), soak.culprit_tellings.clone());
+        calling.spawn(crash_until(plan.seed, addresses, end, tellings));
+    }
+    for number in 0..shape.callers as u64 {
         let (addresses, tellings) = (addresses.clone(), soak.tellings.clone());
         calling.spawn(call_until(
             number,
@@ -154,6 +164,8 @@
             instances: instances?,
             upstreams,
             tellings: Tellings::default(),
+            culprit_tellings: Tellings::default(),
+            crashed: Vec::new(),
             version: 0,
             store_fault_until: now,
             stops: Vec::new(),
@@ -232,6 +244,7 @@
             }
             self.start_ended()?;
             self.let_go(now);
+            self.replace_crashed(now).await;
             self.check_config(now).await;
             sleep_until(now + STEP).await;
         }
@@ -260,6 +273,11 @@
             }
             self.restart(number)?;
         }
+        // The successors of upstreams that crashed last.
+        while !self.crashed.is_empty() {
+            self.replace_crashed(Instant::now()).await;
+            sleep(STEP).await;
+        }
         self.until_ready().await
     }
 
@@ -287,6 +305,7 @@
                         kind,
                         id: &id,
                         resumed: None,
+                        culprit: None,
                     };
                     last = call(kind.route, attempt, number, address, None).await;
                     if last.as_ref().is_some_and(|(told, _)| is_served(told)) {
@@ -316,8 +335,22 @@
                 .into_iter()
                 .map(|what| format!("misdirected: {what}")),
         );
+        let told_culprits = self.culprit_tellings.all();
+        if !told_culprits.is_empty() {
+            let refused = told_culprits
+                .iter()
+                .filter(|told| told.status == 503)
+                .count();
+            let (sent, runs) = (told_culprits.len(), self.seen.runs());
+            let runs = runs.iter().filter(|run| run.culprit.is_some()).count();
+            self.note(&format!(
+                "{sent} requests that crash upstreams: {runs} runs, {refused} refused"
+            ));
+        }
         let mut broken = judge(&Evidence {
             told,
+            told_culprits,
+            instances: plan.instances,
             runs: self.seen.runs(),
             left: self.left,
             evacuated: self.evacuated,
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -357,6 +357,7 @@
                 kind,
                 id: &id,
                 resumed: None,
+                culprit: None,
             };
             let asked = call(&route, attempt, number, address, None).await;
             if let Some((told, _)) = asked
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -7,6 +7,7 @@
 
 use super::{
     callers::{DEADLINE, Told},
+    crashes::crash_promises,
     departures::{LateCall, departure_promises},
     limits::{Limited, limit_promises},
     notices::{AnnouncedLeaving, notice_promises},
@@ -71,6 +72,10 @@
 /// All that is judged.
 pub(super) struct Evidence {
     pub(super) told: Vec<Told>,
+    /// Answers to requests that crash upstreams.
+    pub(super) told_culprits: Vec<Told>,
+    /// Number of instances.
+    pub(super) instances: usize,
     pub(super) runs: Vec<Run>,
     pub(super) left: Vec<Left>,
     pub(super) evacuated: Vec<Evacuated>,
@@ -113,6 +118,7 @@
     broken.extend(retry_promises(evidence));
     broken.extend(version_promises(evidence));
     broken.extend(departure_promises(evidence));
+    broken.extend(crash_promises(evidence));
     broken
 }
 
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! is run several times when it is looked into; its plan is always the same.
 
 mod callers;
+mod crashes;
 mod departures;
 mod drive;
 mod faults;
@@ -55,6 +56,17 @@
     pub leaving: LeavingUpstreams,
     /// Versions of the engines. With several, the faults of the store are left out.
     pub versions: EngineVersions,
+    /// Requests that crash upstreams, besides the others.
+    pub crashing: CrashingRequests,
+}
+
+/// Requests of a soak that crash each upstream that runs them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashingRequests {
+    /// There are none.
+    None,
+    /// One request that is sent again and again, and requests that share a part of their prompts.
+    Sent,
 }
 
 /// Upstreams of a soak that leave.
@@ -98,7 +110,7 @@
     if shape.versions == EngineVersions::Several {
         plan.add_versions();
     }
-    let outcome = drive::play(binary, &folder, plan, shape.callers).await?;
+    let outcome = drive::play(binary, &folder, plan, shape).await?;
     if outcome.broken.is_empty() {
         // Files that remain only take up space.
         let _ = fs::remove_dir_all(&folder);
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -19,6 +19,7 @@
 use tokio::time::Instant;
 
 use super::{
+    crashes::Culprit,
     departures::Departures,
     notices::BACKOFF,
     plan::{DOMAINS, UpstreamMode},
@@ -43,6 +44,9 @@
 /// Time for which an engine holds a request with results.
 const HOLD_TIME: Duration = Duration::from_millis(1_600);
 
+/// Longest time until the process of an upstream that crashes has ended.
+const CRASH_TIME: Duration = Duration::from_mins(1);
+
 /// One run of a request, as the upstream that ran it saw it.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -51,6 +55,8 @@
     pub(super) at: Instant,
     /// Whether it is a run of its own: a resumed stream goes on.
     pub(super) resumed: bool,
+    /// What crashed the upstream.
+    pub(super) culprit: Option<Culprit>,
 }
 
 impl Run {
@@ -61,6 +67,7 @@
             upstream: upstream.to_owned(),
             at: Instant::now(),
             resumed: sent.resume_after > 0,
+            culprit: Culprit::of(sent),
         }
     }
 }
@@ -83,6 +90,7 @@
     /// Whether engines hold some requests with results for long.
     holds_results: bool,
     pub(super) departures: Departures,
+    crashed: Mutex<Vec<String>>,
 }
 
 impl Seen {
@@ -118,6 +126,11 @@
         });
     }
 
+    /// Returns the upstreams that crashed since the last call.
+    pub(super) fn take_crashed(&self) -> Vec<String> {
+        std::mem::take(&mut *lock(&self.crashed))
+    }
+
     /// Makes an upstream announce that it is leaving until it is removed.
     pub(super) fn announce_leaving(&self, upstream: &str) {
         lock(&self.leaving).insert(upstream.to_owned());
@@ -298,6 +311,11 @@
         return input_gone();
     }
     seen.begin(own, &sent);
+    if Culprit::of(&sent).is_some() {
+        lock(&seen.crashed).push(own.to_owned());
+        let head = (service == ENGINES).then(|| stream_head_with(req, ""));
+        return head.into_iter().chain([Step::Pause(CRASH_TIME)]).collect();
+    }
     if mode == UpstreamMode::Silent {
         return vec![Step::Pause(Duration::from_mins(1))];
     }
--- a/crates/tc-bench/src/soak/versions.rs
+++ b/crates/tc-bench/src/soak/versions.rs
@@ -42,6 +42,14 @@
         }
     }
 
+    /// The life of an engine that takes the place of a crashed one. It counts once instances must know it.
+    pub(super) fn succeed(engine: &SoakUpstream) -> Self {
+        Self {
+            from: Instant::now() + CONTACT_TIME,
+            ..Self::begin(engine)
+        }
+    }
+
     pub(super) fn all(upstreams: &[SoakUpstream]) -> Vec<Self> {
         let engines = upstreams.iter().filter(|u| u.service == ENGINES);
         engines.map(Self::begin).collect()
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use std::{path::Path, time::Duration};
 
-use tc_bench::{EngineVersions, LeavingUpstreams, SoakShape, SystemBinary, soak};
+use tc_bench::{CrashingRequests, EngineVersions, LeavingUpstreams, SoakShape, SystemBinary, soak};
 
 /// Long enough for a dozen overlapping faults, short enough to be part of every test run.
 const BASE_SHAPE: SoakShape = SoakShape {
@@ -15,6 +15,7 @@
     notices: false,
     leaving: LeavingUpstreams::Plain,
     versions: EngineVersions::One,
+    crashing: CrashingRequests::None,
 };
 
 async fn assert_guarantees_hold(seed: u64, shape: SoakShape) {
@@ -101,3 +102,16 @@
     };
     assert_guarantees_hold(5, shape).await;
 }
+
+/// The plan of this seed kills and stops instances while callers send a request, and requests with a prompt part, that crash
+/// each upstream that runs them. Once their crashes bind, they run three more times at most.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_that_crash_upstreams_stop_during_other_faults() {
+    let shape = SoakShape {
+        instances: 4,
+        length: Duration::from_secs(12),
+        crashing: CrashingRequests::Sent,
+        ..BASE_SHAPE
+    };
+    assert_guarantees_hold(1, shape).await;
+}
