Refuse no sound part beside an unrelated crash

Found by a new fuzzed test of attribution: with one crash for another reason, a first part that is in all prompts was in more crashes than the culprit, and requests without the culprit were refused until an answer completed.

- A part with a completed answer did not crash each upstream.
It is a culprit only after as many crashes that no other part explains.
- A part is refused by itself only if it was in two crashes without each other part; otherwise together with those.
- Culprits are chosen one after the other, those in the most crashes first, so that one explains the crashes of the next.

Evidence that was cleared of all crashes is sent for 30 s and not for ten minutes.

--- a/crates/tc-policy/src/suspect/attribution.rs
+++ b/crates/tc-policy/src/suspect/attribution.rs
@@ -3,7 +3,7 @@
 //! The result depends on the evidence alone, so instances with the same evidence agree.
 
 use std::{
-    cmp::Ordering,
+    cmp::{Ordering, Reverse},
     collections::{BTreeMap, BTreeSet, HashMap},
 };
 
@@ -14,8 +14,8 @@
     evidence::{CrashId, EvidenceTable, SuspectKind},
 };
 
-/// Crashes that no request explains, from which a part is a culprit. One may be an unrelated crash of an engine that a
-/// request with the part ran on.
+/// Crashes that nothing else explains, from which a part is a culprit by itself. One may be an unrelated crash of an
+/// upstream that a request with the part ran on.
 const MIN_UNEXPLAINED_OF_PART: usize = 2;
 
 /// Culprits, and the crashes that they explain.
@@ -23,7 +23,7 @@
 pub(super) struct Attribution {
     /// Requests that crash upstreams.
     pub(super) requests: BTreeSet<Fingerprint>,
-    /// Parts that crash upstreams. Of several parts in a set at least one does: all were in the same crashes.
+    /// Parts that crash upstreams. Of several parts in a set at least one does.
     pub(super) parts: BTreeSet<BTreeSet<Fingerprint>>,
     pub(super) explained: BTreeSet<CrashId>,
 }
@@ -47,12 +47,12 @@
     }
 
     fn add_requests(&mut self, evidence: &EvidenceTable, threshold: u32) {
-        let kind = SuspectKind::Request;
-        let candidates = by_crash_count(evidence, kind, threshold);
+        let requests: Vec<_> = evidence.of_kind(SuspectKind::Request).collect();
+        let candidates = by_crash_count(evidence, &requests, threshold);
         if candidates.is_empty() {
             return;
         }
-        let most = most_crashed(evidence, kind);
+        let most = most_crashed(evidence, &requests);
         for candidates in candidates.into_values().rev() {
             let is_singled_out = |fp: &Fingerprint| {
                 let mut unexplained = self.unexplained(evidence, *fp);
@@ -66,33 +66,38 @@
         }
     }
 
+    /// Parts without a completed answer come first. One with a completed answer did not crash each upstream, so it takes
+    /// as many crashes that no other part explains, as after a release that cannot bear it.
     fn add_parts(&mut self, evidence: &EvidenceTable, threshold: u32) {
-        let kind = SuspectKind::PromptPart;
-        let candidates = by_crash_count(evidence, kind, threshold);
-        if candidates.is_empty() {
-            return;
-        }
-        let most = most_crashed(evidence, kind);
-        for candidates in candidates.into_values().rev() {
-            let singled_out = |fp: Fingerprint| {
+        let threshold = threshold.max(1) as usize;
+        for has_completed in [false, true] {
+            let parts = evidence.of_kind(SuspectKind::PromptPart);
+            let parts: Vec<_> = parts
+                .filter(|fp| evidence.has_completed(*fp) == has_completed)
+                .collect();
+            let min_unexplained = if has_completed {
+                threshold
+            } else {
+                MIN_UNEXPLAINED_OF_PART
+            };
+            let mut candidates = parts.clone();
+            candidates.retain(|fp| evidence.crashes(*fp).count() >= threshold);
+            if candidates.is_empty() {
+                continue;
+            }
+            candidates.sort_by_key(|fp| (Reverse(evidence.crashes(*fp).count()), *fp));
+            let most = most_crashed(evidence, &parts);
+            for fp in candidates {
                 let unexplained: Vec<_> = self.unexplained(evidence, fp).collect();
-                if unexplained.len() < MIN_UNEXPLAINED_OF_PART {
-                    return None;
+                let is_equal =
+                    |other: &Fingerprint| evidence.crashes(*other).eq(evidence.crashes(fp));
+                let mut most = unexplained.iter().map(|crash| &most[crash]);
+                if unexplained.len() >= min_unexplained
+                    && most.any(|most| most.contains(&fp) && most.iter().all(is_equal))
+                {
+                    self.parts.insert(inseparable_from(evidence, &parts, fp));
+                    self.explained.extend(evidence.crashes(fp));
                 }
-                let crashes: Vec<_> = evidence.crashes(fp).collect();
-                let in_same_crashes =
-                    |other: &Fingerprint| evidence.crashes(*other).eq(crashes.iter().copied());
-                unexplained
-                    .iter()
-                    .map(|crash| &most[crash])
-                    .find(|most| most.contains(&fp) && most.iter().all(in_same_crashes))
-                    .cloned()
-            };
-            let culprits: Vec<_> = candidates.into_iter().filter_map(singled_out).collect();
-            for set in culprits {
-                let crashes = set.first().map(|fp| evidence.crashes(*fp));
-                self.explained.extend(crashes.into_iter().flatten());
-                self.parts.insert(set);
             }
         }
     }
@@ -107,14 +112,31 @@
     }
 }
 
+/// Returns a part with those of `parts` that its crashes do not tell it apart from: they were in all but too few of them.
+fn inseparable_from(
+    evidence: &EvidenceTable,
+    parts: &[Fingerprint],
+    part: Fingerprint,
+) -> BTreeSet<Fingerprint> {
+    let is_inseparable = |other: &Fingerprint| {
+        let others: BTreeSet<CrashId> = evidence.crashes(*other).collect();
+        let without = evidence
+            .crashes(part)
+            .filter(|crash| !others.contains(crash));
+        without.count() < MIN_UNEXPLAINED_OF_PART
+    };
+    let parts = parts.iter().copied();
+    parts.filter(is_inseparable).collect()
+}
+
 /// Returns the fingerprints that were in at least `threshold` crashes, by their number.
 fn by_crash_count(
     evidence: &EvidenceTable,
-    kind: SuspectKind,
+    fps: &[Fingerprint],
     threshold: u32,
 ) -> BTreeMap<usize, Vec<Fingerprint>> {
     let mut by_count: BTreeMap<usize, Vec<Fingerprint>> = BTreeMap::new();
-    for fp in evidence.of_kind(kind) {
+    for &fp in fps {
         let count = evidence.crashes(fp).count();
         if count >= threshold.max(1) as usize {
             by_count.entry(count).or_default().push(fp);
@@ -126,10 +148,10 @@
 /// Returns for each crash the fingerprints in flight that were in the most crashes.
 fn most_crashed(
     evidence: &EvidenceTable,
-    kind: SuspectKind,
+    fps: &[Fingerprint],
 ) -> HashMap<CrashId, BTreeSet<Fingerprint>> {
     let mut most: HashMap<CrashId, (usize, BTreeSet<Fingerprint>)> = HashMap::new();
-    for fp in evidence.of_kind(kind) {
+    for &fp in fps {
         let count = evidence.crashes(fp).count();
         for crash in evidence.crashes(fp) {
             let (best, holders) = most.entry(crash).or_default();
--- a/crates/tc-policy/src/suspect/evidence.rs
+++ b/crates/tc-policy/src/suspect/evidence.rs
@@ -141,6 +141,12 @@
             .map(|(crash, _)| *crash)
     }
 
+    /// Returns true if a run has cleared the fingerprint of a crash.
+    pub(super) fn has_completed(&self, fp: Fingerprint) -> bool {
+        let record = self.records.get(&fp);
+        record.is_some_and(|record| record.marks.values().any(|mark| mark.is_cleared))
+    }
+
     /// Returns the number of crashes known of a fingerprint, whether or not it was cleared of them.
     pub(super) fn known_crashes(&self, fp: Fingerprint) -> usize {
         let record = self.records.get(&fp);
--- a/crates/tc-policy/src/suspect/mod.rs
+++ b/crates/tc-policy/src/suspect/mod.rs
@@ -33,6 +33,8 @@
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(20);
 /// Retry hint for a quarantined fingerprint.
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_mins(10);
+/// Time for which the evidence of a fingerprint that was cleared of all crashes is sent to other instances.
+const CLEARED_GOSSIP_PERIOD: Duration = Duration::from_secs(30);
 /// Crashes from which a fingerprint is sent to all instances.
 const MIN_GOSSIPED_CRASHES: usize = 2;
 
@@ -225,11 +227,18 @@
         self.evidence.known_crashes(fp) >= MIN_GOSSIPED_CRASHES
     }
 
+    /// Returns false if the fingerprint was cleared of all crashes, and all instances that have them know it.
+    fn may_be_news(&self, now: MonoTime, fp: Fingerprint) -> bool {
+        let changed_at = self.evidence.changed_at(fp);
+        self.crash_count(fp) > 0
+            || changed_at.is_some_and(|at| now.since(at) < CLEARED_GOSSIP_PERIOD)
+    }
+
     /// Returns evidence for other instances, of at most `max` fingerprints that were in several crashes: half of them with
     /// the latest changes, the others in turn at each call.
     pub fn evidence_to_send(&mut self, now: MonoTime, max: usize) -> Vec<CrashEvidence> {
         let mut fps: Vec<Fingerprint> = self.evidence.fingerprints().collect();
-        fps.retain(|fp| self.is_shared(*fp));
+        fps.retain(|fp| self.is_shared(*fp) && self.may_be_news(now, *fp));
         fps.sort_unstable();
         let start = fps.partition_point(|&fp| fp < self.next_gossiped);
         fps.rotate_left(start);
@@ -264,8 +273,8 @@
 
     /// Returns true if a request whose prompt has these parts may not run.
     ///
-    /// Parts that were always in flight together are refused together only, so that requests with one of them show
-    /// which one crashes upstreams.
+    /// Parts that were in flight together are refused together only, so that requests with one of them show which one
+    /// crashes upstreams.
     #[must_use]
     pub fn has_quarantined_part(&self, parts: &[Fingerprint]) -> bool {
         let mut sets = self.attribution.parts.iter();
