--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/home.rs
@@ -178,6 +178,9 @@
     fn update<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
         let mut state = self.lock();
         let result = change(&mut state);
+        let suspects = &state.suspects;
+        metrics::gauge!("tc_quarantined_requests").set(suspects.quarantined().count() as f64);
+        metrics::gauge!("tc_quarantined_parts").set(suspects.quarantined_parts().count() as f64);
         self.is_empty.store(state.suspects.is_empty(), Relaxed);
         result
     }
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -267,13 +267,17 @@
 }
 
 fn part_refusal(refused: &PermitRefusal) -> Refusal {
+    metrics::counter!("tc_quarantine_refusals_total").increment(1);
     let reason = "a part of the prompt has crashed upstreams that ran it";
     Refusal::not_run(reason, refused.retry_after)
 }
 
 fn suspect_refusal(refused: &PermitRefusal) -> Refusal {
     let reason = match refused.reason {
-        RefusalReason::Quarantined => "the request has crashed upstreams that ran it",
+        RefusalReason::Quarantined => {
+            metrics::counter!("tc_quarantine_refusals_total").increment(1);
+            "the request has crashed upstreams that ran it"
+        }
         _ => "the request may crash upstreams and another run of it is in progress",
     };
     Refusal::not_run(reason, refused.retry_after)
