Bound the wait of a caller for crash reports

Callers of pipelines waited for seconds after a crash when the instances that it is reported to had just been killed: since reports are sent again until they arrive, the first of them was awaited through five sends. The report goes on in the background after 600 ms, the time of the check and of the report. Routed requests wait 300 ms at most already.

--- a/crates/tc-fleet/src/suspects/crash_check.rs
+++ b/crates/tc-fleet/src/suspects/crash_check.rs
@@ -7,7 +7,7 @@
 use tokio::runtime::Handle;
 
 /// Timeout for the upstream's answer. The caller waits for the check too.
-const MAX_CHECK_TIME: Duration = Duration::from_millis(300);
+pub(super) const MAX_CHECK_TIME: Duration = Duration::from_millis(300);
 
 /// An upstream as known when a call to it was granted.
 #[derive(Clone, Debug)]
--- a/crates/tc-fleet/src/suspects/reports.rs
+++ b/crates/tc-fleet/src/suspects/reports.rs
@@ -10,9 +10,12 @@
     future::{BoxFuture, Shared, join_all},
 };
 use tc_protocol::{Fingerprint, Member, MonoTime, ServiceName, UpstreamId};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use super::table::{SuspectTable, lock};
+use super::{
+    crash_check::MAX_CHECK_TIME,
+    table::{MAX_REPORT_WAIT, SuspectTable, lock},
+};
 use crate::{
     convert,
     generated::{SuspectAnswer, SuspectReport},
@@ -56,8 +59,11 @@
         fingerprint: Fingerprint,
         upstream: UpstreamId,
     ) {
-        let run = self.end_run(fingerprint, upstream);
-        if self.send_crash(run).await {
+        let (table, run) = (Arc::clone(&self), self.end_run(fingerprint, upstream));
+        let sent = tokio::spawn(async move { table.send_crash(run).await });
+        // The caller does not wait for instances that do not answer; the report is sent on in the background.
+        let sent = timeout(MAX_CHECK_TIME + MAX_REPORT_WAIT, sent).await;
+        if !matches!(sent, Ok(Ok(false))) {
             sleep(GOSSIP_DELAY).await;
         }
     }
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -31,7 +31,7 @@
 /// Minimum delay between two requests for the same trial.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Longest time for which the next run of an input waits for its crash reports.
-const MAX_REPORT_WAIT: Duration = Duration::from_millis(300);
+pub(super) const MAX_REPORT_WAIT: Duration = Duration::from_millis(300);
 /// Maximum number of inputs whose origin or called upstream is stored.
 const MAX_ORIGINS: usize = 4_096;
 /// Maximum number of inputs whose evidence is added to a datagram.
--- a/crates/tc-fleet/tests/fleet/suspects.rs
+++ b/crates/tc-fleet/tests/fleet/suspects.rs
@@ -13,6 +13,8 @@
 };
 
 const SLACK: Duration = Duration::from_secs(5);
+/// Longest time for which the caller of a request waits for the report of its crash.
+const MAX_REPORT_TIME: Duration = Duration::from_millis(900);
 const SHORT_SLACK: Duration = Duration::from_millis(250);
 
 fn crashing(slack: Duration) -> PermitRequest {
@@ -110,6 +112,28 @@
     });
 }
 
+/// Guards against callers that wait for seconds because the instances that a crash is reported to have just been killed.
+#[test]
+fn report_to_killed_instances_does_not_hold_the_caller() {
+    // One of the two others is the home in most cases.
+    for number in 0..3 {
+        run(async {
+            let (_platform, mut instances) = start_settled(3, 6, 4).await;
+            let reporter = instances.remove(number);
+            let permit = reporter
+                .fleet
+                .request_permit(crashing(SLACK))
+                .await
+                .unwrap();
+            instances.iter_mut().for_each(Instance::crash);
+            let started = std::time::Instant::now();
+            report_crash(&reporter, permit).await;
+            let took = started.elapsed();
+            assert!(took < MAX_REPORT_TIME, "{took:?}");
+        });
+    }
+}
+
 #[test]
 fn a_quarantine_outlives_the_instance_that_found_it() {
     // Quarantines must be stored in the platform. Otherwise a quarantined request crashes two more upstreams after the
--- a/crates/tc-policy/src/suspect/mod.rs
+++ b/crates/tc-policy/src/suspect/mod.rs
@@ -159,12 +159,12 @@
     /// ```
     /// use tc_policy::Suspects;
     /// use tc_protocol::{Fingerprint, Incarnation, MonoTime};
-    /// let (mut suspects, culprit) = (Suspects::new(2), Fingerprint(7));
-    /// for (upstream, other) in [("gen-1", 1), ("gen-2", 2)] {
+    /// let (mut suspects, culprit) = (Suspects::new(3), Fingerprint(7));
+    /// for (upstream, other) in [("gen-1", 1), ("gen-2", 2), ("gen-3", 3)] {
     ///     let parts = [culprit, Fingerprint(other)];
     ///     suspects.record_crash_with_parts(MonoTime(1), &upstream.into(), Incarnation(1), &parts);
     /// }
-    /// assert!(suspects.has_quarantined_part(&[Fingerprint(3), culprit]));
+    /// assert!(suspects.has_quarantined_part(&[Fingerprint(4), culprit]));
     /// assert!(!suspects.has_quarantined_part(&[Fingerprint(1), Fingerprint(2)]));
     /// ```
     pub fn record_crash_with_parts(
