--- a/crates/tc-fleet/src/suspects/reports.rs
+++ b/crates/tc-fleet/src/suspects/reports.rs
@@ -73,18 +73,18 @@
         self: &Arc<Self>,
         fingerprint: Fingerprint,
         upstream: UpstreamId,
-        parts: BlamedParts,
+        blamed: BlamedParts,
     ) {
         let (table, run) = (Arc::clone(self), self.end_run(fingerprint, upstream));
-        let (service, upstream) = (parts.service.clone(), run.upstream.clone());
+        let (service, upstream) = (blamed.service.clone(), run.upstream.clone());
         let crashed_at = run.crashed_at;
         let sent = tokio::spawn(async move {
             table.send_crash(run).await;
-            if parts.parts.is_empty() || !parts.has_crashed.await {
+            if blamed.parts.is_empty() || !blamed.has_crashed.await {
                 return;
             }
             let report = SuspectReport {
-                died_parts: parts.parts.iter().map(|part| part.0).collect(),
+                died_parts: blamed.parts.iter().map(|part| part.0).collect(),
                 upstream: upstream.to_string(),
                 id: rand::random(),
                 ..table.empty_report(&service)
