--- a/crates/tc-fleet/src/suspects/home.rs
+++ b/crates/tc-fleet/src/suspects/known.rs
@@ -60,13 +60,13 @@
     reports: VecDeque<u64>,
 }
 
-pub(super) struct SuspectHome {
+pub(super) struct KnownSuspects {
     state: Mutex<State>,
     /// Whether nothing is known, so that requests take no lock.
     is_empty: AtomicBool,
 }
 
-impl SuspectHome {
+impl KnownSuspects {
     pub(super) fn new(policy: SuspectPolicy) -> Self {
         Self {
             state: Mutex::new(State {
--- a/crates/tc-fleet/src/suspects/mod.rs
+++ b/crates/tc-fleet/src/suspects/mod.rs
@@ -3,13 +3,13 @@
 
 mod crash_check;
 mod evidence;
-mod home;
+mod known;
 mod reports;
 mod table;
 mod trial;
 
 pub(crate) use crash_check::{CalledUpstream, CrashCheck};
-pub(crate) use home::Origin;
+pub(crate) use known::Origin;
 pub(crate) use reports::BlamedParts;
 pub(crate) use table::{SuspectPeers, SuspectTable};
 pub(crate) use trial::TrialGuard;
--- a/crates/tc-fleet/src/suspects/reports.rs
+++ b/crates/tc-fleet/src/suspects/reports.rs
@@ -172,7 +172,7 @@
 
     fn with_crashes(&self, fps: &[Fingerprint]) -> Vec<Fingerprint> {
         let fps = fps.iter().copied();
-        fps.filter(|fp| self.home.has_crashes(*fp)).collect()
+        fps.filter(|fp| self.known.has_crashes(*fp)).collect()
     }
 
     pub(super) fn report_trial_end(
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -17,7 +17,7 @@
 use super::{
     crash_check::{CalledUpstream, CrashCheck},
     evidence::{evidence_from_wire, evidence_to_wire},
-    home::{MAY_RUN, Origin, QUARANTINED, SuspectHome},
+    known::{KnownSuspects, MAY_RUN, Origin, QUARANTINED},
     reports::Sending,
     trial::TrialGuard,
 };
@@ -68,7 +68,7 @@
     pub(super) origins: Mutex<HashMap<Fingerprint, Origin>>,
     /// Crash reports that are being sent in the background.
     pub(super) sending: Mutex<HashMap<Fingerprint, Vec<Sending>>>,
-    pub(super) home: SuspectHome,
+    pub(super) known: KnownSuspects,
     /// Checks whether a broken connection means a crash; `None` means that it always does.
     pub(super) crash_check: Option<CrashCheck>,
     pub(super) announce_to_all: Mutex<Option<AnnounceToAll>>,
@@ -87,7 +87,7 @@
             me,
             peers,
             origins: Mutex::default(),
-            home: SuspectHome::new(policy),
+            known: KnownSuspects::new(policy),
             crash_check,
             called: Mutex::default(),
             trials: Mutex::default(),
@@ -103,7 +103,7 @@
 
     /// Applies the configured number of crashes after which an input is quarantined.
     pub(crate) fn set_crashes_to_quarantine(&self, now: MonoTime, crashes: u32) {
-        self.home.set_crashes_to_quarantine(now, crashes);
+        self.known.set_crashes_to_quarantine(now, crashes);
     }
 
     /// Waits until an input may run. Returns a guard if it runs as a trial, or `None` at once if it is not a suspect.
@@ -116,7 +116,7 @@
         let started = MonoTime::now();
         self.wait_for_reports(fingerprint).await;
         self.refuse_quarantined(fingerprint)?;
-        if self.home.local_verdict(MonoTime::now(), fingerprint) == Trial::Run {
+        if self.known.local_verdict(MonoTime::now(), fingerprint) == Trial::Run {
             return Ok(None);
         }
         let service = origin.service.clone();
@@ -148,7 +148,7 @@
 
     /// Refuses an input that is quarantined as far as this instance knows.
     pub(crate) fn refuse_quarantined(&self, fingerprint: Fingerprint) -> Result<(), PermitRefusal> {
-        match self.home.local_verdict(MonoTime::now(), fingerprint) {
+        match self.known.local_verdict(MonoTime::now(), fingerprint) {
             Trial::Quarantined { retry_after } => Err(PermitRefusal {
                 reason: RefusalReason::Quarantined,
                 retry_after,
@@ -162,7 +162,7 @@
         &self,
         parts: &[Fingerprint],
     ) -> Result<(), PermitRefusal> {
-        if self.home.has_quarantined_part(parts) {
+        if self.known.has_quarantined_part(parts) {
             return Err(PermitRefusal {
                 reason: RefusalReason::Quarantined,
                 retry_after: QUARANTINE_RETRY_AFTER,
@@ -224,8 +224,8 @@
         now: MonoTime,
         report: &SuspectReport,
     ) -> SuspectAnswer {
-        let answer = self.home.handle_report(now, report);
-        if report.announce && self.home.is_shared(report) {
+        let answer = self.known.handle_report(now, report);
+        if report.announce && self.known.is_shared(report) {
             self.announce_soon();
         }
         answer
@@ -234,13 +234,13 @@
     /// Adds evidence from a datagram.
     pub(crate) fn receive_evidence(&self, now: MonoTime, evidence: &[CrashEvidence]) {
         for evidence in evidence {
-            self.home.merge(now, &evidence_from_wire(evidence));
+            self.known.merge(now, &evidence_from_wire(evidence));
         }
     }
 
     /// Adds evidence to a datagram, as far as there is room.
     pub(crate) fn add_evidence(&self, now: MonoTime, datagram: &mut Datagram) {
-        let evidence = self.home.evidence_to_send(now, MAX_EVIDENCE_PER_DATAGRAM);
+        let evidence = self.known.evidence_to_send(now, MAX_EVIDENCE_PER_DATAGRAM);
         for evidence in evidence {
             datagram.evidence.push(evidence_to_wire(&evidence));
             if datagram.encoded_len() > MAX_BYTES_WITH_EVIDENCE {
@@ -252,22 +252,22 @@
 
     /// Returns the quarantined fingerprints known here with their origins, where known.
     pub(crate) fn quarantined(&self) -> Vec<(Fingerprint, Option<Origin>)> {
-        self.home.quarantined()
+        self.known.quarantined()
     }
 
     /// Adds a quarantine that another instance stored in the platform.
     pub(crate) fn adopt_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
-        self.home.adopt_quarantine(now, fingerprint);
+        self.known.adopt_quarantine(now, fingerprint);
     }
 
     /// Removes a quarantine that an operator lifted in the platform.
     pub(crate) fn lift_quarantine(&self, now: MonoTime, fingerprint: Fingerprint) {
-        self.home.lift_quarantine(now, fingerprint);
+        self.known.lift_quarantine(now, fingerprint);
     }
 
     pub(super) fn wire_evidence(&self, fps: &[Fingerprint]) -> Vec<CrashEvidence> {
         let now = MonoTime::now();
-        let evidence = fps.iter().filter_map(|fp| self.home.evidence_of(now, *fp));
+        let evidence = fps.iter().filter_map(|fp| self.known.evidence_of(now, *fp));
         evidence
             .map(|evidence| evidence_to_wire(&evidence))
             .collect()
