Soak: start a process again whose address was in use

Traced: its log has one line, that it cannot listen on 127.0.0.1:30306. No other process used that range of ports, and each soak in the program takes other ones. free_address finds a port by listening on it; a process that another soak starts at that moment has a copy of the listener until it executes its program, and seven soaks run side by side now.

A process that ended with that message is started again within the limit for all instances to be ready. Any other end fails as before.

--- a/crates/tc-bench/src/soak/process.rs
+++ b/crates/tc-bench/src/soak/process.rs
@@ -23,6 +23,8 @@
     world::{SystemBinary, free_address},
 };
 
+/// End of the message of a process that cannot listen.
+const ADDRESS_IN_USE: &str = "Address already in use (os error 98)";
 /// Shared by the instances of a soak.
 const FLEET_KEY: &str = "a key of this soak only";
 /// Time from SIGTERM to the end of a process.
@@ -101,6 +103,22 @@
         Ok(())
     }
 
+    /// Starts the process again if it ended because an address was in use.
+    ///
+    /// Ports are found free by listening on them. A process that another thread starts at that moment has the listener,
+    /// too, until it executes its program.
+    pub(super) fn run_again_if_address_was_in_use(&mut self) -> Result<(), BenchError> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log = fs::read_to_string(&self.log).map_err(|e| file(&self.log, &e))?;
+        let last = log.trim_end().lines().next_back().unwrap_or_default();
+        if last.contains(ADDRESS_IN_USE) {
+            self.run()?;
+        }
+        Ok(())
+    }
+
     fn open_log(&self) -> Result<File, BenchError> {
         let opened = OpenOptions::new().create(true).append(true).open(&self.log);
         opened.map_err(|e| file(&self.log, &e))
