Log why a stream is cut, and that one is silent

What callers saw: a status, some events and a closed connection. The logs did not tell the three hypotheses of the incident apart: "a stream broke" stood for a connection that ended and for an upstream that was only silent, the reason why the stream was not resumed was dropped, and no line named the version of the configuration under which the request was admitted.

Cause: `read_more` reported a stall as an invalid answer; `resume` replaced the refusal of a stage by "no upstream", and `may_send_again` returned a bool; the counter of cut streams had no labels.

Change, of lines and counters only: "a stream is silent" (last_event, silent_ms) stands apart from "a stream broke". "a stream was cut" names cause (broken, silent, invalid, or deadline if the request's own time ended the answer), reason, last_event, accepted_version and version. The same cause and reason are labels of tc_routed_streams_cut_total. SendFailure moved to a file of its own and gained StageRefused, which ends the attempts as NoUpstream did; the checks of may_send_again and their order are as before. The lines of a broken or silent stream have the target tc_gateway::run::stream_fault.

--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -6,10 +6,8 @@
 use http_body_util::Full;
 use tc_fleet::SuspectTrial;
 use tc_policy::{RetryPermit, Senders};
-use tc_protocol::{
-    MonoTime, PermitRefusal, RunState, UpstreamId, UpstreamVersion, routing::RegisteredUpstream,
-};
-use tc_upstream::{CallError, CallErrorKind, RawCall, RawResponse};
+use tc_protocol::{MonoTime, RunState, UpstreamId, UpstreamVersion, routing::RegisteredUpstream};
+use tc_upstream::{CallErrorKind, RawCall, RawResponse};
 use tokio::time::Instant;
 
 use super::{
@@ -24,6 +22,9 @@
     upstream_stats::{CallOutcome, InFlight},
 };
 
+pub(super) use super::send_failure::{AnswerFault, SendFailure};
+use super::send_failure::{NO_TIME_LEFT, RETRY_BUDGET_EMPTY};
+
 /// A request with less time left is not sent: no upstream could answer in time.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 
@@ -53,49 +54,6 @@
     pub(super) trial: Option<SuspectTrial>,
 }
 
-/// Reason why an attempt produced no usable answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum SendFailure {
-    /// The upstream did not run the request.
-    NotRun,
-    /// The upstream did not run the request because results that it reads are gone.
-    InputGone,
-    /// The upstream may have run the request.
-    MayHaveRun,
-    /// No upstream is left to try.
-    NoUpstream,
-    /// The remaining upstreams are at their announced rate limits; the time until one takes another request.
-    RateLimited(Duration),
-    /// Upstreams of the service have requested backoffs; the time until the first one expires.
-    BackingOff(Duration),
-    /// The retry budget does not allow the attempt any more.
-    BudgetExhausted,
-    /// The request has crashed upstreams and may not run now.
-    Suspect(PermitRefusal),
-    /// A part of its prompt has crashed upstreams.
-    SuspectPart(PermitRefusal),
-    /// The time of the request is used up.
-    TimedOut,
-}
-
-/// Defect of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum AnswerFault {
-    /// The connection broke before the answer was complete, as when the upstream crashes.
-    Broken,
-    /// The answer is too late, too large, or belongs to another request.
-    Invalid,
-}
-
-impl From<&CallError> for AnswerFault {
-    fn from(error: &CallError) -> Self {
-        match error.kind {
-            CallErrorKind::Broken => Self::Broken,
-            _ => Self::Invalid,
-        }
-    }
-}
-
 /// An answer whose headers were checked and whose body is still to be read.
 pub(super) struct Answered {
     pub(super) reply: RawResponse,
@@ -128,26 +86,37 @@
         req: &RoutedRequest,
         failure: SendFailure,
     ) -> bool {
-        let allowed = match failure {
-            SendFailure::NotRun | SendFailure::InputGone => true,
-            SendFailure::MayHaveRun => req.route.kind.allows_retry(),
-            SendFailure::NoUpstream
-            | SendFailure::RateLimited(_)
-            | SendFailure::BackingOff(_)
-            | SendFailure::BudgetExhausted
-            | SendFailure::Suspect(_)
-            | SendFailure::SuspectPart(_)
-            | SendFailure::TimedOut => false,
-        };
-        let is_used_up = self.sent >= req.route.max_attempts || self.refused >= MAX_REFUSED_SENDS;
-        if !allowed || is_used_up || req.time_left() < MIN_TIME_LEFT {
-            return false;
+        self.check_send_again(cx, req, failure).is_ok()
+    }
+
+    /// Like [`may_send_again`](Self::may_send_again), with the reason if the request may not be sent again.
+    pub(super) fn check_send_again(
+        &mut self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        failure: SendFailure,
+    ) -> Result<(), &'static str> {
+        if let Some(reason) = failure.final_reason() {
+            return Err(reason);
+        }
+        if failure == SendFailure::MayHaveRun && !req.route.kind.allows_retry() {
+            return Err("requests of the route must not run twice");
+        }
+        if self.sent >= req.route.max_attempts {
+            return Err("all attempts that the route allows were made");
+        }
+        if self.refused >= MAX_REFUSED_SENDS {
+            return Err("upstreams refused the request too often");
+        }
+        if req.time_left() < MIN_TIME_LEFT {
+            return Err(NO_TIME_LEFT);
         }
         if !self.reached_upstream {
-            return true;
+            return Ok(());
         }
         self.retry_permit = cx.retry_budgets.try_spend(&req.head.request, &req.service);
-        self.retry_permit.is_some()
+        let permit = self.retry_permit.as_ref();
+        permit.map(|_| ()).ok_or(RETRY_BUDGET_EMPTY)
     }
 
     /// Returns true if the next attempt may still be sent. Its permit may have expired while stages were made again.
@@ -172,6 +141,7 @@
             SendFailure::NoUpstream => {
                 Refusal::not_run_transient("no upstream of the service is known")
             }
+            SendFailure::StageRefused(reason) => Refusal::not_run_transient(reason),
             SendFailure::RateLimited(wait) => {
                 Refusal::not_run("upstreams of the service are at their rate limit", wait)
             }
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -4,10 +4,12 @@
 mod buffered;
 mod crashes;
 mod home_request;
+mod open_stream;
 mod outlooks;
 mod prompt_times;
 mod refusal;
 mod resumption;
+mod send_failure;
 mod stages;
 mod stream;
 mod stream_fault;
@@ -136,6 +138,8 @@
     pub(crate) service: ServiceName,
     pub(crate) workspace: Option<Arc<RoutedWorkspace>>,
     pub(crate) arrived: Instant,
+    /// Version of the configuration under which the request was admitted.
+    pub(crate) config_version: u64,
     /// Time left until the timeout of the caller or the route.
     pub(crate) allowed: TimeAllowed,
     /// Origin of the stream that the request resumes.
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -8,23 +8,20 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, StreamBody};
 use tc_protocol::UpstreamVersion;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::{
     AnswerBody, IncompleteBody, Refusal, RoutedRequest, RunContext,
     attempt::{Answered, Attempts, SendFailure, SendOptions},
     buffered::{make_stages, make_stages_again, proves_survival, read, stage_results},
     crashes::AnswerProgress,
+    open_stream::{OpenStream, push},
     resumption::record_origin,
     stages::StageResults,
     stream_fault::StreamFault,
     version_label,
 };
-use crate::{
-    events::{Event, EventSplitter},
-    held_bytes::HeldGuard,
-    upstream_stats::CallOutcome,
-};
+use crate::{events::EventSplitter, upstream_stats::CallOutcome};
 
 /// A resumable stream without an event for this many times the longest allowed gap is resumed on another engine.
 const STALL_GAPS: u32 = 4;
@@ -91,33 +88,6 @@
     Stream(Box<OpenStream>),
 }
 
-/// A stream from one engine.
-struct OpenStream {
-    answered: Answered,
-    events: EventSplitter,
-    /// Counts the bytes of incomplete events as held.
-    held: HeldGuard,
-    first: Option<Event>,
-}
-
-impl OpenStream {
-    /// Appends received bytes. Returns an error if an event is too large or this process holds too
-    /// many bytes.
-    fn push(&mut self, bytes: &[u8]) -> Result<(), StreamFault> {
-        push(&mut self.events, &mut self.held, bytes)
-    }
-}
-
-fn push(events: &mut EventSplitter, held: &mut HeldGuard, bytes: &[u8]) -> Result<(), StreamFault> {
-    if !events.push(bytes) {
-        return Err(StreamFault::invalid("an event is too large"));
-    }
-    if !held.try_set(events.buffered_bytes()) {
-        return Err(StreamFault::invalid("this instance holds too many bytes"));
-    }
-    Ok(())
-}
-
 async fn open(
     cx: &RunContext,
     req: &RoutedRequest,
@@ -206,7 +176,7 @@
                 run.failed();
             }
             let upstream = &answered.upstream;
-            log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = fault.problem.as_str(); "stream broke before its first event");
+            log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = fault.problem(); "stream broke before its first event");
             let progress = AnswerProgress::NotBegun;
             return Err(attempts.record_faulty_answer(cx, req, upstream, fault.kind, progress));
         }
@@ -304,9 +274,11 @@
         let stall_timeout = self.stall_timeout();
         let next = self.open.answered.reply.body.chunk();
         let next = match stall_timeout {
-            Some(limit) => timeout(limit, next)
-                .await
-                .map_err(|_| StreamFault::invalid("no event within the stall timeout"))?,
+            Some(limit) => {
+                let silent_since = Instant::now();
+                let next = timeout(limit, next).await;
+                next.map_err(|_| StreamFault::silent(silent_since.elapsed()))?
+            }
             None => next.await,
         };
         match next {
@@ -346,7 +318,7 @@
     /// Resumes a broken stream on another engine of its version, if its route and the retry budget allow it.
     async fn resume_elsewhere(&mut self, fault: &StreamFault) -> Result<(), IncompleteBody> {
         let upstream = Arc::clone(&self.open.answered.upstream);
-        log::info!(request = &*self.req.head.request, upstream = upstream.id.as_str(), last_event = self.last_id.unwrap_or(0), problem = fault.problem.as_str(), after_ms = self.req.arrived.elapsed().as_millis() as u64; "a stream broke");
+        fault.log(&self.req, upstream.id.as_str(), self.last_id);
         if let Some(run) = &mut self.open.answered.run {
             run.failed();
         }
@@ -357,13 +329,21 @@
             fault.kind,
             AnswerProgress::Begun,
         );
-        while self.may_resume() && self.attempts.may_send_again(&self.cx, &self.req, failure) {
+        let reason = loop {
+            if !self.may_resume() {
+                let no_engine = "no other engine has the version that began the stream";
+                break failure.final_reason().unwrap_or(no_engine);
+            }
+            let checked = self.attempts.check_send_again(&self.cx, &self.req, failure);
+            if let Err(reason) = checked {
+                break reason;
+            }
             failure = match self.resume().await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
             };
-        }
-        metrics::counter!("tc_routed_streams_cut_total").increment(1);
+        };
+        fault.record_cut(&self.cx, &self.req, self.last_id, reason);
         Err(IncompleteBody)
     }
 
@@ -372,7 +352,7 @@
         let version = self.version.as_ref().ok_or(SendFailure::NoUpstream)?;
         let results = make_stages(cx, req)
             .await
-            .map_err(|_| SendFailure::NoUpstream)?;
+            .map_err(|refusal| SendFailure::StageRefused(refusal.reason))?;
         let point = ResumePoint {
             after: self.last_id,
             version,
--- a/crates/tc-gateway/src/run/stream_fault.rs
+++ b/crates/tc-gateway/src/run/stream_fault.rs
@@ -1,13 +1,40 @@
-//! Faults that end a stream before it is complete.
+//! Faults that end a stream before it is complete, and their log lines.
 
-use tc_upstream::CallError;
+use std::time::Duration;
 
-use super::attempt::AnswerFault;
+use tc_upstream::{CallError, CallErrorKind};
+
+use super::{RoutedRequest, RunContext, attempt::AnswerFault};
 
 /// Reason why a stream ended early.
 pub(super) struct StreamFault {
     pub(super) kind: AnswerFault,
-    pub(super) problem: String,
+    cause: FaultCause,
+    problem: String,
+}
+
+/// Cause of a fault, as logs and metrics name it.
+#[derive(Clone, Copy)]
+enum FaultCause {
+    /// The connection failed, or closed before the end of the stream.
+    Broken,
+    /// No event arrived for this long.
+    Silent(Duration),
+    /// The stream violates the protocol or exceeds a limit.
+    Invalid,
+    /// The deadline of the request passed.
+    Deadline,
+}
+
+impl FaultCause {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Silent(_) => "silent",
+            Self::Invalid => "invalid",
+            Self::Deadline => "deadline",
+        }
+    }
 }
 
 impl StreamFault {
@@ -16,17 +43,81 @@
         let kind = error
             .as_ref()
             .map_or(AnswerFault::Broken, AnswerFault::from);
+        let cause = match error.as_ref().map(|error| error.kind) {
+            None | Some(CallErrorKind::Broken) => FaultCause::Broken,
+            Some(CallErrorKind::TimedOut) => FaultCause::Deadline,
+            Some(_) => FaultCause::Invalid,
+        };
         let problem = error.map_or_else(
             || "the connection closed in the middle of an event".to_owned(),
             |error| error.to_string(),
         );
-        Self { kind, problem }
+        Self {
+            kind,
+            cause,
+            problem,
+        }
     }
 
     pub(super) fn invalid(problem: &str) -> Self {
         Self {
             kind: AnswerFault::Invalid,
+            cause: FaultCause::Invalid,
             problem: problem.to_owned(),
         }
     }
+
+    /// No event arrived for the given time.
+    pub(super) fn silent(duration: Duration) -> Self {
+        Self {
+            cause: FaultCause::Silent(duration),
+            ..Self::invalid("no event within the stall timeout")
+        }
+    }
+
+    pub(super) fn problem(&self) -> &str {
+        &self.problem
+    }
+
+    /// Logs the fault of a stream whose caller has the events up to `last_event`.
+    pub(super) fn log(&self, req: &RoutedRequest, upstream: &str, last_event: Option<u64>) {
+        let request = &*req.head.request;
+        let last_event = last_event.unwrap_or(0);
+        let after_ms = millis(req.arrived.elapsed());
+        if let FaultCause::Silent(duration) = self.cause {
+            log::info!(request = request, upstream = upstream, last_event = last_event, silent_ms = millis(duration), after_ms = after_ms; "a stream is silent");
+        } else {
+            log::info!(request = request, upstream = upstream, last_event = last_event, problem = self.problem(), after_ms = after_ms; "a stream broke");
+        }
+    }
+
+    /// Logs and counts a stream that ends early because of this fault; `reason` tells why it is not resumed.
+    pub(super) fn record_cut(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        last_event: Option<u64>,
+        reason: &'static str,
+    ) {
+        let cause = self.cause.as_str();
+        metrics::counter!("tc_routed_streams_cut_total", "cause" => cause, "reason" => reason)
+            .increment(1);
+        let world = cx.world.load();
+        let version = world.config.as_ref().map_or(0, |c| c.routing.version);
+        log::info!(
+            request = &*req.head.request,
+            route = &*req.route.name,
+            cause = cause,
+            reason = reason,
+            last_event = last_event.unwrap_or(0),
+            accepted_version = req.config_version,
+            version = version,
+            after_ms = millis(req.arrived.elapsed());
+            "a stream was cut"
+        );
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -177,6 +177,7 @@
             service,
             workspace,
             arrived,
+            config_version: config.routing.version,
             allowed,
             origin: None,
         })
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -64,6 +64,8 @@
     pub summary: &'static str,
 }
 
+/// `broken`, `silent`, `invalid` or `deadline`.
+const CAUSE: Label = fixed_set("cause", 4);
 const KIND: Label = fixed_set("kind", 19);
 const UPSTREAM_KIND: Label = fixed_set("kind", 6);
 const OUTCOME: Label = fixed_set("outcome", 7);
@@ -143,7 +145,7 @@
     count("tc_routed_answers_total", &[SERVICE], "Routed requests that an upstream answered."),
     millis("tc_routed_first_byte_ms", &[SERVICE], "Time from a routed request's arrival to the first byte of its answer."),
     count("tc_routed_refusals_total", &[REFUSAL_STATUS, REASON], "Routed requests that ended without an upstream's answer."),
-    count("tc_routed_streams_cut_total", &[], "Streams that broke after they had begun and could not be resumed."),
+    count("tc_routed_streams_cut_total", &[CAUSE, REASON], "Streams that broke after they had begun and could not be resumed."),
     millis("tc_stage_ms", &[STAGE], "Time of a stage's call."),
     count("tc_stage_refusals_total", &[SERVICE], "Stages of requests that their home refused at once."),
     count("tc_stages_remade_total", &[], "Requests whose stages were made again as results were gone."),
