Keep a silent upstream until another one has answered

Callers of streams that may be resumed saw a status, some events and a closed connection. The upstream was sound: it had been silent for a second and would have gone on a moment later. Requests whose first event or plain answer came late got 500, 502 or 504 in place of it.

Cause: an attempt without an answer was dropped first, and only then the retry budget, the stages, another engine and its first event were asked for. Any failure among these ended an answer that was still being made. The same order stood in three places: a stream after the stall timeout, a request before its first event, and a plain answer, both after 0.45 of the time.

A line of the log in between: "stage refused". Ruled out by tests: changes of the configuration, reloads and a planned stop end no answer by themselves; with one upstream only, all of these pass before.

Change: silence allows one thing more, to make another attempt beside the silent one. `hedge` keeps all attempts in progress until one has an answer, and `relay` keeps the silent engine until another one has sent an event; the others are dropped then, and only then count as failed. A replacement that cannot be had costs the caller nothing. The permission of a suspect is held by the attempt that it is for. Retry budget that was spent on an attempt which was not sent serves the next one. An error of an engine that was sent a stream is treated as one of a plain upstream: another may answer.

Weighed against: no second attempt while one is silent (docs/design/silence.md).

A test of 160 random silences and breaks of two engines finds no event lost, doubled or out of order (it cannot tell the old order from the new by itself).

--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -1,16 +1,18 @@
 //! Requests whose answer is read completely before it is forwarded.
 
-use std::time::Duration;
-
 use bytes::{Bytes, BytesMut};
+use futures::FutureExt;
 use http::{Response, StatusCode, header, response::Parts};
 use http_body_util::BodyExt;
 use tc_upstream::{CallError, RawBody};
 
 use super::{
     AnswerBody, Refusal, RoutedRequest, RunContext,
-    attempt::{AnswerFault, Answered, Attempts, SendFailure, SendOptions},
+    attempt::{Answered, AttemptFailure, FailedAttempt},
+    attempts::Attempts,
     crashes::AnswerProgress,
+    hedge::{Unanswered, first_answer},
+    send_failure::{AnswerFault, SendFailure},
     stages::{self, StageResults},
 };
 use crate::{
@@ -18,45 +20,16 @@
     upstream_stats::CallOutcome,
 };
 
-/// Fraction of the remaining time that the first attempt may take when a second one is allowed: after an upstream
-/// that hangs, enough time is left for another.
-const FIRST_SEND_FRACTION: f64 = 0.45;
-
 /// Runs a request and returns its complete answer.
 pub(super) async fn run(
     cx: &RunContext,
     req: &RoutedRequest,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut attempts = Attempts::default();
-    let mut results = make_stages(cx, req).await?;
-    let mut last_failure = None;
-    loop {
-        let options = SendOptions {
-            results: stage_results(req, &results),
-            resume_after: None,
-            version: None,
-            timeout: first_send_timeout(req, &attempts),
-        };
-        let failure = match attempts.send(cx, req, options).await {
-            Ok(answered) => match read(cx, req, &mut attempts, answered).await {
-                Ok(answer) if is_retryable(answer.status()) => {
-                    attempts.exclude_current();
-                    last_failure = Some(answer);
-                    SendFailure::MayHaveRun
-                }
-                Ok(answer) => return Ok(answer),
-                Err(failure) => failure,
-            },
-            Err(failure) => failure,
-        };
-        if !attempts.may_send_again(cx, req, failure) {
-            // An upstream's own error response is preferred to a refusal by the gateway.
-            return last_failure.ok_or_else(|| attempts.refusal(req, failure));
-        }
-        if failure == SendFailure::InputGone {
-            results = make_stages_again(cx, req, &attempts).await?;
-        }
-    }
+    let results = make_stages(cx, req).await?;
+    let finish = |answered| read(cx, req, answered).boxed();
+    let answered = first_answer(cx, req, &mut attempts, results, None, finish).await;
+    answered.or_else(Unanswered::into_answer)
 }
 
 /// Makes the stages of the request, if its route has any.
@@ -98,50 +71,41 @@
     status.is_server_error()
 }
 
-fn first_send_timeout(req: &RoutedRequest, attempts: &Attempts) -> Option<Duration> {
-    let may_retry = req.route.kind.allows_retry() && attempts.sent + 1 < req.route.max_attempts;
-    may_retry.then(|| {
-        let part = req.time_left().mul_f64(FIRST_SEND_FRACTION);
-        part.max(req.route.latency_target)
-    })
-}
-
-/// Reads the body of an answer to its end; only complete answers are forwarded.
+/// Reads the body of an answer to its end; only complete answers are forwarded. An error of the upstream is a failed
+/// attempt, as another upstream may succeed.
 pub(super) async fn read(
     cx: &RunContext,
     req: &RoutedRequest,
-    attempts: &mut Attempts,
-    answered: Answered,
-) -> Result<Response<AnswerBody>, SendFailure> {
-    let Answered {
-        mut reply,
-        upstream,
-        sent_at,
-        in_flight,
-        ..
-    } = answered;
-    let first_byte = sent_at.elapsed();
+    mut answered: Answered,
+) -> Result<Response<AnswerBody>, FailedAttempt> {
+    let first_byte = answered.sent_at.elapsed();
     let mut held = cx.held_bytes.guard();
-    let body = collect_answer(&mut reply.body, &mut held).await;
-    drop(in_flight);
+    let body = collect_answer(&mut answered.reply.body, &mut held).await;
+    let upstream = &answered.upstream;
     match body {
         Ok(body) => {
+            let parts = &answered.reply.head;
             cx.upstream_stats
                 .record(&upstream.id, CallOutcome::Answered(first_byte));
-            req.record_answer(&upstream, reply.head.status, attempts.sent);
-            if proves_survival(&reply.head) {
+            req.record_answer(upstream, parts.status, answered.number);
+            if proves_survival(parts) {
                 req.report_completed(cx, true);
             }
-            Ok(answer(cx, &reply.head, HeldBody::new(body, held)))
+            let answer = answer(cx, parts, HeldBody::new(body, held));
+            if is_retryable(answer.status()) {
+                return Err(answered.into_error_answer(answer));
+            }
+            Ok(answer)
         }
         Err(AnswerError::Failed(error)) => {
             log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), error = error.to_string().as_str(); "answer ended before it was complete");
             let fault = AnswerFault::from(&error);
-            Err(attempts.record_faulty_answer(cx, req, &upstream, fault, AnswerProgress::NotBegun))
+            Err(answered.into_faulty(cx, req, fault, AnswerProgress::NotBegun))
         }
         Err(AnswerError::NoRoom) => {
             log::warn!(request = &*req.head.request, upstream = upstream.id.as_str(); "answer dropped: this instance holds too many bytes");
-            Err(attempts.record_dropped_answer(&upstream.id))
+            // The upstream is not at fault.
+            Err(answered.into_failed(AttemptFailure::MayHaveRun))
         }
     }
 }
--- a/crates/tc-gateway/src/run/crashes.rs
+++ b/crates/tc-gateway/src/run/crashes.rs
@@ -1,17 +1,14 @@
 //! Requests and parts of prompts that crash upstreams: the gate before each send, and reports of crashes and answers.
 
 use futures::FutureExt;
-use tc_fleet::BrokenRun;
+use tc_fleet::{BrokenRun, SuspectTrial};
 use tc_protocol::{
     Fingerprint, PermitRefusal, RefusalReason,
     routing::{Prompt, PromptPart, RegisteredUpstream},
 };
 use xxhash_rust::xxh3::Xxh3;
 
-use super::{
-    Refusal, RoutedRequest, RunContext,
-    attempt::{Attempts, SendFailure},
-};
+use super::{Refusal, RoutedRequest, RunContext, attempts::Attempts, send_failure::SendFailure};
 
 /// How far an answer had come when its connection broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -76,20 +73,19 @@
 }
 
 impl Attempts {
-    /// Waits for permission to run a request that may crash upstreams. It is held until the next attempt or the end.
+    /// Waits for permission to run a request that may crash upstreams; `None` for any other request.
     pub(super) async fn acquire_run(
-        &mut self,
+        &self,
         cx: &RunContext,
         req: &RoutedRequest,
-    ) -> Result<(), SendFailure> {
-        // A permission of the attempt before would keep this one from getting its own.
-        self.trial = None;
+    ) -> Result<Option<SuspectTrial>, SendFailure> {
         let (input, workspace) = (req.fingerprint(), req.workspace_name());
         let slack = req.time_to_first_event();
         let trial = cx.mesh.try_trial(input, &req.service, &workspace, slack);
-        self.trial = trial.await.map_err(SendFailure::Suspect)?;
+        let trial = trial.await.map_err(SendFailure::Suspect)?;
         let refused = cx.mesh.refuse_quarantined_parts(&req.part_fingerprints());
-        refused.map_err(SendFailure::SuspectPart)
+        refused.map_err(SendFailure::SuspectPart)?;
+        Ok(trial)
     }
 }
 
--- /dev/null
+++ b/crates/tc-gateway/src/run/hedge.rs
@@ -0,0 +1,222 @@
+//! Makes attempts until one produces an answer. A silent upstream is given up only for the answer of another one.
+
+use std::time::Duration;
+
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use http::Response;
+use tc_protocol::{UpstreamId, UpstreamVersion};
+use tokio::time::sleep;
+
+use super::{
+    AnswerBody, Refusal, RoutedRequest, RunContext,
+    attempt::{Answered, Attempt, FailedAttempt, SendOptions},
+    attempts::{Attempts, MIN_TIME_LEFT},
+    buffered::{make_stages_again, stage_results},
+    send_failure::SendFailure,
+    stages::StageResults,
+};
+use crate::upstream_stats::CallOutcome;
+
+/// Fraction of the remaining time after which another attempt is made beside one without an answer. It leaves the other
+/// upstream enough time.
+const SILENCE_FRACTION: f64 = 0.45;
+
+/// Where a stream goes on: after the last event that its caller has, at the version that began it.
+#[derive(Clone, Copy)]
+pub(super) struct ResumePoint<'a> {
+    pub(super) after: Option<u64>,
+    pub(super) version: &'a UpstreamVersion,
+}
+
+/// Outcome of a request that no upstream answered as needed.
+pub(super) enum Unanswered {
+    /// An upstream's own error response, which is preferred to a refusal by the gateway.
+    ErrorAnswer(Box<Response<AnswerBody>>),
+    Refused(Refusal),
+}
+
+impl Unanswered {
+    /// Returns the reason for log lines.
+    pub(super) fn reason(&self) -> &'static str {
+        match self {
+            Self::ErrorAnswer(_) => "an upstream answered with an error",
+            Self::Refused(refusal) => refusal.reason,
+        }
+    }
+
+    pub(super) fn into_answer(self) -> Result<Response<AnswerBody>, Refusal> {
+        match self {
+            Self::ErrorAnswer(answer) => Ok(*answer),
+            Self::Refused(refusal) => Err(refusal),
+        }
+    }
+}
+
+/// Reads as much of an answer as makes it usable.
+pub(super) type Finish<'a, T> = BoxFuture<'a, Result<T, FailedAttempt>>;
+
+/// Attempts without an answer so far.
+struct InProgress<'a, T> {
+    calls: FuturesUnordered<BoxFuture<'a, (UpstreamId, Result<T, FailedAttempt>)>>,
+    upstreams: Vec<UpstreamId>,
+}
+
+impl<'a, T: 'a> InProgress<'a, T> {
+    fn new() -> Self {
+        Self {
+            calls: FuturesUnordered::new(),
+            upstreams: Vec::new(),
+        }
+    }
+
+    fn push(&mut self, upstream: UpstreamId, call: Finish<'a, T>) {
+        self.upstreams.push(upstream.clone());
+        self.calls.push(Box::pin(async { (upstream, call.await) }));
+    }
+
+    /// Returns the next attempt that ends; `None` if none is in progress. This method is cancel safe.
+    async fn next(&mut self) -> Option<Result<T, FailedAttempt>> {
+        let (ended, result) = self.calls.next().await?;
+        self.upstreams.retain(|upstream| *upstream != ended);
+        Some(result)
+    }
+}
+
+/// What happened next while attempts were in progress.
+enum Step<T> {
+    Ended(Result<T, FailedAttempt>),
+    Prepared(Result<Box<Attempt>, Refusal>),
+    Silent,
+}
+
+/// Returns the first answer that an attempt produces. `finish` reads as much of an answer as makes it usable.
+///
+/// A further attempt follows a failed one. It is also made beside one without an answer, if the request may run twice
+/// and the retry budget allows it; the attempts that lose are cancelled.
+pub(super) async fn first_answer<'a, T>(
+    cx: &'a RunContext,
+    req: &'a RoutedRequest,
+    attempts: &mut Attempts,
+    results: StageResults,
+    resume: Option<ResumePoint<'_>>,
+    finish: impl Fn(Answered) -> Finish<'a, T> + Copy + Send + Sync + 'a,
+) -> Result<T, Unanswered> {
+    let mut inputs = Inputs {
+        results,
+        are_lost: false,
+    };
+    let mut pending = InProgress::new();
+    let mut error_answer = None;
+    let mut is_due = true;
+    loop {
+        let step = if is_due {
+            tokio::select! {
+                biased;
+                Some(ended) = pending.next() => Step::Ended(ended),
+                prepared = prepare(cx, req, attempts, &mut inputs, resume) => Step::Prepared(prepared),
+            }
+        } else {
+            tokio::select! {
+                biased;
+                Some(ended) = pending.next() => Step::Ended(ended),
+                () = sleep(silence_limit(req)), if attempts.may_hedge(req) => Step::Silent,
+            }
+        };
+        is_due = false;
+        let refusal = match step {
+            Step::Ended(Ok(answer)) => {
+                for overtaken in &pending.upstreams {
+                    cx.upstream_stats.record(overtaken, CallOutcome::Failed);
+                }
+                return Ok(answer);
+            }
+            Step::Ended(Err(mut failed)) => {
+                error_answer = failed.error_answer.take().or(error_answer);
+                let failure = attempts.record(failed);
+                inputs.are_lost |= failure == SendFailure::InputGone;
+                is_due = attempts.may_send_again(cx, req, failure);
+                attempts.refusal(req, failure)
+            }
+            Step::Prepared(Ok(attempt)) => {
+                let upstream = attempt.upstream().clone();
+                let call = async move { finish(attempt.send(cx, req).await?).await };
+                pending.push(upstream, Box::pin(call));
+                continue;
+            }
+            Step::Prepared(Err(refusal)) => refusal,
+            Step::Silent => {
+                is_due = attempts.hedge(cx, req, resume.map(|point| point.version));
+                continue;
+            }
+        };
+        if !is_due && pending.upstreams.is_empty() {
+            return Err(error_answer.map_or(Unanswered::Refused(refusal), Unanswered::ErrorAnswer));
+        }
+    }
+}
+
+/// The results of a request's stages, and whether an upstream found them gone.
+struct Inputs {
+    results: StageResults,
+    are_lost: bool,
+}
+
+async fn prepare(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    attempts: &mut Attempts,
+    inputs: &mut Inputs,
+    resume: Option<ResumePoint<'_>>,
+) -> Result<Box<Attempt>, Refusal> {
+    if inputs.are_lost {
+        inputs.results = make_stages_again(cx, req, attempts).await?;
+        inputs.are_lost = false;
+    }
+    let options = SendOptions {
+        results: stage_results(req, &inputs.results),
+        resume_after: resume.and_then(|point| point.after),
+        version: resume.map(|point| point.version),
+    };
+    let prepared = attempts.prepare(cx, req, options).await;
+    prepared
+        .map(Box::new)
+        .map_err(|failure| attempts.refusal(req, failure))
+}
+
+/// Returns the time without an answer after which another attempt may be made.
+fn silence_limit(req: &RoutedRequest) -> Duration {
+    let part = req.time_left().mul_f64(SILENCE_FRACTION);
+    part.max(req.route.latency_target).max(MIN_TIME_LEFT)
+}
+
+impl Attempts {
+    /// Returns true if the request may run on another upstream while one that has it is silent.
+    pub(super) fn may_hedge(&self, req: &RoutedRequest) -> bool {
+        req.route.kind.allows_retry() && self.sent < req.route.max_attempts
+    }
+
+    /// Returns whether another attempt is to be made because the latest one has no answer, and spends retry budget.
+    fn hedge(
+        &mut self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        version: Option<&UpstreamVersion>,
+    ) -> bool {
+        let Some(silent) = self.latest_upstream.clone() else {
+            return false;
+        };
+        if !self.has_candidates(1, cx, req, version, Some(&silent)) {
+            return false;
+        }
+        self.record_silence(&silent);
+        let is_allowed = self.may_send_again(cx, req, SendFailure::MayHaveRun);
+        log_silence(req, &silent, is_allowed);
+        is_allowed
+    }
+}
+
+fn log_silence(req: &RoutedRequest, silent: &UpstreamId, is_allowed: bool) {
+    let result = if is_allowed { "hedged" } else { "waited" };
+    metrics::counter!("tc_silent_attempts_total", "result" => result).increment(1);
+    log::info!(request = &*req.head.request, upstream = silent.as_str(), result = result, after_ms = req.arrived.elapsed().as_millis() as u64; "no answer yet from upstream");
+}
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -1,13 +1,16 @@
 //! Runs one routed request: its stages first, then the request itself, then the answer.
 
 mod attempt;
+mod attempts;
 mod buffered;
 mod crashes;
+mod hedge;
 mod home_request;
 mod open_stream;
 mod outlooks;
 mod prompt_times;
 mod refusal;
+mod relay;
 mod resumption;
 mod send_failure;
 mod stages;
--- a/crates/tc-gateway/src/run/send_failure.rs
+++ b/crates/tc-gateway/src/run/send_failure.rs
@@ -19,8 +19,6 @@
     MayHaveRun,
     /// No upstream is left to try.
     NoUpstream,
-    /// The stages of the request were not made, for this reason.
-    StageRefused(&'static str),
     /// The remaining upstreams are at their announced rate limits; the time until one takes another request.
     RateLimited(Duration),
     /// Upstreams of the service have requested backoffs; the time until the first one expires.
@@ -41,7 +39,6 @@
         match self {
             Self::NotRun | Self::InputGone | Self::MayHaveRun => None,
             Self::NoUpstream => Some("no upstream is left to try"),
-            Self::StageRefused(reason) => Some(reason),
             Self::RateLimited(_) => Some("upstreams of the service are at their rate limit"),
             Self::BackingOff(_) => Some("upstreams of the service have asked for a rest"),
             Self::BudgetExhausted => Some(RETRY_BUDGET_EMPTY),
--- a/crates/tc-gateway/src/run/stream_fault.rs
+++ b/crates/tc-gateway/src/run/stream_fault.rs
@@ -4,7 +4,7 @@
 
 use tc_upstream::{CallError, CallErrorKind};
 
-use super::{RoutedRequest, RunContext, attempt::AnswerFault};
+use super::{RoutedRequest, RunContext, send_failure::AnswerFault};
 
 /// Reason why a stream ended early.
 pub(super) struct StreamFault {
@@ -18,8 +18,6 @@
 enum FaultCause {
     /// The connection failed, or closed before the end of the stream.
     Broken,
-    /// No event arrived for this long.
-    Silent(Duration),
     /// The stream violates the protocol or exceeds a limit.
     Invalid,
     /// The deadline of the request passed.
@@ -30,7 +28,6 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Broken => "broken",
-            Self::Silent(_) => "silent",
             Self::Invalid => "invalid",
             Self::Deadline => "deadline",
         }
@@ -67,28 +64,13 @@
         }
     }
 
-    /// No event arrived for the given time.
-    pub(super) fn silent(duration: Duration) -> Self {
-        Self {
-            cause: FaultCause::Silent(duration),
-            ..Self::invalid("no event within the stall timeout")
-        }
-    }
-
     pub(super) fn problem(&self) -> &str {
         &self.problem
     }
 
     /// Logs the fault of a stream whose caller has the events up to `last_event`.
     pub(super) fn log(&self, req: &RoutedRequest, upstream: &str, last_event: Option<u64>) {
-        let request = &*req.head.request;
-        let last_event = last_event.unwrap_or(0);
-        let after_ms = millis(req.arrived.elapsed());
-        if let FaultCause::Silent(duration) = self.cause {
-            log::info!(request = request, upstream = upstream, last_event = last_event, silent_ms = millis(duration), after_ms = after_ms; "a stream is silent");
-        } else {
-            log::info!(request = request, upstream = upstream, last_event = last_event, problem = self.problem(), after_ms = after_ms; "a stream broke");
-        }
+        log::info!(request = &*req.head.request, upstream = upstream, last_event = last_event.unwrap_or(0), problem = self.problem(), after_ms = millis(req.arrived.elapsed()); "a stream broke");
     }
 
     /// Logs and counts a stream that ends early because of this fault; `reason` tells why it is not resumed.
--- a/crates/tc-gateway/src/run/target.rs
+++ b/crates/tc-gateway/src/run/target.rs
@@ -10,8 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    RoutedRequest, RunContext,
-    attempt::{Attempts, SendFailure, SendOptions},
+    RoutedRequest, RunContext, attempt::SendOptions, attempts::Attempts, send_failure::SendFailure,
     stages::StageResults,
 };
 use crate::{
