Give the stages of a resumed stream the time until its next event

What callers saw: a stream that had run for some seconds was cut when its engine went silent for good, although another engine was free.

Cause: the time that a stage may take is what is left of the longest time for which callers wait for a first event, counted from the request's arrival. A stream that is older than that had none left, so its stages were refused at once and it could not go on at another engine.

Evidence: silence::stages::stages_of_an_old_stream_are_made_for_its_replacement (5 s old, deadline 8 s) was cut at 5.5 s before, and after 8.0 s with the silent engine kept; the same with a stream that is 0.5 s old passed.

Callers wait equally long after each event, so the time is counted from the last one that was forwarded. The same time bounds the wait of a suspect for its run. The test passes, and with it all 82 of silence::.

--- a/crates/tc-gateway/src/run/crashes.rs
+++ b/crates/tc-gateway/src/run/crashes.rs
@@ -80,7 +80,7 @@
         req: &RoutedRequest,
     ) -> Result<Option<SuspectTrial>, SendFailure> {
         let (input, workspace) = (req.fingerprint(), req.workspace_name());
-        let slack = req.time_to_first_event();
+        let slack = req.time_to_next_event();
         let trial = cx.mesh.try_trial(input, &req.service, &workspace, slack);
         let trial = trial.await.map_err(SendFailure::Suspect)?;
         let refused = cx.mesh.refuse_quarantined_parts(&req.part_fingerprints());
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -18,7 +18,10 @@
 mod stream_fault;
 mod target;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Response, StatusCode, request::Parts};
@@ -143,6 +146,8 @@
     pub(crate) arrived: Instant,
     /// Version of the configuration under which the request was admitted.
     pub(crate) config_version: u64,
+    /// When the caller last got an event, or sent its request.
+    pub(crate) waiting_since: Mutex<Instant>,
     /// Time left until the timeout of the caller or the route.
     pub(crate) allowed: TimeAllowed,
     /// Origin of the stream that the request resumes.
@@ -155,11 +160,22 @@
     }
 
     /// Returns the time until the caller disconnects if no event arrives: the remaining time of the request or, if
-    /// shorter, what is left of the first-event timeout.
-    fn time_to_first_event(&self) -> Duration {
+    /// shorter, what is left of the longest time for which callers wait for an event.
+    fn time_to_next_event(&self) -> Duration {
         let left = self.time_left();
         let timeout = self.route.first_event_timeout.unwrap_or(left);
-        left.min(timeout.saturating_sub(self.arrived.elapsed()))
+        left.min(timeout.saturating_sub(self.waiting_since().elapsed()))
+    }
+
+    /// Records that events are sent to the caller.
+    fn record_events(&self) {
+        *self.waiting_since() = Instant::now();
+    }
+
+    fn waiting_since(&self) -> MutexGuard<'_, Instant> {
+        self.waiting_since
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Logs and counts the first byte of an upstream's answer.
--- a/crates/tc-gateway/src/run/relay.rs
+++ b/crates/tc-gateway/src/run/relay.rs
@@ -97,6 +97,7 @@
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, IncompleteBody>> {
         loop {
             if let Some(events) = self.ready_events() {
+                self.req.record_events();
                 return Some(Ok(events));
             }
             if self.ended {
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -121,7 +121,7 @@
         stages: stages.clone(),
         pieces: (0..stages.len()).map(|stage| graph.pieces(stage)).collect(),
         until_latency_target: until_latency_target(cx, req, Duration::ZERO),
-        remaining: req.time_to_first_event(),
+        remaining: req.time_to_next_event(),
     });
     let mut held = HeldResults::new(cx.releaser.clone(), stages);
     let mut running: FuturesUnordered<BoxFuture<'_, FinishedStage>> = FuturesUnordered::new();
@@ -224,7 +224,7 @@
             graph.critical_path_after(stage, &expected_stage_times.in_time),
         ),
         remaining: req
-            .time_to_first_event()
+            .time_to_next_event()
             .saturating_sub(cx.prompt_times.estimate(req)),
         preferred_domain: preferred_domain(cx, graph, held, stage),
         held_bytes: spec
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -3,7 +3,7 @@
 use std::{
     pin::Pin,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering},
     },
     task::{Context, Poll},
@@ -178,6 +178,7 @@
             workspace,
             arrived,
             config_version: config.routing.version,
+            waiting_since: Mutex::new(arrived),
             allowed,
             origin: None,
         })
