Batch planner: count a failed call once per job

What callers saw: a request with four or more pieces of a stage in one call was refused with 503 ("a stage before the request failed") after a single failed or timed-out call, with time left and other upstreams free.

Cause: `Job::failures` is the number of failed calls that included a piece of the job, but it was increased for each piece of the call. Four pieces used up the three failures that a job may have.

Fix: the failures of a call are counted before its pieces are handled, once for each job with a failed piece. A job whose own pieces make every call fail is still refused after the fourth. Pieces that are sent again still spend one retry each.

--- a/crates/tc-policy/src/batch/completion.rs
+++ b/crates/tc-policy/src/batch/completion.rs
@@ -1,6 +1,6 @@
 //! Handles the end of calls and jobs: stores results, requeues failed pieces and updates the upstreams.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use tc_protocol::{
     MonoTime, UpstreamId,
@@ -63,6 +63,7 @@
         };
         self.last_refused = matches!(end, CallEnd::NotRun | CallEnd::RefusedWithBackoff(_));
         self.update_upstream(now, &call, &end);
+        self.count_failure(&call, &end);
         match end {
             CallEnd::Answered(results) => {
                 for ((job, piece), result) in call.pieces.iter().zip(results) {
@@ -81,13 +82,33 @@
             | CallEnd::Unreachable => {
                 let reached_upstream =
                     matches!(end, CallEnd::NotRun | CallEnd::RefusedWithBackoff(_));
-                self.requeue_call(now, &call, reached_upstream, false, &mut effects);
+                self.requeue_call(now, &call, reached_upstream, &mut effects);
             }
-            CallEnd::Failed => self.requeue_call(now, &call, true, true, &mut effects),
+            CallEnd::Failed => self.requeue_call(now, &call, true, &mut effects),
         }
         effects
     }
 
+    /// Counts a failed call once for each job that had a failed piece in it.
+    fn count_failure(&mut self, call: &Call, end: &CallEnd) {
+        let has_failed = |index: usize| match end {
+            CallEnd::Answered(results) => {
+                matches!(results.get(index), Some(Err(PieceFailure::Failed)))
+            }
+            _ => *end == CallEnd::Failed,
+        };
+        let pieces = call.pieces.iter().enumerate();
+        let failed: BTreeSet<JobKey> = pieces
+            .filter(|(index, _)| has_failed(*index))
+            .map(|(_, (key, _))| *key)
+            .collect();
+        for key in failed {
+            if let Some(job) = self.jobs.get_mut(key) {
+                job.failures += 1;
+            }
+        }
+    }
+
     fn update_upstream(&mut self, now: MonoTime, call: &Call, end: &CallEnd) {
         let Some(upstream) = self.upstreams.get_mut(&call.upstream) else {
             return;
@@ -148,8 +169,9 @@
                 self.record_input_gone(key);
                 self.refuse(key, StageRefusal::InputGone, effects);
             }
-            Err(PieceFailure::ResultStoreFull) => self.retry_piece(now, key, piece, false, effects),
-            Err(PieceFailure::Failed) => self.retry_piece(now, key, piece, true, effects),
+            Err(PieceFailure::ResultStoreFull | PieceFailure::Failed) => {
+                self.retry_piece(now, key, piece, effects);
+            }
         }
     }
 
@@ -173,7 +195,6 @@
         now: MonoTime,
         call: &Call,
         reached_upstream: bool,
-        failed: bool,
         effects: &mut PlannerEffects,
     ) {
         for (key, piece) in &call.pieces {
@@ -181,7 +202,7 @@
                 continue;
             }
             if reached_upstream {
-                self.retry_piece(now, *key, *piece, failed, effects);
+                self.retry_piece(now, *key, *piece, effects);
             } else {
                 self.requeue_piece(*key, *piece, effects);
             }
@@ -194,13 +215,11 @@
         now: MonoTime,
         key: JobKey,
         piece: u32,
-        failed: bool,
         effects: &mut PlannerEffects,
     ) {
-        let Some(job) = self.jobs.get_mut(key) else {
+        let Some(job) = self.jobs.get(key) else {
             return;
         };
-        job.failures += u32::from(failed);
         if job.failures > MAX_FAILURES || self.retry_budget.try_spend(now).is_none() {
             self.refuse(key, StageRefusal::Failed, effects);
             return;
--- a/crates/tc-policy/tests/batch/completion.rs
+++ b/crates/tc-policy/tests/batch/completion.rs
@@ -102,3 +102,31 @@
     assert_eq!(effects.finished[0].result, Err(StageRefusal::InputGone));
     assert_eq!(effects.discarded_results, [handle("1")]);
 }
+
+/// Guards against a stage that is refused after one failed call because it has more pieces in that call than a job may have
+/// failed calls.
+#[test]
+fn a_failed_call_counts_once_for_a_job_with_many_pieces() {
+    let mut planner = planner(&["a", "a"]);
+    push(&mut planner, at(0), job("x", 8));
+    let first = planner.next_call(at(0)).expect("a call");
+    assert_eq!(first.pieces.len(), 8);
+    let effects = planner.end_call(at(100), first.key, CallEnd::Failed);
+    assert_eq!(effects.finished, []);
+    let second = planner.next_call(at(100)).expect("a call");
+    let effects = planner.end_call(at(400), second.key, success(&second));
+    assert!(effects.finished[0].result.is_ok(), "{effects:?}");
+}
+
+/// Guards against a stage whose own pieces make every call fail, and which is sent until its deadline.
+#[test]
+fn a_job_is_refused_after_four_failed_calls() {
+    let mut planner = planner(&["a", "a", "a", "a", "a"]);
+    push(&mut planner, at(0), job("x", 2));
+    for failed in 1..=4 {
+        let call = planner.next_call(at(failed)).expect("a call");
+        let effects = planner.end_call(at(failed), call.key, CallEnd::Failed);
+        let refused = effects.finished.iter().map(|f| f.result.clone()).next();
+        assert_eq!(refused, (failed == 4).then_some(Err(StageRefusal::Failed)));
+    }
+}
