Batch homes: keep a silent call while other upstreams make its pieces

What callers saw: with all upstreams of a stage silent for a second, a request was refused with 503 "a stage before the request failed", although an upstream answered before the request's deadline.

Cause: the home of a batch service abandoned a call after three times its expected duration and half a second. Only then did it ask for retries and another upstream. Without a retry, or after the job's fourth such call, the job was refused.

Fix: such a call is now overdue instead of failed. It stays open until the deadline of its requests. Its upstream still gets a backoff as after a failure, and a slot. As soon as another upstream without overdue calls is free, the pieces are queued for it, one retry each. The first result counts and the later one is discarded. A failed call ends a job only if no other call has the piece. An upstream never gets a piece again while an overdue call there has it. Only a job whose inputs were released is still refused as before, so that its request makes the stages again.

Letting an upstream get a piece twice makes it fail ("a piece in two calls"); keeping both results fails the_later_of_two_results_is_discarded.

--- a/crates/tc-gateway/src/homes/calls.rs
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeSet, HashMap},
+    pin::pin,
     sync::Arc,
     time::Duration,
 };
@@ -12,7 +13,7 @@
     routing::{PieceRequest, ResultHandle},
 };
 use tc_upstream::{CallErrorKind, RawCall};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::{HomeContext, home::address_of};
 use crate::{call::Acceptance, world::World};
@@ -78,7 +79,16 @@
         reuse: false,
         is_wanted: cx.world.still_takes_work(call.upstream.clone()),
     };
-    let mut reply = match cx.client.exchange_raw(raw).await {
+    let mut exchange = pin!(cx.client.exchange_raw(raw));
+    let answered = timeout(call.overdue_after, exchange.as_mut()).await.ok();
+    if answered.is_none() {
+        log::info!(service = service.as_str(), upstream = call.upstream.as_str(), requests = basis.requests.as_str(), pieces = call.pieces.len(), took_ms = basis.took_ms(); "batch call overdue; other upstreams may make its pieces");
+    }
+    let answered = match answered {
+        Some(answered) => answered,
+        None => exchange.await,
+    };
+    let mut reply = match answered {
         Ok(reply) => reply,
         Err(error) => {
             log::warn!(service = service.as_str(), upstream = call.upstream.as_str(), requests = basis.requests.as_str(), pieces = call.pieces.len(), list_revision = basis.list_revision.as_str(), confirmed_age_ms = basis.confirmed_age.as_millis() as u64, took_ms = basis.took_ms(), error = error.to_string().as_str(); "batch call failed");
--- a/crates/tc-policy/src/batch/completion.rs
+++ b/crates/tc-policy/src/batch/completion.rs
@@ -8,12 +8,12 @@
 };
 
 use super::{
-    job::{InputState, JobKey},
+    job::JobKey,
     planner::{BatchPlanner, Call, CallKey},
 };
 
 /// Number of failed calls after which a job is refused, since its own pieces may cause the failures.
-const MAX_FAILURES: u32 = 3;
+pub(super) const MAX_FAILURES: u32 = 3;
 /// Weight of the latest call in the moving average: a dozen calls, half a second of a service, change most of it.
 const CALL_TIME_WEIGHT: f64 = 0.1;
 
@@ -30,7 +30,7 @@
     BackingOff(Duration),
     /// No connection could be established.
     Unreachable,
-    /// The call failed or timed out, or its answer is malformed.
+    /// The call failed or was abandoned, or its answer is malformed.
     Failed,
 }
 
@@ -63,6 +63,7 @@
         };
         self.last_refused = matches!(end, CallEnd::NotRun | CallEnd::RefusedWithBackoff(_));
         self.update_upstream(now, &call, &end);
+        self.remove_pieces(&call);
         self.count_failure(&call, &end);
         match end {
             CallEnd::Answered(results) => {
@@ -89,6 +90,17 @@
         effects
     }
 
+    /// Takes the pieces of a call that has ended out of it.
+    fn remove_pieces(&mut self, call: &Call) {
+        for (key, piece) in &call.pieces {
+            if let Some(job) = self.jobs.get_mut(*key) {
+                let calls = &mut job.calls[*piece as usize];
+                calls.open -= 1;
+                calls.overdue -= u32::from(call.is_overdue);
+            }
+        }
+    }
+
     /// Counts a failed call once for each job that had a failed piece in it.
     fn count_failure(&mut self, call: &Call, end: &CallEnd) {
         let has_failed = |index: usize| match end {
@@ -115,24 +127,35 @@
         };
         let took = now.since(call.started);
         upstream.calls = upstream.calls.saturating_sub(1);
+        let overdue_calls = u32::from(call.is_overdue);
+        upstream.overdue_calls = upstream.overdue_calls.saturating_sub(overdue_calls);
         upstream.reserved_bytes = upstream
             .reserved_bytes
             .saturating_sub(call.result_sizes.iter().sum::<u64>());
         match end {
             CallEnd::Answered(results) => {
+                if call.is_overdue {
+                    upstream.record_late_answer();
+                } else {
+                    self.typical_call_s +=
+                        CALL_TIME_WEIGHT * (took.as_secs_f64() - self.typical_call_s);
+                    self.piece_times.record(
+                        &self.spec,
+                        &call.result_sizes,
+                        took,
+                        upstream.slowdown,
+                    );
+                    upstream.record_success(took, call.expected.div_f64(upstream.slowdown));
+                }
                 if results.contains(&Err(PieceFailure::ResultStoreFull)) {
                     upstream.record_refusal(now);
                 }
-                self.typical_call_s +=
-                    CALL_TIME_WEIGHT * (took.as_secs_f64() - self.typical_call_s);
-                self.piece_times
-                    .record(&self.spec, &call.result_sizes, took, upstream.slowdown);
-                upstream.record_success(took, call.expected.div_f64(upstream.slowdown));
             }
             CallEnd::NotRun => upstream.record_refusal(now),
             CallEnd::RefusedWithBackoff(backoff) | CallEnd::BackingOff(backoff) => {
                 upstream.back_off(now, *backoff);
             }
+            CallEnd::Unreachable | CallEnd::Failed if call.is_overdue => {}
             CallEnd::Unreachable | CallEnd::Failed => {
                 upstream.record_failure(now, took, call.expected.div_f64(upstream.slowdown));
             }
@@ -156,9 +179,14 @@
             return;
         };
         match result {
+            Ok(handle) if job.results[piece as usize].is_some() => {
+                effects.discarded_results.push(handle);
+            }
+            Err(_) if job.is_made_elsewhere(piece) => {}
             Ok(handle) => {
                 let bytes = job.params.result_bytes;
                 job.results[piece as usize] = Some(handle.clone());
+                job.waiting.retain(|waiting| *waiting != piece);
                 let expires_at = now.after(self.spec.result_ttl);
                 self.result_memory
                     .insert(handle, upstream, bytes, expires_at);
@@ -198,7 +226,8 @@
         effects: &mut PlannerEffects,
     ) {
         for (key, piece) in &call.pieces {
-            if !self.jobs.contains_key(*key) {
+            let job = self.jobs.get(*key);
+            if job.is_none_or(|job| job.is_made_elsewhere(*piece)) {
                 continue;
             }
             if reached_upstream {
@@ -220,6 +249,9 @@
         let Some(job) = self.jobs.get(key) else {
             return;
         };
+        if job.waiting.contains(&piece) {
+            return;
+        }
         if job.failures > MAX_FAILURES || self.retry_budget.try_spend(now).is_none() {
             self.refuse(key, StageRefusal::Failed, effects);
             return;
@@ -234,8 +266,9 @@
             self.refuse(key, StageRefusal::InputGone, effects);
             return;
         }
-        job.inputs = InputState::Held;
-        job.waiting.push_front(piece);
+        if !job.waiting.contains(&piece) {
+            job.wait_again(piece);
+        }
     }
 
     pub(super) fn refuse(
--- a/crates/tc-policy/src/batch/dispatch.rs
+++ b/crates/tc-policy/src/batch/dispatch.rs
@@ -10,10 +10,10 @@
     upstream::UpstreamState,
 };
 
-/// Timeout of a call, as a multiple of its expected duration.
-const TIMEOUT_FACTOR: f64 = 3.0;
-/// Added to the timeout, since a call may wait at the upstream for a call from another home.
-const TIMEOUT_MARGIN: Duration = Duration::from_millis(500);
+/// Time after which a call is overdue, as a multiple of its expected duration.
+const OVERDUE_FACTOR: f64 = 3.0;
+/// Added to this time, since a call may wait at the upstream for a call from another home.
+const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum number of pieces in a call after a refused one; it probes whether upstreams accept calls again. Each refused
 /// piece spends a retry, so full calls to full upstreams would use up several seconds of the retry budget at once.
 const PROBE_PIECES: usize = 1;
@@ -46,6 +46,7 @@
     /// `None`.
     pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
         self.expire_results(now);
+        self.replace_overdue(now);
         let smallest = self.smallest_results(now);
         if smallest.is_empty() {
             return None;
@@ -104,6 +105,7 @@
             .values()
             .filter(|upstream| upstream.ready && upstream.not_before > now)
             .map(|upstream| upstream.not_before);
+        let overdue = self.next_overdue();
         let rate_limit = self
             .upstreams
             .values()
@@ -120,6 +122,7 @@
         let result_expiry = (!self.jobs.is_empty()).then_some(now.after(RESULT_EXPIRY_INTERVAL));
         let input_release = self.next_input_release();
         paused
+            .chain(overdue)
             .chain(rate_limit)
             .chain(deadlines)
             .chain(domain_waits)
@@ -158,18 +161,24 @@
             upstream.reserved_bytes += result_sizes.iter().sum::<u64>();
             upstream.busy_until = now.after(expected);
         }
+        let overdue_after = expected.mul_f64(OVERDUE_FACTOR) + OVERDUE_MARGIN;
+        let latest_deadline = jobs.iter().map(|key| self.jobs[*key].params.deadline).max();
+        let remaining = latest_deadline.unwrap_or_default().since(now);
         let key = self.calls.insert(Call {
             upstream: id.clone(),
             pieces,
             result_sizes,
             started: now,
             expected,
+            overdue_at: now.after(overdue_after),
+            is_overdue: false,
         });
         Some(BatchCall {
             key,
             upstream: id.clone(),
             pieces: orders,
-            timeout: expected.mul_f64(TIMEOUT_FACTOR) + TIMEOUT_MARGIN,
+            overdue_after,
+            timeout: remaining.max(overdue_after),
         })
     }
 
@@ -189,7 +198,7 @@
         let Some(soonest) = faster
             .iter()
             .map(|other| {
-                let start = if other.calls < self.spec.slots {
+                let start = if other.has_free_slot(self.spec.slots) {
                     Duration::ZERO
                 } else {
                     other.busy_until.since(now)
@@ -233,11 +242,14 @@
         upstream: &UpstreamState,
     ) -> Vec<(JobKey, u32)> {
         let call_end = now.after(self.typical_call().mul_f64(upstream.slowdown));
+        let overdue_here = self.jobs_overdue_at(id);
         let mut jobs: Vec<(JobKey, &Job)> = self
             .jobs
             .iter()
             .filter(|(_, job)| !job.waiting.is_empty() && job.params.deadline > now)
-            .filter(|(_, job)| job.can_run_in(now, &upstream.domain))
+            .filter(|(key, job)| {
+                job.can_run_in(now, &upstream.domain) && !overdue_here.contains(key)
+            })
             .collect();
         jobs.sort_by_key(|(_, job)| job.position_in(call_end, &upstream.domain));
         let mut free_bytes = self.free_result_bytes(id);
@@ -270,6 +282,7 @@
         for (key, piece) in pieces {
             let job = &mut self.jobs[*key];
             job.waiting.retain(|waiting| waiting != piece);
+            job.calls[*piece as usize].open += 1;
             job.set_preferred_domain(now, domain, self.spec.call_overhead);
             orders.push(PieceRequest {
                 request: job.params.request.clone(),
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -83,6 +83,8 @@
     pub(super) waiting: VecDeque<u32>,
     /// One entry for each piece.
     pub(super) results: Vec<Option<ResultHandle>>,
+    /// One entry for each piece.
+    pub(super) calls: Vec<PieceCalls>,
     /// Number of failed calls that included a piece of the job.
     pub(super) failures: u32,
     /// Until this time, only upstreams in the preferred domain may run the job.
@@ -93,6 +95,14 @@
     pub(super) inputs: InputState,
 }
 
+/// Number of calls in progress that include a piece.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct PieceCalls {
+    pub(super) open: u32,
+    /// Those of them that are overdue.
+    pub(super) overdue: u32,
+}
+
 /// State of a job's inputs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum InputState {
@@ -109,6 +119,7 @@
         Self {
             waiting: (0..params.pieces).collect(),
             results: vec![None; params.pieces as usize],
+            calls: vec![PieceCalls::default(); params.pieces as usize],
             failures: 0,
             domain_wait_until: MonoTime::default(),
             expected_late: false,
@@ -124,7 +135,28 @@
 
     /// Whether some pieces are made or in a call.
     fn is_started(&self) -> bool {
-        self.waiting.len() < self.results.len()
+        self.results.iter().any(Option::is_some) || self.calls.iter().any(|calls| calls.open > 0)
+    }
+
+    /// Whether every call with the piece is overdue.
+    pub(super) fn is_overdue(&self, piece: u32) -> bool {
+        let calls = self.calls[piece as usize];
+        self.results[piece as usize].is_none() && calls.open > 0 && calls.open == calls.overdue
+    }
+
+    pub(super) fn has_overdue_piece(&self) -> bool {
+        (0..self.params.pieces).any(|piece| self.is_overdue(piece))
+    }
+
+    /// Whether the piece has a result, or is in a call that may return one.
+    pub(super) fn is_made_elsewhere(&self, piece: u32) -> bool {
+        self.results[piece as usize].is_some() || self.calls[piece as usize].open > 0
+    }
+
+    /// Queues a piece for another call, which reads the inputs again.
+    pub(super) fn wait_again(&mut self, piece: u32) {
+        self.inputs = InputState::Held;
+        self.waiting.push_front(piece);
     }
 
     /// Returns how many waiting pieces fit into a call with `places` free places and `free_bytes` of result memory.
--- a/crates/tc-policy/src/batch/mod.rs
+++ b/crates/tc-policy/src/batch/mod.rs
@@ -15,6 +15,7 @@
 mod job;
 mod outlook;
 mod outlooks;
+mod overdue;
 mod piece_times;
 mod planner;
 mod queue_time;
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -44,6 +44,8 @@
     pub upstream: UpstreamId,
     /// Pieces in the order in which they must be sent.
     pub pieces: Vec<PieceRequest>,
+    /// Time after which the call is overdue, so that other upstreams may make its pieces as well.
+    pub overdue_after: Duration,
     /// Time after which the driver must abandon the call.
     pub timeout: Duration,
 }
@@ -56,6 +58,8 @@
     pub(super) result_sizes: Vec<u64>,
     pub(super) started: MonoTime,
     pub(super) expected: Duration,
+    pub(super) overdue_at: MonoTime,
+    pub(super) is_overdue: bool,
 }
 
 /// Schedules the jobs of one service.
@@ -198,12 +202,14 @@
         job.results.into_iter().flatten().collect()
     }
 
-    /// Refuses jobs that are past their deadline or will probably miss it.
+    /// Refuses jobs that are past their deadline, will probably miss it, or have lost their inputs.
     ///
-    /// The latter, which more urgent jobs have overtaken, are refused before their deadline so that their callers can
+    /// Those that will probably miss it, which more urgent jobs have overtaken, are refused before their deadline so that their callers can
     /// still turn elsewhere and the memory that they hold is freed.
     pub fn refuse_late_jobs(&mut self, now: MonoTime) -> PlannerEffects {
         let mut effects = PlannerEffects::default();
+        self.mark_overdue(now);
+        self.refuse_irreplaceable(&mut effects);
         let call_end = self.typical_end(now);
         let mut queue: Vec<(QueuePosition, JobKey)> = self
             .jobs
--- a/crates/tc-policy/src/batch/upstream.rs
+++ b/crates/tc-policy/src/batch/upstream.rs
@@ -34,7 +34,10 @@
     pub(super) domain: FailureDomain,
     /// Whether it is registered and not leaving.
     pub(super) ready: bool,
+    /// Calls in progress.
     pub(super) calls: u32,
+    /// Those of them that are overdue.
+    pub(super) overdue_calls: u32,
     /// Bytes that the results of its calls in progress will occupy.
     pub(super) reserved_bytes: u64,
     /// Ratio of actual to expected call time; 2 is half as fast.
@@ -55,6 +58,7 @@
             domain,
             ready: true,
             calls: 0,
+            overdue_calls: 0,
             reserved_bytes: 0,
             slowdown: 1.0,
             failures: 0,
@@ -67,11 +71,16 @@
 
     pub(super) fn is_free(&self, now: MonoTime, slots: u32) -> bool {
         self.ready
-            && self.calls < slots
+            && self.has_free_slot(slots)
             && now >= self.not_before
             && self.rate_limit_wait(now).is_zero()
     }
 
+    /// An overdue call does not occupy a slot: its answer may have been lost.
+    pub(super) fn has_free_slot(&self, slots: u32) -> bool {
+        self.calls.saturating_sub(self.overdue_calls) < slots
+    }
+
     /// Returns the time until the announced rate limit allows a call.
     pub(super) fn rate_limit_wait(&self, now: MonoTime) -> Duration {
         self.rate_limit
@@ -92,6 +101,12 @@
         self.update_slowdown(ratio);
     }
 
+    /// Records the answer to an overdue call, whose time was recorded when it became overdue.
+    pub(super) fn record_late_answer(&mut self) {
+        self.failures = 0;
+        self.not_before = self.backoff_until;
+    }
+
     /// Records a call refused because the upstream has no free slot or no result memory.
     pub(super) fn record_refusal(&mut self, now: MonoTime) {
         self.not_before = self.not_before.max(now.after(FULL_PAUSE));
@@ -103,13 +118,13 @@
         self.not_before = self.not_before.max(self.backoff_until);
     }
 
-    /// Records a failed or timed-out call: starts a backoff that grows with consecutive failures, and updates the
+    /// Records a failed or overdue call: starts a backoff that grows with consecutive failures, and updates the
     /// slowdown if the call was slow.
     pub(super) fn record_failure(&mut self, now: MonoTime, took: Duration, expected: Duration) {
         let backoff = INITIAL_BACKOFF * 2u32.pow(self.failures.min(8));
         self.failures += 1;
         self.not_before = now.after(backoff.min(MAX_BACKOFF)).max(self.backoff_until);
-        // For a call that timed out, this ratio is a lower bound.
+        // For an overdue call, this ratio is a lower bound.
         let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
         if ratio > self.slowdown {
             self.update_slowdown(ratio);
--- a/crates/tc-policy/tests/batch/main.rs
+++ b/crates/tc-policy/tests/batch/main.rs
@@ -7,3 +7,4 @@
 mod inputs;
 mod limits;
 mod order;
+mod overdue;
