Soak of sound upstreams that fall silent for a while, and the judge of cut answers

Callers on real processes got a status, some events and a closed connection while the upstreams that ran their streams were sound. The soak could not show it: its upstreams broke off, refused, answered late or stayed silent for good, and its streams took 160 ms.

`--silences` holds back all writes of one, most or all upstreams of a service (plain, engines, makers of stages) for 0.3 to 3 s, in the middle of answers too, and lets them go on where they were, beside changes of the configuration (idle timeout, timeout of the routes, routes), reloads and the other faults of the seed, which stay the same. Streams take 1 to 1.8 s there, plain answers come in two parts, callers wait for 6 s, and staged streams that may be resumed belong to the kinds of requests. `ScriptedServer::hold` is the gate; it needs no change of the scripts.

The judge counts an answer of 200 that is not whole, no answer, a 502 or a 504 as lost if an upstream ran the request, all that did were sound and lived on, the instance ran all the while (a planned stop: until the last sixth of its grace), and 5.5 s, the shortest time of callers and routes, were not over.

The checks of a configuration and the last requests are sent to all instances at once: a silent upstream answered none of them, and one after the other they kept the faults of the plan from beginning in time.

--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -27,7 +27,7 @@
 
 pub(super) const COMMAND: Command = Command {
     name: "soak",
-    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits] [--notices] [--departures] [--versions] [--crashes]",
+    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits] [--notices] [--departures] [--versions] [--crashes] [--silences]",
     about: "Faults by chance on gateway processes, with their promises checked; a seed gives the plan.",
     run,
 };
@@ -56,6 +56,7 @@
     } else {
         CrashingRequests::None
     };
+    let silences = args.contains("--silences");
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
         let problem = "--seeds and --instances must be above 0, --seconds 3 or more";
@@ -72,6 +73,7 @@
         leaving,
         versions,
         crashing,
+        silences,
     };
     let limit = minutes.map(|minutes| Instant::now() + Duration::from_secs(minutes * 60));
     let binary = SystemBinary::find()?;
--- a/crates/tc-bench/src/soak/callers.rs
+++ b/crates/tc-bench/src/soak/callers.rs
@@ -49,7 +49,7 @@
 }
 
 /// All kinds; their routes are in every configuration.
-pub(super) const KINDS: [Kind; 5] = [
+pub(super) const KINDS: [Kind; 6] = [
     Kind {
         route: "plain",
         repeat: RouteKind::NonIdempotent,
@@ -75,8 +75,24 @@
         repeat: RouteKind::Stream,
         staged: true,
     },
+    Kind {
+        route: "staged-resume",
+        repeat: RouteKind::ResumableStream,
+        staged: true,
+    },
 ];
 
+/// What the callers of a soak send, and where.
+#[derive(Clone)]
+pub(super) struct Calling {
+    pub(super) seed: u64,
+    pub(super) instances: Vec<SocketAddr>,
+    pub(super) kinds: &'static [Kind],
+    pub(super) deadline: Duration,
+    pub(super) end: Instant,
+    pub(super) tellings: Tellings,
+}
+
 /// A stream that a caller resumes in a new request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Resumed {
@@ -97,6 +113,7 @@
     pub(super) instance: usize,
     pub(super) sent: Instant,
     pub(super) ended: Instant,
+    pub(super) deadline: Duration,
     /// 0 when no head of an answer came.
     pub(super) status: u16,
     /// Request that the answer names.
@@ -108,6 +125,10 @@
     pub(super) whole: bool,
 }
 
+pub(super) fn is_served(told: &Told) -> bool {
+    told.status == 200 && told.whole
+}
+
 /// All that callers were told so far.
 #[derive(Clone, Default)]
 pub(super) struct Tellings(Arc<Mutex<Vec<Told>>>);
@@ -128,26 +149,28 @@
     }
 }
 
-/// Sends requests one after the other until `end`, each to an instance by chance; connections are kept while they work.
-pub(super) async fn call_until(
-    number: u64,
-    seed: u64,
-    instances: Vec<SocketAddr>,
-    end: Instant,
-    tellings: Tellings,
-) {
+/// Sends requests one after the other until the end, each to an instance by chance; connections are kept while they work.
+pub(super) async fn call_until(number: u64, calling: Calling) {
+    let Calling {
+        seed,
+        instances,
+        kinds,
+        end,
+        ..
+    } = &calling;
     let mut rng = SmallRng::seed_from_u64(seed ^ number.rotate_left(32));
     let mut kept: Vec<Option<TcpStream>> = instances.iter().map(|_| None).collect();
     let mut count = 0_u64;
-    while Instant::now() < end {
+    while Instant::now() < *end {
         count += 1;
-        let kind = KINDS[rng.random_range(0..KINDS.len())];
+        let kind = kinds[rng.random_range(0..kinds.len())];
         let instance = rng.random_range(0..instances.len());
         let id = format!("s{seed:x}-{number}-{count}");
         let connection = kept[instance].take();
         let attempt = Attempt {
             kind,
             id: &id,
+            deadline: calling.deadline,
             resumed: None,
             culprit: None,
         };
@@ -161,21 +184,20 @@
         .await;
         if let Some((told, connection)) = told {
             kept[instance] = connection;
-            tellings.add(told.clone());
-            resume(told, kind, &instances, &mut rng, &tellings).await;
+            calling.tellings.add(told.clone());
+            resume(told, kind, &calling, &mut rng).await;
         }
         sleep(Duration::from_millis(rng.random_range(0..PAUSE_MS))).await;
     }
 }
 
 /// Resumes a stream that broke, each time at an instance by chance.
-async fn resume(
-    mut told: Told,
-    kind: Kind,
-    instances: &[SocketAddr],
-    rng: &mut SmallRng,
-    tellings: &Tellings,
-) {
+async fn resume(mut told: Told, kind: Kind, calling: &Calling, rng: &mut SmallRng) {
+    let Calling {
+        instances,
+        tellings,
+        ..
+    } = calling;
     let began = told.request.clone();
     let mut after_event = 0;
     for number in 0..MAX_RESUMPTIONS {
@@ -193,6 +215,7 @@
         let attempt = Attempt {
             kind,
             id: &id,
+            deadline: calling.deadline,
             resumed,
             culprit: None,
         };
@@ -216,6 +239,7 @@
 pub(super) struct Attempt<'a> {
     pub(super) kind: Kind,
     pub(super) id: &'a str,
+    pub(super) deadline: Duration,
     pub(super) resumed: Option<Resumed>,
     /// Crashes the upstream that runs the request.
     pub(super) culprit: Option<Culprit>,
@@ -232,6 +256,7 @@
     let Attempt {
         kind,
         id,
+        deadline,
         resumed,
         culprit,
     } = attempt;
@@ -253,7 +278,7 @@
         route,
         id,
         key: KEY,
-        deadline: DEADLINE,
+        deadline,
         pieces: kind.staged.then_some(PIECES),
         path: if culprit == Some(Culprit::Request) {
             CULPRIT_PATH
@@ -275,6 +300,7 @@
         instance,
         sent,
         ended: sent,
+        deadline,
         status: 0,
         names: None,
         sealed: false,
@@ -283,7 +309,7 @@
     };
     let mut keep = false;
     if stream.write_all(text.as_bytes()).await.is_ok() {
-        keep = read_answer(&mut stream, &mut told, sent + DEADLINE + LISTENS_ON).await;
+        keep = read_answer(&mut stream, &mut told, sent + deadline + LISTENS_ON).await;
     }
     told.ended = Instant::now();
     Some((told, keep.then_some(stream)))
--- a/crates/tc-bench/src/soak/crashes.rs
+++ b/crates/tc-bench/src/soak/crashes.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    callers::{Attempt, KINDS, Tellings, Told, call},
+    callers::{Attempt, DEADLINE, KINDS, Tellings, Told, call},
     drive::Soak,
     judge::{Evidence, Harmed},
     upstreams::{ENGINES, Run, SoakUpstream},
@@ -77,6 +77,7 @@
         let attempt = Attempt {
             kind,
             id: &id,
+            deadline: DEADLINE,
             resumed: None,
             culprit: Some(culprit),
         };
@@ -92,6 +93,7 @@
     /// Ends the upstreams that crashed, and starts the successors that are due.
     pub(super) async fn replace_crashed(&mut self, now: Instant) {
         for name in self.seen.take_crashed() {
+            self.record_end(&name, now);
             let crashed = self
                 .upstreams
                 .extract_if(.., |upstream| upstream.name == name);
--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -7,18 +7,16 @@
 };
 
 use nix::sys::signal::Signal;
-use tc_platform_adapter::outside::{ready_text, store_wire_format};
+use tc_platform_adapter::outside::store_wire_format;
 use tc_stand_ins::{ObjectStore, StoreEndpoint, StoreMode};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::TcpStream,
     task::JoinSet,
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{Instant, sleep, sleep_until},
 };
 
 use super::{
     CrashingRequests, SoakShape,
-    callers::{Attempt, KINDS, Tellings, Told, call, call_until},
+    callers::{Calling, Tellings, call_until, is_served},
     crashes::crash_until,
     faults::End,
     judge::{CleanStop, Evacuated, Evidence, Harm, Left, judge},
@@ -26,6 +24,7 @@
     notices::AnnouncedLeaving,
     plan::{CALM_END, Plan, UpstreamMode},
     process::{GRACE, SoakInstance},
+    silences::{Continuity, answers_in_silence},
     upstreams::{ENGINES, STAGE, Seen, SoakUpstream, WEB},
     versions::{EngineLife, Impaired},
 };
@@ -35,8 +34,6 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// Interval at which the run is checked.
 const STEP: Duration = Duration::from_millis(10);
-/// Requests of each kind that every instance must serve at the end.
-const LAST_REQUESTS: usize = 3;
 
 /// Outcome of a seed.
 #[derive(Clone, Debug)]
@@ -80,6 +77,8 @@
     pub(super) stops: Vec<CleanStop>,
     /// Whether engines of several versions serve.
     pub(super) has_versions: bool,
+    pub(super) has_silences: bool,
+    pub(super) continuity: Continuity,
     pub(super) engine_lives: Vec<EngineLife>,
     pub(super) impaired: Vec<Impaired>,
     pub(super) left: Vec<Left>,
@@ -110,15 +109,16 @@
         let (addresses, tellings) = (addresses.clone(), soak.culprit_tellings.clone());
         calling.spawn(crash_until(plan.seed, addresses, end, tellings));
     }
+    let usual = Calling {
+        seed: plan.seed,
+        instances: addresses,
+        kinds: soak.kinds(),
+        deadline: soak.deadline(),
+        end: end + CALM_END,
+        tellings: soak.tellings.clone(),
+    };
     for number in 0..shape.callers as u64 {
-        let (addresses, tellings) = (addresses.clone(), soak.tellings.clone());
-        calling.spawn(call_until(
-            number,
-            plan.seed,
-            addresses,
-            end + CALM_END,
-            tellings,
-        ));
+        calling.spawn(call_until(number, usual.clone()));
     }
     soak.faults(&plan, end).await?;
     soak.heal().await?;
@@ -130,7 +130,7 @@
 impl Soak {
     async fn start(binary: &SystemBinary, folder: &Path, plan: &Plan) -> Result<Self, BenchError> {
         let store = ObjectStore::start(store_wire_format()).await;
-        let seen = Arc::new(Seen::new(plan.versions, plan.departures));
+        let seen = Arc::new(Seen::new(plan));
         let mut endpoints = Vec::new();
         for _ in 0..plan.instances {
             endpoints.push(store.open_endpoint().await);
@@ -156,6 +156,8 @@
             seen,
             next_upstream: plan.engines(),
             has_versions: plan.versions,
+            has_silences: plan.silences,
+            continuity: Continuity::default(),
             engine_lives: EngineLife::all(&upstreams),
             impaired: Vec::new(),
             harmed_until: vec![now; plan.instances],
@@ -190,7 +192,7 @@
     async fn until_ready(&mut self) -> Result<(), BenchError> {
         let limit = Instant::now() + START_LIMIT;
         for instance in &mut self.instances {
-            while !is_ready(instance).await {
+            while !instance.is_ready().await {
                 instance.run_again_if_address_was_in_use()?;
                 if Instant::now() > limit {
                     let problem = format!("see {}", instance.log.display());
@@ -266,7 +268,7 @@
         for number in 0..self.instances.len() {
             self.instances[number].signal(Signal::SIGCONT);
             // One that is stopping ends first.
-            while self.instances[number].is_running() && !is_ready(&self.instances[number]).await {
+            while self.instances[number].is_running() && !self.instances[number].is_ready().await {
                 if Instant::now() > limit {
                     break;
                 }
@@ -293,37 +295,6 @@
         Ok(())
     }
 
-    /// Every instance serves every kind of request once all has been well for a while.
-    async fn last_requests(&mut self) {
-        self.expect_last_config().await;
-        for number in 0..self.instances.len() {
-            let address = self.instances[number].callers;
-            for kind in KINDS {
-                let mut last = None;
-                for attempt in 0..LAST_REQUESTS {
-                    let id = format!("last-{number}-{}-{attempt}", kind.route);
-                    let attempt = Attempt {
-                        kind,
-                        id: &id,
-                        resumed: None,
-                        culprit: None,
-                    };
-                    last = call(kind.route, attempt, number, address, None).await;
-                    if last.as_ref().is_some_and(|(told, _)| is_served(told)) {
-                        break;
-                    }
-                }
-                if !last.as_ref().is_some_and(|(told, _)| is_served(told)) {
-                    let told = last.map(|(told, _)| told.status);
-                    let route = kind.route;
-                    self.broken.push(format!(
-                        "recovery: instance {number} does not serve {route}: {told:?}"
-                    ));
-                }
-            }
-        }
-    }
-
     fn outcome(mut self, plan: &Plan, folder: &Path) -> Outcome {
         let told = self.tellings.all();
         let (requests, served) = (told.len(), told.iter().filter(|t| is_served(t)).count());
@@ -348,26 +319,32 @@
                 "{sent} requests that crash upstreams: {runs} runs, {refused} refused"
             ));
         }
-        let mut broken = judge(&Evidence {
+        let evidence = Evidence {
             told,
             told_culprits,
             instances: plan.instances,
             runs: self.seen.runs(),
-            left: self.left,
-            evacuated: self.evacuated,
-            harms: self.harms,
-            restarts: self.restarts,
-            limited: self.limited,
-            announced_leaving: self.announced_leaving,
+            left: std::mem::take(&mut self.left),
+            evacuated: std::mem::take(&mut self.evacuated),
+            harms: std::mem::take(&mut self.harms),
+            restarts: std::mem::take(&mut self.restarts),
+            limited: std::mem::take(&mut self.limited),
+            announced_leaving: std::mem::take(&mut self.announced_leaving),
             refusals: self.seen.refusals(),
             arrivals: self.seen.arrivals(),
-            stops: self.stops,
-            engine_lives: self.engine_lives,
-            impaired: self.impaired,
+            stops: std::mem::take(&mut self.stops),
+            engine_lives: std::mem::take(&mut self.engine_lives),
+            impaired: std::mem::take(&mut self.impaired),
+            continuity: std::mem::take(&mut self.continuity),
+            has_silences: self.has_silences,
             late_calls,
             wrong,
-        });
-        broken.extend(self.broken);
+        };
+        let mut broken = judge(&evidence);
+        broken.append(&mut self.broken);
+        if self.has_silences {
+            self.note(&answers_in_silence(&evidence));
+        }
         Outcome {
             plan: plan.to_string(),
             requests,
@@ -378,21 +355,3 @@
         }
     }
 }
-
-fn is_served(told: &Told) -> bool {
-    told.status == 200 && told.whole
-}
-
-async fn is_ready(instance: &SoakInstance) -> bool {
-    let asked = async {
-        let mut stream = TcpStream::connect(instance.ready).await.ok()?;
-        stream.write_all(ready_text().as_bytes()).await.ok()?;
-        let mut answer = Vec::new();
-        stream.read_to_end(&mut answer).await.ok()?;
-        answer.starts_with(b"HTTP/1.1 200").then_some(())
-    };
-    matches!(
-        timeout(Duration::from_millis(300), asked).await,
-        Ok(Some(()))
-    )
-}
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -6,28 +6,29 @@
 use serde_json::json;
 use tc_platform_adapter::outside::{
     CONFIG_KIND, CONFIG_NAME, ConfiguredRoute, EVACUATIONS_KIND, ServiceRoles, UPSTREAMS_KIND,
-    config,
+    config, set_timeouts,
 };
 use tc_protocol::routing::RouteKind;
 use tc_stand_ins::StoreMode;
-use tokio::time::Instant;
+use tokio::{task::JoinSet, time::Instant};
 
 use super::{
     callers::{Attempt, KEY, KINDS, call},
     departures::LEAVES_AFTER,
     drive::Soak,
     judge::{CleanStop, Evacuated, Harm, Harmed},
-    limits::Limited,
-    notices::AnnouncedLeaving,
     plan::{Fault, UpstreamMode},
     process::GRACE,
-    upstreams::{ENGINES, STAGE, SoakUpstream, WEB, domain},
+    silences::TIMEOUTS,
+    upstreams::{ENGINES, STAGE, WEB, domain},
     versions::Impaired,
 };
 use crate::error::BenchError;
 
 /// A configuration is in force this long after the store took it, if the store is well.
 const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
+/// Time for an answer that shows a configuration; a silent upstream gives none.
+const CHECK_TIME: Duration = Duration::from_millis(500);
 /// Upstreams that one request may be sent to, unless callers are to resume its stream.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -49,8 +50,8 @@
     /// A new version keeps all routes of the callers and replaces the one that was added before.
     pub(super) fn write_config(&mut self) {
         self.version += 1;
-        let mut routes: Vec<ConfiguredRoute> = KINDS
-            .iter()
+        let kinds = self.kinds().iter();
+        let mut routes: Vec<ConfiguredRoute> = kinds
             .map(|kind| ConfiguredRoute {
                 name: kind.route.to_owned(),
                 service: if kind.repeat.is_stream() {
@@ -74,7 +75,12 @@
             batch: &[STAGE],
             engines: &[ENGINES],
         };
-        let value = config(self.version, &routes, services, KEY);
+        let mut value = config(self.version, &routes, services, KEY);
+        if self.has_silences {
+            let number = self.version % TIMEOUTS.len() as u64;
+            let (of_routes, idle) = TIMEOUTS[number as usize];
+            set_timeouts(&mut value, of_routes, idle);
+        }
         self.store.put(CONFIG_KIND, CONFIG_NAME, value);
         self.config_due = Some((Instant::now() + IN_FORCE_AFTER, self.version));
     }
@@ -96,6 +102,7 @@
             let (from, until) = (now, until);
             self.harms.push(Harm { whom, from, until });
         }
+        self.record_absence(fault, now, until);
         match fault {
             Fault::Kill(instance) => {
                 self.harm(instance, until);
@@ -157,6 +164,10 @@
                 self.seen.set_mode(&name, UpstreamMode::Breaks);
                 Some(End::EngineWell(engine))
             }
+            Fault::Silence(service, silenced) => {
+                self.silence(service, silenced, until);
+                None
+            }
             Fault::Evacuate(number) => {
                 self.evacuate(number, now);
                 Some(End::TakeBack(number))
@@ -217,59 +228,6 @@
         });
     }
 
-    fn limit(&mut self, upstream: usize, per_s: f64) {
-        for service in [WEB, ENGINES] {
-            let name = format!("{service}-{upstream}");
-            self.seen.set_limit(&name, Some(per_s));
-            self.limited.push(Limited {
-                upstream: name,
-                per_s,
-                from: Instant::now(),
-                until: None,
-            });
-        }
-    }
-
-    fn lift_limit(&mut self, upstream: usize) {
-        for service in [WEB, ENGINES] {
-            let name = format!("{service}-{upstream}");
-            self.seen.set_limit(&name, None);
-            let lifted = self.limited.iter_mut().filter(|l| l.upstream == name);
-            for limited in lifted {
-                limited.until.get_or_insert_with(Instant::now);
-            }
-        }
-    }
-
-    fn set_backoff(&mut self, upstream: usize, is_active: bool) {
-        for service in [WEB, ENGINES] {
-            let name = format!("{service}-{upstream}");
-            self.seen.set_backoff(&name, is_active);
-        }
-    }
-
-    /// Makes an upstream of each service announce that it is leaving, starts its replacement at once, and schedules its
-    /// removal for `until`.
-    async fn announce_leaving(&mut self, upstream: usize, until: Instant) {
-        for service in [WEB, ENGINES] {
-            let name = format!("{service}-{upstream}");
-            let is_running = self.upstreams.iter().any(|u| u.name == name);
-            if !is_running || self.leaving.iter().any(|(_, other)| *other == name) {
-                continue;
-            }
-            self.seen.announce_leaving(&name);
-            self.announced_leaving.push(AnnouncedLeaving {
-                upstream: name.clone(),
-                from: Instant::now(),
-            });
-            self.leaving.push((until, name));
-            self.next_upstream += 1;
-            let replacement = format!("{service}-{}", self.next_upstream);
-            let started = SoakUpstream::start(replacement, service, &self.seen, &self.store).await;
-            self.upstreams.push(started);
-        }
-    }
-
     pub(super) fn end(&mut self, end: End) {
         match end {
             End::Restart(instance) => self.to_start[instance] = true,
@@ -320,6 +278,7 @@
             .map(|(_, name)| name.clone())
             .collect();
         for name in over {
+            self.record_end(&name, now);
             self.store.remove(UPSTREAMS_KIND, &name);
             let ended = self
                 .upstreams
@@ -348,26 +307,28 @@
     }
 
     async fn expect_config(&mut self, version: u64, on: &[usize]) {
-        let kind = KINDS[1];
+        let mut asking = JoinSet::new();
         for &number in on {
             let address = self.instances[number].callers;
-            let route = added_route(version);
-            let id = format!("c{version}-{number}");
-            let attempt = Attempt {
-                kind,
-                id: &id,
-                resumed: None,
-                culprit: None,
-            };
-            let asked = call(&route, attempt, number, address, None).await;
-            if let Some((told, _)) = asked
-                && told.status == 404
-            {
-                let what =
-                    format!("config: version {version} is not in force on instance {number}");
-                self.broken.push(what);
-            }
+            asking.spawn(async move {
+                let route = added_route(version);
+                let id = format!("c{version}-{number}");
+                let attempt = Attempt {
+                    kind: KINDS[1],
+                    id: &id,
+                    deadline: CHECK_TIME,
+                    resumed: None,
+                    culprit: None,
+                };
+                let asked = call(&route, attempt, number, address, None).await;
+                let is_missing = asked.is_some_and(|(told, _)| told.status == 404);
+                is_missing.then(|| {
+                    format!("config: version {version} is not in force on instance {number}")
+                })
+            });
         }
+        self.broken
+            .extend(asking.join_all().await.into_iter().flatten());
     }
 }
 
@@ -385,6 +346,7 @@
         | Fault::ReplaceEngine(_)
         | Fault::BreakEngine(_)
         | Fault::Depart(..)
+        | Fault::Silence(..)
         | Fault::Config
         | Fault::Evacuate(_)
         | Fault::Limit(..)
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -6,14 +6,16 @@
 use tokio::time::Instant;
 
 use super::{
-    callers::{DEADLINE, Told},
+    answers::{EVENTS, event_data, plain_body},
+    callers::Told,
     crashes::crash_promises,
     departures::{LateCall, departure_promises},
     limits::{Limited, limit_promises},
     notices::{AnnouncedLeaving, notice_promises},
     process::EVACUATE_TIME,
     retries::{Arrival, retry_promises},
-    upstreams::{EVENTS, Run, domain_of, event_data, plain_body},
+    silences::{Continuity, continuity_promises},
+    upstreams::{Run, domain_of},
     versions::{EngineLife, Impaired, version_promises},
 };
 
@@ -28,7 +30,7 @@
 const BACK_WITHIN: Duration = EVACUATE_TIME.saturating_add(Duration::from_secs(1));
 
 /// Part of the grace at whose end requests that upstreams still work on may be cut.
-const LAST_PART: f64 = 1.0 / 6.0;
+pub(super) const LAST_PART: f64 = 1.0 / 6.0;
 
 /// An upstream said that it leaves, with a store that was well all the while.
 #[derive(Clone, Debug)]
@@ -94,6 +96,9 @@
     pub(super) impaired: Vec<Impaired>,
     /// Calls that reached departed upstreams after their drain time.
     pub(super) late_calls: Vec<LateCall>,
+    pub(super) continuity: Continuity,
+    /// Whether sound upstreams fell silent.
+    pub(super) has_silences: bool,
     /// Violations that the upstreams themselves detected.
     pub(super) wrong: Vec<String>,
 }
@@ -119,6 +124,9 @@
     broken.extend(version_promises(evidence));
     broken.extend(departure_promises(evidence));
     broken.extend(crash_promises(evidence));
+    if evidence.has_silences {
+        broken.extend(continuity_promises(evidence));
+    }
     broken
 }
 
@@ -229,7 +237,7 @@
     let stop = stops.find(|stop| {
         stop.instance == told.instance && stop.from <= told.sent && told.sent < stop.until
     })?;
-    let in_time = told.ended.duration_since(told.sent) < DEADLINE;
+    let in_time = told.ended.duration_since(told.sent) < told.deadline;
     // A request that an upstream still runs at the end of the grace period is cut off with it.
     let grace = stop.until.duration_since(stop.from);
     let grace_over = told.ended.duration_since(stop.from) > grace.mul_f64(1.0 - LAST_PART);
--- a/crates/tc-bench/src/soak/limits.rs
+++ b/crates/tc-bench/src/soak/limits.rs
@@ -5,8 +5,9 @@
 use tokio::time::Instant;
 
 use super::{
+    drive::Soak,
     judge::{Evidence, Harm, Harmed},
-    upstreams::Run,
+    upstreams::{ENGINES, Run, WEB},
 };
 
 /// Time after the first announcement from which the bound holds, and for which a fault excuses an instance.
@@ -26,6 +27,33 @@
     pub(super) until: Option<Instant>,
 }
 
+impl Soak {
+    /// Makes an upstream of each service announce a rate limit.
+    pub(super) fn limit(&mut self, upstream: usize, per_s: f64) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            self.seen.set_limit(&name, Some(per_s));
+            self.limited.push(Limited {
+                upstream: name,
+                per_s,
+                from: Instant::now(),
+                until: None,
+            });
+        }
+    }
+
+    pub(super) fn lift_limit(&mut self, upstream: usize) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            self.seen.set_limit(&name, None);
+            let lifted = self.limited.iter_mut().filter(|l| l.upstream == name);
+            for limited in lifted {
+                limited.until.get_or_insert_with(Instant::now);
+            }
+        }
+    }
+}
+
 /// A limited upstream gets no more than one and a half times its limit, and five requests, in any window.
 pub(super) fn limit_promises(evidence: &Evidence) -> Vec<String> {
     let entry: HashMap<&str, usize> = evidence
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -4,6 +4,7 @@
 //! A seed gives the whole plan. Which requests meet which fault depends on the machine's scheduling, so a seed that failed
 //! is run several times when it is looked into; its plan is always the same.
 
+mod answers;
 mod callers;
 mod crashes;
 mod departures;
@@ -14,7 +15,9 @@
 mod notices;
 mod plan;
 mod process;
+mod recovery;
 mod retries;
+mod silences;
 mod upstreams;
 mod versions;
 
@@ -58,6 +61,9 @@
     pub versions: EngineVersions,
     /// Requests that crash upstreams, besides the others.
     pub crashing: CrashingRequests,
+    /// Lets sound upstreams fall silent for a while, also in the middle of answers, besides the other faults, which stay the
+    /// same. Answers and deadlines are longer then.
+    pub silences: bool,
 }
 
 /// Requests of a soak that crash each upstream that runs them.
@@ -110,6 +116,9 @@
     if shape.versions == EngineVersions::Several {
         plan.add_versions();
     }
+    if shape.silences {
+        plan.add_silences();
+    }
     let outcome = drive::play(binary, &folder, plan, shape).await?;
     if outcome.broken.is_empty() {
         // Files that remain only take up space.
--- a/crates/tc-bench/src/soak/notices.rs
+++ b/crates/tc-bench/src/soak/notices.rs
@@ -7,8 +7,9 @@
 
 use super::{
     callers::Told,
+    drive::Soak,
     judge::{Evidence, Harmed},
-    upstreams::Run,
+    upstreams::{ENGINES, Run, SoakUpstream, WEB},
 };
 
 /// Backoff that upstreams ask for in refusals.
@@ -27,6 +28,37 @@
     pub(super) from: Instant,
 }
 
+impl Soak {
+    pub(super) fn set_backoff(&mut self, upstream: usize, is_active: bool) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            self.seen.set_backoff(&name, is_active);
+        }
+    }
+
+    /// Makes an upstream of each service announce that it is leaving, starts its replacement at once, and schedules its
+    /// removal for `until`.
+    pub(super) async fn announce_leaving(&mut self, upstream: usize, until: Instant) {
+        for service in [WEB, ENGINES] {
+            let name = format!("{service}-{upstream}");
+            let is_running = self.upstreams.iter().any(|u| u.name == name);
+            if !is_running || self.leaving.iter().any(|(_, other)| *other == name) {
+                continue;
+            }
+            self.seen.announce_leaving(&name);
+            self.announced_leaving.push(AnnouncedLeaving {
+                upstream: name.clone(),
+                from: Instant::now(),
+            });
+            self.leaving.push((until, name));
+            self.next_upstream += 1;
+            let replacement = format!("{service}-{}", self.next_upstream);
+            let started = SoakUpstream::start(replacement, service, &self.seen, &self.store).await;
+            self.upstreams.push(started);
+        }
+    }
+}
+
 /// Checks that each instance stops sending requests to upstreams whose leaving announcement it has forwarded, and to
 /// upstreams that asked it for a backoff.
 pub(super) fn notice_promises(evidence: &Evidence) -> Vec<String> {
--- a/crates/tc-bench/src/soak/plan.rs
+++ b/crates/tc-bench/src/soak/plan.rs
@@ -5,6 +5,8 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tc_stand_ins::StoreMode;
 
+use super::silences::Silenced;
+
 /// Time without faults at the start, so that every process is up and has what it needs.
 pub(super) const CALM_START: Duration = Duration::from_secs(1);
 /// Time without faults at the end, in which all must be served again.
@@ -69,6 +71,8 @@
     StoreOf(usize, StoreMode),
     /// An upstream leaves through the store alone, and another takes its place.
     Depart(usize, Departure),
+    /// Upstreams of a service write nothing for a while and then go on where they were.
+    Silence(&'static str, Silenced),
 }
 
 /// How an upstream leaves.
@@ -129,6 +133,8 @@
     pub(super) versions: bool,
     /// Whether upstreams depart through the store.
     pub(super) departures: bool,
+    /// Whether sound upstreams fall silent.
+    pub(super) silences: bool,
     /// From the start to the end of the last fault.
     pub(super) length: Duration,
     pub(super) faults: Vec<Planned>,
@@ -155,6 +161,7 @@
             upstreams,
             versions: false,
             departures: false,
+            silences: false,
             length,
             faults,
         }
--- a/crates/tc-bench/src/soak/process.rs
+++ b/crates/tc-bench/src/soak/process.rs
@@ -14,7 +14,12 @@
 };
 use tc_platform_adapter::{
     SETTINGS_VARIABLE,
-    outside::{ProcessSettings, settings_text},
+    outside::{ProcessSettings, ready_text, settings_text},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::timeout,
 };
 
 use super::retries;
@@ -30,6 +35,9 @@
 /// Time from SIGTERM to the end of a process.
 pub(super) const GRACE: Duration = Duration::from_secs(3);
 
+/// Longest time for an answer to a readiness request.
+const READY_TIME: Duration = Duration::from_millis(300);
+
 /// Maximum time until an evacuation is in force on every instance.
 pub(super) const EVACUATE_TIME: Duration = Duration::from_secs(2);
 
@@ -124,6 +132,18 @@
         opened.map_err(|e| file(&self.log, &e))
     }
 
+    /// Returns true if it answers that it is ready.
+    pub(super) async fn is_ready(&self) -> bool {
+        let asked = async {
+            let mut stream = TcpStream::connect(self.ready).await.ok()?;
+            stream.write_all(ready_text().as_bytes()).await.ok()?;
+            let mut answer = Vec::new();
+            stream.read_to_end(&mut answer).await.ok()?;
+            answer.starts_with(b"HTTP/1.1 200").then_some(())
+        };
+        matches!(timeout(READY_TIME, asked).await, Ok(Some(())))
+    }
+
     /// Returns the identifier of its process, if it was started.
     pub(super) fn process(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
--- a/crates/tc-bench/src/soak/upstreams.rs
+++ b/crates/tc-bench/src/soak/upstreams.rs
@@ -8,21 +8,20 @@
 };
 
 use tc_platform_adapter::outside::{
-    ForwardedRequest, batch_wire_format, chunk, input_gone, leaving_header, limit_header, not_run,
-    not_run_retry_after, read_forwarded_request, sealed_headers, set_version, stream_end,
-    stream_head_with, upstream_entry,
+    ForwardedRequest, batch_wire_format, input_gone, leaving_header, limit_header, not_run,
+    not_run_retry_after, read_forwarded_request, set_version, stream_head_with, upstream_entry,
 };
 use tc_stand_ins::{
-    MakerConfig, ObjectStore, PieceMaker, Received, ResultShelf, Script, ScriptedServer, Step,
-    whole_answer,
+    Hold, MakerConfig, ObjectStore, PieceMaker, Received, ResultShelf, Script, ScriptedServer, Step,
 };
 use tokio::time::Instant;
 
 use super::{
+    answers::{Pace, is_held, plain, stream},
     crashes::Culprit,
     departures::Departures,
     notices::BACKOFF,
-    plan::{DOMAINS, UpstreamMode},
+    plan::{DOMAINS, Plan, UpstreamMode},
     retries::Arrival,
 };
 
@@ -34,13 +33,6 @@
 pub(super) const STAGE: &str = "stage";
 /// Versions of engines, if several serve.
 const VERSIONS: [&str; 3] = ["v1", "v1.1", "v1.2"];
-/// Events of a whole stream.
-pub(super) const EVENTS: u64 = 8;
-/// Pause between two events, and time of a plain request.
-const WORK: Duration = Duration::from_millis(20);
-/// The same of a slow upstream.
-const SLOW_WORK: Duration = Duration::from_millis(250);
-
 /// Time for which an engine holds a request with results.
 const HOLD_TIME: Duration = Duration::from_millis(1_600);
 
@@ -55,18 +47,21 @@
     pub(super) at: Instant,
     /// Whether it is a run of its own: a resumed stream goes on.
     pub(super) resumed: bool,
+    /// Whether the upstream neither broke off nor stayed silent for good.
+    pub(super) is_sound: bool,
     /// What crashed the upstream.
     pub(super) culprit: Option<Culprit>,
 }
 
 impl Run {
     /// Records a request that arrives now.
-    fn now(upstream: &str, sent: &ForwardedRequest) -> Self {
+    fn now(upstream: &str, sent: &ForwardedRequest, mode: UpstreamMode) -> Self {
         Self {
             request: sent.id.clone(),
             upstream: upstream.to_owned(),
             at: Instant::now(),
             resumed: sent.resume_after > 0,
+            is_sound: !matches!(mode, UpstreamMode::Breaks | UpstreamMode::Silent),
             culprit: Culprit::of(sent),
         }
     }
@@ -89,17 +84,23 @@
     versions: bool,
     /// Whether engines hold some requests with results for long.
     holds_results: bool,
+    /// Pace of upstreams that are not slow.
+    pace: Pace,
     pub(super) departures: Departures,
     crashed: Mutex<Vec<String>>,
 }
 
 impl Seen {
-    /// Nothing seen yet; `versions` says whether engines have several versions, and `holds_results` whether they hold some
-    /// requests with results for long.
-    pub(super) fn new(versions: bool, holds_results: bool) -> Self {
+    /// Nothing seen yet.
+    pub(super) fn new(plan: &Plan) -> Self {
         Self {
-            versions,
-            holds_results,
+            versions: plan.versions,
+            holds_results: plan.departures,
+            pace: if plan.silences {
+                Pace::Long
+            } else {
+                Pace::Usual
+            },
             ..Self::default()
         }
     }
@@ -192,17 +193,17 @@
     fn refuse(&self, own: &str, sent: &ForwardedRequest) -> bool {
         let refuses = lock(&self.refusing).contains(own);
         if refuses {
-            lock(&self.refusals).push(Run::now(own, sent));
+            lock(&self.refusals).push(Run::now(own, sent, self.mode(own)));
         }
         refuses
     }
 
-    fn begin(&self, own: &str, sent: &ForwardedRequest) {
+    fn begin(&self, own: &str, sent: &ForwardedRequest, mode: UpstreamMode) {
         if sent.upstream != own {
             lock(&self.misdirected)
                 .push(format!("{} at {own}, meant for {}", sent.id, sent.upstream));
         }
-        lock(&self.runs).push(Run::now(own, sent));
+        lock(&self.runs).push(Run::now(own, sent, mode));
     }
 }
 
@@ -216,12 +217,12 @@
     pub(super) service: &'static str,
     pub(super) version: &'static str,
     address: SocketAddr,
-    _server: Kind,
+    server: Kind,
 }
 
 enum Kind {
-    Scripted(#[allow(dead_code, reason = "held until the upstream ends")] ScriptedServer),
-    Maker(#[allow(dead_code, reason = "held until the upstream ends")] PieceMaker),
+    Scripted(ScriptedServer),
+    Maker(PieceMaker),
 }
 
 impl SoakUpstream {
@@ -258,12 +259,20 @@
             service,
             version,
             address,
-            _server: server,
+            server,
         };
         upstream.register(store, false);
         upstream
     }
 
+    /// Holds back its answers until the guard is dropped.
+    pub(super) fn hold(&self) -> Hold {
+        match &self.server {
+            Kind::Scripted(server) => server.hold(),
+            Kind::Maker(maker) => maker.server.hold(),
+        }
+    }
+
     /// Loses the results that it holds, as a process does that ends.
     pub(super) fn lose_results(&self, seen: &Seen) {
         seen.shelf.lose(self.address);
@@ -310,7 +319,7 @@
     if !sent.inputs.is_empty() && !seen.shelf.all_kept(&sent.id, &sent.inputs) {
         return input_gone();
     }
-    seen.begin(own, &sent);
+    seen.begin(own, &sent, mode);
     if Culprit::of(&sent).is_some() {
         lock(&seen.crashed).push(own.to_owned());
         let head = (service == ENGINES).then(|| stream_head_with(req, ""));
@@ -319,15 +328,16 @@
     if mode == UpstreamMode::Silent {
         return vec![Step::Pause(Duration::from_mins(1))];
     }
-    let work = match mode {
-        UpstreamMode::Slow => SLOW_WORK,
-        _ => WORK,
+    let pace = if mode == UpstreamMode::Slow {
+        Pace::Slow
+    } else {
+        seen.pace
     };
     let headers = seen.extra_headers(own);
     let holds = seen.holds_results && !sent.inputs.is_empty() && is_held(&sent.id);
     let mut script = match service {
-        ENGINES => stream(req, &sent, version, &headers, work),
-        _ => plain(req, &sent, &headers, work),
+        ENGINES => stream(req, &sent, version, &headers, pace),
+        _ => plain(req, &sent, &headers, pace),
     };
     if holds {
         script.insert(0, Step::Pause(HOLD_TIME));
@@ -338,43 +348,3 @@
     }
     script
 }
-
-/// Returns true for one in three requests.
-fn is_held(id: &str) -> bool {
-    let sum: u32 = id.bytes().map(u32::from).sum();
-    sum.is_multiple_of(3)
-}
-
-fn plain(req: &Received, sent: &ForwardedRequest, headers: &str, work: Duration) -> Script {
-    let mut script = vec![Step::Pause(work)];
-    let headers = sealed_headers(req) + headers;
-    script.extend(whole_answer(200, &headers, &plain_body(&sent.id)));
-    script
-}
-
-/// Body of a plain answer.
-pub(super) fn plain_body(id: &str) -> String {
-    format!("answer to {id}")
-}
-
-/// Data of an event, which names the version of its engine.
-pub(super) fn event_data(id: &str, event: u64, version: &str) -> String {
-    format!("{id}.{event}@{version}")
-}
-
-fn stream(
-    req: &Received,
-    sent: &ForwardedRequest,
-    version: &str,
-    headers: &str,
-    work: Duration,
-) -> Script {
-    let mut script = vec![stream_head_with(req, headers)];
-    for event in sent.resume_after + 1..=EVENTS {
-        let data = event_data(&sent.id, event, version);
-        script.push(Step::Pause(work));
-        script.push(chunk(&format!("id: {event}\ndata: {data}\n\n")));
-    }
-    script.push(stream_end());
-    script
-}
--- a/crates/tc-stand-ins/src/lib.rs
+++ b/crates/tc-stand-ins/src/lib.rs
@@ -35,6 +35,6 @@
 pub use pool::{Pool, PoolConfig};
 pub use ports::free_address;
 pub use recorder::{CallRecord, Ending, OrderRecord, Recorder, StageTotals};
-pub use scripted::{Received, Script, ScriptedServer, Step, whole_answer};
+pub use scripted::{Hold, Received, Script, ScriptedServer, Step, whole_answer};
 pub use upstream::{AnswerFault, UpstreamFaults, UpstreamHandle};
 pub use weight_store::WeightStore;
--- a/crates/tc-stand-ins/src/scripted/mod.rs
+++ b/crates/tc-stand-ins/src/scripted/mod.rs
@@ -6,4 +6,4 @@
 
 pub use request::Received;
 pub use script::{Script, Step, whole_answer};
-pub use server::ScriptedServer;
+pub use server::{Hold, ScriptedServer};
--- a/crates/tc-stand-ins/src/scripted/script.rs
+++ b/crates/tc-stand-ins/src/scripted/script.rs
@@ -5,6 +5,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    sync::watch,
     time::timeout,
 };
 
@@ -50,9 +51,17 @@
     ))]
 }
 
-pub(super) async fn play(stream: &mut TcpStream, script: Script) -> Played {
+/// Plays a script; nothing is written and no connection is closed while `holds` is above zero.
+pub(super) async fn play(
+    stream: &mut TcpStream,
+    script: Script,
+    holds: &mut watch::Receiver<usize>,
+) -> Played {
     let mut played = Played::Kept;
     for step in script {
+        if !matches!(step, Step::Pause(_)) && holds.wait_for(|holds| *holds == 0).await.is_err() {
+            return Played::Closed;
+        }
         match step {
             Step::Write(text) => {
                 if text.contains("connection: close") {
--- a/crates/tc-stand-ins/src/scripted/server.rs
+++ b/crates/tc-stand-ins/src/scripted/server.rs
@@ -13,6 +13,7 @@
 
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::watch,
     task::{AbortHandle, JoinSet},
 };
 
@@ -36,9 +37,20 @@
     /// Where it listens.
     pub address: SocketAddr,
     seen: Arc<Seen>,
+    holds: watch::Sender<usize>,
     accepting: AbortHandle,
 }
 
+/// Holds back a server's answers until it is dropped.
+#[derive(Debug)]
+pub struct Hold(watch::Sender<usize>);
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.0.send_modify(|holds| *holds -= 1);
+    }
+}
+
 impl ScriptedServer {
     /// Starts one on a free port of the loopback address.
     ///
@@ -63,14 +75,47 @@
         let address = listener.local_addr()?;
         let seen = Arc::new(Seen::default());
         let answer: Answering = Arc::new(move |req| Box::pin(answer(req)));
-        let accepting = tokio::spawn(accept(listener, answer, Arc::clone(&seen)));
+        let holds = watch::Sender::new(0);
+        let accepting = tokio::spawn(accept(
+            listener,
+            answer,
+            Arc::clone(&seen),
+            holds.subscribe(),
+        ));
         Ok(Self {
             address,
             seen,
+            holds,
             accepting: accepting.abort_handle(),
         })
     }
 
+    /// Holds back all answers, those in progress too, where they are; requests are still read.
+    ///
+    /// ```
+    /// # use std::{io, time::Duration};
+    /// # use tokio::{io::{AsyncReadExt, AsyncWriteExt}, net::TcpStream, time::timeout};
+    /// use tc_stand_ins::{ScriptedServer, whole_answer};
+    /// # #[tokio::main]
+    /// # async fn main() -> io::Result<()> {
+    /// let server = ScriptedServer::start(|_| async { whole_answer(200, "", "") }).await;
+    /// let hold = server.hold();
+    /// let mut stream = TcpStream::connect(server.address).await?;
+    /// stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await?;
+    /// let read = timeout(Duration::from_millis(50), stream.read_u8()).await;
+    /// assert!(read.is_err(), "nothing is written");
+    ///
+    /// drop(hold);
+    /// assert_eq!(stream.read_u8().await?, b'H');
+    /// # Ok(())
+    /// # }
+    /// ```
+    #[must_use = "answers are held back until the guard is dropped"]
+    pub fn hold(&self) -> Hold {
+        self.holds.send_modify(|holds| *holds += 1);
+        Hold(self.holds.clone())
+    }
+
     /// All requests so far.
     #[must_use]
     pub fn received(&self) -> Vec<Received> {
@@ -99,20 +144,37 @@
     }
 }
 
-async fn accept(listener: TcpListener, answer: Answering, seen: Arc<Seen>) {
+async fn accept(
+    listener: TcpListener,
+    answer: Answering,
+    seen: Arc<Seen>,
+    holds: watch::Receiver<usize>,
+) {
     // Dropped with this task, which ends its connections.
     let mut connections = JoinSet::new();
     while let Ok((stream, peer)) = listener.accept().await {
         while connections.try_join_next().is_some() {}
-        connections.spawn(serve(stream, peer, Arc::clone(&answer), Arc::clone(&seen)));
+        connections.spawn(serve(
+            stream,
+            peer,
+            Arc::clone(&answer),
+            Arc::clone(&seen),
+            holds.clone(),
+        ));
     }
 }
 
-async fn serve(mut stream: TcpStream, peer: SocketAddr, answer: Answering, seen: Arc<Seen>) {
+async fn serve(
+    mut stream: TcpStream,
+    peer: SocketAddr,
+    answer: Answering,
+    seen: Arc<Seen>,
+    mut holds: watch::Receiver<usize>,
+) {
     while let Some(req) = read_request(&mut stream, peer).await {
         lock(&seen.received).push(req.clone());
         let script = answer(req).await;
-        match play(&mut stream, script).await {
+        match play(&mut stream, script, &mut holds).await {
             Played::Kept => {}
             Played::Closed => return,
             Played::Left => {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,6 +16,7 @@
     leaving: LeavingUpstreams::Plain,
     versions: EngineVersions::One,
     crashing: CrashingRequests::None,
+    silences: false,
 };
 
 async fn assert_guarantees_hold(seed: u64, shape: SoakShape) {
@@ -115,3 +116,16 @@
     };
     assert_guarantees_hold(1, shape).await;
 }
+
+/// Guards against answers that are cut, and requests that end without one, because a sound upstream is silent for a while,
+/// while the configuration changes and instances are killed, stopped and paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_outlast_silent_upstreams_during_other_faults() {
+    let shape = SoakShape {
+        callers: 18,
+        length: Duration::from_secs(12),
+        silences: true,
+        ..BASE_SHAPE
+    };
+    assert_guarantees_hold(1, shape).await;
+}
