--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -8,7 +8,8 @@
 use crate::{
     error::BenchError,
     soak::{
-        CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SoakShape, SystemBinary, soak,
+        CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, Silences, SoakShape,
+        SystemBinary, soak,
     },
 };
 
@@ -56,7 +57,11 @@
     } else {
         CrashingRequests::None
     };
-    let silences = args.contains("--silences");
+    let silences = if args.contains("--silences") {
+        Silences::OfSoundUpstreams
+    } else {
+        Silences::None
+    };
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
         let problem = "--seeds and --instances must be above 0, --seconds 3 or more";
--- a/crates/tc-bench/src/lib.rs
+++ b/crates/tc-bench/src/lib.rs
@@ -22,5 +22,6 @@
 };
 pub use report::page;
 pub use soak::{
-    CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SoakShape, SystemBinary, soak,
+    CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, Silences, SoakShape, SystemBinary,
+    soak,
 };
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -13,7 +13,7 @@
 use tokio::{task::JoinSet, time::Instant};
 
 use super::{
-    callers::{Attempt, KEY, KINDS, call},
+    callers::{Attempt, DEADLINE, KEY, KINDS, call},
     departures::LEAVES_AFTER,
     drive::Soak,
     judge::{CleanStop, Evacuated, Harm, Harmed},
@@ -27,8 +27,8 @@
 
 /// A configuration is in force this long after the store took it, if the store is well.
 const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
-/// Time for an answer that shows a configuration; a silent upstream gives none.
-const CHECK_TIME: Duration = Duration::from_millis(500);
+/// Time for an answer that shows a configuration while upstreams may be silent, which give none.
+const CHECK_TIME_IN_SILENCE: Duration = Duration::from_millis(500);
 /// Upstreams that one request may be sent to, unless callers are to resume its stream.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -307,6 +307,11 @@
     }
 
     async fn expect_config(&mut self, version: u64, on: &[usize]) {
+        let deadline = if self.has_silences {
+            CHECK_TIME_IN_SILENCE
+        } else {
+            DEADLINE
+        };
         let mut asking = JoinSet::new();
         for &number in on {
             let address = self.instances[number].callers;
@@ -316,7 +321,7 @@
                 let attempt = Attempt {
                     kind: KINDS[1],
                     id: &id,
-                    deadline: CHECK_TIME,
+                    deadline,
                     resumed: None,
                     culprit: None,
                 };
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -63,7 +63,7 @@
     pub crashing: CrashingRequests,
     /// Lets sound upstreams fall silent for a while, also in the middle of answers, besides the other faults, which stay the
     /// same. Answers and deadlines are longer then.
-    pub silences: bool,
+    pub silences: Silences,
 }
 
 /// Requests of a soak that crash each upstream that runs them.
@@ -75,6 +75,15 @@
     Sent,
 }
 
+/// Upstreams of a soak that fall silent for a while and then go on where they were.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silences {
+    /// There are none.
+    None,
+    /// Sound upstreams of all services. Answers and deadlines are longer then.
+    OfSoundUpstreams,
+}
+
 /// Upstreams of a soak that leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeavingUpstreams {
@@ -116,7 +125,7 @@
     if shape.versions == EngineVersions::Several {
         plan.add_versions();
     }
-    if shape.silences {
+    if shape.silences == Silences::OfSoundUpstreams {
         plan.add_silences();
     }
     let outcome = drive::play(binary, &folder, plan, shape).await?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -2,7 +2,9 @@
 
 use std::{path::Path, time::Duration};
 
-use tc_bench::{CrashingRequests, EngineVersions, LeavingUpstreams, SoakShape, SystemBinary, soak};
+use tc_bench::{
+    CrashingRequests, EngineVersions, LeavingUpstreams, Silences, SoakShape, SystemBinary, soak,
+};
 
 /// Long enough for a dozen overlapping faults, short enough to be part of every test run.
 const BASE_SHAPE: SoakShape = SoakShape {
@@ -16,7 +18,7 @@
     leaving: LeavingUpstreams::Plain,
     versions: EngineVersions::One,
     crashing: CrashingRequests::None,
-    silences: false,
+    silences: Silences::None,
 };
 
 async fn assert_guarantees_hold(seed: u64, shape: SoakShape) {
@@ -124,7 +126,7 @@
     let shape = SoakShape {
         callers: 18,
         length: Duration::from_secs(12),
-        silences: true,
+        silences: Silences::OfSoundUpstreams,
         ..BASE_SHAPE
     };
     assert_guarantees_hold(1, shape).await;
