Report suppressed log lines of places that log nothing more

What operators saw: a place in the code writes 20 lines a second, and the rest is counted in `suppressed` of its next line. After a burst of failures no such line may ever follow; the log then shows 20 of them and nothing that says there were more. A place that logs every answer or refusal also used up its lines with the common ones, so that a failed request among them left no line.

Cause: the count was kept until the same place wrote again, and all lines of a place shared one limit whatever they reported.

After 50 lines of one place, a pause and a line of another one, no line had the number of the 30 left out. After 50 answers with 200 (refusals with 503), an answer with 500 (504, 502) had no line.

Change: once a second at most, a logged line looks for places with suppressed lines and nothing written for two seconds, and reports each in a line "log lines suppressed". Lines with a status have a limit for each class of status, and for each of 502, 503 and 504; these are at most 10 groups for a place, whatever statuses an upstream sends. The reports of a quiet process wait for its next line.

The property test of the limiter takes overdue counts at random times and checks that each suppressed line is counted once.

--- a/crates/tc-telemetry/src/logs/line.rs
+++ b/crates/tc-telemetry/src/logs/line.rs
@@ -97,7 +97,7 @@
 }
 
 /// Masks secrets, then truncates the text. Truncating first could leave part of a secret that is no longer recognized.
-fn mask_and_truncate(text: &str) -> String {
+pub(super) fn mask_and_truncate(text: &str) -> String {
     let mut text = mask_secrets(text, MASK);
     if text.len() > MAX_TEXT_BYTES {
         text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
--- a/crates/tc-telemetry/src/logs/mod.rs
+++ b/crates/tc-telemetry/src/logs/mod.rs
@@ -4,27 +4,34 @@
 mod mask;
 mod queue;
 mod rate_limiter;
+mod suppressed;
 
 pub use queue::QueueWriter;
 pub use rate_limiter::{LogDecision, LogRateLimiter};
+use suppressed::SuppressedSites;
 
 use std::{
     hash::Hasher,
     io::{self, Write},
     str::FromStr,
-    sync::Arc,
 };
 
 use env_logger::{Builder, Logger, Target};
-use log::{LevelFilter, Record};
+use log::{LevelFilter, Record, kv::Key};
 use tc_protocol::MonoTime;
 use xxhash_rust::xxh3::Xxh3;
 
 use crate::error::TelemetryError;
 
-/// Maximum number of lines per second for each call site.
+/// Maximum number of lines per second for each call site and group of statuses.
 const LINES_PER_SECOND: u32 = 20;
 
+/// What the logger keeps between lines.
+struct LogState {
+    limiter: LogRateLimiter,
+    suppressed_sites: SuppressedSites,
+}
+
 /// Installs a logger that writes one JSON object per line to standard error.
 ///
 /// `level` is a level or a list of levels by module, such as `info,tc_caller=debug`. Returns an error if a level is
@@ -70,11 +77,14 @@
 
 fn builder(level: &str) -> Result<Builder, TelemetryError> {
     check_level(level)?;
-    let limiter = Arc::new(LogRateLimiter::new(LINES_PER_SECOND));
+    let state = LogState {
+        limiter: LogRateLimiter::new(LINES_PER_SECOND),
+        suppressed_sites: SuppressedSites::default(),
+    };
     let mut builder = Builder::new();
     builder
         .parse_filters(level)
-        .format(move |buf, record| write_rate_limited(&limiter, buf, record));
+        .format(move |buf, record| state.write_rate_limited(buf, record));
     Ok(builder)
 }
 
@@ -94,27 +104,59 @@
     Ok(())
 }
 
-fn write_rate_limited(
-    limiter: &LogRateLimiter,
-    buf: &mut env_logger::fmt::Formatter,
-    record: &Record<'_>,
-) -> io::Result<()> {
-    match limiter.admit(call_site(record), MonoTime::now()) {
-        LogDecision::Suppress => {
-            metrics::counter!("tc_log_lines_suppressed_total").increment(1);
-            Ok(())
-        }
-        LogDecision::Write { suppressed } => {
+impl LogState {
+    /// Writes a record if the limit of its call site allows it, after reports of other call sites that are overdue.
+    fn write_rate_limited(
+        &self,
+        buf: &mut env_logger::fmt::Formatter,
+        record: &Record<'_>,
+    ) -> io::Result<()> {
+        let now = MonoTime::now();
+        let call_site = call_site(record);
+        let decision = self.limiter.admit(call_site, now);
+        for (call_site, suppressed) in self.limiter.take_overdue(now) {
             let time = buf.timestamp_millis().to_string();
-            line::write_line(buf, &time, record, suppressed)
+            self.suppressed_sites
+                .write_report(buf, &time, call_site, suppressed)?;
+        }
+        match decision {
+            LogDecision::Suppress => {
+                metrics::counter!("tc_log_lines_suppressed_total").increment(1);
+                self.suppressed_sites.record(call_site, record);
+                Ok(())
+            }
+            LogDecision::Write { suppressed } => {
+                if suppressed > 0 {
+                    self.suppressed_sites.forget(call_site);
+                }
+                let time = buf.timestamp_millis().to_string();
+                line::write_line(buf, &time, record, suppressed)
+            }
         }
     }
 }
 
-/// Returns a hash that identifies the call site of a record.
+/// Returns a hash that identifies the call site of a record and the group of its status.
+///
+/// A place that reports each answer or refusal would otherwise use up its budget with those that are common, and a
+/// failed request would leave no line.
 fn call_site(record: &Record<'_>) -> u64 {
     let mut hasher = Xxh3::new();
     hasher.write(record.target().as_bytes());
     hasher.write_u32(record.line().unwrap_or_default());
+    let status = record.key_values().get(Key::from("status"));
+    if let Some(status) = status.and_then(|status| status.to_u64()) {
+        hasher.write_u64(status_group(status));
+    }
     hasher.finish()
 }
+
+/// Returns the status itself for those that a gateway sends for its upstreams, and otherwise the class of the status.
+/// The groups are few, as an upstream may send any status.
+fn status_group(status: u64) -> u64 {
+    match status {
+        502..=504 => status,
+        0..600 => status / 100,
+        _ => 6,
+    }
+}
--- a/crates/tc-telemetry/src/logs/queue.rs
+++ b/crates/tc-telemetry/src/logs/queue.rs
@@ -14,7 +14,7 @@
 /// megabyte.
 const QUEUE_CAPACITY: usize = 2_048;
 
-/// Writer that queues log lines without blocking. Each write by the logger is one whole line.
+/// Writer that queues log lines without blocking. Each write by the logger is one or more whole lines.
 ///
 /// ```
 /// use std::io::Write;
--- a/crates/tc-telemetry/tests/logs.rs
+++ b/crates/tc-telemetry/tests/logs.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{self, Write},
     sync::{Arc, Mutex},
+    time::{Duration, Instant},
 };
 
 use bolero::generator::produce;
@@ -37,17 +38,21 @@
     let lines = Lines::default();
     let logger = json_logger("info", Box::new(lines.clone())).unwrap();
     for _ in 0..times {
-        let mut record = Record::builder();
-        record
-            .level(Level::Warn)
-            .target("tc_caller::run")
-            .line(Some(7))
-            .key_values(&fields);
-        logger.log(&record.args(format_args!("{message}")).build());
+        log_at(&logger, 7, message, fields);
     }
     lines.parse()
 }
 
+fn log_at(logger: &impl Log, line: u32, message: &str, fields: &[(&str, log::kv::Value<'_>)]) {
+    let mut record = Record::builder();
+    record
+        .level(Level::Warn)
+        .target("tc_caller::run")
+        .line(Some(line))
+        .key_values(&fields);
+    logger.log(&record.args(format_args!("{message}")).build());
+}
+
 #[test]
 fn a_line_is_one_json_object() {
     let hostile = "two\nlines \"quoted\" \u{1} \u{2028} end";
@@ -117,6 +122,76 @@
     assert!(line["message"].as_str().unwrap().len() < 5_000);
 }
 
+/// Guards against a burst of failures of which nobody learns how many there were, because their place logs nothing more.
+#[test]
+fn suppressed_lines_are_reported_without_a_further_line_of_their_place() {
+    let lines = Lines::default();
+    let logger = json_logger("info", Box::new(lines.clone())).unwrap();
+    for _ in 0..50 {
+        log_at(&logger, 7, "a stream was cut", &[]);
+    }
+    std::thread::sleep(Duration::from_millis(2_100));
+    for _ in 0..2 {
+        log_at(&logger, 8, "configuration changed", &[]);
+    }
+    let lines = lines.parse();
+    let reports: Vec<&Value> = lines
+        .iter()
+        .filter(|line| line["message"] == "log lines suppressed")
+        .collect();
+    let [report] = reports.as_slice() else {
+        panic!("not one report in {lines:#?}");
+    };
+    assert_eq!(
+        (
+            &report["of_target"],
+            &report["of_message"],
+            &report["suppressed"]
+        ),
+        (
+            &json!("tc_caller::run"),
+            &json!("a stream was cut"),
+            &json!(30)
+        )
+    );
+    assert_eq!(lines.len(), 20 + 1 + 2);
+}
+
+/// Guards against a failure that leaves no line because the same place reports many successes, or many refusals that
+/// are not failures of an upstream.
+#[test]
+fn common_statuses_do_not_crowd_out_rare_ones() {
+    for (common, rare) in [(200, 500), (503, 504), (503, 502)] {
+        let lines = Lines::default();
+        let logger = json_logger("info", Box::new(lines.clone())).unwrap();
+        for _ in 0..50 {
+            log_at(&logger, 7, "answered", &[("status", common.into())]);
+        }
+        log_at(&logger, 7, "answered", &[("status", rare.into())]);
+        let lines = lines.parse();
+        let count = |status: i32| lines.iter().filter(|l| l["status"] == status).count();
+        assert!(count(common) <= 40, "{} lines", count(common));
+        assert_eq!(count(rare), 1, "{rare} among many {common}");
+    }
+}
+
+/// Guards against a log whose volume grows with the variety of statuses that upstreams send.
+#[test]
+fn volume_is_bounded_for_any_status() {
+    let lines = Lines::default();
+    let logger = json_logger("info", Box::new(lines.clone())).unwrap();
+    let started = Instant::now();
+    for status in (0..u64::from(u16::MAX)).cycle().take(200_000) {
+        log_at(&logger, 7, "answered", &[("status", status.into())]);
+    }
+    let seconds = started.elapsed().as_secs() as usize + 1;
+    let count = lines.parse().len();
+    assert!(
+        count <= 10 * 20 * (seconds + 1),
+        "{count} lines in {seconds} s"
+    );
+}
+
 #[test]
 fn a_wrong_level_is_refused() {
     for level in ["loud", "info,tc_caller=loud", "", "tc_caller"] {
@@ -126,19 +201,27 @@
 }
 
 /// Guards against a call site that exceeds its limit under overload, and against suppressed lines that are not
-/// reported. Any call sites log at any times. In any second, counted from the first line after a pause, there may be
-/// no more lines of a call site than its limit allows, and written plus suppressed lines must be all lines.
+/// reported. Any call sites log at any times, and overdue counts are taken at any times. In any second, counted from the
+/// first line after a pause, there may be no more lines of a call site than its limit allows. Each suppressed line must
+/// be counted once: by the next line of its call site, or as overdue.
 #[test]
 fn the_rate_limit_holds_for_any_sequence() {
     const LIMIT: u64 = 3;
-    tc_fuzz::check(2_000, produce::<Vec<(u8, u16)>>(), |steps| {
+    tc_fuzz::check(2_000, produce::<Vec<(u8, u16, bool)>>(), |steps| {
         let limiter = LogRateLimiter::new(LIMIT as u32);
         let mut now = 0;
         let mut written: Vec<Vec<u64>> = vec![Vec::new(); 4];
         let mut suppressed_lines = [0; 4];
-        for (call_site, pause) in steps {
+        for (call_site, pause, takes_overdue) in steps {
             let call_site = usize::from(call_site % 4);
             now += u64::from(*pause % 700);
+            if *takes_overdue {
+                for (site, count) in limiter.take_overdue(MonoTime::from_millis(now)) {
+                    let uncounted = &mut suppressed_lines[site as usize - 1];
+                    assert!(count > 0);
+                    assert_eq!(count, std::mem::take(uncounted));
+                }
+            }
             match limiter.admit(call_site as u64 + 1, MonoTime::from_millis(now)) {
                 LogDecision::Suppress => suppressed_lines[call_site] += 1,
                 LogDecision::Write { suppressed } => {
@@ -154,5 +237,8 @@
                 assert!(in_second as u64 <= 2 * LIMIT);
             }
         }
+        let rest = limiter.take_overdue(MonoTime::from_millis(now + 5_000));
+        let rest: u64 = rest.iter().map(|(_, count)| count).sum();
+        assert_eq!(rest, suppressed_lines.iter().sum::<u64>());
     });
 }
