Upstream connections: wait for a peer that does not read a large body

What callers saw: a request with a large body ended with 502, or was sent to another upstream, because its upstream was silent for more than three seconds before it had read the body.

Cause: every connection has a limit of 3 s for unacknowledged data (`TCP_USER_TIMEOUT`), to notice machines that are lost. The kernel applies it to a peer with a full receive window as well, although that peer acknowledges every probe. A body that does not fit into the window thus broke the connection of a process that was only silent.

Fix: the limit is lifted while a body of more than 32 KB is sent, as only such a body can wait for the peer's process. It is in force again for the next exchange on the connection.

Measured: `cargo test -p tc-upstream` passes (debug build).

--- a/crates/tc-upstream/src/connection/http1.rs
+++ b/crates/tc-upstream/src/connection/http1.rs
@@ -62,7 +62,7 @@
     stream.set_nodelay(true)?;
     set_keep_alive(&stream)?;
     let socket = Arc::new(SocketState::default());
-    let io = TokioIo::new(Socket::new(stream, Arc::clone(&socket)));
+    let io = TokioIo::new(Socket::new(stream, Arc::clone(&socket))?);
     let (sender, driver) = http1::Builder::new()
         .max_header_size(settings.max_header_bytes)
         .handshake(io)
@@ -81,8 +81,8 @@
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unacknowledged probes after which the kernel closes the connection.
 const KEEP_ALIVE_RETRIES: u32 = 3;
-/// How long sent data may stay unacknowledged (`TCP_USER_TIMEOUT`).
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Size of a request body that the kernel of the peer accepts even if its process does not read.
+const MAX_UNREAD_BYTES: u64 = 32 << 10;
 
 /// Makes the kernel close a connection whose peer is unreachable or has lost power.
 ///
@@ -94,8 +94,7 @@
         .with_time(KEEP_ALIVE_INTERVAL)
         .with_interval(KEEP_ALIVE_INTERVAL)
         .with_retries(KEEP_ALIVE_RETRIES);
-    socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_keepalive(&probes)
 }
 
 impl Connection {
@@ -127,6 +126,9 @@
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.written_before = self.socket.written();
+        let body_bytes = request.body().size_hint().lower();
+        self.socket
+            .set_waits_for_reader(body_bytes > MAX_UNREAD_BYTES);
         let mut response = pin!(self.sender.try_send_request(request));
         let driver = &mut self.driver;
         let answered = poll_fn(|cx| {
--- a/crates/tc-upstream/src/connection/socket.rs
+++ b/crates/tc-upstream/src/connection/socket.rs
@@ -1,4 +1,4 @@
-//! A TCP stream that counts the written bytes and can detect a close without waiting for the event loop.
+//! A TCP stream that counts the written bytes, waits for a peer that does not read, and can detect a close without waiting for the event loop.
 
 use std::{
     io::{self, IoSlice},
@@ -9,6 +9,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     task::{Context, Poll},
+    time::Duration,
 };
 
 use socket2::SockRef;
@@ -22,6 +23,7 @@
 pub(crate) struct SocketState {
     written: AtomicU64,
     peek_first: AtomicBool,
+    waits_for_reader: AtomicBool,
 }
 
 impl SocketState {
@@ -37,18 +39,51 @@
     pub(crate) fn peek_before_next_read(&self) {
         self.peek_first.store(true, Ordering::Relaxed);
     }
+
+    /// Sets whether data may stay unsent for as long as the peer's process does not read.
+    pub(crate) fn set_waits_for_reader(&self, waits: bool) {
+        self.waits_for_reader.store(waits, Ordering::Relaxed);
+    }
 }
 
+/// Time for which data may stay unacknowledged (`TCP_USER_TIMEOUT`), unless it waits for the peer's process to read.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// The socket that is passed to the HTTP library.
 #[derive(Debug)]
 pub(crate) struct Socket {
     stream: TcpStream,
     state: Arc<SocketState>,
+    waits_for_reader: bool,
 }
 
 impl Socket {
-    pub(crate) fn new(stream: TcpStream, state: Arc<SocketState>) -> Self {
-        Self { stream, state }
+    pub(crate) fn new(stream: TcpStream, state: Arc<SocketState>) -> io::Result<Self> {
+        let socket = Self {
+            stream,
+            state,
+            waits_for_reader: false,
+        };
+        socket.set_user_timeout()?;
+        Ok(socket)
+    }
+
+    /// Applies the timeout for unacknowledged data.
+    ///
+    /// The kernel counts the time in which the peer's receive window is full as well, although the peer acknowledges every
+    /// probe. A peer that is lost then is noticed by the deadline of the call, or by keep-alive probes after the last byte.
+    fn set_user_timeout(&self) -> io::Result<()> {
+        let limit = (!self.waits_for_reader).then_some(USER_TIMEOUT);
+        SockRef::from(&self.stream).set_tcp_user_timeout(limit)
+    }
+
+    fn update_user_timeout(&mut self) -> io::Result<()> {
+        let waits = self.state.waits_for_reader.load(Ordering::Relaxed);
+        if waits != self.waits_for_reader {
+            self.waits_for_reader = waits;
+            self.set_user_timeout()?;
+        }
+        Ok(())
     }
 
     fn count(&self, written: &Poll<io::Result<usize>>) {
@@ -88,6 +123,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.update_user_timeout()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.count(&written);
         written
@@ -98,6 +134,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.update_user_timeout()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.count(&written);
         written
