Callers' connections: wait for a caller that does not read

What callers saw: a connection reset in the middle of an answer, because the caller had not read for six seconds, although its deadline had not passed and its machine acknowledged all probes.

Cause: every connection of a caller has a limit of 6 s for unacknowledged data (`TCP_USER_TIMEOUT`), to notice callers that are lost. The kernel applies it to a caller with a full receive window as well.

Fix: the limit for an answer is the time that its request had left, at least the 6 s. The service adds the time to its response, and the socket applies it before the next write. What remains: a lost caller with an answer on its way is noticed at the request's deadline instead of after 6 s, and its unread answer counts as held until then. A caller that closes its connection is noticed at once as before.

--- a/crates/tc-gateway/src/serve/mod.rs
+++ b/crates/tc-gateway/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! Serving of callers' requests and of the readiness, directory and metrics endpoints.
 
 mod accept;
+mod caller_socket;
 mod callers;
 mod info;
 
