Look again for an engine that can take over a silent stream

What callers saw: a stream whose engine went silent for good waited until its deadline although an engine that could take it over was registered a moment later.

Cause: whether another engine exists was asked once, when the wait for the next event began. Without one the wait had no limit.

The limit now holds whenever the route allows another attempt, and the search is made each time that it passes.

--- a/crates/tc-gateway/src/run/relay.rs
+++ b/crates/tc-gateway/src/run/relay.rs
@@ -162,10 +162,10 @@
         self.source = Some(source);
     }
 
-    /// Returns how long the source may be silent before another engine is sought; `None` if the stream cannot be
-    /// resumed.
+    /// Returns how long the source may be silent before another engine is sought; `None` if the stream must not run
+    /// on another one. An engine that can take the stream may be registered later.
     fn stall_timeout(&self) -> Option<Duration> {
-        let may_retry = self.attempts.may_hedge(&self.req) && self.may_resume();
+        let may_retry = self.attempts.may_hedge(&self.req) && self.version.is_some();
         let pause = self.req.route.max_event_gap.unwrap_or(MIN_STALL_TIMEOUT);
         may_retry.then(|| (pause * STALL_GAPS).max(MIN_STALL_TIMEOUT))
     }
@@ -188,7 +188,9 @@
         let silent = source.answered.upstream.id.clone();
         let attempts = &mut self.attempts;
         attempts.record_silence(&silent);
-        let is_allowed = attempts.may_send_again(&cx, &req, SendFailure::MayHaveRun);
+        let version = self.version.as_ref();
+        let is_allowed = attempts.has_candidates(1, &cx, &req, version, Some(&silent))
+            && attempts.may_send_again(&cx, &req, SendFailure::MayHaveRun);
         log::info!(request = &*req.head.request, upstream = silent.as_str(), last_event = self.last_id.unwrap_or(0), seeks_other = is_allowed, silent_ms = self.received_at.elapsed().as_millis() as u64, after_ms = req.arrived.elapsed().as_millis() as u64; "a stream is silent");
         let Some(version) = self.version.as_ref().filter(|_| is_allowed) else {
             self.source = Some(source);
