Spend retry budget on a resumed stream once its stages are made

What callers saw: a stream whose engine was silent for good could not go on at another engine, as the retry budget had gone to searches that sent nothing. With many silent streams while stages are overloaded, other requests lose their retries too.

Cause: the budget was spent when the search began. The stages of the request come first, and when they are refused nothing is sent. A permit also expires while stages are made, so that a staged stream paid twice.

A trace of another stream had six "retry decided: allowed" and no arrival at another engine.

The search begins if the budget has a retry, and takes it when the stages are made. The fuzzed test of the budget checks that both answers agree.

--- a/crates/tc-gateway/src/retry_budgets.rs
+++ b/crates/tc-gateway/src/retry_budgets.rs
@@ -73,6 +73,11 @@
         self.lock().budget(service).record_request(MonoTime::now());
     }
 
+    /// Returns true if the budget allows a retry now, without spending it.
+    pub(crate) fn can_spend(&self, service: &ServiceName) -> bool {
+        self.lock().budget(service).can_spend(MonoTime::now())
+    }
+
     /// Spends one retry of the request if the budget allows it. Logs and counts the decision.
     pub(crate) fn try_spend(&self, request: &str, service: &ServiceName) -> Option<RetryPermit> {
         let now = MonoTime::now();
--- a/crates/tc-gateway/src/run/attempts.rs
+++ b/crates/tc-gateway/src/run/attempts.rs
@@ -57,6 +57,29 @@
         req: &RoutedRequest,
         failure: SendFailure,
     ) -> Result<(), &'static str> {
+        self.check_limits(req, failure)?;
+        if self.is_paid_for() || self.spend(cx, req) {
+            return Ok(());
+        }
+        Err(RETRY_BUDGET_EMPTY)
+    }
+
+    /// Like [`check_send_again`](Self::check_send_again), without spending retry budget. It may be spent by others before the
+    /// request is ready to be sent.
+    pub(super) fn check_prepare_again(
+        &self,
+        cx: &RunContext,
+        req: &RoutedRequest,
+        failure: SendFailure,
+    ) -> Result<(), &'static str> {
+        self.check_limits(req, failure)?;
+        if self.is_paid_for() || cx.retry_budgets.can_spend(&req.service) {
+            return Ok(());
+        }
+        Err(RETRY_BUDGET_EMPTY)
+    }
+
+    fn check_limits(&self, req: &RoutedRequest, failure: SendFailure) -> Result<(), &'static str> {
         if let Some(reason) = failure.final_reason() {
             return Err(reason);
         }
@@ -72,10 +95,12 @@
         if req.time_left() < MIN_TIME_LEFT {
             return Err(NO_TIME_LEFT);
         }
-        if !self.reached_upstream || self.has_permit() || self.spend(cx, req) {
-            return Ok(());
-        }
-        Err(RETRY_BUDGET_EMPTY)
+        Ok(())
+    }
+
+    /// Returns true if the next attempt needs no further retry budget.
+    fn is_paid_for(&self) -> bool {
+        !self.reached_upstream || self.has_permit()
     }
 
     /// Returns true if the next attempt may still be sent. Its permit may have expired while stages were made again.
--- a/crates/tc-gateway/src/run/relay.rs
+++ b/crates/tc-gateway/src/run/relay.rs
@@ -190,13 +190,16 @@
         attempts.record_silence(&silent);
         let version = self.version.as_ref();
         let is_allowed = attempts.has_candidates(1, &cx, &req, version, Some(&silent))
-            && attempts.may_send_again(&cx, &req, SendFailure::MayHaveRun);
+            && attempts
+                .check_prepare_again(&cx, &req, SendFailure::MayHaveRun)
+                .is_ok();
         log::info!(request = &*req.head.request, upstream = silent.as_str(), last_event = self.last_id.unwrap_or(0), seeks_other = is_allowed, silent_ms = self.received_at.elapsed().as_millis() as u64, after_ms = req.arrived.elapsed().as_millis() as u64; "a stream is silent");
         let Some(version) = self.version.as_ref().filter(|_| is_allowed) else {
             self.source = Some(source);
             return Ok(());
         };
-        let resumed = resume(&cx, &req, attempts, self.last_id, version).boxed();
+        let failure = SendFailure::MayHaveRun;
+        let resumed = resume(&cx, &req, attempts, failure, self.last_id, version).boxed();
         let end = end_of_silence(&cx, &req, source, self.last_id, resumed).await;
         let result = end.label();
         metrics::counter!("tc_stream_silences_total", "result" => result).increment(1);
@@ -246,11 +249,11 @@
         let (cx, req) = (Arc::clone(&self.cx), Arc::clone(&self.req));
         let may_resume = self.may_resume();
         let Some(version) = self.version.as_ref().filter(|_| may_resume) else {
-            return Err("no other engine has the version that began the stream");
+            return Err("no untried engine has the version that began the stream");
         };
-        self.attempts.check_send_again(&cx, &req, failure)?;
+        self.attempts.check_prepare_again(&cx, &req, failure)?;
         let attempts = &mut self.attempts;
-        let resumed = resume(&cx, &req, attempts, self.last_id, version).boxed();
+        let resumed = resume(&cx, &req, attempts, failure, self.last_id, version).boxed();
         resumed.await.map_err(|unanswered| unanswered.reason())
     }
 
--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -17,6 +17,7 @@
     open_stream::OpenStream,
     relay::Relay,
     resumption::record_origin,
+    send_failure::SendFailure,
 };
 
 /// Runs a request until its first event; the remaining events follow in the answer's body.
@@ -96,15 +97,19 @@
     answer
 }
 
-/// Opens a stream on another engine of the version that began it.
+/// Opens a stream on another engine of the version that began it, after a failure of the attempt before.
 pub(super) async fn resume(
     cx: &RunContext,
     req: &RoutedRequest,
     attempts: &mut Attempts,
+    failure: SendFailure,
     after: Option<u64>,
     version: &UpstreamVersion,
 ) -> Result<Box<OpenStream>, Unanswered> {
     let results = make_stages(cx, req).await.map_err(Unanswered::Refused)?;
+    // Not spent on a stream whose stages are refused.
+    let may_send = attempts.check_send_again(cx, req, failure);
+    may_send.map_err(|reason| Unanswered::Refused(Refusal::outcome_unknown(reason)))?;
     let point = ResumePoint { after, version };
     let finish = |answered| open_stream(cx, req, answered).boxed();
     first_answer(cx, req, attempts, results, Some(point), finish).await
--- a/crates/tc-policy/src/retry_budget.rs
+++ b/crates/tc-policy/src/retry_budget.rs
@@ -132,14 +132,19 @@
         self.current_step(now).requests += 1;
     }
 
+    /// Returns true if a retry is available, without taking it.
+    pub fn can_spend(&mut self, now: MonoTime) -> bool {
+        self.accrue(now);
+        1.0 - self.paid(now) <= self.saved + ROUNDING
+    }
+
     /// Takes one retry from the budget; returns `None` if the budget is exhausted.
     pub fn try_spend(&mut self, now: MonoTime) -> Option<RetryPermit> {
-        self.accrue(now);
-        let paid = self.earned(now).clamp(0.0, 1.0);
-        let missing = 1.0 - paid;
-        if missing > self.saved + ROUNDING {
+        if !self.can_spend(now) {
             return None;
         }
+        let paid = self.paid(now);
+        let missing = 1.0 - paid;
         self.saved = (self.saved - missing).max(0.0);
         self.current_step(now).paid_retries += paid;
         Some(RetryPermit {
@@ -158,6 +163,11 @@
         }
     }
 
+    /// Returns the part of the next retry that requests pay for.
+    fn paid(&self, now: MonoTime) -> f64 {
+        self.earned(now).clamp(0.0, 1.0)
+    }
+
     /// Returns how many more retries the requests pay for in every window that has not ended.
     fn earned(&self, now: MonoTime) -> f64 {
         let last = self.step_index(now);
--- a/crates/tc-policy/tests/retry_budget.rs
+++ b/crates/tc-policy/tests/retry_budget.rs
@@ -33,7 +33,10 @@
                 requests.push(now);
                 continue;
             }
-            if budget.try_spend(at(now)).is_some() {
+            let can_spend = budget.can_spend(at(now));
+            let is_spent = budget.try_spend(at(now)).is_some();
+            assert_eq!(can_spend, is_spent);
+            if is_spent {
                 retries.push(now);
             }
         }
