--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -64,8 +64,8 @@
     pub summary: &'static str,
 }
 
-/// `broken`, `silent`, `invalid` or `deadline`.
-const CAUSE: Label = fixed_set("cause", 4);
+/// `broken`, `invalid` or `deadline`.
+const CAUSE: Label = fixed_set("cause", 3);
 const KIND: Label = fixed_set("kind", 19);
 const UPSTREAM_KIND: Label = fixed_set("kind", 6);
 const OUTCOME: Label = fixed_set("outcome", 7);
