--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -23,6 +23,8 @@
 const UPSTREAMS: usize = 3;
 /// Callers for each instance.
 const CALLERS: usize = 6;
+/// Fewest callers when upstreams fall silent, for which most of them wait.
+const MIN_CALLERS_IN_SILENCES: usize = 32;
 /// Broken promises shown of a seed.
 const SHOWN: usize = 12;
 
@@ -70,7 +72,11 @@
     let shape = SoakShape {
         instances,
         upstreams: UPSTREAMS,
-        callers: CALLERS * instances,
+        callers: if silences {
+            MIN_CALLERS_IN_SILENCES.max(CALLERS * instances)
+        } else {
+            CALLERS * instances
+        },
         length: Duration::from_secs(seconds),
         evacuations,
         limits,
@@ -111,6 +117,10 @@
         if !broken.is_empty() {
             clean = false;
             tell(&outcome);
+        } else if shape.silences
+            && let Some(last) = outcome.timeline.last()
+        {
+            eprintln!("seed {seed}: {last}");
         }
     }
     Ok(clean)
--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -24,7 +24,7 @@
     notices::AnnouncedLeaving,
     plan::{CALM_END, Plan, UpstreamMode},
     process::{GRACE, SoakInstance},
-    silences::{Continuity, answers_in_silence},
+    silences::{Continuity, requests_in_silence},
     upstreams::{ENGINES, STAGE, Seen, SoakUpstream, WEB},
     versions::{EngineLife, Impaired},
 };
@@ -343,7 +343,7 @@
         let mut broken = judge(&evidence);
         broken.append(&mut self.broken);
         if self.has_silences {
-            self.note(&answers_in_silence(&evidence));
+            self.note(&requests_in_silence(&evidence));
         }
         Outcome {
             plan: plan.to_string(),
--- a/crates/tc-bench/src/soak/silences.rs
+++ b/crates/tc-bench/src/soak/silences.rs
@@ -20,7 +20,9 @@
 
 /// Mixed into the seed, so that adding silences leaves the other faults unchanged.
 const SILENCES: u64 = 0x51e;
-const SILENT_MS: Range<u64> = 300..3_000;
+const MIN_SILENT_MS: u64 = 300;
+/// Range of the upper bound of a silence, so that most are short.
+const MAX_SILENT_MS: Range<u64> = 600..3_000;
 const LONGEST_PAUSE_MS: u64 = 800;
 
 /// Time for which callers wait for their answers while upstreams fall silent.
@@ -89,7 +91,8 @@
         let mut at = CALM_START;
         loop {
             at += Duration::from_millis(rng.random_range(1..LONGEST_PAUSE_MS));
-            let lasts = Duration::from_millis(rng.random_range(SILENT_MS));
+            let longest = rng.random_range(MAX_SILENT_MS);
+            let lasts = Duration::from_millis(rng.random_range(MIN_SILENT_MS..longest));
             if at + lasts >= self.length {
                 break;
             }
@@ -182,27 +185,29 @@
     }
 }
 
-/// Counts the answers that were in progress when their upstreams fell silent, in words.
-pub(super) fn answers_in_silence(evidence: &Evidence) -> String {
-    let in_silence = evidence.told.iter().filter(|told| {
-        let mut runs = runs_of(evidence, told);
-        told.status == 200
-            && runs.any(|run| {
-                let mut silences = evidence.continuity.silences.iter();
-                silences.any(|silence| {
-                    silence.upstream == run.upstream
-                        && run.at < silence.from
-                        && silence.from < told.ended
-                })
-            })
-    });
-    let in_silence: Vec<&Told> = in_silence.collect();
-    let whole = in_silence.iter().filter(|told| told.whole).count();
-    let judged = in_silence.iter().filter(|told| is_judged(evidence, told));
+/// Counts the requests that ran while their upstreams were silent, in words.
+pub(super) fn requests_in_silence(evidence: &Evidence) -> String {
+    let silences = &evidence.continuity.silences;
+    let met = |told: &Told, is_met: fn(&Run, &Silence) -> bool| {
+        runs_of(evidence, told).any(|run| {
+            let own = silences.iter().filter(|s| s.upstream == run.upstream);
+            own.into_iter()
+                .any(|silence| silence.from < told.ended && is_met(run, silence))
+        })
+    };
+    let all = evidence.told.iter();
+    let all: Vec<&Told> = all
+        .filter(|told| met(told, |run, silence| run.at < silence.until))
+        .collect();
+    let judged: Vec<_> = all.iter().filter(|t| is_judged(evidence, t)).collect();
+    let in_progress = judged
+        .iter()
+        .filter(|told| met(told, |run, silence| run.at < silence.from));
+    let (count, in_progress) = (judged.len(), in_progress.count());
+    let whole = judged.iter().filter(|told| told.whole).count();
     format!(
-        "{} answers were in progress when their upstreams fell silent: {whole} came whole, {} are judged",
-        in_silence.len(),
-        judged.count()
+        "{} requests ran at silent upstreams: {count} are judged, {in_progress} of them in progress before, {whole} whole",
+        all.len()
     )
 }
 
