--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -8,7 +8,7 @@
 use crate::{
     error::BenchError,
     soak::{
-        CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, Silences, SoakShape,
+        CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SilentUpstreams, SoakShape,
         SystemBinary, soak,
     },
 };
@@ -60,9 +60,9 @@
         CrashingRequests::None
     };
     let silences = if args.contains("--silences") {
-        Silences::OfSoundUpstreams
+        SilentUpstreams::OfAllServices
     } else {
-        Silences::None
+        SilentUpstreams::None
     };
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
@@ -72,7 +72,7 @@
     let shape = SoakShape {
         instances,
         upstreams: UPSTREAMS,
-        callers: if silences {
+        callers: if silences == SilentUpstreams::OfAllServices {
             MIN_CALLERS_IN_SILENCES.max(CALLERS * instances)
         } else {
             CALLERS * instances
@@ -117,7 +117,7 @@
         if !broken.is_empty() {
             clean = false;
             tell(&outcome);
-        } else if shape.silences
+        } else if shape.silences == SilentUpstreams::OfAllServices
             && let Some(last) = outcome.timeline.last()
         {
             eprintln!("seed {seed}: {last}");
--- a/crates/tc-bench/src/lib.rs
+++ b/crates/tc-bench/src/lib.rs
@@ -22,6 +22,6 @@
 };
 pub use report::page;
 pub use soak::{
-    CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, Silences, SoakShape, SystemBinary,
-    soak,
+    CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SilentUpstreams, SoakShape,
+    SystemBinary, soak,
 };
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -61,9 +61,17 @@
     pub versions: EngineVersions,
     /// Requests that crash upstreams, besides the others.
     pub crashing: CrashingRequests,
-    /// Lets sound upstreams fall silent for a while, also in the middle of answers, besides the other faults, which stay the
-    /// same. Answers and deadlines are longer then.
-    pub silences: Silences,
+    /// Sound upstreams that fall silent, besides the other faults, which stay the same.
+    pub silences: SilentUpstreams,
+}
+
+/// Sound upstreams of a soak that fall silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SilentUpstreams {
+    /// There are none.
+    None,
+    /// Those of all services, for a while and also in the middle of answers. Answers and deadlines are longer then.
+    OfAllServices,
 }
 
 /// Requests of a soak that crash each upstream that runs them.
@@ -125,7 +133,7 @@
     if shape.versions == EngineVersions::Several {
         plan.add_versions();
     }
-    if shape.silences == Silences::OfSoundUpstreams {
+    if shape.silences == SilentUpstreams::OfAllServices {
         plan.add_silences();
     }
     let outcome = drive::play(binary, &folder, plan, shape).await?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,7 +3,8 @@
 use std::{path::Path, time::Duration};
 
 use tc_bench::{
-    CrashingRequests, EngineVersions, LeavingUpstreams, Silences, SoakShape, SystemBinary, soak,
+    CrashingRequests, EngineVersions, LeavingUpstreams, SilentUpstreams, SoakShape, SystemBinary,
+    soak,
 };
 
 /// Long enough for a dozen overlapping faults, short enough to be part of every test run.
@@ -18,7 +19,7 @@
     leaving: LeavingUpstreams::Plain,
     versions: EngineVersions::One,
     crashing: CrashingRequests::None,
-    silences: Silences::None,
+    silences: SilentUpstreams::None,
 };
 
 async fn assert_guarantees_hold(seed: u64, shape: SoakShape) {
@@ -124,9 +125,9 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_outlast_silent_upstreams_during_other_faults() {
     let shape = SoakShape {
-        callers: 18,
+        callers: 24,
         length: Duration::from_secs(12),
-        silences: Silences::OfSoundUpstreams,
+        silences: SilentUpstreams::OfAllServices,
         ..BASE_SHAPE
     };
     assert_guarantees_hold(1, shape).await;
