--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -83,15 +83,6 @@
     Sent,
 }
 
-/// Upstreams of a soak that fall silent for a while and then go on where they were.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Silences {
-    /// There are none.
-    None,
-    /// Sound upstreams of all services. Answers and deadlines are longer then.
-    OfSoundUpstreams,
-}
-
 /// Upstreams of a soak that leave.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LeavingUpstreams {
