--- a/crates/tc-gateway/src/serve/accept.rs
+++ b/crates/tc-gateway/src/serve/accept.rs
@@ -14,14 +14,22 @@
 use http::{Request, Response};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use super::caller_socket::CallerSocket;
 use crate::run::AnswerBody;
 
 /// Delay after a failed accept, for instance when no file descriptor was free.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Idle time before the kernel probes a caller's connection, and the interval between probes.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
+/// Number of unanswered probes after which the connection is closed.
+const KEEP_ALIVE_RETRIES: u32 = 3;
+/// Time for which data sent to a caller may stay unacknowledged (`TCP_USER_TIMEOUT`). Without this limit, a
+/// caller that was disconnected would keep its request running at the upstream.
+const USER_TIMEOUT: Duration = Duration::from_secs(6);
+
 /// Limits on connections.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ConnectionLimits {
@@ -91,21 +99,13 @@
     F: Fn(Request<Incoming>) -> Fut + Clone + Send + 'static,
     Fut: Future<Output = Response<AnswerBody>> + Send + 'static,
 {
-    let socket = match CallerSocket::new(socket) {
-        Ok(socket) => socket,
-        Err(error) => {
-            log::debug!(error = error.to_string().as_str(); "a connection ended before it was served");
-            return;
-        }
-    };
-    let user_timeout = socket.user_timeout();
+    if let Err(error) = set_socket_options(&socket) {
+        log::debug!(error = error.to_string().as_str(); "a connection ended before it was served");
+        return;
+    }
     let service = service_fn(move |req| {
-        let (answered, user_timeout) = (answer(req), user_timeout.clone());
-        async move {
-            let answer = answered.await;
-            user_timeout.set(answer.extensions().get().copied());
-            Ok::<_, Infallible>(answer)
-        }
+        let answered = answer(req);
+        async move { Ok::<_, Infallible>(answered.await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -126,3 +126,14 @@
         log::debug!(error = error.to_string().as_str(); "a caller's connection failed");
     }
 }
+
+fn set_socket_options(socket: &TcpStream) -> std::io::Result<()> {
+    socket.set_nodelay(true)?;
+    let socket = SockRef::from(socket);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE_INTERVAL)
+        .with_interval(KEEP_ALIVE_INTERVAL)
+        .with_retries(KEEP_ALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -21,7 +21,7 @@
 };
 use tokio::time::{Instant, timeout_at};
 
-use super::{Connections, caller_socket::TimeForAnswer};
+use super::Connections;
 use crate::{
     call::RequestHead,
     freeze::TimeAllowed,
@@ -117,7 +117,6 @@
                 )
             }
         };
-        let time_left = answered.as_ref().map(RoutedRequest::time_left).ok();
         let mut answer = match answered {
             Ok(routed) if is_for_peer(&self.cx, &routed) => {
                 let served = serve_by_peer(&self.cx, routed).await;
@@ -126,9 +125,6 @@
             Ok(routed) => run(Arc::clone(&self.cx), routed).await,
             Err(refusal) => refusal_answer(&self.cx.codec, &head, &refusal),
         };
-        if let Some(time_left) = time_left {
-            answer.extensions_mut().insert(TimeForAnswer(time_left));
-        }
         if self.stop.is_stopping() {
             // Makes the caller open its next connection to another instance before this one closes.
             let close = HeaderValue::from_static("close");
--- a/crates/tc-gateway/src/serve/mod.rs
+++ b/crates/tc-gateway/src/serve/mod.rs
@@ -1,7 +1,6 @@
 //! Serving of callers' requests and of the readiness, directory and metrics endpoints.
 
 mod accept;
-mod caller_socket;
 mod callers;
 mod info;
 
