Do not end a silent stream by a replacement that may have broken off

Found by review, by reading: an answer of the other engine without an event that ends with its connection looks like the end of the stream. It is no replacement unless its framing shows that it is whole. The engine that was silent goes on.

--- a/crates/tc-gateway/src/run/stream.rs
+++ b/crates/tc-gateway/src/run/stream.rs
@@ -12,7 +12,7 @@
     AnswerBody, Refusal, RoutedRequest, RunContext,
     attempt::{Answered, AttemptFailure, FailedAttempt},
     attempts::Attempts,
-    buffered::{make_stages, read},
+    buffered::{make_stages, proves_survival, read},
     hedge::{ResumePoint, Unanswered, first_answer},
     open_stream::OpenStream,
     relay::Relay,
@@ -123,5 +123,10 @@
     if !answered.is_stream() {
         return Err(answered.into_failed(AttemptFailure::MayHaveRun));
     }
-    OpenStream::open(cx, req, answered).await
+    let open = OpenStream::open(cx, req, answered).await?;
+    if open.first.is_none() && !proves_survival(&open.answered.reply.head) {
+        // The connection may have ended before the first event.
+        return Err(open.answered.into_failed(AttemptFailure::MayHaveRun));
+    }
+    Ok(open)
 }
