Exclude upstreams that work on a request from its further attempts

What callers saw: none reported it. Found by review, with a test: of three attempts, the second is made beside a silent first one; when the first breaks, the third went to the upstream of the second, which was still at work on it ("arrivals at [1, 0, 0]").

Upstreams with an attempt in progress are now excluded, no attempt is made while another one is in progress that is not silent, and a request ends only when no attempt is left. An attempt that loses counts as failed only if it was silent. The permission of a suspect is released when its stream breaks, before the replacement is awaited, which may wait for it; released later it would end the trial of the replacement (by reading).

silence::plain::request_is_not_sent_twice_to_the_upstream_that_works_on_it failed before and passes.

--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -43,7 +43,14 @@
     /// The upstream's own error response, for the caller if no other attempt succeeds.
     pub(super) error_answer: Option<Box<Response<AnswerBody>>>,
     /// Held until the failure is recorded.
-    _trial: Option<SuspectTrial>,
+    trial: Option<SuspectTrial>,
+}
+
+impl FailedAttempt {
+    /// Lets another attempt run a request that may crash upstreams.
+    pub(super) fn release_trial(&mut self) {
+        self.trial = None;
+    }
 }
 
 /// Parameters that an attempt adds to the request itself.
@@ -174,7 +181,7 @@
         upstream: upstream.id.clone(),
         failure,
         error_answer: None,
-        _trial: trial,
+        trial,
     }
 }
 
@@ -267,7 +274,7 @@
             upstream: self.upstream.id.clone(),
             failure,
             error_answer: None,
-            _trial: self.trial,
+            trial: self.trial,
         }
     }
 }
--- a/crates/tc-gateway/src/run/attempts.rs
+++ b/crates/tc-gateway/src/run/attempts.rs
@@ -12,6 +12,8 @@
     send_failure::{NO_TIME_LEFT, RETRY_BUDGET_EMPTY, SendFailure},
 };
 
+use crate::upstream_stats::CallOutcome;
+
 /// A request with less time left is not sent: no upstream could answer in time.
 pub(super) const MIN_TIME_LEFT: Duration = Duration::from_millis(10);
 
@@ -35,8 +37,8 @@
     reached_upstream: bool,
     /// Permission for the next attempt if it uses retry budget.
     retry_permit: Option<RetryPermit>,
-    /// The upstream of the latest attempt.
-    pub(super) latest_upstream: Option<UpstreamId>,
+    /// Upstreams of the attempts without an answer so far, the latest one last.
+    pub(super) in_progress: Vec<UpstreamId>,
 }
 
 impl Attempts {
@@ -167,7 +169,7 @@
         let target = self.choose(cx, req, &options).await?;
         self.retry_permit = None;
         self.sent += 1;
-        self.latest_upstream = Some(target.upstream.id.clone());
+        self.in_progress.push(target.upstream.id.clone());
         Ok(Attempt::new(
             cx, req, &options, target, trial, time_left, self.sent,
         ))
@@ -175,6 +177,7 @@
 
     /// Records an attempt that produced no usable answer. Its upstream is not tried again.
     pub(super) fn record(&mut self, failed: FailedAttempt) -> SendFailure {
+        self.in_progress.retain(|id| *id != failed.upstream);
         self.tried.push(failed.upstream);
         if failed.failure != AttemptFailure::NotSent {
             self.reached_upstream = true;
@@ -201,6 +204,25 @@
         }
     }
 
+    /// Returns true if an upstream that is not silent works on the request.
+    pub(super) fn awaits_answer(&self) -> bool {
+        self.in_progress.iter().any(|id| !self.tried.contains(id))
+    }
+
+    /// Records that an upstream has answered, which cancels the other attempts. Those that were silent have failed.
+    pub(super) fn record_answer(&mut self, cx: &RunContext, answered: &UpstreamId) {
+        for id in self.in_progress.drain(..) {
+            if id != *answered && self.tried.contains(&id) {
+                cx.upstream_stats.record(&id, CallOutcome::Failed);
+            }
+        }
+    }
+
+    /// Returns the upstreams that the next attempt must not go to.
+    pub(super) fn excluded(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.tried.iter().chain(&self.in_progress)
+    }
+
     /// Records that an upstream is silent. It may still answer, but is not chosen for another attempt.
     pub(super) fn record_silence(&mut self, id: &UpstreamId) {
         self.reached_upstream = true;
--- a/crates/tc-gateway/src/run/hedge.rs
+++ b/crates/tc-gateway/src/run/hedge.rs
@@ -15,7 +15,6 @@
     send_failure::SendFailure,
     stages::StageResults,
 };
-use crate::upstream_stats::CallOutcome;
 
 /// Fraction of the remaining time after which another attempt is made beside one without an answer. It leaves the other
 /// upstream enough time.
@@ -53,38 +52,14 @@
 }
 
 /// Reads as much of an answer as makes it usable.
-pub(super) type Finish<'a, T> = BoxFuture<'a, Result<T, FailedAttempt>>;
+pub(super) type ReadAnswer<'a, T> = BoxFuture<'a, Result<T, FailedAttempt>>;
 
-/// Attempts without an answer so far.
-struct InProgress<'a, T> {
-    calls: FuturesUnordered<BoxFuture<'a, (UpstreamId, Result<T, FailedAttempt>)>>,
-    upstreams: Vec<UpstreamId>,
-}
-
-impl<'a, T: 'a> InProgress<'a, T> {
-    fn new() -> Self {
-        Self {
-            calls: FuturesUnordered::new(),
-            upstreams: Vec::new(),
-        }
-    }
-
-    fn push(&mut self, upstream: UpstreamId, call: Finish<'a, T>) {
-        self.upstreams.push(upstream.clone());
-        self.calls.push(Box::pin(async { (upstream, call.await) }));
-    }
-
-    /// Returns the next attempt that ends; `None` if none is in progress. This method is cancel safe.
-    async fn next(&mut self) -> Option<Result<T, FailedAttempt>> {
-        let (ended, result) = self.calls.next().await?;
-        self.upstreams.retain(|upstream| *upstream != ended);
-        Some(result)
-    }
-}
+/// An attempt in progress, with its upstream.
+type Pending<'a, T> = BoxFuture<'a, (UpstreamId, Result<T, FailedAttempt>)>;
 
 /// What happened next while attempts were in progress.
 enum Step<T> {
-    Ended(Result<T, FailedAttempt>),
+    Ended(UpstreamId, Result<T, FailedAttempt>),
     Prepared(Result<Box<Attempt>, Refusal>),
     Silent,
 }
@@ -99,48 +74,52 @@
     attempts: &mut Attempts,
     results: StageResults,
     resume: Option<ResumePoint<'_>>,
-    finish: impl Fn(Answered) -> Finish<'a, T> + Copy + Send + Sync + 'a,
+    finish: impl Fn(Answered) -> ReadAnswer<'a, T> + Copy + Send + Sync + 'a,
 ) -> Result<T, Unanswered> {
     let mut inputs = Inputs {
         results,
         are_lost: false,
     };
-    let mut pending = InProgress::new();
+    let mut pending: FuturesUnordered<Pending<'_, T>> = FuturesUnordered::new();
     let mut error_answer = None;
     let mut is_due = true;
     loop {
         let step = if is_due {
             tokio::select! {
                 biased;
-                Some(ended) = pending.next() => Step::Ended(ended),
+                Some((upstream, result)) = pending.next() => Step::Ended(upstream, result),
                 prepared = prepare(cx, req, attempts, &mut inputs, resume) => Step::Prepared(prepared),
             }
         } else {
             tokio::select! {
                 biased;
-                Some(ended) = pending.next() => Step::Ended(ended),
+                Some((upstream, result)) = pending.next() => Step::Ended(upstream, result),
                 () = sleep(silence_limit(req)), if attempts.may_hedge(req) => Step::Silent,
             }
         };
         is_due = false;
         let refusal = match step {
-            Step::Ended(Ok(answer)) => {
-                for overtaken in &pending.upstreams {
-                    cx.upstream_stats.record(overtaken, CallOutcome::Failed);
-                }
+            Step::Ended(upstream, Ok(answer)) => {
+                attempts.record_answer(cx, &upstream);
                 return Ok(answer);
             }
-            Step::Ended(Err(mut failed)) => {
+            Step::Ended(_, Err(mut failed)) => {
                 error_answer = failed.error_answer.take().or(error_answer);
                 let failure = attempts.record(failed);
                 inputs.are_lost |= failure == SendFailure::InputGone;
-                is_due = attempts.may_send_again(cx, req, failure);
+                is_due = !attempts.awaits_answer() && attempts.may_send_again(cx, req, failure);
                 attempts.refusal(req, failure)
             }
             Step::Prepared(Ok(attempt)) => {
                 let upstream = attempt.upstream().clone();
-                let call = async move { finish(attempt.send(cx, req).await?).await };
-                pending.push(upstream, Box::pin(call));
+                pending.push(Box::pin(async move {
+                    let answered = attempt.send(cx, req).await;
+                    let result = match answered {
+                        Ok(answered) => finish(answered).await,
+                        Err(failed) => Err(failed),
+                    };
+                    (upstream, result)
+                }));
                 continue;
             }
             Step::Prepared(Err(refusal)) => refusal,
@@ -149,7 +128,7 @@
                 continue;
             }
         };
-        if !is_due && pending.upstreams.is_empty() {
+        if !is_due && pending.is_empty() {
             return Err(error_answer.map_or(Unanswered::Refused(refusal), Unanswered::ErrorAnswer));
         }
     }
@@ -202,7 +181,7 @@
         req: &RoutedRequest,
         version: Option<&UpstreamVersion>,
     ) -> bool {
-        let Some(silent) = self.latest_upstream.clone() else {
+        let Some(silent) = self.in_progress.last().cloned() else {
             return false;
         };
         if !self.has_candidates(1, cx, req, version, Some(&silent)) {
--- a/crates/tc-gateway/src/run/relay.rs
+++ b/crates/tc-gateway/src/run/relay.rs
@@ -292,7 +292,9 @@
             Err(unanswered) => SilenceEnd::NotReplaced(source, unanswered),
         },
     };
-    let failed = give_up(cx, req, source, &fault, last_id);
+    let mut failed = give_up(cx, req, source, &fault, last_id);
+    // The other engine may be waiting for the permission to run.
+    failed.release_trial();
     SilenceEnd::Broke(fault, failed, resumed.await)
 }
 
--- a/crates/tc-gateway/src/run/target.rs
+++ b/crates/tc-gateway/src/run/target.rs
@@ -67,7 +67,7 @@
             upstream.takes_work()
                 && upstream.has_version(version)
                 && in_use != Some(&upstream.id)
-                && !self.tried.contains(&upstream.id)
+                && !self.excluded().any(|id| *id == upstream.id)
         });
         left.take(count).count() == count
     }
@@ -91,7 +91,7 @@
                 .map(|results| results.bytes_by_domain.clone())
                 .unwrap_or_default(),
             version: options.version.cloned(),
-            excluded: self.tried.iter().chain(&backing_off).cloned().collect(),
+            excluded: self.excluded().chain(&backing_off).cloned().collect(),
             leaving: leaving.cloned().collect(),
             remaining: req.time_left(),
         })
@@ -128,9 +128,10 @@
                 && cx.backoffs.may_send(&upstream.id, in_progress)
                 && within_limits()
         };
+        let excluded: Vec<UpstreamId> = self.excluded().cloned().collect();
         let chosen = cx
             .upstream_stats
-            .choose(all, &self.tried, admits, &preference);
+            .choose(all, &excluded, admits, &preference);
         let (upstream, in_flight) =
             chosen.ok_or_else(|| self.no_upstream_reason(cx, all, options.version))?;
         cx.limits.record(&upstream.id);
@@ -158,7 +159,9 @@
         let (backing_off, others): (Vec<_>, Vec<_>) = working
             .map(|upstream| &upstream.id)
             .partition(|id| cx.backoffs.remaining(id).is_some());
-        let left = others.into_iter().filter(|id| !self.tried.contains(id));
+        let left = others
+            .into_iter()
+            .filter(|id| !self.excluded().any(|excluded| excluded == *id));
         let limited = cx.limits.wait_for_any(left);
         let backoff = backing_off
             .iter()
