--- a/crates/tc-bench/src/soak/callers.rs
+++ b/crates/tc-bench/src/soak/callers.rs
@@ -82,7 +82,7 @@
     },
 ];
 
-/// What the callers of a soak send, and where.
+/// Requests that callers of a soak send, and their targets.
 #[derive(Clone)]
 pub(super) struct Calling {
     pub(super) seed: u64,
--- a/crates/tc-bench/src/soak/silences.rs
+++ b/crates/tc-bench/src/soak/silences.rs
@@ -73,7 +73,7 @@
     is_planned: bool,
 }
 
-/// What the judgement of answers that were cut needs to know.
+/// Evidence on answers that were cut.
 #[derive(Default)]
 pub(super) struct Continuity {
     silences: Vec<Silence>,
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -23,7 +23,9 @@
     upstream_stats::{CallOutcome, InFlight},
 };
 
-/// What became of an attempt that produced no usable answer.
+/// Result of an attempt that produced no usable answer. What it means for further attempts is a [`SendFailure`].
+///
+/// [`SendFailure`]: super::send_failure::SendFailure
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum AttemptFailure {
     /// No byte of the request was written.
--- a/crates/tc-gateway/src/run/attempts.rs
+++ b/crates/tc-gateway/src/run/attempts.rs
@@ -66,8 +66,8 @@
         Err(RETRY_BUDGET_EMPTY)
     }
 
-    /// Like [`check_send_again`](Self::check_send_again), without spending retry budget. It may be spent by others before the
-    /// request is ready to be sent.
+    /// Like [`check_send_again`](Self::check_send_again), without spending retry budget. Other requests may spend it before
+    /// this one is ready to be sent.
     pub(super) fn check_prepare_again(
         &self,
         cx: &RunContext,
--- a/crates/tc-gateway/src/run/hedge.rs
+++ b/crates/tc-gateway/src/run/hedge.rs
@@ -57,7 +57,7 @@
 /// An attempt in progress, with its upstream.
 type Pending<'a, T> = BoxFuture<'a, (UpstreamId, Result<T, FailedAttempt>)>;
 
-/// What happened next while attempts were in progress.
+/// The next event while attempts are in progress.
 enum Step<T> {
     Ended(UpstreamId, Result<T, FailedAttempt>),
     Prepared(Result<Box<Attempt>, Refusal>),
--- a/crates/tc-gateway/src/run/open_stream.rs
+++ b/crates/tc-gateway/src/run/open_stream.rs
@@ -21,7 +21,7 @@
     pub(super) first: Option<Event>,
 }
 
-/// What an engine sent.
+/// Part of a stream that an engine has sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Received {
     Bytes,
--- a/crates/tc-gateway/src/run/relay.rs
+++ b/crates/tc-gateway/src/run/relay.rs
@@ -44,7 +44,7 @@
     ended: bool,
 }
 
-/// What came of seeking another engine.
+/// Result of the search for another engine.
 type Resumed = Result<Box<OpenStream>, Unanswered>;
 
 /// How the wait for a silent engine, or for another one in its place, ended.
--- a/crates/tc-upstream/src/connection/socket.rs
+++ b/crates/tc-upstream/src/connection/socket.rs
@@ -1,4 +1,5 @@
-//! A TCP stream that counts the written bytes, waits for a peer that does not read, and can detect a close without waiting for the event loop.
+//! A TCP stream that counts the written bytes, waits for a peer that does not read, and can detect a close without
+//! waiting for the event loop.
 
 use std::{
     io::{self, IoSlice},
