--- a/crates/tc-gateway/src/run/relay.rs
+++ b/crates/tc-gateway/src/run/relay.rs
@@ -47,7 +47,7 @@
 /// Result of the search for another engine.
 type Resumed = Result<Box<OpenStream>, Unanswered>;
 
-/// How the wait for a silent engine, or for another one in its place, ended.
+/// Outcome of the wait for a silent engine, or for another one in its place.
 enum SilenceEnd {
     /// The silent engine went on first.
     WentOn(Box<OpenStream>, Received),
--- a/crates/tc-telemetry/src/logs/mod.rs
+++ b/crates/tc-telemetry/src/logs/mod.rs
@@ -26,7 +26,7 @@
 /// Maximum number of lines per second for each call site and group of statuses.
 const LINES_PER_SECOND: u32 = 20;
 
-/// What the logger keeps between lines.
+/// State of the logger between lines.
 struct LogState {
     limiter: LogRateLimiter,
     suppressed_sites: SuppressedSites,
