--- a/crates/tc-policy/tests/chain/homes.rs
+++ b/crates/tc-policy/tests/chain/homes.rs
@@ -59,13 +59,24 @@
                 })
                 .sum();
             let noise = 0.95 + 0.1 * self.random.unit();
-            let slowdown = slowdown_of(call.upstream.as_str());
+            let slowdown = slowdown_of(call.upstream.as_str())
+                * self.slow_factor(now, service, call.upstream.as_str());
             let took =
                 (spec(service).call_overhead + pieces).mul_f64(noise * slowdown) + CALL_OVERHEAD;
             self.schedule(now.after(took), Event::CallEnded { service, call });
         }
     }
 
+    /// Returns the factor by which a call that starts now takes longer than usual.
+    fn slow_factor(&self, now: MonoTime, service: usize, upstream: &str) -> f64 {
+        let number = upstream.split('-').nth(1).and_then(|n| n.parse().ok());
+        let number: usize = number.expect("an upstream's number");
+        let slow = self.slow.filter(|slow| {
+            slow.service == service && number < slow.count && slow.from <= now && now < slow.until
+        });
+        slow.map_or(1.0, |slow| slow.factor)
+    }
+
     pub(crate) fn handle_call_end(&mut self, now: MonoTime, service: usize, call: &BatchCall) {
         let results = call.pieces.iter().map(|piece| {
             self.results += 1;
--- a/crates/tc-policy/tests/chain/main.rs
+++ b/crates/tc-policy/tests/chain/main.rs
@@ -9,13 +9,14 @@
 mod requests;
 mod simulation;
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
 use load::{UPSTREAMS, kinds, spec};
-use simulation::{Simulation, Tally};
+use simulation::{START, Simulation, SlowUpstreams, Tally};
 
 const BURST: (Duration, Duration) = (Duration::from_secs(4), Duration::from_millis(9_200));
 const SEEDS: [u64; 2] = [1, 2];
+const SHORTAGE_SEEDS: [u64; 4] = [1, 2, 3, 4];
 /// Required fraction of the theoretical upper bound.
 const REQUIRED_FRACTION: f64 = 0.9;
 
@@ -96,3 +97,44 @@
         assert_eq!(tally.in_time, tally.offered);
     }
 }
+
+/// Simulates ten seconds in which half of the upstreams of the last service take five times as long and requests of the
+/// first kind arrive `load_factor` times as often; returns how many of these are on time.
+fn in_time_while_last_service_is_slow(seed: u64, load_factor: f64) -> u32 {
+    const SHORTAGE: (Duration, Duration) = (Duration::from_secs(2), Duration::from_secs(12));
+    let last = UPSTREAMS.len() - 1;
+    let mut simulation = Simulation::new(seed);
+    simulation.slow = Some(SlowUpstreams {
+        service: last,
+        count: UPSTREAMS[last] / 2,
+        factor: 5.0,
+        from: START.after(SHORTAGE.0),
+        until: START.after(SHORTAGE.1),
+    });
+    simulation.run(SHORTAGE.1, SHORTAGE, load_factor);
+    simulation.tallies[0].in_time
+}
+
+/// Guards against a shortage of the last service in which more load leaves fewer requests on time: the home makes overdue
+/// pieces before those that can still be on time, and more late requests are admitted than the service can take.
+#[test]
+fn work_in_time_does_not_fall_with_load_while_the_last_service_is_slow() {
+    let loads = [1.0, 1.7, 2.4];
+    let runs = loads.map(|load_factor| {
+        SHORTAGE_SEEDS.map(|seed| {
+            thread::spawn(move || in_time_while_last_service_is_slow(seed, load_factor))
+        })
+    });
+    let mut most = 0;
+    for (load_factor, runs) in loads.iter().zip(runs) {
+        let in_time: u32 = runs
+            .map(|run| run.join().expect("the simulation does not panic"))
+            .iter()
+            .sum();
+        assert!(
+            f64::from(in_time) >= REQUIRED_FRACTION * f64::from(most),
+            "load factor {load_factor}: {in_time}, {most} at a lower one"
+        );
+        most = most.max(in_time);
+    }
+}
--- a/crates/tc-policy/tests/chain/simulation.rs
+++ b/crates/tc-policy/tests/chain/simulation.rs
@@ -96,7 +96,20 @@
     Answered(usize),
 }
 
+/// Upstreams of one service that are slower for a while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SlowUpstreams {
+    pub(crate) service: usize,
+    /// Number of upstreams, the first ones of the service.
+    pub(crate) count: usize,
+    /// Factor by which their calls take longer.
+    pub(crate) factor: f64,
+    pub(crate) from: MonoTime,
+    pub(crate) until: MonoTime,
+}
+
 pub(crate) struct Simulation {
+    pub(crate) slow: Option<SlowUpstreams>,
     pub(crate) kinds: Vec<RequestKind>,
     pub(crate) random: Random,
     pub(crate) events: BTreeMap<(MonoTime, u64), Event>,
@@ -131,6 +144,7 @@
         };
         let kinds = kinds();
         Self {
+            slow: None,
             random: Random(Xoroshiro128PlusPlus::seed_from_u64(seed)),
             events: BTreeMap::new(),
             last_event: 0,
