Admission of chains: count pieces two stages away for late requests

What callers saw: while the last stage of a chain was short, requests that would be late anyway were admitted, used the stages before, and were then refused or answered late; they took calls from requests that could still be on time.

Cause: the home of the first stage estimates the wait at each later stage from the pieces that wait there and those on their way from the stage directly before. Requests that it had admitted itself a moment ago, still at the first stage, did not count for the third: half a second of admissions was invisible. Jobs now name the pieces of all later stages (later_pieces; an instance of an earlier build sends none), and homes report them.

--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -80,6 +80,7 @@
         held_bytes: request.held_bytes,
         is_last_reader: request.is_last_reader,
         following: dependents_to_wire(&request.dependent_pieces),
+        later: dependents_to_wire(&request.later_pieces),
         chain: request.chain.as_ref().map(chain_to_wire),
     }
 }
@@ -104,6 +105,7 @@
         held_bytes: message.held_bytes,
         is_last_reader: message.is_last_reader,
         dependent_pieces: dependents_from_wire(&message.following),
+        later_pieces: dependents_from_wire(&message.later),
         chain: message.chain.as_ref().and_then(chain_from_wire),
     }
 }
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -255,6 +255,7 @@
         held_bytes: stage_request.held_bytes,
         is_last_reader: stage_request.is_last_reader,
         dependent_pieces: stage_request.dependent_pieces,
+        later_pieces: stage_request.later_pieces,
     }
 }
 
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -234,6 +234,7 @@
             .sum(),
         is_last_reader: graph.is_last_reader(stage),
         dependent_pieces: graph.dependent_pieces(stage),
+        later_pieces: graph.later_pieces(stage),
         chain: None,
     }
 }
--- a/crates/tc-policy/benches/batch_home.rs
+++ b/crates/tc-policy/benches/batch_home.rs
@@ -52,6 +52,7 @@
         held_bytes: 0,
         is_last_reader: false,
         dependent_pieces: vec![("next".into(), 2)],
+        later_pieces: Vec::new(),
     }
 }
 
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -65,6 +65,8 @@
     pub is_last_reader: bool,
     /// Number of pieces of the stages that read its results, by service.
     pub dependent_pieces: Vec<(ServiceName, u32)>,
+    /// Number of pieces of the stages after those, by service.
+    pub later_pieces: Vec<(ServiceName, u32)>,
 }
 
 /// Sort key of a job in the queue; the lowest value goes first.
--- a/crates/tc-policy/src/batch/outlook.rs
+++ b/crates/tc-policy/src/batch/outlook.rs
@@ -19,7 +19,7 @@
     pub pieces_per_s: f64,
     /// Fraction of that rate left over by the incoming on-time work.
     pub spare_capacity: f64,
-    /// Pieces that will be submitted to other services once the jobs here are done.
+    /// Pieces that will be submitted to other services, at once or later, after the jobs here are done.
     pub dependent_pieces: BTreeMap<ServiceName, DependentPieces>,
 }
 
@@ -52,7 +52,8 @@
                 outlook.in_time.add(due, waiting);
             }
             let is_late = position.is_late || job.expected_late;
-            for (service, pieces) in &job.params.dependent_pieces {
+            let following = job.params.dependent_pieces.iter();
+            for (service, pieces) in following.chain(&job.params.later_pieces) {
                 let dependent_pieces = outlook.dependent_pieces.entry(service.clone()).or_default();
                 dependent_pieces.total = dependent_pieces.total.saturating_add(*pieces);
                 if !is_late {
--- a/crates/tc-policy/src/batch/outlooks.rs
+++ b/crates/tc-policy/src/batch/outlooks.rs
@@ -120,23 +120,30 @@
         )
     }
 
-    /// Pieces on their way to a stage from the homes of the preceding stages.
+    /// Pieces on their way to a stage from the homes of all stages before it, with the stage each comes from.
     fn incoming<'a>(
         &'a self,
         now: MonoTime,
         graph: &'a StageGraph<'a>,
         stage: usize,
     ) -> impl Iterator<Item = (usize, &'a DependentPieces)> + 'a {
-        let service = &graph.stages()[stage].service;
-        let before = graph.stages()[stage].depends_on.iter().copied();
-        before.filter_map(move |before| {
+        let stages = graph.stages();
+        let service = &stages[stage].service;
+        let mut seen: Vec<&ServiceName> = Vec::new();
+        graph.predecessors(stage).filter_map(move |before| {
+            // One outlook covers all stages of its service.
+            let before_service = &stages[before].service;
+            if seen.contains(&before_service) {
+                return None;
+            }
+            seen.push(before_service);
             let outlook = self.outlook_of(now, graph, before)?;
             Some((before, outlook.dependent_pieces.get(service)?))
         })
     }
 
-    /// Wait behind pieces that are due earlier: those queued now and those on their way, less what is made before the
-    /// request arrives.
+    /// Wait behind pieces that are due earlier: those queued now and those on their way from the stages directly before,
+    /// less what is made before the request arrives. [`DRAIN_FRACTION`] allows for those that are further away.
     fn in_time_wait(
         &self,
         now: MonoTime,
@@ -154,6 +161,7 @@
         };
         let incoming: f64 = self
             .incoming(now, graph, stage)
+            .filter(|(before, _)| graph.stages()[stage].depends_on.contains(before))
             .map(|(before, incoming)| incoming.in_time.due_before(due(before)))
             .sum();
         let ahead = outlook.in_time.due_before(due(stage)) + incoming;
@@ -161,6 +169,9 @@
     }
 
     /// Wait behind all other pieces, using the capacity that on-time work leaves over.
+    ///
+    /// Pieces that are two or more stages away count as well. They reach the home of the last stage only after several
+    /// calls; until then, a shortage there would admit late requests without end.
     fn late_wait(
         &self,
         now: MonoTime,
--- a/crates/tc-policy/src/stage_graph.rs
+++ b/crates/tc-policy/src/stage_graph.rs
@@ -123,6 +123,43 @@
             .collect()
     }
 
+    /// Returns the services and piece counts of the unfinished stages that follow those that read a stage's results.
+    ///
+    /// ```
+    /// use tc_policy::StageGraph;
+    /// use tc_protocol::{ServiceName, routing::RouteStage};
+    /// let stage = |service: &str, depends_on| RouteStage { service: service.into(), depends_on, result_bytes: 8_000 };
+    /// let stages = [stage("read", vec![]), stage("draw", vec![0]), stage("check", vec![1])];
+    /// let graph = StageGraph::new(&stages, &[1, 2, 3]);
+    /// assert_eq!(graph.dependent_pieces(0), [(ServiceName::from("draw"), 2)]);
+    /// assert_eq!(graph.later_pieces(0), [(ServiceName::from("check"), 3)]);
+    /// assert!(graph.later_pieces(1).is_empty());
+    /// ```
+    #[must_use]
+    pub fn later_pieces(&self, stage: usize) -> Vec<(ServiceName, u32)> {
+        let later = (0..self.stages.len()).filter(|later| {
+            !self.is_complete(*later)
+                && !self.stages[*later].depends_on.contains(&stage)
+                && self.follows(*later, stage)
+        });
+        later
+            .map(|later| (self.stages[later].service.clone(), self.pieces[later]))
+            .collect()
+    }
+
+    /// Returns the stages that must be done before a stage can start, directly or not, the latest first.
+    pub(crate) fn predecessors(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
+        (0..stage)
+            .rev()
+            .filter(move |before| self.follows(stage, *before))
+    }
+
+    /// Returns true if `stage` can start only after `before`.
+    fn follows(&self, stage: usize, before: usize) -> bool {
+        let mut inputs = self.stages[stage].depends_on.iter();
+        inputs.any(|input| *input == before || self.follows(*input, before))
+    }
+
     /// Returns the inputs of `stage`, which is now done, whose results all dependent stages have read.
     #[must_use]
     pub fn fully_read_inputs(&self, stage: usize) -> Vec<usize> {
--- a/crates/tc-policy/tests/batch/common.rs
+++ b/crates/tc-policy/tests/batch/common.rs
@@ -71,6 +71,7 @@
         held_bytes: 0,
         is_last_reader: false,
         dependent_pieces: Vec::new(),
+        later_pieces: Vec::new(),
     }
 }
 
--- a/crates/tc-policy/tests/chain/requests.rs
+++ b/crates/tc-policy/tests/chain/requests.rs
@@ -247,6 +247,7 @@
             held_bytes,
             is_last_reader: graph.is_last_reader(stage),
             dependent_pieces: graph.dependent_pieces(stage),
+            later_pieces: graph.later_pieces(stage),
         }
     }
 
--- a/crates/tc-policy/tests/chain_admission.rs
+++ b/crates/tc-policy/tests/chain_admission.rs
@@ -1,8 +1,8 @@
 //! Admission of a chain of stages at the home of its first stage.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use tc_policy::{AdmittedChain, ChainAdmission, DueHistogram, HomeOutlook};
+use tc_policy::{AdmittedChain, ChainAdmission, DependentPieces, DueHistogram, HomeOutlook};
 use tc_protocol::{
     Fingerprint, MonoTime,
     routing::{RouteStage, StageChain},
@@ -111,3 +111,39 @@
             .is_late_return
     );
 }
+
+/// Guards against a shortage of the last of three services in which late requests are admitted without end: those
+/// admitted before are still at the first service, so that the last one seems free.
+#[test]
+fn late_request_is_refused_for_pieces_that_are_two_stages_away() {
+    let mut chain = chain(1);
+    chain.stages.push(RouteStage {
+        service: "third".into(),
+        depends_on: vec![1],
+        result_bytes: 8_000,
+    });
+    chain.pieces.push(10);
+    chain.until_latency_target = Duration::ZERO;
+    let admit = |pieces_for_third: u32| {
+        let free = HomeOutlook {
+            spare_capacity: 0.5,
+            ..outlook(0)
+        };
+        let on_their_way = DependentPieces {
+            in_time: DueHistogram::default(),
+            total: pieces_for_third,
+        };
+        let first = HomeOutlook {
+            dependent_pieces: BTreeMap::from([("third".into(), on_their_way)]),
+            ..free.clone()
+        };
+        let mut home = ChainAdmission::default();
+        home.record(at(0), &"first".into(), first);
+        home.record(at(0), &"second".into(), free.clone());
+        home.record(at(0), &"third".into(), free);
+        home.admit(at(0), &chain, 0, 0, &[CALL; 3])
+    };
+    assert!(admit(0).is_ok_and(|admitted| admitted.is_late_return));
+    // At half of 600 pieces per second they take longer than the caller waits.
+    assert!(admit(1_500).is_err());
+}
--- a/crates/tc-policy/tests/stage_graph.rs
+++ b/crates/tc-policy/tests/stage_graph.rs
@@ -257,6 +257,7 @@
             0 => vec![("second".into(), 4)],
             _ => Vec::new(),
         },
+        later_pieces: Vec::new(),
     }
 }
 
--- a/crates/tc-protocol/src/routing/piece.rs
+++ b/crates/tc-protocol/src/routing/piece.rs
@@ -77,6 +77,8 @@
     pub is_last_reader: bool,
     /// Service and number of pieces of each stage that reads the results.
     pub dependent_pieces: Vec<(ServiceName, u32)>,
+    /// Service and number of pieces of each stage after those.
+    pub later_pieces: Vec<(ServiceName, u32)>,
     /// All stages of the request, if this is the first one: the home decides whether to admit them.
     pub chain: Option<StageChain>,
 }
