--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -7,7 +7,8 @@
 
 use slotmap::SecondaryMap;
 use tc_policy::{
-    BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, NewJob, PlannerEffects,
+    BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, JobOutcome, JobOutcomes, NewJob,
+    OutcomeCounts, PlannerEffects,
 };
 use tc_protocol::{
     MonoTime, ServiceName, UpstreamId,
@@ -27,6 +28,7 @@
 struct Inner {
     planner: BatchPlanner,
     waiting: SecondaryMap<JobKey, oneshot::Sender<PiecesReply>>,
+    outcomes: JobOutcomes,
     /// Change counter of the rate limits that the planner uses.
     limit_changes: u64,
 }
@@ -49,6 +51,7 @@
             inner: Mutex::new(Inner {
                 planner: BatchPlanner::new(spec, retry_budget),
                 waiting: SecondaryMap::new(),
+                outcomes: JobOutcomes::default(),
                 limit_changes: 0,
             }),
             wake: Notify::new(),
@@ -64,6 +67,49 @@
 
     /// Makes the pieces of a stage. Dropping the future cancels what has not started.
     pub(super) async fn make_pieces(self: Arc<Self>, stage_request: StageRequest) -> PiecesReply {
+        let in_time_until = MonoTime::now().after(stage_request.in_time_for);
+        let reply = Arc::clone(&self).queue_job(stage_request).await;
+        let outcome = match &reply {
+            Ok(_) if MonoTime::now() <= in_time_until => JobOutcome::OnTime,
+            Ok(_) => JobOutcome::Late,
+            Err(_) => JobOutcome::Refused,
+        };
+        self.record_outcome(outcome);
+        reply
+    }
+
+    /// Counts the end of a job, and logs what this home knows while its service is short.
+    pub(super) fn record_outcome(&self, outcome: JobOutcome) {
+        let service = self.service.as_str().to_owned();
+        metrics::counter!("tc_batch_jobs_total", "result" => outcome.label(), "service" => service)
+            .increment(1);
+        let now = MonoTime::now();
+        let short = self.lock().outcomes.record(now, outcome);
+        if let Some(counts) = short {
+            self.log_shortage(now, counts);
+        }
+    }
+
+    fn log_shortage(&self, now: MonoTime, counts: OutcomeCounts) {
+        let load = self.lock().planner.load(now);
+        log::info!(
+            service = self.service.as_str(),
+            on_time = counts.on_time,
+            late = counts.late,
+            refused = counts.refused,
+            waiting_on_time = load.on_time_pieces,
+            waiting_late = load.late_pieces,
+            calls = load.calls,
+            free_upstreams = load.free_upstreams,
+            upstreams = load.upstreams,
+            result_bytes = load.result_bytes,
+            result_capacity_bytes = load.result_capacity_bytes,
+            typical_call_ms = load.typical_call.as_millis() as u64;
+            "batch service is short"
+        );
+    }
+
+    async fn queue_job(self: Arc<Self>, stage_request: StageRequest) -> PiecesReply {
         let now = MonoTime::now();
         let (reply, answer) = oneshot::channel();
         let request = Arc::clone(&stage_request.request);
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -12,7 +12,7 @@
 };
 
 use tc_fleet::{PiecesAnswer, UpstreamLimits};
-use tc_policy::HomeOutlook;
+use tc_policy::{HomeOutlook, JobOutcome};
 use tc_protocol::{
     ServiceName,
     routing::{ResultHandle, StageRefusal, StageRequest},
@@ -70,7 +70,10 @@
                 let is_late_return = admitted == Ok(true);
                 let reply = match admitted {
                     Ok(_) => Arc::clone(&home).make_pieces(stage_request).await,
-                    Err(refusal) => Err(refusal),
+                    Err(refusal) => {
+                        home.record_outcome(JobOutcome::Refused);
+                        Err(refusal)
+                    }
                 };
                 PiecesAnswer {
                     reply,
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -50,6 +50,27 @@
     pub timeout: Duration,
 }
 
+/// What a planner knows of its service, for logs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PlannerLoad {
+    /// Waiting pieces of jobs that can be on time.
+    pub on_time_pieces: usize,
+    /// Waiting pieces of other jobs.
+    pub late_pieces: usize,
+    /// Calls in progress.
+    pub calls: usize,
+    /// Upstreams that may get a call now.
+    pub free_upstreams: usize,
+    /// Upstreams that take work.
+    pub upstreams: usize,
+    /// Bytes of results that were made and not released.
+    pub result_bytes: u64,
+    /// Bytes of results that all upstreams that take work can hold.
+    pub result_capacity_bytes: u64,
+    /// Average duration of a call.
+    pub typical_call: Duration,
+}
+
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) upstream: UpstreamId,
@@ -154,6 +175,32 @@
         (self.jobs.len(), pieces)
     }
 
+    /// Returns the current load.
+    #[must_use]
+    pub fn load(&self, now: MonoTime) -> PlannerLoad {
+        let call_end = self.typical_end(now);
+        let waiting = |is_late: bool| {
+            let jobs = self.jobs.values();
+            jobs.filter(|job| job.position(call_end).is_late == is_late)
+                .map(|job| job.waiting.len())
+                .sum()
+        };
+        let ready = || self.upstreams.values().filter(|upstream| upstream.ready);
+        let upstreams = ready().count();
+        PlannerLoad {
+            on_time_pieces: waiting(false),
+            late_pieces: waiting(true),
+            calls: self.calls.len(),
+            free_upstreams: ready()
+                .filter(|upstream| upstream.is_free(now, self.spec.slots))
+                .count(),
+            upstreams,
+            result_bytes: self.result_memory.bytes(),
+            result_capacity_bytes: self.spec.result_capacity_bytes * upstreams as u64,
+            typical_call: self.typical_call(),
+        }
+    }
+
     /// Adds a job, or refuses it at once if it would probably miss its deadline.
     pub fn push(&mut self, now: MonoTime, new: NewJob) -> Result<JobKey, StageRefusal> {
         if !self.has_upstreams() {
--- a/crates/tc-policy/src/batch/result_memory.rs
+++ b/crates/tc-policy/src/batch/result_memory.rs
@@ -60,6 +60,11 @@
         }
     }
 
+    /// Total bytes of the results of all upstreams.
+    pub(super) fn bytes(&self) -> u64 {
+        self.bytes_at.values().sum()
+    }
+
     /// Total bytes of the results held by an upstream.
     pub(super) fn bytes_at(&self, upstream: &UpstreamId) -> u64 {
         self.bytes_at.get(upstream).copied().unwrap_or_default()
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -31,7 +31,8 @@
 pub use batch::{
     AdmittedChain, BatchCall, BatchPlanner, BatchUpstream, CallEnd, CallKey, ChainAdmission,
     ChainQuery, DependentPieces, DueHistogram, ExpectedStageTimes, FinishedJob, HomeOutlook,
-    JobKey, NewJob, PlannerEffects, StageOutlooks,
+    JobKey, JobOutcome, JobOutcomes, NewJob, OutcomeCounts, PlannerEffects, PlannerLoad,
+    StageOutlooks,
 };
 pub use brittle::{BrittleUpstreams, Senders};
 pub use budget::ExtraCallBudget;
--- a/crates/tc-policy/tests/batch/handover.rs
+++ b/crates/tc-policy/tests/batch/handover.rs
@@ -64,3 +64,25 @@
     let sent = DueHistogram::from_counts(outlook.in_time.counts());
     assert_eq!(sent, outlook.in_time);
 }
+
+/// The load tells waiting work that can be on time from work that cannot, and counts calls and result memory.
+#[test]
+fn load_reports_queue_calls_and_result_memory() {
+    let mut planner = planner(&["a", "b"]);
+    push(&mut planner, at(0), job("running", 14));
+    let call = planner.next_call(at(0)).expect("a call");
+    planner.end_call(at(380), call.key, success(&call));
+    push(&mut planner, at(380), job("next", 2));
+    let late = NewJob {
+        in_time_until: at(380),
+        ..job("late", 3)
+    };
+    push(&mut planner, at(380), late);
+    let load = planner.load(at(380));
+    assert_eq!((load.on_time_pieces, load.late_pieces), (2, 3));
+    assert_eq!((load.calls, load.free_upstreams, load.upstreams), (0, 2, 2));
+    assert_eq!(load.result_bytes, 14 * job("running", 14).result_bytes);
+    planner.next_call(at(380)).expect("a call");
+    let load = planner.load(at(380));
+    assert_eq!((load.calls, load.free_upstreams), (1, 1));
+}
