Upstream connections: limit bytes that belong to no answer

What callers saw: an upstream that sends informational answers, zeros of a chunk size or chunks of a few bytes without end kept its request until the deadline and beyond. The HTTP library limits a head, a chunk extension and trailers, but not these, and it reads them without yielding, so that the request's deadline and other requests on the thread wait too.

The socket of a connection now refuses to read more than 512 KB besides the body of the current answer, and half of the body in addition (chunks of 12 bytes reach that). The attempt ends as a malformed answer: its connection is closed, its upstream counts as failed, another one is asked where the request allows it, and nothing is reported as a crash.

Not covered: responses of the store (64 MB at most) and of other instances, and upstreams that send a byte now and then, which hedges and deadlines end.

--- a/crates/tc-stand-ins/src/scripted/script.rs
+++ b/crates/tc-stand-ins/src/scripted/script.rs
@@ -14,6 +14,8 @@
 pub enum Step {
     /// Writes bytes as they are.
     Write(String),
+    /// Writes the same bytes again and again until the caller leaves.
+    Repeat(String),
     /// Waits; a caller that leaves meanwhile ends the script.
     Pause(Duration),
     /// Closes with a reset instead of an orderly end.
@@ -71,6 +73,10 @@
                     return Played::Left;
                 }
             }
+            Step::Repeat(text) => {
+                while stream.write_all(text.as_bytes()).await.is_ok() {}
+                return Played::Left;
+            }
             Step::Pause(pause) => {
                 let mut byte = [0; 1];
                 if let Ok(Ok(0) | Err(_)) = timeout(pause, stream.read(&mut byte)).await {
--- a/crates/tc-upstream/src/connection/http1.rs
+++ b/crates/tc-upstream/src/connection/http1.rs
@@ -40,6 +40,7 @@
     driver: Option<Driver>,
     socket: Arc<SocketState>,
     written_before: u64,
+    read_before: u64,
     reused: bool,
 }
 
@@ -73,6 +74,7 @@
         driver: Some(driver),
         socket,
         written_before: 0,
+        read_before: 0,
         reused: false,
     })
 }
@@ -83,6 +85,10 @@
 const KEEP_ALIVE_RETRIES: u32 = 3;
 /// Size of a request body that the kernel of the peer accepts even if its process does not read.
 const MAX_UNREAD_BYTES: u64 = 32 << 10;
+/// Bytes of a response besides its body, and those read ahead of it: more than the library's buffer holds.
+const MAX_OVERHEAD_BYTES: u64 = 512 << 10;
+/// Bytes of the body that allow one more byte besides it; chunks of 12 bytes reach that.
+const MIN_BODY_PER_OVERHEAD: u64 = 2;
 
 /// Makes the kernel close a connection whose peer is unreachable or has lost power.
 ///
@@ -126,6 +132,8 @@
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         self.written_before = self.socket.written();
+        self.read_before = self.socket.read();
+        self.limit_reads(0);
         let body_bytes = request.body().size_hint().lower();
         self.socket
             .set_waits_for_reader(body_bytes > MAX_UNREAD_BYTES);
@@ -148,6 +156,15 @@
         }
     }
 
+    /// Limits what is read of the current exchange, of whose body `received` bytes have arrived.
+    ///
+    /// The HTTP library limits a head, a chunk extension and trailers, but neither informational responses nor the digits
+    /// of a chunk size, and it reads them without yielding.
+    fn limit_reads(&self, received: usize) {
+        let limit = MAX_OVERHEAD_BYTES + received as u64 / MIN_BODY_PER_OVERHEAD + received as u64;
+        self.socket.set_read_limit(self.read_before + limit);
+    }
+
     fn drive(&mut self, cx: &mut Context<'_>) {
         drive(&mut self.driver, cx);
     }
@@ -216,6 +233,9 @@
         match self.poll_frame(cx) {
             Poll::Ready(Some(Ok(chunk))) => {
                 self.received += chunk.len();
+                if let Some(connection) = &self.connection {
+                    connection.limit_reads(self.received);
+                }
                 if self.received > self.max_bytes {
                     return Poll::Ready(Some(Err(Failure::TooLarge)));
                 }
--- a/crates/tc-upstream/src/connection/socket.rs
+++ b/crates/tc-upstream/src/connection/socket.rs
@@ -1,5 +1,5 @@
-//! A TCP stream that counts the written bytes, waits for a peer that does not read, and can detect a close without
-//! waiting for the event loop.
+//! A TCP stream that counts the written bytes, limits the read ones, waits for a peer that does not read, and can detect
+//! a close without waiting for the event loop.
 
 use std::{
     io::{self, IoSlice},
@@ -14,6 +14,7 @@
 };
 
 use socket2::SockRef;
+use thiserror::Error;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -23,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct SocketState {
     written: AtomicU64,
+    read: AtomicU64,
+    read_limit: AtomicU64,
     peek_first: AtomicBool,
     waits_for_reader: AtomicBool,
 }
@@ -33,6 +36,16 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of bytes read so far.
+    pub(crate) fn read(&self) -> u64 {
+        self.read.load(Ordering::Relaxed)
+    }
+
+    /// Sets the number of bytes after which reading fails.
+    pub(crate) fn set_read_limit(&self, limit: u64) {
+        self.read_limit.store(limit, Ordering::Relaxed);
+    }
+
     /// Makes the next read query the kernel, even if the event loop has not reported an event yet.
     ///
     /// Otherwise, if the upstream has just closed the idle connection, this is detected only after the call was
@@ -47,6 +60,11 @@
     }
 }
 
+/// The peer has sent more bytes than the answer can have.
+#[derive(Clone, Copy, Debug, Error)]
+#[error("too many bytes that belong to no answer")]
+struct TooManyBytes;
+
 /// Time for which data may stay unacknowledged (`TCP_USER_TIMEOUT`), unless it waits for the peer's process to read.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -114,7 +132,18 @@
         if self.state.peek_first.swap(false, Ordering::Relaxed) && self.peek_close()? {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let state = Arc::clone(&self.state);
+        if state.read() > state.read_limit.load(Ordering::Relaxed) {
+            return Poll::Ready(Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                TooManyBytes,
+            )));
+        }
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let count = buf.filled().len() - filled;
+        state.read.fetch_add(count as u64, Ordering::Relaxed);
+        polled
     }
 }
 
