--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -574,7 +574,7 @@
     /// All stages of the request, if it begins with this one; its home judges whether they are worth beginning.
     #[prost(message, optional, tag = "16")]
     pub chain: ::core::option::Option<Chain>,
-    /// What the stages after those that read its results will request.
+    /// Pieces that the stages after those that read its results will request.
     #[prost(message, repeated, tag = "17")]
     pub later: ::prost::alloc::vec::Vec<FollowingPieces>,
 }
--- a/crates/tc-policy/src/batch/outcomes.rs
+++ b/crates/tc-policy/src/batch/outcomes.rs
@@ -1,4 +1,4 @@
-//! How the jobs of a home end, by which an operator recognises a service that is short.
+//! Counts how the jobs of a home end, so that an operator recognises a service that is short.
 
 use std::time::Duration;
 
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -50,7 +50,7 @@
     pub timeout: Duration,
 }
 
-/// What a planner knows of its service, for logs.
+/// State of a service as its planner knows it, for logs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PlannerLoad {
     /// Waiting pieces of jobs that can be on time.
