Confirmations: none counts after a pause until the store is read again

Cause: after a suspension, a task drops the confirmations of the state of the store within 0.25 s. Until then the clock, which does not count a suspension, made them look recent. A follower that opened a stream in that time took the state from before the suspension for a current one, and read the store itself only a second later.

Change: the time of a confirmation is that of a process that was not paused since. The clocks are compared when it is read, not only periodically.

Evidence: freeze::source_confirms_nothing_from_before_a_suspension fails on the code before (a source confirms its state as of 68 ms before the call, after a suspension of 5 s) and passes now. The other tests of suspensions pass.

--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -95,6 +95,8 @@
     /// For each part, the number of pauses of this process before its last full read.
     pauses_at_full_read: [AtomicU64; PART_COUNT],
     confirmations: Confirmations,
+    /// Number of pauses of this process before the confirmations were last dropped.
+    pauses_at_reset: AtomicU64,
     followers: Arc<Followers>,
     /// Number of the last pause after which no fresh read came in time, so that requests no longer
     /// wait for one.
@@ -111,6 +113,7 @@
             pause_monitor,
             pauses_at_full_read: Default::default(),
             confirmations: Confirmations::default(),
+            pauses_at_reset: AtomicU64::new(0),
             followers: Arc::default(),
             gave_up_at: AtomicU64::new(0),
         }
@@ -214,16 +217,31 @@
 
     /// Drops all confirmations, after a pause of this process.
     pub(crate) fn reset_confirmations(&self) {
+        let pauses = self.pause_monitor.count();
         self.confirmations.reset();
+        self.pauses_at_reset.store(pauses, Ordering::Release);
     }
 
+    /// Returns the time as of which a part is confirmed.
     pub(crate) fn part_confirmed(&self, part: WorldPart) -> MonoTime {
-        self.confirmations.of(part)
+        self.unless_paused(self.confirmations.of(part))
     }
 
     /// Returns the time as of which all parts are confirmed.
     pub(crate) fn confirmed(&self) -> MonoTime {
-        self.confirmations.oldest()
+        self.unless_paused(self.confirmations.oldest())
+    }
+
+    /// Returns the time of a confirmation, or the earliest time if this process was paused since.
+    ///
+    /// The clock may not have counted the pause, and the task that drops the confirmations may not have
+    /// run yet.
+    fn unless_paused(&self, confirmed: MonoTime) -> MonoTime {
+        if self.pause_monitor.count() == self.pauses_at_reset.load(Ordering::Acquire) {
+            confirmed
+        } else {
+            MonoTime::default()
+        }
     }
 
     /// Returns a receiver of the time as of which all parts are confirmed.
