Admission: refuse for good only by a configuration confirmed within the bound

Callers saw 404 for a route that the store had had for longer than the bound on its propagation, as in the report; the instance had an older version and was cut off from every source of a newer one, or had just been suspended.

Cause: an instance refused by the version in force, however old its confirmation was. What keeps versions current has a bound of its own, but nothing ties a refusal to it, so each gap in propagation became a wrong answer.

Change: a refusal with 401 or 404 is final if the active configuration includes every change that the store had accepted by one config_apply_limit ago. If not, the request is refused with 503, not run and Retry-After.

This closes one direction whatever the cause of the delay is. A route or a key that was removed is still served by an outdated version; refusing all requests by an unconfirmed version would end service in every outage of the store.

--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -37,7 +37,7 @@
 /// start. Hundreds of instances that start together after a power loss have them within a second,
 /// and half of the callers would retry only once.
 const INITIAL_STATE_WAIT: Duration = Duration::from_millis(800);
-/// Retry delay sent to callers when this instance has no configuration.
+/// Retry delay sent to callers when this instance has no configuration, or none that it can rely on.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Delay after which callers of a stopping instance should retry at another instance.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(20);
@@ -48,6 +48,8 @@
     pub(crate) cx: Arc<RunContext>,
     pub(crate) connections: Connections,
     pub(crate) stop: Arc<StopState>,
+    /// Maximum time from the store's acknowledgement of a configuration until every instance applies it.
+    pub(crate) config_apply_limit: Duration,
 }
 
 /// Counts a request as in flight until its response has been sent or its caller has disconnected.
@@ -147,9 +149,11 @@
         head: RequestHead,
         body: Incoming,
     ) -> Result<RoutedRequest, Refusal> {
-        let config = self.config().await?;
-        let route = find_route(&config, &parts)?;
-        let workspace = find_workspace(&config, &route, &head)?;
+        let Destination {
+            config,
+            route,
+            workspace,
+        } = self.find_destination(&parts, &head).await?;
         // A stream that is resumed goes to the service that began it while the weights stay the same.
         let resumes = head.resumes.as_ref().filter(|_| route.kind.is_stream());
         let service = target_service(&route, resumes.unwrap_or(&head.request))
@@ -184,6 +188,32 @@
         })
     }
 
+    /// Finds where a request goes.
+    ///
+    /// A refusal is final only if the active configuration includes every change that the store had
+    /// accepted by one `config_apply_limit` ago. Otherwise the store may have had the route or the key
+    /// for longer than that, and the caller should try another instance.
+    async fn find_destination(
+        &self,
+        parts: &Parts,
+        head: &RequestHead,
+    ) -> Result<Destination, Refusal> {
+        if let Ok(destination) = Destination::find(self.config().await?, parts, head) {
+            return Ok(destination);
+        }
+        self.cx.world.wait_until_fresh().await;
+        Destination::find(self.config().await?, parts, head).map_err(|refusal| {
+            let confirmed = self.cx.world.part_confirmed(WorldPart::Config);
+            if MonoTime::now().since(confirmed) < self.config_apply_limit {
+                return refusal;
+            }
+            Refusal::not_run(
+                "the store may have a newer configuration",
+                NO_CONFIG_RETRY_AFTER,
+            )
+        })
+    }
+
     /// Logs a request that `admit` refused, with the version of the active configuration, the time
     /// since this instance decoded it and the age of its confirmation. The first two are zero
     /// without a configuration.
@@ -221,6 +251,25 @@
     }
 }
 
+/// Where a request goes, according to a configuration.
+struct Destination {
+    config: Arc<ActiveConfig>,
+    route: Arc<Route>,
+    workspace: Option<Arc<RoutedWorkspace>>,
+}
+
+impl Destination {
+    fn find(config: Arc<ActiveConfig>, parts: &Parts, head: &RequestHead) -> Result<Self, Refusal> {
+        let route = find_route(&config, parts)?;
+        let workspace = find_workspace(&config, &route, head)?;
+        Ok(Self {
+            config,
+            route,
+            workspace,
+        })
+    }
+}
+
 fn find_route(config: &ActiveConfig, parts: &Parts) -> Result<Arc<Route>, Refusal> {
     let host = parts
         .headers
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -318,7 +318,7 @@
         metrics: MetricsRenderer,
     ) -> Result<(), GatewayError> {
         let _entered = traffic.enter();
-        self.start_callers(into_runtime(listeners.callers)?);
+        self.start_callers(settings, into_runtime(listeners.callers)?);
         let info = InfoService {
             cx: Arc::clone(&self.cx),
             stop: Arc::clone(&self.stop),
@@ -339,11 +339,12 @@
         Ok(())
     }
 
-    fn start_callers(&self, listener: TcpListener) {
+    fn start_callers(&self, settings: &GatewaySettings, listener: TcpListener) {
         let service = CallerService {
             cx: Arc::clone(&self.cx),
             connections: self.connections.clone(),
             stop: Arc::clone(&self.stop),
+            config_apply_limit: settings.config_apply_limit,
         };
         let world = Arc::clone(&self.cx.world);
         let limits = move || connection_limits(&world);
