Relayed configurations: send in parts, and keep the source that sends them

A follower with a slow link never got a large configuration from its source; callers saw 404 for its routes until the follower read the store itself, or for as long as the store did not answer it.

Cause: a configuration travelled in one message. While it was on the way, the source looked silent (left after 0.3 of the bound) or outdated (left after 0.44), the follower began to read the store beside it (after 0.5) and fetches of gossiped state were given up after an eighth. Each way began the transfer from nothing, over the same link. Half a bound at 10 Mbit/s is 1.2 MB, less what the other ways take of it; the users' store accepts values of 1 MB.

Change: configurations are sent in parts of 64 KB, as lists of upstreams are. A source that is sending an update is not left for an old confirmation, and the store is not read beside it, as long as parts keep coming. A fetch has a limit for each message in place of one for all.

An instance of an older version takes a part for a malformed update, leaves the source and reads the store.

--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -31,7 +31,7 @@
     },
     peers::Peers,
     service::{MeshHandlers, Service},
-    store_update::{StoreUpdate, WorldHave, store_update_from_wire},
+    store_update::{ConfigAssembler, StoreUpdate, WorldHave, store_update_from_wire},
     suspects::suspect_table,
 };
 use crate::{
@@ -274,9 +274,12 @@
             .await
             .map_err(|status| call_error(from, &status))?;
         let from = from.clone();
-        let from_wire = move |update: Result<wire::WorldNews, tonic::Status>| {
-            let update = update.map_err(|status| call_error(&from, &status))?;
-            store_update_from_wire(&update).ok_or_else(|| MeshError::Malformed {
+        let mut assembler = ConfigAssembler::default();
+        let from_wire = move |message: Result<wire::WorldNews, tonic::Status>| {
+            let message = message.map_err(|status| call_error(&from, &status))?;
+            let message = assembler.complete(message);
+            let update = message.and_then(|message| store_update_from_wire(&message));
+            update.ok_or_else(|| MeshError::Malformed {
                 instance: from.id.clone(),
             })
         };
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -19,6 +19,10 @@
 /// Maximum number of entries in one message: some 150 KB, which a slow link transfers well within the time after which
 /// a silent source is abandoned. The size of a message must not depend on the number of upstreams.
 const MAX_ENTRIES_PER_MESSAGE: usize = 2_000;
+/// Maximum part of a configuration in one message. A link of 10 Mbit/s transfers it in a twentieth of a second.
+const MAX_CONFIG_BYTES_PER_MESSAGE: usize = 64 * 1024;
+/// Maximum size of a configuration that is received in parts. No store keeps larger values.
+const MAX_CONFIG_BYTES: usize = 16 * 1024 * 1024;
 
 /// Revisions of the store's state that an instance has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -120,11 +124,20 @@
         }
     }
     let config = update.config.as_ref();
+    let mut config_rest = config
+        .map(|(value, _)| value.to_string().into_bytes())
+        .unwrap_or_default();
+    while config_rest.len() > MAX_CONFIG_BYTES_PER_MESSAGE {
+        let later = config_rest.split_off(MAX_CONFIG_BYTES_PER_MESSAGE);
+        messages.push(wire::WorldNews {
+            config: std::mem::replace(&mut config_rest, later),
+            more_follows: true,
+            ..wire::WorldNews::default()
+        });
+    }
     messages.push(wire::WorldNews {
         confirmed_ms: update.confirmed_ms,
-        config: config
-            .map(|(value, _)| value.to_string().into_bytes())
-            .unwrap_or_default(),
+        config: config_rest,
         config_revision: config.map_or(0, |(_, revision)| revision.to_bits()),
         upstreams: rest.as_ref().map(upstream_update_to_wire),
         evacuated: update.evacuated.as_ref().map(evacuated_to_wire),
@@ -192,6 +205,27 @@
     }
 }
 
+/// Puts a configuration together that was sent in several messages.
+#[derive(Default)]
+pub(super) struct ConfigAssembler {
+    received: Vec<u8>,
+}
+
+impl ConfigAssembler {
+    /// Moves the parts of a configuration into the last message of its update. Returns `None` if they are larger than any
+    /// configuration.
+    pub(super) fn complete(&mut self, mut message: wire::WorldNews) -> Option<wire::WorldNews> {
+        self.received.append(&mut message.config);
+        if self.received.len() > MAX_CONFIG_BYTES {
+            return None;
+        }
+        if !message.more_follows {
+            message.config = std::mem::take(&mut self.received);
+        }
+        Some(message)
+    }
+}
+
 /// Returns `None` if any part is malformed: applying the rest would make upstreams appear removed.
 pub(super) fn store_update_from_wire(update: &wire::WorldNews) -> Option<StoreUpdate> {
     let config = if update.config.is_empty() {
@@ -373,6 +407,63 @@
         assert_eq!(last.confirmed_ms, sent.confirmed_ms);
     }
 
+    fn large_config(bytes: usize) -> StoreUpdate {
+        let value = Value::from("x".repeat(bytes));
+        let revision = StoreRevision { era: 0, number: 7 };
+        StoreUpdate {
+            config: Some((Arc::new(value), revision)),
+            ..list(4_500)
+        }
+    }
+
+    /// Guards against a configuration that occupies a weak link until its source is taken for silent.
+    #[test]
+    fn messages_of_a_configuration_do_not_grow_with_its_size() {
+        for bytes in [100, 100_000, 1_048_576, 8_000_000] {
+            let messages = store_update_to_wire(&large_config(bytes));
+            let sizes = messages.iter().map(wire::WorldNews::encoded_len);
+            let largest = sizes.max().unwrap_or_default();
+            assert!(largest < 256 * 1024, "{bytes}: {largest} bytes");
+        }
+    }
+
+    #[test]
+    fn a_configuration_in_several_messages_is_received_as_sent() {
+        for bytes in [1, 64 * 1024 - 2, 64 * 1024 - 1, 1_048_576] {
+            let sent = large_config(bytes);
+            let mut assembler = ConfigAssembler::default();
+            let received: Vec<StoreUpdate> = store_update_to_wire(&sent)
+                .into_iter()
+                .filter_map(|message| store_update_from_wire(&assembler.complete(message)?))
+                .collect();
+            let (last, parts) = received.split_last().expect("a message");
+            assert!(
+                parts
+                    .iter()
+                    .all(|part| part.more_follows && part.config.is_none())
+            );
+            assert_eq!(last.config, sent.config);
+            assert!(!last.more_follows);
+        }
+    }
+
+    /// Guards against a sender that fills the memory of its followers.
+    #[test]
+    fn parts_beyond_any_configuration_are_malformed() {
+        let mut assembler = ConfigAssembler::default();
+        let part = || wire::WorldNews {
+            config: vec![b' '; MAX_CONFIG_BYTES_PER_MESSAGE],
+            more_follows: true,
+            ..wire::WorldNews::default()
+        };
+        let parts =
+            std::iter::repeat_with(part).take(MAX_CONFIG_BYTES / MAX_CONFIG_BYTES_PER_MESSAGE);
+        for part in parts {
+            assert!(assembler.complete(part).is_some());
+        }
+        assert!(assembler.complete(part()).is_none());
+    }
+
     /// Guards against an entry that refers to a name that is not in the message.
     #[test]
     fn malformed_entries_invalidate_the_message() {
--- a/crates/tc-gateway/src/world/catch_up.rs
+++ b/crates/tc-gateway/src/world/catch_up.rs
@@ -24,8 +24,8 @@
 
 /// Fetches gossiped state until the future is dropped.
 ///
-/// It may arrive from this instance's source within `grace` after it was gossiped. A fetch takes at most as long again; if
-/// it fails, the next gossip message names another instance.
+/// It may arrive from this instance's source within `grace` after it was gossiped. A fetch fails if it gets no message for as
+/// long again; the next gossip message then names another instance.
 pub(crate) async fn fetch_gossiped_world(mesh: Mesh, cell: Arc<WorldCell>, grace: Duration) {
     let mut gossiped = mesh.newer_world();
     let mut last_fetched = WorldHave::default();
@@ -39,17 +39,15 @@
         let Some(newer) = newer.filter(is_needed) else {
             continue;
         };
-        let fetched = timeout(grace, fetch_world(&mesh, &cell, &newer)).await;
-        let problem = match fetched {
-            Ok(Ok(())) => {
+        match fetch_world(&mesh, &cell, &newer, grace).await {
+            Ok(()) => {
                 last_fetched = newer.have;
                 log_fetch(&newer, &before, &cell.have());
-                continue;
             }
-            Ok(Err(error)) => error.to_string(),
-            Err(_) => "no answer in time".to_owned(),
-        };
-        log::info!(from = newer.holder.as_str(), before = before.config_version, version = newer.have.config_version, list_before = before.upstreams_revision.to_string().as_str(), list = newer.have.upstreams_revision.to_string().as_str(), problem = problem.as_str(); "fetching newer state of the store failed");
+            Err(error) => {
+                log::info!(from = newer.holder.as_str(), before = before.config_version, version = newer.have.config_version, list_before = before.upstreams_revision.to_string().as_str(), list = newer.have.upstreams_revision.to_string().as_str(), problem = error.to_string().as_str(); "fetching newer state of the store failed");
+            }
+        }
     }
 }
 
@@ -66,14 +64,25 @@
 }
 
 /// Applies the state of the instance that gossiped it. Does nothing if that instance is no longer a member.
-async fn fetch_world(mesh: &Mesh, cell: &WorldCell, newer: &NewerWorld) -> Result<(), MeshError> {
+///
+/// Fails if no message comes for `limit`. The time for all of them depends on the size of the state and on the link.
+async fn fetch_world(
+    mesh: &Mesh,
+    cell: &WorldCell,
+    newer: &NewerWorld,
+    limit: Duration,
+) -> Result<(), MeshError> {
     let members = mesh.members();
     let Some(holder) = members.iter().find(|member| member.id == newer.holder) else {
         return Ok(());
     };
-    let mut updates = mesh.follow_world(holder, cell.have()).await?;
+    let timed_out = |_| MeshError::TimedOut {
+        instance: holder.id.clone(),
+    };
+    let updates = timeout(limit, mesh.follow_world(holder, cell.have())).await;
+    let mut updates = updates.map_err(timed_out)??;
     let mut assembler = UpdateAssembler::default();
-    while let Some(update) = updates.next().await {
+    while let Some(update) = timeout(limit, updates.next()).await.map_err(timed_out)? {
         if let Some(update) = assembler.complete(update?) {
             apply(cell, &update);
             return Ok(());
--- a/crates/tc-membership/src/store_source.rs
+++ b/crates/tc-membership/src/store_source.rs
@@ -107,6 +107,8 @@
     /// Last confirmation reported by the source or, before its first message, the time when it was
     /// chosen.
     confirmed: MonoTime,
+    /// Whether the last message was part of an update that is not complete yet.
+    is_sending: bool,
 }
 
 /// Source selection of one instance.
@@ -237,7 +239,7 @@
             let id = current.id.clone();
             if now.since(current.last_heard) > self.timing.silence_timeout {
                 self.source_failed(now, &id);
-            } else if self.is_stale(now, current.confirmed) {
+            } else if !current.is_sending && self.is_stale(now, current.confirmed) {
                 self.avoid(now, &id, self.timing.heartbeat_interval);
             } else {
                 return Some(id);
@@ -250,6 +252,7 @@
             id: id.clone(),
             last_heard: now,
             confirmed: now,
+            is_sending: false,
         });
         next.cloned()
     }
@@ -267,6 +270,7 @@
         };
         current.last_heard = now;
         current.confirmed = confirmed;
+        current.is_sending = false;
         self.is_confirmed |= confirmed > MonoTime::default();
         self.newest_confirmation = self.newest_confirmation.max(confirmed);
         if self.is_stale(now, confirmed) {
@@ -275,12 +279,23 @@
     }
 
     /// Records a message from a source that is part of an update.
+    ///
+    /// Until the update is complete, the source is kept however old its last confirmation is, and the
+    /// store is not read beside it: over a slow link, each would begin the transfer again.
     pub fn record_partial_update(&mut self, now: MonoTime, from: &InstanceId) {
         if let Some(current) = self.current.as_mut().filter(|c| c.id == *from) {
             current.last_heard = now;
+            current.is_sending = true;
         }
     }
 
+    /// Returns whether the source is sending an update in parts, and has not fallen silent.
+    fn is_receiving(&self, now: MonoTime) -> bool {
+        self.current.as_ref().is_some_and(|current| {
+            current.is_sending && now.since(current.last_heard) <= self.timing.silence_timeout
+        })
+    }
+
     /// Handles a resume after a pause, when the clock may not show how old the confirmations are.
     /// Unless a source reports one within a heartbeat interval, this instance reads the store
     /// itself.
@@ -308,7 +323,8 @@
     #[must_use]
     pub fn should_watch(&self, now: MonoTime) -> bool {
         let is_watcher = self.watcher_index.is_some() && self.is_settled;
-        is_watcher || now.since(self.newest_confirmation) >= self.watch_after()
+        let is_outdated = now.since(self.newest_confirmation) >= self.watch_after();
+        is_watcher || (is_outdated && !self.is_receiving(now))
     }
 
     fn watch_after(&self) -> Duration {
--- a/crates/tc-membership/tests/store_source/main.rs
+++ b/crates/tc-membership/tests/store_source/main.rs
@@ -5,4 +5,5 @@
 mod freshness;
 mod growth;
 mod roles;
+mod transfers;
 mod upstream_list;
