Reads of the store: leave a slow link to the answer that is under way

An instance that read a large configuration from the store over a slow link had it later than the bound; callers saw 404 for its routes.

Cause: a read without an answer is repeated after an eighth of the bound, and a read whose answer was arriving counted as one without. The repetitions shared the link with it. So did the lists that check a watch, which began while the watch was being answered, and which transferred the whole configuration every 0.7 s although nothing had changed.

Change: calls record the arrival of their answers. A read is repeated if nothing arrives for an eighth of the bound, also half-way. No list that checks a watch begins or goes on while the watch is answered. Such a list is preceded by a read of the store's revision if it is larger than 256 KB, as it is if it has several pages.

--- a/crates/tc-gateway/src/world/hedge.rs
+++ b/crates/tc-gateway/src/world/hedge.rs
@@ -3,20 +3,26 @@
 use std::{future::Future, time::Duration};
 
 use futures::{StreamExt, stream::FuturesUnordered};
-use tokio::time::sleep;
+use tc_platform::CallProgress;
 
 /// Maximum number of calls at a time, so that a store that answers nobody is not called much more
 /// often than a healthy one.
 pub(super) const MAX_CALLS: u32 = 3;
 
-/// Makes a call, and makes it again after each `delay` without an answer, up to [`MAX_CALLS`] times.
+/// Makes a call, and makes it again after each `delay` in which no part of an answer arrives, up to [`MAX_CALLS`] times.
+///
+/// `call` records the arrival of answers in the progress that it gets.
 ///
 /// Returns the first success, which drops the other calls, or the last error once all have failed.
-pub(super) async fn hedged<T, E, F>(delay: Duration, call: impl Fn() -> F) -> Result<T, E>
+pub(super) async fn hedged<T, E, F>(
+    delay: Duration,
+    call: impl Fn(CallProgress) -> F,
+) -> Result<T, E>
 where
     F: Future<Output = Result<T, E>>,
 {
-    let mut pending = FuturesUnordered::from_iter([call()]);
+    let progress = CallProgress::default();
+    let mut pending = FuturesUnordered::from_iter([call(progress.clone())]);
     let mut made = 1;
     loop {
         tokio::select! {
@@ -25,9 +31,9 @@
                     return result;
                 }
             }
-            () = sleep(delay), if made < MAX_CALLS => {
+            () = progress.stalled_for(delay), if made < MAX_CALLS => {
                 metrics::counter!("tc_store_hedged_calls_total").increment(1);
-                pending.push(call());
+                pending.push(call(progress.clone()));
                 made += 1;
             }
         }
@@ -38,7 +44,7 @@
 mod tests {
     use std::cell::Cell;
 
-    use tokio::time::Instant;
+    use tokio::time::{Instant, sleep};
 
     use super::*;
 
@@ -50,7 +56,7 @@
     async fn run(lost: u32, answer: Result<(), ()>) -> (Result<(), ()>, u32, Duration) {
         let made = Cell::new(0);
         let started = Instant::now();
-        let call = || {
+        let call = |_| {
             made.set(made.get() + 1);
             let is_lost = made.get() <= lost;
             async move {
@@ -81,6 +87,46 @@
         }
     }
 
+    /// Guards against repetitions of a call whose answer is under way, with which it would share a slow link.
+    #[tokio::test(start_paused = true)]
+    async fn call_is_not_repeated_while_its_answer_arrives() {
+        let made = Cell::new(0);
+        let call = |progress: CallProgress| {
+            made.set(made.get() + 1);
+            async move {
+                for _ in 0..10 {
+                    sleep(DELAY / 2).await;
+                    progress.record();
+                }
+                Ok::<(), ()>(())
+            }
+        };
+        assert_eq!(hedged(DELAY, call).await, Ok(()));
+        assert_eq!(made.get(), 1);
+    }
+
+    /// Guards against a read that waits for its timeout because its answer stopped arriving half-way.
+    #[tokio::test(start_paused = true)]
+    async fn call_is_repeated_if_its_answer_stops_arriving() {
+        let made = Cell::new(0);
+        let started = Instant::now();
+        let call = |progress: CallProgress| {
+            made.set(made.get() + 1);
+            let is_lost = made.get() == 1;
+            async move {
+                progress.record();
+                if is_lost {
+                    sleep(TIMEOUT).await;
+                }
+                Ok::<(), ()>(())
+            }
+        };
+        assert_eq!(hedged(DELAY, call).await, Ok(()));
+        assert_eq!(made.get(), 2);
+        let took = started.elapsed();
+        assert!(took < DELAY + Duration::from_millis(5), "{took:?}");
+    }
+
     /// Guards against calls without end to a store that answers nobody, which would hide the outage.
     #[tokio::test(start_paused = true)]
     async fn fails_after_the_timeout_of_the_last_call() {
--- a/crates/tc-gateway/src/world/kind_watch.rs
+++ b/crates/tc-gateway/src/world/kind_watch.rs
@@ -9,7 +9,8 @@
 
 use tc_membership::ListSchedule;
 use tc_platform::{
-    KindDialect, ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage, WatchResult,
+    CallProgress, KindDialect, ListPage, ObjectEvent, Purpose, Store, StoreError, WatchPage,
+    WatchResult,
 };
 use tc_protocol::{MonoTime, StoreRevision};
 use tokio::{sync::watch::Receiver, time::sleep, time::timeout};
@@ -27,6 +28,9 @@
 /// Maximum time by which a watch may lag behind a list.
 const MAX_WATCH_LAG: Duration = Duration::from_millis(150);
 
+/// Maximum size of a list that is read to check a watch, before it is known that something has changed.
+const MAX_CHECK_BYTES: usize = 256 * 1024;
+
 /// Delay after a failed list that was to check a watch.
 const LIST_RETRY_DELAY: Duration = Duration::from_millis(300);
 
@@ -73,16 +77,18 @@
         let delay = self
             .hedge_delay
             .max(self.list_time.estimate(known.len()) * 2);
-        hedged(delay, || self.list_once(known)).await
+        hedged(delay, |progress| self.list_once(known, progress)).await
     }
 
     async fn list_once(
         &self,
         known: &BTreeSet<Arc<str>>,
+        progress: CallProgress,
     ) -> Result<(ListPage, StoreRead), StoreError> {
         let store_read = StoreRead::start(&self.cell.pause_monitor());
         let listed = self
             .store
+            .with_progress(progress)
             .list_known_kind(self.purpose, &self.dialect, self.kind, known)
             .await?;
         let took = MonoTime::now().since(store_read.started_at);
@@ -97,7 +103,8 @@
         since: StoreRevision,
         last: &str,
     ) -> Result<bool, StoreError> {
-        let (revision, store_read) = hedged(self.hedge_delay, || self.read_revision(last)).await?;
+        let read = |progress| self.read_revision(last, progress);
+        let (revision, store_read) = hedged(self.hedge_delay, read).await?;
         let is_unchanged = revision == since;
         if is_unchanged {
             self.cell.confirm(self.part, &store_read);
@@ -105,10 +112,15 @@
         Ok(is_unchanged)
     }
 
-    async fn read_revision(&self, last: &str) -> Result<(StoreRevision, StoreRead), StoreError> {
+    async fn read_revision(
+        &self,
+        last: &str,
+        progress: CallProgress,
+    ) -> Result<(StoreRevision, StoreRead), StoreError> {
         let store_read = StoreRead::start(&self.cell.pause_monitor());
         let revision = self
             .store
+            .with_progress(progress)
             .revision(self.purpose, &self.dialect, self.kind, last)
             .await?;
         Ok((revision, store_read))
@@ -123,14 +135,14 @@
         known: &KnownObjects,
     ) -> Result<WatchOutcome, StoreError> {
         let store_read = StoreRead::start(&self.cell.pause_monitor());
-        let watching = self
-            .store
-            .watch_kind(self.purpose, &self.dialect, self.kind, from, wait);
+        let progress = CallProgress::default();
+        let store = self.store.with_progress(progress.clone());
+        let watching = store.watch_kind(self.purpose, &self.dialect, self.kind, from, wait);
         let answered = |watched: WatchResult| WatchOutcome::Answered(watched, store_read);
         tokio::pin!(watching);
         let (page, list_read) = tokio::select! {
             answer = &mut watching => return answer.map(answered),
-            missed = self.list_until_changed(from, known) => missed,
+            missed = self.list_until_changed(from, known, &progress) => missed,
         };
         if let Ok(answer) = timeout(MAX_WATCH_LAG, &mut watching).await {
             return answer.map(answered);
@@ -142,17 +154,23 @@
     /// Checks whenever a list is due whether anything has changed, and returns the first list that
     /// shows a change after revision `from`.
     ///
-    /// A list of several pages is read only if the store's revision shows that something has
-    /// changed, possibly of another kind, and is abandoned when another instance confirms the part.
+    /// A list of several pages or of a large size is read only if the store's revision shows that something has
+    /// changed, possibly of another kind, and is abandoned when another instance confirms the part
+    /// or when the watch is answered. No list begins while the answer to the watch arrives, with
+    /// which it would share a slow link.
     async fn list_until_changed(
         &self,
         from: StoreRevision,
         known: &KnownObjects,
+        watch: &CallProgress,
     ) -> (ListPage, StoreRead) {
         let mut unchanged_at = from;
         loop {
             self.wait_until_list_due(known.names.len()).await;
-            if let Some(last) = known.names.last().filter(|_| known.is_paged) {
+            if watch.has_begun() {
+                watch.stalled_for(self.hedge_delay).await;
+            }
+            if let Some(last) = known.names.last().filter(|_| known.is_costly) {
                 match self.confirm_unchanged(unchanged_at, last).await {
                     Ok(true) => continue,
                     Ok(false) => {}
@@ -165,6 +183,7 @@
             let listed = tokio::select! {
                 listed = self.list(&known.names) => listed,
                 () = self.wait_until_list_not_due(known.names.len()) => continue,
+                () = watch.next_part() => continue,
             };
             match listed {
                 Ok((page, store_read)) => {
@@ -219,8 +238,8 @@
 #[derive(Default)]
 struct KnownObjects {
     names: BTreeSet<Arc<str>>,
-    /// Whether a list takes more than one call.
-    is_paged: bool,
+    /// Whether a list takes more than one call, or long over a slow link.
+    is_costly: bool,
 }
 
 /// Lists and watches one kind of objects, as described in the module documentation.
@@ -296,7 +315,7 @@
         let names = page.items.iter().map(|object| Arc::clone(&object.name));
         self.known = KnownObjects {
             names: names.collect(),
-            is_paged: page.has_more,
+            is_costly: page.has_more || page.bytes > MAX_CHECK_BYTES,
         };
         self.report_unreadable(&page.unreadable);
         KindUpdate::List(page, store_read)
--- a/crates/tc-membership/tests/store_source/transfers.rs
+++ b/crates/tc-membership/tests/store_source/transfers.rs
@@ -25,9 +25,9 @@
         let mut source = StoreSource::new(id(8), timing, now);
         source.update_members(&members(40));
         source.mark_settled();
-        let followed = source.source(now).expect("a source");
+        let sender = source.source(now).expect("a source");
         now = now.after(timing.heartbeat_interval);
-        source.record_confirmation(now, &followed, now);
+        source.record_confirmation(now, &sender, now);
         assert!(!source.should_watch(now), "not a watcher");
         Self {
             timing,
@@ -38,21 +38,21 @@
 
     /// Receives parts of one update for `time`.
     fn receive_parts(&mut self, time: Duration) {
-        let followed = self.source.source(self.now);
-        let followed = followed.expect("a source");
+        let sender = self.source.source(self.now);
+        let sender = sender.expect("a source");
         let ends = self.now.after(time);
         while self.now < ends {
             self.now = self.now.after(PART_INTERVAL);
             assert_eq!(
                 self.source.source(self.now).as_ref(),
-                Some(&followed),
+                Some(&sender),
                 "another source would begin the transfer again"
             );
             assert!(
                 !self.source.should_watch(self.now),
                 "a read of the store would share the link"
             );
-            self.source.record_partial_update(self.now, &followed);
+            self.source.record_partial_update(self.now, &sender);
         }
     }
 }
@@ -62,22 +62,22 @@
 #[test]
 fn source_is_kept_while_it_sends_an_update_in_parts() {
     let mut follower = Follower::new();
-    let followed = follower.source.source(follower.now).expect("a source");
+    let sender = follower.source.source(follower.now).expect("a source");
     follower.receive_parts(BOUND);
     let now = follower.now;
-    follower.source.record_confirmation(now, &followed, now);
-    assert_eq!(follower.source.source(now), Some(followed));
+    follower.source.record_confirmation(now, &sender, now);
+    assert_eq!(follower.source.source(now), Some(sender));
 }
 
 /// Guards against a follower that waits for the rest of an update whose source is lost.
 #[test]
 fn source_that_falls_silent_within_an_update_is_left() {
     let mut follower = Follower::new();
-    let followed = follower.source.source(follower.now).expect("a source");
+    let sender = follower.source.source(follower.now).expect("a source");
     follower.receive_parts(BOUND);
     let later = follower
         .now
         .after(follower.timing.silence_timeout + PART_INTERVAL);
     assert!(follower.source.should_watch(later));
-    assert_ne!(follower.source.source(later), Some(followed));
+    assert_ne!(follower.source.source(later), Some(sender));
 }
--- a/crates/tc-platform/src/kinds.rs
+++ b/crates/tc-platform/src/kinds.rs
@@ -36,6 +36,8 @@
     pub revision: StoreRevision,
     /// One message for each object that was skipped because it cannot be decoded.
     pub unreadable: Vec<String>,
+    /// Size of the responses.
+    pub bytes: usize,
 }
 
 /// A change of one object.
--- a/crates/tc-platform/src/lib.rs
+++ b/crates/tc-platform/src/lib.rs
@@ -22,7 +22,9 @@
 pub use quarantine::{
     QUARANTINE_KIND, Quarantined, add_quarantined, list_quarantined, remove_quarantined,
 };
-pub use store::{Precondition, Purpose, Store, StoreSettings, Versioned, WriteResult};
+pub use store::{
+    CallProgress, Precondition, Purpose, Store, StoreSettings, Versioned, WriteResult,
+};
 
 /// State machine of a claim shard, without clock and I/O. Driven by [`Claims`], and directly by
 /// tests.
--- a/crates/tc-platform/src/list.rs
+++ b/crates/tc-platform/src/list.rs
@@ -73,6 +73,7 @@
             all.revision = all.revision.min(part.revision);
             all.items.extend(part.items);
             all.unreadable.extend(part.unreadable);
+            all.bytes += part.bytes;
         }
         all.has_more |= is_split;
         Ok(all)
@@ -97,6 +98,7 @@
             has_more = page.has_more && !page.items.is_empty();
             part.items.extend(page.items);
             part.unreadable.extend(page.unreadable);
+            part.bytes += page.bytes;
         }
         if let Some(end) = end {
             let within = part.items.partition_point(|object| &*object.name <= end);
--- a/crates/tc-platform/src/store/mod.rs
+++ b/crates/tc-platform/src/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod call_stats;
 mod coalesce;
+mod progress;
 mod rate_limiter;
 mod verified_write;
 mod wire;
@@ -28,6 +29,7 @@
 pub(crate) use wire::{Connection, Effect, Response};
 
 pub use call_stats::Purpose;
+pub use progress::CallProgress;
 pub use verified_write::{Precondition, WriteResult};
 
 /// Settings of the store client.
@@ -56,6 +58,8 @@
     inner: Arc<Inner>,
     /// Whether the calls made through this clone were already admitted by the rate limiter.
     is_reserved: bool,
+    /// Progress of the calls made through this clone.
+    progress: CallProgress,
 }
 
 struct Inner {
@@ -94,6 +98,16 @@
                 settings,
             }),
             is_reserved: false,
+            progress: CallProgress::default(),
+        }
+    }
+
+    /// Returns a clone whose calls are recorded in `progress`.
+    #[must_use]
+    pub fn with_progress(&self, progress: CallProgress) -> Self {
+        Self {
+            progress,
+            ..self.clone()
         }
     }
 
@@ -114,8 +128,8 @@
     /// Returns a clone for calls that were reserved before.
     pub(crate) fn with_reserved_calls(&self) -> Self {
         Self {
-            inner: self.inner.clone(),
             is_reserved: true,
+            ..self.clone()
         }
     }
 
@@ -326,7 +340,7 @@
             Connection::New => &inner.unpooled_client,
         };
         let span = tracing::info_span!("platform_call", purpose = purpose.as_str(), path);
-        let result = wire::exchange(client, req, effect, timeout)
+        let result = wire::exchange(client, req, effect, timeout, &self.progress)
             .instrument(span)
             .await;
         inner
--- a/crates/tc-platform/src/store/wire.rs
+++ b/crates/tc-platform/src/store/wire.rs
@@ -10,6 +10,7 @@
     rt::{TokioExecutor, TokioTimer},
 };
 
+use super::progress::CallProgress;
 use crate::StoreError;
 
 /// Does not limit the number of idle connections in the pool.
@@ -71,14 +72,15 @@
         .build(connector)
 }
 
-/// Sends a request and waits up to `timeout` for the response.
+/// Sends a request and waits up to `timeout` for the response, recording each part of it that arrives.
 pub(crate) async fn exchange(
     client: &HttpClient,
     req: Request<Full<Bytes>>,
     effect: Effect,
     timeout: Duration,
+    progress: &CallProgress,
 ) -> Result<Response, StoreError> {
-    tokio::time::timeout(timeout, send(client, req, effect))
+    tokio::time::timeout(timeout, send(client, req, effect, progress))
         .await
         .unwrap_or_else(|_| Err(no_response_error(effect)))
 }
@@ -87,6 +89,7 @@
     client: &HttpClient,
     req: Request<Full<Bytes>>,
     effect: Effect,
+    progress: &CallProgress,
 ) -> Result<Response, StoreError> {
     let response = client.request(req).await.map_err(|e| {
         if e.is_connect() {
@@ -95,10 +98,15 @@
             no_response_error(effect)
         }
     })?;
+    progress.record();
     let status = response.status();
     let version = version_of(response.headers());
     check_status(status, version, effect)?;
     let (head, body) = response.into_parts();
+    let body = body.map_frame(|frame| {
+        progress.record();
+        frame
+    });
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = match (body, effect) {
         (Ok(body), _) => body.to_bytes(),
--- a/crates/tc-platform/tests/kinds.rs
+++ b/crates/tc-platform/tests/kinds.rs
@@ -29,6 +29,7 @@
             has_more: false,
             revision: at(1),
             unreadable: Vec::new(),
+            bytes: 0,
         })
     },
     watch_path: |kind, _, _| format!("/{kind}"),
--- a/crates/tc-platform/tests/list.rs
+++ b/crates/tc-platform/tests/list.rs
@@ -50,6 +50,7 @@
             has_more: more == "more",
             revision: StoreRevision { era, number: 7 },
             unreadable: Vec::new(),
+            bytes: body.len(),
         })
     },
     watch_path: |kind, _, _| format!("/{kind}"),
--- a/crates/tc-stand-ins/src/slow_link.rs
+++ b/crates/tc-stand-ins/src/slow_link.rs
@@ -1,6 +1,13 @@
 //! A TCP relay that limits how fast it passes bytes to the connecting side.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt, copy},
@@ -20,6 +27,7 @@
 pub struct SlowLink {
     /// Where it listens.
     pub address: SocketAddr,
+    link: Arc<Link>,
     accepting: JoinHandle<()>,
 }
 
@@ -29,10 +37,11 @@
     }
 }
 
-/// Time at which the link has passed all bytes that it was given.
 struct Link {
+    /// Time at which the link has passed all bytes that it was given.
     free_at: Mutex<Instant>,
     bytes_per_s: f64,
+    passed: AtomicUsize,
 }
 
 impl Link {
@@ -44,6 +53,7 @@
             *free_at
         };
         sleep_until(passed_at).await;
+        self.passed.fetch_add(bytes, Ordering::Relaxed);
     }
 }
 
@@ -55,15 +65,27 @@
         let link = Arc::new(Link {
             free_at: Mutex::new(Instant::now()),
             bytes_per_s,
+            passed: AtomicUsize::new(0),
         });
+        let relayed = Arc::clone(&link);
         let accepting = tokio::spawn(async move {
             // Aborts the relayed connections when it is dropped.
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((caller, _)) = listener.accept().await {
-                connections.spawn(relay(caller, target, Arc::clone(&link)));
+                connections.spawn(relay(caller, target, Arc::clone(&relayed)));
             }
         });
-        Ok(Self { address, accepting })
+        Ok(Self {
+            address,
+            link,
+            accepting,
+        })
+    }
+
+    /// Returns the number of bytes passed to the connecting side so far.
+    #[must_use]
+    pub fn passed_bytes(&self) -> usize {
+        self.link.passed.load(Ordering::Relaxed)
     }
 }
 
@@ -77,7 +99,7 @@
     tokio::select! {
         () = copy_slowly(from_server, to_caller, &link) => {}
         // A half-closed connection still gets its answer.
-        _ = async {
+        () = async {
             let _ = copy(&mut from_caller, &mut to_server).await;
             let _ = to_server.shutdown().await;
             std::future::pending::<()>().await;
