Log and count the longest delay of a configuration by instance

An account of a late configuration had to infer delays from times of the operator's log, which instances do not see. An instance knows the last time as of which it had every configuration; whatever it applies later was accepted after that.

The line "configuration in force" has max_delay_ms, and tc_config_apply_ms counts it. Operators read a value beyond the bound as a configuration that may have been late on that instance.

--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -301,8 +301,13 @@
         if config.routing.version <= before {
             return;
         }
-        log::info!(version = config.routing.version, before = before, revision = revision.to_string().as_str(), routes = config.routing.routes.len(); "configuration in force");
+        let max_delay = self.max_config_delay();
+        let max_delay_ms = max_delay.map(|delay| delay.as_millis() as u64);
+        log::info!(version = config.routing.version, before = before, revision = revision.to_string().as_str(), routes = config.routing.routes.len(), max_delay_ms = max_delay_ms; "configuration in force");
         metrics::gauge!("tc_config_revision").set(config.routing.version as f64);
+        if let Some(delay) = max_delay {
+            metrics::histogram!("tc_config_apply_ms").record(delay.as_secs_f64() * 1_000.0);
+        }
         self.publish(World {
             config: Some(Arc::new(config)),
             upstreams: Arc::clone(&world.upstreams),
@@ -310,6 +315,14 @@
         });
     }
 
+    /// Returns the longest time for which the store may have had a configuration that this instance did not have, or `None`
+    /// without a confirmation.
+    fn max_config_delay(&self) -> Option<Duration> {
+        let confirmed = self.part_confirmed(WorldPart::Config);
+        let is_confirmed = confirmed > MonoTime::default();
+        is_confirmed.then(|| MonoTime::now().since(confirmed))
+    }
+
     /// Applies the set of evacuated failure domains, unless it is older than the known one.
     pub(crate) fn apply_evacuated(&self, evacuated: &EvacuatedDomains) {
         let _guard = self.lock_writes();
