Relayed configurations: compress once for all followers

Configurations of thousands of routes are half a megabyte, and each follower got each version whole: 0.4 s over 10 Mbit/s.

Change: a source compresses a version once, when it first sends it, and sends the result in parts to followers that say that they accept it. Before, the JSON was written again for each follower.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -759,10 +759,13 @@
     /// Digest of the names and revisions of all upstream entries that the asker has.
     #[prost(fixed64, tag = "4")]
     pub upstreams_digest: u64,
+    /// Whether the asker takes configurations that are compressed and sent in parts.
+    #[prost(bool, tag = "5")]
+    pub accepts_compressed: bool,
 }
 #[derive(Clone, PartialEq, ::prost::Message)]
 pub struct WorldNews {
-    /// JSON of the configuration when newer than the asker's; empty otherwise.
+    /// JSON of the configuration when newer than the asker's; empty otherwise. With more_follows, a part of it.
     #[prost(bytes = "vec", tag = "2")]
     pub config: ::prost::alloc::vec::Vec<u8>,
     /// Revision of the store at which the configuration was written.
@@ -777,9 +780,12 @@
     /// Absent if nothing is confirmed.
     #[prost(sint64, optional, tag = "6")]
     pub confirmed_ms: ::core::option::Option<i64>,
-    /// More entries of the same list follow in the next message. All messages of a list are applied at once.
+    /// More of the same list or configuration follows in the next message. All of it is applied at once.
     #[prost(bool, tag = "7")]
     pub more_follows: bool,
+    /// The configuration is in the zlib format (RFC 1950).
+    #[prost(bool, tag = "8")]
+    pub config_compressed: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct EvacuatedDomains {
--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -33,6 +33,7 @@
 pub use mesh::{
     BrokenRun, ChooseEngine, EvacuatedDomains, FollowWorld, Mesh, MeshError, MeshHandlers,
     MeshSettings, NewerWorld, PiecesAnswer, RecordRuns, RegistryEntry, Removed, ReportOutlook,
-    SharedFleetShare, StoreUpdate, SuspectTrial, UpstreamLimits, UpstreamUpdate, WorldHave,
+    SharedFleetShare, StoreUpdate, StoredConfig, SuspectTrial, UpstreamLimits, UpstreamUpdate,
+    WorldHave,
 };
 pub use settings::{FleetSettings, PermitPolicy};
--- a/crates/tc-fleet/src/mesh/handle.rs
+++ b/crates/tc-fleet/src/mesh/handle.rs
@@ -31,7 +31,8 @@
     },
     peers::Peers,
     service::{MeshHandlers, Service},
-    store_update::{ConfigAssembler, StoreUpdate, WorldHave, store_update_from_wire},
+    store_update::{StoreUpdate, WorldHave, store_update_from_wire},
+    stored_config::ConfigAssembler,
     suspects::suspect_table,
 };
 use crate::{
@@ -267,6 +268,7 @@
             upstreams_revision: have.upstreams_revision.to_bits(),
             upstreams_digest: have.upstreams_digest,
             evacuated_revision: have.evacuated_revision.to_bits(),
+            accepts_compressed: true,
         };
         let mut client = self.inner.peers.client(from);
         let updates = client
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod service;
 mod store_update;
+mod stored_config;
 mod suspects;
 
 pub use actor::NewerWorld;
@@ -27,4 +28,5 @@
 pub use store_update::{
     EvacuatedDomains, RegistryEntry, Removed, StoreUpdate, UpstreamUpdate, WorldHave,
 };
+pub use stored_config::StoredConfig;
 pub use suspects::{BrokenRun, SuspectTrial};
--- a/crates/tc-fleet/src/mesh/service.rs
+++ b/crates/tc-fleet/src/mesh/service.rs
@@ -212,7 +212,9 @@
         });
         let full = || Status::resource_exhausted("this instance has too many followers");
         let updates = updates.ok_or_else(full)?;
-        let messages = updates.flat_map(|update| stream::iter(store_update_to_wire(&update)));
+        let messages = updates.flat_map(move |update| {
+            stream::iter(store_update_to_wire(&update, have.accepts_compressed))
+        });
         Ok(Response::new(messages.map(Ok).boxed()))
     }
 }
--- a/crates/tc-fleet/src/mesh/store_update.rs
+++ b/crates/tc-fleet/src/mesh/store_update.rs
@@ -7,22 +7,17 @@
     time::Duration,
 };
 
-use serde_json::Value;
 use tc_protocol::{
     FailureDomain, MonoTime, ServiceName, StoreRevision, UpstreamVersion,
     routing::RegisteredUpstream,
 };
 
-use super::name_table::NameTable;
+use super::{name_table::NameTable, stored_config::StoredConfig};
 use crate::generated as wire;
 
 /// Maximum number of entries in one message: some 150 KB, which a slow link transfers well within the time after which
 /// a silent source is abandoned. The size of a message must not depend on the number of upstreams.
 const MAX_ENTRIES_PER_MESSAGE: usize = 2_000;
-/// Maximum part of a configuration in one message. A link of 10 Mbit/s transfers it in a twentieth of a second.
-const MAX_CONFIG_BYTES_PER_MESSAGE: usize = 64 * 1024;
-/// Maximum size of a configuration that is received in parts. No store keeps larger values.
-const MAX_CONFIG_BYTES: usize = 16 * 1024 * 1024;
 
 /// Revisions of the store's state that an instance has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -57,8 +52,8 @@
     /// The receiver applies the offset to the time at which it sent the call. That is earlier than the receipt, so the
     /// result never overstates how recent the state is.
     pub confirmed_ms: Option<i64>,
-    /// Configuration and its store revision, if newer than the receiver's.
-    pub config: Option<(Arc<Value>, StoreRevision)>,
+    /// Configuration, if newer than the receiver's.
+    pub config: Option<Arc<StoredConfig>>,
     /// Changes of the upstream list, if any.
     pub upstreams: Option<UpstreamUpdate>,
     /// All evacuated failure domains, if newer than the receiver's.
@@ -104,8 +99,11 @@
     AllExcept(Vec<Arc<str>>),
 }
 
-/// Converts an update to one or more messages.
-pub(super) fn store_update_to_wire(update: &StoreUpdate) -> Vec<wire::WorldNews> {
+/// Converts an update to one or more messages, for a receiver that may accept compressed configurations.
+pub(super) fn store_update_to_wire(
+    update: &StoreUpdate,
+    accepts_compressed: bool,
+) -> Vec<wire::WorldNews> {
     let mut messages = Vec::new();
     let mut rest = update.upstreams.clone();
     if let Some(list) = &mut rest {
@@ -124,24 +122,15 @@
         }
     }
     let config = update.config.as_ref();
-    let mut config_rest = config
-        .map(|(value, _)| value.to_string().into_bytes())
-        .unwrap_or_default();
-    while config_rest.len() > MAX_CONFIG_BYTES_PER_MESSAGE {
-        let later = config_rest.split_off(MAX_CONFIG_BYTES_PER_MESSAGE);
-        messages.push(wire::WorldNews {
-            config: std::mem::replace(&mut config_rest, later),
-            more_follows: true,
-            ..wire::WorldNews::default()
-        });
-    }
+    let mut config = config.map_or_else(Vec::new, |config| config.to_wire(accepts_compressed));
+    let last_of_config = config.pop().unwrap_or_default();
+    messages.append(&mut config);
     messages.push(wire::WorldNews {
         confirmed_ms: update.confirmed_ms,
-        config: config_rest,
-        config_revision: config.map_or(0, |(_, revision)| revision.to_bits()),
         upstreams: rest.as_ref().map(upstream_update_to_wire),
         evacuated: update.evacuated.as_ref().map(evacuated_to_wire),
         more_follows: update.more_follows,
+        ..last_of_config
     });
     messages
 }
@@ -205,37 +194,12 @@
     }
 }
 
-/// Puts a configuration together that was sent in several messages.
-#[derive(Default)]
-pub(super) struct ConfigAssembler {
-    received: Vec<u8>,
-}
-
-impl ConfigAssembler {
-    /// Moves the parts of a configuration into the last message of its update. Returns `None` if they are larger than any
-    /// configuration.
-    pub(super) fn complete(&mut self, mut message: wire::WorldNews) -> Option<wire::WorldNews> {
-        self.received.append(&mut message.config);
-        if self.received.len() > MAX_CONFIG_BYTES {
-            return None;
-        }
-        if !message.more_follows {
-            message.config = std::mem::take(&mut self.received);
-        }
-        Some(message)
-    }
-}
-
 /// Returns `None` if any part is malformed: applying the rest would make upstreams appear removed.
 pub(super) fn store_update_from_wire(update: &wire::WorldNews) -> Option<StoreUpdate> {
     let config = if update.config.is_empty() {
         None
     } else {
-        let value = serde_json::from_slice(&update.config).ok()?;
-        Some((
-            Arc::new(value),
-            StoreRevision::from_bits(update.config_revision),
-        ))
+        Some(Arc::new(StoredConfig::from_wire(update)?))
     };
     let upstreams = match &update.upstreams {
         Some(upstreams) => Some(upstream_update_from_wire(upstreams)?),
@@ -362,7 +326,7 @@
     #[test]
     fn messages_of_a_list_do_not_grow_with_the_number_of_upstreams() {
         for upstreams in [100, 10_000, 20_000] {
-            let messages = store_update_to_wire(&list(upstreams));
+            let messages = store_update_to_wire(&list(upstreams), true);
             let sizes: Vec<usize> = messages.iter().map(wire::WorldNews::encoded_len).collect();
             let largest = sizes.iter().max().copied().unwrap_or_default();
             assert!(
@@ -377,7 +341,7 @@
     #[test]
     fn a_list_in_several_messages_is_received_as_sent() {
         let sent = list(4_500);
-        let messages = store_update_to_wire(&sent);
+        let messages = store_update_to_wire(&sent, true);
         let received: Vec<StoreUpdate> = messages
             .iter()
             .map(|message| store_update_from_wire(message).expect("a valid message"))
@@ -407,67 +371,10 @@
         assert_eq!(last.confirmed_ms, sent.confirmed_ms);
     }
 
-    fn large_config(bytes: usize) -> StoreUpdate {
-        let value = Value::from("x".repeat(bytes));
-        let revision = StoreRevision { era: 0, number: 7 };
-        StoreUpdate {
-            config: Some((Arc::new(value), revision)),
-            ..list(4_500)
-        }
-    }
-
-    /// Guards against a configuration that occupies a weak link until its source is taken for silent.
-    #[test]
-    fn messages_of_a_configuration_do_not_grow_with_its_size() {
-        for bytes in [100, 100_000, 1_048_576, 8_000_000] {
-            let messages = store_update_to_wire(&large_config(bytes));
-            let sizes = messages.iter().map(wire::WorldNews::encoded_len);
-            let largest = sizes.max().unwrap_or_default();
-            assert!(largest < 256 * 1024, "{bytes}: {largest} bytes");
-        }
-    }
-
-    #[test]
-    fn a_configuration_in_several_messages_is_received_as_sent() {
-        for bytes in [1, 64 * 1024 - 2, 64 * 1024 - 1, 1_048_576] {
-            let sent = large_config(bytes);
-            let mut assembler = ConfigAssembler::default();
-            let received: Vec<StoreUpdate> = store_update_to_wire(&sent)
-                .into_iter()
-                .filter_map(|message| store_update_from_wire(&assembler.complete(message)?))
-                .collect();
-            let (last, parts) = received.split_last().expect("a message");
-            assert!(
-                parts
-                    .iter()
-                    .all(|part| part.more_follows && part.config.is_none())
-            );
-            assert_eq!(last.config, sent.config);
-            assert!(!last.more_follows);
-        }
-    }
-
-    /// Guards against a sender that fills the memory of its followers.
-    #[test]
-    fn parts_beyond_any_configuration_are_malformed() {
-        let mut assembler = ConfigAssembler::default();
-        let part = || wire::WorldNews {
-            config: vec![b' '; MAX_CONFIG_BYTES_PER_MESSAGE],
-            more_follows: true,
-            ..wire::WorldNews::default()
-        };
-        let parts =
-            std::iter::repeat_with(part).take(MAX_CONFIG_BYTES / MAX_CONFIG_BYTES_PER_MESSAGE);
-        for part in parts {
-            assert!(assembler.complete(part).is_some());
-        }
-        assert!(assembler.complete(part()).is_none());
-    }
-
     /// Guards against an entry that refers to a name that is not in the message.
     #[test]
     fn malformed_entries_invalidate_the_message() {
-        let valid = store_update_to_wire(&list(1)).remove(0);
+        let valid = store_update_to_wire(&list(1), true).remove(0);
         let change = |change: fn(&mut wire::UpstreamRecord)| {
             let mut message = valid.clone();
             let list = message.upstreams.as_mut().expect("a list");
--- a/crates/tc-gateway/src/world/catch_up.rs
+++ b/crates/tc-gateway/src/world/catch_up.rs
@@ -92,8 +92,8 @@
 }
 
 fn apply(cell: &WorldCell, update: &StoreUpdate) {
-    if let Some((raw, revision)) = &update.config {
-        cell.apply_config(raw, *revision);
+    if let Some(config) = &update.config {
+        cell.apply_config(config);
     }
     if let Some(upstreams) = &update.upstreams {
         cell.apply_changed_entries(upstreams);
--- a/crates/tc-gateway/src/world/config.rs
+++ b/crates/tc-gateway/src/world/config.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use serde_json::Value;
+use tc_fleet::StoredConfig;
 use tc_protocol::{
-    MonoTime, StoreRevision,
+    MonoTime,
     routing::{RoutedService, RoutingConfig},
 };
 
@@ -14,10 +14,8 @@
 pub(crate) struct ActiveConfig {
     pub(crate) routing: RoutingConfig,
     pub(crate) routes: RouteTable,
-    /// The stored value, relayed unchanged to other instances.
-    pub(crate) raw: Arc<Value>,
-    /// Revision of the configuration object in the store.
-    pub(crate) revision: StoreRevision,
+    /// The stored value and its revision, relayed unchanged to other instances.
+    pub(crate) stored: Arc<StoredConfig>,
     /// Time at which this instance decoded the configuration.
     pub(crate) decoded_at: MonoTime,
 }
@@ -26,16 +24,14 @@
     /// Decodes and validates a configuration, or returns a description of what is invalid.
     pub(crate) fn decode(
         codec: &PlatformCodec,
-        raw: &Arc<Value>,
-        revision: StoreRevision,
+        stored: &Arc<StoredConfig>,
     ) -> Result<Self, String> {
-        let routing = (codec.read_config)(raw)?;
+        let routing = (codec.read_config)(&stored.value)?;
         let routes = RouteTable::new(&routing).map_err(|error| error.to_string())?;
         Ok(Self {
             routing,
             routes,
-            raw: Arc::clone(raw),
-            revision,
+            stored: Arc::clone(stored),
             decoded_at: MonoTime::now(),
         })
     }
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -31,8 +31,7 @@
 };
 
 use arc_swap::ArcSwap;
-use serde_json::Value;
-use tc_fleet::{EvacuatedDomains, StoreUpdate, UpstreamUpdate, WorldHave};
+use tc_fleet::{EvacuatedDomains, StoreUpdate, StoredConfig, UpstreamUpdate, WorldHave};
 use tc_platform::{ObjectEvent, StoredObject};
 use tc_protocol::{FailureDomain, MonoTime, ServiceName, StoreRevision};
 use tokio::sync::watch::{Receiver, Sender};
@@ -252,8 +251,8 @@
     /// Applies an update from another instance. Returns false if it does not fit the local state, so
     /// that the other must be asked for the missing part instead.
     pub(crate) fn apply_update(&self, update: &StoreUpdate) -> bool {
-        if let Some((raw, revision)) = &update.config {
-            self.apply_config(raw, *revision);
+        if let Some(config) = &update.config {
+            self.apply_config(config);
         }
         if let Some(evacuated) = &update.evacuated {
             self.apply_evacuated(evacuated);
@@ -286,10 +285,11 @@
     ///
     /// The version never decreases within the life of a process, because a read may be stale and a
     /// peer may lag behind.
-    pub(crate) fn apply_config(&self, raw: &Arc<Value>, revision: StoreRevision) {
+    pub(crate) fn apply_config(&self, stored: &Arc<StoredConfig>) {
+        let revision = stored.revision;
         let _guard = self.lock_writes();
         let world = self.load();
-        let config = match ActiveConfig::decode(&self.codec, raw, revision) {
+        let config = match ActiveConfig::decode(&self.codec, stored) {
             Ok(config) => config,
             Err(problem) => {
                 log::error!(revision = revision.to_string().as_str(), problem = problem.as_str(); "configuration rejected; the last valid one stays in force");
--- a/crates/tc-gateway/src/world/relay.rs
+++ b/crates/tc-gateway/src/world/relay.rs
@@ -141,7 +141,7 @@
         StoreUpdate {
             confirmed_ms: (confirmed != MonoTime::default() && world.is_known())
                 .then(|| confirmed.millis_since(self.received_at)),
-            config: config.map(|config| (Arc::clone(&config.raw), config.revision)),
+            config: config.map(|config| Arc::clone(&config.stored)),
             upstreams,
             evacuated: is_newer.then(|| EvacuatedDomains::clone(&world.evacuated)),
             more_follows: false,
--- a/crates/tc-gateway/src/world/watch.rs
+++ b/crates/tc-gateway/src/world/watch.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
+use tc_fleet::StoredConfig;
 use tc_membership::ListSchedule;
 use tc_platform::{ListPage, ObjectEvent, Purpose, Store, StoredObject};
 use tc_protocol::{MonoTime, StoreRevision};
@@ -106,7 +107,8 @@
     let cell = cx.cell;
     let apply = |object: &StoredObject| {
         if *object.name == *kinds.config_name {
-            cell.apply_config(&object.value, object.revision);
+            let stored = StoredConfig::new(Arc::clone(&object.value), object.revision);
+            cell.apply_config(&Arc::new(stored));
         }
     };
     while let Some(update) = watch.next(WATCH_WAIT).await {
