Source selection: read the store soon although sources begin updates and are lost

In a model of the whole way of a configuration, an instance that the store answered had a version of 2,000 routes 4.2 s after the store accepted it, with a bound of 2 s, 78 instances and links of 10 Mbit/s. Callers would have seen 404.

Cause: since updates come in parts, a source that is sending one holds back the instance's own read of the store until it has been silent for 0.3 of the bound. Sources that were lost within their updates, one after the other, held it back each time, and ended a read that was nearly complete.

Change: an update that is arriving holds back a read by one heartbeat interval in all.

--- a/crates/tc-membership/src/store_source.rs
+++ b/crates/tc-membership/src/store_source.rs
@@ -280,8 +280,8 @@
 
     /// Records a message from a source that is part of an update.
     ///
-    /// Until the update is complete, the source is kept however old its last confirmation is, and the
-    /// store is not read beside it: over a slow link, each would begin the transfer again.
+    /// Until the update is complete, the source is kept however old its last confirmation is: over a
+    /// slow link, another one would begin the transfer again.
     pub fn record_partial_update(&mut self, now: MonoTime, from: &InstanceId) {
         if let Some(current) = self.current.as_mut().filter(|c| c.id == *from) {
             current.last_heard = now;
@@ -323,8 +323,13 @@
     #[must_use]
     pub fn should_watch(&self, now: MonoTime) -> bool {
         let is_watcher = self.watcher_index.is_some() && self.is_settled;
-        let is_outdated = now.since(self.newest_confirmation) >= self.watch_after();
-        is_watcher || (is_outdated && !self.is_receiving(now))
+        let mut watch_after = self.watch_after();
+        if self.is_receiving(now) {
+            // A read of the store would share the link with an update that may be nearly complete. The
+            // delay is limited, as one source after the other may be lost within its update.
+            watch_after += self.timing.heartbeat_interval;
+        }
+        is_watcher || now.since(self.newest_confirmation) >= watch_after
     }
 
     fn watch_after(&self) -> Duration {
