--- a/crates/tc-stand-ins/src/slow_link.rs
+++ b/crates/tc-stand-ins/src/slow_link.rs
@@ -22,6 +22,7 @@
 
 /// Maximum number of bytes passed on at a time.
 const CHUNK_BYTES: usize = 4_096;
+const TIMER_SLACK: Duration = Duration::from_millis(5);
 
 /// A relay to another address whose connections share one link. Dropping it closes them.
 pub struct SlowLink {
@@ -49,7 +50,9 @@
         let time = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
         let passed_at = {
             let mut free_at = self.free_at.lock().await;
-            *free_at = (*free_at).max(Instant::now()) + time;
+            // Timers are late by up to a millisecond, which must not slow the link down.
+            let earliest = Instant::now() - TIMER_SLACK;
+            *free_at = (*free_at).max(earliest) + time;
             *free_at
         };
         sleep_until(passed_at).await;
