Soak: configurations in series, judged by the versions that may be in force

The soak checked one route of one version three seconds after it was written, at instances that nothing had happened to.

Callers request recent routes and use recent keys at any instance. Judged from outside: no instance refuses with 404 or 401 what every version allows that may be in force (those since two seconds before the request was sent), whatever happens to it; and none that is in touch serves what no such version allows. An instance that answers at the end that the store may have a newer configuration counts as one without it.

--- a/crates/tc-bench/src/commands/soak.rs
+++ b/crates/tc-bench/src/commands/soak.rs
@@ -8,8 +8,8 @@
 use crate::{
     error::BenchError,
     soak::{
-        CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SilentUpstreams, SoakShape,
-        SystemBinary, soak,
+        ConfigurationChanges, CrashingRequests, EngineVersions, LeavingUpstreams, Outcome,
+        SilentUpstreams, SoakShape, SystemBinary, soak,
     },
 };
 
@@ -30,7 +30,7 @@
 
 pub(super) const COMMAND: Command = Command {
     name: "soak",
-    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits] [--notices] [--departures] [--versions] [--crashes] [--silences]",
+    usage: "soak [--seeds N] [--seed FIRST] [--minutes M] [--seconds N] [--instances N] [--evacuations] [--limits] [--notices] [--departures] [--versions] [--crashes] [--silences] [--changes]",
     about: "Faults by chance on gateway processes, with their promises checked; a seed gives the plan.",
     run,
 };
@@ -64,6 +64,11 @@
     } else {
         SilentUpstreams::None
     };
+    let changes = if args.contains("--changes") {
+        ConfigurationChanges::InSeries
+    } else {
+        ConfigurationChanges::Usual
+    };
     finish(args)?;
     if seeds == 0 || instances == 0 || seconds < 3 {
         let problem = "--seeds and --instances must be above 0, --seconds 3 or more";
@@ -85,6 +90,7 @@
         versions,
         crashing,
         silences,
+        changes,
     };
     let limit = minutes.map(|minutes| Instant::now() + Duration::from_secs(minutes * 60));
     let binary = SystemBinary::find()?;
@@ -117,7 +123,8 @@
         if !broken.is_empty() {
             clean = false;
             tell(&outcome);
-        } else if shape.silences == SilentUpstreams::OfAllServices
+        } else if (shape.silences, shape.changes)
+            != (SilentUpstreams::None, ConfigurationChanges::Usual)
             && let Some(last) = outcome.timeline.last()
         {
             eprintln!("seed {seed}: {last}");
--- a/crates/tc-bench/src/lib.rs
+++ b/crates/tc-bench/src/lib.rs
@@ -22,6 +22,6 @@
 };
 pub use report::page;
 pub use soak::{
-    CrashingRequests, EngineVersions, LeavingUpstreams, Outcome, SilentUpstreams, SoakShape,
-    SystemBinary, soak,
+    ConfigurationChanges, CrashingRequests, EngineVersions, LeavingUpstreams, Outcome,
+    SilentUpstreams, SoakShape, SystemBinary, soak,
 };
--- a/crates/tc-bench/src/soak/callers.rs
+++ b/crates/tc-bench/src/soak/callers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -129,23 +129,34 @@
     told.status == 200 && told.whole
 }
 
+/// Records that several tasks add to, in the order in which they were added.
+#[derive(Clone)]
+pub(super) struct Shared<T>(Arc<Mutex<Vec<T>>>);
+
 /// All that callers were told so far.
-#[derive(Clone, Default)]
-pub(super) struct Tellings(Arc<Mutex<Vec<Told>>>);
+pub(super) type Tellings = Shared<Told>;
+
+impl<T> Default for Shared<T> {
+    fn default() -> Self {
+        Self(Arc::default())
+    }
+}
+
+impl<T: Clone> Shared<T> {
+    pub(super) fn add(&self, record: T) {
+        self.lock().push(record);
+    }
+
+    pub(super) fn all(&self) -> Vec<T> {
+        self.lock().clone()
+    }
 
-impl Tellings {
-    pub(super) fn add(&self, told: Told) {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(told);
+    pub(super) fn last(&self) -> Option<T> {
+        self.lock().last().cloned()
     }
 
-    pub(super) fn all(&self) -> Vec<Told> {
-        self.0
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+    fn lock(&self) -> MutexGuard<'_, Vec<T>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -170,6 +181,7 @@
         let attempt = Attempt {
             kind,
             id: &id,
+            key: KEY,
             deadline: calling.deadline,
             resumed: None,
             culprit: None,
@@ -215,6 +227,7 @@
         let attempt = Attempt {
             kind,
             id: &id,
+            key: KEY,
             deadline: calling.deadline,
             resumed,
             culprit: None,
@@ -239,6 +252,7 @@
 pub(super) struct Attempt<'a> {
     pub(super) kind: Kind,
     pub(super) id: &'a str,
+    pub(super) key: &'a str,
     pub(super) deadline: Duration,
     pub(super) resumed: Option<Resumed>,
     /// Crashes the upstream that runs the request.
@@ -256,6 +270,7 @@
     let Attempt {
         kind,
         id,
+        key,
         deadline,
         resumed,
         culprit,
@@ -277,7 +292,7 @@
     let text = request_text(&CallerRequest {
         route,
         id,
-        key: KEY,
+        key,
         deadline,
         pieces: kind.staged.then_some(PIECES),
         path: if culprit == Some(Culprit::Request) {
--- a/crates/tc-bench/src/soak/crashes.rs
+++ b/crates/tc-bench/src/soak/crashes.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    callers::{Attempt, DEADLINE, KINDS, Tellings, Told, call},
+    callers::{Attempt, DEADLINE, KEY, KINDS, Tellings, Told, call},
     drive::Soak,
     judge::{Evidence, Harmed},
     upstreams::{ENGINES, Run, SoakUpstream},
@@ -77,6 +77,7 @@
         let attempt = Attempt {
             kind,
             id: &id,
+            key: KEY,
             deadline: DEADLINE,
             resumed: None,
             culprit: Some(culprit),
--- a/crates/tc-bench/src/soak/drive.rs
+++ b/crates/tc-bench/src/soak/drive.rs
@@ -15,8 +15,9 @@
 };
 
 use super::{
-    CrashingRequests, SoakShape,
-    callers::{Calling, Tellings, call_until, is_served},
+    ConfigurationChanges, CrashingRequests, SoakShape,
+    callers::{Calling, Shared, Tellings, call_until, is_served},
+    changes::{Accepted, Probe, probe_until, probes_judged},
     crashes::crash_until,
     faults::End,
     judge::{CleanStop, Evacuated, Evidence, Harm, Left, judge},
@@ -32,6 +33,8 @@
 
 /// Longest wait for the processes at the start.
 const START_LIMIT: Duration = Duration::from_secs(20);
+/// Tasks that request what comes and goes with configurations in series.
+const PROBERS: u64 = 2;
 /// Interval at which the run is checked.
 const STEP: Duration = Duration::from_millis(10);
 
@@ -78,6 +81,10 @@
     /// Whether engines of several versions serve.
     pub(super) has_versions: bool,
     pub(super) has_silences: bool,
+    /// Whether configurations come in series.
+    pub(super) has_changes: bool,
+    pub(super) accepted: Shared<Accepted>,
+    probes: Shared<Probe>,
     pub(super) continuity: Continuity,
     pub(super) engine_lives: Vec<EngineLife>,
     pub(super) impaired: Vec<Impaired>,
@@ -117,6 +124,15 @@
         end: end + CALM_END,
         tellings: soak.tellings.clone(),
     };
+    if soak.has_changes {
+        for number in 0..PROBERS {
+            let (addresses, accepted) = (usual.instances.clone(), soak.accepted.clone());
+            let probes = soak.probes.clone();
+            calling.spawn(probe_until(
+                number, plan.seed, addresses, usual.end, accepted, probes,
+            ));
+        }
+    }
     for number in 0..shape.callers as u64 {
         calling.spawn(call_until(number, usual.clone()));
     }
@@ -157,6 +173,9 @@
             next_upstream: plan.engines(),
             has_versions: plan.versions,
             has_silences: plan.silences,
+            has_changes: plan.changes == ConfigurationChanges::InSeries,
+            accepted: Shared::default(),
+            probes: Shared::default(),
             continuity: Continuity::default(),
             engine_lives: EngineLife::all(&upstreams),
             impaired: Vec::new(),
@@ -337,11 +356,16 @@
             impaired: std::mem::take(&mut self.impaired),
             continuity: std::mem::take(&mut self.continuity),
             has_silences: self.has_silences,
+            accepted: self.accepted.all(),
+            probes: self.probes.all(),
             late_calls,
             wrong,
         };
         let mut broken = judge(&evidence);
         broken.append(&mut self.broken);
+        if self.has_changes {
+            self.note(&probes_judged(&evidence));
+        }
         if self.has_silences {
             self.note(&requests_in_silence(&evidence));
         }
--- a/crates/tc-bench/src/soak/faults.rs
+++ b/crates/tc-bench/src/soak/faults.rs
@@ -14,6 +14,7 @@
 
 use super::{
     callers::{Attempt, DEADLINE, KEY, KINDS, call},
+    changes::{Accepted, added_route},
     departures::LEAVES_AFTER,
     drive::Soak,
     judge::{CleanStop, Evacuated, Harm, Harmed},
@@ -29,6 +30,8 @@
 const IN_FORCE_AFTER: Duration = Duration::from_secs(3);
 /// Time for an answer that shows a configuration while upstreams may be silent, which give none.
 const CHECK_TIME_IN_SILENCE: Duration = Duration::from_millis(500);
+/// Part of the answer of an instance that does not know whether it has the newest configuration.
+const UNCONFIRMED: &str = "the store may have a newer configuration";
 /// Upstreams that one request may be sent to, unless callers are to resume its stream.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -64,13 +67,7 @@
                 max_attempts: self.max_attempts(kind.repeat),
             })
             .collect();
-        routes.push(ConfiguredRoute {
-            name: added_route(self.version),
-            service: WEB,
-            kind: RouteKind::Idempotent,
-            stage: None,
-            max_attempts: MAX_ATTEMPTS,
-        });
+        routes.extend(self.added_routes());
         let services = ServiceRoles {
             batch: &[STAGE],
             engines: &[ENGINES],
@@ -81,7 +78,12 @@
             let (of_routes, idle) = TIMEOUTS[number as usize];
             set_timeouts(&mut value, of_routes, idle);
         }
+        self.add_version_keys(&mut value);
         self.store.put(CONFIG_KIND, CONFIG_NAME, value);
+        self.accepted.add(Accepted {
+            version: self.version,
+            at: Instant::now(),
+        });
         self.config_due = Some((Instant::now() + IN_FORCE_AFTER, self.version));
     }
 
@@ -321,12 +323,14 @@
                 let attempt = Attempt {
                     kind: KINDS[1],
                     id: &id,
+                    key: KEY,
                     deadline,
                     resumed: None,
                     culprit: None,
                 };
                 let asked = call(&route, attempt, number, address, None).await;
-                let is_missing = asked.is_some_and(|(told, _)| told.status == 404);
+                let is_missing = asked
+                    .is_some_and(|(told, _)| told.status == 404 || told.body.contains(UNCONFIRMED));
                 is_missing.then(|| {
                     format!("config: version {version} is not in force on instance {number}")
                 })
@@ -359,7 +363,3 @@
         | Fault::Backoff(_) => None,
     }
 }
-
-fn added_route(version: u64) -> String {
-    format!("added-{version}")
-}
--- a/crates/tc-bench/src/soak/judge.rs
+++ b/crates/tc-bench/src/soak/judge.rs
@@ -8,6 +8,7 @@
 use super::{
     answers::{EVENTS, event_data, plain_body},
     callers::Told,
+    changes::{Accepted, Probe, change_promises},
     crashes::crash_promises,
     departures::{LateCall, departure_promises},
     limits::{Limited, limit_promises},
@@ -99,6 +100,10 @@
     pub(super) continuity: Continuity,
     /// Whether sound upstreams fell silent.
     pub(super) has_silences: bool,
+    /// Configurations that the store accepted, in their order.
+    pub(super) accepted: Vec<Accepted>,
+    /// Requests that only some of them allow.
+    pub(super) probes: Vec<Probe>,
     /// Violations that the upstreams themselves detected.
     pub(super) wrong: Vec<String>,
 }
@@ -124,6 +129,7 @@
     broken.extend(version_promises(evidence));
     broken.extend(departure_promises(evidence));
     broken.extend(crash_promises(evidence));
+    broken.extend(change_promises(evidence));
     if evidence.has_silences {
         broken.extend(continuity_promises(evidence));
     }
--- a/crates/tc-bench/src/soak/mod.rs
+++ b/crates/tc-bench/src/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod answers;
 mod callers;
+mod changes;
 mod crashes;
 mod departures;
 mod drive;
@@ -63,6 +64,18 @@
     pub crashing: CrashingRequests,
     /// Sound upstreams that fall silent, besides the other faults, which stay the same.
     pub silences: SilentUpstreams,
+    /// Configurations that operators write, besides the other faults, which stay the same.
+    pub changes: ConfigurationChanges,
+}
+
+/// Configurations of a soak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigurationChanges {
+    /// They come among the other faults.
+    Usual,
+    /// They come in series, with routes and keys that are there for some seconds. Faults of the store then concern some
+    /// instances each.
+    InSeries,
 }
 
 /// Sound upstreams of a soak that fall silent.
@@ -127,6 +140,9 @@
     if shape.silences == SilentUpstreams::OfAllServices {
         plan.add_silences();
     }
+    if shape.changes == ConfigurationChanges::InSeries {
+        plan.add_changes();
+    }
     let outcome = drive::play(binary, &folder, plan, shape).await?;
     if outcome.broken.is_empty() {
         // Files that remain only take up space.
--- a/crates/tc-bench/src/soak/plan.rs
+++ b/crates/tc-bench/src/soak/plan.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tc_stand_ins::StoreMode;
 
-use super::silences::Silenced;
+use super::{ConfigurationChanges, silences::Silenced};
 
 /// Time without faults at the start, so that every process is up and has what it needs.
 pub(super) const CALM_START: Duration = Duration::from_secs(1);
@@ -135,6 +135,7 @@
     pub(super) departures: bool,
     /// Whether sound upstreams fall silent.
     pub(super) silences: bool,
+    pub(super) changes: ConfigurationChanges,
     /// From the start to the end of the last fault.
     pub(super) length: Duration,
     pub(super) faults: Vec<Planned>,
@@ -162,6 +163,7 @@
             versions: false,
             departures: false,
             silences: false,
+            changes: ConfigurationChanges::Usual,
             length,
             faults,
         }
--- a/crates/tc-bench/src/soak/recovery.rs
+++ b/crates/tc-bench/src/soak/recovery.rs
@@ -5,7 +5,7 @@
 use tokio::task::JoinSet;
 
 use super::{
-    callers::{Attempt, Kind, call, is_served},
+    callers::{Attempt, KEY, Kind, call, is_served},
     drive::Soak,
 };
 
@@ -40,6 +40,7 @@
             let attempt = Attempt {
                 kind,
                 id: &id,
+                key: KEY,
                 deadline,
                 resumed: None,
                 culprit: None,
--- a/crates/tc-bench/src/soak/versions.rs
+++ b/crates/tc-bench/src/soak/versions.rs
@@ -158,7 +158,7 @@
     })
 }
 
-fn is_in_touch(evidence: &Evidence, told: &Told) -> bool {
+pub(super) fn is_in_touch(evidence: &Evidence, told: &Told) -> bool {
     let mut harms = evidence.harms.iter();
     let is_harmed = harms.any(|harm| {
         let is_theirs = harm.whom == Harmed::Store || harm.whom == Harmed::Instance(told.instance);
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -3,8 +3,8 @@
 use std::{path::Path, time::Duration};
 
 use tc_bench::{
-    CrashingRequests, EngineVersions, LeavingUpstreams, SilentUpstreams, SoakShape, SystemBinary,
-    soak,
+    ConfigurationChanges, CrashingRequests, EngineVersions, LeavingUpstreams, SilentUpstreams,
+    SoakShape, SystemBinary, soak,
 };
 
 /// Long enough for a dozen overlapping faults, short enough to be part of every test run.
@@ -20,6 +20,7 @@
     versions: EngineVersions::One,
     crashing: CrashingRequests::None,
     silences: SilentUpstreams::None,
+    changes: ConfigurationChanges::Usual,
 };
 
 async fn assert_guarantees_hold(seed: u64, shape: SoakShape) {
@@ -132,3 +133,18 @@
     };
     assert_guarantees_hold(1, shape).await;
 }
+
+/// Guards against 404 and 401 by a configuration that was replaced longer ago than the bound on its propagation, and against
+/// routes and keys that are served for as long after their removal, while configurations come in series, the store does not
+/// answer some of the instances, and instances are killed, stopped and paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_in_series_are_in_force_in_time_during_other_faults() {
+    let shape = SoakShape {
+        instances: 5,
+        callers: 10,
+        length: Duration::from_secs(14),
+        changes: ConfigurationChanges::InSeries,
+        ..BASE_SHAPE
+    };
+    assert_guarantees_hold(3, shape).await;
+}
