Quarantines: a lift reaches instances that had not listed the quarantine

A request that an operator had released was refused again: its quarantine was stored again within seconds of the lift.

Cause: each instance with a report of the crash stores the quarantine unless it has listed it. One that had not listed it before an operator removed it took it for one that nobody had stored. A removal leaves nothing in the store that would tell the two apart.

Change: lifting records the lift in the store before it removes the quarantine. An instance reads the last lift of a request before it stores its quarantine, and drops the quarantine if it has not applied that lift.

--- a/crates/tc-fleet/tests/fleet/common.rs
+++ b/crates/tc-fleet/tests/fleet/common.rs
@@ -121,19 +121,24 @@
         .map(|number| {
             let id = format!("i{number}");
             let instance = Instance::start(&id, "kl-a", platform.address(), Vec::new(), KEY);
-            platform.put_instance(ListedInstance {
-                id: id.as_str().into(),
-                service: None,
-                address: instance.member.fleet_address,
-                failure_domain: "kl-a".into(),
-                region: "kl".into(),
-                state: ListedState::Live,
-            });
+            list_instance(platform, &instance);
             instance
         })
         .collect()
 }
 
+/// Lists an instance in the platform.
+pub(crate) fn list_instance(platform: &Platform, instance: &Instance) {
+    platform.put_instance(ListedInstance {
+        id: instance.member.id.clone(),
+        service: None,
+        address: instance.member.fleet_address,
+        failure_domain: "kl-a".into(),
+        region: "kl".into(),
+        state: ListedState::Live,
+    });
+}
+
 /// Stores a configuration in the platform, with one pool service `encode` that has `upstreams`.
 pub(crate) async fn put_config(
     platform: &Platform,
--- a/crates/tc-fleet/tests/fleet/suspects.rs
+++ b/crates/tc-fleet/tests/fleet/suspects.rs
@@ -8,13 +8,15 @@
 use tc_stand_ins::{Platform, Pool, PoolConfig, Recorder};
 
 use crate::common::{
-    Instance, permit_request, put_config, run, start_listed, start_settled, store, wait_until,
-    wait_until_settled,
+    Instance, KEY, list_instance, permit_request, put_config, run, start_listed, start_settled,
+    store, wait_until, wait_until_settled,
 };
 
 const SLACK: Duration = Duration::from_secs(5);
 /// Longest time for which the caller of a request waits for the report of its crash.
 const MAX_REPORT_TIME: Duration = Duration::from_millis(900);
+/// Interval at which two instances synchronize quarantines with the platform.
+const ROUND: Duration = Duration::from_millis(5_200);
 const SHORT_SLACK: Duration = Duration::from_millis(250);
 
 fn crashing(slack: Duration) -> PermitRequest {
@@ -214,6 +216,63 @@
     });
 }
 
+/// Guards against a quarantine that is stored again after an operator has lifted it: an instance that had not listed it while it
+/// was stored took it for one that nobody had stored.
+#[test]
+fn a_quarantine_lifted_before_an_instance_lists_it_is_not_stored_again() {
+    run(async {
+        let (platform, mut instances) = start_settled(1, 6, 4).await;
+        // The rounds of the two instances are far apart, so that the second does not list what the first has just stored.
+        tokio::time::sleep(ROUND / 2).await;
+        let id = "i1";
+        let late = Instance::start(id, "kl-a", platform.address(), Vec::new(), KEY);
+        list_instance(&platform, &late);
+        instances.push(late);
+        wait_until_settled(&instances, 2, 1).await;
+        for instance in &instances {
+            let permit = instance.fleet.request_permit(crashing(SLACK));
+            report_crash(instance, permit.await.unwrap()).await;
+        }
+        let kind = "tanagercroft-quarantine";
+        let is_stored = || platform.object(kind, "0000000000000bad").is_some();
+        wait_until("the quarantine is in the platform", is_stored).await;
+        let lifted = remove_quarantined(&store(&platform), Fingerprint(0xbad)).await;
+        assert!(lifted.unwrap());
+        let ends = std::time::Instant::now() + 2 * ROUND;
+        while std::time::Instant::now() < ends {
+            assert!(!is_stored(), "the quarantine was stored again");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        for instance in &instances {
+            let granted = instance.fleet.request_permit(crashing(SLACK)).await;
+            assert!(granted.is_ok(), "{granted:?}");
+        }
+    });
+}
+
+/// Guards against a lift that prevents the next quarantine of the same request.
+#[test]
+fn a_lifted_request_that_crashes_upstreams_again_is_quarantined_again() {
+    run(async {
+        let (platform, instances) = start_settled(2, 6, 4).await;
+        let kind = "tanagercroft-quarantine";
+        let is_stored = || platform.object(kind, "0000000000000bad").is_some();
+        for round in 0..2 {
+            for instance in &instances {
+                let permit = instance.fleet.request_permit(crashing(SLACK));
+                report_crash(instance, permit.await.unwrap()).await;
+            }
+            wait_until("the quarantine is in the platform", is_stored).await;
+            if round == 1 {
+                return;
+            }
+            let lifted = remove_quarantined(&store(&platform), Fingerprint(0xbad)).await;
+            assert!(lifted.unwrap());
+            tokio::time::sleep(2 * ROUND).await;
+        }
+    });
+}
+
 #[test]
 fn a_lifted_quarantine_is_dropped_by_every_instance() {
     // Instances must drop a quarantine that an operator removed from the platform. Otherwise the request is refused until
--- a/crates/tc-platform/src/lib.rs
+++ b/crates/tc-platform/src/lib.rs
@@ -20,7 +20,8 @@
 };
 pub use leases::{HeldLease, LEASE_KIND, Lease, LeaseError, LeaseSettings};
 pub use quarantine::{
-    QUARANTINE_KIND, Quarantined, add_quarantined, list_quarantined, remove_quarantined,
+    Lift, QUARANTINE_KIND, Quarantined, add_quarantined, last_lift, list_quarantined,
+    remove_quarantined,
 };
 pub use store::{
     CallProgress, Precondition, Purpose, Store, StoreSettings, Versioned, WriteResult,
