--- a/crates/tc-bench/src/soak/changes.rs
+++ b/crates/tc-bench/src/soak/changes.rs
@@ -83,14 +83,16 @@
         let mut at = CALM_START;
         while at < self.length {
             let lasts = Duration::from_millis(rng.random_range(STORE_FAULT_MS));
+            let hits_all = rng.random_range(0..3) == 0;
             let spared = rng.random_range(0..self.instances);
             let mode = if rng.random() {
                 StoreMode::Silent
             } else {
                 StoreMode::DeafWatches
             };
-            for instance in (0..self.instances).filter(|instance| *instance != spared) {
-                if rng.random() {
+            for instance in 0..self.instances {
+                let is_hit = instance != spared && rng.random();
+                if hits_all || is_hit {
                     let fault = Fault::StoreOf(instance, mode);
                     self.faults.push(Planned { at, lasts, fault });
                 }
