Relayed configurations: send one that cannot be compressed as it is

Found when reading the change: without the messages of a configuration, its update would have carried the confirmation alone. Compressing into memory does not fail, so no test provokes it.

--- a/crates/tc-fleet/src/mesh/stored_config.rs
+++ b/crates/tc-fleet/src/mesh/stored_config.rs
@@ -24,7 +24,8 @@
     pub value: Arc<Value>,
     /// Store revision at which it was written.
     pub revision: StoreRevision,
-    compressed: OnceLock<Bytes>,
+    /// `None` if it cannot be compressed.
+    compressed: OnceLock<Option<Bytes>>,
 }
 
 impl PartialEq for StoredConfig {
@@ -53,9 +54,13 @@
     }
 
     /// Returns the value as JSON in the zlib format.
-    fn compressed(&self) -> &Bytes {
-        self.compressed
-            .get_or_init(|| compress(&self.value).map_or_else(|_| Bytes::new(), Bytes::from))
+    fn compressed(&self) -> Option<&Bytes> {
+        let compressed = self.compressed.get_or_init(|| {
+            let result = compress(&self.value);
+            let logged = result.inspect_err(|e| log::warn!("cannot compress a configuration: {e}"));
+            logged.ok().map(Bytes::from)
+        });
+        compressed.as_ref()
     }
 
     /// Returns the messages that carry the configuration, all but the last with `more_follows`.
@@ -63,14 +68,15 @@
     /// An instance of an earlier version takes it in one message only, without compression.
     pub(super) fn to_wire(&self, accepts_compressed: bool) -> Vec<wire::WorldNews> {
         let config_revision = self.revision.to_bits();
-        if !accepts_compressed {
+        let compressed = self.compressed().filter(|_| accepts_compressed);
+        let Some(compressed) = compressed else {
             return vec![wire::WorldNews {
                 config: self.value.to_string().into_bytes(),
                 config_revision,
                 ..wire::WorldNews::default()
             }];
-        }
-        let parts = self.compressed().chunks(MAX_PART_BYTES);
+        };
+        let parts = compressed.chunks(MAX_PART_BYTES);
         let last = parts.len().saturating_sub(1);
         let message = |(index, part): (usize, &[u8])| wire::WorldNews {
             config: part.to_vec(),
