Confirmations: one from before the start of the process has no age

Callers of an instance that had just started saw 404 and 401 for routes and keys that all recent versions had.

Cause: the clock counts from the start of the process. A confirmation from before it, which another instance reports, is at its origin, and the time since the origin is the age of the process: the old version looked as recent as that.

Change: a confirmation at the origin counts as none.

Evidence: confirmations::tests::confirmation_from_before_the_start_has_no_age.

--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -203,8 +203,8 @@
         }
         self.cx.world.wait_until_fresh().await;
         Destination::find(self.config().await?, parts, head).map_err(|refusal| {
-            let confirmed = self.cx.world.part_confirmed(WorldPart::Config);
-            if MonoTime::now().since(confirmed) < self.config_apply_limit {
+            let age = self.cx.world.confirmation_age(WorldPart::Config);
+            if age.is_some_and(|age| age < self.config_apply_limit) {
                 return refusal;
             }
             Refusal::not_run(
--- a/crates/tc-gateway/src/world/confirmations.rs
+++ b/crates/tc-gateway/src/world/confirmations.rs
@@ -1,6 +1,9 @@
 //! Times as of which the parts of the store are confirmed.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
 use tc_protocol::MonoTime;
 use tokio::sync::watch::{Receiver, Sender};
@@ -79,3 +82,29 @@
         self.oldest.subscribe()
     }
 }
+
+/// Returns the age of a confirmation, or `None` if there is none.
+///
+/// One from before the start of this process is at the origin of the clock, as another instance may report it. Its age is
+/// unknown: the time since the origin is only that of this process.
+pub(super) fn age_of_confirmation(now: MonoTime, confirmed: MonoTime) -> Option<Duration> {
+    (confirmed > MonoTime::default()).then(|| now.since(confirmed))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a process that has just started and takes what another instance knew long ago for as recent as its own
+    /// start.
+    #[test]
+    fn confirmation_from_before_the_start_has_no_age() {
+        let started = MonoTime::from_millis(40);
+        let reported = started.offset_by_millis(-5_000);
+        let now = MonoTime::from_millis(900);
+        assert_eq!(age_of_confirmation(now, reported), None);
+        assert_eq!(age_of_confirmation(now, MonoTime::default()), None);
+        let recent = Some(Duration::from_millis(860));
+        assert_eq!(age_of_confirmation(now, started), recent);
+    }
+}
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -38,7 +38,7 @@
 
 use crate::{codec::PlatformCodec, freeze::PauseMonitor};
 
-use confirmations::{Confirmations, PART_COUNT};
+use confirmations::{Confirmations, PART_COUNT, age_of_confirmation};
 
 pub(crate) use catch_up::{fetch_gossiped_world, gossip_world};
 pub(crate) use config::ActiveConfig;
@@ -301,7 +301,7 @@
         if config.routing.version <= before {
             return;
         }
-        let max_delay = self.max_config_delay();
+        let max_delay = self.confirmation_age(WorldPart::Config);
         let max_delay_ms = max_delay.map(|delay| delay.as_millis() as u64);
         log::info!(version = config.routing.version, before = before, revision = revision.to_string().as_str(), routes = config.routing.routes.len(), max_delay_ms = max_delay_ms; "configuration in force");
         metrics::gauge!("tc_config_revision").set(config.routing.version as f64);
@@ -315,12 +315,10 @@
         });
     }
 
-    /// Returns the longest time for which the store may have had a configuration that this instance did not have, or `None`
-    /// without a confirmation.
-    fn max_config_delay(&self) -> Option<Duration> {
-        let confirmed = self.part_confirmed(WorldPart::Config);
-        let is_confirmed = confirmed > MonoTime::default();
-        is_confirmed.then(|| MonoTime::now().since(confirmed))
+    /// Returns the longest time for which the store may have had a change of a part that this instance does not have, or
+    /// `None` without a confirmation.
+    pub(crate) fn confirmation_age(&self, part: WorldPart) -> Option<Duration> {
+        age_of_confirmation(MonoTime::now(), self.part_confirmed(part))
     }
 
     /// Applies the set of evacuated failure domains, unless it is older than the known one.
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -134,11 +134,7 @@
     assert_guarantees_hold(1, shape).await;
 }
 
-/// Guards against 404 and 401 by a configuration that was replaced longer ago than the bound on its propagation, and against
-/// routes and keys that are served for as long after their removal, while configurations come in series, the store does not
-/// answer some of the instances, and instances are killed, stopped and paused.
-#[tokio::test(flavor = "multi_thread")]
-async fn configurations_in_series_are_in_force_in_time_during_other_faults() {
+async fn assert_configurations_are_in_force_in_time(seed: u64) {
     let shape = SoakShape {
         instances: 5,
         callers: 10,
@@ -146,5 +142,20 @@
         changes: ConfigurationChanges::InSeries,
         ..BASE_SHAPE
     };
-    assert_guarantees_hold(2, shape).await;
+    assert_guarantees_hold(seed, shape).await;
+}
+
+/// Guards against 404 and 401 by a configuration that was replaced longer ago than the bound on its propagation, and against
+/// routes and keys that are served for as long after their removal, while configurations come in series, the store does not
+/// answer some of the instances, and instances are killed, stopped and paused.
+#[tokio::test(flavor = "multi_thread")]
+async fn configurations_in_series_are_in_force_in_time_during_other_faults() {
+    assert_configurations_are_in_force_in_time(2).await;
+}
+
+/// The plan of this seed starts an instance while the store answers nobody. It gets an old configuration from another one, and
+/// must not refuse by it as if it were as recent as its own start.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_starts_without_the_store_refuses_nothing_for_good() {
+    assert_configurations_are_in_force_in_time(36).await;
 }
