--- a/crates/tc-bench/src/soak/changes.rs
+++ b/crates/tc-bench/src/soak/changes.rs
@@ -38,7 +38,7 @@
 /// Number of the most recent versions whose routes and keys are requested.
 const PROBED_VERSIONS: u64 = 2 * VERSIONS_WITH;
 
-/// What a request needs a version for.
+/// Part of a version that a request needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Needed {
     Route,
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -306,7 +306,7 @@
         log::info!(version = config.routing.version, before = before, revision = revision.to_string().as_str(), routes = config.routing.routes.len(), max_delay_ms = max_delay_ms; "configuration in force");
         metrics::gauge!("tc_config_revision").set(config.routing.version as f64);
         if let Some(delay) = max_delay {
-            metrics::histogram!("tc_config_apply_ms").record(delay.as_secs_f64() * 1_000.0);
+            metrics::histogram!("tc_config_delay_ms").record(delay.as_secs_f64() * 1_000.0);
         }
         self.publish(World {
             config: Some(Arc::new(config)),
--- a/crates/tc-membership/tests/config_chain/node.rs
+++ b/crates/tc-membership/tests/config_chain/node.rs
@@ -32,7 +32,7 @@
     }
 }
 
-/// How the store treats an instance's calls.
+/// Treatment of an instance's calls by the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StorePath {
     Answers,
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -111,7 +111,7 @@
     count("tc_brittle_refusals_total", &[], "Requests refused by an upstream that survives few refusals."),
     count("tc_caller_resumes_total", &[], "Streams that a caller came back to with Last-Event-ID."),
     count("tc_claims_total", &[VERDICT], "Claims on idempotency keys in the platform's store."),
-    millis("tc_config_apply_ms", &[], "Time since this instance was last known to have every configuration, when it applies a newer one: the most that has passed since the store accepted that one."),
+    millis("tc_config_delay_ms", &[], "Time since this instance was last known to have every configuration, when it applies a newer one: the most that has passed since the store accepted that one."),
     count("tc_config_fetches_total", &[], "Configurations fetched from an instance that gossiped them, as no source had sent them."),
     count("tc_config_rejected_total", &[], "Configurations that were read and refused as invalid."),
     gauge("tc_config_revision", &[], "Revision of the configuration in force."),
