Gateway: log and metrics of late event loops and of the time in planners

Nothing showed which instance was short of processor time, nor for what.

Each runtime now samples the delay of its event loop (tc_event_loop_delay_ms) and writes a line 'event loop is late', at most one a second, with the process's processor time and the part of it spent in planners of batch services.

--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -1,8 +1,9 @@
 //! The home of one batch service: drives its planner.
 
 use std::{
+    ops::{Deref, DerefMut},
     sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use slotmap::SecondaryMap;
@@ -20,7 +21,7 @@
 };
 
 use super::{HomeContext, PiecesReply, calls};
-use crate::world::World;
+use crate::{process_load::ProcessLoad, world::World};
 
 /// Longest wait between two checks of the planner when no event is scheduled.
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(1);
@@ -319,8 +320,40 @@
         }
     }
 
-    pub(super) fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    pub(super) fn lock(&self) -> HomeGuard<'_> {
+        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        HomeGuard {
+            inner,
+            locked_at: Instant::now(),
+            load: &self.cx.load,
+        }
+    }
+}
+
+/// Access to the planner of a home; adds the time for which it is held to the load of the process.
+pub(super) struct HomeGuard<'a> {
+    inner: MutexGuard<'a, Inner>,
+    locked_at: Instant,
+    load: &'a ProcessLoad,
+}
+
+impl Deref for HomeGuard<'_> {
+    type Target = Inner;
+
+    fn deref(&self) -> &Inner {
+        &self.inner
+    }
+}
+
+impl DerefMut for HomeGuard<'_> {
+    fn deref_mut(&mut self) -> &mut Inner {
+        &mut self.inner
+    }
+}
+
+impl Drop for HomeGuard<'_> {
+    fn drop(&mut self) {
+        self.load.add_planning(self.locked_at.elapsed());
     }
 }
 
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -21,8 +21,9 @@
 use tc_upstream::UpstreamClient;
 
 use crate::{
-    backoffs::UpstreamBackoffs, codec::PlatformCodec, retry_budgets::RetryBudgets,
-    unknown_headers::UnknownHeaders, upstream_stats::UpstreamStats, world::WorldCell,
+    backoffs::UpstreamBackoffs, codec::PlatformCodec, process_load::ProcessLoad,
+    retry_budgets::RetryBudgets, unknown_headers::UnknownHeaders, upstream_stats::UpstreamStats,
+    world::WorldCell,
 };
 
 use chains::ChainAdmissions;
@@ -44,6 +45,7 @@
     pub(crate) backoffs: Arc<UpstreamBackoffs>,
     pub(crate) unknown_headers: Arc<UnknownHeaders>,
     pub(crate) upstream_stats: Arc<UpstreamStats>,
+    pub(crate) load: Arc<ProcessLoad>,
 }
 
 /// The homes on this instance, by service; each is started on the first request for it.
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod origins;
 mod pace;
 mod peer_requests;
+mod process_load;
 mod retry_budgets;
 mod routing;
 mod run;
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -30,6 +30,7 @@
     origins::{StreamOrigins, follow_holders, send_new_origins},
     pace::start_pacing,
     peer_requests::PeerRequests,
+    process_load::ProcessLoad,
     retry_budgets::{RetryBudgets, follow_members},
     run::{AnswerBody, RunContext, SharedOutlooks, SharedPromptTimes, SharedRoomTimes},
     serve::{CallerService, ConnectionLimits, Connections, InfoService, MetricsRenderer, accept},
@@ -238,6 +239,9 @@
     let unknown_headers = Arc::<UnknownHeaders>::default();
     let backoffs = Arc::<UpstreamBackoffs>::default();
     let upstream_stats = Arc::<UpstreamStats>::default();
+    let load = Arc::<ProcessLoad>::default();
+    tokio::spawn(Arc::clone(&load).observe("control"));
+    traffic.spawn(Arc::clone(&load).observe("traffic"));
     let homes = Arc::new(BatchHomes::new(HomeContext {
         codec,
         client: client.clone(),
@@ -248,6 +252,7 @@
         backoffs: Arc::clone(&backoffs),
         unknown_headers: Arc::clone(&unknown_headers),
         upstream_stats: Arc::clone(&upstream_stats),
+        load,
     }));
     let mesh_settings = MeshSettings {
         me: settings.me.clone(),
