Batch homes: work for a request no longer multiplies waiting jobs by upstreams

Cause: the order of ranks and shares summed the throughput of all upstreams again for each waiting job, up to three times for each new job and each pass of the timer. Further passes over all jobs ran although no upstream was free. The more waits, the dearer each message, the less is served.

The throughput is now summed once for an order, calls are not looked for while no upstream is free, and checks that need no list build none.

--- a/crates/tc-policy/src/batch/dispatch.rs
+++ b/crates/tc-policy/src/batch/dispatch.rs
@@ -51,6 +51,14 @@
     pub fn next_call(&mut self, now: MonoTime) -> Option<BatchCall> {
         self.expire_results(now);
         self.replace_overdue(now);
+        let slots = self.spec.slots;
+        if !self
+            .upstreams
+            .values()
+            .any(|upstream| upstream.is_free(now, slots))
+        {
+            return None;
+        }
         let retries = self.available_retries(now);
         let smallest = self.smallest_results(now, retries);
         if smallest.is_empty() {
@@ -80,7 +88,7 @@
         let mut smallest = SmallestResults::default();
         for job in self.jobs.values() {
             let has_ended = job.params.deadline <= now || job.inputs_expire(now);
-            if has_ended || job.sendable(retries).is_empty() {
+            if has_ended || !job.has_sendable(retries) {
                 continue;
             }
             let bytes = job.params.result_bytes;
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -236,6 +236,12 @@
         waiting.filter(|piece| is_sendable(piece)).collect()
     }
 
+    /// Returns true if any waiting piece may be sent with this many retries.
+    pub(super) fn has_sendable(&self, retries: usize) -> bool {
+        let mut waiting = self.waiting.iter();
+        waiting.any(|piece| retries > 0 || !self.needs_retry(*piece))
+    }
+
     /// Returns how many of `pieces` fit into a call with `places` free places and `free_bytes` of result memory.
     pub(super) fn pieces_that_fit(&self, pieces: usize, places: usize, free_bytes: u64) -> usize {
         let by_memory = free_bytes.checked_div(self.params.result_bytes);
--- a/crates/tc-policy/src/batch/piece_times.rs
+++ b/crates/tc-policy/src/batch/piece_times.rs
@@ -1,6 +1,6 @@
 //! Estimates call durations from the calls observed so far.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use tc_protocol::routing::BatchSpec;
 
@@ -13,8 +13,8 @@
 /// of a stage have the same size, so the size identifies the stage.
 #[derive(Debug, Default)]
 pub(super) struct PieceTimes {
-    /// Seconds by result size in bytes.
-    by_result_size: HashMap<u64, f64>,
+    /// Seconds by result size in bytes. Few sizes, looked up for each waiting job on each event.
+    by_result_size: BTreeMap<u64, f64>,
 }
 
 impl PieceTimes {
@@ -37,7 +37,7 @@
     ) {
         let expected = self.expected_call(spec, result_sizes).as_secs_f64();
         let error = took.as_secs_f64() / slowdown - expected;
-        let mut counts: HashMap<u64, f64> = HashMap::new();
+        let mut counts: BTreeMap<u64, f64> = BTreeMap::new();
         for result_size in result_sizes {
             *counts.entry(*result_size).or_default() += 1.0;
         }
--- a/crates/tc-policy/src/batch/queue_order.rs
+++ b/crates/tc-policy/src/batch/queue_order.rs
@@ -211,8 +211,10 @@
         queue.sort_unstable();
         let own_time = self.typical_call().mul_f64(NEXT_CALL_FACTOR) + self.shortest_backoff(now);
         let tight_slack = self.typical_call().mul_f64(TIGHT_SLACK_CALLS);
+        let capacity = self.capacity();
         // The time of a job is known to about a call.
-        let tolerance = self.work_done_within(self.typical_call());
+        let tolerance = work_done_within(self.typical_call(), capacity);
+        let tight_work = work_done_within(tight_slack, capacity);
         let mut ahead = Ahead::default();
         for (position, key) in queue {
             let job = &self.jobs[key];
@@ -227,9 +229,9 @@
                 is_over_share: job.marks.is_over_share,
             };
             let until_due = job.params.in_time_until.since(now).saturating_sub(own_time);
-            let max_work_ahead = self.work_done_within(until_due);
+            let max_work_ahead = work_done_within(until_due, capacity);
             ahead.displace(rank, ahead.work - max_work_ahead, tolerance);
-            if ahead.work + self.work_done_within(tight_slack) > max_work_ahead {
+            if ahead.work + tight_work > max_work_ahead {
                 self.order.tight_level = self.order.tight_level.max(Some(level));
             }
             ahead.add(rank, position.due, key, work);
@@ -240,17 +242,6 @@
         }
     }
 
-    /// Seconds of upstream time that all upstreams together provide in `time`; without limit if none is healthy, since
-    /// no order makes up for that.
-    fn work_done_within(&self, time: Duration) -> f64 {
-        let capacity = self.capacity();
-        if capacity > 0.0 {
-            time.as_secs_f64() * capacity
-        } else {
-            f64::INFINITY
-        }
-    }
-
     /// Collects the jobs that are displaced for the first time, for the log.
     pub(super) fn note_displaced(&mut self) {
         if !self.order.has_marks {
@@ -271,6 +262,16 @@
     }
 }
 
+/// Returns the seconds of upstream time that all upstreams together provide in `time`; without limit if none is healthy,
+/// since no order makes up for that.
+fn work_done_within(time: Duration, capacity: f64) -> f64 {
+    if capacity > 0.0 {
+        time.as_secs_f64() * capacity
+    } else {
+        f64::INFINITY
+    }
+}
+
 /// The unstarted jobs ahead of the one that is looked at.
 #[derive(Default)]
 struct Ahead {
--- a/crates/tc-policy/src/batch/released.rs
+++ b/crates/tc-policy/src/batch/released.rs
@@ -59,9 +59,12 @@
 
     /// Returns fetched results to free now because waiting pieces need their room, each once.
     pub fn reclaim_results(&mut self, now: MonoTime) -> Vec<ResultHandle> {
-        let needed = self.bytes_of_next_call(now);
         let mut reclaimed = Vec::new();
-        if needed == 0 || !self.result_memory.has_fetched() {
+        if !self.result_memory.has_fetched() {
+            return reclaimed;
+        }
+        let needed = self.bytes_of_next_call(now);
+        if needed == 0 {
             return reclaimed;
         }
         let ready = self.upstreams.iter().filter(|(_, upstream)| upstream.ready);
--- a/crates/tc-policy/tests/batch/main.rs
+++ b/crates/tc-policy/tests/batch/main.rs
@@ -2,6 +2,7 @@
 
 mod common;
 mod completion;
+mod cost;
 mod fuzz;
 mod handover;
 mod inputs;
