Store lists: odd entries of another writer hide no others

Cause: the next page was asked for after the last object that could be decoded, and a page without any ended the list; the part before it passed for the whole.

A page now has the name of its last object, decoded or not, and a list that cannot go on is an error, not an end.

--- a/crates/tc-platform/src/kinds.rs
+++ b/crates/tc-platform/src/kinds.rs
@@ -36,10 +36,20 @@
     pub revision: StoreRevision,
     /// One message for each object that was skipped because it cannot be decoded.
     pub unreadable: Vec<String>,
+    /// Name of the last object on this page, also if the object cannot be decoded; `None` if no object has a name.
+    pub last_name: Option<Arc<str>>,
     /// Size of the responses.
     pub bytes: usize,
 }
 
+impl ListPage {
+    /// Returns true if there is no object on this page, decoded or not.
+    #[must_use]
+    pub(crate) fn is_empty(&self) -> bool {
+        self.items.is_empty() && self.unreadable.is_empty()
+    }
+}
+
 /// A change of one object.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ObjectEvent {
--- a/crates/tc-platform/src/list.rs
+++ b/crates/tc-platform/src/list.rs
@@ -73,6 +73,7 @@
             all.revision = all.revision.min(part.revision);
             all.items.extend(part.items);
             all.unreadable.extend(part.unreadable);
+            all.last_name = part.last_name;
             all.bytes += part.bytes;
         }
         all.has_more |= is_split;
@@ -87,17 +88,22 @@
         end: Option<&str>,
     ) -> Result<ListPage, StoreError> {
         let mut part = self.list_page(call, start).await?;
-        let mut has_more = part.has_more;
+        let mut has_more = part.has_more && !part.is_empty();
         while has_more {
-            let Some(last) = part.items.last() else { break };
-            if end.is_some_and(|end| &*last.name >= end) {
+            // Without a name to continue after, a part of the list would pass for the whole of it.
+            let after = part.last_name.clone().ok_or(StoreError::Malformed)?;
+            if end.is_some_and(|end| &*after >= end) {
                 break;
             }
-            let page = self.list_page(call, Some(&last.name)).await?;
+            let page = self.list_page(call, Some(&after)).await?;
             check_same_era(&part, &page)?;
-            has_more = page.has_more && !page.items.is_empty();
+            has_more = page.has_more && !page.is_empty();
+            if has_more && page.last_name.as_ref().is_none_or(|last| *last <= after) {
+                return Err(StoreError::Malformed);
+            }
             part.items.extend(page.items);
             part.unreadable.extend(page.unreadable);
+            part.last_name = page.last_name;
             part.bytes += page.bytes;
         }
         if let Some(end) = end {
--- a/crates/tc-platform/tests/kinds.rs
+++ b/crates/tc-platform/tests/kinds.rs
@@ -29,6 +29,7 @@
             has_more: false,
             revision: at(1),
             unreadable: Vec::new(),
+            last_name: None,
             bytes: 0,
         })
     },
--- a/crates/tc-platform/tests/list.rs
+++ b/crates/tc-platform/tests/list.rs
@@ -28,6 +28,9 @@
 /// Time without a new call after which the store answers all waiting calls.
 const QUIET_TIME: Duration = Duration::from_millis(20);
 
+/// Marks an object in the body of a page that cannot be decoded.
+const ODD_SUFFIX: &str = "!";
+
 /// Objects are named by numbers; a page's body is its names, and a last line that tells whether more follow.
 const fn at(number: u64) -> StoreRevision {
     StoreRevision { era: 0, number }
@@ -39,8 +42,10 @@
     read_list: |era, body| {
         let text = std::str::from_utf8(body).ok()?;
         let (names, more) = text.rsplit_once('\n')?;
-        let names = names.lines().filter(|name| !name.is_empty());
-        let items = names.map(|name| StoredObject {
+        let names: Vec<&str> = names.lines().filter(|name| !name.is_empty()).collect();
+        let (odd, named): (Vec<&str>, Vec<&str>) =
+            names.iter().partition(|name| name.ends_with(ODD_SUFFIX));
+        let items = named.into_iter().map(|name| StoredObject {
             name: name.into(),
             revision: at(1),
             value: Arc::default(),
@@ -49,7 +54,10 @@
             items: items.collect(),
             has_more: more == "more",
             revision: StoreRevision { era, number: 7 },
-            unreadable: Vec::new(),
+            unreadable: odd.iter().map(|name| format!("{name} is odd")).collect(),
+            last_name: names
+                .last()
+                .map(|name| name.trim_end_matches(ODD_SUFFIX).into()),
             bytes: body.len(),
         })
     },
@@ -89,6 +97,11 @@
 
     /// Starts a store that is restored before it answers pages that begin after the object `restored_after`.
     async fn start_restored(objects: usize, restored_after: usize) -> Self {
+        Self::start_with(objects, restored_after, |_| false).await
+    }
+
+    /// Starts a store of which some objects cannot be decoded.
+    async fn start_with(objects: usize, restored_after: usize, is_odd: fn(usize) -> bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let calls = Arc::<AtomicUsize>::default();
@@ -98,7 +111,7 @@
             while let Ok((stream, _)) = listener.accept().await {
                 counted.fetch_add(1, Ordering::Relaxed);
                 let answered = answered.clone();
-                tokio::spawn(answer(stream, objects, restored_after, answered));
+                tokio::spawn(answer(stream, objects, restored_after, is_odd, answered));
             }
         });
         let counted = Arc::clone(&calls);
@@ -134,6 +147,7 @@
     mut stream: TcpStream,
     objects: usize,
     restored_after: usize,
+    is_odd: fn(usize) -> bool,
     mut rounds: watch::Receiver<usize>,
 ) {
     rounds.mark_unchanged();
@@ -144,7 +158,8 @@
     let after: usize = path.rsplit('/').next().unwrap().parse().unwrap();
     rounds.changed().await.unwrap();
     let end = (after + PAGE_OBJECTS).min(objects);
-    let names = (after + 1..=end).map(|n| format!("{n:06}\n"));
+    let suffix = |n| if is_odd(n) { ODD_SUFFIX } else { "" };
+    let names = (after + 1..=end).map(|n| format!("{n:06}{}\n", suffix(n)));
     let mut body: String = ["\n".to_owned()].into_iter().chain(names).collect();
     body.push_str(if end < objects { "more" } else { "end" });
     let era = if after >= restored_after {
@@ -218,3 +233,19 @@
         assert_eq!(list.await.err(), Some(StoreError::Restored));
     }
 }
+
+/// Guards against a list that ends before a page of objects of another writer: every upstream after them was dropped, as
+/// the part before them was taken for the whole list.
+#[tokio::test]
+async fn a_page_of_objects_that_cannot_be_decoded_does_not_end_a_list() {
+    let is_odd = |n: usize| (401..=600).contains(&n) || n == 1_000;
+    let server = RoundStore::start_with(1_000, usize::MAX, is_odd).await;
+    let store = server.client();
+    let list = store.list_kind(Purpose::Registry, &DIALECT, "kind", Freshness::Current);
+    let list = list.await.unwrap();
+    assert_eq!((list.items.len(), list.unreadable.len()), (799, 201));
+    let known = names(1..=6_000);
+    let store = server.client();
+    let list = store.list_known_kind(Purpose::Registry, &DIALECT, "kind", &known);
+    assert_eq!(list.await.unwrap().items.len(), 799);
+}
