Batch homes: checks and reported outlooks at most every 5 ms

A home went through all waiting jobs after each new job and each call that ended, and again for the outlook in each reply. Both now happen at most every 5 ms; the admission of a request still uses the state of that moment.

--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -17,7 +17,7 @@
 };
 use tokio::{
     sync::{Notify, oneshot, watch::Receiver},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 use super::{HomeContext, PiecesReply, calls};
@@ -25,6 +25,10 @@
 
 /// Longest wait between two checks of the planner when no event is scheduled.
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(1);
+/// Shortest interval between two checks of the planner. A check goes through all waiting jobs.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Age up to which an outlook is reported again. Making one goes through all waiting jobs.
+const MAX_OUTLOOK_AGE: Duration = Duration::from_millis(5);
 
 pub(super) struct Inner {
     pub(super) planner: BatchPlanner,
@@ -32,6 +36,8 @@
     outcomes: JobOutcomes,
     /// Change counter of the rate limits that the planner uses.
     limit_changes: u64,
+    /// The last outlook that was made, and when.
+    reported: Option<(MonoTime, HomeOutlook)>,
 }
 
 /// Runs the planner of one batch service and makes the calls it decides on.
@@ -62,6 +68,7 @@
                 waiting: SecondaryMap::new(),
                 outcomes: JobOutcomes::default(),
                 limit_changes: 0,
+                reported: None,
             }),
             wake: Notify::new(),
         });
@@ -157,7 +164,25 @@
 
     /// Returns the outlook of this home for requests that start now.
     pub(super) fn outlook(&self) -> HomeOutlook {
-        self.lock().planner.outlook(MonoTime::now())
+        self.outlook_of_age(Duration::ZERO)
+    }
+
+    /// Returns an outlook for other instances, which get it a few milliseconds later anyway.
+    pub(super) fn recent_outlook(&self) -> HomeOutlook {
+        self.outlook_of_age(MAX_OUTLOOK_AGE)
+    }
+
+    fn outlook_of_age(&self, max_age: Duration) -> HomeOutlook {
+        let now = MonoTime::now();
+        let mut inner = self.lock();
+        match &inner.reported {
+            Some((made_at, outlook)) if now.since(*made_at) < max_age => outlook.clone(),
+            _ => {
+                let outlook = inner.planner.outlook(now);
+                inner.reported = Some((now, outlook.clone()));
+                outlook
+            }
+        }
     }
 
     /// Frees the capacity that the planner accounts for released results.
@@ -411,11 +436,10 @@
         let Some(home) = home.upgrade() else { return };
         let now = MonoTime::now();
         let next = home.lock().planner.next_wake(now);
-        let wait = next.map_or(MAX_IDLE_WAIT, |at| {
-            at.since(now).max(Duration::from_millis(5))
-        });
+        let wait = next.map_or(MAX_IDLE_WAIT, |at| at.since(now).max(MIN_CHECK_INTERVAL));
         // The planner is checked whether the wait timed out or not.
         let _ = timeout(wait, home.wake.notified()).await;
+        sleep(MIN_CHECK_INTERVAL.saturating_sub(MonoTime::now().since(now))).await;
         let now = MonoTime::now();
         home.step(|planner| planner.refuse_late_jobs(now));
         let fetched = home.lock().planner.take_fetched_inputs(now);
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -83,7 +83,7 @@
                 };
                 PiecesAnswer {
                     reply,
-                    home: Some(home.outlook()),
+                    home: Some(home.recent_outlook()),
                     is_late_return,
                 }
             }
@@ -108,7 +108,7 @@
     /// Returns the outlook of the home of a service, if that home runs on this instance.
     pub(crate) fn outlook(&self, service: &ServiceName) -> Option<HomeOutlook> {
         let home = self.lock().get(service).cloned();
-        home.map(|home| home.outlook())
+        home.map(|home| home.recent_outlook())
     }
 
     /// Hands over every service whose home is now another instance.
