--- a/crates/tc-fleet/src/lib.rs
+++ b/crates/tc-fleet/src/lib.rs
@@ -31,9 +31,9 @@
 pub use fleet::{Fleet, ReportHandlers};
 pub use key::FleetKeys;
 pub use mesh::{
-    BrokenRun, ChooseEngine, EvacuatedDomains, FollowWorld, Mesh, MeshError, MeshHandlers,
-    MeshSettings, NewerWorld, PiecesAnswer, RecordRuns, RegistryEntry, Removed, ReportOutlook,
-    SharedFleetShare, StoreUpdate, StoredConfig, SuspectTrial, UpstreamLimits, UpstreamUpdate,
-    WorldHave,
+    BrokenRun, ChooseEngine, EvacuatedDomains, FollowWorld, HomeTable, Mesh, MeshError,
+    MeshHandlers, MeshSettings, NewerWorld, PiecesAnswer, RecordRuns, RegistryEntry, Removed,
+    ReportOutlook, SharedFleetShare, StoreUpdate, StoredConfig, SuspectTrial, UpstreamLimits,
+    UpstreamUpdate, WorldHave,
 };
 pub use settings::{FleetSettings, PermitPolicy};
--- a/crates/tc-fleet/src/mesh/home_table.rs
+++ b/crates/tc-fleet/src/mesh/home_table.rs
@@ -14,15 +14,23 @@
 }
 
 /// The services that have homes, and where they are.
+///
+/// ```
+/// use std::sync::Arc;
+/// use tc_fleet::HomeTable;
+/// let homes = HomeTable::default();
+/// assert!(homes.set_services(vec!["generate".into()]));
+/// assert_eq!(homes.home("generate", &Arc::default()), None, "there are no members");
+/// ```
 #[derive(Debug, Default)]
-pub(super) struct HomeTable {
+pub struct HomeTable {
     services: ArcSwap<Vec<ServiceName>>,
     placed: ArcSwap<Placed>,
 }
 
 impl HomeTable {
     /// Replaces the services, those with the most work at their homes first. Returns true if they have changed.
-    pub(super) fn set_services(&self, services: Vec<ServiceName>) -> bool {
+    pub fn set_services(&self, services: Vec<ServiceName>) -> bool {
         let is_change = **self.services.load() != services;
         if is_change {
             self.services.store(Arc::new(services));
@@ -31,7 +39,8 @@
     }
 
     /// Returns the home of a key among these members. A key that is no known service is placed by itself.
-    pub(super) fn home(&self, key: &str, members: &Arc<Vec<Member>>) -> Option<Member> {
+    #[must_use]
+    pub fn home(&self, key: &str, members: &Arc<Vec<Member>>) -> Option<Member> {
         let services = self.services.load_full();
         let placed = self.placed.load();
         let is_current =
@@ -50,7 +59,8 @@
     }
 
     /// Returns the home of a key if only these members were there.
-    pub(super) fn home_among(&self, key: &str, members: &[Member]) -> Option<Member> {
+    #[must_use]
+    pub fn home_among(&self, key: &str, members: &[Member]) -> Option<Member> {
         let services = self.services.load();
         let placed = place(&services, members).remove(key);
         placed.or_else(|| home_of(key, members, None, None).cloned())
--- a/crates/tc-fleet/src/mesh/mod.rs
+++ b/crates/tc-fleet/src/mesh/mod.rs
@@ -24,6 +24,7 @@
 pub use actor::NewerWorld;
 pub use fleet_share::SharedFleetShare;
 pub use handle::{Mesh, MeshSettings};
+pub use home_table::HomeTable;
 pub use limits::UpstreamLimits;
 pub use messages::{MeshError, PiecesAnswer};
 pub use service::{ChooseEngine, FollowWorld, MeshHandlers, RecordRuns, ReportOutlook};
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -1,15 +1,13 @@
 //! The home of one batch service: drives its planner.
 
 use std::{
-    ops::{Deref, DerefMut},
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
-    time::{Duration, Instant},
+    sync::{Arc, Mutex, PoisonError, Weak},
+    time::Duration,
 };
 
-use slotmap::SecondaryMap;
 use tc_policy::{
-    BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, JobOutcome, JobOutcomes, NewJob,
-    OutcomeCounts, PlannerEffects, UnusedResults, UsedShares,
+    BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, JobOutcome, OutcomeCounts,
+    PlannerEffects, UnusedResults, UsedShares,
 };
 use tc_protocol::{
     MonoTime, ServiceName, UpstreamId,
@@ -20,8 +18,11 @@
     time::{sleep, timeout},
 };
 
-use super::{HomeContext, PiecesReply, calls};
-use crate::{process_load::ProcessLoad, world::World};
+use super::{
+    HomeContext, PiecesReply, calls,
+    state::{HomeGuard, HomeState, to_job},
+};
+use crate::world::World;
 
 /// Longest wait between two checks of the planner when no event is scheduled.
 const MAX_IDLE_WAIT: Duration = Duration::from_secs(1);
@@ -30,21 +31,11 @@
 /// Age up to which an outlook is reported again. Making one goes through all waiting jobs.
 const MAX_OUTLOOK_AGE: Duration = Duration::from_millis(5);
 
-pub(super) struct Inner {
-    pub(super) planner: BatchPlanner,
-    waiting: SecondaryMap<JobKey, oneshot::Sender<PiecesReply>>,
-    outcomes: JobOutcomes,
-    /// Change counter of the rate limits that the planner uses.
-    limit_changes: u64,
-    /// The last outlook that was made, and when.
-    reported: Option<(MonoTime, HomeOutlook)>,
-}
-
 /// Runs the planner of one batch service and makes the calls it decides on.
 pub(super) struct BatchHome {
     pub(super) cx: Arc<HomeContext>,
     pub(super) service: ServiceName,
-    inner: Mutex<Inner>,
+    state: Mutex<HomeState>,
     /// Wakes the timer task, which sleeps until the next event scheduled by the planner.
     wake: Notify,
 }
@@ -63,13 +54,7 @@
         let home = Arc::new(Self {
             cx,
             service,
-            inner: Mutex::new(Inner {
-                planner,
-                waiting: SecondaryMap::new(),
-                outcomes: JobOutcomes::default(),
-                limit_changes: 0,
-                reported: None,
-            }),
+            state: Mutex::new(HomeState::new(planner)),
             wake: Notify::new(),
         });
         // Subscribe before reading the world: a change in between would be missed until the next one, and the home
@@ -173,16 +158,7 @@
     }
 
     fn outlook_of_age(&self, max_age: Duration) -> HomeOutlook {
-        let now = MonoTime::now();
-        let mut inner = self.lock();
-        match &inner.reported {
-            Some((made_at, outlook)) if now.since(*made_at) < max_age => outlook.clone(),
-            _ => {
-                let outlook = inner.planner.outlook(now);
-                inner.reported = Some((now, outlook.clone()));
-                outlook
-            }
-        }
+        self.lock().outlook(MonoTime::now(), max_age)
     }
 
     /// Frees the capacity that the planner accounts for released results.
@@ -346,58 +322,8 @@
     }
 
     pub(super) fn lock(&self) -> HomeGuard<'_> {
-        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
-        HomeGuard {
-            inner,
-            locked_at: Instant::now(),
-            load: &self.cx.load,
-        }
-    }
-}
-
-/// Access to the planner of a home; adds the time for which it is held to the load of the process.
-pub(super) struct HomeGuard<'a> {
-    inner: MutexGuard<'a, Inner>,
-    locked_at: Instant,
-    load: &'a ProcessLoad,
-}
-
-impl Deref for HomeGuard<'_> {
-    type Target = Inner;
-
-    fn deref(&self) -> &Inner {
-        &self.inner
-    }
-}
-
-impl DerefMut for HomeGuard<'_> {
-    fn deref_mut(&mut self) -> &mut Inner {
-        &mut self.inner
-    }
-}
-
-impl Drop for HomeGuard<'_> {
-    fn drop(&mut self) {
-        self.load.add_planning(self.locked_at.elapsed());
-    }
-}
-
-fn to_job(now: MonoTime, stage_request: StageRequest) -> NewJob {
-    NewJob {
-        request: stage_request.request,
-        workspace: stage_request.workspace,
-        stage: stage_request.stage,
-        pieces: stage_request.pieces,
-        input: stage_request.input,
-        result_bytes: stage_request.result_bytes,
-        priority: stage_request.priority,
-        in_time_until: now.after(stage_request.in_time_for),
-        deadline: now.after(stage_request.remaining),
-        preferred_domain: stage_request.preferred_domain,
-        held_bytes: stage_request.held_bytes,
-        is_last_reader: stage_request.is_last_reader,
-        dependent_pieces: stage_request.dependent_pieces,
-        later_pieces: stage_request.later_pieces,
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        HomeGuard::new(state, &self.cx.load)
     }
 }
 
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -6,6 +6,7 @@
 mod home;
 mod release;
 mod room;
+mod state;
 
 use std::{
     collections::HashMap,
--- a/crates/tc-gateway/src/settings.rs
+++ b/crates/tc-gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use tc_fleet::FleetKeys;
+use tc_membership::DrainBudget;
 use tc_protocol::Member;
 use tc_upstream::DialFilter;
 
@@ -79,3 +80,16 @@
     /// Length of the window.
     pub window: Duration,
 }
+
+impl GatewaySettings {
+    /// Returns the time within which every change in the store must take effect on all instances.
+    pub(crate) fn propagation_limit(&self) -> Duration {
+        let evacuation_limit = self.evacuation_limit.unwrap_or(self.drain_time);
+        let times = [
+            DrainBudget::of(self.drain_time).known_within,
+            self.config_apply_limit,
+            evacuation_limit,
+        ];
+        times.into_iter().min().unwrap_or_default()
+    }
+}
--- a/crates/tc-gateway/src/start.rs
+++ b/crates/tc-gateway/src/start.rs
@@ -6,7 +6,7 @@
 use hyper::body::Incoming;
 use miette::Diagnostic;
 use tc_fleet::{FleetError, Mesh, MeshSettings, SharedFleetShare, UpstreamLimits};
-use tc_membership::{DrainBudget, FleetShare, MembershipConfig, SourceTiming};
+use tc_membership::{FleetShare, MembershipConfig, SourceTiming};
 use tc_platform::{Store, StoreSettings};
 use tc_protocol::MonoTime;
 use tc_upstream::{ClientSettings, DialObserver, UpstreamClient};
@@ -109,7 +109,7 @@
         let world = Arc::new(WorldCell::new(codec, Arc::clone(&pause_monitor)));
         let settled = Settled::with_timeout();
         let cx = start_context(&settings, codec, Arc::clone(&world), &traffic, &settled).await?;
-        let source_timing = SourceTiming::within(propagation_limit(&settings));
+        let source_timing = SourceTiming::within(settings.propagation_limit());
         let role = StoreRole::new(source_timing);
         let watch = WatchContext {
             store: store.clone(),
@@ -274,7 +274,7 @@
         Arc::clone(&limits),
         Arc::clone(&upstream_stats),
     ));
-    let heartbeat_interval = SourceTiming::within(propagation_limit(settings)).heartbeat_interval;
+    let heartbeat_interval = SourceTiming::within(settings.propagation_limit()).heartbeat_interval;
     let (origins, new_origins) = StreamOrigins::new();
     let handlers = mesh_handlers(heartbeat_interval, &homes, &engines, &world, &origins);
     let mesh = Mesh::start(mesh_settings, handlers).await?;
@@ -317,17 +317,6 @@
     }))
 }
 
-/// Returns the time within which every change in the store must take effect on all instances.
-fn propagation_limit(settings: &GatewaySettings) -> Duration {
-    let evacuation_limit = settings.evacuation_limit.unwrap_or(settings.drain_time);
-    let times = [
-        DrainBudget::of(settings.drain_time).known_within,
-        settings.config_apply_limit,
-        evacuation_limit,
-    ];
-    times.into_iter().min().unwrap_or_default()
-}
-
 impl Gateway {
     fn serve(
         &self,
