--- a/crates/tc-gateway/src/process_load.rs
+++ b/crates/tc-gateway/src/process_load.rs
@@ -27,7 +27,7 @@
     planning_ns: AtomicU64,
 }
 
-/// What an event loop did since its last report.
+/// Measurements of an event loop since its last report.
 #[derive(Clone, Copy)]
 struct Period {
     started: MonoTime,
