Review case 1: a planned stop cuts requests that it accepted late

What is broken: LOST, around a planned stop. A stopping instance starts requests of routes that do not stream until 6 s after SIGTERM (0.75 of the grace), whatever their timeout is, and exits at 7.75 s.

Order of events: consumers resolve the directory; SIGTERM to one of three instances; on kept channels, requests of a non_idempotent route (timeout 6 s, work 3.5 s) at 4.5, 5.0, 5.3 and 5.7 s; the instance passes them on and exits at 7.75 s; the channels end without an answer while the servers are at work.

--- /dev/null
+++ b/review/stand-ins/main.rs
@@ -0,0 +1,41 @@
+//! Stand-ins and drivers of the review's cases: `cases NAME FOLDER`, where FOLDER gets `record.txt`.
+//!
+//! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` the disruption
+//! is left out.
+
+#![allow(dead_code)]
+
+mod engine;
+mod net;
+mod stop;
+mod store;
+mod world;
+
+use std::{path::PathBuf, process::exit, sync::Arc};
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(name), Some(folder)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: cases NAME FOLDER");
+        exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let record = Arc::new(world::Record::create(&format!("{folder}/record.txt")));
+    let scratch = std::env::temp_dir().join(format!("tc-review-{}-{}", name, std::process::id()));
+    if std::fs::create_dir_all(&scratch).is_err() {
+        exit(2);
+    }
+    let code = run(&name, trouble, &record, &scratch);
+    record.line(&format!("exit code {code}"));
+    if std::env::var("KEEP").is_err() {
+        let _ = std::fs::remove_dir_all(&scratch);
+    }
+    exit(code);
+}
+
+fn run(name: &str, trouble: bool, record: &Arc<world::Record>, scratch: &PathBuf) -> i32 {
+    match name {
+        "stop" => stop::run(trouble, record, scratch),
+        _ => 2,
+    }
+}
--- /dev/null
+++ b/review/stand-ins/world.rs
@@ -0,0 +1,212 @@
+//! The gateway processes, their settings, and the record of a case.
+
+use std::{
+    collections::HashMap,
+    fs::{self, File},
+    io::Write,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::Mutex,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use crate::net::{Answer, Channel};
+
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
+pub const SIGTERM: i32 = 15;
+pub const SIGKILL: i32 = 9;
+pub const SIGSTOP: i32 = 19;
+pub const SIGCONT: i32 = 18;
+
+/// What was sent, answered and run, with the time since the start.
+pub struct Record {
+    started: Instant,
+    file: Mutex<File>,
+    /// How often servers began each request.
+    runs: Mutex<HashMap<String, u32>>,
+}
+
+impl Record {
+    pub fn create(path: &str) -> Self {
+        Self {
+            started: Instant::now(),
+            file: Mutex::new(File::create(path).expect("the record can be written")),
+            runs: Mutex::default(),
+        }
+    }
+
+    pub fn begin_run(&self, request: &str) {
+        *self.runs.lock().unwrap().entry(request.to_owned()).or_default() += 1;
+    }
+
+    pub fn runs(&self, request: &str) -> u32 {
+        self.runs.lock().unwrap().get(request).copied().unwrap_or(0)
+    }
+
+    pub fn line(&self, text: &str) {
+        let at = self.started.elapsed().as_secs_f64();
+        let mut file = self.file.lock().unwrap();
+        let _ = writeln!(file, "{at:8.3} {text}");
+    }
+}
+
+pub fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// One instance. Dropping it kills its process.
+pub struct Instance {
+    pub name: String,
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    pub directory: SocketAddr,
+    metrics: u16,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// Addresses of the instances of a case.
+pub fn instances(folder: &PathBuf, store: SocketAddr, count: usize) -> Vec<Instance> {
+    // All machines have the same ports and each an address of its own.
+    let (front, ready, directory, control, fleet, metrics) = (
+        free_address().port(),
+        free_address().port(),
+        free_address().port(),
+        free_address().port(),
+        free_address().port(),
+        free_address().port(),
+    );
+    let ip = |n: usize| format!("127.0.0.{}", 11 + n);
+    let seeds: Vec<String> = (0..count.min(3)).map(|n| format!("{}:{control}", ip(n))).collect();
+    let seeds = seeds.join(",");
+    (0..count)
+        .map(|n| {
+            let (name, ip) = (format!("front-kl-a-{}", n + 1), ip(n));
+            let text = format!(
+                "node_name={name}\nnode_role=gateway\nmachine_class=front\nserved_roles=front,control,directory\n\
+                 bind_ip={ip}\nzone_name=kl-a\nregion_name=kl\nzones.kl-a=kl\nlisten.front={ip}:{front}\n\
+                 listen.ready={ip}:{ready}\nlisten.control={ip}:{control}\nlisten.directory={ip}:{directory}\n\
+                 port_range={fleet},{fleet}\nseed_nodes={seeds}\nbootstrap=true\ncounts_as_loss=false\n\
+                 limits.cpu_quota=0.25\nlimits.cpu_cores=1\nlimits.mem_limit_mb=260\nlimits.max_fds=4100\n\
+                 limits.link_mbps=1000.0\nlimits.disk_limit_mb=0\ndiscovery_source=platform\n\
+                 entry_kind=directory\nheartbeat_ms=1200\n\
+                 contract_set=base,drain,config,cost,retry,recover,engine,stream,tenants,platform,stages\n\
+                 fault_tolerance.machines=2\nfault_tolerance.zones=0\nfault_tolerance.regions=0\n\
+                 rule_bounds.seed_lag_s=3\nrule_bounds.reuse_after_s=2\nrule_bounds.contact_ms=3000\n\
+                 rule_bounds.ack_ms=4000\nrule_bounds.catch_up_s=4\nrule_bounds.drain_ms=2000\n\
+                 rule_bounds.grace_s=8\nrule_bounds.loss_slack_ms=200\nrule_bounds.config_apply_ms=2000\n\
+                 rule_bounds.rollback_slack_ms=250\nrule_bounds.skew_max_ms=5000\nrule_bounds.revoke_strict=false\n\
+                 rule_bounds.revoke_ms=5000\nrule_bounds.budget_ratio=0.2\nrule_bounds.budget_window_s=10\n\
+                 rule_bounds.budget_extra=56\nrule_bounds.recovery_s=12\nrule_bounds.pass_ms=120\n\
+                 rule_bounds.reuse_window_s=7.2\nrule_bounds.ttl_max_s=5\nplatform.address={store}\n\
+                 platform.form=objects\nplatform.writes_per_s=400\nplatform.reads_per_s=2000\n\
+                 platform.history_s=20\nplatform.value_bytes=1048576\nplatform.ttl_min_ms=1000\n"
+            );
+            let settings = folder.join(format!("{name}.conf"));
+            fs::write(&settings, text).expect("settings can be written");
+            let at = |port| format!("{ip}:{port}").parse().expect("an address");
+            Instance {
+                front: at(front),
+                ready: at(ready),
+                directory: at(directory),
+                metrics,
+                settings,
+                log: folder.join(format!("{name}.log")),
+                name,
+                child: None,
+            }
+        })
+        .collect()
+}
+
+impl Instance {
+    /// Starts the process with the command of the deploy file.
+    pub fn start(&mut self) {
+        let log = fs::OpenOptions::new().create(true).append(true).open(&self.log);
+        let log = log.expect("a log");
+        let child = Command::new("target/release/tanagercroft")
+            .args(["gateway", "--metrics-port", &self.metrics.to_string()])
+            .env_clear()
+            .env("TANAGERCROFT_NODE_FILE", &self.settings)
+            .env("TANAGERCROFT_FLEET_KEY", "change-me-to-a-secret-of-your-own")
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
+            .spawn();
+        self.child = Some(child.unwrap_or_else(|error| {
+            eprintln!("the gateway cannot be started: {error}");
+            std::process::exit(2);
+        }));
+    }
+
+    pub fn signal(&self, signal: i32) {
+        if let Some(child) = &self.child {
+            // SAFETY: the process is a child of this one that was not waited for.
+            unsafe { kill(child.id() as i32, signal) };
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    pub fn is_ready(&self) -> bool {
+        let Ok(mut channel) = Channel::open(self.ready) else {
+            return false;
+        };
+        let _ = channel.stream.set_read_timeout(Some(Duration::from_millis(500)));
+        let _ = channel.send(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n");
+        matches!(channel.answer(), Answer::Whole(answer) if answer.status() == 200)
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until all are ready, and then for `contact_ms`.
+pub fn wait_until_ready(instances: &[Instance]) -> bool {
+    let end = Instant::now() + Duration::from_secs(15);
+    while !instances.iter().all(Instance::is_ready) {
+        if Instant::now() > end {
+            return false;
+        }
+        sleep(Duration::from_millis(50));
+    }
+    sleep(Duration::from_millis(3_500));
+    true
+}
+
+/// Asks the directory as a consumer does.
+pub fn resolve(at: SocketAddr) -> Vec<SocketAddr> {
+    let Ok(mut channel) = Channel::open(at) else {
+        return Vec::new();
+    };
+    let _ = channel.stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let _ = channel
+        .send(b"GET /resolve?name=h.example&region_name=kl&zone_name=kl-a HTTP/1.1\r\nHost: h\r\n\r\n");
+    let Answer::Whole(answer) = channel.answer() else {
+        return Vec::new();
+    };
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    let list = text.split('[').nth(1).and_then(|rest| rest.split(']').next());
+    let list = list.unwrap_or("").split(',');
+    list.filter_map(|at| at.trim_matches('"').parse().ok()).collect()
+}
