Review case 2: channels of consumers that read slowly are reset

What is broken: LOST, with no disruption but consumers that read slowly.

Order of events: six consumers send a non_idempotent request on a kept channel and read the answer at a steady 4 KB a second through a window of 16 KB; the server runs the request and answers whole; TCP_USER_TIMEOUT (6 s) counts the time in which the window is closed, and the kernel resets the channel in the middle of the answer.

--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 mod net;
+mod slow_reader;
 mod stop;
 mod store;
 mod world;
@@ -35,6 +36,7 @@
 
 fn run(name: &str, trouble: bool, record: &Arc<world::Record>, scratch: &PathBuf) -> i32 {
     match name {
+        "slow-reader" => slow_reader::run(trouble, record, scratch),
         "stop" => stop::run(trouble, record, scratch),
         _ => 2,
     }
--- a/review/stand-ins/stop.rs
+++ b/review/stand-ins/stop.rs
@@ -30,7 +30,7 @@
     for n in 0..4 {
         engine::start(&format!("i-{n}"), "ledger", 6, &store, record);
     }
-    let mut instances = world::instances(scratch, store.address, 3);
+    let mut instances = world::instances(scratch, world::LINTAS_KL, store.address, 3);
     instances.iter_mut().for_each(world::Instance::start);
     if !world::wait_until_ready(&instances) {
         return 2;
--- a/review/stand-ins/world.rs
+++ b/review/stand-ins/world.rs
@@ -72,8 +72,33 @@
     child: Option<Child>,
 }
 
-/// Addresses of the instances of a case.
-pub fn instances(folder: &PathBuf, store: SocketAddr, count: usize) -> Vec<Instance> {
+/// Bounds and limits of a sheet, as settings.
+pub const LINTAS_KL: &str = "limits.cpu_quota=0.25\nlimits.cpu_cores=1\nlimits.mem_limit_mb=260\nlimits.max_fds=4100\n\
+    limits.link_mbps=1000.0\nlimits.disk_limit_mb=0\nheartbeat_ms=1200\nfault_tolerance.machines=2\n\
+    fault_tolerance.zones=0\nfault_tolerance.regions=0\nrule_bounds.seed_lag_s=3\nrule_bounds.reuse_after_s=2\n\
+    rule_bounds.contact_ms=3000\nrule_bounds.ack_ms=4000\nrule_bounds.catch_up_s=4\nrule_bounds.drain_ms=2000\n\
+    rule_bounds.grace_s=8\nrule_bounds.loss_slack_ms=200\nrule_bounds.config_apply_ms=2000\n\
+    rule_bounds.rollback_slack_ms=250\nrule_bounds.skew_max_ms=5000\nrule_bounds.revoke_strict=false\n\
+    rule_bounds.revoke_ms=5000\nrule_bounds.budget_ratio=0.2\nrule_bounds.budget_window_s=10\n\
+    rule_bounds.budget_extra=56\nrule_bounds.recovery_s=12\nrule_bounds.pass_ms=120\n\
+    rule_bounds.reuse_window_s=7.2\nrule_bounds.ttl_max_s=5\nplatform.writes_per_s=400\n\
+    platform.reads_per_s=2000\nplatform.history_s=20\n";
+
+/// The same of another sheet.
+pub const KVARNHOLM_MM_GROWN: &str = "limits.cpu_quota=0.5\nlimits.cpu_cores=1\nlimits.mem_limit_mb=512\nlimits.max_fds=8192\n\
+    limits.link_mbps=200.0\nlimits.disk_limit_mb=0\nheartbeat_ms=1200\nfault_tolerance.machines=2\n\
+    fault_tolerance.zones=1\nfault_tolerance.regions=0\nrule_bounds.seed_lag_s=3\nrule_bounds.reuse_after_s=2\n\
+    rule_bounds.contact_ms=4000\nrule_bounds.ack_ms=6000\nrule_bounds.catch_up_s=6\nrule_bounds.drain_ms=3000\n\
+    rule_bounds.grace_s=8\nrule_bounds.loss_slack_ms=200\nrule_bounds.config_apply_ms=3000\n\
+    rule_bounds.rollback_slack_ms=250\nrule_bounds.skew_max_ms=6000\nrule_bounds.revoke_strict=false\n\
+    rule_bounds.revoke_ms=5000\nrule_bounds.budget_ratio=0.2\nrule_bounds.budget_window_s=10\n\
+    rule_bounds.budget_extra=194\nrule_bounds.cold_excess=1.5\nrule_bounds.cold_slack=5\n\
+    rule_bounds.evacuate_ms=5000\nrule_bounds.recovery_s=15\nrule_bounds.pass_ms=200\n\
+    rule_bounds.reuse_window_s=7.7\nrule_bounds.ttl_max_s=5\nplatform.writes_per_s=1200\n\
+    platform.reads_per_s=6000\nplatform.history_s=20\n";
+
+/// Addresses and settings of the instances of a case, with the bounds of a sheet.
+pub fn instances(folder: &PathBuf, sheet: &str, store: SocketAddr, count: usize) -> Vec<Instance> {
     // All machines have the same ports and each an address of its own.
     let (front, ready, directory, control, fleet, metrics) = (
         free_address().port(),
@@ -94,20 +119,9 @@
                  bind_ip={ip}\nzone_name=kl-a\nregion_name=kl\nzones.kl-a=kl\nlisten.front={ip}:{front}\n\
                  listen.ready={ip}:{ready}\nlisten.control={ip}:{control}\nlisten.directory={ip}:{directory}\n\
                  port_range={fleet},{fleet}\nseed_nodes={seeds}\nbootstrap=true\ncounts_as_loss=false\n\
-                 limits.cpu_quota=0.25\nlimits.cpu_cores=1\nlimits.mem_limit_mb=260\nlimits.max_fds=4100\n\
-                 limits.link_mbps=1000.0\nlimits.disk_limit_mb=0\ndiscovery_source=platform\n\
-                 entry_kind=directory\nheartbeat_ms=1200\n\
+                 discovery_source=platform\nentry_kind=directory\n\
                  contract_set=base,drain,config,cost,retry,recover,engine,stream,tenants,platform,stages\n\
-                 fault_tolerance.machines=2\nfault_tolerance.zones=0\nfault_tolerance.regions=0\n\
-                 rule_bounds.seed_lag_s=3\nrule_bounds.reuse_after_s=2\nrule_bounds.contact_ms=3000\n\
-                 rule_bounds.ack_ms=4000\nrule_bounds.catch_up_s=4\nrule_bounds.drain_ms=2000\n\
-                 rule_bounds.grace_s=8\nrule_bounds.loss_slack_ms=200\nrule_bounds.config_apply_ms=2000\n\
-                 rule_bounds.rollback_slack_ms=250\nrule_bounds.skew_max_ms=5000\nrule_bounds.revoke_strict=false\n\
-                 rule_bounds.revoke_ms=5000\nrule_bounds.budget_ratio=0.2\nrule_bounds.budget_window_s=10\n\
-                 rule_bounds.budget_extra=56\nrule_bounds.recovery_s=12\nrule_bounds.pass_ms=120\n\
-                 rule_bounds.reuse_window_s=7.2\nrule_bounds.ttl_max_s=5\nplatform.address={store}\n\
-                 platform.form=objects\nplatform.writes_per_s=400\nplatform.reads_per_s=2000\n\
-                 platform.history_s=20\nplatform.value_bytes=1048576\nplatform.ttl_min_ms=1000\n"
+                 {sheet}platform.address={store}\nplatform.form=objects\nplatform.value_bytes=1048576\nplatform.ttl_min_ms=1000\n"
             );
             let settings = folder.join(format!("{name}.conf"));
             fs::write(&settings, text).expect("settings can be written");
