--- a/review/stand-ins/engine.rs
+++ b/review/stand-ins/engine.rs
@@ -1,7 +1,7 @@
 //! A sound server of a plain service: it works for as long as the path says and answers with its seal.
 
 use std::{
-    net::TcpListener,
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -18,7 +18,7 @@
 
 /// Starts a server and registers it in the store. The path `/P/work/MS/BYTES` asks for so long a work and so long an
 /// answer.
-pub fn start(id: &str, service: &str, slots: u32, store: &Store, record: &Arc<Record>) {
+pub fn start(id: &str, service: &str, slots: u32, store: &Store, record: &Arc<Record>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address");
     let running = Arc::new(AtomicU32::new(0));
@@ -29,11 +29,16 @@
             thread::spawn(move || serve(&name, slots, &running, Channel::new(stream), &log));
         }
     });
-    let spec = format!(
+    store.put("servers", id, Some(entry(service, address, slots, "ready")));
+    address
+}
+
+/// The entry of a server.
+pub fn entry(service: &str, address: SocketAddr, slots: u32, lifecycle: &str) -> String {
+    format!(
         "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone_name\":\"kl-a\",\"version\":\"v1\",\
-         \"slot_count\":{slots},\"lifecycle\":\"ready\",\"cold_left_ms\":0,\"call_seq\":1}}"
-    );
-    store.put("servers", id, Some(spec));
+         \"slot_count\":{slots},\"lifecycle\":\"{lifecycle}\",\"cold_left_ms\":0,\"call_seq\":1,\"born\":1796492000000}}"
+    )
 }
 
 fn serve(id: &str, slots: u32, running: &AtomicU32, mut channel: Channel, record: &Record) {
@@ -71,7 +76,7 @@
     let bytes: usize = parts.next().and_then(|p| p.parse().ok()).unwrap_or(800);
     let work: u64 = parts.next().and_then(|p| p.parse().ok()).unwrap_or(20);
     let deadline: u64 = request.header("deadline-ms").and_then(|d| d.parse().ok()).unwrap_or(60_000);
-    record.begin_run(&request_id);
+    record.begin_run(id, &request_id);
     record.line(&format!("server {id} begins {request_id}, work {work} ms, Deadline-Ms {deadline}"));
     let started = Instant::now();
     sleep(Duration::from_millis(work.min(deadline)));
--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -7,6 +7,7 @@
 
 mod engine;
 mod net;
+mod odd_entry;
 mod slow_reader;
 mod stop;
 mod store;
@@ -37,6 +38,7 @@
 fn run(name: &str, trouble: bool, record: &Arc<world::Record>, scratch: &PathBuf) -> i32 {
     match name {
         "slow-reader" => slow_reader::run(trouble, record, scratch),
+        "odd-entry" => odd_entry::run(trouble, record, scratch),
         "stop" => stop::run(trouble, record, scratch),
         _ => 2,
     }
--- a/review/stand-ins/world.rs
+++ b/review/stand-ins/world.rs
@@ -1,7 +1,6 @@
 //! The gateway processes, their settings, and the record of a case.
 
 use std::{
-    collections::HashMap,
     fs::{self, File},
     io::Write,
     net::{SocketAddr, TcpListener},
@@ -27,8 +26,8 @@
 pub struct Record {
     started: Instant,
     file: Mutex<File>,
-    /// How often servers began each request.
-    runs: Mutex<HashMap<String, u32>>,
+    /// The server, the request and the time of each run that a server began.
+    runs: Mutex<Vec<(String, String, Instant)>>,
 }
 
 impl Record {
@@ -40,12 +39,21 @@
         }
     }
 
-    pub fn begin_run(&self, request: &str) {
-        *self.runs.lock().unwrap().entry(request.to_owned()).or_default() += 1;
+    pub fn begin_run(&self, server: &str, request: &str) {
+        let run = (server.to_owned(), request.to_owned(), Instant::now());
+        self.runs.lock().unwrap().push(run);
     }
 
-    pub fn runs(&self, request: &str) -> u32 {
-        self.runs.lock().unwrap().get(request).copied().unwrap_or(0)
+    /// How often servers began a request.
+    pub fn runs(&self, request: &str) -> usize {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().filter(|(_, of, _)| of == request).count()
+    }
+
+    /// How many runs a server began since a time.
+    pub fn runs_at(&self, server: &str, since: Instant) -> usize {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().filter(|(at, _, begun)| at == server && *begun > since).count()
     }
 
     pub fn line(&self, text: &str) {
