--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -5,6 +5,7 @@
 
 #![allow(dead_code)]
 
+mod crashing;
 mod engine;
 mod net;
 mod odd_entry;
@@ -21,6 +22,10 @@
         eprintln!("usage: cases NAME FOLDER");
         exit(2);
     };
+    if name == "server" {
+        let address = arguments.next().unwrap_or_default();
+        exit(crashing::serve(&folder, &address));
+    }
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Arc::new(world::Record::create(&format!("{folder}/record.txt")));
     let scratch = std::env::temp_dir().join(format!("tc-review-{}-{}", name, std::process::id()));
@@ -38,6 +43,7 @@
 fn run(name: &str, trouble: bool, record: &Arc<world::Record>, scratch: &PathBuf) -> i32 {
     match name {
         "slow-reader" => slow_reader::run(trouble, record, scratch),
+        "crashing" => crashing::run(trouble, record, scratch),
         "odd-entry" => odd_entry::run(trouble, record, scratch),
         "stop" => stop::run(trouble, record, scratch),
         _ => 2,
--- a/review/stand-ins/world.rs
+++ b/review/stand-ins/world.rs
@@ -50,6 +50,12 @@
         runs.iter().filter(|(_, of, _)| of == request).count()
     }
 
+    /// How many runs of requests whose ids begin so were begun since a time.
+    pub fn runs_of(&self, requests: &str, since: Instant) -> usize {
+        let runs = self.runs.lock().unwrap();
+        runs.iter().filter(|(_, of, begun)| of.starts_with(requests) && *begun > since).count()
+    }
+
     /// How many runs a server began since a time.
     pub fn runs_at(&self, server: &str, since: Instant) -> usize {
         let runs = self.runs.lock().unwrap();
@@ -68,6 +74,20 @@
     listener.local_addr().expect("an address")
 }
 
+/// Ports that are free on all of these addresses, below those that the kernel gives to outgoing connections.
+fn free_ports<const N: usize>(addresses: &[String]) -> [u16; N] {
+    let mut next = 20_000 + (std::process::id() % 1_000) as u16 * 10;
+    std::array::from_fn(|_| {
+        loop {
+            next += 1;
+            let free = |at: &String| TcpListener::bind(format!("{at}:{next}")).is_ok();
+            if addresses.iter().all(free) {
+                return next;
+            }
+        }
+    })
+}
+
 /// One instance. Dropping it kills its process.
 pub struct Instance {
     pub name: String,
@@ -107,16 +127,9 @@
 
 /// Addresses and settings of the instances of a case, with the bounds of a sheet.
 pub fn instances(folder: &PathBuf, sheet: &str, store: SocketAddr, count: usize) -> Vec<Instance> {
-    // All machines have the same ports and each an address of its own.
-    let (front, ready, directory, control, fleet, metrics) = (
-        free_address().port(),
-        free_address().port(),
-        free_address().port(),
-        free_address().port(),
-        free_address().port(),
-        free_address().port(),
-    );
     let ip = |n: usize| format!("127.0.0.{}", 11 + n);
+    let ports = free_ports(&(0..count).map(ip).collect::<Vec<_>>());
+    let [front, ready, directory, control, fleet, metrics] = ports;
     let seeds: Vec<String> = (0..count.min(3)).map(|n| format!("{}:{control}", ip(n))).collect();
     let seeds = seeds.join(",");
     (0..count)
