--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -10,6 +10,7 @@
 mod net;
 mod odd_entry;
 mod slow_reader;
+mod stage_order;
 mod stop;
 mod store;
 mod world;
@@ -45,6 +46,7 @@
         "slow-reader" => slow_reader::run(trouble, record, scratch),
         "crashing" => crashing::run(trouble, record, scratch),
         "odd-entry" => odd_entry::run(trouble, record, scratch),
+        "stage-order" => stage_order::run(trouble, record, scratch),
         "stop" => stop::run(trouble, record, scratch),
         _ => 2,
     }
