--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the odd entry out.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 lists the stages in the order in which they run.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/cases odd-entry review/3
+exec target/review/cases stage-order review/3
