Review: a script that is broken off leaves no process behind

Nothing of the cases changes. Two gateways of trials by hand had outlived their driver, which was killed. The kernel now kills what a driver started when it ends.

--- a/review/stand-ins/crashing.rs
+++ b/review/stand-ins/crashing.rs
@@ -100,7 +100,8 @@
     let Ok(program) = std::env::current_exe() else {
         return false;
     };
-    let started = Command::new(program)
+    let mut command = Command::new(program);
+    let started = world::ends_with_this(&mut command)
         .args(["server", id, &address.to_string()])
         .stdin(Stdio::null())
         .stdout(Stdio::piped())
--- a/review/stand-ins/world.rs
+++ b/review/stand-ins/world.rs
@@ -4,6 +4,7 @@
     fs::{self, File},
     io::Write,
     net::{SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::Mutex,
@@ -15,6 +16,21 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: u64, a: u64, b: u64, c: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+
+/// Has the kernel kill a program that this one starts when this one ends, so that a case that is broken off leaves
+/// nothing behind.
+pub fn ends_with_this(command: &mut Command) -> &mut Command {
+    // SAFETY: the call between fork and exec is a bare system call.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL as u64, 0, 0, 0);
+            Ok(())
+        })
+    }
 }
 
 pub const SIGTERM: i32 = 15;
@@ -166,7 +182,8 @@
     pub fn start(&mut self) {
         let log = fs::OpenOptions::new().create(true).append(true).open(&self.log);
         let log = log.expect("a log");
-        let child = Command::new("target/release/tanagercroft")
+        let mut command = Command::new("target/release/tanagercroft");
+        let child = ends_with_this(&mut command)
             .args(["gateway", "--metrics-port", &self.metrics.to_string()])
             .env_clear()
             .env("TANAGERCROFT_NODE_FILE", &self.settings)
