--- a/review/stand-ins/engine.rs
+++ b/review/stand-ins/engine.rs
@@ -16,7 +16,7 @@
     world::Record,
 };
 
-/// Starts a server and registers it in the store. The path `/P/work/MS/BYTES` asks for so long a work and so long an
+/// Starts a server and registers it in the store. The target `ROUTE/MS/BYTES` asks for so long a work and so long an
 /// answer.
 pub fn start(id: &str, service: &str, slots: u32, store: &Store, record: &Arc<Record>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
