Planned stop: start only requests that end before the process does

What callers saw: an instance was stopped with a grace period of 8 s. Requests that came 4.5 to 5.7 s later on open connections were passed on and cut 7.75 s after the SIGTERM without an answer.

Cause: StopState::may_start allowed requests that do not stream for 0.75 of the grace period whatever their time limit was. What is left of the period was not compared with the time that the request may take. At the end of the period the process exited without a word to requests in flight, those among them that were not sent anywhere yet.

The change: a request is started if its time limit (the shorter of its deadline and its route's timeout) ends before the process does, when its header arrives and again when its body is complete; otherwise it gets 503 at once. Streams are still started in the first 0.3 of the period whatever their limit is, while callers have the address. At the end of the period an unfinished request gets 503 if it was never sent, its run is then cancelled, and 502 if an upstream or another instance may have run it. PossibleRuns counts the sends for that.

--- a/crates/tc-gateway/src/peer_requests.rs
+++ b/crates/tc-gateway/src/peer_requests.rs
@@ -63,6 +63,7 @@
         let Some(peer) = choose_peer(cx, &failed) else {
             break;
         };
+        req.runs.record_send();
         match cx
             .peer_requests
             .client
@@ -87,6 +88,7 @@
                 if may_have_run {
                     return Err(unknown_outcome(&req));
                 }
+                req.runs.record_not_run();
                 failed.push(peer);
             }
         }
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -130,6 +130,21 @@
         self,
         cx: &RunContext,
         req: &RoutedRequest,
+    ) -> Result<Answered, FailedAttempt> {
+        req.runs.record_send();
+        let answered = self.exchange(cx, req).await;
+        if let Err(failed) = &answered
+            && failed.failure != AttemptFailure::MayHaveRun
+        {
+            req.runs.record_not_run();
+        }
+        answered
+    }
+
+    async fn exchange(
+        self,
+        cx: &RunContext,
+        req: &RoutedRequest,
     ) -> Result<Answered, FailedAttempt> {
         let Self {
             call,
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -8,6 +8,7 @@
 mod home_request;
 mod open_stream;
 mod outlooks;
+mod possible_runs;
 mod prompt_times;
 mod refusal;
 mod relay;
@@ -57,6 +58,7 @@
 };
 
 pub(crate) use outlooks::SharedOutlooks;
+pub(crate) use possible_runs::PossibleRuns;
 pub(crate) use prompt_times::SharedPromptTimes;
 pub(crate) use refusal::{Refusal, refusal_answer};
 pub(crate) use room::SharedRoomTimes;
@@ -159,6 +161,7 @@
     pub(crate) allowed: TimeAllowed,
     /// Origin of the stream that the request resumes.
     pub(crate) origin: Option<StreamOrigin>,
+    pub(crate) runs: PossibleRuns,
 }
 
 impl RoutedRequest {
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -28,7 +28,10 @@
     held_bytes::HeldGuard,
     peer_requests::{is_for_peer, serve_by_peer},
     routing::target_service,
-    run::{AnswerBody, IncompleteBody, Refusal, RoutedRequest, RunContext, refusal_answer, run},
+    run::{
+        AnswerBody, IncompleteBody, PossibleRuns, Refusal, RoutedRequest, RunContext,
+        refusal_answer, run,
+    },
     stop::StopState,
     world::{ActiveConfig, WorldPart},
 };
@@ -101,31 +104,14 @@
         let arrived = Instant::now();
         let in_flight_request = InFlightRequest::start(&self.connections.in_flight);
         let (parts, body) = req.into_parts();
-        let (head, answered) = match (self.cx.codec.read_request)(&parts) {
-            Ok(head) => {
-                let request = Arc::clone(&head.request);
-                let admitted = self.admit(arrived, parts, head, body).await;
-                if let Err(refusal) = &admitted {
-                    self.log_refusal(&request, refusal);
-                }
-                (request, admitted)
-            }
+        let mut answer = match (self.cx.codec.read_request)(&parts) {
+            Ok(head) => self.serve(arrived, parts, head, body).await,
             Err(error) => {
                 log::info!(error = error.to_string().as_str(), path = parts.uri.path(); "a request header cannot be decoded");
                 let reason = "a header of the request is missing or cannot be read";
-                (
-                    Arc::default(),
-                    Err(Refusal::without_retry(StatusCode::BAD_REQUEST, reason)),
-                )
-            }
-        };
-        let mut answer = match answered {
-            Ok(routed) if is_for_peer(&self.cx, &routed) => {
-                let served = serve_by_peer(&self.cx, routed).await;
-                served.unwrap_or_else(|refusal| refusal_answer(&self.cx.codec, &head, &refusal))
+                let refusal = Refusal::without_retry(StatusCode::BAD_REQUEST, reason);
+                refusal_answer(&self.cx.codec, "", &refusal)
             }
-            Ok(routed) => run(Arc::clone(&self.cx), routed).await,
-            Err(refusal) => refusal_answer(&self.cx.codec, &head, &refusal),
         };
         if self.stop.is_stopping() {
             // Makes the caller open its next connection to another instance before this one closes.
@@ -141,6 +127,46 @@
         })
     }
 
+    /// Serves one request until it is answered or, if the process stops first, until an answer is due.
+    async fn serve(
+        &self,
+        arrived: Instant,
+        parts: Parts,
+        head: RequestHead,
+        body: Incoming,
+    ) -> Response<AnswerBody> {
+        let request = Arc::clone(&head.request);
+        let runs = PossibleRuns::default();
+        let served = self.admit_and_run(arrived, parts, head, body, runs.clone());
+        let refusal = tokio::select! {
+            biased;
+            answer = served => return answer,
+            () = self.stop.answers_due() => unfinished(&runs),
+        };
+        log::info!(request = &*request, status = refusal.status.as_u16(), reason = refusal.reason, after_ms = arrived.elapsed().as_millis() as u64; "request unfinished at the end of the shutdown");
+        refusal_answer(&self.cx.codec, &request, &refusal)
+    }
+
+    async fn admit_and_run(
+        &self,
+        arrived: Instant,
+        parts: Parts,
+        head: RequestHead,
+        body: Incoming,
+        runs: PossibleRuns,
+    ) -> Response<AnswerBody> {
+        let request = Arc::clone(&head.request);
+        let served = match self.admit(arrived, parts, head, body, runs).await {
+            Ok(routed) if is_for_peer(&self.cx, &routed) => serve_by_peer(&self.cx, routed).await,
+            Ok(routed) => Ok(run(Arc::clone(&self.cx), routed).await),
+            Err(refusal) => {
+                self.log_refusal(&request, &refusal);
+                Err(refusal)
+            }
+        };
+        served.unwrap_or_else(|refusal| refusal_answer(&self.cx.codec, &request, &refusal))
+    }
+
     /// Decides whether a request may run, and reads its body.
     async fn admit(
         &self,
@@ -148,6 +174,7 @@
         parts: Parts,
         head: RequestHead,
         body: Incoming,
+        runs: PossibleRuns,
     ) -> Result<RoutedRequest, Refusal> {
         let Destination {
             config,
@@ -159,19 +186,16 @@
         let service = target_service(&route, resumes.unwrap_or(&head.request))
             .cloned()
             .ok_or_else(|| Refusal::not_run_transient("the route names no service"))?;
-        if !self.stop.may_start(route.kind.is_stream()) {
-            return Err(Refusal::not_run(
-                "this instance is stopping",
-                STOPPING_RETRY_AFTER,
-            ));
-        }
         let suspended = self.cx.suspended;
         let time_limit = head.remaining.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + time_limit;
+        self.check_may_start(&route, deadline)?;
         let allowed = TimeAllowed::until(deadline, suspended);
         let mut body_guard = self.cx.held_bytes.guard();
         let max_bytes = config.routing.limits.body_bytes;
         let body = read_body(body, max_bytes, deadline, &mut body_guard).await?;
+        // The shutdown may have begun while the body was read.
+        self.check_may_start(&route, deadline)?;
         Ok(RoutedRequest {
             head,
             parts,
@@ -186,9 +210,20 @@
             answered_after: OnceLock::new(),
             allowed,
             origin: None,
+            runs,
         })
     }
 
+    /// Refuses a request that could outlast this process while it stops.
+    fn check_may_start(&self, route: &Route, deadline: Instant) -> Result<(), Refusal> {
+        let time_limit = deadline.saturating_duration_since(Instant::now());
+        if self.stop.may_start(route.kind.is_stream(), time_limit) {
+            Ok(())
+        } else {
+            Err(stopping())
+        }
+    }
+
     /// Finds where a request goes.
     ///
     /// A refusal is final only if the active configuration includes every change that the store had
@@ -252,6 +287,19 @@
     }
 }
 
+fn stopping() -> Refusal {
+    Refusal::not_run("this instance is stopping", STOPPING_RETRY_AFTER)
+}
+
+/// Returns the answer to a request that is unfinished when the process exits.
+fn unfinished(runs: &PossibleRuns) -> Refusal {
+    if runs.any() {
+        Refusal::outcome_unknown("this instance stopped before the request was answered")
+    } else {
+        stopping()
+    }
+}
+
 /// Where a request goes, according to a configuration.
 struct Destination {
     config: Arc<ActiveConfig>,
