Stages: routes may list their stages in any order

Cause: RouteTable rejected a stage that depends on a later one, and with it the version. StageGraph, the estimates of stage times and of return times, and the check of chains that instances send to each other all took the order of the list for an order of execution.

Why this works: stage_order is the one place that knows the order; everything that went through stages by index uses it, so that numbers of stages on the wire stay those of the configuration. Lists that were valid before keep their order. Circles and stages that do not exist are still refused.

The check of ResultShelf in the stand-ins took results of later stages for wrong. It now knows which stages read which if a test says so, and is then stricter: results of an earlier stage that is no input are wrong too.

--- a/crates/tc-config/src/routing/check.rs
+++ b/crates/tc-config/src/routing/check.rs
@@ -8,7 +8,7 @@
 use serde::Serialize;
 use tc_protocol::{
     ServiceName,
-    routing::{BatchSpec, Route, RouteKind, RoutedService, RoutingConfig},
+    routing::{BatchSpec, Route, RouteKind, RoutedService, RoutingConfig, stage_order},
 };
 
 /// Whether a finding keeps the configuration from being used.
@@ -142,16 +142,18 @@
 }
 
 fn check_stages(config: &RoutingConfig, route: &Route, name: &str, findings: &mut Findings) {
+    let Some(order) = stage_order(&route.stages) else {
+        let problem =
+            "its stages depend on each other in a circle, or on a stage that does not exist";
+        findings.error("tc::routing::stage_order", name, problem.to_owned());
+        return;
+    };
     // Earliest end of each stage if nothing waits.
-    let mut ends: Vec<Duration> = Vec::new();
-    for (index, stage) in route.stages.iter().enumerate() {
-        let before = stage.depends_on.iter().map(|before| ends.get(*before));
-        let Some(before) = before.collect::<Option<Vec<_>>>() else {
-            let problem = format!("stage {index} depends on a stage that does not come before it");
-            findings.error("tc::routing::stage_order", name, problem);
-            return;
-        };
-        let start = before.into_iter().max().copied().unwrap_or_default();
+    let mut ends = vec![Duration::ZERO; route.stages.len()];
+    for index in order {
+        let stage = &route.stages[index];
+        let before = stage.depends_on.iter().map(|before| ends[*before]);
+        let start = before.max().unwrap_or_default();
         let Some(batch) = batch_of(config, &stage.service) else {
             let problem = format!(
                 "stage {index} names {}, which is no batch service",
@@ -167,7 +169,7 @@
             );
             findings.error("tc::routing::result_without_room", name, problem);
         }
-        ends.push(start + batch.call_overhead + batch.piece_time);
+        ends[index] = start + batch.call_overhead + batch.piece_time;
     }
     let Some(shortest) = ends.into_iter().max() else {
         return;
--- a/crates/tc-config/tests/routing_check.rs
+++ b/crates/tc-config/tests/routing_check.rs
@@ -78,6 +78,29 @@
     assert_eq!(check_routing(&sound), []);
 }
 
+/// Guards against a finding on stages that are listed in another order than they run, and against times that leave them out.
+#[test]
+fn stages_may_be_listed_in_any_order() {
+    let stage = |depends_on| RouteStage {
+        service: "pieces".into(),
+        depends_on,
+        result_bytes: 8_000,
+    };
+    let with_target = |latency_target| {
+        config(vec![
+            Route {
+                stages: vec![stage(vec![1]), stage(vec![])],
+                latency_target: Duration::from_millis(latency_target),
+                ..route("a", "web")
+            },
+            route("b", "web"),
+        ])
+    };
+    assert_eq!(check_routing(&with_target(430)), []);
+    let beyond = (Severity::Error, "tc::routing::stages_beyond_target");
+    assert_eq!(codes(&with_target(410)), [beyond]);
+}
+
 /// Guards against problems of one route that the check does not see.
 #[test]
 fn each_problem_of_a_route_is_found() {
--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -7,7 +7,7 @@
     Fingerprint, InstanceId, ServiceName,
     routing::{
         EngineChoice, EngineLoad, EngineRequest, PieceInput, Prompt, PromptPart, ResultHandle,
-        RouteStage, RunProgress, RunReport, StageChain, StageRefusal, StageRequest,
+        RouteStage, RunProgress, RunReport, StageChain, StageRefusal, StageRequest, stage_order,
     },
 };
 use thiserror::Error;
@@ -145,22 +145,19 @@
     }
 }
 
-/// Returns `None` if a stage depends on itself or a later one: traversing such a chain would not terminate.
+/// Returns `None` if stages depend on each other in a circle: traversing such a chain would not terminate.
 fn chain_from_wire(chain: &wire::Chain, workspace: &str) -> Option<StageChain> {
-    let stage = |(index, stage): (usize, &wire::ChainStage)| {
-        let depends_on: Vec<usize> = stage.after.iter().map(|before| *before as usize).collect();
-        let is_valid = depends_on.iter().all(|before| *before < index);
-        is_valid.then(|| RouteStage {
-            service: stage.service.as_str().into(),
-            depends_on,
-            result_bytes: stage.result_bytes,
-        })
+    let stage = |stage: &wire::ChainStage| RouteStage {
+        service: stage.service.as_str().into(),
+        depends_on: stage.after.iter().map(|before| *before as usize).collect(),
+        result_bytes: stage.result_bytes,
     };
-    let stages: Option<Vec<RouteStage>> = chain.stages.iter().enumerate().map(stage).collect();
+    let stages: Vec<RouteStage> = chain.stages.iter().map(stage).collect();
+    stage_order(&stages)?;
     Some(StageChain {
         fingerprint: Fingerprint(chain.fingerprint),
         workspace: workspace.into(),
-        stages: stages?,
+        stages,
         pieces: chain.stages.iter().map(|stage| stage.pieces).collect(),
         until_latency_target: convert::from_millis(chain.until_aim_ms),
         remaining: convert::from_millis(chain.until_left_ms),
--- a/crates/tc-gateway/src/routing.rs
+++ b/crates/tc-gateway/src/routing.rs
@@ -4,7 +4,7 @@
 
 use tc_protocol::{
     ServiceName,
-    routing::{Route, RoutingConfig},
+    routing::{Route, RoutingConfig, stage_order},
 };
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,9 +27,11 @@
     /// A route or one of its stages names a service that does not exist.
     #[error("route {0} names unknown service {1}")]
     UnknownService(Arc<str>, ServiceName),
-    /// A stage depends on a stage that does not come before it.
-    #[error("stage {1} of route {0} depends on a stage that does not come before it")]
-    StageOrder(Arc<str>, usize),
+    /// Stages depend on each other in a circle, or on a stage that does not exist.
+    #[error(
+        "the stages of route {0} depend on each other in a circle, or on a stage that does not exist"
+    )]
+    StageOrder(Arc<str>),
     /// The service of a stage is not a batch service.
     #[error("stage {1} of route {0} names service {2}, which is not a batch service")]
     NotBatchService(Arc<str>, usize, ServiceName),
@@ -109,9 +111,9 @@
                 stage.service.clone(),
             ));
         }
-        if stage.depends_on.iter().any(|before| *before >= index) {
-            return Err(RouteTableError::StageOrder(name(), index));
-        }
+    }
+    if stage_order(&route.stages).is_none() {
+        return Err(RouteTableError::StageOrder(name()));
     }
     Ok(())
 }
--- a/crates/tc-policy/src/batch/outlooks.rs
+++ b/crates/tc-policy/src/batch/outlooks.rs
@@ -96,8 +96,7 @@
         let base_latencies: Vec<Duration> = (0..stages)
             .map(|stage| self.base_latency(now, request, stage))
             .collect();
-        // A stage depends only on stages with a lower index.
-        for stage in 0..stages {
+        for &stage in request.graph.order() {
             if request.graph.is_complete(stage) {
                 continue;
             }
--- a/crates/tc-policy/src/batch/return_times.rs
+++ b/crates/tc-policy/src/batch/return_times.rs
@@ -149,8 +149,8 @@
         place: Option<PromisedReturn>,
     ) -> Option<Vec<Duration>> {
         let mut times = vec![Duration::ZERO; graph.stages().len()];
-        // A stage depends only on stages with a lower index.
-        for (stage, spec) in graph.stages().iter().enumerate() {
+        for &stage in graph.order() {
+            let spec = &graph.stages()[stage];
             if graph.is_complete(stage) {
                 continue;
             }
--- a/crates/tc-policy/src/stage_graph.rs
+++ b/crates/tc-policy/src/stage_graph.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use tc_protocol::{ServiceName, routing::RouteStage};
+use tc_protocol::{
+    ServiceName,
+    routing::{RouteStage, stage_order},
+};
 
 use crate::ExpectedStageTimes;
 
@@ -22,6 +25,8 @@
 #[derive(Clone, Debug)]
 pub struct StageGraph<'a> {
     stages: &'a [RouteStage],
+    /// Indices of the stages, each after those whose results it reads.
+    order: Vec<usize>,
     pieces: Vec<u32>,
     states: Vec<StageState>,
     /// For each stage, how often it was put back after its results or its inputs were lost.
@@ -32,8 +37,8 @@
 
 impl<'a> StageGraph<'a> {
     /// Creates a graph with no stage done. `pieces` holds the number of pieces per stage; missing entries count as
-    /// zero, and stages without pieces are omitted. A stage may depend only on earlier ones, which validation of the
-    /// configuration ensures.
+    /// zero, and stages without pieces are omitted. Stages must not depend on each other in a circle, which validation of
+    /// the configuration ensures.
     ///
     /// ```
     /// use tc_policy::StageGraph;
@@ -58,6 +63,7 @@
         };
         Self {
             stages,
+            order: stage_order(stages).unwrap_or_default(),
             states: pieces.iter().map(initial_state).collect(),
             losses: vec![0; stages.len()],
             input_losses: vec![0; stages.len()],
@@ -71,6 +77,12 @@
         self.stages
     }
 
+    /// Returns the indices of the stages in an order in which each comes after those whose results it reads.
+    #[must_use]
+    pub fn order(&self) -> &[usize] {
+        &self.order
+    }
+
     /// Returns the number of pieces of a stage.
     #[must_use]
     pub fn pieces(&self, stage: usize) -> u32 {
@@ -155,12 +167,11 @@
 
     /// Returns the stages to make again when the inputs of a stage are gone.
     fn lost_with(&self, stage: usize, is_held: impl Fn(usize) -> bool) -> Vec<usize> {
-        let mut lost = vec![false; stage];
+        let mut lost = vec![false; self.stages.len()];
         for &input in &self.stages[stage].depends_on {
             lost[input] = self.states[input] == StageState::Done;
         }
-        // A stage depends only on stages with a lower index.
-        for index in (0..stage).rev() {
+        for &index in self.order.iter().rev() {
             if !lost[index] {
                 continue;
             }
@@ -168,7 +179,7 @@
                 lost[input] |= self.states[input] == StageState::Done && !is_held(input);
             }
         }
-        (0..stage).filter(|index| lost[*index]).collect()
+        (0..lost.len()).filter(|index| lost[*index]).collect()
     }
 
     fn losses_of_inputs(&self, stage: usize) -> u32 {
@@ -232,9 +243,8 @@
 
     /// Returns the stages that must be done before a stage can start, directly or not, the latest first.
     pub(crate) fn predecessors(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
-        (0..stage)
-            .rev()
-            .filter(move |before| self.follows(stage, *before))
+        let latest_first = self.order.iter().rev().copied();
+        latest_first.filter(move |before| self.follows(stage, *before))
     }
 
     /// Returns true if `stage` can start only after `before`.
--- a/crates/tc-protocol/src/routing/config.rs
+++ b/crates/tc-protocol/src/routing/config.rs
@@ -107,7 +107,8 @@
     pub targets: Vec<(ServiceName, u32)>,
     /// Maximum number of upstreams a request is sent to.
     pub max_attempts: u32,
-    /// Stages to run before the request itself; [`RouteStage::depends_on`] refers to them by index.
+    /// Stages to run before the request itself; [`RouteStage::depends_on`] refers to them by index. They may be listed in
+    /// another order than they run.
     pub stages: Vec<RouteStage>,
     /// Whether requests require no API key.
     pub public: bool,
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -6,6 +6,7 @@
 mod piece;
 mod prompt;
 mod rate_limit;
+mod stage_order;
 mod stream_origin;
 mod upstream;
 
@@ -21,5 +22,6 @@
     EngineChoice, EngineLoad, EngineRequest, Prompt, PromptPart, RunProgress, RunReport,
 };
 pub use rate_limit::{AnnouncedLimit, RateLimit, RateLimitUpdate};
+pub use stage_order::stage_order;
 pub use stream_origin::{OriginAnswer, OriginCoverage, OriginRecord, StreamKey, StreamOrigin};
 pub use upstream::{RegisteredUpstream, meets_version};
--- a/crates/tc-stand-ins/src/pieces.rs
+++ b/crates/tc-stand-ins/src/pieces.rs
@@ -102,9 +102,20 @@
 pub struct ResultShelf {
     kept: Mutex<HashMap<String, Kept>>,
     wrong: Mutex<Vec<String>>,
+    /// For each stage, the stages whose results it reads. Without it, a stage may read those of all earlier ones.
+    inputs: Option<Vec<Vec<u64>>>,
 }
 
 impl ResultShelf {
+    /// Creates a shelf for a route whose stages read the results of the given stages and of no others.
+    #[must_use]
+    pub fn with_inputs(inputs: Vec<Vec<u64>>) -> Self {
+        Self {
+            inputs: Some(inputs),
+            ..Self::default()
+        }
+    }
+
     /// Violations by callers that mix up requests; empty if there are none.
     #[must_use]
     pub fn wrong(&self) -> Vec<String> {
@@ -189,14 +200,14 @@
         }
     }
 
-    /// Earlier stages' results must be of earlier stages, and each be there once.
+    /// Results must be of stages that the stage reads, and each be there once.
     fn check_inputs(&self, asked: &AskedPiece) {
         let kept = lock(&self.kept);
         for (i, input) in asked.inputs.iter().enumerate() {
-            let is_later = kept
+            let is_foreign = kept
                 .get(input)
-                .is_some_and(|kept| kept.stage >= asked.stage);
-            if is_later || asked.inputs[..i].contains(input) {
+                .is_some_and(|kept| !self.may_read(asked.stage, kept.stage));
+            if is_foreign || asked.inputs[..i].contains(input) {
                 self.note(format!("{} was wrongly given {input}", asked.request));
             }
         }
@@ -204,6 +215,15 @@
             self.note(format!("{} has both inputs or neither", asked.request));
         }
     }
+
+    fn may_read(&self, reader: u64, stage: u64) -> bool {
+        match &self.inputs {
+            None => stage < reader,
+            Some(inputs) => inputs
+                .get(reader as usize)
+                .is_some_and(|inputs| inputs.contains(&stage)),
+        }
+    }
 }
 
 /// One maker: a call at a time, others are refused as not run.
