Configuration: an entry that cannot be used leaves the rest of its version in force

What callers saw: any entry of a version that an instance could not use rejected the version as a whole. Its moved routes, removed keys and new limits never took effect, and neither did those of later versions with the same entry.

Cause: the configuration was decoded in one piece, and RouteTable::new returned the first problem of any route as an error of the whole.

The change: routes, services, workspaces and limits are decoded one by one. What cannot be used is listed (ConfigFault), logged, counted (tc_config_faults) and reported by the operators' check. A route that cannot be used is refused with 503, and no route with a shorter prefix takes its requests; unknown keys are refused with 503 in place of 401 while a workspace cannot be read. A configuration without a version, or whose lists are none, still changes nothing.

The test invalid_configuration_changes_nothing asserted the fault: its cases with one bad route expected the version before to stay. It is replaced by undecodable_configuration_changes_nothing for what cannot be read at all, and by faulty_entry_does_not_hold_back_the_rest_of_its_version, in which each of eleven faults must leave the rest in force and its own route refused. invalid_routes_are_rejected is replaced in the same way, with the same faults.

--- a/crates/tc-config/src/routing/check.rs
+++ b/crates/tc-config/src/routing/check.rs
@@ -15,7 +15,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Severity {
-    /// Instances reject the configuration, or requests that it allows cannot be served.
+    /// Requests that the configuration allows cannot be served, or a default replaces an entry.
     Error,
     /// An entry has no effect, or not the one that it seems to have.
     Warning,
@@ -70,6 +70,10 @@
         let problem = "every request is answered 404".to_owned();
         findings.warning("tc::routing::no_routes", "configuration", problem);
     }
+    for fault in &config.faults {
+        let problem = fault.problem.clone();
+        findings.error("tc::routing::unusable_entry", &fault.subject, problem);
+    }
     check_prefixes(config, &mut findings);
     for route in &config.routes {
         check_route(config, route, &mut findings);
--- a/crates/tc-gateway/src/codec.rs
+++ b/crates/tc-gateway/src/codec.rs
@@ -60,7 +60,7 @@
     pub read_batch: fn(&[u8]) -> Option<Vec<PieceResult>>,
     /// Builds a call that frees results on an upstream.
     pub free_call: fn(&[ResultHandle], &UpstreamId) -> Request<Full<Bytes>>,
-    /// Decodes and validates a configuration; the error says what is wrong and where.
+    /// Decodes a configuration. Entries that cannot be used are listed as faults; the error says why nothing can be used.
     pub read_config: fn(&Value) -> Result<RoutingConfig, String>,
     /// Decodes a registered upstream from its name in the store, its value and the time it was received.
     pub read_upstream: fn(&str, &Value, MonoTime) -> Result<RegisteredUpstream, String>,
--- a/crates/tc-gateway/src/lib.rs
+++ b/crates/tc-gateway/src/lib.rs
@@ -43,7 +43,7 @@
 pub use codec::{DirectoryQuery, PlatformCodec, StoreKinds};
 pub use events::{Event, EventSplitter};
 pub use freeze::{SuspendedTime, suspended_time};
-pub use routing::{RouteTable, RouteTableError};
+pub use routing::{NoRoute, RouteTable};
 pub use serve::MetricsRenderer;
 pub use settings::{ColdAllowance, GatewaySettings, RetryBudgetSettings};
 pub use start::{Gateway, GatewayError, run};
--- a/crates/tc-gateway/src/routing.rs
+++ b/crates/tc-gateway/src/routing.rs
@@ -1,10 +1,10 @@
 //! Finds the route of a request.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{cmp::Reverse, collections::HashMap, sync::Arc};
 
 use tc_protocol::{
     ServiceName,
-    routing::{Route, RoutingConfig, stage_order},
+    routing::{ConfigFault, FaultEffect, Route, RoutingConfig, stage_order},
 };
 use thiserror::Error;
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,71 +12,133 @@
 /// Routes by host, longest path prefix first.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
-    by_host: HashMap<String, Vec<Arc<Route>>>,
+    by_host: HashMap<String, Vec<Entry>>,
+    faults: Vec<ConfigFault>,
 }
 
-/// Reason why the routes of a configuration are invalid.
+/// A path prefix of a host, and the route that serves its requests.
+#[derive(Clone, Debug)]
+struct Entry {
+    path_prefix: Arc<str>,
+    /// `None` if the route cannot be used.
+    route: Option<Arc<Route>>,
+}
+
+/// Reason why no route serves a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum NoRoute {
+    /// No route has this host and a prefix of this path.
+    #[error("no route takes this host and path")]
+    Unknown,
+    /// The route cannot be used as it is configured.
+    #[error("the route cannot be used as it is configured")]
+    Unusable,
+}
+
+/// Reason why a route cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum RouteTableError {
-    /// Two routes have the same host and path prefix.
-    #[error("routes {0} and {1} have the same host and prefix")]
-    DuplicatePrefix(Arc<str>, Arc<str>),
-    /// A route has no service with a weight above zero.
-    #[error("route {0} names no service")]
-    NoTarget(Arc<str>),
-    /// A route or one of its stages names a service that does not exist.
-    #[error("route {0} names unknown service {1}")]
-    UnknownService(Arc<str>, ServiceName),
+enum RouteProblem {
+    /// No service has a weight above zero.
+    #[error("it names no service")]
+    NoTarget,
+    /// The route or one of its stages names a service that does not exist or cannot be used.
+    #[error("it names unknown service {0}")]
+    UnknownService(ServiceName),
     /// Stages depend on each other in a circle, or on a stage that does not exist.
-    #[error(
-        "the stages of route {0} depend on each other in a circle, or on a stage that does not exist"
-    )]
-    StageOrder(Arc<str>),
+    #[error("its stages depend on each other in a circle, or on a stage that does not exist")]
+    StageOrder,
     /// The service of a stage is not a batch service.
-    #[error("stage {1} of route {0} names service {2}, which is not a batch service")]
-    NotBatchService(Arc<str>, usize, ServiceName),
+    #[error("stage {0} names service {1}, which is not a batch service")]
+    NotBatchService(usize, ServiceName),
 }
 
 impl RouteTable {
-    /// Builds the table of the routes of a configuration.
+    /// Builds the table of the routes of a configuration. The requests of a route that cannot be used are not served, by
+    /// another route with a shorter prefix neither. Of several routes with the same prefix the first one is used.
     ///
     /// ```
-    /// use tc_gateway::RouteTable;
+    /// use tc_gateway::{NoRoute, RouteTable};
     /// use tc_protocol::routing::RoutingConfig;
-    /// let table = RouteTable::new(&RoutingConfig::default()).unwrap();
-    /// assert!(table.find("example.org", "/").is_none());
+    /// let table = RouteTable::new(&RoutingConfig::default());
+    /// assert_eq!(table.find("example.org", "/").err(), Some(NoRoute::Unknown));
     /// ```
-    pub fn new(config: &RoutingConfig) -> Result<Self, RouteTableError> {
-        let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+    #[must_use]
+    pub fn new(config: &RoutingConfig) -> Self {
+        let mut table = Self::default();
         for route in &config.routes {
-            check(route, config)?;
-            by_host
-                .entry(route.host.to_ascii_lowercase())
-                .or_default()
-                .push(Arc::clone(route));
-        }
-        for routes in by_host.values_mut() {
-            routes.sort_by(|a, b| {
-                let longest_first = b.path_prefix.len().cmp(&a.path_prefix.len());
-                longest_first.then_with(|| a.path_prefix.cmp(&b.path_prefix))
-            });
-            for pair in routes.windows(2) {
-                if pair[0].path_prefix == pair[1].path_prefix {
-                    let (a, b) = (pair[0].name.clone(), pair[1].name.clone());
-                    return Err(RouteTableError::DuplicatePrefix(a, b));
+            match check(route, config) {
+                Ok(()) => table.add_route(route),
+                Err(problem) => {
+                    let effect = FaultEffect::Unserved {
+                        host: Arc::clone(&route.host),
+                        path_prefix: Arc::clone(&route.path_prefix),
+                    };
+                    table.add_fault(route, problem.to_string(), effect);
                 }
             }
         }
-        Ok(Self { by_host })
+        let faults = config.faults.iter().chain(&table.faults);
+        let effects: Vec<FaultEffect> = faults.map(|fault| fault.effect.clone()).collect();
+        for effect in effects {
+            if let FaultEffect::Unserved { host, path_prefix } = effect {
+                table.add_unserved(&host, path_prefix);
+            }
+        }
+        for entries in table.by_host.values_mut() {
+            entries.sort_by_key(|entry| Reverse(entry.path_prefix.len()));
+        }
+        table
     }
 
     /// Returns the route of a host (its port is ignored) with the longest prefix of the path.
+    pub fn find(&self, host: &str, path: &str) -> Result<&Arc<Route>, NoRoute> {
+        let entries = self.by_host.get(&host_name(host).to_ascii_lowercase());
+        let mut entries = entries.ok_or(NoRoute::Unknown)?.iter();
+        let entry = entries.find(|entry| path.starts_with(&*entry.path_prefix));
+        let entry = entry.ok_or(NoRoute::Unknown)?;
+        entry.route.as_ref().ok_or(NoRoute::Unusable)
+    }
+
+    /// Returns the routes that cannot be used, beside those that could not be decoded.
     #[must_use]
-    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.by_host.get(&host_name(host).to_ascii_lowercase())?;
-        routes
-            .iter()
-            .find(|route| path.starts_with(&*route.path_prefix))
+    pub fn faults(&self) -> &[ConfigFault] {
+        &self.faults
+    }
+
+    fn add_route(&mut self, route: &Arc<Route>) {
+        let entries = self.entries(&route.host);
+        let is_same = |entry: &Entry| entry.path_prefix == route.path_prefix;
+        if entries.iter().any(is_same) {
+            let problem = "another route has the same host and prefix".to_owned();
+            self.add_fault(route, problem, FaultEffect::Ignored);
+            return;
+        }
+        entries.push(Entry {
+            path_prefix: Arc::clone(&route.path_prefix),
+            route: Some(Arc::clone(route)),
+        });
+    }
+
+    fn add_unserved(&mut self, host: &str, path_prefix: Arc<str>) {
+        let entries = self.entries(host);
+        if !entries.iter().any(|entry| entry.path_prefix == path_prefix) {
+            entries.push(Entry {
+                path_prefix,
+                route: None,
+            });
+        }
+    }
+
+    fn entries(&mut self, host: &str) -> &mut Vec<Entry> {
+        self.by_host.entry(host.to_ascii_lowercase()).or_default()
+    }
+
+    fn add_fault(&mut self, route: &Route, problem: String, effect: FaultEffect) {
+        self.faults.push(ConfigFault {
+            subject: format!("route {}", route.name),
+            problem,
+            effect,
+        });
     }
 }
 
@@ -87,33 +149,25 @@
     }
 }
 
-fn check(route: &Route, config: &RoutingConfig) -> Result<(), RouteTableError> {
-    let name = || route.name.clone();
+fn check(route: &Route, config: &RoutingConfig) -> Result<(), RouteProblem> {
     if route.targets.iter().all(|(_, weight)| *weight == 0) {
-        return Err(RouteTableError::NoTarget(name()));
+        return Err(RouteProblem::NoTarget);
     }
     for (service, _) in &route.targets {
         if !config.services.contains_key(service) {
-            return Err(RouteTableError::UnknownService(name(), service.clone()));
+            return Err(RouteProblem::UnknownService(service.clone()));
         }
     }
     for (index, stage) in route.stages.iter().enumerate() {
-        let Some(service) = config.services.get(&stage.service) else {
-            return Err(RouteTableError::UnknownService(
-                name(),
-                stage.service.clone(),
-            ));
-        };
+        let name = &stage.service;
+        let service = config.services.get(name);
+        let service = service.ok_or_else(|| RouteProblem::UnknownService(name.clone()))?;
         if service.batch.is_none() {
-            return Err(RouteTableError::NotBatchService(
-                name(),
-                index,
-                stage.service.clone(),
-            ));
+            return Err(RouteProblem::NotBatchService(index, name.clone()));
         }
     }
     if stage_order(&route.stages).is_none() {
-        return Err(RouteTableError::StageOrder(name()));
+        return Err(RouteProblem::StageOrder);
     }
     Ok(())
 }
--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -10,22 +10,18 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tc_protocol::{
-    MonoTime,
-    routing::{Route, RoutedWorkspace},
-};
-use tokio::time::{Instant, timeout_at};
+use tc_protocol::{MonoTime, routing::Route};
+use tokio::time::Instant;
 
-use super::Connections;
+use super::{Connections, destination::Destination, request_body::read_body};
 use crate::{
     call::RequestHead,
     freeze::TimeAllowed,
-    held_bytes::HeldGuard,
     peer_requests::{is_for_peer, serve_by_peer},
     routing::target_service,
     run::{
@@ -299,117 +295,3 @@
         stopping()
     }
 }
-
-/// Where a request goes, according to a configuration.
-struct Destination {
-    config: Arc<ActiveConfig>,
-    route: Arc<Route>,
-    workspace: Option<Arc<RoutedWorkspace>>,
-}
-
-impl Destination {
-    fn find(config: Arc<ActiveConfig>, parts: &Parts, head: &RequestHead) -> Result<Self, Refusal> {
-        let route = find_route(&config, parts)?;
-        let workspace = find_workspace(&config, &route, head)?;
-        Ok(Self {
-            config,
-            route,
-            workspace,
-        })
-    }
-}
-
-fn find_route(config: &ActiveConfig, parts: &Parts) -> Result<Arc<Route>, Refusal> {
-    let host = parts
-        .headers
-        .get(header::HOST)
-        .and_then(|h| h.to_str().ok());
-    let host = host.or(parts.uri.host()).unwrap_or_default();
-    let route = config.routes.find(host, parts.uri.path());
-    route.cloned().ok_or_else(|| {
-        Refusal::without_retry(StatusCode::NOT_FOUND, "no route takes this host and path")
-    })
-}
-
-fn find_workspace(
-    config: &ActiveConfig,
-    route: &Route,
-    head: &RequestHead,
-) -> Result<Option<Arc<RoutedWorkspace>>, Refusal> {
-    let known = head
-        .key
-        .as_ref()
-        .and_then(|key| config.routing.keys.get(key));
-    if known.is_none() && config.routing.keys_required && !route.public {
-        let reason = "no workspace has this key";
-        return Err(Refusal::without_retry(StatusCode::UNAUTHORIZED, reason));
-    }
-    Ok(known.cloned())
-}
-
-/// Reason why the body of a request cannot be used.
-enum BodyError {
-    TooLarge,
-    /// This process holds too many bytes already.
-    NoRoom,
-    /// The body broke off or is malformed.
-    Broken,
-}
-
-impl From<BodyError> for Refusal {
-    fn from(error: BodyError) -> Self {
-        match error {
-            BodyError::TooLarge => Self::without_retry(
-                StatusCode::PAYLOAD_TOO_LARGE,
-                "the body is larger than the configuration allows",
-            ),
-            BodyError::NoRoom => {
-                Self::not_run_transient("this instance holds too many bytes of other requests")
-            }
-            BodyError::Broken => Self::without_retry(
-                StatusCode::BAD_REQUEST,
-                "the body broke off or is malformed",
-            ),
-        }
-    }
-}
-
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    deadline: Instant,
-    held: &mut HeldGuard,
-) -> Result<Bytes, Refusal> {
-    let collected = timeout_at(deadline, collect_body(body, max_bytes, held)).await;
-    let late = |_| {
-        let reason = "the body did not come in time";
-        Refusal::without_retry(StatusCode::REQUEST_TIMEOUT, reason)
-    };
-    collected.map_err(late)?.map_err(Refusal::from)
-}
-
-async fn collect_body(
-    body: Incoming,
-    max_bytes: usize,
-    held: &mut HeldGuard,
-) -> Result<Bytes, BodyError> {
-    let mut body = Limited::new(body, max_bytes);
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            if error.is::<LengthLimitError>() {
-                BodyError::TooLarge
-            } else {
-                BodyError::Broken
-            }
-        })?;
-        let Ok(chunk) = frame.into_data() else {
-            continue;
-        };
-        if !held.try_add(chunk.len()) {
-            return Err(BodyError::NoRoom);
-        }
-        collected.extend_from_slice(&chunk);
-    }
-    Ok(collected.freeze())
-}
--- a/crates/tc-gateway/src/serve/mod.rs
+++ b/crates/tc-gateway/src/serve/mod.rs
@@ -2,7 +2,9 @@
 
 mod accept;
 mod callers;
+mod destination;
 mod info;
+mod request_body;
 
 pub(crate) use accept::{ConnectionLimits, Connections, accept};
 pub(crate) use callers::CallerService;
--- a/crates/tc-gateway/src/world/mod.rs
+++ b/crates/tc-gateway/src/world/mod.rs
@@ -290,7 +290,7 @@
         }
     }
 
-    /// Activates a configuration if it is valid and newer than the active one.
+    /// Activates a configuration if it is newer than the active one. Entries that cannot be used are left out.
     ///
     /// The version never decreases within the life of a process, because a read may be stale and a
     /// peer may lag behind.
@@ -310,6 +310,7 @@
         if config.routing.version <= before {
             return;
         }
+        config.report_faults();
         let max_delay = self.confirmation_age(WorldPart::Config);
         let max_delay_ms = max_delay.map(|delay| delay.as_millis() as u64);
         log::info!(version = config.routing.version, before = before, revision = revision.to_string().as_str(), routes = config.routing.routes.len(), max_delay_ms = max_delay_ms; "configuration in force");
--- a/crates/tc-protocol/src/routing/config.rs
+++ b/crates/tc-protocol/src/routing/config.rs
@@ -23,6 +23,35 @@
     pub keys: HashMap<Arc<str>, Arc<RoutedWorkspace>>,
     /// Whether requests to non-public routes require an API key.
     pub keys_required: bool,
+    /// Entries that cannot be used and are left out above.
+    pub faults: Vec<ConfigFault>,
+}
+
+/// An entry of a configuration that cannot be used. The rest of the configuration is in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigFault {
+    /// Entry that has the problem, such as `route summary`.
+    pub subject: String,
+    /// Description of the problem.
+    pub problem: String,
+    /// What it means for requests.
+    pub effect: FaultEffect,
+}
+
+/// What an entry that cannot be used means for requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FaultEffect {
+    /// Requests to the host and path prefix cannot be served.
+    Unserved {
+        /// Host of the route.
+        host: Arc<str>,
+        /// Path prefix of the route; starts and ends with a slash.
+        path_prefix: Arc<str>,
+    },
+    /// API keys are missing, so that an unknown key may be valid.
+    KeysMissing,
+    /// The entry has no effect. Routes that need it have a fault of their own.
+    Ignored,
 }
 
 /// A workspace that sends routed requests.
--- a/crates/tc-protocol/src/routing/mod.rs
+++ b/crates/tc-protocol/src/routing/mod.rs
@@ -11,8 +11,8 @@
 mod upstream;
 
 pub use config::{
-    BatchSpec, CallerLimits, ColdStartSpec, EngineSpec, Route, RouteKind, RouteStage,
-    RoutedService, RoutedWorkspace, RoutingConfig,
+    BatchSpec, CallerLimits, ColdStartSpec, ConfigFault, EngineSpec, FaultEffect, Route, RouteKind,
+    RouteStage, RoutedService, RoutedWorkspace, RoutingConfig,
 };
 pub use piece::{
     PieceFailure, PieceInput, PieceRequest, PieceResult, ResultHandle, StageChain, StageRefusal,
--- a/crates/tc-telemetry/src/metric_table.rs
+++ b/crates/tc-telemetry/src/metric_table.rs
@@ -124,6 +124,7 @@
     count("tc_claims_total", &[VERDICT], "Claims on idempotency keys in the platform's store."),
     millis("tc_config_delay_ms", &[], "Time since this instance was last known to have every configuration, when it applies a newer one: the most that has passed since the store accepted that one."),
     count("tc_config_fetches_total", &[], "Configurations fetched from an instance that gossiped them, as no source had sent them."),
+    gauge("tc_config_faults", &[], "Entries of the configuration in force that cannot be used; requests that need them are refused."),
     count("tc_config_rejected_total", &[], "Configurations that were read and refused as invalid."),
     gauge("tc_config_revision", &[], "Revision of the configuration in force."),
     count("tc_engine_load_reports_total", &[SERVICE], "Answers of engines whose announced load reached the home of their service."),
