Memory: answers without end stay within the limit and leave room for others

It can happen here with bodies: a process with a limit of 160 MB reached 180 MB with 150 such answers at a time.

Cause: the limit of held bytes (a quarter of the memory) counted bytes received, while buffers double as they grow; read buffers of connections grew to 400 KB each and were not counted; answers to calls for pieces were read up to 16 MB each without being counted. Answers without end also took all of the limit together, so that small answers of other callers were dropped.

The change: an answer counts with its allocation; a connection to an upstream reads ahead 32 KB; answers to calls for pieces are limited to 1 MB and those to calls that free results to 16 KB; an answer may hold at most eight times what is left for all others, so that the largest finds no room first.

Heads without end were ruled out: 34 MB.

--- a/crates/tc-gateway/src/events.rs
+++ b/crates/tc-gateway/src/events.rs
@@ -42,9 +42,9 @@
         self.buffer.len() <= MAX_EVENT_BYTES
     }
 
-    /// Returns the number of bytes that were received and not yet returned in an event.
+    /// Returns the number of bytes allocated for what was received and not yet returned in an event.
     pub(crate) fn buffered_bytes(&self) -> usize {
-        self.buffer.len()
+        self.buffer.capacity()
     }
 
     /// Removes and returns the next complete event.
--- a/crates/tc-gateway/src/held_bytes.rs
+++ b/crates/tc-gateway/src/held_bytes.rs
@@ -22,6 +22,10 @@
 /// stays counted until the caller has read what came before it.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Factor by which an answer may hold more than what is left for all others. The largest answers then
+/// find no room while small ones still do.
+const MAX_MULTIPLE_OF_FREE: usize = 8;
+
 /// The bytes held by this process, and their limit.
 #[derive(Debug)]
 pub(crate) struct HeldBytes {
@@ -45,8 +49,10 @@
         }
     }
 
-    fn try_add(&self, bytes: usize) -> bool {
-        let added = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= self.limit);
+    /// Holds more bytes if at least `min_free` are left then.
+    fn try_add(&self, bytes: usize, min_free: usize) -> bool {
+        let max = self.limit.saturating_sub(min_free);
+        let added = |held: usize| held.checked_add(bytes).filter(|sum| *sum <= max);
         let updated = self
             .held
             .fetch_update(Ordering::AcqRel, Ordering::Acquire, added);
@@ -64,15 +70,31 @@
 impl HeldGuard {
     /// Holds more bytes. Returns false, without holding them, if the process holds too many.
     pub(crate) fn try_add(&mut self, bytes: usize) -> bool {
-        let added = self.pool.try_add(bytes);
+        let added = self.hold(bytes, 0);
+        if !added {
+            metrics::counter!("tc_held_bytes_refusals_total").increment(1);
+        }
+        added
+    }
+
+    fn hold(&mut self, bytes: usize, min_free: usize) -> bool {
+        let added = self.pool.try_add(bytes, min_free);
         if added {
             self.bytes += bytes;
-        } else {
-            metrics::counter!("tc_held_bytes_refusals_total").increment(1);
         }
         added
     }
 
+    /// Sets the number of bytes held for an answer of unknown size. Returns false, without a change, if
+    /// the process would hold too many, or this answer too many beside what is left for all others.
+    pub(crate) fn try_grow(&mut self, bytes: usize) -> bool {
+        if bytes <= self.bytes {
+            self.release(self.bytes - bytes);
+            return true;
+        }
+        self.hold(bytes - self.bytes, bytes / MAX_MULTIPLE_OF_FREE)
+    }
+
     /// Sets the number of held bytes. Returns false, without a change, if the process would hold
     /// too many.
     pub(crate) fn try_set(&mut self, bytes: usize) -> bool {
@@ -95,6 +117,44 @@
     }
 }
 
+/// An answer that is being received. Its whole allocation counts as held.
+pub(crate) struct HeldBuffer {
+    bytes: Vec<u8>,
+    held: HeldGuard,
+}
+
+impl HeldBuffer {
+    pub(crate) const fn new(held: HeldGuard) -> Self {
+        Self {
+            bytes: Vec::new(),
+            held,
+        }
+    }
+
+    /// Appends received bytes. Returns false, without a change, if there is no room for them.
+    pub(crate) fn push(&mut self, chunk: &[u8]) -> bool {
+        let needed = self.bytes.len() + chunk.len();
+        if needed > self.bytes.capacity() {
+            let doubled = needed.max(2 * self.bytes.capacity());
+            let sizes = [doubled, needed];
+            let Some(size) = sizes.into_iter().find(|size| self.held.try_grow(*size)) else {
+                metrics::counter!("tc_held_bytes_refusals_total").increment(1);
+                return false;
+            };
+            self.bytes.reserve_exact(size - self.bytes.len());
+        }
+        self.bytes.extend_from_slice(chunk);
+        true
+    }
+
+    /// Returns the complete answer.
+    pub(crate) fn into_body(mut self) -> HeldBody {
+        self.bytes.shrink_to_fit();
+        self.held.try_set(self.bytes.len());
+        HeldBody::new(self.bytes.into(), self.held)
+    }
+}
+
 /// A complete answer that counts as held until the caller has read it.
 pub(crate) struct HeldBody {
     rest: Bytes,
@@ -102,7 +162,7 @@
 }
 
 impl HeldBody {
-    pub(crate) const fn new(bytes: Bytes, held: HeldGuard) -> Self {
+    const fn new(bytes: Bytes, held: HeldGuard) -> Self {
         Self { rest: bytes, held }
     }
 }
@@ -137,47 +197,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use http_body_util::BodyExt;
-
-    use super::*;
-
-    fn held(pool: &HeldBytes) -> usize {
-        pool.held.load(Ordering::Acquire)
-    }
-
-    /// Guards against a limit that is exceeded by the sum of several holders, or that loses room
-    /// with each refused one.
-    #[test]
-    fn bytes_of_all_guards_together_stay_within_the_limit() {
-        let pool = HeldBytes::new(100);
-        let (mut first, mut second) = (pool.guard(), pool.guard());
-        assert!(first.try_add(60));
-        assert!(!second.try_add(41));
-        assert!(second.try_add(40));
-        assert!(!first.try_add(usize::MAX), "the sum must not overflow");
-        drop(first);
-        assert!(second.try_set(100));
-        assert!(second.try_set(30));
-        assert_eq!(held(&pool), 30);
-        drop(second);
-        assert_eq!(held(&pool), 0);
-    }
-
-    /// Guards against an answer that no longer counts while a slow caller has yet to read it.
-    #[tokio::test]
-    async fn answer_counts_until_the_caller_has_read_it() {
-        let pool = HeldBytes::new(1 << 20);
-        let bytes: Vec<u8> = (0..100_000_u32).map(|n| n as u8).collect();
-        let mut guard = pool.guard();
-        assert!(guard.try_add(bytes.len()));
-        let mut body = HeldBody::new(bytes.clone().into(), guard);
-        let mut read = Vec::new();
-        while let Some(frame) = body.frame().await {
-            let chunk = frame.expect("no error").into_data().expect("data");
-            read.extend_from_slice(&chunk);
-            assert_eq!(held(&pool), bytes.len() - read.len());
-        }
-        assert_eq!(read, bytes);
-    }
-}
+mod tests;
--- a/crates/tc-gateway/src/homes/calls.rs
+++ b/crates/tc-gateway/src/homes/calls.rs
@@ -26,6 +26,10 @@
 /// Number of times that results are freed if the call fails.
 const FREE_ATTEMPTS: u32 = 2;
 
+/// Maximum size of the answer to a batch call, which names a result or a failure for each piece.
+const MAX_BATCH_ANSWER_BYTES: usize = 1 << 20;
+/// Maximum size of the answer to a call that frees results.
+const MAX_FREE_ANSWER_BYTES: usize = 16 << 10;
 /// Maximum number of request identifiers in the log line of a batch call.
 const MAX_LOGGED_REQUESTS: usize = 32;
 
@@ -124,6 +128,7 @@
     if head.acceptance != Acceptance::Yes {
         return backoff.map_or(CallEnd::NotRun, CallEnd::RefusedWithBackoff);
     }
+    reply.body.limit(MAX_BATCH_ANSWER_BYTES);
     let body = reply.body.collect().await.ok();
     let results = body.and_then(|body| (cx.codec.read_batch)(&body));
     match results {
@@ -196,6 +201,7 @@
     match cx.client.exchange_raw(raw).await {
         Ok(mut reply) => {
             // The body is read so that the connection can be reused; its content does not matter.
+            reply.body.limit(MAX_FREE_ANSWER_BYTES);
             let _ = reply.body.collect().await;
             reply.head.status.is_success()
         }
--- a/crates/tc-gateway/src/run/buffered.rs
+++ b/crates/tc-gateway/src/run/buffered.rs
@@ -1,6 +1,5 @@
 //! Requests whose answer is read completely before it is forwarded.
 
-use bytes::{Bytes, BytesMut};
 use futures::FutureExt;
 use http::{Response, StatusCode, header, response::Parts};
 use http_body_util::BodyExt;
@@ -17,7 +16,7 @@
     stages::{self, StageResults},
 };
 use crate::{
-    held_bytes::{HeldBody, HeldGuard},
+    held_bytes::{HeldBody, HeldBuffer},
     upstream_stats::CallOutcome,
 };
 
@@ -85,8 +84,8 @@
     mut answered: Answered,
 ) -> Result<Response<AnswerBody>, FailedAttempt> {
     let first_byte = answered.sent_at.elapsed();
-    let mut held = cx.held_bytes.guard();
-    let body = collect_answer(&mut answered.reply.body, &mut held).await;
+    let buf = HeldBuffer::new(cx.held_bytes.guard());
+    let body = collect_answer(&mut answered.reply.body, buf).await;
     let upstream = &answered.upstream;
     match body {
         Ok(body) => {
@@ -97,7 +96,7 @@
             if proves_survival(parts) {
                 req.report_completed(cx, true);
             }
-            let answer = answer(cx, parts, HeldBody::new(body, held));
+            let answer = answer(cx, parts, body);
             if is_retryable(answer.status()) {
                 return Err(answered.into_error_answer(answer));
             }
@@ -133,16 +132,14 @@
     NoRoom,
 }
 
-async fn collect_answer(body: &mut RawBody, held: &mut HeldGuard) -> Result<Bytes, AnswerError> {
-    let mut collected = BytesMut::new();
+async fn collect_answer(body: &mut RawBody, mut buf: HeldBuffer) -> Result<HeldBody, AnswerError> {
     while let Some(chunk) = body.chunk().await {
         let chunk = chunk.map_err(AnswerError::Failed)?;
-        if !held.try_add(chunk.len()) {
+        if !buf.push(&chunk) {
             return Err(AnswerError::NoRoom);
         }
-        collected.extend_from_slice(&chunk);
     }
-    Ok(collected.freeze())
+    Ok(buf.into_body())
 }
 
 fn answer(cx: &RunContext, head: &Parts, body: HeldBody) -> Response<AnswerBody> {
--- a/crates/tc-gateway/src/run/open_stream.rs
+++ b/crates/tc-gateway/src/run/open_stream.rs
@@ -82,7 +82,7 @@
         if !self.events.push(bytes) {
             return Err(StreamFault::invalid("an event is too large"));
         }
-        if !self.held.try_set(self.events.buffered_bytes()) {
+        if !self.held.try_grow(self.events.buffered_bytes()) {
             return Err(StreamFault::invalid("this instance holds too many bytes"));
         }
         Ok(())
--- a/crates/tc-upstream/src/connection/http1.rs
+++ b/crates/tc-upstream/src/connection/http1.rs
@@ -66,6 +66,7 @@
     let io = TokioIo::new(Socket::new(stream, Arc::clone(&socket))?);
     let (sender, driver) = http1::Builder::new()
         .max_header_size(settings.max_header_bytes)
+        .max_buf_size(MAX_BUFFER_BYTES.max(settings.max_header_bytes))
         .handshake(io)
         .await
         .map_err(io::Error::other)?;
@@ -79,6 +80,8 @@
     })
 }
 
+/// Bytes that a connection reads ahead. Upstreams that send without end fill the buffers of all their connections.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 /// Idle time before the kernel sends the first keep-alive probe, and the interval between probes.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unacknowledged probes after which the kernel closes the connection.
@@ -209,6 +212,11 @@
         }
     }
 
+    /// Lowers the number of bytes beyond which reading fails.
+    pub(crate) fn limit(&mut self, max_bytes: usize) {
+        self.max_bytes = self.max_bytes.min(max_bytes);
+    }
+
     /// Makes the connection return to `idle` once the body has ended.
     pub(crate) fn reuse_in(
         &mut self,
--- a/crates/tc-upstream/src/raw.rs
+++ b/crates/tc-upstream/src/raw.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Lowers the number of bytes beyond which reading the body fails.
+    pub fn limit(&mut self, max_bytes: usize) {
+        self.body.limit(max_bytes);
+    }
+
     /// Reads the complete body.
     pub async fn collect(&mut self) -> Result<Bytes, CallError> {
         let deadline = self.context.deadline;
