--- a/crates/tc-protocol/src/routing/config.rs
+++ b/crates/tc-protocol/src/routing/config.rs
@@ -34,11 +34,11 @@
     pub subject: String,
     /// Description of the problem.
     pub problem: String,
-    /// What it means for requests.
+    /// Consequence for requests.
     pub effect: FaultEffect,
 }
 
-/// What an entry that cannot be used means for requests.
+/// Consequence of an entry that cannot be used for requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FaultEffect {
     /// Requests to the host and path prefix cannot be served.
