Order of stages: tests of both estimates that fail without the order

estimates_do_not_depend_on_the_order_of_the_list passed with the code that it guards taken out: its homes had no spare capacity and no on-time work, so every wait was zero. The estimate of return times had no test of the order at all.

Cause: the tests were written after the change and not tried without it.

--- a/crates/tc-policy/tests/stage_order.rs
+++ b/crates/tc-policy/tests/stage_order.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use tc_policy::{ChainQuery, HomeOutlook, StageGraph, StageOutlooks};
-use tc_protocol::{MonoTime, routing::RouteStage};
+use tc_policy::{ChainAdmission, ChainQuery, DueHistogram, HomeOutlook, StageGraph, StageOutlooks};
+use tc_protocol::{
+    Fingerprint, MonoTime,
+    routing::{RouteStage, StageChain},
+};
 
 fn stage(service: &str, after: &[usize], result_bytes: u64) -> RouteStage {
     RouteStage {
@@ -45,39 +48,79 @@
     assert_eq!(graph.critical_path(&times), ms(600));
 }
 
-/// Guards against estimates that leave out a stage because it is listed before its inputs.
-#[test]
-fn estimates_do_not_depend_on_the_order_of_the_list() {
-    let listed_in_order = [stage("read", &[], 8_000), stage("draw", &[0], 8_000)];
-    let listed_in_reverse = [stage("draw", &[1], 8_000), stage("read", &[], 8_000)];
-    let outlook = HomeOutlook {
+const IN_ORDER: [(&str, &[usize]); 2] = [("read", &[]), ("draw", &[0])];
+const REVERSED: [(&str, &[usize]); 2] = [("draw", &[1]), ("read", &[])];
+
+fn stages(listed: [(&str, &[usize]); 2]) -> Vec<RouteStage> {
+    let listed = listed.into_iter();
+    listed
+        .map(|(service, after)| stage(service, after, 8_000))
+        .collect()
+}
+
+/// Returns the outlook of a home at which on-time and late pieces wait.
+fn busy_outlook() -> HomeOutlook {
+    HomeOutlook {
         base_latency: ms(200),
+        in_time: DueHistogram::from_counts(&[30; 4]),
         pieces_per_s: 100.0,
-        waiting: 60,
+        spare_capacity: 0.5,
+        waiting: 180,
         ..HomeOutlook::default()
-    };
+    }
+}
+
+/// Guards against estimates that take a stage which is listed after its reader for one that takes no time.
+#[test]
+fn estimates_do_not_depend_on_the_order_of_the_list() {
     let now = MonoTime::default();
     let mut outlooks = StageOutlooks::default();
     for service in ["read", "draw"] {
-        outlooks.record(now, &service.into(), outlook.clone());
+        outlooks.record(now, &service.into(), busy_outlook());
     }
-    let estimate = |stages: &[RouteStage], pieces: [u32; 2]| {
-        let graph = StageGraph::new(stages, &pieces);
+    let estimate = |listed, pieces: [u32; 2]| {
+        let stages = stages(listed);
+        let graph = StageGraph::new(&stages, &pieces);
         let query = ChainQuery {
             graph: &graph,
             call_times: &[ms(200), ms(200)],
-            until_latency_target: ms(900),
+            until_latency_target: ms(9_000),
             priority: 0,
             workspace: &"one".into(),
         };
         outlooks.estimate(now, &query)
     };
-    let (mut expected, reversed) = (
-        estimate(&listed_in_order, [1, 2]),
-        estimate(&listed_in_reverse, [2, 1]),
+    let (mut expected, reversed) = (estimate(IN_ORDER, [1, 2]), estimate(REVERSED, [2, 1]));
+    assert!(
+        expected.late[1] < expected.late[0],
+        "the second home drains meanwhile"
     );
     expected.in_time.reverse();
     expected.late.reverse();
     assert_eq!(reversed.in_time, expected.in_time);
     assert_eq!(reversed.late, expected.late);
 }
+
+/// Guards against a return time that takes a stage which is listed after its reader for one that takes no time.
+#[test]
+fn return_times_do_not_depend_on_the_order_of_the_list() {
+    let refused = |listed, pieces: [u32; 2], first| {
+        let now = MonoTime::default();
+        let mut admission = ChainAdmission::default();
+        for service in ["read", "draw"] {
+            admission.record(now, &service.into(), busy_outlook());
+        }
+        let chain = StageChain {
+            fingerprint: Fingerprint(7),
+            workspace: "one".into(),
+            stages: stages(listed),
+            pieces: pieces.into(),
+            until_latency_target: ms(300),
+            remaining: ms(1_000),
+        };
+        admission.admit(now, &chain, 0, first, &[ms(200), ms(200)])
+    };
+    let expected = refused(IN_ORDER, [1, 2], 0);
+    assert!(expected.is_err(), "{expected:?}");
+    assert_eq!(refused(REVERSED, [2, 1], 1), expected);
+}
