--- a/crates/tc-fleet/tests/mesh_chains.rs
+++ b/crates/tc-fleet/tests/mesh/chains.rs
@@ -1,64 +1,37 @@
 //! Chains of stages as one instance sends them to another.
 
 use std::{
-    net::Ipv4Addr,
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use futures::FutureExt;
-use tc_fleet::{FleetKeys, Mesh, MeshHandlers, MeshSettings, PiecesAnswer, SharedFleetShare};
-use tc_membership::{FleetShare, MembershipConfig};
+use tc_fleet::{Mesh, MeshHandlers, PiecesAnswer};
 use tc_protocol::{
-    Fingerprint, Incarnation, Member, MemberState, MonoTime,
-    routing::{OriginAnswer, PieceInput, RouteStage, StageChain, StageRefusal, StageRequest},
+    Fingerprint,
+    routing::{PieceInput, RouteStage, StageChain, StageRefusal, StageRequest},
 };
 
+use crate::common::{handlers, start_mesh};
+
 type Received = Arc<Mutex<Vec<StageRequest>>>;
 
 /// Starts an instance that keeps the stage requests that it receives.
-async fn start_mesh(id: &str, received: Received) -> Mesh {
-    let address = tc_stand_ins::free_address(Ipv4Addr::LOCALHOST.into()).expect("a free port");
-    let me = Member {
-        id: id.into(),
-        incarnation: Incarnation(1),
-        caller_address: address,
-        fleet_address: address,
-        failure_domain: "kl-a".into(),
-        region: "kl".into(),
-        state: MemberState::Alive,
-        strength: Member::default_strength(),
-    };
-    let share = FleetShare::new(MonoTime::now(), address, &[]);
-    let settings = MeshSettings {
-        me,
-        listen: address,
-        keys: FleetKeys::new(&["a key for these tests only"]).expect("a key"),
-        timing: MembershipConfig::default(),
-        traffic: tokio::runtime::Handle::current(),
-        limits: Arc::default(),
-        share: Arc::new(SharedFleetShare::new(share)),
+async fn start_home(id: &str, received: Received) -> Mesh {
+    let make_pieces = move |request| {
+        received.lock().expect("the lock").push(request);
+        let answer = PiecesAnswer {
+            reply: Err(StageRefusal::Late),
+            home: None,
+            is_late_return: false,
+        };
+        std::future::ready(answer).boxed()
     };
     let handlers = MeshHandlers {
-        make_pieces: Box::new(move |request| {
-            received.lock().expect("the lock").push(request);
-            let answer = PiecesAnswer {
-                reply: Err(StageRefusal::Late),
-                home: None,
-                is_late_return: false,
-            };
-            std::future::ready(answer).boxed()
-        }),
-        outlook: Box::new(|_| None),
-        free_results: Box::new(|_| {}),
-        choose_engine: Box::new(|_| None),
-        record_runs: Box::new(|_, _| {}),
-        record_origins: Box::new(|_| {}),
-        find_origin: Box::new(|_| OriginAnswer::default()),
-        follow_world: Box::new(|_| None),
+        make_pieces: Box::new(make_pieces),
+        ..handlers()
     };
-    let mesh = Mesh::start(settings, Arc::new(handlers)).await;
-    mesh.expect("the mesh starts")
+    start_mesh(id, handlers).await
 }
 
 fn stage_request(depends_on: [&[usize]; 2]) -> StageRequest {
@@ -97,8 +70,8 @@
 
 async fn chain_received(depends_on: [&[usize]; 2]) -> Option<StageChain> {
     let received = Received::default();
-    let caller = start_mesh("i0", Received::default()).await;
-    let home = start_mesh("i1", Arc::clone(&received)).await;
+    let caller = start_mesh("i0", handlers()).await;
+    let home = start_home("i1", Arc::clone(&received)).await;
     let answer = caller
         .make_pieces(home.me(), &stage_request(depends_on))
         .await;
