--- a/crates/tc-gateway/src/serve/callers.rs
+++ b/crates/tc-gateway/src/serve/callers.rs
@@ -51,6 +51,15 @@
     pub(crate) config_apply_limit: Duration,
 }
 
+/// A caller's request whose headers have been decoded.
+struct ReceivedRequest {
+    arrived: Instant,
+    parts: Parts,
+    head: RequestHead,
+    body: Incoming,
+    runs: PossibleRuns,
+}
+
 /// Counts a request as in flight until its response has been sent or its caller has disconnected.
 struct InFlightRequest(Arc<AtomicUsize>);
 
@@ -101,7 +110,16 @@
         let in_flight_request = InFlightRequest::start(&self.connections.in_flight);
         let (parts, body) = req.into_parts();
         let mut answer = match (self.cx.codec.read_request)(&parts) {
-            Ok(head) => self.serve(arrived, parts, head, body).await,
+            Ok(head) => {
+                let received = ReceivedRequest {
+                    arrived,
+                    parts,
+                    head,
+                    body,
+                    runs: PossibleRuns::default(),
+                };
+                self.serve(received).await
+            }
             Err(error) => {
                 log::info!(error = error.to_string().as_str(), path = parts.uri.path(); "a request header cannot be decoded");
                 let reason = "a header of the request is missing or cannot be read";
@@ -124,35 +142,22 @@
     }
 
     /// Serves one request until it is answered or, if the process stops first, until an answer is due.
-    async fn serve(
-        &self,
-        arrived: Instant,
-        parts: Parts,
-        head: RequestHead,
-        body: Incoming,
-    ) -> Response<AnswerBody> {
-        let request = Arc::clone(&head.request);
-        let runs = PossibleRuns::default();
-        let served = self.admit_and_run(arrived, parts, head, body, runs.clone());
+    async fn serve(&self, received: ReceivedRequest) -> Response<AnswerBody> {
+        let arrived = received.arrived;
+        let request = Arc::clone(&received.head.request);
+        let runs = received.runs.clone();
         let refusal = tokio::select! {
             biased;
-            answer = served => return answer,
+            answer = self.admit_and_run(received) => return answer,
             () = self.stop.answers_due() => unfinished(&runs),
         };
         log::info!(request = &*request, status = refusal.status.as_u16(), reason = refusal.reason, after_ms = arrived.elapsed().as_millis() as u64; "request unfinished at the end of the shutdown");
         refusal_answer(&self.cx.codec, &request, &refusal)
     }
 
-    async fn admit_and_run(
-        &self,
-        arrived: Instant,
-        parts: Parts,
-        head: RequestHead,
-        body: Incoming,
-        runs: PossibleRuns,
-    ) -> Response<AnswerBody> {
-        let request = Arc::clone(&head.request);
-        let served = match self.admit(arrived, parts, head, body, runs).await {
+    async fn admit_and_run(&self, received: ReceivedRequest) -> Response<AnswerBody> {
+        let request = Arc::clone(&received.head.request);
+        let served = match self.admit(received).await {
             Ok(routed) if is_for_peer(&self.cx, &routed) => serve_by_peer(&self.cx, routed).await,
             Ok(routed) => Ok(run(Arc::clone(&self.cx), routed).await),
             Err(refusal) => {
@@ -164,14 +169,14 @@
     }
 
     /// Decides whether a request may run, and reads its body.
-    async fn admit(
-        &self,
-        arrived: Instant,
-        parts: Parts,
-        head: RequestHead,
-        body: Incoming,
-        runs: PossibleRuns,
-    ) -> Result<RoutedRequest, Refusal> {
+    async fn admit(&self, received: ReceivedRequest) -> Result<RoutedRequest, Refusal> {
+        let ReceivedRequest {
+            arrived,
+            parts,
+            head,
+            body,
+            runs,
+        } = received;
         let Destination {
             config,
             route,
