--- a/review/stand-ins-2/cases/deadly_query.rs
+++ b/review/stand-ins-2/cases/deadly_query.rs
@@ -6,16 +6,16 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
-use super::{config, plan, request_of, route, server, service, Case, Verdict, TENANTS};
+use super::{Case, TENANTS, Verdict, config, plan, request_of, route, server, service};
 use crate::{
-    engine::{Engine, DEADLY},
+    engine::{DEADLY, Engine},
     http::send,
     record::Record,
     store::Store,
--- a/review/stand-ins-2/cases/many_pieces.rs
+++ b/review/stand-ins-2/cases/many_pieces.rs
@@ -5,14 +5,14 @@
     io::Write,
     net::{SocketAddr, TcpListener},
     sync::{
-        atomic::{AtomicBool, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
     },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
 };
 
-use super::{config, plan, request, route, server, service, Case, Verdict};
+use super::{Case, Verdict, config, plan, request, route, server, service};
 use crate::{
     gateway::Machine,
     http::{listen, send, with_length},
--- a/review/stand-ins-2/cases/one_page.rs
+++ b/review/stand-ins-2/cases/one_page.rs
@@ -3,14 +3,14 @@
 use std::{
     net::SocketAddr,
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
-use super::{config, plan, request_of, route, server, service, Case, Verdict, TENANTS};
+use super::{Case, TENANTS, Verdict, config, plan, request_of, route, server, service};
 use crate::{engine::Engine, http::send, record::Record, store::Store};
 
 const MACHINES: usize = 3;
--- a/review/stand-ins-2/cases/slow_reader.rs
+++ b/review/stand-ins-2/cases/slow_reader.rs
@@ -8,9 +8,9 @@
     time::{Duration, Instant},
 };
 
-use super::{config, plan, request, route, server, service, Case, Verdict};
+use super::{Case, Verdict, config, plan, request, route, server, service};
 use crate::{
-    http::{exchange, listen, send, with_length, Answer},
+    http::{Answer, exchange, listen, send, with_length},
     narrow::open,
     record::Record,
     store::Store,
--- a/review/stand-ins-2/engine.rs
+++ b/review/stand-ins-2/engine.rs
@@ -7,15 +7,15 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
-        atomic::{AtomicUsize, Ordering},
         Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
     },
     thread,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
-    gateway::{forget, RUNNING},
+    gateway::{forget, note},
     http::{listen, with_length},
 };
 
@@ -136,7 +136,7 @@
             .stdin(Stdio::null())
             .spawn()
             .expect("the engine starts");
-        RUNNING.lock().unwrap().push(child.id());
+        note(child.id());
         Self {
             address,
             instance: instance.to_owned(),
--- a/review/stand-ins-2/gateway.rs
+++ b/review/stand-ins-2/gateway.rs
@@ -11,10 +11,10 @@
     time::{Duration, Instant},
 };
 
-use crate::http;
+use crate::{guard, http};
 
 /// Processes that run, so that the watchdog can end them.
-pub static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 /// Limits and bounds that a case sets for its machines.
 #[derive(Clone, Debug)]
@@ -169,7 +169,7 @@
             .stderr(errors)
             .spawn()
             .expect("the process starts");
-        RUNNING.lock().unwrap().push(child.id());
+        note(child.id());
         self.child = Some(child);
     }
 
@@ -254,9 +254,16 @@
     }
 }
 
+/// Adds a process to those that may run.
+pub fn note(id: u32) {
+    RUNNING.lock().unwrap().push(id);
+    guard::tell(&format!("+{id}"));
+}
+
 /// Takes a process that has ended and was waited for from those that may run. Its number may be given to another one.
 pub fn forget(id: u32) {
     RUNNING.lock().unwrap().retain(|known| *known != id);
+    guard::tell(&format!("-{id}"));
 }
 
 /// Kills every process that was started here and was not waited for.
@@ -265,5 +272,6 @@
         let _ = Command::new("kill")
             .args(["-KILL", &id.to_string()])
             .status();
+        guard::tell(&format!("-{id}"));
     }
 }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 mod engine;
 mod gateway;
+mod guard;
 mod http;
 mod narrow;
 mod record;
@@ -22,6 +23,9 @@
     if arguments.get(1).is_some_and(|name| name == "engine") {
         engine::serve(&arguments[2..]);
     }
+    if arguments.get(1).is_some_and(|name| name == "guard") {
+        guard::serve();
+    }
     let [_, name, record, binary] = &arguments[..] else {
         eprintln!("usage: cases NAME RECORD BINARY");
         process::exit(2);
@@ -34,6 +38,7 @@
     if fs::create_dir_all(&folder).is_err() {
         process::exit(2);
     }
+    guard::start();
     let watchdog = (record.clone(), folder.clone());
     thread::spawn(move || {
         thread::sleep(TIME_LIMIT);
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use crate::http::{listen, with_length, Request};
+use crate::http::{Request, listen, with_length};
 
 #[derive(Default)]
 struct State {
