Stages: a request with more pieces than upstreams can make is refused at once

Callers saw: one request of 200 bytes that named 10,000,000 pieces closed the connections of every caller of the instance that took it, of the home of the stage's service and of the next home.

Cause: nothing compared the number of pieces, any 32-bit number, with what the upstreams can make. The home allocated 36 bytes for each before it decided on the stage; a home that does not answer is replaced by the next one and at last by the instance itself, so one attempt ended two or three processes.

Now a stage may have as many pieces as the idle upstreams of its service can make before the deadline, if a call takes no longer than its fixed time, and 4,096 at most. The instance that takes the request checks it before anything is sent. The home checks it again before the request counts as demand and before anything is allocated, so requests of instances of an earlier version cannot end it either. The answer is 503: not run, with a minute of Retry-After, as only more upstreams change the outcome. 400 was weighed: the same request may be served by more upstreams or within a longer deadline. A stage without upstreams is refused for want of them, as before.

Looked through: products of sizes and pieces saturate, and the list of a call's pieces is no longer allocated for the configured size of a batch, which may be any number.

--- a/crates/tc-fleet/src/mesh/messages.rs
+++ b/crates/tc-fleet/src/mesh/messages.rs
@@ -333,7 +333,8 @@
         }
         Err(StageRefusal::InputGone) => message.refusal = REFUSAL_INPUT_GONE,
         Err(StageRefusal::Failed) => message.refusal = REFUSAL_FAILED,
-        Err(StageRefusal::Late) => message.refusal = REFUSAL_LATE,
+        // Instances of earlier versions do not know a code for stages with too many pieces.
+        Err(StageRefusal::Late | StageRefusal::TooManyPieces) => message.refusal = REFUSAL_LATE,
         Err(StageRefusal::NoUpstream) => message.refusal = REFUSAL_NO_UPSTREAM,
         Err(StageRefusal::Moved) => message.refusal = REFUSAL_MOVED,
     }
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -71,9 +71,10 @@
     pub(crate) async fn make_pieces(&self, mut stage_request: StageRequest) -> PiecesAnswer {
         match self.home(&stage_request.service) {
             Some(home) => {
-                let admitted = self
-                    .chains
-                    .admit(&self.cx.world.load(), &home, &mut stage_request);
+                let admitted = home.check_pieces(&stage_request).and_then(|()| {
+                    self.chains
+                        .admit(&self.cx.world.load(), &home, &mut stage_request)
+                });
                 let is_late_return = admitted == Ok(true);
                 let reply = match admitted {
                     Ok(_) => Arc::clone(&home).make_pieces(stage_request).await,
--- a/crates/tc-gateway/src/run/refusal.rs
+++ b/crates/tc-gateway/src/run/refusal.rs
@@ -12,6 +12,9 @@
 /// Default `Retry-After`: about the time until a failed or full upstream is detected and others have taken over.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// `Retry-After` for a request with too many pieces, which can be served only after upstreams were added.
+const TOO_MANY_PIECES_RETRY_AFTER: Duration = Duration::from_mins(1);
+
 /// Reason why a request ends without an answer from an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Refusal {
@@ -92,6 +95,10 @@
             StageRefusal::InputGone => Self::not_run_transient("results of a stage were lost"),
             StageRefusal::Failed => Self::not_run_transient("a stage before the request failed"),
             StageRefusal::Late => Self::not_run_transient("a stage could not be done in time"),
+            StageRefusal::TooManyPieces => Self::not_run(
+                "a stage has more pieces than its upstreams can make in time",
+                TOO_MANY_PIECES_RETRY_AFTER,
+            ),
             StageRefusal::Moved => Self::not_run_transient("the home of a stage moves"),
             StageRefusal::NoUpstream => Self::not_run_transient("no upstream of a stage is known"),
         }
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use tc_policy::{ChainQuery, ExpectedStageTimes, StageGraph};
+use tc_policy::{ChainQuery, ExpectedStageTimes, MAX_STAGE_PIECES, StageGraph, max_stage_pieces};
 use tc_protocol::{
     FailureDomain, ServiceName,
     routing::{PieceInput, ResultHandle, RouteStage, StageChain, StageRefusal, StageRequest},
@@ -149,6 +149,7 @@
 ) -> Result<StageResults, StageRefusal> {
     let stages = &req.route.stages;
     let mut graph = StageGraph::new(stages, &req.head.pieces);
+    check_pieces(cx, req, &graph)?;
     let mut is_late_return = false;
     let mut chain = Some(StageChain {
         fingerprint: req.fingerprint(),
@@ -207,6 +208,32 @@
     })
 }
 
+/// Refuses a request with more pieces than the upstreams of a stage can make before its deadline.
+fn check_pieces(
+    cx: &RunContext,
+    req: &RoutedRequest,
+    graph: &StageGraph<'_>,
+) -> Result<(), StageRefusal> {
+    let world = cx.world.load();
+    let remaining = req.time_to_next_event();
+    for (index, stage) in graph.stages().iter().enumerate() {
+        let service = stage.service.as_str();
+        let config = world.config.as_ref();
+        let spec = config.and_then(|config| config.service(service)?.batch);
+        let upstreams = world.upstreams.of_service(service).len();
+        let limit = spec.map_or(MAX_STAGE_PIECES, |spec| {
+            // Whether there are any is checked at the home of the service.
+            max_stage_pieces(&spec, upstreams.max(1), remaining)
+        });
+        let pieces = graph.pieces(index);
+        if pieces > limit {
+            log::info!(request = &*req.head.request, service = service, stage = index, pieces = pieces, limit = limit, upstreams = upstreams, remaining_ms = remaining.as_millis() as u64; "request refused: too many pieces");
+            return Err(StageRefusal::TooManyPieces);
+        }
+    }
+    Ok(())
+}
+
 /// Prepares to make a stage again that did not find its inputs, with the stages that made these.
 ///
 /// Refuses the request if they were made again before, or if there is no time for it.
@@ -324,7 +351,7 @@
         .map(|before| graph.total_result_bytes(*before))
         .sum();
     // Every piece reads all of the input.
-    if read * pieces < LARGE_BYTES {
+    if read.saturating_mul(pieces) < LARGE_BYTES {
         return None;
     }
     let before = spec.depends_on.iter().copied();
--- a/crates/tc-policy/src/batch/dispatch.rs
+++ b/crates/tc-policy/src/batch/dispatch.rs
@@ -316,7 +316,7 @@
         } else {
             self.spec.max_pieces
         };
-        let mut chosen = Vec::with_capacity(max_pieces);
+        let mut chosen = Vec::new();
         for (key, job) in jobs {
             let sendable = job.sendable(retries);
             let places = max_pieces - chosen.len();
--- a/crates/tc-policy/src/batch/job.rs
+++ b/crates/tc-policy/src/batch/job.rs
@@ -328,7 +328,8 @@
     /// Four results of 60 KB that six pieces read are 1.4 MB of transfers, more than two results of 500 KB that one
     /// engine reads.
     fn total_read_bytes(&self) -> u64 {
-        let results = self.params.result_bytes * u64::from(self.params.pieces);
+        let pieces = u64::from(self.params.pieces);
+        let results = self.params.result_bytes.saturating_mul(pieces);
         let readers: u32 = self
             .params
             .dependent_pieces
--- a/crates/tc-policy/src/batch/planner.rs
+++ b/crates/tc-policy/src/batch/planner.rs
@@ -13,6 +13,7 @@
     demand::Demand,
     inputs::InputHoldTime,
     job::{Job, JobKey, NewJob, QueuePosition},
+    piece_limit::max_stage_pieces,
     piece_times::PieceTimes,
     queue_order::QueueOrder,
     queue_time::NEXT_CALL_FACTOR,
@@ -243,9 +244,11 @@
         if !self.has_upstreams() {
             return Err(StageRefusal::NoUpstream);
         }
-        if new.deadline.since(now) < self.spec.call_overhead {
+        let remaining = new.deadline.since(now);
+        if remaining < self.spec.call_overhead {
             return Err(StageRefusal::Late);
         }
+        self.check_pieces(new.pieces, remaining)?;
         let key = self.jobs.insert(Job::new(new));
         self.update_order(now);
         let done_after = self.queue_wait(now, key) + self.typical_call().mul_f64(NEXT_CALL_FACTOR);
@@ -271,6 +274,17 @@
         Ok(key)
     }
 
+    /// Refuses a stage that its upstreams cannot make within `remaining` even if they have nothing else to do.
+    pub fn check_pieces(&self, pieces: u32, remaining: Duration) -> Result<(), StageRefusal> {
+        let upstreams = self.upstreams.values().filter(|upstream| upstream.ready);
+        // Whether there are any is checked elsewhere.
+        let upstreams = upstreams.count().max(1);
+        if pieces > max_stage_pieces(&self.spec, upstreams, remaining) {
+            return Err(StageRefusal::TooManyPieces);
+        }
+        Ok(())
+    }
+
     /// Refusal with the time until the current backlog is done; a retry at that time has the queue to itself.
     fn overloaded(&self, now: MonoTime) -> StageRefusal {
         StageRefusal::Overloaded {
--- a/crates/tc-policy/src/lib.rs
+++ b/crates/tc-policy/src/lib.rs
@@ -37,9 +37,9 @@
 pub use batch::{
     AdmittedChain, BatchCall, BatchPlanner, BatchUpstream, CallEnd, CallKey, ChainAdmission,
     ChainQuery, DependentPieces, DisplacedJob, DueHistogram, ExpectedStageTimes, FinishedJob,
-    HomeOutlook, JobKey, JobOutcome, JobOutcomes, KnownShares, NewJob, OutcomeCounts,
-    PRIORITY_LEVELS, PiecesByPriority, PlannerEffects, PlannerLoad, ReleasedResults, StageOutlooks,
-    UnusedResults, UsedShares,
+    HomeOutlook, JobKey, JobOutcome, JobOutcomes, KnownShares, MAX_STAGE_PIECES, NewJob,
+    OutcomeCounts, PRIORITY_LEVELS, PiecesByPriority, PlannerEffects, PlannerLoad, ReleasedResults,
+    StageOutlooks, UnusedResults, UsedShares, max_stage_pieces,
 };
 pub use brittle::{BrittleUpstreams, Senders};
 pub use budget::ExtraCallBudget;
--- a/crates/tc-policy/src/stage_graph.rs
+++ b/crates/tc-policy/src/stage_graph.rs
@@ -92,7 +92,8 @@
     /// Returns the size of all results of a stage in bytes.
     #[must_use]
     pub fn total_result_bytes(&self, stage: usize) -> u64 {
-        self.stages[stage].result_bytes * u64::from(self.pieces[stage])
+        let pieces = u64::from(self.pieces[stage]);
+        self.stages[stage].result_bytes.saturating_mul(pieces)
     }
 
     /// Returns true if a stage is done or omitted.
--- a/crates/tc-policy/tests/batch/main.rs
+++ b/crates/tc-policy/tests/batch/main.rs
@@ -9,3 +9,4 @@
 mod limits;
 mod order;
 mod overdue;
+mod piece_limit;
--- a/crates/tc-protocol/src/routing/piece.rs
+++ b/crates/tc-protocol/src/routing/piece.rs
@@ -89,6 +89,17 @@
     pub chain: Option<StageChain>,
 }
 
+impl StageRequest {
+    /// Returns the number of pieces of every stage that the request describes.
+    pub fn piece_counts(&self) -> impl Iterator<Item = u32> + '_ {
+        let following = self.dependent_pieces.iter().chain(&self.later_pieces);
+        let chain = self.chain.iter().flat_map(|chain| &chain.pieces).copied();
+        std::iter::once(self.pieces)
+            .chain(following.map(|(_, pieces)| *pieces))
+            .chain(chain)
+    }
+}
+
 /// A piece in a batch call to an upstream.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PieceRequest {
@@ -136,6 +147,8 @@
     Late,
     /// This instance knows no upstream of the service.
     NoUpstream,
+    /// The stage has more pieces than its upstreams can make before the deadline of the request.
+    TooManyPieces,
     /// The service has moved to another home, which must get the request instead.
     Moved,
 }
