Crashes: requests that differ in query, method or host are told apart

Cause: the identity of a request was a hash of path, workspace and body. Lookups without a body were one request, so a sound answer acquitted the one that crashes upstreams, and crashes without a sound answer in between condemned all of them.

The identity now has the method, host, path, query, workspace and body. A request without a body is also told from others by the headers that carry its input: parts of the prompt, pieces and their key. With a body these do not count, since a request that comes again has the same path, caller and body, and nothing promises that its headers are the same. The same identity keeps the places of refused requests that are to return, which two such requests shared.

Looked through: the keys of resumed streams and of idempotent calls, and the identity of the own interface's calls, have the query (table in the postmortem). Streams with the same content on two hosts share a key; noted there as open.

--- a/crates/tc-gateway/src/run/crashes.rs
+++ b/crates/tc-gateway/src/run/crashes.rs
@@ -3,10 +3,9 @@
 use futures::FutureExt;
 use tc_fleet::{BrokenRun, SuspectTrial};
 use tc_protocol::{
-    Fingerprint, PermitRefusal, RefusalReason,
-    routing::{Prompt, PromptPart, RegisteredUpstream},
+    PermitRefusal, RefusalReason,
+    routing::{Prompt, RegisteredUpstream},
 };
-use xxhash_rust::xxh3::Xxh3;
 
 use super::{Refusal, RoutedRequest, RunContext, attempts::Attempts, send_failure::SendFailure};
 
@@ -19,18 +18,6 @@
 }
 
 impl RoutedRequest {
-    /// Returns a hash of what is the same in every attempt of the request: path, workspace and body.
-    pub(super) fn fingerprint(&self) -> Fingerprint {
-        let mut hasher = Xxh3::new();
-        hasher.update(self.parts.uri.path().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(self.workspace_name().as_str().as_bytes());
-        hasher.update(&[0]);
-        hasher.update(&self.body);
-        // Zero is reserved for "no request".
-        Fingerprint(hasher.digest().max(1))
-    }
-
     /// Reports that an upstream has begun and completed an answer, so that the parts of the prompt do not crash upstreams.
     /// Only a whole answer proves that for the request itself, which may crash an upstream at its end.
     pub(super) fn report_completed(&self, cx: &RunContext, is_whole: bool) {
@@ -42,19 +29,6 @@
         cx.mesh.report_completed(input, &cleared, &self.service);
     }
 
-    /// Returns hashes of the parts of the prompt that other requests may share.
-    fn part_fingerprints(&self) -> Vec<Fingerprint> {
-        let parts = self.head.prompt.as_ref().map(Prompt::shared_parts);
-        let fingerprint = |part: &PromptPart| {
-            let mut hasher = Xxh3::new();
-            hasher.update(self.service.as_str().as_bytes());
-            hasher.update(&[0]);
-            hasher.update(&part.id.to_le_bytes());
-            Fingerprint(hasher.digest().max(1))
-        };
-        parts.unwrap_or_default().iter().map(fingerprint).collect()
-    }
-
     /// Returns the parts of the prompt that other requests may share, for log lines.
     fn part_labels(&self) -> String {
         let parts = self.head.prompt.as_ref().map(Prompt::shared_parts);
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod buffered;
 mod crashes;
+mod fingerprint;
 mod hedge;
 mod home_request;
 mod open_stream;
