Upstream answers: one without a length that ends before its request is not whole, and statuses end an exchange

Reported from other systems: a part of an answer to an upload, reset while the upload was written, arrived as a complete answer; and status 000 arrived as an answer.

gateway/early_answers sends uploads of 8 MB on plain, staged and streamed routes to upstreams that answer after the head and break off. On a reset, a close without reading and an answer with a length or chunks are never complete, and status 000 gets 502: ruled out by these runs. Two neighbours are not: an upstream that ends its side and then resets (200, complete, with a part of the body), and the statuses 101, 600 and 999, which were passed on.

Cause: an answer without a length ends with its connection, and the HTTP library stops writing when the other side has ended, so the reset goes unseen. The library takes any status from 100 to 999.

An answer without a length whose request the kernel has not taken whole counts as malformed, and so does a status outside 200 to 599. Both may have run; neither counts as a crash. The check for status 101 of plain services moves to the common place.

--- a/crates/tc-upstream/src/connection/failure.rs
+++ b/crates/tc-upstream/src/connection/failure.rs
@@ -2,6 +2,7 @@
 
 use std::{error::Error, fmt, io};
 
+use http::StatusCode;
 use tc_protocol::Outcome;
 
 use crate::error::CallErrorKind;
@@ -13,6 +14,10 @@
     TimedOut,
     /// The response body exceeds the limit.
     TooLarge,
+    /// The status is not that of a final response of HTTP.
+    InvalidStatus(StatusCode),
+    /// The answer has no length and ended before its request was sent, so whether it is complete is not known.
+    EndedEarly,
     /// The connection failed.
     Transport(hyper::Error),
 }
@@ -27,6 +32,9 @@
         match self {
             Self::TimedOut => (CallErrorKind::TimedOut, Outcome::TimedOut),
             Self::TooLarge => (CallErrorKind::TooLarge, Outcome::Failed),
+            Self::InvalidStatus(_) | Self::EndedEarly => {
+                (CallErrorKind::Malformed, Outcome::Failed)
+            }
             Self::Transport(e) => classify_transport(e),
         }
     }
@@ -75,6 +83,8 @@
         match self {
             Self::TimedOut => f.write_str("no answer in time"),
             Self::TooLarge => f.write_str("body larger than allowed"),
+            Self::InvalidStatus(status) => write!(f, "invalid status {}", status.as_u16()),
+            Self::EndedEarly => f.write_str("answer without a length ended before its request"),
             Self::Transport(e) => match e.source() {
                 Some(cause) => write!(f, "{e}: {cause}"),
                 None => write!(f, "{e}"),
--- a/crates/tc-upstream/src/connection/http1.rs
+++ b/crates/tc-upstream/src/connection/http1.rs
@@ -11,7 +11,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode, header, response};
 use http_body::Body;
 use http_body_util::Full;
 use hyper::{
@@ -147,6 +147,10 @@
             response.as_mut().poll(cx)
         });
         match timeout_at(deadline, answered).await {
+            Ok(Ok(response)) if !is_final(response.status()) => Err(SendFailure {
+                unsent: None,
+                failure: Failure::InvalidStatus(response.status()),
+            }),
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut e)) => Err(SendFailure {
                 unsent: e.take_message(),
@@ -181,6 +185,11 @@
     }
 }
 
+/// Returns true for a status that ends an exchange. No request asks for another protocol.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Polls the connection. Its error is ignored, as the failed exchange returns the same error.
 fn drive(driver: &mut Option<Driver>, cx: &mut Context<'_>) {
     if let Some(running) = driver
@@ -197,14 +206,23 @@
     body: Incoming,
     received: usize,
     max_bytes: usize,
+    /// Whether the body ends with its connection.
+    is_unframed: bool,
     reuse_in: Option<(Arc<IdleConnections>, SocketAddr, Traffic)>,
 }
 
 impl ResponseBody {
     /// Creates the body of a response on `connection`. Reading more than `max_bytes` fails.
-    pub(crate) fn new(connection: Connection, body: Incoming, max_bytes: usize) -> Self {
+    pub(crate) fn new(
+        connection: Connection,
+        head: &response::Parts,
+        body: Incoming,
+        max_bytes: usize,
+    ) -> Self {
+        let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         Self {
             connection: Some(connection),
+            is_unframed: !is_chunked && body.size_hint().exact().is_none(),
             body,
             received: 0,
             max_bytes,
@@ -249,6 +267,9 @@
                 }
                 Poll::Ready(Some(Ok(chunk)))
             }
+            Poll::Ready(None) if self.has_ended_early() => {
+                Poll::Ready(Some(Err(Failure::EndedEarly)))
+            }
             Poll::Ready(None) => {
                 self.return_connection(cx);
                 Poll::Ready(None)
@@ -257,6 +278,14 @@
         }
     }
 
+    /// Returns true if the connection ended, and the body with it, before the request was sent.
+    ///
+    /// A reset that follows the end of the upstream's side goes unnoticed, as nothing more is written or read.
+    fn has_ended_early(&self) -> bool {
+        let connection = self.connection.as_ref();
+        self.is_unframed && connection.is_some_and(|connection| connection.socket.has_unsent())
+    }
+
     /// Polls the body, then the connection that feeds it, then the body again.
     fn poll_frame(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Failure>>> {
         let mut driven = false;
--- a/crates/tc-upstream/src/connection/socket.rs
+++ b/crates/tc-upstream/src/connection/socket.rs
@@ -28,6 +28,7 @@
     read_limit: AtomicU64,
     peek_first: AtomicBool,
     waits_for_reader: AtomicBool,
+    has_unsent: AtomicBool,
 }
 
 impl SocketState {
@@ -36,6 +37,11 @@
         self.written.load(Ordering::Relaxed)
     }
 
+    /// Returns true if the kernel has not accepted all bytes of the last write.
+    pub(crate) fn has_unsent(&self) -> bool {
+        self.has_unsent.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of bytes read so far.
     pub(crate) fn read(&self) -> u64 {
         self.read.load(Ordering::Relaxed)
@@ -105,10 +111,18 @@
         Ok(())
     }
 
-    fn count(&self, written: &Poll<io::Result<usize>>) {
-        if let Poll::Ready(Ok(n)) = written {
-            self.state.written.fetch_add(*n as u64, Ordering::Relaxed);
-        }
+    /// Records the outcome of a write of `offered` bytes.
+    fn record_write(&self, offered: usize, written: &Poll<io::Result<usize>>) {
+        let accepted = match written {
+            Poll::Ready(Ok(n)) => *n,
+            Poll::Ready(Err(_)) | Poll::Pending => 0,
+        };
+        self.state
+            .written
+            .fetch_add(accepted as u64, Ordering::Relaxed);
+        self.state
+            .has_unsent
+            .store(accepted < offered, Ordering::Relaxed);
     }
 
     /// Returns `Ok(true)` if the peer has closed the connection, and an error if it has sent unsolicited bytes.
@@ -155,7 +169,7 @@
     ) -> Poll<io::Result<usize>> {
         self.update_user_timeout()?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(&written);
+        self.record_write(buf.len(), &written);
         written
     }
 
@@ -166,7 +180,8 @@
     ) -> Poll<io::Result<usize>> {
         self.update_user_timeout()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(&written);
+        let offered = bufs.iter().map(|buf| buf.len()).sum();
+        self.record_write(offered, &written);
         written
     }
 
--- a/crates/tc-upstream/src/exchange.rs
+++ b/crates/tc-upstream/src/exchange.rs
@@ -111,9 +111,10 @@
 ) -> ReceivedResponse {
     let (head, body) = response.into_parts();
     let reused = connection.is_reused();
+    let max_bytes = shared.settings.max_response_bytes;
     ReceivedResponse {
+        body: ResponseBody::new(connection, &head, body, max_bytes),
         head,
-        body: ResponseBody::new(connection, body, shared.settings.max_response_bytes),
         reused,
         connected_after,
     }
--- a/crates/tc-upstream/src/plain.rs
+++ b/crates/tc-upstream/src/plain.rs
@@ -9,7 +9,7 @@
 };
 
 use bytes::Bytes;
-use http::{Method, Request, StatusCode};
+use http::{Method, Request};
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Full};
 use tc_protocol::{Outcome, RunState};
@@ -87,9 +87,6 @@
             format!("the answer's identity is {echo:?}"),
         ));
     }
-    if received.head.status == StatusCode::SWITCHING_PROTOCOLS {
-        return Err(context.malformed(RunState::Unknown, "the upstream switched protocols"));
-    }
     if echo == Echo::Match {
         let idle = Arc::clone(&shared.idle);
         received
