Crashes: an outage of upstreams condemns no request, only a crash in which it ran alone does

Cause: an outage breaks several runs of such a page, on several upstreams, and three breaks with no other request in as many were taken for proof. Only a completed run would have cleared the page, and none was allowed to run.

A request is now refused only if it ran as a trial, alone in the fleet, in one of its crashes. A trial starts 250 ms after the last crash at the earliest, as the upstreams of an outage fall one after the other. Until then the crashes are explained by it as before, so that no part of a prompt is blamed for them.

The policy has the two settings; other users of it keep theirs, so their tests only name them.

--- a/crates/tc-fleet/src/generated.rs
+++ b/crates/tc-fleet/src/generated.rs
@@ -322,6 +322,9 @@
     /// Whether it is a part of prompts instead of a request.
     #[prost(bool, tag = "5")]
     pub is_part: bool,
+    /// Crashes in which no other run of it was in flight, as it ran as a trial.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub alone: ::prost::alloc::vec::Vec<u64>,
 }
 /// Rate limit that an upstream announced in an answer.
 #[derive(Clone, PartialEq, ::prost::Message)]
@@ -451,6 +454,9 @@
     pub trial: u32,
     #[prost(uint32, tag = "2")]
     pub retry_after_ms: u32,
+    /// Whether it may run as the only run of the suspect.
+    #[prost(bool, tag = "3")]
+    pub is_alone: bool,
 }
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
 pub struct ExplainQuestion {
--- a/crates/tc-fleet/src/mesh/suspects.rs
+++ b/crates/tc-fleet/src/mesh/suspects.rs
@@ -23,6 +23,9 @@
 /// Crashes from which a request runs only as a trial, one at a time. With a threshold of 1, all requests interrupted by
 /// a single crash would wait for each other's trials.
 const CRASHES_TO_TRIAL: u32 = 2;
+/// Time after a crash in which no trial of its suspects starts. The upstreams of an outage crash within it, mostly, and
+/// trials on the last of them would look like crashes by what they ran.
+const TRIAL_DELAY: Duration = Duration::from_millis(250);
 /// Duration of a quarantine. It is limited so that a wrongly quarantined request can run again without an operator.
 const QUARANTINE_DURATION: Duration = Duration::from_mins(10);
 
@@ -38,6 +41,8 @@
         crashes_to_quarantine: CRASHES_TO_QUARANTINE,
         crashes_to_quarantine_part: CRASHES_TO_QUARANTINE_PART,
         crashes_to_trial: CRASHES_TO_TRIAL,
+        needs_lone_crash: true,
+        trial_delay: TRIAL_DELAY,
         quarantine_duration: Some(QUARANTINE_DURATION),
     };
     SuspectTable::new(me.clone(), policy, suspect_peers(published, peers), None)
@@ -63,7 +68,15 @@
 
 /// A trial run of a request suspected of crashing upstreams. Other runs of the same request wait until it is dropped.
 pub struct SuspectTrial {
-    _guard: TrialGuard,
+    guard: TrialGuard,
+}
+
+impl SuspectTrial {
+    /// Returns true if no other run of the request is in flight, as far as its home knows.
+    #[must_use]
+    pub fn is_alone(&self) -> bool {
+        self.guard.is_alone()
+    }
 }
 
 /// A run of a request during which its upstream's connection broke.
@@ -76,6 +89,8 @@
     pub workspace: WorkspaceName,
     /// The upstream.
     pub upstream: UpstreamId,
+    /// Whether no other run of the request was in flight; see [`SuspectTrial::is_alone`].
+    pub was_alone: bool,
     /// Fingerprints of the parts of its prompt that may have crashed the upstream.
     pub parts: Vec<Fingerprint>,
     /// Finds out whether the upstream crashed. Parts count only then: a reset of many connections would otherwise count
@@ -106,7 +121,7 @@
             .suspects
             .try_trial(fingerprint, origin, slack)
             .await?;
-        Ok(guard.map(|guard| SuspectTrial { _guard: guard }))
+        Ok(guard.map(|guard| SuspectTrial { guard }))
     }
 
     /// Refuses a request that is quarantined as far as this instance knows.
@@ -139,7 +154,7 @@
             parts: run.parts,
             has_crashed: run.has_crashed,
         };
-        suspects.spawn_crash_report(run.input, run.upstream, parts);
+        suspects.spawn_crash_report(run.input, run.upstream, run.was_alone, parts);
     }
 
     /// Reports that a request ran to completion, which clears what `cleared` has of it and of its prompt's parts.
--- a/crates/tc-fleet/src/start.rs
+++ b/crates/tc-fleet/src/start.rs
@@ -85,6 +85,8 @@
         crashes_to_quarantine: Policy::default().crashes_to_quarantine,
         crashes_to_quarantine_part: Policy::default().crashes_to_quarantine,
         crashes_to_trial: 1,
+        needs_lone_crash: false,
+        trial_delay: Duration::ZERO,
         quarantine_duration: None,
     }
 }
--- a/crates/tc-fleet/src/suspects/evidence.rs
+++ b/crates/tc-fleet/src/suspects/evidence.rs
@@ -13,6 +13,7 @@
         cleared: ids(&evidence.cleared),
         age_ms: convert::millis(evidence.age),
         is_part: evidence.kind == SuspectKind::PromptPart,
+        alone: ids(&evidence.alone),
     }
 }
 
@@ -27,6 +28,7 @@
         },
         crashes: crashes(&evidence.crashes),
         cleared: crashes(&evidence.cleared),
+        alone: crashes(&evidence.alone),
         age: convert::from_millis(evidence.age_ms),
     }
 }
--- a/crates/tc-fleet/src/suspects/known.rs
+++ b/crates/tc-fleet/src/suspects/known.rs
@@ -216,12 +216,14 @@
             self.suspects.end_trial(now, ended);
         }
         if report.trial == 0 {
-            return SuspectAnswer {
-                trial: MAY_RUN,
-                retry_after_ms: 0,
-            };
+            return trial_answer(Trial::Run, false);
         }
-        trial_answer(self.suspects.try_trial(now, Fingerprint(report.trial)))
+        let suspect = Fingerprint(report.trial);
+        let trial = self.suspects.try_trial(now, suspect);
+        trial_answer(
+            trial,
+            trial == Trial::Run && self.suspects.is_in_trial(suspect),
+        )
     }
 
     fn merge(&mut self, now: MonoTime, evidence: &CrashEvidence) {
@@ -282,8 +284,15 @@
             SAME_RUN_PERIOD
         };
         let number = self.crash_number(crashed_at, &upstream, &in_flight, same_run_period);
-        self.suspects
-            .record_crash(now, &upstream, Incarnation(number), &in_flight);
+        if report.was_trial {
+            for fingerprint in &in_flight {
+                self.suspects
+                    .record_lone_crash(now, &upstream, Incarnation(number), *fingerprint);
+            }
+        } else {
+            self.suspects
+                .record_crash(now, &upstream, Incarnation(number), &in_flight);
+        }
         let origin = Origin {
             workspace: report.workspace.as_str().into(),
             service: report.service.as_str().into(),
@@ -336,7 +345,7 @@
     format!("{:016x}", fingerprint.0)
 }
 
-fn trial_answer(trial: Trial) -> SuspectAnswer {
+fn trial_answer(trial: Trial, is_alone: bool) -> SuspectAnswer {
     let (trial, retry_after) = match trial {
         Trial::Run => (MAY_RUN, Duration::ZERO),
         Trial::Busy { retry_after } => (BUSY, retry_after),
@@ -345,5 +354,6 @@
     SuspectAnswer {
         trial,
         retry_after_ms: convert::millis(retry_after),
+        is_alone,
     }
 }
--- a/crates/tc-fleet/src/suspects/reports.rs
+++ b/crates/tc-fleet/src/suspects/reports.rs
@@ -47,6 +47,17 @@
     was_trial: bool,
 }
 
+impl CrashedRun {
+    fn now(fingerprint: Fingerprint, upstream: UpstreamId, was_trial: bool) -> Self {
+        Self {
+            fingerprint,
+            upstream,
+            crashed_at: MonoTime::now(),
+            was_trial,
+        }
+    }
+}
+
 /// A report that is being sent in the background.
 pub(super) type Sending = Shared<BoxFuture<'static, ()>>;
 
@@ -59,7 +70,9 @@
         fingerprint: Fingerprint,
         upstream: UpstreamId,
     ) {
-        let (table, run) = (Arc::clone(&self), self.end_run(fingerprint, upstream));
+        let was_trial = lock(&self.trials).remove(&fingerprint);
+        let run = CrashedRun::now(fingerprint, upstream, was_trial);
+        let table = Arc::clone(&self);
         let sent = tokio::spawn(async move { table.send_crash(run).await });
         // The caller does not wait for instances that do not answer; the report is sent on in the background.
         let sent = timeout(MAX_CHECK_TIME + MAX_REPORT_WAIT, sent).await;
@@ -73,9 +86,12 @@
         self: &Arc<Self>,
         fingerprint: Fingerprint,
         upstream: UpstreamId,
+        was_alone: bool,
         blamed: BlamedParts,
     ) {
-        let (table, run) = (Arc::clone(self), self.end_run(fingerprint, upstream));
+        lock(&self.trials).remove(&fingerprint);
+        let run = CrashedRun::now(fingerprint, upstream, was_alone);
+        let table = Arc::clone(self);
         let (service, upstream) = (blamed.service.clone(), run.upstream.clone());
         let crashed_at = run.crashed_at;
         let sent = tokio::spawn(async move {
@@ -98,15 +114,6 @@
         sending.entry(fingerprint).or_default().push(sent);
     }
 
-    fn end_run(&self, fingerprint: Fingerprint, upstream: UpstreamId) -> CrashedRun {
-        CrashedRun {
-            fingerprint,
-            upstream,
-            crashed_at: MonoTime::now(),
-            was_trial: lock(&self.trials).remove(&fingerprint),
-        }
-    }
-
     /// Sends a crash report to the home and the copies of its evidence. Returns when the first of them has it. Returns
     /// false if there was no crash or its origin is not known.
     async fn send_crash(self: &Arc<Self>, run: CrashedRun) -> bool {
--- a/crates/tc-fleet/src/suspects/table.rs
+++ b/crates/tc-fleet/src/suspects/table.rs
@@ -129,6 +129,7 @@
                         Arc::clone(self),
                         service,
                         fingerprint,
+                        answer.is_alone,
                     )));
                 }
                 Some(answer) => refusal(answer),
--- a/crates/tc-fleet/src/suspects/trial.rs
+++ b/crates/tc-fleet/src/suspects/trial.rs
@@ -11,6 +11,7 @@
     table: Arc<SuspectTable>,
     service: ServiceName,
     fingerprint: Fingerprint,
+    is_alone: bool,
     end_reported: bool,
 }
 
@@ -19,15 +20,22 @@
         table: Arc<SuspectTable>,
         service: ServiceName,
         fingerprint: Fingerprint,
+        is_alone: bool,
     ) -> Self {
         Self {
             table,
             service,
             fingerprint,
+            is_alone,
             end_reported: false,
         }
     }
 
+    /// Returns true if no other run of the suspect is in flight. One that its home does not suspect may run besides.
+    pub(crate) fn is_alone(&self) -> bool {
+        self.is_alone
+    }
+
     /// Ends the trial after its call. A crash is reported by [`SuspectTable::report_crash`] and a completed run by
     /// [`SuspectTable::report_completed`], which also end the trial at its home. A report from here before theirs would
     /// let the next trial start before the home knows the result.
--- a/crates/tc-fleet/tests/crash_evidence_model.rs
+++ b/crates/tc-fleet/tests/crash_evidence_model.rs
@@ -23,6 +23,8 @@
 const EVIDENCE_PER_DATAGRAM: usize = 8;
 const KEY: &str = "suspects/web";
 const CULPRITS: u64 = 4;
+/// Crashes from which a request runs only as a trial.
+const CRASHES_TO_TRIAL: u32 = 2;
 
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Sharing {
@@ -55,11 +57,13 @@
         by: InstanceId,
         input: Fingerprint,
         number: u64,
+        was_trial: bool,
     },
     Report {
         to: InstanceId,
         input: Fingerprint,
         number: u64,
+        was_trial: bool,
         announce: bool,
     },
     Evidence {
@@ -91,7 +95,9 @@
     SuspectPolicy {
         crashes_to_quarantine: 3,
         crashes_to_quarantine_part: 4,
-        crashes_to_trial: 2,
+        crashes_to_trial: CRASHES_TO_TRIAL,
+        needs_lone_crash: true,
+        trial_delay: std::time::Duration::from_millis(250),
         quarantine_duration: Some(std::time::Duration::from_mins(10)),
     }
 }
@@ -198,8 +204,10 @@
             .iter()
             .find(|holder| self.nodes.contains_key(*holder));
         let home = home.and_then(|home| self.nodes.get_mut(home));
+        let mut was_trial = false;
         if let (Some(home), Some(evidence)) = (home, evidence) {
             home.suspects.merge(now, &evidence);
+            was_trial = home.suspects.crash_count(input) >= CRASHES_TO_TRIAL as usize;
             if home.suspects.try_trial(now, input) != Trial::Run {
                 return;
             }
@@ -215,16 +223,22 @@
                 by: id,
                 input,
                 number,
+                was_trial,
             },
         );
     }
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Crash { by, input, number } => {
+            Event::Crash {
+                by,
+                input,
+                number,
+                was_trial,
+            } => {
                 self.crash_times.entry(input).or_default().push(self.now);
                 if self.sharing != Sharing::Home {
-                    self.record(&by, input, number, false);
+                    self.record(&by, (input, number, was_trial), false);
                 }
                 let mut announce = true;
                 for to in self.holders() {
@@ -235,6 +249,7 @@
                             to,
                             input,
                             number,
+                            was_trial,
                             announce,
                         },
                     );
@@ -245,8 +260,9 @@
                 to,
                 input,
                 number,
+                was_trial,
                 announce,
-            } => self.record(&to, input, number, announce),
+            } => self.record(&to, (input, number, was_trial), announce),
             Event::Evidence { to, evidence } => {
                 let now = self.time();
                 if let Some(node) = self.nodes.get_mut(&to) {
@@ -259,14 +275,24 @@
         }
     }
 
-    fn record(&mut self, at: &InstanceId, input: Fingerprint, number: u64, announce: bool) {
+    fn record(
+        &mut self,
+        at: &InstanceId,
+        (input, number, was_trial): (Fingerprint, u64, bool),
+        announce: bool,
+    ) {
         let now = self.time();
         let Some(node) = self.nodes.get_mut(at) else {
             return;
         };
         let upstream = format!("web-{number}").as_str().into();
-        node.suspects
-            .record_crash(now, &upstream, Incarnation(1), &[input]);
+        if was_trial {
+            node.suspects
+                .record_lone_crash(now, &upstream, Incarnation(1), input);
+        } else {
+            node.suspects
+                .record_crash(now, &upstream, Incarnation(1), &[input]);
+        }
         if announce && self.sharing == Sharing::All {
             let others: Vec<InstanceId> =
                 self.nodes.keys().filter(|id| *id != at).cloned().collect();
--- a/crates/tc-fleet/tests/mesh/suspects.rs
+++ b/crates/tc-fleet/tests/mesh/suspects.rs
@@ -25,6 +25,7 @@
         service: "draft".into(),
         workspace: "one".into(),
         upstream: upstream.into(),
+        was_alone: false,
         parts: Vec::new(),
         has_crashed: std::future::ready(true).boxed(),
     });
--- a/crates/tc-gateway/src/run/attempt.rs
+++ b/crates/tc-gateway/src/run/attempt.rs
@@ -188,7 +188,7 @@
     let not_run = error.run_state == RunState::NotRun;
     log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), not_run = not_run, error = error.to_string().as_str(), after_ms = sent_at.elapsed().as_millis() as u64; "no answer from upstream");
     if error.kind == CallErrorKind::Broken {
-        report_crash(cx, req, &upstream, AnswerProgress::NotBegun);
+        report_crash(cx, req, &upstream, AnswerProgress::NotBegun, trial.as_ref());
     }
     if error.kind != CallErrorKind::Withdrawn {
         cx.upstream_stats.record(&upstream.id, CallOutcome::Failed);
@@ -275,7 +275,7 @@
         progress: AnswerProgress,
     ) -> FailedAttempt {
         if fault == AnswerFault::Broken {
-            report_crash(cx, req, &self.upstream, progress);
+            report_crash(cx, req, &self.upstream, progress, self.trial.as_ref());
         }
         cx.upstream_stats
             .record(&self.upstream.id, CallOutcome::Failed);
--- a/crates/tc-gateway/src/run/crashes.rs
+++ b/crates/tc-gateway/src/run/crashes.rs
@@ -71,9 +71,11 @@
     req: &RoutedRequest,
     upstream: &RegisteredUpstream,
     progress: AnswerProgress,
+    trial: Option<&SuspectTrial>,
 ) {
+    let was_alone = trial.is_some_and(SuspectTrial::is_alone);
     let (input, workspace) = (req.fingerprint(), req.workspace_name());
-    log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), input = format!("{:016x}", input.0).as_str(), parts = req.part_labels().as_str(), begun = progress == AnswerProgress::Begun; "connection broke during a run");
+    log::info!(request = &*req.head.request, upstream = upstream.id.as_str(), input = format!("{:016x}", input.0).as_str(), parts = req.part_labels().as_str(), begun = progress == AnswerProgress::Begun, alone = was_alone; "connection broke during a run");
     let parts = match progress {
         // An upstream that leaves refuses connections without a crash.
         AnswerProgress::NotBegun if cx.world.takes_work(&upstream.id) => req.part_fingerprints(),
@@ -85,6 +87,7 @@
         service: req.service.clone(),
         workspace,
         upstream: upstream.id.clone(),
+        was_alone,
         parts,
         has_crashed: async move { client.is_refused(address).await }.boxed(),
     });
--- a/crates/tc-policy/src/suspect/attribution.rs
+++ b/crates/tc-policy/src/suspect/attribution.rs
@@ -41,14 +41,16 @@
             explained: known.flat_map(|fp| evidence.crashes(fp)).collect(),
             ..Self::default()
         };
-        attribution.add_requests(evidence, policy.crashes_to_quarantine);
+        attribution.add_requests(evidence, policy);
         attribution.add_parts(evidence, policy.crashes_to_quarantine_part);
         attribution
     }
 
-    fn add_requests(&mut self, evidence: &EvidenceTable, threshold: u32) {
+    /// The crashes of a culprit are explained even if it has to crash another upstream alone to be refused: it runs as a
+    /// trial, and the others in them are not to blame.
+    fn add_requests(&mut self, evidence: &EvidenceTable, policy: &SuspectPolicy) {
         let requests: Vec<_> = evidence.of_kind(SuspectKind::Request).collect();
-        let candidates = by_crash_count(evidence, &requests, threshold);
+        let candidates = by_crash_count(evidence, &requests, policy.crashes_to_quarantine);
         if candidates.is_empty() {
             return;
         }
@@ -61,7 +63,9 @@
             let culprits: Vec<_> = candidates.into_iter().filter(is_singled_out).collect();
             for fp in culprits {
                 self.explained.extend(evidence.crashes(fp));
-                self.requests.insert(fp);
+                if !policy.needs_lone_crash || evidence.has_crashed_alone(fp) {
+                    self.requests.insert(fp);
+                }
             }
         }
     }
--- a/crates/tc-policy/src/suspect/evidence.rs
+++ b/crates/tc-policy/src/suspect/evidence.rs
@@ -58,6 +58,8 @@
     pub crashes: Vec<CrashId>,
     /// Those that a completed run has cleared it of.
     pub cleared: Vec<CrashId>,
+    /// Those in which no other run of it was in flight anywhere, as it ran as a trial.
+    pub alone: Vec<CrashId>,
     /// Time since the last of the crashes.
     pub age: Duration,
 }
@@ -66,6 +68,8 @@
 struct Mark {
     at: MonoTime,
     is_cleared: bool,
+    /// Whether it ran as a trial.
+    was_alone: bool,
 }
 
 type Marks = BTreeMap<CrashId, Mark>;
@@ -93,10 +97,12 @@
         fp: Fingerprint,
         kind: SuspectKind,
         crash: CrashId,
+        was_alone: bool,
     ) -> bool {
         let mark = Mark {
             at: now,
             is_cleared: false,
+            was_alone,
         };
         self.mark(now, fp, kind, (crash, mark))
     }
@@ -111,7 +117,11 @@
         let mut is_changed = false;
         for (crashes, is_cleared) in [(&evidence.cleared, true), (&evidence.crashes, false)] {
             for &crash in crashes {
-                let mark = Mark { at, is_cleared };
+                let mark = Mark {
+                    at,
+                    is_cleared,
+                    was_alone: evidence.alone.contains(&crash),
+                };
                 is_changed |= self.mark(now, fp, kind, (crash, mark));
             }
         }
@@ -141,6 +151,20 @@
             .map(|(crash, _)| *crash)
     }
 
+    /// Returns the time of the last crash that counts against a fingerprint.
+    pub(super) fn last_crash(&self, fp: Fingerprint) -> Option<MonoTime> {
+        let record = self.records.get(&fp)?;
+        let counted = record.marks.values().filter(|mark| !mark.is_cleared);
+        counted.map(|mark| mark.at).max()
+    }
+
+    /// Returns true if a crash in which the fingerprint ran as a trial counts against it.
+    pub(super) fn has_crashed_alone(&self, fp: Fingerprint) -> bool {
+        let record = self.records.get(&fp);
+        let mut marks = record.into_iter().flat_map(|record| record.marks.values());
+        marks.any(|mark| mark.was_alone && !mark.is_cleared)
+    }
+
     /// Returns true if a run has cleared the fingerprint of a crash.
     pub(super) fn has_completed(&self, fp: Fingerprint) -> bool {
         let record = self.records.get(&fp);
@@ -173,16 +197,16 @@
         let record = self.records.get(&fp)?;
         let marks = &record.marks;
         let last = marks.values().map(|mark| mark.at).max()?;
-        let with_mark = |is_cleared| {
-            let marks = marks.iter();
-            let marks = marks.filter(move |(_, mark)| mark.is_cleared == is_cleared);
+        let with_mark = |has_mark: fn(&Mark) -> bool| {
+            let marks = marks.iter().filter(|(_, mark)| has_mark(mark));
             marks.map(|(crash, _)| *crash).collect()
         };
         Some(CrashEvidence {
             fingerprint: fp,
             kind: record.kind,
-            crashes: with_mark(false),
-            cleared: with_mark(true),
+            crashes: with_mark(|mark| !mark.is_cleared),
+            cleared: with_mark(|mark| mark.is_cleared),
+            alone: with_mark(|mark| mark.was_alone),
             age: now.since(last),
         })
     }
@@ -218,8 +242,9 @@
         });
         let marks = &mut record.marks;
         if let Some(mark) = marks.get_mut(&crash) {
-            let is_new = new.is_cleared && !mark.is_cleared;
+            let is_new = (new.is_cleared && !mark.is_cleared) || (new.was_alone && !mark.was_alone);
             mark.is_cleared |= new.is_cleared;
+            mark.was_alone |= new.was_alone;
             if is_new {
                 record.changed_at = now;
             }
--- a/crates/tc-policy/src/suspect/mod.rs
+++ b/crates/tc-policy/src/suspect/mod.rs
@@ -63,6 +63,13 @@
     /// With 1, the innocent requests in a first crash wait for each other's trials. With more they do not, but the
     /// culprit may crash several upstreams at the same time.
     pub crashes_to_trial: u32,
+    /// Whether one of these crashes must be that of a trial.
+    ///
+    /// An outage of several upstreams breaks several runs of a request that many callers send. They look like crashes by
+    /// the request until it runs alone.
+    pub needs_lone_crash: bool,
+    /// Time after a crash in which no trial of its suspects starts, as other upstreams may follow in the same outage.
+    pub trial_delay: Duration,
     /// Duration of a quarantine; `None` means until an operator lifts it.
     pub quarantine_duration: Option<Duration>,
 }
@@ -104,6 +111,8 @@
             crashes_to_quarantine,
             crashes_to_quarantine_part: crashes_to_quarantine,
             crashes_to_trial: 1,
+            needs_lone_crash: false,
+            trial_delay: Duration::ZERO,
             quarantine_duration: None,
         })
     }
@@ -118,6 +127,8 @@
     ///     crashes_to_quarantine: 3,
     ///     crashes_to_quarantine_part: 4,
     ///     crashes_to_trial: 2,
+    ///     needs_lone_crash: false,
+    ///     trial_delay: Duration::ZERO,
     ///     quarantine_duration: Some(Duration::from_secs(600)),
     /// });
     /// suspects.record_crash(MonoTime(1), &"gen-1".into(), Incarnation(1), &[Fingerprint(7)]);
@@ -151,7 +162,40 @@
         fps: &[Fingerprint],
     ) {
         let crash = CrashId::of(upstream, incarnation);
-        self.add_crash(now, crash, SuspectKind::Request, fps);
+        self.add_crash(now, (crash, SuspectKind::Request, false), fps);
+    }
+
+    /// Records that an upstream crashed while the request `fp` ran on it as a trial.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use tc_policy::{SuspectPolicy, Suspects};
+    /// use tc_protocol::{Fingerprint, Incarnation, MonoTime};
+    /// let mut suspects = Suspects::with_policy(SuspectPolicy {
+    ///     crashes_to_quarantine: 2,
+    ///     crashes_to_quarantine_part: 4,
+    ///     crashes_to_trial: 2,
+    ///     needs_lone_crash: true,
+    ///     trial_delay: Duration::ZERO,
+    ///     quarantine_duration: None,
+    /// });
+    /// let (now, page) = (MonoTime(1), Fingerprint(7));
+    /// for upstream in ["gen-1", "gen-2", "gen-3"] {
+    ///     suspects.record_crash(now, &upstream.into(), Incarnation(1), &[page]);
+    /// }
+    /// assert!(!suspects.is_quarantined(page));
+    /// suspects.record_lone_crash(now, &"gen-4".into(), Incarnation(1), page);
+    /// assert!(suspects.is_quarantined(page));
+    /// ```
+    pub fn record_lone_crash(
+        &mut self,
+        now: MonoTime,
+        upstream: &UpstreamId,
+        incarnation: Incarnation,
+        fp: Fingerprint,
+    ) {
+        let crash = CrashId::of(upstream, incarnation);
+        self.add_crash(now, (crash, SuspectKind::Request, true), &[fp]);
     }
 
     /// Records that an upstream crashed with requests in flight whose prompts had `parts`.
@@ -175,15 +219,20 @@
         parts: &[Fingerprint],
     ) {
         let crash = CrashId::of(upstream, incarnation);
-        self.add_crash(now, crash, SuspectKind::PromptPart, parts);
+        self.add_crash(now, (crash, SuspectKind::PromptPart, false), parts);
     }
 
-    fn add_crash(&mut self, now: MonoTime, crash: CrashId, kind: SuspectKind, fps: &[Fingerprint]) {
+    fn add_crash(
+        &mut self,
+        now: MonoTime,
+        (crash, kind, was_alone): (CrashId, SuspectKind, bool),
+        fps: &[Fingerprint],
+    ) {
         self.remove_expired(now);
         let mut is_changed = false;
         for &fp in fps {
             self.trials.remove(&fp);
-            is_changed |= self.evidence.add(now, fp, kind, crash);
+            is_changed |= self.evidence.add(now, fp, kind, crash, was_alone);
         }
         if is_changed && self.may_change_attribution(fps) {
             self.attribute(now);
@@ -248,6 +297,11 @@
         if !self.needs_trial(fp) {
             return Trial::Run;
         }
+        let last_crash = self.evidence.last_crash(fp).unwrap_or(MonoTime(0));
+        let delay = last_crash.after(self.policy.trial_delay).since(now);
+        if !delay.is_zero() {
+            return Trial::Busy { retry_after: delay };
+        }
         let shares_a_crash = |other: Fingerprint| {
             self.evidence
                 .crashes(fp)
@@ -263,6 +317,12 @@
         Trial::Run
     }
 
+    /// Returns true if the fingerprint runs as a trial.
+    #[must_use]
+    pub fn is_in_trial(&self, fp: Fingerprint) -> bool {
+        self.trials.contains_key(&fp)
+    }
+
     /// Ends a trial, whatever its result.
     pub fn end_trial(&mut self, now: MonoTime, fp: Fingerprint) {
         self.trials.remove(&fp);
--- a/crates/tc-policy/tests/suspect_parts.rs
+++ b/crates/tc-policy/tests/suspect_parts.rs
@@ -1,6 +1,6 @@
 //! Parts of prompts that crash upstreams are quarantined, and requests with the other parts run.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use bolero::generator::produce;
 use tc_policy::{SuspectPolicy, Suspects};
@@ -19,6 +19,8 @@
         crashes_to_quarantine: 3,
         crashes_to_quarantine_part: 4,
         crashes_to_trial: 2,
+        needs_lone_crash: false,
+        trial_delay: Duration::ZERO,
         quarantine_duration: Some(std::time::Duration::from_mins(10)),
     })
 }
--- a/crates/tc-policy/tests/suspects.rs
+++ b/crates/tc-policy/tests/suspects.rs
@@ -161,6 +161,8 @@
         crashes_to_quarantine: 3,
         crashes_to_quarantine_part: 4,
         crashes_to_trial: 2,
+        needs_lone_crash: false,
+        trial_delay: Duration::ZERO,
         quarantine_duration: Some(Duration::from_mins(10)),
     });
     let all: Vec<Fingerprint> = (0..40).map(Fingerprint).collect();
@@ -178,3 +180,56 @@
     assert!(is_quarantined(&mut suspects, at(590_000), CULPRIT));
     assert_eq!(suspects.try_trial(at(600_007), CULPRIT), Trial::Run);
 }
+
+const TRIAL_DELAY: Duration = Duration::from_millis(250);
+
+fn with_lone_crashes() -> Suspects {
+    Suspects::with_policy(SuspectPolicy {
+        crashes_to_quarantine: 3,
+        crashes_to_quarantine_part: 4,
+        crashes_to_trial: 2,
+        needs_lone_crash: true,
+        trial_delay: TRIAL_DELAY,
+        quarantine_duration: Some(Duration::from_mins(10)),
+    })
+}
+
+/// Guards against a request that is refused because an outage broke several of its runs, and against a trial during the outage,
+/// which would look like one more crash by it.
+#[test]
+fn an_outage_alone_quarantines_no_request() {
+    let mut suspects = with_lone_crashes();
+    for number in 0..4 {
+        suspects.record_crash(at(1), &upstream(number), Incarnation(1), &[CULPRIT]);
+    }
+    assert!(!is_quarantined(&mut suspects, at(2), CULPRIT));
+    assert!(matches!(
+        suspects.try_trial(at(2), CULPRIT),
+        Trial::Busy { .. }
+    ));
+    assert_eq!(suspects.try_trial(at(252), CULPRIT), Trial::Run);
+    assert!(matches!(
+        suspects.try_trial(at(253), CULPRIT),
+        Trial::Busy { .. }
+    ));
+    suspects.clear(at(300), CULPRIT);
+    assert!(!suspects.is_suspect(CULPRIT));
+}
+
+/// Guards against instances that go on running a request because they do not know that it crashed an upstream alone.
+#[test]
+fn a_lone_crash_quarantines_on_every_instance() {
+    let (mut here, mut there) = (with_lone_crashes(), with_lone_crashes());
+    for number in 0..2 {
+        here.record_crash(at(1), &upstream(number), Incarnation(1), &[CULPRIT]);
+    }
+    for evidence in here.evidence_to_send(at(2), 8) {
+        there.merge(at(2), &evidence);
+    }
+    here.record_lone_crash(at(260), &upstream(2), Incarnation(1), CULPRIT);
+    assert!(is_quarantined(&mut here, at(261), CULPRIT));
+    for evidence in here.evidence_to_send(at(262), 8) {
+        there.merge(at(262), &evidence);
+    }
+    assert!(is_quarantined(&mut there, at(263), CULPRIT));
+}
