Stop: the process exits after the ends of answers are written

Cause: a request counts as in flight until the HTTP library has taken the last piece of its answer. The library may hold it for a caller that does not read; the process exited with it.

The stop now also waits until the connections are closed, at most until the end of the grace period. Each has been asked to close after its answer by then, and idle ones are gone (idle_connections_do_not_prolong_the_shutdown passes as before).

Evidence: late_in_stop::shutdown_waits_until_the_end_of_an_answer_is_written ends a process as soon as its stop is over.

--- a/crates/tc-gateway/src/stop.rs
+++ b/crates/tc-gateway/src/stop.rs
@@ -14,7 +14,7 @@
 use tc_fleet::Mesh;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    time::{sleep, sleep_until},
+    time::{sleep, sleep_until, timeout_at},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -133,9 +133,24 @@
         state.answers_due.cancel();
         wait_for_requests(connections, end + FINAL_ANSWER_TIME).await;
     }
+    wait_for_connections(connections, end + FINAL_ANSWER_TIME).await;
     log::info!(took_ms = since.elapsed().as_millis() as u64, interrupted = connections.in_flight(); "stopped");
 }
 
+/// Waits until all connections are closed, at most until `end`.
+///
+/// A request is no longer in flight once the HTTP library has taken its whole answer. The end of the answer may then still
+/// wait in the library's buffer for a caller that reads slowly.
+async fn wait_for_connections(connections: &Connections, end: Instant) {
+    connections.tasks.close();
+    if timeout_at(end.into(), connections.tasks.wait())
+        .await
+        .is_err()
+    {
+        log::info!(connections = connections.tasks.len(); "connections open at the end of the grace period");
+    }
+}
+
 /// Waits until no request is in flight, at most until `end`.
 async fn wait_for_requests(connections: &Connections, end: Instant) {
     while connections.in_flight() > 0 && Instant::now() < end {
