Crash evidence: a crash in which a request ran alone counts when its evidence is full

A request whose copies crashed eight upstreams at once would then never be refused, as the crash of its trial was dropped.

That crash now takes the place of the oldest other one. a_lone_crash_counts_after_many_others fails without this and passes with it.

--- a/crates/tc-policy/src/suspect/evidence.rs
+++ b/crates/tc-policy/src/suspect/evidence.rs
@@ -251,12 +251,13 @@
             return is_new;
         }
         if marks.len() >= MAX_CRASHES_PER_FINGERPRINT {
-            // Crashes that count are kept: more of them would change nothing.
-            let mut cleared = marks.iter().filter(|(_, mark)| mark.is_cleared);
-            let Some(oldest) = cleared.by_ref().min_by_key(|(_, mark)| mark.at) else {
+            // Crashes that count are kept: more of them would change nothing, unless it ran alone in the new one.
+            let makes_room = |mark: &Mark| mark.is_cleared || (new.was_alone && !mark.was_alone);
+            let replaceable = marks.iter().filter(|(_, mark)| makes_room(mark));
+            let oldest = replaceable.min_by_key(|(_, mark)| (!mark.is_cleared, mark.at));
+            let Some((&oldest, _)) = oldest else {
                 return false;
             };
-            let oldest = *oldest.0;
             marks.remove(&oldest);
             self.count -= 1;
         }
--- a/crates/tc-policy/tests/suspects.rs
+++ b/crates/tc-policy/tests/suspects.rs
@@ -233,3 +233,20 @@
     }
     assert!(is_quarantined(&mut there, at(263), CULPRIT));
 }
+
+/// Guards against a request that is never refused because its evidence was full before it ran alone.
+#[test]
+fn a_lone_crash_counts_after_many_others() {
+    let (mut here, mut there) = (with_lone_crashes(), with_lone_crashes());
+    for number in 0..20 {
+        for suspects in [&mut here, &mut there] {
+            suspects.record_crash(at(1), &upstream(number), Incarnation(1), &[CULPRIT]);
+        }
+    }
+    here.record_lone_crash(at(260), &upstream(20), Incarnation(1), CULPRIT);
+    assert!(is_quarantined(&mut here, at(261), CULPRIT));
+    for evidence in here.evidence_to_send(at(262), 8) {
+        there.merge(at(262), &evidence);
+    }
+    assert!(is_quarantined(&mut there, at(263), CULPRIT));
+}
