--- a/crates/tc-fleet/src/suspects/reports.rs
+++ b/crates/tc-fleet/src/suspects/reports.rs
@@ -48,7 +48,7 @@
 }
 
 impl CrashedRun {
-    fn now(fingerprint: Fingerprint, upstream: UpstreamId, was_trial: bool) -> Self {
+    fn new(fingerprint: Fingerprint, upstream: UpstreamId, was_trial: bool) -> Self {
         Self {
             fingerprint,
             upstream,
@@ -71,7 +71,7 @@
         upstream: UpstreamId,
     ) {
         let was_trial = lock(&self.trials).remove(&fingerprint);
-        let run = CrashedRun::now(fingerprint, upstream, was_trial);
+        let run = CrashedRun::new(fingerprint, upstream, was_trial);
         let table = Arc::clone(&self);
         let sent = tokio::spawn(async move { table.send_crash(run).await });
         // The caller does not wait for instances that do not answer; the report is sent on in the background.
@@ -90,7 +90,7 @@
         blamed: BlamedParts,
     ) {
         lock(&self.trials).remove(&fingerprint);
-        let run = CrashedRun::now(fingerprint, upstream, was_alone);
+        let run = CrashedRun::new(fingerprint, upstream, was_alone);
         let table = Arc::clone(self);
         let (service, upstream) = (blamed.service.clone(), run.upstream.clone());
         let crashed_at = run.crashed_at;
--- a/crates/tc-fleet/src/suspects/trial.rs
+++ b/crates/tc-fleet/src/suspects/trial.rs
@@ -31,7 +31,8 @@
         }
     }
 
-    /// Returns true if no other run of the suspect is in flight. One that its home does not suspect may run besides.
+    /// Returns true if the home allows no other run of the input meanwhile. An input that it does not suspect may run
+    /// several times at once.
     pub(crate) fn is_alone(&self) -> bool {
         self.is_alone
     }
--- a/crates/tc-gateway/src/homes/home.rs
+++ b/crates/tc-gateway/src/homes/home.rs
@@ -6,8 +6,8 @@
 };
 
 use tc_policy::{
-    BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, JobOutcome, MAX_STAGE_PIECES,
-    OutcomeCounts, PlannerEffects, UnusedResults, UsedShares,
+    BatchCall, BatchPlanner, BatchUpstream, HomeOutlook, JobKey, JobOutcome, OutcomeCounts,
+    PlannerEffects, UnusedResults, UsedShares,
 };
 use tc_protocol::{
     MonoTime, ServiceName, UpstreamId,
@@ -79,22 +79,6 @@
         reply
     }
 
-    /// Refuses a request with more pieces than upstreams can make in time, whichever instance has sent it.
-    pub(super) fn check_pieces(&self, stage_request: &StageRequest) -> Result<(), StageRefusal> {
-        let largest = stage_request.piece_counts().max().unwrap_or(0);
-        let checked = if largest > MAX_STAGE_PIECES {
-            Err(StageRefusal::TooManyPieces)
-        } else {
-            let planner = &self.lock().planner;
-            planner.check_pieces(stage_request.pieces, stage_request.remaining)
-        };
-        checked.inspect_err(|_| {
-            let service = self.service.as_str().to_owned();
-            metrics::counter!("tc_stage_refusals_total", "service" => service).increment(1);
-            log::info!(request = &*stage_request.request, service = self.service.as_str(), pieces = stage_request.pieces, largest = largest, remaining_ms = stage_request.remaining.as_millis() as u64; "stage refused: too many pieces");
-        })
-    }
-
     /// Counts the end of a job, and logs what this home knows while its service is short.
     pub(super) fn record_outcome(&self, outcome: JobOutcome) {
         let service = self.service.as_str().to_owned();
--- a/crates/tc-gateway/src/homes/mod.rs
+++ b/crates/tc-gateway/src/homes/mod.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod chains;
 mod home;
+mod piece_check;
 mod release;
 mod room;
 mod state;
--- a/crates/tc-gateway/src/run/mod.rs
+++ b/crates/tc-gateway/src/run/mod.rs
@@ -9,6 +9,7 @@
 mod home_request;
 mod open_stream;
 mod outlooks;
+mod piece_check;
 mod possible_runs;
 mod prompt_times;
 mod refusal;
--- a/crates/tc-gateway/src/run/stages.rs
+++ b/crates/tc-gateway/src/run/stages.rs
@@ -3,13 +3,13 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
-use tc_policy::{ChainQuery, ExpectedStageTimes, MAX_STAGE_PIECES, StageGraph, max_stage_pieces};
+use tc_policy::{ChainQuery, ExpectedStageTimes, StageGraph};
 use tc_protocol::{
     FailureDomain, ServiceName,
     routing::{PieceInput, ResultHandle, RouteStage, StageChain, StageRefusal, StageRequest},
 };
 
-use super::{RoutedRequest, RunContext, home_request::request_pieces};
+use super::{RoutedRequest, RunContext, home_request::request_pieces, piece_check::check_pieces};
 use crate::homes::{PiecesReply, ResultReleaser};
 
 /// Size from which on the location of results matters; moving fewer bytes costs less than waiting for a nearby
@@ -208,32 +208,6 @@
     })
 }
 
-/// Refuses a request with more pieces than the upstreams of a stage can make before its deadline.
-fn check_pieces(
-    cx: &RunContext,
-    req: &RoutedRequest,
-    graph: &StageGraph<'_>,
-) -> Result<(), StageRefusal> {
-    let world = cx.world.load();
-    let remaining = req.time_to_next_event();
-    for (index, stage) in graph.stages().iter().enumerate() {
-        let service = stage.service.as_str();
-        let config = world.config.as_ref();
-        let spec = config.and_then(|config| config.service(service)?.batch);
-        let upstreams = world.upstreams.of_service(service).len();
-        let limit = spec.map_or(MAX_STAGE_PIECES, |spec| {
-            // Whether there are any is checked at the home of the service.
-            max_stage_pieces(&spec, upstreams.max(1), remaining)
-        });
-        let pieces = graph.pieces(index);
-        if pieces > limit {
-            log::info!(request = &*req.head.request, service = service, stage = index, pieces = pieces, limit = limit, upstreams = upstreams, remaining_ms = remaining.as_millis() as u64; "request refused: too many pieces");
-            return Err(StageRefusal::TooManyPieces);
-        }
-    }
-    Ok(())
-}
-
 /// Prepares to make a stage again that did not find its inputs, with the stages that made these.
 ///
 /// Refuses the request if they were made again before, or if there is no time for it.
--- a/crates/tc-policy/src/suspect/mod.rs
+++ b/crates/tc-policy/src/suspect/mod.rs
@@ -8,7 +8,9 @@
 //! recognized although no two of them are equal.
 
 mod attribution;
+mod crashes;
 mod evidence;
+mod policy;
 mod sharing;
 
 use std::{
@@ -16,11 +18,12 @@
     time::Duration,
 };
 
-use tc_protocol::{Fingerprint, Incarnation, MonoTime, UpstreamId};
+use tc_protocol::{Fingerprint, MonoTime};
 
 use attribution::Attribution;
 use evidence::EvidenceTable;
 pub use evidence::{CrashEvidence, CrashId, SuspectKind};
+pub use policy::SuspectPolicy;
 
 /// Maximum number of fingerprints that other instances or operators quarantined; the oldest is dropped first.
 const MAX_ADOPTED: usize = 4_096;
@@ -51,29 +54,6 @@
     },
 }
 
-/// Thresholds for trials and quarantine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SuspectPolicy {
-    /// Crashes after which a request is quarantined (at least 1).
-    pub crashes_to_quarantine: u32,
-    /// Crashes after which a prompt part is quarantined (at least 1).
-    pub crashes_to_quarantine_part: u32,
-    /// Crashes from which a fingerprint runs only as a trial, one at a time (at least 1).
-    ///
-    /// With 1, the innocent requests in a first crash wait for each other's trials. With more they do not, but the
-    /// culprit may crash several upstreams at the same time.
-    pub crashes_to_trial: u32,
-    /// Whether one of these crashes must be that of a trial.
-    ///
-    /// An outage of several upstreams breaks several runs of a request that many callers send. They look like crashes by
-    /// the request until it runs alone.
-    pub needs_lone_crash: bool,
-    /// Time after a crash in which no trial of its suspects starts, as other upstreams may follow in the same outage.
-    pub trial_delay: Duration,
-    /// Duration of a quarantine; `None` means until an operator lifts it.
-    pub quarantine_duration: Option<Duration>,
-}
-
 /// Evidence of crashes, trials and quarantined fingerprints. Memory use is bounded.
 #[derive(Debug)]
 pub struct Suspects {
@@ -150,95 +130,6 @@
         }
     }
 
-    /// Records that an upstream crashed with the requests `fps` in flight. A crash that several entries report counts once.
-    ///
-    /// Report all fingerprints in flight: an instance that knows only some of them cannot tell the culprit from the
-    /// others.
-    pub fn record_crash(
-        &mut self,
-        now: MonoTime,
-        upstream: &UpstreamId,
-        incarnation: Incarnation,
-        fps: &[Fingerprint],
-    ) {
-        let crash = CrashId::of(upstream, incarnation);
-        self.add_crash(now, (crash, SuspectKind::Request, false), fps);
-    }
-
-    /// Records that an upstream crashed while the request `fp` ran on it as a trial.
-    ///
-    /// ```
-    /// use std::time::Duration;
-    /// use tc_policy::{SuspectPolicy, Suspects};
-    /// use tc_protocol::{Fingerprint, Incarnation, MonoTime};
-    /// let mut suspects = Suspects::with_policy(SuspectPolicy {
-    ///     crashes_to_quarantine: 2,
-    ///     crashes_to_quarantine_part: 4,
-    ///     crashes_to_trial: 2,
-    ///     needs_lone_crash: true,
-    ///     trial_delay: Duration::ZERO,
-    ///     quarantine_duration: None,
-    /// });
-    /// let (now, page) = (MonoTime(1), Fingerprint(7));
-    /// for upstream in ["gen-1", "gen-2", "gen-3"] {
-    ///     suspects.record_crash(now, &upstream.into(), Incarnation(1), &[page]);
-    /// }
-    /// assert!(!suspects.is_quarantined(page));
-    /// suspects.record_lone_crash(now, &"gen-4".into(), Incarnation(1), page);
-    /// assert!(suspects.is_quarantined(page));
-    /// ```
-    pub fn record_lone_crash(
-        &mut self,
-        now: MonoTime,
-        upstream: &UpstreamId,
-        incarnation: Incarnation,
-        fp: Fingerprint,
-    ) {
-        let crash = CrashId::of(upstream, incarnation);
-        self.add_crash(now, (crash, SuspectKind::Request, true), &[fp]);
-    }
-
-    /// Records that an upstream crashed with requests in flight whose prompts had `parts`.
-    ///
-    /// ```
-    /// use tc_policy::Suspects;
-    /// use tc_protocol::{Fingerprint, Incarnation, MonoTime};
-    /// let (mut suspects, culprit) = (Suspects::new(3), Fingerprint(7));
-    /// for (upstream, other) in [("gen-1", 1), ("gen-2", 2), ("gen-3", 3)] {
-    ///     let parts = [culprit, Fingerprint(other)];
-    ///     suspects.record_crash_with_parts(MonoTime(1), &upstream.into(), Incarnation(1), &parts);
-    /// }
-    /// assert!(suspects.has_quarantined_part(&[Fingerprint(4), culprit]));
-    /// assert!(!suspects.has_quarantined_part(&[Fingerprint(1), Fingerprint(2)]));
-    /// ```
-    pub fn record_crash_with_parts(
-        &mut self,
-        now: MonoTime,
-        upstream: &UpstreamId,
-        incarnation: Incarnation,
-        parts: &[Fingerprint],
-    ) {
-        let crash = CrashId::of(upstream, incarnation);
-        self.add_crash(now, (crash, SuspectKind::PromptPart, false), parts);
-    }
-
-    fn add_crash(
-        &mut self,
-        now: MonoTime,
-        (crash, kind, was_alone): (CrashId, SuspectKind, bool),
-        fps: &[Fingerprint],
-    ) {
-        self.remove_expired(now);
-        let mut is_changed = false;
-        for &fp in fps {
-            self.trials.remove(&fp);
-            is_changed |= self.evidence.add(now, fp, kind, crash, was_alone);
-        }
-        if is_changed && self.may_change_attribution(fps) {
-            self.attribute(now);
-        }
-    }
-
     /// Returns true if the fingerprint may run only as a trial or not at all.
     #[must_use]
     pub fn is_suspect(&self, fp: Fingerprint) -> bool {
